--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# The commands of the project; README.md explains them.
+GO ?= go
+
+.PHONY: all build lint test demo prove bench slopes clean
+
+all: lint test build
+
+build:
+	$(GO) build -o bin/umbercrank ./cmd/umbercrank
+	$(GO) build -o bin/umberctl ./cmd/umberctl
+
+lint:
+	./scripts/lint.sh
+
+test:
+	./scripts/test.sh
+
+demo: build
+	./scripts/demo.sh
+
+prove:
+	./scripts/prove.sh
+
+bench:
+	./scripts/bench.sh
+
+slopes: build
+	./scripts/slopes.sh
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/pkg/fault/response.go
@@ -0,0 +1,59 @@
+package fault
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// Response is the JSON body of a failure. Its outer shape is that of the
+// OpenAI API, so that client libraries show the message.
+type Response struct {
+	Error ResponseError `json:"error"`
+}
+
+// ResponseError is the inner object of a Response.
+type ResponseError struct {
+	Code     Code           `json:"code"`
+	Type     string         `json:"type"`
+	Message  string         `json:"message"`
+	RunState types.RunState `json:"run_state"`
+	// RetryAfterMilliseconds tells the caller when to come back; zero means
+	// that coming back is not known to help.
+	RetryAfterMilliseconds int64 `json:"retry_after_ms,omitempty"`
+}
+
+// Response returns the JSON body for the failure.
+func (e *Error) Response() Response {
+	return Response{Error: ResponseError{
+		Code:                   e.Code,
+		Type:                   "umbercrank_error",
+		Message:                e.Message,
+		RunState:               e.RunState,
+		RetryAfterMilliseconds: e.RetryAfter.Milliseconds(),
+	}}
+}
+
+// WriteTo sends the failure to a caller as JSON, with a Retry-After header in
+// whole seconds, rounded up, when there is a time to come back.
+func (e *Error) WriteTo(w http.ResponseWriter) error {
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(e.Code.Status())
+	return json.NewEncoder(w).Encode(e.Response())
+}
+
+// FromResponse rebuilds the failure from its JSON body.
+func FromResponse(r Response) *Error {
+	e := New(r.Error.Code, r.Error.Message)
+	e.RunState = r.Error.RunState
+	e.RetryAfter = time.Duration(r.Error.RetryAfterMilliseconds) * time.Millisecond
+	return e
+}
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Checks format, vet and the pinned linter of the tools module.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+unformatted=$(gofmt -l cmd pkg test 2>/dev/null || true)
+if [ -n "$unformatted" ]; then
+	echo "gofmt would change:"
+	echo "$unformatted"
+	exit 1
+fi
+go vet ./...
+go build -o bin/staticcheck honnef.co/go/tools/cmd/staticcheck
+bin/staticcheck ./...
+echo "lint: ok"
