--- /dev/null
+++ b/pkg/config/compile.go
@@ -0,0 +1,229 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+
+	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/rules"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// maxParts bounds the number of parts of one configuration.
+const maxParts = 4096
+
+// decodedPart is one part after decoding. It is immutable and shared by the
+// snapshots that hold the same part.
+type decodedPart struct {
+	name     string
+	digest   platform.Digest
+	raw      []byte
+	fragment *Document
+	accounts *accountPart
+}
+
+// Compile validates a whole document and compiles it. The failure has code
+// InvalidConfiguration and lists every problem.
+func Compile(revision types.Revision, document *Document) (*Snapshot, error) {
+	if err := Validate(document); err != nil {
+		return nil, err
+	}
+	parts, err := Split(document)
+	if err != nil {
+		return nil, err
+	}
+	encoded, _ := Encode(revision, parts)
+	return CompileParts(revision, encoded, nil)
+}
+
+// CompileParts validates the parts of one configuration as a whole and compiles
+// them. Parts that previous holds too are not decoded again; previous may be
+// nil. The verdict depends on the parts alone.
+func CompileParts(revision types.Revision, parts []Encoded, previous *Snapshot) (*Snapshot, error) {
+	if len(parts) > maxParts {
+		message := fmt.Sprintf("%d parts, at most %d are allowed", len(parts), maxParts)
+		return nil, invalid([]Problem{{Index: -1, Message: message}})
+	}
+	decoded, err := decodeParts(parts, previous)
+	if err != nil {
+		return nil, err
+	}
+	core, err := compileCore(decoded, previous)
+	if err != nil {
+		return nil, err
+	}
+	accounts, problems := newAccountTable(accountParts(decoded), previous.accountTable())
+	if len(problems) > 0 {
+		return nil, invalid(problems)
+	}
+	return newSnapshot(revision, decoded, core, accounts), nil
+}
+
+// decodeParts decodes the parts in the order of their names.
+func decodeParts(parts []Encoded, previous *Snapshot) ([]*decodedPart, error) {
+	ordered := slices.Clone(parts)
+	slices.SortFunc(ordered, func(a, b Encoded) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
+	decoded := make([]*decodedPart, 0, len(ordered))
+	var problems []Problem
+	for i, part := range ordered {
+		if i > 0 && ordered[i-1].Name == part.Name {
+			problems = append(problems, Problem{Part: part.Name, Index: -1, Message: "the name of the part is in use already"})
+		}
+		if held, ok := previous.decodedPart(part.Name); ok && held.digest == part.Digest {
+			decoded = append(decoded, held)
+			continue
+		}
+		fresh, found := decodePart(part)
+		problems = append(problems, found...)
+		decoded = append(decoded, fresh)
+	}
+	return decoded, invalid(problems)
+}
+
+// decodePart decodes one part and checks its accounts.
+func decodePart(part Encoded) (*decodedPart, []Problem) {
+	if len(part.Bytes) > MaxPartBytes {
+		return nil, []Problem{tooLarge(part.Name, len(part.Bytes))}
+	}
+	text, err := toJSON(part.Bytes)
+	if err != nil {
+		return nil, partProblem(part, err)
+	}
+	var problems []Problem
+	index := &accountPart{raw: text}
+	count := 0
+	fragment, err := decode(text, func(account Account, start, end int) {
+		for _, problem := range checkAccount(account, count) {
+			problem.Part = part.Name
+			problems = append(problems, problem)
+		}
+		index.add(account, start, end)
+		count++
+	})
+	if err != nil {
+		return nil, partProblem(part, err)
+	}
+	index.sort()
+	result := &decodedPart{name: part.Name, digest: part.Digest, raw: part.Bytes, fragment: fragment}
+	if count > 0 {
+		result.accounts = index
+	}
+	return result, problems
+}
+
+// partProblem is the problem of a part that cannot be decoded.
+func partProblem(part Encoded, cause error) []Problem {
+	problem := locateSyntax(part.Bytes, cause)
+	problem.Part = part.Name
+	return []Problem{problem}
+}
+
+// accountParts returns the parts that hold accounts.
+func accountParts(parts []*decodedPart) []*decodedPart {
+	var result []*decodedPart
+	for _, part := range parts {
+		if part.accounts != nil {
+			result = append(result, part)
+		}
+	}
+	return result
+}
+
+// coreKey names the content of all parts apart from their accounts.
+func coreKey(parts []*decodedPart) string {
+	var key bytes.Buffer
+	for _, part := range parts {
+		if !part.fragment.empty() {
+			key.WriteString(part.name + "\x00" + string(part.digest) + "\n")
+		}
+	}
+	return key.String()
+}
+
+// empty reports whether the document has no items apart from accounts.
+func (d *Document) empty() bool {
+	return len(d.Classes)+len(d.Rules)+len(d.Targets)+len(d.Upstreams) == 0
+}
+
+// core is the compiled form of everything but the accounts.
+type core struct {
+	key       string
+	document  *Document
+	rules     *rules.List
+	classes   map[types.ClassName]Class
+	targets   map[types.TargetName]Target
+	upstreams map[types.UpstreamID]Upstream
+	pools     map[types.PoolID][]Upstream
+	byTarget  map[types.TargetName][]types.PoolID
+	models    []string
+}
+
+// compileCore compiles everything but the accounts, or takes it from previous
+// when nothing of it changed.
+func compileCore(parts []*decodedPart, previous *Snapshot) (*core, error) {
+	key := coreKey(parts)
+	if previous != nil && previous.core.key == key {
+		return previous.core, nil
+	}
+	document := &Document{}
+	for _, part := range parts {
+		document.append(part.fragment)
+	}
+	if problems := checkCore(document); len(problems) > 0 {
+		return nil, invalid(problems)
+	}
+	list, err := compileRules(document.Rules)
+	if err != nil {
+		return nil, err
+	}
+	result := &core{key: key, document: document, rules: list}
+	result.indexNames()
+	result.indexUpstreams()
+	return result, nil
+}
+
+// compileRules compiles the when expressions.
+func compileRules(list []Rule) (*rules.List, error) {
+	plain := make([]rules.Rule, len(list))
+	for i, rule := range list {
+		plain[i] = rules.Rule{Name: rule.Name, When: rule.When}
+	}
+	return rules.Compile(plain)
+}
+
+// indexNames fills the maps of classes and targets and the list of models.
+func (c *core) indexNames() {
+	c.classes = make(map[types.ClassName]Class, len(c.document.Classes))
+	for _, class := range c.document.Classes {
+		c.classes[class.Name] = class
+	}
+	c.targets = make(map[types.TargetName]Target, len(c.document.Targets))
+	for _, target := range c.document.Targets {
+		c.targets[target.Name] = target
+		if target.Kind == EngineTarget {
+			c.models = append(c.models, target.Model)
+		}
+	}
+	slices.Sort(c.models)
+	c.models = slices.Compact(c.models)
+}
+
+// indexUpstreams fills the maps of upstreams and pools.
+func (c *core) indexUpstreams() {
+	c.upstreams = make(map[types.UpstreamID]Upstream, len(c.document.Upstreams))
+	c.pools = map[types.PoolID][]Upstream{}
+	c.byTarget = map[types.TargetName][]types.PoolID{}
+	for _, upstream := range c.document.Upstreams {
+		c.upstreams[upstream.ID] = upstream
+		pool := types.PoolID{Target: upstream.Target, DataCentre: upstream.DataCentre}
+		c.pools[pool] = append(c.pools[pool], upstream)
+	}
+	for pool, upstreams := range c.pools {
+		slices.SortFunc(upstreams, compareUpstreams)
+		c.byTarget[pool.Target] = append(c.byTarget[pool.Target], pool)
+	}
+	for _, pools := range c.byTarget {
+		slices.SortFunc(pools, comparePools)
+	}
+}
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -17,6 +17,10 @@
 	Targets   []Target   `json:"targets"`
 	Upstreams []Upstream `json:"upstreams"`
 	Accounts  []Account  `json:"accounts"`
+
+	// source is the text that the document was parsed from, kept for the lines
+	// of problems.
+	source []byte
 }
 
 // Milliseconds is a duration written as a whole number of milliseconds.
--- /dev/null
+++ b/pkg/config/parse.go
@@ -0,0 +1,128 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Parse reads one whole document from JSON or YAML. Unknown fields, wrong types
+// and repeated keys are refused with a *fault.Error of code
+// InvalidConfiguration whose problems carry lines. Parse does not check the
+// document's meaning; Validate and Compile do.
+func Parse(source []byte) (*Document, error) {
+	text, err := toJSON(source)
+	if err != nil {
+		return nil, invalid([]Problem{locateSyntax(source, err)})
+	}
+	document, err := decode(text, nil)
+	if err != nil {
+		return nil, invalid([]Problem{locateSyntax(source, err)})
+	}
+	document.source = source
+	return document, nil
+}
+
+// toJSON returns JSON as it is and YAML converted. JSON is told by its first
+// byte.
+func toJSON(source []byte) ([]byte, error) {
+	if trimmed := bytes.TrimSpace(source); len(trimmed) > 0 && trimmed[0] == '{' {
+		return source, nil
+	}
+	return yaml.YAMLToJSON(source)
+}
+
+// accountVisitor takes each account with the place of its JSON object in the
+// part.
+type accountVisitor func(account Account, start, end int)
+
+// decode reads a document section by section. With a visitor the accounts go to
+// it and stay out of the document.
+func decode(text []byte, visit accountVisitor) (*Document, error) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	document := &Document{}
+	if err := expectDelim(decoder, '{'); err != nil {
+		return nil, err
+	}
+	seen := map[Section]bool{}
+	for decoder.More() {
+		key, err := decoder.Token()
+		if err != nil {
+			return nil, err
+		}
+		section := Section(fmt.Sprint(key))
+		if seen[section] {
+			return nil, &schemaError{field: string(section), message: "the key is repeated", offset: decoder.InputOffset()}
+		}
+		seen[section] = true
+		if err := document.decodeSection(decoder, text, section, visit); err != nil {
+			return nil, err
+		}
+	}
+	if err := expectDelim(decoder, '}'); err != nil {
+		return nil, err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, &schemaError{message: "there is text after the document", offset: decoder.InputOffset()}
+	}
+	return document, nil
+}
+
+// decodeSection reads the value of one top-level key.
+func (d *Document) decodeSection(decoder *json.Decoder, text []byte, section Section, visit accountVisitor) error {
+	switch section {
+	case Classes:
+		return decoder.Decode(&d.Classes)
+	case Rules:
+		return decoder.Decode(&d.Rules)
+	case Targets:
+		return decoder.Decode(&d.Targets)
+	case Upstreams:
+		return decoder.Decode(&d.Upstreams)
+	case Accounts:
+		if visit == nil {
+			return decoder.Decode(&d.Accounts)
+		}
+		return decodeAccounts(decoder, text, visit)
+	default:
+		return &schemaError{field: string(section), message: "unknown field", offset: decoder.InputOffset()}
+	}
+}
+
+// decodeAccounts reads the accounts one by one, so that a large part needs
+// little memory.
+func decodeAccounts(decoder *json.Decoder, text []byte, visit accountVisitor) error {
+	if err := expectDelim(decoder, '['); err != nil {
+		return err
+	}
+	for decoder.More() {
+		start := int(decoder.InputOffset())
+		var account Account
+		if err := decoder.Decode(&account); err != nil {
+			return err
+		}
+		end := int(decoder.InputOffset())
+		start += bytes.IndexByte(text[start:end], '{')
+		visit(account, start, end)
+	}
+	return expectDelim(decoder, ']')
+}
+
+// expectDelim reads one delimiter.
+func expectDelim(decoder *json.Decoder, want json.Delim) error {
+	token, err := decoder.Token()
+	if err == io.EOF {
+		return &schemaError{message: "the document ends early", offset: decoder.InputOffset()}
+	}
+	if err != nil {
+		return err
+	}
+	if token != want {
+		return &schemaError{message: fmt.Sprintf("want %q, got %v", rune(want), token), offset: decoder.InputOffset()}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/config/parts.go
@@ -0,0 +1,160 @@
+package config
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+const (
+	// MaxPartBytes is the largest part that the platform holds.
+	MaxPartBytes = 1 << 20
+	// accountBuckets is the number of parts that accounts are spread over.
+	accountBuckets = 256
+	// upstreamBuckets is the number of parts that upstreams are spread over.
+	upstreamBuckets = 16
+)
+
+// Split encodes a document as parts by name. Each part is itself a document
+// that holds some of the items. Accounts and upstreams are spread over a fixed
+// number of parts by the hash of their ID, so that a change of one of them
+// changes one small part. Order is kept for classes, rules and targets.
+func Split(document *Document) (map[string][]byte, error) {
+	fragments := map[string]*Document{
+		string(Classes): {Classes: document.Classes},
+		string(Rules):   {Rules: document.Rules},
+		string(Targets): {Targets: document.Targets},
+	}
+	for _, upstream := range document.Upstreams {
+		name := bucketName(Upstreams, string(upstream.ID), upstreamBuckets)
+		fragment := fragmentOf(fragments, name)
+		fragment.Upstreams = append(fragment.Upstreams, upstream)
+	}
+	for _, account := range document.Accounts {
+		name := bucketName(Accounts, string(account.ID), accountBuckets)
+		fragment := fragmentOf(fragments, name)
+		fragment.Accounts = append(fragment.Accounts, account)
+	}
+	return encodeFragments(fragments)
+}
+
+// bucketName returns the name of the part that holds the item.
+func bucketName(section Section, id string, buckets uint64) string {
+	return fmt.Sprintf("%s/%02x", section, xxhash.Sum64String(id)%buckets)
+}
+
+// fragmentOf returns the fragment of the name, made on first use.
+func fragmentOf(fragments map[string]*Document, name string) *Document {
+	fragment, ok := fragments[name]
+	if !ok {
+		fragment = &Document{}
+		fragments[name] = fragment
+	}
+	return fragment
+}
+
+// encodeFragments encodes each fragment in one canonical form.
+func encodeFragments(fragments map[string]*Document) (map[string][]byte, error) {
+	parts := make(map[string][]byte, len(fragments))
+	for name, fragment := range fragments {
+		slices.SortFunc(fragment.Upstreams, compareUpstreams)
+		slices.SortFunc(fragment.Accounts, compareAccounts)
+		text, err := json.Marshal(fragment.sections())
+		if err != nil {
+			return nil, fault.Wrap(fault.InvalidConfiguration, err, "encode part "+name)
+		}
+		if len(text) > MaxPartBytes {
+			return nil, invalid([]Problem{tooLarge(name, len(text))})
+		}
+		parts[name] = text
+	}
+	return parts, nil
+}
+
+// tooLarge is the problem of a part above MaxPartBytes.
+func tooLarge(name string, size int) Problem {
+	return Problem{Part: name, Index: -1, Message: fmt.Sprintf("%d bytes, at most %d are allowed", size, MaxPartBytes)}
+}
+
+// partialDocument is a document whose empty sections stay out of the encoding.
+type partialDocument struct {
+	Classes   []Class    `json:"classes,omitempty"`
+	Rules     []Rule     `json:"rules,omitempty"`
+	Targets   []Target   `json:"targets,omitempty"`
+	Upstreams []Upstream `json:"upstreams,omitempty"`
+	Accounts  []Account  `json:"accounts,omitempty"`
+}
+
+// sections returns the encodable form of a fragment.
+func (d *Document) sections() partialDocument {
+	return partialDocument{
+		Classes:   d.Classes,
+		Rules:     d.Rules,
+		Targets:   d.Targets,
+		Upstreams: d.Upstreams,
+		Accounts:  d.Accounts,
+	}
+}
+
+// Assemble joins parts in the order of their names into one document.
+func Assemble(parts map[string][]byte) (*Document, error) {
+	document := &Document{}
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		fragment, err := Parse(parts[name])
+		if err != nil {
+			return nil, inPart(err, name)
+		}
+		document.append(fragment)
+		document.Accounts = append(document.Accounts, fragment.Accounts...)
+	}
+	return document, nil
+}
+
+// append adds the items of a fragment other than its accounts.
+func (d *Document) append(fragment *Document) {
+	d.Classes = append(d.Classes, fragment.Classes...)
+	d.Rules = append(d.Rules, fragment.Rules...)
+	d.Targets = append(d.Targets, fragment.Targets...)
+	d.Upstreams = append(d.Upstreams, fragment.Upstreams...)
+}
+
+// inPart names the part in the problems of err.
+func inPart(err error, name string) error {
+	problems := Problems(err)
+	for i := range problems {
+		problems[i].Part = name
+	}
+	return err
+}
+
+// Encoded is one part as published.
+type Encoded struct {
+	Name   string
+	Digest platform.Digest
+	Bytes  []byte
+}
+
+// Encode returns the parts in the order of their names, and the manifest that
+// lists them.
+func Encode(revision types.Revision, parts map[string][]byte) ([]Encoded, platform.Manifest) {
+	manifest := platform.Manifest{Revision: revision}
+	encoded := make([]Encoded, 0, len(parts))
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		part := Encoded{Name: name, Digest: platform.DigestOf(parts[name]), Bytes: parts[name]}
+		encoded = append(encoded, part)
+		manifest.Parts = append(manifest.Parts, platform.PartRef{Name: name, Digest: part.Digest, Size: len(part.Bytes)})
+	}
+	return encoded, manifest
+}
+
+func compareUpstreams(a, b Upstream) int { return cmp.Compare(string(a.ID), string(b.ID)) }
+
+func compareAccounts(a, b Account) int { return cmp.Compare(string(a.ID), string(b.ID)) }
--- /dev/null
+++ b/test/fakes/platform.go
@@ -0,0 +1,111 @@
+package fakes
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/standin/configuration"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// Platform is the configuration stand-in with faults that differ by reader. It
+// is safe for concurrent use.
+type Platform struct {
+	*configuration.Service
+	mu    sync.Mutex
+	cut   map[string]bool
+	stale map[string]types.Revision
+}
+
+// NewPlatform returns a platform that has published nothing.
+func NewPlatform() *Platform {
+	return &Platform{
+		Service: configuration.New(),
+		cut:     map[string]bool{},
+		stale:   map[string]types.Revision{},
+	}
+}
+
+// Reader returns the platform as the named reader sees it.
+func (p *Platform) Reader(name string) platform.Source {
+	return &reader{platform: p, name: name}
+}
+
+// Cut keeps the named readers from the service.
+func (p *Platform) Cut(names ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, name := range names {
+		p.cut[name] = true
+	}
+}
+
+// SetStale leads the named reader to a replica that has nothing above the
+// revision.
+func (p *Platform) SetStale(name string, revision types.Revision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale[name] = revision
+}
+
+// Heal ends the faults of single readers.
+func (p *Platform) Heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.cut)
+	clear(p.stale)
+}
+
+// faults returns the faults of the reader.
+func (p *Platform) faults(name string) (cut bool, stale types.Revision, isStale bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stale, isStale = p.stale[name]
+	return p.cut[name], stale, isStale
+}
+
+// reader is the platform as one instance sees it.
+type reader struct {
+	platform *Platform
+	name     string
+}
+
+// WaitManifest implements platform.Source.
+func (r *reader) WaitManifest(ctx context.Context, after types.Revision, wait time.Duration) (platform.Manifest, error) {
+	cut, stale, isStale := r.platform.faults(r.name)
+	if cut {
+		return platform.Manifest{}, unreachable()
+	}
+	if isStale {
+		return r.platform.Service.WaitManifestUpTo(ctx, after, wait, stale)
+	}
+	manifest, err := r.platform.Service.WaitManifest(ctx, after, wait)
+	if cut, _, _ := r.platform.faults(r.name); cut {
+		return platform.Manifest{}, unreachable()
+	}
+	return manifest, err
+}
+
+// Part implements platform.Source.
+func (r *reader) Part(ctx context.Context, ref platform.PartRef) ([]byte, error) {
+	if cut, _, _ := r.platform.faults(r.name); cut {
+		return nil, unreachable()
+	}
+	return r.platform.Service.Part(ctx, ref)
+}
+
+// Instances implements platform.Source.
+func (r *reader) Instances(ctx context.Context) ([]types.Instance, error) {
+	if cut, _, _ := r.platform.faults(r.name); cut {
+		return nil, unreachable()
+	}
+	return r.platform.Service.Instances(ctx)
+}
+
+// unreachable is the failure of a read that does not reach the service.
+func unreachable() error {
+	return fault.New(fault.PlatformUnavailable, "the service is out of reach")
+}
