--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -156,3 +156,11 @@
 		t.Error("the change was not announced")
 	}
 }
+
+// TestNewerIsATotalOrder checks that instances pick alike between manifests of
+// one revision.
+func TestNewerIsATotalOrder(t *testing.T) {
+	if Newer(3, "a", 3, "a") || !Newer(3, "b", 3, "a") || Newer(3, "a", 3, "b") || !Newer(4, "a", 3, "b") {
+		t.Error("the order is not total")
+	}
+}
