relay: exchange between instances, random audits, admission of fresh instances

Mechanism: two readers per data centre wait at the service; every instance that takes a version tells four others and compares versions with a random one every 2 s; parts travel between instances; reads that check the readers are spread so that the fleet makes one a second whatever its size; a fresh instance is not ready before it has asked the listed others.

What operators should know: a good document that a bad one replaces before any instance has read it must be published again.

--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -67,6 +67,8 @@
 	InvalidConfiguration Code = "invalid_configuration"
 	// StaleRevision: a document is older than the one in force.
 	StaleRevision Code = "stale_revision"
+	// ConflictingRevision: another document of the same revision takes precedence.
+	ConflictingRevision Code = "conflicting_revision"
 	// MissingPart: a part of a document could not be had.
 	MissingPart Code = "missing_part"
 	// PlatformUnavailable: the configuration service did not answer.
@@ -119,6 +121,7 @@
 	InvalidSetting:       {http.StatusInternalServerError, types.NotRun},
 	InvalidConfiguration: {http.StatusInternalServerError, types.NotRun},
 	StaleRevision:        {http.StatusConflict, types.NotRun},
+	ConflictingRevision:  {http.StatusConflict, types.NotRun},
 	MissingPart:          {http.StatusInternalServerError, types.NotRun},
 	PlatformUnavailable:  {http.StatusServiceUnavailable, types.NotRun},
 	PeerUnavailable:      {http.StatusServiceUnavailable, types.MayHaveRun},
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -1,6 +1,7 @@
 // Package relay brings published configurations to an instance: it reads the
-// platform, exchanges revisions and parts with other instances, and puts valid
-// configurations in force.
+// platform, exchanges versions and parts with other instances, and puts valid
+// configurations in force. Only newer configurations are taken, whole, so an
+// instance never goes back.
 package relay
 
 import (
@@ -9,17 +10,30 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
-	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+const (
+	// hintQueue bounds the instances that are known to be ahead and wait to be
+	// asked. Hints beyond it are dropped; the exchanges make up for them.
+	hintQueue = 64
+	// followers is the number of hints that are followed at once.
+	followers = 2
+	// fastAnswer is the time below which a read that brought nothing did not
+	// wait as it was asked to.
+	fastAnswer = time.Second
 )
 
 // Options are what a Relay works with.
 type Options struct {
+	// Settings are the intervals and bounds; the zero value means the defaults.
 	Settings Settings
 	Source   platform.Source
 	Caller   peer.Caller
@@ -27,102 +41,93 @@
 	Store    *config.Store
 	Recorder timeline.Recorder
 	Logger   zerolog.Logger
-}
-
-// Settings are the relay's intervals and bounds.
-type Settings struct {
-	// LongPoll is how long one read of the service waits for a change.
-	LongPoll time.Duration
-	// RetryDelay is the pause after a read that failed.
-	RetryDelay time.Duration
-}
-
-// DefaultSettings returns the settings of a production instance.
-func DefaultSettings() Settings {
-	return Settings{LongPoll: 25 * time.Second, RetryDelay: time.Second}
+	// Seed makes the random choices repeatable; zero means any.
+	Seed uint64
 }
 
 // Relay keeps an instance's configuration up to date. Its methods are safe for
 // concurrent use; Run is called once.
 type Relay struct {
-	options Options
-	ready   chan struct{}
-	once    sync.Once
+	options  Options
+	settings Settings
+	chance   *chance
+	ready    chan struct{}
+	hints    chan types.Instance
+	// taking lets one configuration at a time be fetched and compiled.
+	taking   chan struct{}
+	counters counters
+	memory   memory
 }
 
 // New returns a Relay that has not started.
 func New(options Options) *Relay {
-	if options.Settings == (Settings{}) {
-		options.Settings = DefaultSettings()
+	settings := options.Settings
+	if settings == (Settings{}) {
+		settings = DefaultSettings()
+	}
+	return &Relay{
+		options:  options,
+		settings: settings,
+		chance:   newChance(options.Seed),
+		ready:    make(chan struct{}),
+		hints:    make(chan types.Instance, hintQueue),
+		taking:   make(chan struct{}, 1),
 	}
-	return &Relay{options: options, ready: make(chan struct{})}
 }
 
-// Register takes the relay's peer methods into service.
-func (r *Relay) Register(peer.Registrar) {}
-
-// Ready is closed when the instance may serve.
+// Ready is closed when the instance may serve: it has a configuration in force
+// and has asked the other listed instances as admit demands.
 func (r *Relay) Ready() <-chan struct{} { return r.ready }
 
+// serving reports whether the instance has been admitted.
+func (r *Relay) serving() bool {
+	select {
+	case <-r.ready:
+		return true
+	default:
+		return false
+	}
+}
+
 // Run works until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := r.poll(ctx); err != nil {
-			r.options.Logger.Warn().Err(err).Msg("configuration not read")
-			pause(ctx, r.options.Settings.RetryDelay)
-		}
+	group, ctx := errgroup.WithContext(ctx)
+	loops := []func(context.Context){r.join, r.readLoop, r.auditLoop, r.exchangeLoop}
+	for range followers {
+		loops = append(loops, r.followLoop)
+	}
+	for _, loop := range loops {
+		group.Go(func() error {
+			loop(ctx)
+			return nil
+		})
 	}
-	return nil
+	return group.Wait()
 }
 
-// poll waits for one manifest and applies it.
-func (r *Relay) poll(ctx context.Context) error {
+// held returns the version in force and its snapshot, which may be nil.
+func (r *Relay) held() (version, *config.Snapshot) {
 	current := r.options.Store.Current()
-	held := platform.Manifest{}
-	if current != nil {
-		held = current.Manifest()
-	}
-	manifest, err := r.options.Source.WaitManifest(ctx, held.Revision, r.options.Settings.LongPoll)
-	if err != nil {
-		return err
+	if current == nil {
+		return version{}, nil
 	}
-	if manifest.Revision <= held.Revision {
-		return nil
-	}
-	return r.take(ctx, manifest, current)
+	return version{Revision: current.Revision(), Digest: current.Digest()}, current
 }
 
-// take fetches the parts of a manifest and puts it in force.
-func (r *Relay) take(ctx context.Context, manifest platform.Manifest, current *config.Snapshot) error {
-	parts := make([]config.Encoded, 0, len(manifest.Parts))
-	for _, ref := range manifest.Parts {
-		part, err := r.fetch(ctx, ref, current)
-		if err != nil {
-			return err
-		}
-		parts = append(parts, config.Encoded{Name: ref.Name, Digest: ref.Digest, Bytes: part})
-	}
-	snapshot, err := config.CompileParts(manifest.Revision, parts, current)
-	if err != nil {
-		r.record(timeline.Event{Kind: timeline.ConfigRejected, Revision: manifest.Revision, Code: string(fault.From(err).Code), Detail: err.Error()})
-		return err
-	}
-	if err := r.options.Store.Apply(snapshot); err != nil {
-		return err
-	}
-	r.record(timeline.Event{Kind: timeline.ConfigApplied, Revision: manifest.Revision})
-	r.once.Do(func() { close(r.ready) })
-	return nil
+// others returns the live instances apart from this one.
+func (r *Relay) others() []types.Instance {
+	return without(r.options.View.Live(), r.options.View.Self().ID)
 }
 
-// fetch returns a part from the configuration in force or from the service.
-func (r *Relay) fetch(ctx context.Context, ref platform.PartRef, current *config.Snapshot) ([]byte, error) {
-	if current != nil {
-		if part, ok := current.Part(ref); ok {
-			return part, nil
+// without returns the instances that have another ID.
+func without(instances []types.Instance, id types.InstanceID) []types.Instance {
+	var result []types.Instance
+	for _, instance := range instances {
+		if instance.ID != id {
+			result = append(result, instance)
 		}
 	}
-	return r.options.Source.Part(ctx, ref)
+	return result
 }
 
 // record keeps an event of the time line.
@@ -140,3 +145,90 @@
 	case <-ctx.Done():
 	}
 }
+
+// memory is what the relay remembers of versions. It is safe for concurrent
+// use.
+type memory struct {
+	mu       sync.Mutex
+	rejected []version
+	applied  []appliedManifest
+	seen     types.Revision
+}
+
+// appliedManifest is a manifest that was in force.
+type appliedManifest struct {
+	version  version
+	manifest platform.Manifest
+}
+
+const (
+	// rememberedRejections bounds the refused versions that are not fetched
+	// again.
+	rememberedRejections = 64
+	// rememberedManifests bounds the manifests that differences are made to.
+	rememberedManifests = 16
+)
+
+// reject remembers a refused version and reports whether it is new.
+func (m *memory) reject(v version) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, known := range m.rejected {
+		if known == v {
+			return false
+		}
+	}
+	m.rejected = append(m.rejected, v)
+	if len(m.rejected) > rememberedRejections {
+		m.rejected = m.rejected[1:]
+	}
+	return true
+}
+
+// isRejected reports whether the version was refused before.
+func (m *memory) isRejected(v version) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, known := range m.rejected {
+		if known == v {
+			return true
+		}
+	}
+	return false
+}
+
+// apply remembers a manifest that came into force.
+func (m *memory) apply(v version, manifest platform.Manifest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applied = append(m.applied, appliedManifest{v, manifest})
+	if len(m.applied) > rememberedManifests {
+		m.applied = m.applied[1:]
+	}
+}
+
+// manifest returns the remembered manifest of the version.
+func (m *memory) manifest(v version) (platform.Manifest, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, known := range m.applied {
+		if known.version == v {
+			return known.manifest, true
+		}
+	}
+	return platform.Manifest{}, false
+}
+
+// sawRevision remembers that a revision of the service needs no more reads.
+func (m *memory) sawRevision(revision types.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seen = max(m.seen, revision)
+}
+
+// lastSeen returns the highest revision that needs no more reads.
+func (m *memory) lastSeen() types.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.seen
+}
