--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -166,6 +166,9 @@
 	// Lease is how long the entry may wait, from receipt, before its first byte
 	// to the upstream.
 	Lease time.Duration `json:"lease"`
+	// Floor says that the request starts for the floor of its class, beside the
+	// order of tiers.
+	Floor bool `json:"floor,omitempty"`
 }
 
 // Refuse gives a request its final answer from this pool.
