thin: caller API with attempts, streams and service calls

The entry serves chat completions (whole and streamed), plain services, models, addresses and request status through iris. Each attempt runs within a grant, and the call to the upstream marks the instant after which bytes may have left. Fakes of engines and services speak real HTTP over pipes.

Idempotency keys are parsed but not yet enforced; quarantine is not there.

--- /dev/null
+++ b/pkg/entry/attempt.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/dispatch"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/timeline"
+	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/upstream"
+)
+
+// exchange is the part of a request that differs between whole answers and
+// streams. It lives through all attempts of the request.
+type exchange interface {
+	// call returns the HTTP call of the next attempt.
+	call(upstream config.Upstream) (upstream.Call, error)
+	// receive takes the response and returns nil when the answer is complete.
+	receive(response *http.Response, grant dispatch.Grant) error
+	// resumable reports whether a further attempt can give the caller the rest
+	// of the answer.
+	resumable() bool
+	// measure returns what the current attempt has yielded so far.
+	measure() measure
+	// generated counts the tokens that the caller has from all attempts.
+	generated() int
+}
+
+// measure is what one attempt has yielded.
+type measure struct {
+	tokens     int
+	firstToken time.Duration
+	gap        time.Duration
+}
+
+// errPreempted is the cause with which a preempted attempt is cancelled.
+var errPreempted = fault.New(fault.Preempted, "the attempt gave way to a higher tier")
+
+// rejectedPause is the wait before an attempt after an upstream that was full.
+const rejectedPause = 10 * time.Millisecond
+
+// run makes attempts until the answer is complete, and returns the failure that
+// the caller shall see otherwise.
+func (e *Entry) run(ctx context.Context, held *request, x exchange) *fault.Error {
+	limited, cancel, deadline := e.within(ctx, held)
+	defer cancel()
+	e.budget.Earn()
+	for {
+		e.options.Recorder.Record(held.event(timeline.RequestEnqueued))
+		ask := held.poolRequest(e.options.Incarnation, deadline, x.generated())
+		grant, err := e.options.Granter.Acquire(limited, held.decision.Target.Name, ask)
+		if err != nil {
+			return held.settle(limited, err)
+		}
+		ending := e.attempt(limited, held, x, grant)
+		if ending.err == nil {
+			return nil
+		}
+		if !e.mayRetry(limited, held, x, ending) {
+			return held.settle(limited, ending.err)
+		}
+	}
+}
+
+// ending says how an attempt ended; err is nil when the answer is complete.
+type ending struct {
+	reason pool.FinishReason
+	err    *fault.Error
+}
+
+// attempt makes one call within the grant and ends the grant.
+func (e *Entry) attempt(ctx context.Context, held *request, x exchange, grant dispatch.Grant) ending {
+	held.attempts++
+	held.upstream = grant.Upstream().ID
+	e.registry.put(held.status(stateRunning, nil))
+	e.options.Recorder.Record(held.event(timeline.RequestGranted))
+	running, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go cancelOnPreemption(running, cancel, grant)
+
+	started := time.Now()
+	end := classify(running, e.exchange(running, held, x, grant))
+	e.finish(held, x, grant, end, time.Since(started))
+	return end
+}
+
+func cancelOnPreemption(ctx context.Context, cancel context.CancelCauseFunc, grant dispatch.Grant) {
+	select {
+	case <-grant.Preempted():
+		cancel(errPreempted)
+	case <-ctx.Done():
+	}
+}
+
+// exchange sends the call and takes the response.
+func (e *Entry) exchange(ctx context.Context, held *request, x exchange, grant dispatch.Grant) error {
+	call, err := x.call(grant.Upstream())
+	if err != nil {
+		return err
+	}
+	call.Guard = func() bool { return !grant.Expired() }
+	call.Once = !held.attributes.Repeatable
+	e.options.Recorder.Record(held.event(timeline.AttemptStarted))
+	response, err := upstream.Do(ctx, e.transport(call.Once), call)
+	if err != nil {
+		held.sent = held.sent || fault.From(err).RunState != types.NotRun
+		return err
+	}
+	held.sent = true
+	defer response.Body.Close()
+	return x.receive(response, grant)
+}
+
+func (e *Entry) transport(once bool) http.RoundTripper {
+	if once {
+		return e.options.OnceTransport
+	}
+	return e.options.Transport
+}
+
+// classify says how the attempt ended. A cancelled context explains any failure.
+func classify(ctx context.Context, err error) ending {
+	if err == nil {
+		return ending{reason: pool.FinishComplete}
+	}
+	failure := fault.From(err)
+	if errors.Is(context.Cause(ctx), errPreempted) {
+		preempted := fault.Wrap(fault.Preempted, err, errPreempted.Message)
+		return ending{pool.FinishCancelled, preempted.WithRunState(failure.RunState)}
+	}
+	if ctx.Err() != nil {
+		return ending{pool.FinishCancelled, failure}
+	}
+	return ending{reasonOf(failure), failure}
+}
+
+func reasonOf(failure *fault.Error) pool.FinishReason {
+	switch {
+	case failure.Code == fault.LeaseExpired:
+		return pool.FinishExpired
+	case failure.Code == fault.UpstreamLeaving:
+		return pool.FinishLeaving
+	case failure.Code == fault.Overloaded:
+		return pool.FinishRejected
+	case failure.Code != fault.UpstreamFailed:
+		return pool.FinishCancelled
+	case failure.RunState == types.NotRun:
+		return pool.FinishUnreachable
+	default:
+		return pool.FinishCrashed
+	}
+}
+
+// finish ends the grant and records the end of the attempt.
+func (e *Entry) finish(held *request, x exchange, grant dispatch.Grant, end ending, took time.Duration) {
+	yield := x.measure()
+	grant.Finish(pool.Finish{
+		ID:         held.id,
+		Upstream:   held.upstream,
+		Reason:     end.reason,
+		Tokens:     yield.tokens,
+		FirstToken: yield.firstToken,
+		Gap:        yield.gap,
+	})
+	event := held.event(timeline.AttemptEnded)
+	event.Detail = string(end.reason)
+	event.Took = took
+	if end.err != nil {
+		event.Code = string(end.err.Code)
+		event.RunState = end.err.RunState
+	}
+	e.options.Recorder.Record(event)
+}
+
+// mayRetry decides whether a further attempt is allowed after the ending. A
+// request that is not repeatable is tried again only while no byte has left.
+func (e *Entry) mayRetry(ctx context.Context, held *request, x exchange, end ending) bool {
+	if ctx.Err() != nil || held.attempts >= e.settings.MaxAttempts {
+		return false
+	}
+	if !held.attributes.Repeatable && held.sent {
+		return false
+	}
+	if !x.resumable() {
+		return false
+	}
+	switch end.reason {
+	case pool.FinishExpired:
+		return true
+	case pool.FinishCancelled:
+		return end.err.Code == fault.Preempted
+	case pool.FinishRejected:
+		return e.budget.Spend() && pause(ctx, rejectedPause)
+	default:
+		return e.budget.Spend()
+	}
+}
+
+// pause waits and reports whether ctx still lives.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/entry/chat.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/upstream"
+)
+
+// chatPath is the engines' path of chat completions.
+const chatPath = "/v1/chat/completions"
+
+// serveChat answers a chat completion, whole or as a stream.
+func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request, _ iris.Context) error {
+	account, snapshot, err := e.authenticate(r)
+	if err != nil {
+		return err
+	}
+	body, err := e.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	chat, err := upstream.ParseChat(body)
+	if err != nil {
+		return err
+	}
+	if _, ok := snapshot.TargetForModel(chat.Model); !ok {
+		return fault.New(fault.UnknownModel, "no target serves the model "+chat.Model)
+	}
+	repeat, err := repeatable(r.Header, true)
+	if err != nil {
+		return err
+	}
+	held, err := e.admit(w, account, snapshot, chatAttributes(chat, account, r, repeat))
+	if err != nil {
+		return err
+	}
+	defer held.leave()
+	if chat.Stream {
+		return e.answerStream(w, r, held.request, chat)
+	}
+	return e.answerWhole(w, r, held.request, &wholeExchange{
+		prepare: func(to config.Upstream) (upstream.Call, error) {
+			return chatCall(chat, held.request, nil, to)
+		},
+		engine: true,
+		limit:  e.settings.MaxAnswerBytes,
+	})
+}
+
+func chatAttributes(chat *upstream.ChatRequest, account config.Account, r *http.Request, repeat bool) Attributes {
+	return Attributes{
+		Kind:         kindChat,
+		Model:        chat.Model,
+		Method:       r.Method,
+		Path:         r.URL.Path,
+		Account:      string(account.ID),
+		Labels:       account.Labels,
+		Headers:      ruleHeaders(r.Header),
+		PromptTokens: chat.PromptTokens,
+		MaxTokens:    chat.MaxTokens,
+		Stream:       chat.Stream,
+		Repeatable:   repeat,
+		User:         chat.User,
+	}
+}
+
+// chatCall returns the call of a chat completion, or of its rest when the
+// caller has a part already.
+func chatCall(chat *upstream.ChatRequest, held *request, had *upstream.Partial, to config.Upstream) (upstream.Call, error) {
+	body, err := chat.Body(held.decision.Tier, had)
+	if err != nil {
+		return upstream.Call{}, err
+	}
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	header.Set(headerRequestID, string(held.id))
+	url := strings.TrimSuffix(to.URL, "/") + chatPath
+	return upstream.Call{Method: http.MethodPost, URL: url, Header: header, Body: body}, nil
+}
--- /dev/null
+++ b/pkg/entry/entry_test.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rs/zerolog"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/timeline"
+	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/test/fakes"
+)
+
+type discard struct{}
+
+func (discard) Record(timeline.Event) {}
+
+// stubSnapshot knows one key, one model and one service.
+type stubSnapshot struct{}
+
+func (stubSnapshot) AccountByKey(key string) (config.Account, bool) {
+	return config.Account{ID: "clinic"}, key == "good"
+}
+func (stubSnapshot) Models() []string { return []string{"m"} }
+func (stubSnapshot) TargetForModel(model string) (config.Target, bool) {
+	return config.Target{Name: "engines"}, model == "m"
+}
+func (stubSnapshot) TargetForService(name string) (config.Target, bool) {
+	return config.Target{Name: "queue"}, name == "queue"
+}
+func (stubSnapshot) Classify(Attributes) (Decision, error) {
+	return Decision{Class: config.Class{Name: "live", Deadline: 30000}, Tier: 2, Target: config.Target{Name: "engines"}}, nil
+}
+func (s stubSnapshot) Current() Snapshot { return s }
+
+// bench is an entry in front of fakes.
+type bench struct {
+	entry   *Entry
+	granter *fakes.Granter
+}
+
+func newBench(t *testing.T, upstreams ...*fakes.Upstream) *bench {
+	t.Helper()
+	network := fakes.NewNetwork()
+	t.Cleanup(network.Close)
+	for _, u := range upstreams {
+		u.Join(network)
+	}
+	granter := fakes.NewGranter(upstreams...)
+	e, err := New(Options{
+		Self:          types.Instance{ID: "e1"},
+		Incarnation:   "01ARZ3NDEKTSV4RRFFQ69G5FAV",
+		Store:         stubSnapshot{},
+		Granter:       granter,
+		Recorder:      discard{},
+		Logger:        zerolog.Nop(),
+		Transport:     network.Transport(false),
+		OnceTransport: network.Transport(true),
+		Addresses:     func() any { return map[string]int{"lifetime_seconds": 5} },
+		Settings:      DefaultSettings(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &bench{entry: e, granter: granter}
+}
+
+// send serves one request and returns the recorded answer.
+func (b *bench) send(method, path, body string, header ...string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer good")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	b.entry.Handler().ServeHTTP(w, request)
+	return w
+}
+
+const chatURL = "/v1/chat/completions"
+
+func chatJSON(prompt string, extra string) string {
+	return `{"model":"m","messages":[{"role":"user","content":"` + prompt + `"}]` + extra + `}`
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name, method, path, body, key string
+		status                        int
+		code                          fault.Code
+	}{
+		{"wrong key", "POST", chatURL, chatJSON("a", ""), "bad", 401, fault.Unauthorized},
+		{"malformed", "POST", chatURL, "{", "good", 400, fault.BadRequest},
+		{"no messages", "POST", chatURL, `{"model":"m"}`, "good", 400, fault.BadRequest},
+		{"unknown model", "POST", chatURL, `{"model":"x","messages":[{}]}`, "good", 404, fault.UnknownModel},
+		{"too large", "POST", chatURL, strings.Repeat("x", 5<<20), "good", 413, fault.BodyTooLarge},
+		{"unknown service", "GET", "/v1/services/none/x", "", "good", 404, fault.UnknownService},
+		{"unknown request", "GET", "/v1/requests/x", "", "good", 404, fault.UnknownRequest},
+		{"no such path", "GET", "/nothing", "", "good", 404, fault.NotFound},
+		{"wrong method", "GET", chatURL, "", "good", 404, fault.NotFound},
+	}
+	b := newBench(t, fakes.NewUpstream("u1"))
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := b.send(test.method, test.path, test.body, "Authorization", "Bearer "+test.key)
+			if w.Code != test.status || !strings.Contains(w.Body.String(), `"code":"`+string(test.code)+`"`) {
+				t.Fatalf("got %d %s", w.Code, w.Body)
+			}
+			if !strings.Contains(w.Body.String(), `"run_state":"not_run"`) {
+				t.Fatalf("run state in %s", w.Body)
+			}
+			if w.Header().Get("X-Request-Id") == "" {
+				t.Fatal("no X-Request-Id")
+			}
+		})
+	}
+}
+
+func TestChatWholeAndStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, fakes.NewUpstream("u1"))
+		whole := b.send("POST", chatURL, chatJSON("a", ""))
+		if whole.Code != 200 || !strings.Contains(whole.Body.String(), fakes.Answer("a", 5)) {
+			t.Fatalf("whole: %d %s", whole.Code, whole.Body)
+		}
+		stream := b.send("POST", chatURL, chatJSON("b", `,"stream":true`))
+		text, done := streamText(t, stream.Body.String())
+		if text != fakes.Answer("b", 5) || !done {
+			t.Fatalf("stream: %q done %v", text, done)
+		}
+		if got := stream.Header().Get("X-Umbercrank-Class"); got != "live" {
+			t.Fatalf("class header %q", got)
+		}
+	})
+}
+
+func TestServiceCallIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, fakes.NewUpstream("u1"))
+		w := b.send("GET", "/v1/services/queue/next?x=1", "", "X-Marker", "m1")
+		if w.Code != http.StatusOK || !strings.Contains(w.Body.String(), `"marker":"m1"`) {
+			t.Fatalf("%d %s", w.Code, w.Body)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/entry/stream.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/dispatch"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/upstream"
+)
+
+// progressEvery is the number of tokens between two reports of progress.
+const progressEvery = 8
+
+// streamExchange relays a stream of chunks and continues it on another engine
+// when one breaks off, so that the caller sees one stream.
+type streamExchange struct {
+	chat   *upstream.ChatRequest
+	held   *request
+	header http.Header
+	limit  int64
+	// out takes the events for the caller.
+	out *outflow
+	// passed is set when the engine answered with a response that is no stream.
+	passed *answer
+
+	transcript transcript
+	attempt    attemptClock
+}
+
+func (x *streamExchange) call(to config.Upstream) (upstream.Call, error) {
+	return chatCall(x.chat, x.held, x.transcript.partial(), to)
+}
+
+func (x *streamExchange) receive(response *http.Response, grant dispatch.Grant) error {
+	if err := refusalOf(response, true); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return x.pass(response)
+	}
+	x.transcript.begin()
+	x.attempt.begin()
+	if x.transcript.empty() {
+		x.held.describe(x.header)
+		x.header.Set("Content-Type", "text/event-stream")
+		x.header.Set("Cache-Control", "no-cache")
+	}
+	return x.relay(upstream.NewEventReader(response.Body), grant)
+}
+
+// pass keeps a response that is no stream, such as the engine's own complaint
+// about the request, unless the caller has a part of an answer already.
+func (x *streamExchange) pass(response *http.Response) error {
+	if !x.transcript.empty() {
+		return fault.New(fault.UpstreamFailed, "the engine did not continue the answer")
+	}
+	body, err := readAnswer(response, x.limit)
+	if err != nil {
+		return err
+	}
+	x.passed = &answer{status: response.StatusCode, header: response.Header, body: body}
+	return nil
+}
+
+// relay passes events on until the stream is complete or broken.
+func (x *streamExchange) relay(events *upstream.EventReader, grant dispatch.Grant) error {
+	for {
+		payload, err := events.Next()
+		if err == io.EOF {
+			return x.atEnd()
+		}
+		if err != nil {
+			return err
+		}
+		if bytes.Equal(payload, upstream.Done) {
+			return x.atEnd()
+		}
+		if err := x.relayChunk(payload, grant); err != nil {
+			return err
+		}
+	}
+}
+
+// atEnd accepts the end of the stream only when the answer has finished.
+func (x *streamExchange) atEnd() error {
+	if !x.transcript.finished {
+		return fault.New(fault.UpstreamFailed, "the stream ended before the answer was complete")
+	}
+	return x.out.push(upstream.Done)
+}
+
+func (x *streamExchange) relayChunk(payload []byte, grant dispatch.Grant) error {
+	chunk, err := upstream.ParseChunk(payload)
+	if err != nil {
+		return err
+	}
+	passed, err := x.transcript.add(payload, chunk)
+	if err != nil || passed == nil {
+		return err
+	}
+	if err := x.out.push(passed); err != nil {
+		return err
+	}
+	if chunk.Text() != "" && x.attempt.token() {
+		grant.Progress(x.attempt.tokens, x.attempt.gap())
+	}
+	return nil
+}
+
+func (x *streamExchange) resumable() bool {
+	return x.transcript.empty() || x.transcript.resumable(x.chat)
+}
+
+func (x *streamExchange) measure() measure {
+	return measure{tokens: x.attempt.tokens, firstToken: x.attempt.first, gap: x.attempt.gap()}
+}
+
+func (x *streamExchange) generated() int { return x.transcript.tokens }
+
+// attemptClock measures one attempt's tokens.
+type attemptClock struct {
+	started time.Time
+	first   time.Duration
+	last    time.Duration
+	tokens  int
+}
+
+func (c *attemptClock) begin() { *c = attemptClock{started: time.Now()} }
+
+// token counts one token and reports whether progress is due.
+func (c *attemptClock) token() bool {
+	c.last = time.Since(c.started)
+	if c.tokens == 0 {
+		c.first = c.last
+	}
+	c.tokens++
+	return c.tokens%progressEvery == 0
+}
+
+// gap returns the mean time between the tokens so far.
+func (c *attemptClock) gap() time.Duration {
+	if c.tokens < 2 {
+		return 0
+	}
+	return (c.last - c.first) / time.Duration(c.tokens-1)
+}
+
+// answerStream runs a streamed chat completion. A stream that cannot be
+// completed ends with an error event and without [DONE].
+func (e *Entry) answerStream(w http.ResponseWriter, r *http.Request, held *request, chat *upstream.ChatRequest) error {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	out := newOutflow(w, e.settings.StreamBufferBytes, e.settings.WriteTimeout)
+	x := &streamExchange{chat: chat, held: held, header: w.Header(), limit: e.settings.MaxAnswerBytes, out: out}
+	pumped := make(chan struct{})
+	go func() {
+		defer close(pumped)
+		out.pump(cancel)
+	}()
+	failure := e.run(ctx, held, x)
+	begun := !x.transcript.empty()
+	if failure != nil && begun {
+		pushFailure(out, failure)
+	}
+	out.close()
+	<-pumped
+	e.conclude(held, failure)
+	if begun || (failure == nil && x.passed == nil) {
+		return nil
+	}
+	held.describe(w.Header())
+	if failure != nil {
+		return failure
+	}
+	return x.passed.writeTo(w)
+}
+
+// pushFailure ends a begun stream with an error event.
+func pushFailure(out *outflow, failure *fault.Error) {
+	payload, err := json.Marshal(failure.Response())
+	if err != nil {
+		return
+	}
+	// A caller that is gone needs no error.
+	_ = out.push(payload)
+}
--- /dev/null
+++ b/pkg/entry/stream_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/upstream"
+	"github.com/umbercrank/umbercrank/test/fakes"
+)
+
+// streamText returns the content of a stream and whether it ended with [DONE].
+func streamText(t *testing.T, body string) (string, bool) {
+	t.Helper()
+	events := upstream.NewEventReader(strings.NewReader(body))
+	var text strings.Builder
+	for {
+		payload, err := events.Next()
+		if err == io.EOF {
+			return text.String(), false
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(payload) == "[DONE]" {
+			return text.String(), true
+		}
+		chunk, err := upstream.ParseChunk(payload)
+		if err != nil {
+			return text.String(), false
+		}
+		text.WriteString(chunk.Text())
+	}
+}
+
+func TestStreamContinuesAfterPreemption(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, fakes.NewUpstream("u1"), fakes.NewUpstream("u2"))
+		left := 2
+		b.granter.PreemptAfter = func() time.Duration {
+			left--
+			if left < 0 {
+				return 0
+			}
+			return 25 * time.Millisecond
+		}
+		w := b.send("POST", chatURL, chatJSON("a", `,"stream":true,"stream_options":{"include_usage":true}`))
+		text, done := streamText(t, w.Body.String())
+		if text != fakes.Answer("a", 5) || !done {
+			t.Fatalf("%q done %v", text, done)
+		}
+		if !strings.Contains(w.Body.String(), `"usage":{"prompt_tokens":10,"completion_tokens":5,"total_tokens":15}`) {
+			t.Fatalf("usage in %s", w.Body)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/entry/whole.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/dispatch"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/upstream"
+)
+
+// answer is a whole response, held in memory.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// wholeExchange holds an answer until it is whole, so that the caller never
+// sees a part of one.
+type wholeExchange struct {
+	// prepare returns the call for an upstream.
+	prepare func(config.Upstream) (upstream.Call, error)
+	// engine says that the answer comes from a model engine.
+	engine bool
+	limit  int64
+	answer *answer
+	tokens int
+}
+
+func (x *wholeExchange) call(to config.Upstream) (upstream.Call, error) { return x.prepare(to) }
+
+func (x *wholeExchange) receive(response *http.Response, _ dispatch.Grant) error {
+	if err := refusalOf(response, x.engine); err != nil {
+		return err
+	}
+	body, err := readAnswer(response, x.limit)
+	if err != nil {
+		return err
+	}
+	if x.engine && response.StatusCode == http.StatusOK {
+		if !json.Valid(body) {
+			return fault.New(fault.UpstreamFailed, "the engine's answer is cut short")
+		}
+		x.tokens = completionTokens(body)
+	}
+	x.answer = &answer{status: response.StatusCode, header: response.Header, body: body}
+	return nil
+}
+
+func (x *wholeExchange) resumable() bool  { return x.answer == nil }
+func (x *wholeExchange) measure() measure { return measure{tokens: x.tokens} }
+func (x *wholeExchange) generated() int   { return 0 }
+
+// readAnswer returns the whole body. An answer above the limit has run.
+func readAnswer(response *http.Response, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return nil, fault.Wrap(fault.UpstreamFailed, err, "the answer broke off")
+	}
+	if int64(len(body)) > limit {
+		return nil, fault.New(fault.UpstreamFailed, "the answer exceeds the limit").WithRunState(types.Ran)
+	}
+	return body, nil
+}
+
+// completionTokens returns the engine's own count of the answer's tokens.
+func completionTokens(body []byte) int {
+	var counted struct {
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if json.Unmarshal(body, &counted) != nil {
+		return 0
+	}
+	return counted.Usage.CompletionTokens
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Content-Length", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", headerRequestID,
+}
+
+// writeTo sends the answer to the caller.
+func (a *answer) writeTo(w http.ResponseWriter) error {
+	copyHeader(w.Header(), a.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.body); err != nil {
+		return fault.Wrap(fault.CallerGone, err, "writing the answer").WithRunState(types.Ran)
+	}
+	return nil
+}
+
+// copyHeader adds the end-to-end headers of from to the header to.
+func copyHeader(to, from http.Header) {
+	end := from.Clone()
+	for _, name := range hopHeaders {
+		end.Del(name)
+	}
+	for name, values := range end {
+		to[name] = values
+	}
+}
--- /dev/null
+++ b/pkg/upstream/chat.go
@@ -0,0 +1,118 @@
+package upstream
+
+import (
+	"encoding/json"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// bytesPerToken estimates the length of a prompt in tokens.
+const bytesPerToken = 4
+
+// ChatRequest is the body of a chat completion. Fields that the router does not
+// know reach the engine unchanged. It is immutable after ParseChat.
+type ChatRequest struct {
+	// Model is the model name that the caller asked for.
+	Model string
+	// Stream asks for server-sent events.
+	Stream bool
+	// IncludeUsage asks for a last chunk with the token counts.
+	IncludeUsage bool
+	// MaxTokens bounds the answer; zero means that the caller set no bound.
+	MaxTokens int
+	// User is the caller's name for its end user.
+	User string
+	// PromptTokens estimates the length of the prompt.
+	PromptTokens int
+
+	choices  int
+	messages []json.RawMessage
+	fields   map[string]json.RawMessage
+}
+
+// chatFields are the fields of the body that the router reads.
+type chatFields struct {
+	Model               string            `json:"model"`
+	Messages            []json.RawMessage `json:"messages"`
+	Stream              bool              `json:"stream"`
+	MaxTokens           int               `json:"max_tokens"`
+	MaxCompletionTokens int               `json:"max_completion_tokens"`
+	Choices             *int              `json:"n"`
+	User                string            `json:"user"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// ParseChat reads the body of a chat completion. It returns BadRequest when the
+// body is not an object with a model and messages.
+func ParseChat(body []byte) (*ChatRequest, error) {
+	var known chatFields
+	if err := json.Unmarshal(body, &known); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "the body is not a chat completion request")
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "the body is not a JSON object")
+	}
+	if known.Model == "" {
+		return nil, fault.New(fault.BadRequest, "the field model is missing")
+	}
+	if len(known.Messages) == 0 {
+		return nil, fault.New(fault.BadRequest, "the field messages is missing or empty")
+	}
+	return newChatRequest(known, fields), nil
+}
+
+func newChatRequest(known chatFields, fields map[string]json.RawMessage) *ChatRequest {
+	request := &ChatRequest{
+		Model:        known.Model,
+		Stream:       known.Stream,
+		IncludeUsage: known.StreamOptions.IncludeUsage,
+		MaxTokens:    known.MaxTokens,
+		User:         known.User,
+		PromptTokens: len(fields["messages"]) / bytesPerToken,
+		choices:      1,
+		messages:     known.Messages,
+		fields:       fields,
+	}
+	if known.MaxCompletionTokens > 0 {
+		request.MaxTokens = known.MaxCompletionTokens
+	}
+	if known.Choices != nil {
+		request.choices = *known.Choices
+	}
+	return request
+}
+
+// EnginePriority maps a tier to the engine's priority, in which a lower number
+// is served sooner.
+func EnginePriority(tier types.Tier) int {
+	return -int(tier)
+}
+
+func (r *ChatRequest) copyFields() map[string]json.RawMessage {
+	fields := make(map[string]json.RawMessage, len(r.fields)+3)
+	for name, value := range r.fields {
+		fields[name] = value
+	}
+	return fields
+}
+
+func setField(fields map[string]json.RawMessage, name string, value any) error {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "encoding the field "+name)
+	}
+	fields[name] = encoded
+	return nil
+}
+
+func encodeFields(fields map[string]json.RawMessage) ([]byte, error) {
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encoding the body for the engine")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/test/fakes/engine.go
@@ -0,0 +1,136 @@
+package fakes
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// chatBody is what the fake engine reads of a request.
+type chatBody struct {
+	Stream   bool `json:"stream"`
+	Continue bool `json:"continue_final_message"`
+	Options  struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	MaxTokens int `json:"max_tokens"`
+	Messages  []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// Answer returns the whole answer to the prompt: numbered tokens that name it.
+func Answer(prompt string, tokens int) string {
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(token(prompt, i))
+	}
+	return text.String()
+}
+
+func token(prompt string, i int) string {
+	return prompt + "-" + strconv.Itoa(i) + " "
+}
+
+func (u *Upstream) serveChat(w http.ResponseWriter, r *http.Request, body []byte, fault Fault) {
+	var chat chatBody
+	if json.Unmarshal(body, &chat) != nil || len(chat.Messages) == 0 {
+		http.Error(w, `{"error":{"code":"bad_request"}}`, http.StatusBadRequest)
+		return
+	}
+	prompt := chat.Messages[0].Content
+	crashed := u.execute(prompt)
+	if strings.Contains(prompt, PoisonMark) {
+		time.Sleep(u.Gap)
+		u.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	if fault == CrashAfterExecute {
+		panic(http.ErrAbortHandler)
+	}
+	run := &generation{upstream: u, writer: w, request: r, chat: chat, prompt: prompt, fault: fault, crashed: crashed}
+	if chat.Stream {
+		run.stream()
+		return
+	}
+	run.whole()
+}
+
+// generation is one running chat completion.
+type generation struct {
+	upstream *Upstream
+	writer   http.ResponseWriter
+	request  *http.Request
+	chat     chatBody
+	prompt   string
+	fault    Fault
+	crashed  <-chan struct{}
+}
+
+// begun counts the tokens that the caller has from an earlier engine.
+func (g *generation) begun() int {
+	last := g.chat.Messages[len(g.chat.Messages)-1]
+	if !g.chat.Continue || last.Role != "assistant" {
+		return 0
+	}
+	return strings.Count(last.Content, " ")
+}
+
+// step waits for the next token, or ends with the crash of the engine.
+func (g *generation) step() {
+	select {
+	case <-time.After(g.upstream.Gap):
+	case <-g.crashed:
+		panic(http.ErrAbortHandler)
+	case <-g.request.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (g *generation) stream() {
+	g.writer.Header().Set("Content-Type", "text/event-stream")
+	first := g.begun()
+	g.send(`{"id":"%s","created":1,"choices":[{"index":0,"delta":{"role":"assistant"}}]}`, g.upstream.Host)
+	cut := -1
+	if g.fault == CrashMidStream {
+		cut = first + g.upstream.Plan.IntN(max(1, g.upstream.Tokens-first))
+	}
+	for i := first; i < g.upstream.Tokens; i++ {
+		g.step()
+		if i == cut {
+			panic(http.ErrAbortHandler)
+		}
+		g.send(`{"id":"%s","created":1,"choices":[{"index":0,"delta":{"content":%q}}]}`, g.upstream.Host, token(g.prompt, i))
+	}
+	g.send(`{"id":"%s","created":1,"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`, g.upstream.Host)
+	if g.chat.Options.IncludeUsage {
+		prompt := 10 + first
+		made := g.upstream.Tokens - first
+		g.send(`{"id":"%s","created":1,"choices":[],"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}}`, g.upstream.Host, prompt, made, prompt+made)
+	}
+	fmt.Fprint(g.writer, "data: [DONE]\n\n")
+}
+
+func (g *generation) send(format string, values ...any) {
+	fmt.Fprintf(g.writer, "data: "+format+"\n\n", values...)
+	_ = http.NewResponseController(g.writer).Flush()
+}
+
+func (g *generation) whole() {
+	for range g.upstream.Tokens {
+		g.step()
+	}
+	body := fmt.Sprintf(`{"id":%q,"object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"completion_tokens":%d}}`,
+		g.upstream.Host, Answer(g.prompt, g.upstream.Tokens), g.upstream.Tokens)
+	if g.fault == CrashMidStream {
+		g.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = g.writer.Write([]byte(body[:len(body)/2]))
+		_ = http.NewResponseController(g.writer).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = g.writer.Write([]byte(body))
+}
--- /dev/null
+++ b/test/fakes/upstream.go
@@ -0,0 +1,186 @@
+package fakes
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// PoisonMark in a prompt crashes the engine that runs it.
+const PoisonMark = "poison"
+
+// Upstream is a fake model engine and plain service. It counts executions by
+// the marker of each request, and crashes as a whole, with all that it runs.
+type Upstream struct {
+	// Host is the name on the network and the ID of the upstream.
+	Host string
+	// Plan draws the faults; nil means none.
+	Plan *Plan
+	// Tokens is the length of every answer.
+	Tokens int
+	// Gap is the time between tokens.
+	Gap time.Duration
+
+	mu         sync.Mutex
+	executions map[string]int
+	crashes    int
+	crashed    chan struct{}
+	pending    []Fault
+}
+
+// NewUpstream returns a fake without faults that answers in five tokens.
+func NewUpstream(host string) *Upstream {
+	return &Upstream{
+		Host:       host,
+		Tokens:     5,
+		Gap:        10 * time.Millisecond,
+		executions: make(map[string]int),
+		crashed:    make(chan struct{}),
+	}
+}
+
+// Join serves the fake on the network.
+func (u *Upstream) Join(network *Network) {
+	network.Serve(u.Host, u, u.atDial)
+}
+
+// Executions returns how often the marked request was executed.
+func (u *Upstream) Executions(marker string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.executions[marker]
+}
+
+// AllExecutions returns a copy of all counts.
+func (u *Upstream) AllExecutions() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	counts := make(map[string]int, len(u.executions))
+	for marker, count := range u.executions {
+		counts[marker] = count
+	}
+	return counts
+}
+
+// Crashes returns how often the upstream crashed as a whole.
+func (u *Upstream) Crashes() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.crashes
+}
+
+// Crash breaks off everything that runs.
+func (u *Upstream) Crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.crashes++
+	close(u.crashed)
+	u.crashed = make(chan struct{})
+}
+
+// atDial draws the fault of the next call; those that strike later wait for it.
+func (u *Upstream) atDial() Fault {
+	if u.Plan == nil {
+		return None
+	}
+	fault := u.Plan.Next()
+	if fault == DialFailure || fault == ResetBeforeRead {
+		return fault
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pending = append(u.pending, fault)
+	return None
+}
+
+// nextFault returns the fault drawn at the dial, or draws one for a call on a
+// connection that was used before.
+func (u *Upstream) nextFault() Fault {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.pending) > 0 {
+		fault := u.pending[0]
+		u.pending = u.pending[1:]
+		return fault
+	}
+	if u.Plan == nil {
+		return None
+	}
+	return u.Plan.Next()
+}
+
+func (u *Upstream) execute(marker string) <-chan struct{} {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.executions[marker]++
+	return u.crashed
+}
+
+// ServeHTTP implements http.Handler.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	fault := u.nextFault()
+	if fault == ResetBeforeRead || fault == DialFailure {
+		panic(http.ErrAbortHandler)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil || fault == ResetAfterRead {
+		panic(http.ErrAbortHandler)
+	}
+	switch fault {
+	case Full:
+		refuse(w, "overloaded")
+		return
+	case Leaving:
+		refuse(w, "leaving")
+		return
+	case Slow:
+		wait(r, time.Second)
+	}
+	if strings.HasSuffix(r.URL.Path, "/chat/completions") {
+		u.serveChat(w, r, body, fault)
+		return
+	}
+	u.serveService(w, r, body, fault)
+}
+
+func refuse(w http.ResponseWriter, code string) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+	fmt.Fprintf(w, `{"error":{"code":%q}}`, code)
+}
+
+func wait(r *http.Request, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// ServiceAnswer is the body of a fake service's answer.
+type ServiceAnswer struct {
+	Marker string `json:"marker"`
+	Body   string `json:"body"`
+}
+
+func (u *Upstream) serveService(w http.ResponseWriter, r *http.Request, body []byte, fault Fault) {
+	marker := r.Header.Get("X-Marker")
+	u.execute(marker)
+	if fault == CrashAfterExecute {
+		panic(http.ErrAbortHandler)
+	}
+	answer, err := json.Marshal(ServiceAnswer{Marker: marker, Body: string(body)})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if fault == CrashMidStream {
+		w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+		_, _ = w.Write(answer[:len(answer)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(answer)
+}
