--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/idempotency"
 	"github.com/umbercrank/umbercrank/pkg/limits"
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/peer"
@@ -116,6 +117,8 @@
 	LeavingRetryAfter time.Duration
 	// Retry shapes the retry budget.
 	Retry retry.Settings
+	// Idempotency bounds what is kept of idempotency keys.
+	Idempotency idempotency.Settings
 }
 
 // DefaultSettings returns the settings for a small instance.
@@ -131,5 +134,6 @@
 		DefaultDeadline:   2 * time.Minute,
 		LeavingRetryAfter: 100 * time.Millisecond,
 		Retry:             retry.DefaultSettings(),
+		Idempotency:       idempotency.DefaultSettings(),
 	}
 }
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -59,8 +59,8 @@
 		Granter:       granter,
 		Recorder:      discard{},
 		Logger:        zerolog.Nop(),
-		Transport:     network.Transport(false),
-		OnceTransport: network.Transport(true),
+		Transport:     network.Transport("e1", "e1", false),
+		OnceTransport: network.Transport("e1", "e1", true),
 		Addresses:     func() any { return map[string]int{"lifetime_seconds": 5} },
 		Settings:      DefaultSettings(),
 	})
--- a/test/fakes/engine.go
+++ b/test/fakes/engine.go
@@ -43,7 +43,7 @@
 		return
 	}
 	prompt := chat.Messages[0].Content
-	crashed := u.execute(prompt)
+	_, crashed := u.execute(prompt)
 	if strings.Contains(prompt, PoisonMark) {
 		time.Sleep(u.Gap)
 		u.Crash()
--- a/test/fakes/granter.go
+++ b/test/fakes/granter.go
@@ -21,6 +21,10 @@
 	// PreemptAfter returns the time after which the grant is preempted; zero
 	// means never, and a nil function too.
 	PreemptAfter func() time.Duration
+	// AtGuard runs when the lease is checked, before the check; nil does nothing.
+	AtGuard func()
+	// Pick returns the index of the next upstream below n; nil takes turns.
+	Pick func(n int) int
 
 	mu        sync.Mutex
 	upstreams []config.Upstream
@@ -48,9 +52,15 @@
 			return nil, err
 		}
 	}
-	to := g.upstreams[g.next%len(g.upstreams)]
+	return g.grant(g.upstreams[g.pick()]), nil
+}
+
+func (g *Granter) pick() int {
+	if g.Pick != nil {
+		return g.Pick(len(g.upstreams))
+	}
 	g.next++
-	return g.grant(to), nil
+	return (g.next - 1) % len(g.upstreams)
 }
 
 func (g *Granter) grant(to config.Upstream) *Grant {
@@ -93,6 +103,9 @@
 
 // Expired implements dispatch.Grant.
 func (g *Grant) Expired() bool {
+	if g.granter.AtGuard != nil {
+		g.granter.AtGuard()
+	}
 	return g.granter.Lease > 0 && time.Since(g.granted) >= g.granter.Lease
 }
 
--- a/test/fakes/network.go
+++ b/test/fakes/network.go
@@ -19,13 +19,29 @@
 type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
-	servers   []*http.Server
+	servers   map[string]*http.Server
 	clients   []*http.Transport
+	conns     []clientConn
+	// cut holds the pairs of hosts that cannot reach each other.
+	cut map[[2]string]bool
+	// dead holds the lives that were killed.
+	dead map[string]bool
+}
+
+// clientConn is a connection with the life that made it.
+type clientConn struct {
+	life string
+	conn net.Conn
 }
 
 // NewNetwork returns a network without servers.
 func NewNetwork() *Network {
-	return &Network{listeners: make(map[string]*listener)}
+	return &Network{
+		listeners: make(map[string]*listener),
+		servers:   make(map[string]*http.Server),
+		cut:       make(map[[2]string]bool),
+		dead:      make(map[string]bool),
+	}
 }
 
 // Serve serves the handler on the host until Close. dial, if not nil, is asked
@@ -35,18 +51,43 @@
 	server := &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}
 	n.mu.Lock()
 	n.listeners[host] = l
-	n.servers = append(n.servers, server)
+	n.servers[host] = server
 	n.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
 }
 
-// Transport returns a transport over the network with the product's settings.
-func (n *Network) Transport(once bool) *http.Transport {
+// Kill ends a process as far as others can see: the server of the host, and all
+// connections that the life has made or would make.
+func (n *Network) Kill(host, life string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead[life] = true
+	_ = n.servers[host].Close()
+	for _, made := range n.conns {
+		if made.life == life {
+			_ = made.conn.Close()
+		}
+	}
+}
+
+// Cut sets whether the two hosts are kept from making connections.
+func (n *Network) Cut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{a, b}] = cut
+	n.cut[[2]string{b, a}] = cut
+}
+
+// Transport returns a transport with the product's settings, for a process on
+// the host. The life tells processes apart that follow each other on one host.
+func (n *Network) Transport(host, life string, once bool) *http.Transport {
 	transport := upstream.NewTransport(upstream.DefaultTransportSettings())
 	if once {
 		transport = upstream.NewOnceTransport(upstream.DefaultTransportSettings())
 	}
-	transport.DialContext = n.dial
+	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		return n.dial(ctx, host, life, address)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.clients = append(n.clients, transport)
@@ -65,18 +106,37 @@
 	}
 }
 
-func (n *Network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+func (n *Network) dial(ctx context.Context, from, life, address string) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, err
 	}
-	n.mu.Lock()
-	l := n.listeners[host]
-	n.mu.Unlock()
+	l := n.route(from, life, host)
 	if l == nil {
 		return nil, refused(address)
 	}
-	return l.connect(ctx)
+	conn, err := l.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.dead[life] {
+		_ = conn.Close()
+		return nil, refused(address)
+	}
+	n.conns = append(n.conns, clientConn{life, conn})
+	return conn, nil
+}
+
+// route returns the listener of the host, or nil when there is no way to it.
+func (n *Network) route(from, life, host string) *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.dead[life] || n.cut[[2]string{from, host}] {
+		return nil
+	}
+	return n.listeners[host]
 }
 
 func refused(address string) error {
--- a/test/fakes/upstream.go
+++ b/test/fakes/upstream.go
@@ -10,9 +10,21 @@
 	"time"
 )
 
+// MarkerHeader names a call of a fake service.
+const MarkerHeader = "X-Marker"
+
 // PoisonMark in a prompt crashes the engine that runs it.
 const PoisonMark = "poison"
 
+// Execution is one run of a request.
+type Execution struct {
+	// Marker names the request.
+	Marker string
+	At     time.Time
+	// Result differs between any two executions.
+	Result string
+}
+
 // Upstream is a fake model engine and plain service. It counts executions by
 // the marker of each request, and crashes as a whole, with all that it runs.
 type Upstream struct {
@@ -26,7 +38,7 @@
 	Gap time.Duration
 
 	mu         sync.Mutex
-	executions map[string]int
+	executions []Execution
 	crashes    int
 	crashed    chan struct{}
 	pending    []Fault
@@ -35,11 +47,10 @@
 // NewUpstream returns a fake without faults that answers in five tokens.
 func NewUpstream(host string) *Upstream {
 	return &Upstream{
-		Host:       host,
-		Tokens:     5,
-		Gap:        10 * time.Millisecond,
-		executions: make(map[string]int),
-		crashed:    make(chan struct{}),
+		Host:    host,
+		Tokens:  5,
+		Gap:     10 * time.Millisecond,
+		crashed: make(chan struct{}),
 	}
 }
 
@@ -48,22 +59,22 @@
 	network.Serve(u.Host, u, u.atDial)
 }
 
-// Executions returns how often the marked request was executed.
-func (u *Upstream) Executions(marker string) int {
+// Executions returns the runs so far.
+func (u *Upstream) Executions() []Execution {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.executions[marker]
+	return append([]Execution(nil), u.executions...)
 }
 
-// AllExecutions returns a copy of all counts.
-func (u *Upstream) AllExecutions() map[string]int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	counts := make(map[string]int, len(u.executions))
-	for marker, count := range u.executions {
-		counts[marker] = count
+// Count returns how often the marked request was executed.
+func (u *Upstream) Count(marker string) int {
+	count := 0
+	for _, execution := range u.Executions() {
+		if execution.Marker == marker {
+			count++
+		}
 	}
-	return counts
+	return count
 }
 
 // Crashes returns how often the upstream crashed as a whole.
@@ -113,11 +124,14 @@
 	return u.Plan.Next()
 }
 
-func (u *Upstream) execute(marker string) <-chan struct{} {
+// execute records one run and returns it with the channel that is closed when
+// the upstream crashes.
+func (u *Upstream) execute(marker string) (Execution, <-chan struct{}) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.executions[marker]++
-	return u.crashed
+	run := Execution{Marker: marker, At: time.Now(), Result: fmt.Sprintf("%s/%d", u.Host, len(u.executions))}
+	u.executions = append(u.executions, run)
+	return run, u.crashed
 }
 
 // ServeHTTP implements http.Handler.
@@ -163,16 +177,17 @@
 // ServiceAnswer is the body of a fake service's answer.
 type ServiceAnswer struct {
 	Marker string `json:"marker"`
+	// Result names the execution.
+	Result string `json:"result"`
 	Body   string `json:"body"`
 }
 
 func (u *Upstream) serveService(w http.ResponseWriter, r *http.Request, body []byte, fault Fault) {
-	marker := r.Header.Get("X-Marker")
-	u.execute(marker)
+	run, _ := u.execute(r.Header.Get(MarkerHeader))
 	if fault == CrashAfterExecute {
 		panic(http.ErrAbortHandler)
 	}
-	answer, err := json.Marshal(ServiceAnswer{Marker: marker, Body: string(body)})
+	answer, err := json.Marshal(ServiceAnswer{Marker: run.Marker, Result: run.Result, Body: string(body)})
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- /dev/null
+++ b/test/fakes/view.go
@@ -0,0 +1,82 @@
+package fakes
+
+import (
+	"sync"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// Fleet is a directory of instances that tests change by hand. It is safe for
+// concurrent use.
+type Fleet struct {
+	mu      sync.Mutex
+	members map[types.Incarnation]types.Instance
+}
+
+// NewFleet returns a fleet without instances.
+func NewFleet() *Fleet {
+	return &Fleet{members: make(map[types.Incarnation]types.Instance)}
+}
+
+// Put adds the instance's incarnation.
+func (f *Fleet) Put(incarnation types.Incarnation, instance types.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members[incarnation] = instance
+}
+
+// Remove forgets the incarnation.
+func (f *Fleet) Remove(incarnation types.Incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.members, incarnation)
+}
+
+// View returns the fleet as the instance sees it.
+func (f *Fleet) View(self types.Instance) *View { return &View{fleet: f, self: self} }
+
+// View implements membership.View over a Fleet.
+type View struct {
+	fleet *Fleet
+	self  types.Instance
+}
+
+// Self implements membership.View.
+func (v *View) Self() types.Instance { return v.self }
+
+// Live implements membership.View, in no order.
+func (v *View) Live() []types.Instance {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	var live []types.Instance
+	for _, instance := range v.fleet.members {
+		live = append(live, instance)
+	}
+	return live
+}
+
+// Incarnation implements membership.View.
+func (v *View) Incarnation(id types.InstanceID) (types.Incarnation, bool) {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	for incarnation, instance := range v.fleet.members {
+		if instance.ID == id {
+			return incarnation, true
+		}
+	}
+	return "", false
+}
+
+// Instance implements membership.View.
+func (v *View) Instance(incarnation types.Incarnation) (types.Instance, bool) {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	instance, ok := v.fleet.members[incarnation]
+	return instance, ok
+}
+
+// Changed implements membership.View; the channel is never closed.
+func (v *View) Changed() <-chan struct{} { return make(chan struct{}) }
+
+// ReportFailure implements membership.View and does nothing.
+func (v *View) ReportFailure(types.InstanceID) {}
--- /dev/null
+++ b/test/prove/entryworld_test.go
@@ -0,0 +1,214 @@
+package prove
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/entry"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/timeline"
+	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/test/fakes"
+)
+
+// entryWorld is a few entries before fake upstreams, on one in-memory network.
+type entryWorld struct {
+	t         *testing.T
+	random    *rand.Rand
+	network   *fakes.Network
+	fleet     *fakes.Fleet
+	plan      *fakes.Plan
+	upstreams []*fakes.Upstream
+	started   time.Time
+	lives     int
+
+	mu      sync.Mutex
+	entries map[string]*life
+}
+
+// life is one incarnation of an entry.
+type life struct {
+	host        string
+	incarnation types.Incarnation
+	entry       *entry.Entry
+	granter     *fakes.Granter
+	started     time.Time
+	stop        context.CancelFunc
+}
+
+// newEntryWorld starts the entries and upstreams; upstreams suffer faults at
+// the rate.
+func newEntryWorld(t *testing.T, seed uint64, entries, upstreams int, rate float64) *entryWorld {
+	w := &entryWorld{
+		t:       t,
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		network: fakes.NewNetwork(),
+		fleet:   fakes.NewFleet(),
+		plan:    fakes.NewPlan(seed, rate),
+		started: time.Now(),
+		entries: make(map[string]*life),
+	}
+	for i := range upstreams {
+		u := fakes.NewUpstream(fmt.Sprintf("u%d", i))
+		u.Plan = w.plan
+		u.Join(w.network)
+		w.upstreams = append(w.upstreams, u)
+	}
+	for i := range entries {
+		w.start(fmt.Sprintf("e%d", i))
+	}
+	return w
+}
+
+// close ends all entries and connections.
+func (w *entryWorld) close() {
+	for _, l := range w.entries {
+		l.stop()
+	}
+	w.network.Close()
+}
+
+// start begins a new life of the entry on the host.
+func (w *entryWorld) start(host string) *life {
+	w.lives++
+	entropy := ulid.Monotonic(strings.NewReader(strings.Repeat(fmt.Sprintf("%010d", w.lives), 10)), 0)
+	incarnation := types.Incarnation(ulid.MustNew(uint64(w.lives), entropy).String())
+	self := types.Instance{ID: types.InstanceID(host), CallerAddress: host + ":80", PeerAddress: host + ":81"}
+	granter := fakes.NewGranter(w.upstreams...)
+	granter.Pick = w.plan.IntN
+	e, err := entry.New(entry.Options{
+		Self:          self,
+		Incarnation:   incarnation,
+		Store:         worldSnapshot{},
+		Granter:       granter,
+		View:          w.fleet.View(self),
+		Recorder:      noRecorder{},
+		Logger:        zerolog.Nop(),
+		Transport:     w.network.Transport(host, string(incarnation), false),
+		OnceTransport: w.network.Transport(host, string(incarnation), true),
+		Addresses:     func() any { return nil },
+		Settings:      worldSettings(),
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	go func() { _ = e.Run(ctx) }()
+	w.network.Serve(host, e.Handler(), nil)
+	w.fleet.Put(incarnation, self)
+	l := &life{host: host, incarnation: incarnation, entry: e, granter: granter, started: time.Now(), stop: stop}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entries[host] = l
+	return l
+}
+
+// replace kills the entry on the host and starts another in its place.
+func (w *entryWorld) replace(host string) {
+	w.mu.Lock()
+	old := w.entries[host]
+	w.mu.Unlock()
+	w.network.Kill(host, string(old.incarnation))
+	w.fleet.Remove(old.incarnation)
+	old.stop()
+	w.start(host)
+}
+
+func worldSettings() entry.Settings {
+	settings := entry.DefaultSettings()
+	settings.DefaultDeadline = 20 * time.Second
+	return settings
+}
+
+// since returns the time since the start of the world.
+func (w *entryWorld) since(at time.Time) time.Duration { return at.Sub(w.started) }
+
+// reply is what one caller got.
+type reply struct {
+	status   int
+	body     []byte
+	err      error
+	runState types.RunState
+	code     fault.Code
+	call     time.Duration
+	returned time.Duration
+}
+
+// send makes one request of a caller to the host and takes the whole reply.
+func (w *entryWorld) send(ctx context.Context, host, method, path, body string, header http.Header) reply {
+	got := reply{call: w.since(time.Now())}
+	defer func() { got.returned = w.since(time.Now()) }()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+host+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Error(err)
+		return got
+	}
+	request.Header = header.Clone()
+	request.Header.Set("Authorization", "Bearer good")
+	client := w.network.Transport("caller", "caller", true)
+	response, err := client.RoundTrip(request)
+	if err != nil {
+		got.err = err
+		got.returned = w.since(time.Now())
+		return got
+	}
+	defer response.Body.Close()
+	got.status = response.StatusCode
+	got.body, got.err = io.ReadAll(response.Body)
+	got.readFailure()
+	got.returned = w.since(time.Now())
+	return got
+}
+
+// readFailure takes the code and run state from a failure's body.
+func (r *reply) readFailure() {
+	var failure fault.Response
+	if r.status < 400 || json.Unmarshal(r.body, &failure) != nil {
+		return
+	}
+	r.runState = failure.Error.RunState
+	r.code = failure.Error.Code
+}
+
+// noRecorder drops all events.
+type noRecorder struct{}
+
+func (noRecorder) Record(timeline.Event) {}
+
+// worldSnapshot is a configuration with one class for everything.
+type worldSnapshot struct{}
+
+func (s worldSnapshot) Current() entry.Snapshot { return s }
+
+func (worldSnapshot) AccountByKey(key string) (config.Account, bool) {
+	return config.Account{ID: "clinic"}, key == "good"
+}
+func (worldSnapshot) Models() []string { return []string{"m"} }
+func (worldSnapshot) TargetForModel(string) (config.Target, bool) {
+	return config.Target{Name: "engines", Kind: config.EngineTarget}, true
+}
+func (worldSnapshot) TargetForService(string) (config.Target, bool) {
+	return config.Target{Name: "queue", Kind: config.ServiceTarget}, true
+}
+func (worldSnapshot) Classify(attributes entry.Attributes) (entry.Decision, error) {
+	kind := config.EngineTarget
+	if attributes.Kind == "service" {
+		kind = config.ServiceTarget
+	}
+	return entry.Decision{
+		Class:  config.Class{Name: "live", Deadline: 20000, Preemptible: true},
+		Target: config.Target{Name: "all", Kind: kind},
+	}, nil
+}
