--- /dev/null
+++ b/pkg/peer/options.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Defaults of the Options.
+const (
+	// DefaultMaxMessage bounds one message, in bytes.
+	DefaultMaxMessage = 2 << 20
+	// DefaultMaxConnections bounds the connections that a server accepts.
+	DefaultMaxConnections = 1024
+	// DefaultCallTimeout bounds a call whose context has no deadline.
+	DefaultCallTimeout = 5 * time.Second
+	// DefaultDialTimeout bounds connecting and authenticating.
+	DefaultDialTimeout = time.Second
+	// DefaultWriteTimeout bounds one write to a peer that does not read.
+	DefaultWriteTimeout = 2 * time.Second
+	// DefaultIdleTimeout closes a connection over which nothing came or went.
+	DefaultIdleTimeout = 2 * time.Minute
+	// DefaultRedialPause is how long calls fail at once after a failed dial.
+	DefaultRedialPause = 100 * time.Millisecond
+)
+
+// Options configure a Server or a Dialer. Zero values of the limits and
+// timeouts mean the defaults.
+type Options struct {
+	// Identity is what this instance presents to its peers.
+	Identity Identity
+	// Secret is shared by all instances; both ends must hold it.
+	Secret string
+	// Address is the host:port at which a Server listens.
+	Address string
+	Logger  zerolog.Logger
+
+	MaxMessage     int
+	MaxConnections int
+	CallTimeout    time.Duration
+	DialTimeout    time.Duration
+	WriteTimeout   time.Duration
+	IdleTimeout    time.Duration
+	RedialPause    time.Duration
+}
+
+// withDefaults returns a copy in which zero limits are replaced.
+func (o Options) withDefaults() Options {
+	setDefault(&o.MaxMessage, DefaultMaxMessage)
+	setDefault(&o.MaxConnections, DefaultMaxConnections)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.RedialPause, DefaultRedialPause)
+	return o
+}
+
+func setDefault[T int | time.Duration](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
--- /dev/null
+++ b/pkg/peer/peer_test.go
@@ -0,0 +1,157 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testSecret = "a secret of the test"
+
+func identity(name string) Identity {
+	return Identity{Instance: types.InstanceID(name), Incarnation: types.Incarnation(name + "-1"), DataCentre: "lac"}
+}
+
+// start serves until the test ends and returns the address.
+func start(t *testing.T, register func(Registrar)) string {
+	t.Helper()
+	server := NewServer(Options{Identity: identity("server"), Secret: testSecret, Address: "127.0.0.1:0"})
+	if register != nil {
+		register(server)
+	}
+	if err := server.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-served; err != nil {
+			t.Errorf("Serve: %v", err)
+		}
+	})
+	return server.Address()
+}
+
+func dialer(t *testing.T, o Options) *Dialer {
+	t.Helper()
+	o.Identity = identity("client")
+	d := NewDialer(o)
+	t.Cleanup(d.Close)
+	return d
+}
+
+func TestCallPresentsTheCallerAndReturnsTheAnswer(t *testing.T) {
+	address := start(t, func(r Registrar) {
+		r.Handle("echo", func(_ context.Context, from Identity, params json.RawMessage) (any, error) {
+			return map[string]any{"from": from, "params": params}, nil
+		})
+	})
+	d := dialer(t, Options{Secret: testSecret})
+	var answer struct {
+		From   Identity `json:"from"`
+		Params string   `json:"params"`
+	}
+	if err := d.Call(t.Context(), address, "echo", "hello", &answer); err != nil {
+		t.Fatal(err)
+	}
+	if answer.From != identity("client") || answer.Params != "hello" {
+		t.Fatalf("answer = %+v", answer)
+	}
+}
+
+func TestNotificationsArriveInOrder(t *testing.T) {
+	const count = 500
+	var mu sync.Mutex
+	var got []int
+	done := make(chan struct{})
+	address := start(t, func(r Registrar) {
+		r.Handle("count", func(_ context.Context, _ Identity, params json.RawMessage) (any, error) {
+			var n int
+			if err := json.Unmarshal(params, &n); err != nil {
+				return nil, err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if got = append(got, n); len(got) == count {
+				close(done)
+			}
+			return nil, nil
+		})
+	})
+	d := dialer(t, Options{Secret: testSecret})
+	for i := range count {
+		if err := d.Notify(t.Context(), address, "count", i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-done
+	for i, n := range got {
+		if i != n {
+			t.Fatalf("position %d holds %d", i, n)
+		}
+	}
+}
+
+func TestFailuresKeepTheirType(t *testing.T) {
+	address := start(t, func(r Registrar) {
+		r.Handle("refuse", func(context.Context, Identity, json.RawMessage) (any, error) {
+			return nil, fault.New(fault.Overloaded, "full")
+		})
+	})
+	closed := start(t, nil)
+	cases := []struct {
+		name    string
+		options Options
+		address string
+		method  string
+		params  string
+		want    fault.Code
+	}{
+		{"typed failure of the handler", Options{Secret: testSecret}, address, "refuse", "", fault.Overloaded},
+		{"unknown method", Options{Secret: testSecret}, closed, "refuse", "", fault.PeerRejected},
+		{"another secret", Options{Secret: "other"}, address, "refuse", "", fault.PeerUnavailable},
+		{"no secret", Options{}, address, "refuse", "", fault.InvalidSetting},
+		{"nobody listens", Options{Secret: testSecret}, "127.0.0.1:1", "refuse", "", fault.PeerUnavailable},
+		{"message too large", Options{Secret: testSecret, MaxMessage: 1024}, address, "refuse",
+			strings.Repeat("x", 2000), fault.BodyTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			err := dialer(t, c.options).Call(t.Context(), c.address, c.method, c.params, nil)
+			if got := fault.From(err).Code; err == nil || got != c.want {
+				t.Fatalf("error %v, want code %s", err, c.want)
+			}
+		})
+	}
+}
+
+func TestServerClosesOnAMessageAboveItsLimit(t *testing.T) {
+	server := NewServer(Options{Identity: identity("server"), Secret: testSecret, Address: "127.0.0.1:0", MaxMessage: 4096})
+	server.Handle("take", func(context.Context, Identity, json.RawMessage) (any, error) { return true, nil })
+	if err := server.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx) }()
+	defer func() { cancel(); <-served }()
+	d := dialer(t, Options{Secret: testSecret})
+	err := d.Call(t.Context(), server.Address(), "take", strings.Repeat("x", 8192), nil)
+	if fault.From(err).Code != fault.PeerUnavailable {
+		t.Fatalf("error %v, want %s", err, fault.PeerUnavailable)
+	}
+	if err := d.Call(t.Context(), server.Address(), "take", "small", nil); err != nil {
+		t.Fatalf("the next call must use a new connection: %v", err)
+	}
+}
