--- /dev/null
+++ b/pkg/dispatch/dispatch.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/membership"
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/timeline"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// Options configure Dispatch.
+type Options struct {
+	// Self is this instance's own row.
+	Self        types.Instance
+	Incarnation types.Incarnation
+	View        membership.View
+	Caller      peer.Caller
+	Store       *config.Store
+	// NewPolicy returns an empty policy for the pool.
+	NewPolicy func(types.PoolID) pool.Policy
+	// Loads reads the load reports of upstreams. Nil means HTTP.
+	Loads    LoadReader
+	Recorder timeline.Recorder
+	Logger   zerolog.Logger
+	Settings Settings
+}
+
+// Dispatch is both sides of dispatching in one instance: the entry side, which
+// implements Granter, and the dispatchers of the pools that fall to this
+// instance. It is safe for concurrent use. Acquire works while Run runs.
+type Dispatch struct {
+	options Options
+	start   time.Time
+	entry   *entrySide
+	pools   *dispatcherSide
+	// ctx ends with Run; goroutines of streams and dispatchers belong to it.
+	ctx     context.Context
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+}
+
+var _ Granter = (*Dispatch)(nil)
+
+// New returns a Dispatch without streams or dispatchers.
+func New(o Options) *Dispatch {
+	o.Settings = o.Settings.withDefaults()
+	if o.Loads == nil {
+		o.Loads = newHTTPLoads()
+	}
+	d := &Dispatch{options: o, start: time.Now()}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.entry = newEntrySide(d)
+	d.pools = newDispatcherSide(d)
+	return d
+}
+
+// Register adds the methods that peers call.
+func (d *Dispatch) Register(r peer.Registrar) {
+	r.Handle(eventsMethod, d.pools.handleEvents)
+	r.Handle(actionsMethod, d.entry.handleActions)
+	r.Handle(probeMethod, d.pools.handleProbe)
+	r.Handle(echoMethod, d.pools.handleEcho)
+	r.Handle(summaryMethod, d.pools.handleSummary)
+}
+
+// Run follows the view and the configuration until ctx ends, then ends all
+// streams and dispatchers. It returns nil.
+func (d *Dispatch) Run(ctx context.Context) error {
+	defer d.workers.Wait()
+	defer d.cancel()
+	ticker := time.NewTicker(d.options.Settings.HeartbeatInterval / 2)
+	defer ticker.Stop()
+	for {
+		viewed := d.options.View.Changed()
+		configured := d.options.Store.Changed()
+		d.entry.follow()
+		d.pools.configure()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-viewed:
+		case <-configured:
+		case <-ticker.C:
+			d.entry.tick()
+			d.pools.tick()
+		}
+	}
+}
+
+// Drain hands the pools of this instance's dispatchers to the next ones. It
+// returns when no entry has a stream here any more or ctx ends. Acquire goes on
+// to work.
+func (d *Dispatch) Drain(ctx context.Context) {
+	d.pools.drain(ctx)
+}
+
+// spawn runs work that ends with Run.
+func (d *Dispatch) spawn(work func(ctx context.Context)) {
+	d.workers.Go(func() { work(d.ctx) })
+}
+
+// record sends an event to the time line, if there is one.
+func (d *Dispatch) record(event timeline.Event) {
+	if d.options.Recorder != nil {
+		d.options.Recorder.Record(event)
+	}
+}
+
+// send delivers a message to the instance at the address. Messages to this
+// instance do not go over the network.
+func (d *Dispatch) send(ctx context.Context, address, method string, message any) error {
+	ctx, cancel := context.WithTimeout(ctx, d.options.Settings.SendTimeout)
+	defer cancel()
+	return d.options.Caller.Notify(ctx, address, method, message)
+}
+
+// identity is what this instance presents to peers.
+func (d *Dispatch) identity() peer.Identity {
+	return peer.Identity{
+		Instance:    d.options.Self.ID,
+		Incarnation: d.options.Incarnation,
+		DataCentre:  d.options.Self.DataCentre,
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/pooldispatcher.go
@@ -0,0 +1,310 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// poolDispatcher runs the policy of one pool. It is the shell of the pure
+// parts: it reads the clock, applies batches in order, and hands the actions to
+// the senders of the entries.
+type poolDispatcher struct {
+	dispatch *Dispatch
+	pool     types.PoolID
+
+	mu       sync.Mutex
+	policy   pool.Policy
+	holdings *holdings
+	entries  map[types.Incarnation]*entryStream
+	// upstreams holds what is known of each configured upstream.
+	upstreams map[types.UpstreamID]*upstreamStatus
+	revision  types.Revision
+	tickedAt  time.Time
+}
+
+// entryStream is the dispatcher's end of the exchange with one entry. Its
+// fields are guarded by the lock of the poolDispatcher.
+type entryStream struct {
+	identity peer.Identity
+	address  string
+	epoch    epoch
+	revision types.Revision
+	received uint64
+	sequence uint64
+	// opening collects the batches of an opening.
+	opening []pool.Event
+	pending []pool.Action
+	heardAt time.Time
+	sentAt  time.Time
+	// unknown says that the entry must open a new stream, moved that it must do
+	// so elsewhere.
+	unknown bool
+	moved   bool
+	gone    bool
+	wake    chan struct{}
+}
+
+func newPoolDispatcher(d *Dispatch, id types.PoolID) *poolDispatcher {
+	p := &poolDispatcher{
+		dispatch:  d,
+		pool:      id,
+		policy:    d.options.NewPolicy(id),
+		holdings:  newHoldings(),
+		entries:   map[types.Incarnation]*entryStream{},
+		upstreams: map[types.UpstreamID]*upstreamStatus{},
+		tickedAt:  time.Now(),
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.configureLocked()
+	return p
+}
+
+// run passes time to the policy until ctx ends.
+func (p *poolDispatcher) run(ctx context.Context) {
+	ticker := time.NewTicker(p.dispatch.options.Settings.PolicyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.mu.Lock()
+			p.handle(pool.Event{})
+			p.mu.Unlock()
+		}
+	}
+}
+
+// handle applies one event to the policy and queues its actions. The lock is
+// held.
+func (p *poolDispatcher) handle(event pool.Event) {
+	now := time.Since(p.dispatch.start)
+	for _, action := range p.policy.Handle(now, event) {
+		entry := p.holdings.act(action)
+		if s, ok := p.entries[entry]; ok {
+			s.pending = append(s.pending, action)
+			s.signal()
+		}
+	}
+}
+
+// handleAll applies events in order. The lock is held.
+func (p *poolDispatcher) handleAll(events []pool.Event) {
+	for _, event := range events {
+		p.handle(event)
+	}
+}
+
+// receive applies an entry's batch.
+func (p *poolDispatcher) receive(from peer.Identity, batch eventBatch) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.entries[from.Incarnation]
+	if batch.Reset && (!ok || batch.Epoch > s.epoch) {
+		s = p.openStream(from, batch, s)
+		ok = true
+	}
+	if !ok || batch.Epoch > s.epoch {
+		p.dispatch.pools.answerUnknown(from, batch)
+		return
+	}
+	if batch.Epoch < s.epoch {
+		return
+	}
+	s.heardAt = now
+	if batch.Close {
+		p.dropEntry(s)
+		return
+	}
+	switch placed(s.received, batch.Sequence, batch.carries()) {
+	case repeated:
+	case gap:
+		s.unknown = true
+		s.signal()
+	case inOrder:
+		s.received = batch.Sequence
+		p.applyBatch(s, batch)
+	}
+}
+
+// openStream begins a new epoch of the entry. The lock is held.
+func (p *poolDispatcher) openStream(from peer.Identity, batch eventBatch, old *entryStream) *entryStream {
+	if old != nil {
+		old.gone = true
+		old.signal()
+	}
+	s := &entryStream{
+		identity: from,
+		address:  batch.ReplyTo,
+		epoch:    batch.Epoch,
+		sentAt:   time.Now(),
+		wake:     make(chan struct{}, 1),
+	}
+	p.entries[from.Incarnation] = s
+	p.dispatch.spawn(func(ctx context.Context) { p.sendAll(ctx, s) })
+	return s
+}
+
+// applyBatch hands the events to the policy. The lock is held.
+func (p *poolDispatcher) applyBatch(s *entryStream, batch eventBatch) {
+	s.revision = batch.Revision
+	for _, id := range batch.Leaving {
+		p.noteLeaving(id)
+	}
+	if batch.Reset {
+		s.opening = append(s.opening, batch.Events...)
+		if batch.More {
+			return
+		}
+		events := p.holdings.reconcile(s.identity.Incarnation, s.opening)
+		s.opening = nil
+		p.handleAll(events)
+		p.repeatPreemptions(s)
+	} else {
+		for _, event := range batch.Events {
+			p.applyEvent(s, event)
+		}
+	}
+	s.signal()
+}
+
+// applyEvent hands one event of an open stream to the policy.
+func (p *poolDispatcher) applyEvent(s *entryStream, event pool.Event) {
+	p.observe(event)
+	if p.holdings.note(s.identity.Incarnation, event) {
+		p.handle(event)
+	}
+}
+
+// observe keeps what the end of an attempt says of the upstream.
+func (p *poolDispatcher) observe(event pool.Event) {
+	if event.Finish == nil {
+		return
+	}
+	switch event.Finish.Reason {
+	case pool.FinishLeaving:
+		p.noteLeaving(event.Finish.Upstream)
+	case pool.FinishUnreachable, pool.FinishCrashed:
+		p.pollSoon(event.Finish.Upstream)
+	}
+}
+
+// repeatPreemptions sends again the preemptions that the entry may not have
+// received.
+func (p *poolDispatcher) repeatPreemptions(s *entryStream) {
+	for _, preempt := range p.holdings.preempting(s.identity.Incarnation) {
+		s.pending = append(s.pending, pool.Action{Preempt: &preempt})
+	}
+}
+
+// dropEntry ends the stream of an entry that has left or is gone. The lock is
+// held.
+func (p *poolDispatcher) dropEntry(s *entryStream) {
+	s.gone = true
+	s.signal()
+	delete(p.entries, s.identity.Incarnation)
+	p.handleAll(p.holdings.drop(s.identity.Incarnation))
+	p.handle(pool.Event{EntryLost: &pool.EntryLost{Entry: s.identity.Incarnation}})
+}
+
+// tick drops the entries that are silent and wakes the senders.
+func (p *poolDispatcher) tick() {
+	settings := p.dispatch.options.Settings
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	paused := now.Sub(p.tickedAt) > settings.SilenceBound
+	p.tickedAt = now
+	for _, s := range p.entries {
+		if paused {
+			s.heardAt = now
+		}
+		if now.Sub(s.heardAt) > settings.EntrySilence {
+			p.dropEntry(s)
+			continue
+		}
+		s.signal()
+	}
+}
+
+// dismiss tells the entries to move, and returns how many other instances have
+// not yet.
+func (p *poolDispatcher) dismiss() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := 0
+	for _, s := range p.entries {
+		if s.identity.Instance == p.dispatch.options.Self.ID {
+			continue
+		}
+		left++
+		s.moved = true
+		s.signal()
+	}
+	return left
+}
+
+// summary returns the load of the pool.
+func (p *poolDispatcher) summary() Summary {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.summaryLocked()
+}
+
+func (p *poolDispatcher) summaryLocked() Summary {
+	s := Summary{Waiting: p.holdings.waiting, Running: p.holdings.running}
+	for _, u := range p.upstreams {
+		if u.available() {
+			s.Capacity += max(1, u.config.MaxConcurrent)
+		}
+	}
+	return s
+}
+
+// configure passes the configuration in force to the policy.
+func (p *poolDispatcher) configure() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.configureLocked()
+}
+
+func (p *poolDispatcher) configureLocked() {
+	snapshot := p.dispatch.options.Store.Current()
+	if snapshot == nil || snapshot.Revision() == p.revision {
+		return
+	}
+	p.revision = snapshot.Revision()
+	upstreams := snapshot.PoolUpstreams(p.pool)
+	p.keepUpstreams(upstreams)
+	p.handle(pool.Event{Configure: &pool.Configure{
+		Revision:  p.revision,
+		Classes:   snapshot.Classes(),
+		Upstreams: upstreams,
+	}})
+}
+
+// describe returns the granted upstreams for an entry whose configuration is
+// another one.
+func (p *poolDispatcher) describe(s *entryStream, actions []pool.Action) []config.Upstream {
+	if s.revision == p.revision {
+		return nil
+	}
+	var described []config.Upstream
+	for _, action := range actions {
+		if action.Grant == nil {
+			continue
+		}
+		if u, ok := p.upstreams[action.Grant.Upstream]; ok {
+			described = append(described, u.config)
+		}
+	}
+	return described
+}
--- /dev/null
+++ b/pkg/dispatch/settings.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import "time"
+
+// Defaults of the Settings.
+const (
+	// DefaultBatchInterval is the least time between two messages of one stream.
+	DefaultBatchInterval = 2 * time.Millisecond
+	// DefaultHeartbeatInterval is the longest time between two messages of one
+	// stream in use.
+	DefaultHeartbeatInterval = 500 * time.Millisecond
+	// DefaultSilenceBound is how long an entry waits for its dispatcher before
+	// it turns to the next one.
+	DefaultSilenceBound = 1500 * time.Millisecond
+	// DefaultEntrySilence is how long a dispatcher waits for an entry before it
+	// drops the entry's requests.
+	DefaultEntrySilence = 3 * time.Second
+	// DefaultIdleClose is how long a stream without requests stays open.
+	DefaultIdleClose = 5 * time.Second
+	// DefaultProgressInterval is the time between two reports of the tokens of
+	// running requests.
+	DefaultProgressInterval = time.Second
+	// DefaultPolicyInterval is the time between two passes of a policy.
+	DefaultPolicyInterval = 20 * time.Millisecond
+	// DefaultProbeInterval is the first pause before an avoided dispatcher is
+	// tried again; it doubles with each failure.
+	DefaultProbeInterval = time.Second
+	// DefaultMaxProbeInterval bounds the pause before an avoided dispatcher is
+	// tried again.
+	DefaultMaxProbeInterval = 16 * time.Second
+	// DefaultSendTimeout bounds the sending of one message.
+	DefaultSendTimeout = time.Second
+	// DefaultMaxPools bounds the pools that one request is offered to.
+	DefaultMaxPools = 4
+	// DefaultPollInterval is the mean time between two load reports of one
+	// upstream.
+	DefaultPollInterval = time.Second
+	// DefaultPollTimeout bounds the reading of one load report.
+	DefaultPollTimeout = 400 * time.Millisecond
+	// DefaultSummaryLifetime is how long a pool's load summary is trusted.
+	DefaultSummaryLifetime = 3 * time.Second
+)
+
+// Settings are the intervals and bounds of Dispatch. Zero values mean the
+// defaults.
+type Settings struct {
+	BatchInterval     time.Duration
+	HeartbeatInterval time.Duration
+	SilenceBound      time.Duration
+	EntrySilence      time.Duration
+	IdleClose         time.Duration
+	ProgressInterval  time.Duration
+	PolicyInterval    time.Duration
+	ProbeInterval     time.Duration
+	MaxProbeInterval  time.Duration
+	SendTimeout       time.Duration
+	MaxPools          int
+	PollInterval      time.Duration
+	PollTimeout       time.Duration
+	SummaryLifetime   time.Duration
+}
+
+// withDefaults returns a copy in which zero values are replaced.
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.BatchInterval, DefaultBatchInterval)
+	setDefault(&s.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&s.SilenceBound, DefaultSilenceBound)
+	setDefault(&s.EntrySilence, DefaultEntrySilence)
+	setDefault(&s.IdleClose, DefaultIdleClose)
+	setDefault(&s.ProgressInterval, DefaultProgressInterval)
+	setDefault(&s.PolicyInterval, DefaultPolicyInterval)
+	setDefault(&s.ProbeInterval, DefaultProbeInterval)
+	setDefault(&s.MaxProbeInterval, DefaultMaxProbeInterval)
+	setDefault(&s.SendTimeout, DefaultSendTimeout)
+	setDefault(&s.MaxPools, DefaultMaxPools)
+	setDefault(&s.PollInterval, DefaultPollInterval)
+	setDefault(&s.PollTimeout, DefaultPollTimeout)
+	setDefault(&s.SummaryLifetime, DefaultSummaryLifetime)
+	return s
+}
+
+func setDefault[T int | time.Duration](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
