--- /dev/null
+++ b/pkg/dispatch/cluster_test.go
@@ -0,0 +1,244 @@
+package dispatch
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/test/fakes"
+)
+
+const testTarget types.TargetName = "chat"
+
+var testPool = types.PoolID{Target: testTarget, DataCentre: "lac"}
+
+// fixedView is a view that the test changes by hand.
+type fixedView struct {
+	mu       sync.Mutex
+	self     types.Instance
+	rows     map[types.InstanceID]types.Instance
+	changed  chan struct{}
+	failures int
+}
+
+func (v *fixedView) Self() types.Instance { return v.self }
+
+func (v *fixedView) Live() []types.Instance {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var live []types.Instance
+	for _, row := range v.rows {
+		if row.State == types.InstanceLive {
+			live = append(live, row)
+		}
+	}
+	slices.SortFunc(live, func(a, b types.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return live
+}
+
+func (v *fixedView) Incarnation(id types.InstanceID) (types.Incarnation, bool) {
+	return types.Incarnation(id), true
+}
+
+func (v *fixedView) Instance(incarnation types.Incarnation) (types.Instance, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	row, ok := v.rows[types.InstanceID(incarnation)]
+	return row, ok
+}
+
+func (v *fixedView) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *fixedView) ReportFailure(types.InstanceID) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failures++
+}
+
+// set changes the state of a row.
+func (v *fixedView) set(id types.InstanceID, state types.InstanceState) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	row := v.rows[id]
+	row.State = state
+	v.rows[id] = row
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// testUpstream answers load reports and counts what runs.
+type testUpstream struct {
+	mu      sync.Mutex
+	leaving map[types.UpstreamID]bool
+	down    map[types.UpstreamID]bool
+	polls   map[types.UpstreamID]int
+}
+
+func (u *testUpstream) Load(_ context.Context, upstream config.Upstream) (LoadReport, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.polls[upstream.ID]++
+	if u.down[upstream.ID] {
+		return LoadReport{}, fault.New(fault.NoUpstream, "down")
+	}
+	return LoadReport{Leaving: u.leaving[upstream.ID]}, nil
+}
+
+// member is one instance of a cluster.
+type member struct {
+	dispatch *Dispatch
+	view     *fixedView
+	row      types.Instance
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// cluster is a few instances on a network of the test.
+type cluster struct {
+	t         *testing.T
+	network   *fakes.Network
+	store     *config.Store
+	upstreams *testUpstream
+	members   []*member
+	policy    func(types.PoolID) pool.Policy
+}
+
+// document declares one class and one upstream per named pool.
+func document(slots int, centres ...types.DataCentre) *config.Document {
+	d := &config.Document{
+		Classes: []config.Class{{Name: "live", Tier: 1, Deadline: 60000, Floor: config.Floor{Starts: 1, Interval: 10000}}},
+		Rules:   []config.Rule{{Name: "all", When: "true", Class: "live", Target: testTarget}},
+		Targets: []config.Target{{Name: testTarget, Kind: config.EngineTarget, Model: "m"}},
+	}
+	for i, centre := range centres {
+		d.Upstreams = append(d.Upstreams, config.Upstream{
+			ID:            types.UpstreamID(fmt.Sprintf("engine-%d", i)),
+			Target:        testTarget,
+			DataCentre:    centre,
+			URL:           fmt.Sprintf("http://127.0.0.1:%d", 9000+i),
+			MaxConcurrent: slots,
+			KVTokens:      100000,
+		})
+	}
+	return d
+}
+
+// newCluster starts n instances in the data centre lac. It must be called in a
+// synctest bubble.
+func newCluster(t *testing.T, n int, d *config.Document) *cluster {
+	t.Helper()
+	snapshot, err := config.Compile(1, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cluster{
+		t:       t,
+		network: fakes.NewNetwork(1),
+		store:   config.NewStore(),
+		upstreams: &testUpstream{
+			leaving: map[types.UpstreamID]bool{},
+			down:    map[types.UpstreamID]bool{},
+			polls:   map[types.UpstreamID]int{},
+		},
+		policy: func(types.PoolID) pool.Policy { return pool.NewFIFO(4, 1000) },
+	}
+	if err := c.store.Apply(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	c.network.SetDelay(time.Millisecond, 2*time.Millisecond)
+	rows := map[types.InstanceID]types.Instance{}
+	for i := range n {
+		id := types.InstanceID(fmt.Sprintf("node-%d", i))
+		rows[id] = types.Instance{ID: id, DataCentre: "lac", PeerAddress: string(id) + ":1", State: types.InstanceLive}
+	}
+	for i := range n {
+		c.members = append(c.members, c.start(rows[types.InstanceID(fmt.Sprintf("node-%d", i))], rows))
+	}
+	return c
+}
+
+func (c *cluster) start(row types.Instance, rows map[types.InstanceID]types.Instance) *member {
+	view := &fixedView{self: row, rows: map[types.InstanceID]types.Instance{}, changed: make(chan struct{})}
+	for id, other := range rows {
+		view.rows[id] = other
+	}
+	m := &member{view: view, row: row, done: make(chan struct{})}
+	identity := peer.Identity{Instance: row.ID, Incarnation: types.Incarnation(row.ID), DataCentre: row.DataCentre}
+	caller, registrar := c.network.Node(row.PeerAddress, identity)
+	m.dispatch = New(Options{
+		Self:        row,
+		Incarnation: identity.Incarnation,
+		View:        view,
+		Caller:      caller,
+		Store:       c.store,
+		NewPolicy:   func(id types.PoolID) pool.Policy { return c.policy(id) },
+		Loads:       c.upstreams,
+	})
+	m.dispatch.Register(registrar)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() {
+		defer close(m.done)
+		_ = m.dispatch.Run(ctx)
+	}()
+	return m
+}
+
+// kill takes the instance off the network without a word.
+func (c *cluster) kill(m *member) {
+	c.network.Stop(m.row.PeerAddress)
+	m.cancel()
+	<-m.done
+}
+
+// stop ends all instances.
+func (c *cluster) stop() {
+	for _, m := range c.members {
+		m.cancel()
+	}
+	for _, m := range c.members {
+		<-m.done
+	}
+	// Messages on their way arrive.
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
+// dispatcher returns the member that dispatches the pool by the first view.
+func (c *cluster) dispatcher(id types.PoolID) *member {
+	chosen, _ := chooseDispatcher(id, c.members[0].view.Live(), func(types.Instance) bool { return true })
+	for _, m := range c.members {
+		if m.row.ID == chosen.ID {
+			return m
+		}
+	}
+	c.t.Fatal("no dispatcher")
+	return nil
+}
+
+// others returns the members apart from one.
+func (c *cluster) others(than *member) []*member {
+	return slices.DeleteFunc(slices.Clone(c.members), func(m *member) bool { return m == than })
+}
+
+// request returns a request of the class of the document.
+func request(id string) pool.Request {
+	return pool.Request{
+		ID: types.RequestID(id), Class: "live", Tier: 1, Account: "a", MaxTokens: 10,
+		DeadlineIn: 30 * time.Second, Repeatable: true,
+	}
+}
--- a/pkg/peer/dialer.go
+++ b/pkg/peer/dialer.go
@@ -186,4 +186,3 @@
 
 // Handle drops the request.
 func (silent) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
-
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -233,4 +233,3 @@
 func (l debugLogger) Printf(format string, v ...any) {
 	l.logger.Debug().Msgf(format, v...)
 }
-
