--- a/cmd/umberctl/main.go
+++ b/cmd/umberctl/main.go
@@ -1,15 +1,19 @@
-// Command umberctl is part of the router for language-model traffic.
+// Command umberctl shows what running instances do, drives load at them, and
+// serves small stand-ins for trials.
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/spf13/cobra"
+	"github.com/umbercrank/umbercrank/pkg/ctl"
 )
 
 func main() {
-	command := &cobra.Command{Use: "umberctl", SilenceUsage: true}
-	if err := command.Execute(); err != nil {
-		os.Exit(1)
-	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := ctl.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(status)
 }
--- /dev/null
+++ b/pkg/ctl/standin.go
@@ -0,0 +1,41 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/spf13/cobra"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+)
+
+// newStandinCommand groups the stand-ins.
+func newStandinCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "standin",
+		Short: "Serve a small stand-in of an engine, a service or the configuration service",
+		Long:  "The stand-ins take the place of the users' platform and upstreams in tests and trials. They are not for production.",
+	}
+	command.AddCommand(
+		newStandinEngineCommand(),
+		newStandinServiceCommand(),
+	)
+	return command
+}
+
+// server is a stand-in that answers on a listener until ctx ends.
+type server interface {
+	Serve(ctx context.Context, listener net.Listener) error
+}
+
+// serveStandin listens on the address, says so on the command's output, and
+// serves until the command's context ends.
+func serveStandin(command *cobra.Command, name, address string, standin server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+address)
+	}
+	fmt.Fprintf(command.OutOrStdout(), "%s: listening on http://%s\n", name, listener.Addr())
+	return standin.Serve(command.Context(), listener)
+}
--- a/pkg/standin/service/service.go
+++ b/pkg/standin/service/service.go
@@ -88,10 +88,7 @@
 	}
 	faults, admitted := s.admit()
 	if !admitted {
-		if faults.Leaving {
-			w.Header().Set(StateHeader, StateLeaving)
-		}
-		http.Error(w, "no new calls", http.StatusServiceUnavailable)
+		refuse(w, faults.Leaving)
 		return
 	}
 	defer s.leave()
@@ -215,6 +212,17 @@
 	}
 }
 
+// refuse answers that the call was not executed.
+func refuse(w http.ResponseWriter, leaving bool) {
+	body := errorResponse{Error: errorBody{Message: "the service is full", Type: "standin_error", Code: "full"}}
+	if leaving {
+		w.Header().Set(StateHeader, StateLeaving)
+		body.Error.Message = "the service is leaving"
+		body.Error.Code = StateLeaving
+	}
+	writeJSON(w, http.StatusServiceUnavailable, body)
+}
+
 // writeJSON answers with a JSON body. The connection is all that can fail.
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/pkg/standin/service/settings.go
+++ b/pkg/standin/service/settings.go
@@ -101,3 +101,14 @@
 	Leaving         bool  `json:"leaving"`
 	AgeMilliseconds int64 `json:"age_ms"`
 }
+
+// errorResponse is the JSON body of a refusal.
+type errorResponse struct {
+	Error errorBody `json:"error"`
+}
+
+type errorBody struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
