thin: umberctl load drives seeded traffic and checks every answer

Open-loop arrivals from a profile; callers keep addresses for their lifetime and try another one after a connection failure; answers are compared with the text that the stand-ins must give, keys with the executions that services counted.

--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -79,6 +79,8 @@
 	InvalidChart Code = "invalid_chart"
 	// InvalidTransition: a state chart has no transition for an event.
 	InvalidTransition Code = "invalid_transition"
+	// CheckFailed: a check that an operator asked for found a breach.
+	CheckFailed Code = "check_failed"
 	// Internal: a fault of the router itself.
 	Internal Code = "internal"
 )
@@ -125,6 +127,7 @@
 	PeerRejected:         {http.StatusBadGateway, types.NotRun},
 	InvalidChart:         {http.StatusInternalServerError, types.NotRun},
 	InvalidTransition:    {http.StatusInternalServerError, types.MayHaveRun},
+	CheckFailed:          {http.StatusInternalServerError, types.NotRun},
 	Internal:             {http.StatusInternalServerError, types.MayHaveRun},
 }
 
--- /dev/null
+++ b/pkg/load/load_test.go
@@ -0,0 +1,185 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/standin/engine"
+	"github.com/umbercrank/umbercrank/pkg/standin/engine/answer"
+	"github.com/umbercrank/umbercrank/pkg/standin/service"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// startRouter serves the stand-ins behind the paths of the router, without any
+// policy, and returns its address and the base URL of the service.
+func startRouter(t *testing.T, double bool) (string, string) {
+	t.Helper()
+	settings := engine.DefaultSettings()
+	settings.Model.StepBase = time.Millisecond
+	e := engine.New(settings)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		e.Run(ctx)
+	}()
+	s := service.New(service.DefaultSettings())
+	mux := http.NewServeMux()
+	mux.Handle("/v1/chat/completions", e.Handler())
+	mux.HandleFunc("/v1/services/queue/", func(w http.ResponseWriter, r *http.Request) {
+		if double {
+			s.Handler().ServeHTTP(httptest.NewRecorder(), r.Clone(r.Context()))
+		}
+		http.StripPrefix("/v1/services/queue", s.Handler()).ServeHTTP(w, r)
+	})
+	mux.Handle(service.ExecutionsPath, s.Handler())
+	server := httptest.NewServer(mux)
+	host := strings.TrimPrefix(server.URL, "http://")
+	mux.HandleFunc("/v1/addresses", func(w http.ResponseWriter, _ *http.Request) {
+		gone := address{Instance: "gone", Address: "127.0.0.1:1", DataCentre: "a"}
+		here := address{Instance: "here", Address: host, DataCentre: "b"}
+		_ = json.NewEncoder(w).Encode(addressAnswer{LifetimeSeconds: 1, Incarnation: "I", Window: "0", Addresses: []address{gone, here}})
+	})
+	t.Cleanup(func() {
+		server.Close()
+		cancel()
+		<-stopped
+	})
+	return host, server.URL
+}
+
+func runDemo(t *testing.T, double bool) *Report {
+	t.Helper()
+	host, base := startRouter(t, double)
+	profile, err := LoadProfile("demo")
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := Run(t.Context(), Options{
+		Profile: profile, Addresses: []string{host}, Services: []string{base}, Engines: nil,
+		Duration: 400 * time.Millisecond, Factor: 2, Seed: 3, Callers: 4,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func TestRunAnswersEveryRequestPastADeadAddress(t *testing.T) {
+	report := runDemo(t, false)
+	answered := 0
+	for _, c := range report.Classes {
+		answered += c.Results[Answered]
+	}
+	if report.Offered == 0 || answered != report.Offered || report.Violations != 0 || report.Unchecked != "" {
+		t.Errorf("report %+v", report)
+	}
+	var text strings.Builder
+	if err := report.WriteText(&text); err != nil || !strings.Contains(text.String(), "live-chat") {
+		t.Errorf("%v\n%s", err, text.String())
+	}
+}
+
+func TestRunFlagsDoubledCalls(t *testing.T) {
+	if report := runDemo(t, true); report.Violations == 0 {
+		t.Errorf("doubled calls went unseen: %+v", report)
+	}
+}
+
+func TestRunRefusesBadOptions(t *testing.T) {
+	_, err := Run(t.Context(), Options{Addresses: []string{"127.0.0.1:1"}, Duration: 2 * MaxDuration, Factor: 1, Callers: 1})
+	if !errors.Is(err, fault.New(fault.InvalidSetting, "")) {
+		t.Errorf("error %v", err)
+	}
+}
+
+func TestJudge(t *testing.T) {
+	kind := &Kind{Chat: &Chat{MaxTokens: 3}}
+	a := arrival{kind: kind, messages: []answer.Message{{Role: "user", Content: "x y z"}}}
+	want := answer.To(a.messages).Text(0, answer.To(a.messages).Length(3))
+	tests := []struct {
+		name, text, finish string
+		result             Result
+	}{
+		{"whole", want, "length", Answered},
+		{"finish", want, "stop", Wrong},
+		{"short", want[:len(want)-1], "length", Truncated},
+		{"other", "x" + want, "length", Wrong},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := &outcome{kind: kind}
+			o.judge(a, transcript{text: []byte(test.text), finish: test.finish})
+			if o.result != test.result {
+				t.Errorf("result %s (%s), want %s", o.result, o.detail, test.result)
+			}
+		})
+	}
+}
+
+func TestAuditFlagsContradictions(t *testing.T) {
+	l := newLedger()
+	l.tried("once", types.Ran)
+	l.tried("twice", "")
+	l.tried("denied", types.NotRun)
+	l.tried("unclear", types.NotRun)
+	l.tried("unclear", types.MayHaveRun)
+	counts := map[string]int{"once": 1, "twice": 2, "denied": 1, "unclear": 1, "foreign": 5}
+	if got := l.audit(counts); len(got) != 2 || !strings.Contains(got[0], "denied") || !strings.Contains(got[1], "twice") {
+		t.Errorf("breaches %q", got)
+	}
+}
+
+func TestArrivalsFollowSeedAndRate(t *testing.T) {
+	profile, err := LoadProfile("demo")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const span = 60 * time.Second
+	count := func(seed uint64) (n, inBurst int, last arrival) {
+		plan := newArrivals(profile, 1, seed)
+		for a := plan.next(); a.at < span; a = plan.next() {
+			n++
+			if a.at%(6*time.Second) >= 4500*time.Millisecond {
+				inBurst++
+			}
+			last = a
+		}
+		return n, inBurst, last
+	}
+	n, inBurst, last := count(5)
+	again, _, lastAgain := count(5)
+	if n != again || last.at != lastAgain.at || last.account.ID != lastAgain.account.ID {
+		t.Errorf("the same seed gave %d and %d requests", n, again)
+	}
+	// 60/s for 45 s and 180/s for 15 s.
+	if n < 5000 || n > 5800 || inBurst < 2500 || inBurst > 2900 {
+		t.Errorf("%d requests, %d in bursts", n, inBurst)
+	}
+}
+
+func TestProfiles(t *testing.T) {
+	for _, name := range BuiltIn() {
+		if _, err := LoadProfile(name); err != nil {
+			t.Error(err)
+		}
+	}
+	bad := map[string]string{
+		"rate: 0": "rate", "colour: red": "colour",
+		"rate: 1\naccounts: [{id: a}]\nkinds: [{class: c, weight: 1, targets: {deadline_ms: 1}}]": "exactly one",
+		"rate: 1\naccounts: [{id: a}]\nkinds: [{class: c, weight: 1, chat: {}}]":                  "deadline_ms",
+	}
+	for text, want := range bad {
+		_, err := ParseProfile([]byte(text))
+		if !errors.Is(err, fault.New(fault.InvalidSetting, "")) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
