Fakes of upstreams move to test/httpfakes

Cause: in-package tests of dispatch and membership use the fake peer network, and the fakes of upstreams import dispatch, which closed an import cycle.

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -13,7 +13,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
-	"github.com/umbercrank/umbercrank/test/fakes"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
 type discard struct{}
@@ -38,20 +38,20 @@
 }
 func (s stubSnapshot) Current() Snapshot { return s }
 
-// bench is an entry in front of fakes.
+// bench is an entry in front of httpfakes.
 type bench struct {
 	entry   *Entry
-	granter *fakes.Granter
+	granter *httpfakes.Granter
 }
 
-func newBench(t *testing.T, upstreams ...*fakes.Upstream) *bench {
+func newBench(t *testing.T, upstreams ...*httpfakes.Upstream) *bench {
 	t.Helper()
-	network := fakes.NewPipeNetwork()
+	network := httpfakes.NewNetwork()
 	t.Cleanup(network.Close)
 	for _, u := range upstreams {
 		u.Join(network)
 	}
-	granter := fakes.NewGranter(upstreams...)
+	granter := httpfakes.NewGranter(upstreams...)
 	e, err := New(Options{
 		Self:          types.Instance{ID: "e1"},
 		Incarnation:   "01ARZ3NDEKTSV4RRFFQ69G5FAV",
@@ -104,7 +104,7 @@
 		{"no such path", "GET", "/nothing", "", "good", 404, fault.NotFound},
 		{"wrong method", "GET", chatURL, "", "good", 404, fault.NotFound},
 	}
-	b := newBench(t, fakes.NewUpstream("u1"))
+	b := newBench(t, httpfakes.NewUpstream("u1"))
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			w := b.send(test.method, test.path, test.body, "Authorization", "Bearer "+test.key)
@@ -123,14 +123,14 @@
 
 func TestChatWholeAndStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, fakes.NewUpstream("u1"))
+		b := newBench(t, httpfakes.NewUpstream("u1"))
 		whole := b.send("POST", chatURL, chatJSON("a", ""))
-		if whole.Code != 200 || !strings.Contains(whole.Body.String(), fakes.Answer("a", 5)) {
+		if whole.Code != 200 || !strings.Contains(whole.Body.String(), httpfakes.Answer("a", 5)) {
 			t.Fatalf("whole: %d %s", whole.Code, whole.Body)
 		}
 		stream := b.send("POST", chatURL, chatJSON("b", `,"stream":true`))
 		text, done := streamText(t, stream.Body.String())
-		if text != fakes.Answer("b", 5) || !done {
+		if text != httpfakes.Answer("b", 5) || !done {
 			t.Fatalf("stream: %q done %v", text, done)
 		}
 		if got := stream.Header().Get("X-Umbercrank-Class"); got != "live" {
@@ -141,7 +141,7 @@
 
 func TestServiceCallIsPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, fakes.NewUpstream("u1"))
+		b := newBench(t, httpfakes.NewUpstream("u1"))
 		w := b.send("GET", "/v1/services/queue/next?x=1", "", "X-Marker", "m1")
 		if w.Code != http.StatusOK || !strings.Contains(w.Body.String(), `"marker":"m1"`) {
 			t.Fatalf("%d %s", w.Code, w.Body)
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/upstream"
-	"github.com/umbercrank/umbercrank/test/fakes"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
 // streamText returns the content of a stream and whether it ended with [DONE].
@@ -37,7 +37,7 @@
 
 func TestStreamContinuesAfterPreemption(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, fakes.NewUpstream("u1"), fakes.NewUpstream("u2"))
+		b := newBench(t, httpfakes.NewUpstream("u1"), httpfakes.NewUpstream("u2"))
 		left := 2
 		b.granter.PreemptAfter = func() time.Duration {
 			left--
@@ -48,7 +48,7 @@
 		}
 		w := b.send("POST", chatURL, chatJSON("a", `,"stream":true,"stream_options":{"include_usage":true}`))
 		text, done := streamText(t, w.Body.String())
-		if text != fakes.Answer("a", 5) || !done {
+		if text != httpfakes.Answer("a", 5) || !done {
 			t.Fatalf("%q done %v", text, done)
 		}
 		if !strings.Contains(w.Body.String(), `"usage":{"prompt_tokens":10,"completion_tokens":5,"total_tokens":15}`) {
--- a/test/fakes/view.go
+++ b/test/fakes/view.go
@@ -4,7 +4,6 @@
 	"slices"
 	"sync"
 
-	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -18,8 +17,6 @@
 	changed      chan struct{}
 }
 
-var _ membership.View = (*View)(nil)
-
 // NewView returns a view in which only self is live.
 func NewView(self types.Instance) *View {
 	return &View{
--- a/test/fakes/engine.go
+++ b/test/httpfakes/engine.go
@@ -1,4 +1,4 @@
-package fakes
+package httpfakes
 
 import (
 	"encoding/json"
--- a/test/fakes/fault.go
+++ b/test/httpfakes/fault.go
@@ -1,4 +1,4 @@
-package fakes
+package httpfakes
 
 import (
 	"math/rand/v2"
--- a/test/fakes/pipenet.go
+++ b/test/httpfakes/pipenet.go
@@ -1,7 +1,7 @@
-// Package fakes holds in-memory stand-ins of upstreams for tests. They speak
+// Package httpfakes holds in-memory stand-ins of upstreams for tests. They speak
 // real HTTP over pipes, so that net/http's own behaviour is part of each test,
 // and they run inside a testing/synctest bubble.
-package fakes
+package httpfakes
 
 import (
 	"context"
@@ -14,9 +14,9 @@
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
 
-// PipeNetwork connects transports with the servers that listen on it by host name.
+// Network connects transports with the servers that listen on it by host name.
 // It is safe for concurrent use.
-type PipeNetwork struct {
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
 	servers   map[string]*http.Server
@@ -34,9 +34,9 @@
 	conn net.Conn
 }
 
-// NewPipeNetwork returns a network without servers.
-func NewPipeNetwork() *PipeNetwork {
-	return &PipeNetwork{
+// NewNetwork returns a network without servers.
+func NewNetwork() *Network {
+	return &Network{
 		listeners: make(map[string]*listener),
 		servers:   make(map[string]*http.Server),
 		cut:       make(map[[2]string]bool),
@@ -46,7 +46,7 @@
 
 // Serve serves the handler on the host until Close. dial, if not nil, is asked
 // at every dial what shall befall the new connection.
-func (n *PipeNetwork) Serve(host string, handler http.Handler, dial func() Fault) {
+func (n *Network) Serve(host string, handler http.Handler, dial func() Fault) {
 	l := &listener{host: host, conns: make(chan net.Conn), closed: make(chan struct{}), dial: dial}
 	server := &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}
 	n.mu.Lock()
@@ -58,7 +58,7 @@
 
 // Kill ends a process as far as others can see: the server of the host, and all
 // connections that the life has made or would make.
-func (n *PipeNetwork) Kill(host, life string) {
+func (n *Network) Kill(host, life string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.dead[life] = true
@@ -71,7 +71,7 @@
 }
 
 // Cut sets whether the two hosts are kept from making connections.
-func (n *PipeNetwork) Cut(a, b string, cut bool) {
+func (n *Network) Cut(a, b string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut[[2]string{a, b}] = cut
@@ -80,7 +80,7 @@
 
 // Transport returns a transport with the product's settings, for a process on
 // the host. The life tells processes apart that follow each other on one host.
-func (n *PipeNetwork) Transport(host, life string, once bool) *http.Transport {
+func (n *Network) Transport(host, life string, once bool) *http.Transport {
 	transport := upstream.NewTransport(upstream.DefaultTransportSettings())
 	if once {
 		transport = upstream.NewOnceTransport(upstream.DefaultTransportSettings())
@@ -95,7 +95,7 @@
 }
 
 // Close ends all servers and connections.
-func (n *PipeNetwork) Close() {
+func (n *Network) Close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, transport := range n.clients {
@@ -106,7 +106,7 @@
 	}
 }
 
-func (n *PipeNetwork) dial(ctx context.Context, from, life, address string) (net.Conn, error) {
+func (n *Network) dial(ctx context.Context, from, life, address string) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, err
@@ -130,7 +130,7 @@
 }
 
 // route returns the listener of the host, or nil when there is no way to it.
-func (n *PipeNetwork) route(from, life, host string) *listener {
+func (n *Network) route(from, life, host string) *listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.dead[life] || n.cut[[2]string{from, host}] {
@@ -197,7 +197,7 @@
 // pipeAddress names one end of a pipe.
 type pipeAddress string
 
-// PipeNetwork implements net.Addr.
+// Network implements net.Addr.
 func (pipeAddress) Network() string { return "pipe" }
 
 // String implements net.Addr.
--- a/test/fakes/upstream.go
+++ b/test/httpfakes/upstream.go
@@ -1,4 +1,4 @@
-package fakes
+package httpfakes
 
 import (
 	"encoding/json"
@@ -55,7 +55,7 @@
 }
 
 // Join serves the fake on the network.
-func (u *Upstream) Join(network *PipeNetwork) {
+func (u *Upstream) Join(network *Network) {
 	network.Serve(u.Host, u, u.atDial)
 }
 
--- a/test/prove/atmostonce_test.go
+++ b/test/prove/atmostonce_test.go
@@ -13,7 +13,7 @@
 	"github.com/umbercrank/umbercrank/pkg/history"
 	"github.com/umbercrank/umbercrank/pkg/idempotency"
 	"github.com/umbercrank/umbercrank/pkg/types"
-	"github.com/umbercrank/umbercrank/test/fakes"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
 const (
@@ -145,10 +145,10 @@
 func (r *onceRun) sendKey(host, key string, client int) {
 	header := http.Header{}
 	header.Set("Idempotency-Key", key)
-	header.Set(fakes.MarkerHeader, key)
+	header.Set(httpfakes.MarkerHeader, key)
 	got := r.send(context.Background(), host, http.MethodPost, "/v1/services/queue/claim", "claim", header)
 	operation := history.OnceOperation{Key: key, Client: client, Call: got.call, Return: got.returned}
-	var answer fakes.ServiceAnswer
+	var answer httpfakes.ServiceAnswer
 	switch {
 	case got.status == http.StatusOK && json.Unmarshal(got.body, &answer) == nil:
 		operation.Kind = history.OnceAnswered
--- a/test/prove/entryworld_test.go
+++ b/test/prove/entryworld_test.go
@@ -20,17 +20,17 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
-	"github.com/umbercrank/umbercrank/test/fakes"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
 // entryWorld is a few entries before fake upstreams, on one in-memory network.
 type entryWorld struct {
 	t         *testing.T
 	random    *rand.Rand
-	network   *fakes.PipeNetwork
-	fleet     *fakes.Fleet
-	plan      *fakes.Plan
-	upstreams []*fakes.Upstream
+	network   *httpfakes.Network
+	fleet     *httpfakes.Fleet
+	plan      *httpfakes.Plan
+	upstreams []*httpfakes.Upstream
 	started   time.Time
 	lives     int
 
@@ -43,7 +43,7 @@
 	host        string
 	incarnation types.Incarnation
 	entry       *entry.Entry
-	granter     *fakes.Granter
+	granter     *httpfakes.Granter
 	started     time.Time
 	stop        context.CancelFunc
 }
@@ -54,14 +54,14 @@
 	w := &entryWorld{
 		t:       t,
 		random:  rand.New(rand.NewPCG(seed, 1)),
-		network: fakes.NewPipeNetwork(),
-		fleet:   fakes.NewFleet(),
-		plan:    fakes.NewPlan(seed, rate),
+		network: httpfakes.NewNetwork(),
+		fleet:   httpfakes.NewFleet(),
+		plan:    httpfakes.NewPlan(seed, rate),
 		started: time.Now(),
 		entries: make(map[string]*life),
 	}
 	for i := range upstreams {
-		u := fakes.NewUpstream(fmt.Sprintf("u%d", i))
+		u := httpfakes.NewUpstream(fmt.Sprintf("u%d", i))
 		u.Plan = w.plan
 		u.Join(w.network)
 		w.upstreams = append(w.upstreams, u)
@@ -86,7 +86,7 @@
 	entropy := ulid.Monotonic(strings.NewReader(strings.Repeat(fmt.Sprintf("%010d", w.lives), 10)), 0)
 	incarnation := types.Incarnation(ulid.MustNew(uint64(w.lives), entropy).String())
 	self := types.Instance{ID: types.InstanceID(host), CallerAddress: host + ":80", PeerAddress: host + ":81"}
-	granter := fakes.NewGranter(w.upstreams...)
+	granter := httpfakes.NewGranter(w.upstreams...)
 	granter.Pick = w.plan.IntN
 	e, err := entry.New(entry.Options{
 		Self:          self,
