--- a/test/httpfakes/log.go
+++ b/test/fakes/log.go
@@ -1,4 +1,4 @@
-package httpfakes
+package fakes
 
 import (
 	"slices"
