--- a/cmd/umbercrank/main.go
+++ b/cmd/umbercrank/main.go
@@ -1,15 +1,17 @@
-// Command umbercrank is part of the router for language-model traffic.
+// Command umbercrank runs one entry instance of the router.
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/spf13/cobra"
+	"github.com/umbercrank/umbercrank/pkg/node/command"
 )
 
 func main() {
-	command := &cobra.Command{Use: "umbercrank", SilenceUsage: true}
-	if err := command.Execute(); err != nil {
-		os.Exit(1)
-	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(command.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -187,8 +187,8 @@
 	}
 }
 
-// level returns the log level, which Validate has checked.
-func (s *Settings) level() zerolog.Level {
+// Level returns the log level, which Validate has checked.
+func (s *Settings) Level() zerolog.Level {
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
 		return zerolog.InfoLevel
