Idempotency keys name their executor and window

Cause: copies of a request that is not repeatable were passed on by every instance that received one, and replayed by net/http on reused connections.

Change: a key is incarnation.window.nonce. Only the incarnation executes it, after a record was made under one lock, on a fresh connection, and only while the window is open at the instant of the write.

Ruled out: an owner by hash, which a partition breaks, and a lease on the key, which a process that sleeps through it breaks.

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -33,21 +33,22 @@
 }
 
 // admit classifies the request and counts it in.
-func (e *Entry) admit(w http.ResponseWriter, account config.Account, snapshot Snapshot, attributes Attributes) (admission, error) {
+func (e *Entry) admit(w http.ResponseWriter, in inbound) (admission, error) {
 	held := &request{
 		id:         types.RequestID(w.Header().Get(headerRequestID)),
-		account:    account,
-		attributes: attributes,
+		account:    in.account,
+		attributes: in.attributes,
 		arrival:    time.Now(),
+		open:       in.open,
 	}
 	e.options.Recorder.Record(held.event(timeline.RequestArrived))
-	decision, err := snapshot.Classify(attributes)
+	decision, err := in.snapshot.Classify(in.attributes)
 	if err != nil {
 		return admission{}, e.refuse(held, err)
 	}
 	held.decision = decision
 	e.options.Recorder.Record(held.event(timeline.RequestClassified))
-	leave, err := e.countIn(account, held.arrival)
+	leave, err := e.countIn(in.account, held.arrival)
 	if err != nil {
 		return admission{}, e.refuse(held, err)
 	}
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	call.Guard = func() bool { return !grant.Expired() }
+	call.Guard = func() bool { return !grant.Expired() && (held.open == nil || held.open()) }
 	call.Once = !held.attributes.Repeatable
 	e.options.Recorder.Record(held.event(timeline.AttemptStarted))
 	response, err := upstream.Do(ctx, e.transport(call.Once), call)
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -35,17 +35,22 @@
 	if err != nil {
 		return err
 	}
-	held, err := e.admit(w, account, snapshot, chatAttributes(chat, account, r, repeat))
-	if err != nil {
-		return err
-	}
-	defer held.leave()
+	return e.serve(w, inbound{
+		http: r, account: account, snapshot: snapshot, body: body,
+		attributes: chatAttributes(chat, account, r, repeat),
+		answer: func(w http.ResponseWriter, in inbound, held *request) error {
+			return e.answerChat(w, in, held, chat)
+		},
+	})
+}
+
+func (e *Entry) answerChat(w http.ResponseWriter, in inbound, held *request, chat *upstream.ChatRequest) error {
 	if chat.Stream {
-		return e.answerStream(w, r, held.request, chat)
+		return e.answerStream(w, in, held, chat)
 	}
-	return e.answerWhole(w, r, held.request, &wholeExchange{
+	return e.answerWhole(w, in, held, &wholeExchange{
 		prepare: func(to config.Upstream) (upstream.Call, error) {
-			return chatCall(chat, held.request, nil, to)
+			return chatCall(chat, held, nil, to)
 		},
 		engine: true,
 		limit:  e.settings.MaxAnswerBytes,
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -50,6 +50,7 @@
 	budget   *retry.Budget
 	registry *registry
 	gate     *gate
+	keys     *idempotency.Store
 }
 
 // New returns an Entry that serves at once. Failures are of code Internal.
@@ -61,6 +62,7 @@
 		budget:   retry.NewBudget(options.Settings.Retry),
 		registry: newRegistry(options.Settings.FinishedRequests),
 		gate:     newGate(),
+		keys:     idempotency.NewStore(options.Incarnation, options.Settings.Idempotency),
 	}
 	app := iris.New()
 	e.route(app)
@@ -74,6 +76,9 @@
 // Handler returns the HTTP handler of the caller API.
 func (e *Entry) Handler() http.Handler { return e.handler }
 
+// Window returns the window of idempotency keys that callers shall use now.
+func (e *Entry) Window() idempotency.Window { return e.keys.Current() }
+
 // Register adds the handlers for messages from other instances.
 func (e *Entry) Register(peer.Registrar) {}
 
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -25,6 +25,8 @@
 	attributes Attributes
 	decision   Decision
 	arrival    time.Time
+	// open, if set, must hold right before the first byte to an upstream.
+	open func() bool
 	// attempts counts the grants used.
 	attempts int
 	// sent says that an attempt has passed the point after which bytes may
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -36,17 +36,21 @@
 	if err != nil {
 		return err
 	}
-	held, err := e.admit(w, account, snapshot, Attributes{
-		Kind: kindService, Service: name, Method: r.Method, Path: servicePath(r, name), Account: string(account.ID),
-		Labels: account.Labels, Headers: ruleHeaders(r.Header), Repeatable: repeat,
+	return e.serve(w, inbound{
+		http: r, account: account, snapshot: snapshot, body: body, answer: e.answerService,
+		attributes: Attributes{
+			Kind: kindService, Service: name, Method: r.Method, Path: servicePath(r, name), Account: string(account.ID),
+			Labels: account.Labels, Headers: ruleHeaders(r.Header), Repeatable: repeat,
+		},
 	})
-	if err != nil {
-		return err
-	}
-	defer held.leave()
-	return e.answerWhole(w, r, held.request, &wholeExchange{
-		prepare: func(to config.Upstream) (upstream.Call, error) { return serviceCall(r, name, body, to), nil },
-		limit:   e.settings.MaxAnswerBytes,
+}
+
+func (e *Entry) answerService(w http.ResponseWriter, in inbound, held *request) error {
+	return e.answerWhole(w, in, held, &wholeExchange{
+		prepare: func(to config.Upstream) (upstream.Call, error) {
+			return serviceCall(in.http, in.attributes.Service, in.body, to), nil
+		},
+		limit: e.settings.MaxAnswerBytes,
 	})
 }
 
@@ -82,8 +86,8 @@
 }
 
 // answerWhole runs the exchange and writes its answer.
-func (e *Entry) answerWhole(w http.ResponseWriter, r *http.Request, held *request, x *wholeExchange) error {
-	failure := e.run(r.Context(), held, x)
+func (e *Entry) answerWhole(w http.ResponseWriter, in inbound, held *request, x *wholeExchange) error {
+	failure := e.run(in.http.Context(), held, x)
 	held.describe(w.Header())
 	e.conclude(held, failure)
 	if failure != nil {
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -153,8 +153,8 @@
 
 // answerStream runs a streamed chat completion. A stream that cannot be
 // completed ends with an error event and without [DONE].
-func (e *Entry) answerStream(w http.ResponseWriter, r *http.Request, held *request, chat *upstream.ChatRequest) error {
-	ctx, cancel := context.WithCancel(r.Context())
+func (e *Entry) answerStream(w http.ResponseWriter, in inbound, held *request, chat *upstream.ChatRequest) error {
+	ctx, cancel := context.WithCancel(in.http.Context())
 	defer cancel()
 	out := newOutflow(w, e.settings.StreamBufferBytes, e.settings.WriteTimeout)
 	x := &streamExchange{chat: chat, held: held, header: w.Header(), limit: e.settings.MaxAnswerBytes, out: out}
--- a/pkg/idempotency/key.go
+++ b/pkg/idempotency/key.go
@@ -81,12 +81,17 @@
 // Closed reports whether the window takes no key any more. The closing instant
 // itself is closed.
 func (w Windows) Closed(window Window, now time.Duration) bool {
-	if uint64(window) >= uint64(maxWindow) {
+	if window >= maxWindow {
 		return false
 	}
-	return now >= time.Duration(window+1)*w.Length+w.Grace
+	return now >= w.closing(window)
+}
+
+// closing returns the time at which the window closes.
+func (w Windows) closing(window Window) time.Duration {
+	return time.Duration(window+1)*w.Length + w.Grace
 }
 
 // maxWindow keeps the arithmetic of Closed from overflowing; no instance lives
 // that long.
-const maxWindow = Window(1 << 31)
+const maxWindow = Window(1 << 20)
