--- a/test/fakes/view.go
+++ b/test/fakes/view.go
@@ -1,82 +1,101 @@
 package fakes
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// Fleet is a directory of instances that tests change by hand. It is safe for
-// concurrent use.
-type Fleet struct {
-	mu      sync.Mutex
-	members map[types.Incarnation]types.Instance
+// View is a membership view that the test sets. It is safe for concurrent use.
+type View struct {
+	mu           sync.Mutex
+	self         types.Instance
+	live         []types.Instance
+	incarnations map[types.InstanceID]types.Incarnation
+	failures     []types.InstanceID
+	changed      chan struct{}
 }
 
-// NewFleet returns a fleet without instances.
-func NewFleet() *Fleet {
-	return &Fleet{members: make(map[types.Incarnation]types.Instance)}
+// NewView returns a view in which only self is live.
+func NewView(self types.Instance) *View {
+	return &View{
+		self:         self,
+		live:         []types.Instance{self},
+		incarnations: map[types.InstanceID]types.Incarnation{},
+		changed:      make(chan struct{}),
+	}
 }
 
-// Put adds the instance's incarnation.
-func (f *Fleet) Put(incarnation types.Incarnation, instance types.Instance) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.members[incarnation] = instance
+// SetLive replaces the live instances.
+func (v *View) SetLive(live []types.Instance) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.live = slices.Clone(live)
+	v.wake()
 }
 
-// Remove forgets the incarnation.
-func (f *Fleet) Remove(incarnation types.Incarnation) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.members, incarnation)
+// SetIncarnation sets the incarnation of an instance.
+func (v *View) SetIncarnation(id types.InstanceID, incarnation types.Incarnation) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.incarnations[id] = incarnation
+	v.wake()
 }
 
-// View returns the fleet as the instance sees it.
-func (f *Fleet) View(self types.Instance) *View { return &View{fleet: f, self: self} }
+// wake ends the waits for a change.
+func (v *View) wake() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
 
-// View implements membership.View over a Fleet.
-type View struct {
-	fleet *Fleet
-	self  types.Instance
+// Failures returns the reported failures in order.
+func (v *View) Failures() []types.InstanceID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.failures)
 }
 
 // Self implements membership.View.
 func (v *View) Self() types.Instance { return v.self }
 
-// Live implements membership.View, in no order.
+// Live implements membership.View.
 func (v *View) Live() []types.Instance {
-	v.fleet.mu.Lock()
-	defer v.fleet.mu.Unlock()
-	var live []types.Instance
-	for _, instance := range v.fleet.members {
-		live = append(live, instance)
-	}
-	return live
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.live)
 }
 
 // Incarnation implements membership.View.
 func (v *View) Incarnation(id types.InstanceID) (types.Incarnation, bool) {
-	v.fleet.mu.Lock()
-	defer v.fleet.mu.Unlock()
-	for incarnation, instance := range v.fleet.members {
-		if instance.ID == id {
-			return incarnation, true
-		}
-	}
-	return "", false
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	incarnation, ok := v.incarnations[id]
+	return incarnation, ok
 }
 
 // Instance implements membership.View.
 func (v *View) Instance(incarnation types.Incarnation) (types.Instance, bool) {
-	v.fleet.mu.Lock()
-	defer v.fleet.mu.Unlock()
-	instance, ok := v.fleet.members[incarnation]
-	return instance, ok
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, instance := range v.live {
+		if v.incarnations[instance.ID] == incarnation {
+			return instance, true
+		}
+	}
+	return types.Instance{}, false
 }
 
-// Changed implements membership.View; the channel is never closed.
-func (v *View) Changed() <-chan struct{} { return make(chan struct{}) }
+// Changed implements membership.View.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
 
-// ReportFailure implements membership.View and does nothing.
-func (v *View) ReportFailure(types.InstanceID) {}
+// ReportFailure implements membership.View.
+func (v *View) ReportFailure(id types.InstanceID) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failures = append(v.failures, id)
+}
--- a/test/fakes/network.go
+++ b/test/httpfakes/pipenet.go
@@ -1,7 +1,7 @@
-// Package fakes holds in-memory stand-ins of upstreams for tests. They speak
+// Package httpfakes holds in-memory stand-ins of upstreams for tests. They speak
 // real HTTP over pipes, so that net/http's own behaviour is part of each test,
 // and they run inside a testing/synctest bubble.
-package fakes
+package httpfakes
 
 import (
 	"context"
