The entry reads the compiled configuration

A rule that leads to a target of another kind, model or service than the caller asked for is refused as unknown_model or unknown_service, not run.

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -46,6 +47,9 @@
 	if err != nil {
 		return admission{}, e.refuse(held, err)
 	}
+	if err := checkTarget(in.attributes, decision.Target); err != nil {
+		return admission{}, e.refuse(held, err)
+	}
 	held.decision = decision
 	e.options.Recorder.Record(held.event(timeline.RequestClassified))
 	leave, err := e.countIn(in.account, held.arrival)
@@ -56,6 +60,21 @@
 	return admission{request: held, leave: leave}, nil
 }
 
+// checkTarget refuses a decision that leads to a target of another kind, model
+// or service than the caller asked for.
+func checkTarget(attributes rules.Attributes, target config.Target) error {
+	if attributes.Kind == kindChat {
+		if target.Kind == config.EngineTarget && target.Model == attributes.Model {
+			return nil
+		}
+		return fault.New(fault.UnknownModel, "the rules lead to a target that does not serve the model "+attributes.Model)
+	}
+	if target.Kind == config.ServiceTarget && target.Service == attributes.Service {
+		return nil
+	}
+	return fault.New(fault.UnknownService, "the rules lead to a target that is not the service "+attributes.Service)
+}
+
 // countIn takes a place at the instance and in the account's limits.
 func (e *Entry) countIn(account config.Account, now time.Time) (func(), error) {
 	if err := e.gate.enter(e.settings.MaxRequests); err != nil {
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -8,6 +8,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
 
@@ -57,8 +58,8 @@
 	})
 }
 
-func chatAttributes(chat *upstream.ChatRequest, account config.Account, r *http.Request, repeat bool) Attributes {
-	return Attributes{
+func chatAttributes(chat *upstream.ChatRequest, account config.Account, r *http.Request, repeat bool) rules.Attributes {
+	return rules.Attributes{
 		Kind:         kindChat,
 		Model:        chat.Model,
 		Method:       r.Method,
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/kataras/iris/v12"
 	"github.com/rs/zerolog"
 
+	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/idempotency"
@@ -26,7 +27,7 @@
 type Options struct {
 	Self        types.Instance
 	Incarnation types.Incarnation
-	Store       Store
+	Store       *config.Store
 	Granter     dispatch.Granter
 	View        membership.View
 	Recorder    timeline.Recorder
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,23 +22,35 @@
 
 func (discard) Record(timeline.Event) {}
 
-// stubSnapshot knows one key, one model and one service.
-type stubSnapshot struct{}
-
-func (stubSnapshot) AccountByKey(key string) (config.Account, bool) {
-	return config.Account{ID: "clinic"}, key == "good"
-}
-func (stubSnapshot) Models() []string { return []string{"m"} }
-func (stubSnapshot) TargetForModel(model string) (config.Target, bool) {
-	return config.Target{Name: "engines"}, model == "m"
-}
-func (stubSnapshot) TargetForService(name string) (config.Target, bool) {
-	return config.Target{Name: "queue"}, name == "queue"
-}
-func (stubSnapshot) Classify(Attributes) (Decision, error) {
-	return Decision{Class: config.Class{Name: "live", Deadline: 30000}, Tier: 2, Target: config.Target{Name: "engines"}}, nil
+// newStore returns a store with one key ("good"), one model and one service.
+func newStore(t testing.TB) *config.Store {
+	t.Helper()
+	sum := sha256.Sum256([]byte("good"))
+	snapshot, err := config.Compile(1, &config.Document{
+		Classes: []config.Class{{Name: "live", Tier: 2, Deadline: 30000, Preemptible: true, Floor: config.Floor{Starts: 1, Interval: 1000}}},
+		Rules: []config.Rule{
+			{Name: "chats", When: `kind == "chat"`, Class: "live", Target: "engines"},
+			{Name: "calls", When: `kind == "service"`, Class: "live", Target: "queue"},
+		},
+		Targets: []config.Target{
+			{Name: "engines", Kind: config.EngineTarget, Model: "m"},
+			{Name: "queue", Kind: config.ServiceTarget, Service: "queue"},
+		},
+		Upstreams: []config.Upstream{
+			{ID: "u1", Target: "engines", DataCentre: "lac", URL: "http://u1", MaxConcurrent: 8, KVTokens: 1000},
+			{ID: "s1", Target: "queue", DataCentre: "lac", URL: "http://s1", MaxConcurrent: 8},
+		},
+		Accounts: []config.Account{{ID: "clinic", KeySHA256: []string{hex.EncodeToString(sum[:])}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := config.NewStore()
+	if err := store.Apply(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	return store
 }
-func (s stubSnapshot) Current() Snapshot { return s }
 
 // bench is an entry in front of httpfakes.
 type bench struct {
@@ -55,7 +69,7 @@
 	e, err := New(Options{
 		Self:          types.Instance{ID: "e1"},
 		Incarnation:   "01ARZ3NDEKTSV4RRFFQ69G5FAV",
-		Store:         stubSnapshot{},
+		Store:         newStore(t),
 		Granter:       granter,
 		Recorder:      discard{},
 		Logger:        zerolog.Nop(),
--- a/pkg/entry/inbound.go
+++ b/pkg/entry/inbound.go
@@ -4,14 +4,15 @@
 	"net/http"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/rules"
 )
 
 // inbound is one authenticated call of a caller, with its body read.
 type inbound struct {
 	http       *http.Request
 	account    config.Account
-	snapshot   Snapshot
-	attributes Attributes
+	snapshot   *config.Snapshot
+	attributes rules.Attributes
 	body       []byte
 	// open, if set, is asked right before the first byte to an upstream.
 	open func() bool
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -10,6 +10,7 @@
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -22,8 +23,8 @@
 type request struct {
 	id         types.RequestID
 	account    config.Account
-	attributes Attributes
-	decision   Decision
+	attributes rules.Attributes
+	decision   config.Decision
 	arrival    time.Time
 	// open, if set, must hold right before the first byte to an upstream.
 	open func() bool
--- a/pkg/entry/routes.go
+++ b/pkg/entry/routes.go
@@ -89,7 +89,7 @@
 
 // authenticate returns the account of the request's API key and the
 // configuration that knows it.
-func (e *Entry) authenticate(r *http.Request) (config.Account, Snapshot, error) {
+func (e *Entry) authenticate(r *http.Request) (config.Account, *config.Snapshot, error) {
 	snapshot := e.options.Store.Current()
 	if snapshot == nil {
 		return config.Account{}, nil, fault.New(fault.NotReady, "this instance has no configuration yet").WithRetryAfter(e.settings.LeavingRetryAfter)
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
@@ -38,7 +39,7 @@
 	}
 	return e.serve(w, inbound{
 		http: r, account: account, snapshot: snapshot, body: body, answer: e.answerService,
-		attributes: Attributes{
+		attributes: rules.Attributes{
 			Kind: kindService, Service: name, Method: r.Method, Path: servicePath(r, name), Account: string(account.ID),
 			Labels: account.Labels, Headers: ruleHeaders(r.Header), Repeatable: repeat,
 		},
--- a/test/prove/entryworld_test.go
+++ b/test/prove/entryworld_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -91,7 +93,7 @@
 	e, err := entry.New(entry.Options{
 		Self:          self,
 		Incarnation:   incarnation,
-		Store:         worldSnapshot{},
+		Store:         worldStore(w.t),
 		Granter:       granter,
 		View:          w.fleet.View(self),
 		Recorder:      noRecorder{},
@@ -187,30 +189,36 @@
 
 func (noRecorder) Record(timeline.Event) {}
 
-// worldSnapshot is a configuration with one class for everything.
-type worldSnapshot struct{}
-
-func (s worldSnapshot) Current() entry.Snapshot { return s }
-
-func (worldSnapshot) AccountByKey(key string) (config.Account, bool) {
-	return config.Account{ID: "clinic"}, key == "good"
-}
-func (worldSnapshot) Models() []string { return []string{"m"} }
-func (worldSnapshot) TargetForModel(string) (config.Target, bool) {
-	return config.Target{Name: "engines", Kind: config.EngineTarget}, true
-}
-func (worldSnapshot) TargetForService(string) (config.Target, bool) {
-	return config.Target{Name: "queue", Kind: config.ServiceTarget}, true
-}
-func (worldSnapshot) Classify(attributes entry.Attributes) (entry.Decision, error) {
-	kind := config.EngineTarget
-	deadline := config.Milliseconds(20_000)
-	if attributes.Kind == "service" {
-		kind = config.ServiceTarget
-		deadline = 600_000
+// worldStore returns a configuration with one class for chats and one for calls
+// of services.
+func worldStore(t *testing.T) *config.Store {
+	sum := sha256.Sum256([]byte("good"))
+	floor := config.Floor{Starts: 1, Interval: 1000}
+	snapshot, err := config.Compile(1, &config.Document{
+		Classes: []config.Class{
+			{Name: "chat", Tier: 2, Deadline: 20_000, Preemptible: true, Floor: floor},
+			{Name: "call", Tier: 1, Deadline: 600_000, Floor: floor},
+		},
+		Rules: []config.Rule{
+			{Name: "chats", When: `kind == "chat"`, Class: "chat", Target: "engines"},
+			{Name: "calls", When: `kind == "service"`, Class: "call", Target: "queue"},
+		},
+		Targets: []config.Target{
+			{Name: "engines", Kind: config.EngineTarget, Model: "m"},
+			{Name: "queue", Kind: config.ServiceTarget, Service: "queue"},
+		},
+		Upstreams: []config.Upstream{
+			{ID: "u0", Target: "engines", DataCentre: "lac", URL: "http://u0", MaxConcurrent: 8, KVTokens: 1000},
+			{ID: "s0", Target: "queue", DataCentre: "lac", URL: "http://s0", MaxConcurrent: 8},
+		},
+		Accounts: []config.Account{{ID: "clinic", KeySHA256: []string{hex.EncodeToString(sum[:])}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := config.NewStore()
+	if err := store.Apply(snapshot); err != nil {
+		t.Fatal(err)
 	}
-	return entry.Decision{
-		Class:  config.Class{Name: "live", Deadline: deadline, Preemptible: true},
-		Target: config.Target{Name: "all", Kind: kind},
-	}, nil
+	return store
 }
