--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -8,6 +8,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
 
@@ -35,25 +36,30 @@
 	if err != nil {
 		return err
 	}
-	held, err := e.admit(w, account, snapshot, chatAttributes(chat, account, r, repeat))
-	if err != nil {
-		return err
-	}
-	defer held.leave()
+	return e.serve(w, inbound{
+		http: r, account: account, snapshot: snapshot, body: body,
+		attributes: chatAttributes(chat, account, r, repeat),
+		answer: func(w http.ResponseWriter, in inbound, held *request) error {
+			return e.answerChat(w, in, held, chat)
+		},
+	})
+}
+
+func (e *Entry) answerChat(w http.ResponseWriter, in inbound, held *request, chat *upstream.ChatRequest) error {
 	if chat.Stream {
-		return e.answerStream(w, r, held.request, chat)
+		return e.answerStream(w, in, held, chat)
 	}
-	return e.answerWhole(w, r, held.request, &wholeExchange{
+	return e.answerWhole(w, in, held, &wholeExchange{
 		prepare: func(to config.Upstream) (upstream.Call, error) {
-			return chatCall(chat, held.request, nil, to)
+			return chatCall(chat, held, nil, to)
 		},
 		engine: true,
 		limit:  e.settings.MaxAnswerBytes,
 	})
 }
 
-func chatAttributes(chat *upstream.ChatRequest, account config.Account, r *http.Request, repeat bool) Attributes {
-	return Attributes{
+func chatAttributes(chat *upstream.ChatRequest, account config.Account, r *http.Request, repeat bool) rules.Attributes {
+	return rules.Attributes{
 		Kind:         kindChat,
 		Model:        chat.Model,
 		Method:       r.Method,
