--- a/pkg/ctl/root.go
+++ b/pkg/ctl/root.go
@@ -55,6 +55,8 @@
 	command.AddCommand(
 		newLoadCommand(),
 		newStandinCommand(),
+		newStatusCommand(),
+		newTimelineCommand(),
 	)
 	return command
 }
--- a/pkg/ctl/standin.go
+++ b/pkg/ctl/standin.go
@@ -16,8 +16,14 @@
 		Use:   "standin",
 		Short: "Serve a small stand-in of an engine, a service or the configuration service",
 		Long:  "The stand-ins take the place of the users' platform and upstreams in tests and trials. They are not for production.",
+		Example: `  umberctl standin engine --address 127.0.0.1:9001
+  umberctl standin service --address 127.0.0.1:9101
+  umberctl standin config --address 127.0.0.1:7000 --document rules.json`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return command.Help() },
 	}
 	command.AddCommand(
+		newStandinConfigCommand(),
 		newStandinEngineCommand(),
 		newStandinServiceCommand(),
 	)
