--- a/pkg/ctl/load.go
+++ b/pkg/ctl/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"strconv"
 	"strings"
@@ -13,10 +14,19 @@
 	"github.com/umbercrank/umbercrank/pkg/load"
 )
 
+// loadCheck says what becomes of the report.
+type loadCheck struct {
+	// file takes the report as JSON; empty means none.
+	file string
+	// minAnswered is the share of answered requests that each class must reach.
+	minAnswered float64
+}
+
 // newLoadCommand drives traffic at the router.
 func newLoadCommand() *cobra.Command {
 	options := load.Options{}
-	profile, file := "", ""
+	profile := ""
+	var check loadCheck
 	command := &cobra.Command{
 		Use:   "load",
 		Short: "Drive seeded traffic at the router and check every answer",
@@ -36,7 +46,7 @@
 				return err
 			}
 			options.Profile = loaded
-			return runLoad(command, options, file)
+			return runLoad(command, options, check)
 		},
 	}
 	flags := command.Flags()
@@ -48,11 +58,12 @@
 	flags.IntVar(&options.Callers, "callers", 32, "client processes to imitate, each with addresses of its own")
 	flags.StringSliceVar(&options.Engines, "engine", nil, "base URLs of stand-in engines, to measure wasted work")
 	flags.StringSliceVar(&options.Services, "service", nil, "base URLs of stand-in services, to check executions")
-	flags.StringVar(&file, "json", "", "file for the report as JSON")
+	flags.StringVar(&check.file, "json", "", "file for the report as JSON")
+	flags.Float64Var(&check.minAnswered, "min-answered", 0, "least share of requests, from 0 to 1, that must be answered in every class")
 	return command
 }
 
-func runLoad(command *cobra.Command, options load.Options, file string) error {
+func runLoad(command *cobra.Command, options load.Options, check loadCheck) error {
 	report, err := load.Run(command.Context(), options)
 	if err != nil {
 		return err
@@ -60,14 +71,27 @@
 	if err := report.WriteText(command.OutOrStdout()); err != nil {
 		return err
 	}
-	if file != "" {
-		if err := writeJSONFile(file, report); err != nil {
+	if check.file != "" {
+		if err := writeJSONFile(check.file, report); err != nil {
 			return err
 		}
 	}
+	return check.verdict(report)
+}
+
+// verdict returns a fault of code CheckFailed when a promise was broken or a
+// class was answered too seldom.
+func (c loadCheck) verdict(report *load.Report) error {
 	if report.Violations > 0 {
 		return fault.New(fault.CheckFailed, strconv.Itoa(report.Violations)+" answers or executions broke a promise")
 	}
+	for _, class := range report.Classes {
+		share := float64(class.Results[load.Answered]) / float64(class.Offered)
+		if share < c.minAnswered {
+			message := fmt.Sprintf("class %s: %.3f of the requests answered, want %.3f", class.Class, share, c.minAnswered)
+			return fault.New(fault.CheckFailed, message)
+		}
+	}
 	return nil
 }
 
