Typed problems with places, umberctl check, explain and diff, bounds on bad documents

Cause of the stricter reading: the JSON decoder takes repeated keys and keys in another case, so a document could mean something else than it says; and a trial with the YAML reader on 32,768 nested brackets took 1.3 s to 2.2 s and brought the process to 3 GB, so one bad part could have stopped every instance. Parts are now JSON alone, nested at most 8 deep, and read along the types of the document; expressions have at most 4096 bytes. YAML stays for the tools.

Floors are required of each class, since a class without one may starve, and their starts must fit the smallest pool of the target; floors that need more places while every request lasts until its deadline give a warning.

--- a/pkg/config/compile.go
+++ b/pkg/config/compile.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -81,19 +83,16 @@
 	return decoded, invalid(problems)
 }
 
-// decodePart decodes one part and checks its accounts.
+// decodePart decodes one part and checks its accounts. Parts are JSON alone: a
+// part is read by every instance, and the bounds of a YAML reader are weaker.
 func decodePart(part Encoded) (*decodedPart, []Problem) {
 	if len(part.Bytes) > MaxPartBytes {
 		return nil, []Problem{tooLarge(part.Name, len(part.Bytes))}
 	}
-	text, err := toJSON(part.Bytes)
-	if err != nil {
-		return nil, partProblem(part, err)
-	}
 	var problems []Problem
-	index := &accountPart{raw: text}
+	index := &accountPart{raw: part.Bytes}
 	count := 0
-	fragment, err := decode(text, func(account Account, start, end int) {
+	fragment, err := decode(part.Bytes, func(account Account, start, end int) {
 		for _, problem := range checkAccount(account, count) {
 			problem.Part = part.Name
 			problems = append(problems, problem)
@@ -114,8 +113,14 @@
 
 // partProblem is the problem of a part that cannot be decoded.
 func partProblem(part Encoded, cause error) []Problem {
-	problem := locateSyntax(part.Bytes, cause)
-	problem.Part = part.Name
+	problem := Problem{Part: part.Name, Index: -1, Message: messageOf(cause)}
+	var schema *schemaError
+	if errors.As(cause, &schema) {
+		problem.Field = schema.field
+	}
+	if offset := offsetOf(cause); offset > 0 {
+		problem.Line = placeOf(part.Bytes, offset).line
+	}
 	return []Problem{problem}
 }
 
--- /dev/null
+++ b/pkg/config/compile_test.go
@@ -0,0 +1,178 @@
+package config
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// largeAccounts is the number of client accounts to design for.
+const largeAccounts = 47_000
+
+// TestIncrementalCompileAgrees demands that a configuration compiled on top of
+// an earlier one has the verdict and the content of one compiled alone.
+func TestIncrementalCompileAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var previous *Snapshot
+		for revision := types.Revision(1); revision <= 6; revision++ {
+			parts, err := Split(drawDocument(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			encoded, _ := Encode(revision, parts)
+			alone, aloneErr := CompileParts(revision, encoded, nil)
+			onTop, onTopErr := CompileParts(revision, encoded, previous)
+			if (aloneErr == nil) != (onTopErr == nil) {
+				t.Fatalf("alone: %v, on top: %v", aloneErr, onTopErr)
+			}
+			if aloneErr != nil {
+				continue
+			}
+			previous = onTop
+			if alone.Digest() != onTop.Digest() {
+				t.Fatal("the digests differ")
+			}
+			for key := range 30 {
+				name := fmt.Sprintf("key-%d", key)
+				a, aFound := alone.AccountByKey(name)
+				b, bFound := onTop.AccountByKey(name)
+				if aFound != bFound || a.ID != b.ID {
+					t.Fatalf("%s: %v %v, %v %v", name, a.ID, aFound, b.ID, bFound)
+				}
+			}
+		}
+	})
+}
+
+// drawDocument returns a document with a few random accounts, some of which may
+// share an ID or a key.
+func drawDocument(t *rapid.T) *Document {
+	document := sample(0)
+	for range rapid.IntRange(0, 12).Draw(t, "accounts") {
+		account := sampleAccount(rapid.IntRange(0, 25).Draw(t, "id"))
+		account.KeySHA256 = nil
+		for range rapid.IntRange(1, 2).Draw(t, "keys") {
+			key := rapid.IntRange(0, 29).Draw(t, "key")
+			account.KeySHA256 = append(account.KeySHA256, hexKey(fmt.Sprintf("key-%d", key)))
+		}
+		document.Accounts = append(document.Accounts, account)
+	}
+	if rapid.Bool().Draw(t, "tier") {
+		document.Classes[0].Tier++
+	}
+	return document
+}
+
+// FuzzParse demands that any text is parsed or refused with a typed failure
+// that lists problems, and that what compiles survives its parts.
+func FuzzParse(f *testing.F) {
+	valid, err := Split(sample(1))
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, part := range valid {
+		f.Add(part)
+	}
+	for _, seed := range []string{"", "{", "[]", "null", `{"classes": null}`, "classes:\n- name: x\n", "a: &a [*a]", "{\"accounts\":[{\"id\":\"a\"}]}", "- {", "\xff"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		document, err := Parse(text)
+		if err == nil {
+			_, err = Compile(1, document)
+		}
+		if err != nil && (fault.From(err).Code != fault.InvalidConfiguration || len(Problems(err)) == 0) {
+			t.Fatalf("%v", err)
+		}
+	})
+}
+
+// largeParts returns the parts of a configuration with many accounts.
+func largeParts(b *testing.B, revision types.Revision, document *Document) []Encoded {
+	b.Helper()
+	parts, err := Split(document)
+	if err != nil {
+		b.Fatal(err)
+	}
+	encoded, _ := Encode(revision, parts)
+	return encoded
+}
+
+// BenchmarkCompileWhole compiles 47,000 accounts from nothing, as a fresh
+// instance does, and reports the memory that the result keeps.
+func BenchmarkCompileWhole(b *testing.B) {
+	parts := largeParts(b, 1, sample(largeAccounts))
+	bytes := 0
+	for _, part := range parts {
+		bytes += len(part.Bytes)
+	}
+	before := liveHeap()
+	var snapshot *Snapshot
+	for b.Loop() {
+		var err error
+		if snapshot, err = CompileParts(1, parts, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes), "parts-B")
+	b.ReportMetric(float64(liveHeap()-before), "kept-B")
+	runtime.KeepAlive(snapshot)
+	runtime.KeepAlive(parts)
+}
+
+// BenchmarkApplyOneChange compiles a change of one of 47,000 accounts on top of
+// the configuration in force.
+func BenchmarkApplyOneChange(b *testing.B) {
+	document := sample(largeAccounts)
+	previous, err := CompileParts(1, largeParts(b, 1, document), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	document.Accounts[123].Limits.Concurrent++
+	document.Accounts[123].KeySHA256 = append(document.Accounts[123].KeySHA256, hexKey("another"))
+	parts := largeParts(b, 2, document)
+	changed := 0
+	for _, part := range parts {
+		if held, ok := previous.decodedPart(part.Name); !ok || held.digest != part.Digest {
+			changed += len(part.Bytes)
+		}
+	}
+	store := NewStore()
+	if err := store.Apply(previous); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := CompileParts(2, parts, previous); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(changed), "changed-B")
+}
+
+// BenchmarkAccountByKey finds one of 47,000 accounts.
+func BenchmarkAccountByKey(b *testing.B) {
+	snapshot, err := CompileParts(1, largeParts(b, 1, sample(largeAccounts)), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := snapshot.AccountByKey("key-12345"); !ok {
+			b.Fatal("not found")
+		}
+	}
+}
+
+// liveHeap returns the bytes of live objects.
+func liveHeap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
 )
 
 // Parse reads one whole document from JSON or YAML. Unknown fields, wrong types
@@ -29,12 +30,20 @@
 // toJSON returns JSON as it is and YAML converted. JSON is told by its first
 // byte.
 func toJSON(source []byte) ([]byte, error) {
-	if trimmed := bytes.TrimSpace(source); len(trimmed) > 0 && trimmed[0] == '{' {
+	if len(bytes.TrimSpace(source)) == 0 {
+		return nil, &schemaError{message: "the document is empty"}
+	}
+	if isJSON(source) {
 		return source, nil
 	}
 	return yaml.YAMLToJSON(source)
 }
 
+// isJSON reports whether the text starts as a JSON object.
+func isJSON(source []byte) bool {
+	return bytes.HasPrefix(bytes.TrimSpace(source), []byte("{"))
+}
+
 // accountVisitor takes each account with the place of its JSON object in the
 // part.
 type accountVisitor func(account Account, start, end int)
@@ -43,23 +52,19 @@
 // it and stay out of the document.
 func decode(text []byte, visit accountVisitor) (*Document, error) {
 	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
 	document := &Document{}
 	if err := expectDelim(decoder, '{'); err != nil {
 		return nil, err
 	}
-	seen := map[Section]bool{}
+	if err := checkKeys(text); err != nil {
+		return nil, err
+	}
 	for decoder.More() {
 		key, err := decoder.Token()
 		if err != nil {
 			return nil, err
 		}
-		section := Section(fmt.Sprint(key))
-		if seen[section] {
-			return nil, &schemaError{field: string(section), message: "the key is repeated", offset: decoder.InputOffset()}
-		}
-		seen[section] = true
-		if err := document.decodeSection(decoder, text, section, visit); err != nil {
+		if err := document.decodeSection(decoder, text, Section(fmt.Sprint(key)), visit); err != nil {
 			return nil, err
 		}
 	}
@@ -76,21 +81,36 @@
 func (d *Document) decodeSection(decoder *json.Decoder, text []byte, section Section, visit accountVisitor) error {
 	switch section {
 	case Classes:
-		return decoder.Decode(&d.Classes)
+		return decodeValue(decoder, text, &d.Classes)
 	case Rules:
-		return decoder.Decode(&d.Rules)
+		return decodeValue(decoder, text, &d.Rules)
 	case Targets:
-		return decoder.Decode(&d.Targets)
+		return decodeValue(decoder, text, &d.Targets)
 	case Upstreams:
-		return decoder.Decode(&d.Upstreams)
+		return decodeValue(decoder, text, &d.Upstreams)
 	case Accounts:
 		if visit == nil {
-			return decoder.Decode(&d.Accounts)
+			return decodeValue(decoder, text, &d.Accounts)
 		}
 		return decodeAccounts(decoder, text, visit)
 	default:
-		return &schemaError{field: string(section), message: "unknown field", offset: decoder.InputOffset()}
+		return &schemaError{field: string(section), message: "unknown section", offset: decoder.InputOffset()}
+	}
+}
+
+// decodeValue reads one value. The decoder counts the offset of a mismatch from
+// the start of the value; decodeValue counts it from the start of the text.
+func decodeValue(decoder *json.Decoder, text []byte, value any) error {
+	start := decoder.InputOffset()
+	err := decoder.Decode(value)
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
+		rest := text[start:]
+		rest = bytes.TrimLeft(rest, " \t\r\n")
+		rest = bytes.TrimLeft(rest, ":,")
+		mismatch.Offset += int64(len(text) - len(rest))
 	}
+	return err
 }
 
 // decodeAccounts reads the accounts one by one, so that a large part needs
@@ -102,7 +122,7 @@
 	for decoder.More() {
 		start := int(decoder.InputOffset())
 		var account Account
-		if err := decoder.Decode(&account); err != nil {
+		if err := decodeValue(decoder, text, &account); err != nil {
 			return err
 		}
 		end := int(decoder.InputOffset())
@@ -122,7 +142,7 @@
 		return err
 	}
 	if token != want {
-		return &schemaError{message: fmt.Sprintf("want %q, got %v", rune(want), token), offset: decoder.InputOffset()}
+		return &schemaError{message: fmt.Sprintf("want %q", rune(want)), offset: decoder.InputOffset()}
 	}
 	return nil
 }
--- a/pkg/config/position.go
+++ b/pkg/config/position.go
@@ -8,6 +8,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 	"github.com/pkg/errors"
 )
 
@@ -16,36 +17,88 @@
 	field   string
 	message string
 	offset  int64
+	// deep says that the text is nested too deeply to be read further.
+	deep bool
 }
 
 // Error returns the message.
 func (e *schemaError) Error() string { return e.message }
 
-// locateSyntax turns a failure to decode into a problem with its place. The
-// YAML library reads JSON as well and knows the line of what it refuses.
+// place is a position in a text; both count from one.
+type place struct{ line, column int }
+
+// before reports whether p comes before other.
+func (p place) before(other place) bool {
+	return p.line < other.line || (p.line == other.line && p.column < other.column)
+}
+
+// placeOf returns the place of a byte offset.
+func placeOf(source []byte, offset int64) place {
+	head := source[:min(int(offset), len(source))]
+	return place{
+		line:   1 + bytes.Count(head, []byte("\n")),
+		column: len(head) - bytes.LastIndexByte(head, '\n'),
+	}
+}
+
+// tokenPlace returns the place of a token of the YAML library.
+func tokenPlace(t *token.Token) place {
+	return place{line: t.Position.Line, column: t.Position.Column}
+}
+
+// locateSyntax turns a failure to decode into a problem with its place.
 func locateSyntax(source []byte, cause error) Problem {
-	problem := Problem{Index: -1, Message: cause.Error()}
+	problem := Problem{Index: -1, Message: messageOf(cause), Line: 1}
 	var schema *schemaError
 	if errors.As(cause, &schema) {
 		problem.Field = schema.field
 	}
+	at, ok := placeOfFailure(source, cause, &problem)
+	if ok {
+		problem.Line = at.line
+	}
+	if ok && (schema == nil || !schema.deep) {
+		attribute(source, at, &problem)
+	}
+	return problem
+}
+
+// messageOf says what is wrong without the names of Go types.
+func messageOf(cause error) string {
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(cause, &mismatch) {
+		return "a value of type " + mismatch.Value + " does not fit here"
+	}
+	return cause.Error()
+}
+
+// placeOfFailure finds where decoding failed. The YAML library reads JSON as
+// well; it knows the place of what is YAML and the better words for broken
+// syntax.
+func placeOfFailure(source []byte, cause error, problem *Problem) (place, bool) {
 	var yamlError yaml.Error
-	if !errors.As(cause, &yamlError) {
+	if errors.As(cause, &yamlError) {
+		problem.Message = yamlError.GetMessage()
+	} else {
+		if offset := offsetOf(cause); offset > 0 && isJSON(source) && !isBroken(cause) {
+			return placeOf(source, offset), true
+		}
 		err := yaml.UnmarshalWithOptions(source, &Document{}, yaml.DisallowUnknownField())
 		errors.As(err, &yamlError)
 	}
-	if yamlError != nil {
-		problem.Message = yamlError.GetMessage()
-		if token := yamlError.GetToken(); token != nil {
-			problem.Line = token.Position.Line
-			attribute(source, &problem)
-		}
-		return problem
+	if yamlError == nil || yamlError.GetToken() == nil {
+		return place{}, false
 	}
-	if offset := offsetOf(cause); offset > 0 && offset <= int64(len(source)) {
-		problem.Line = 1 + bytes.Count(source[:offset], []byte("\n"))
+	if isBroken(cause) {
+		problem.Message = yamlError.GetMessage()
 	}
-	return problem
+	return tokenPlace(yamlError.GetToken()), true
+}
+
+// isBroken reports whether the text is no JSON at all.
+func isBroken(cause error) bool {
+	var syntax *json.SyntaxError
+	return errors.As(cause, &syntax)
 }
 
 // offsetOf returns the byte offset that a JSON failure names, or zero.
@@ -64,30 +117,30 @@
 	return 0
 }
 
-// attribute finds the item and field that stand on the problem's line.
-func attribute(source []byte, problem *Problem) {
+// attribute finds the item and field at the place: those of the last key that
+// starts before it.
+func attribute(source []byte, at place, problem *Problem) {
 	file, err := parser.ParseBytes(source, 0)
 	if err != nil {
 		return
 	}
+	var last place
 	for section := range singular {
-		items, ok := sequence(file, section)
-		if !ok {
-			continue
-		}
+		items, _ := sequence(file, section)
 		for index, item := range items {
 			fields, ok := item.(ast.MapNode)
 			if !ok {
 				continue
 			}
 			for iter := fields.MapRange(); iter.Next(); {
-				if iter.Key().GetToken().Position.Line != problem.Line {
+				key := iter.Key().GetToken()
+				start := tokenPlace(key)
+				if at.before(start) || start.before(last) {
 					continue
 				}
-				problem.Section = section
-				problem.Index = index
-				problem.Field = iter.Key().GetToken().Value
-				problem.Item = itemName(fields)
+				last = start
+				problem.Section, problem.Index = section, index
+				problem.Field, problem.Item = key.Value, itemName(fields)
 			}
 		}
 	}
@@ -138,7 +191,7 @@
 		return
 	}
 	for i := range problems {
-		problems[i].Line = lineOf(file, problems[i])
+		problems[i].Line = max(1, lineOf(file, problems[i]))
 	}
 }
 
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -168,6 +168,12 @@
 	return s.decision(index), nil
 }
 
+// Explain returns which rules were consulted for the request and why each holds
+// or not.
+func (s *Snapshot) Explain(attributes rules.Attributes) rules.Explanation {
+	return s.core.rules.Explain(attributes)
+}
+
 // decision returns what the rule of the index decides.
 func (s *Snapshot) decision(index int) Decision {
 	rule := s.core.document.Rules[index]
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -50,6 +50,7 @@
 	}
 	c.checkRules(document.Rules)
 	c.checkUpstreams(document.Upstreams)
+	c.checkFloors(document)
 	return c.problems
 }
 
@@ -125,11 +126,8 @@
 	if class.FirstToken > class.Deadline {
 		at.problem("first_token_ms", "is %d, above deadline_ms %d", class.FirstToken, class.Deadline)
 	}
-	between(at, "floor.starts", class.Floor.Starts, 0, maxFloorStarts)
-	between(at, "floor.interval_ms", class.Floor.Interval, 0, maxDuration)
-	if class.Floor.Starts > 0 && class.Floor.Interval == 0 {
-		at.problem("floor.interval_ms", "is required with floor.starts")
-	}
+	between(at, "floor.starts", class.Floor.Starts, 1, maxFloorStarts)
+	between(at, "floor.interval_ms", class.Floor.Interval, 1, maxDuration)
 }
 
 // checkTarget checks one target.
--- /dev/null
+++ b/pkg/ctl/explain.go
@@ -0,0 +1,80 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/rules"
+)
+
+// newExplainCommand shows how a document classifies one request.
+func newExplainCommand() *cobra.Command {
+	var flags requestFlags
+	command := &cobra.Command{
+		Use:   "explain FILE",
+		Short: "Show which rule decides a request, and why earlier rules do not",
+		Long: `Classify one request by a configuration document. Every consulted rule is printed
+with the values of its conditions, then what the winner decides. Exits with 1
+when no rule matches.`,
+		Example: `  umberctl explain rules.json --kind chat --model small-1 --account clinic --header x-task=summary
+  umberctl explain rules.json --request '{"kind":"service","service":"queue","repeatable":false}'`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			document, snapshot, err := loadDocument(arguments[0])
+			if err != nil {
+				return err
+			}
+			attributes, err := flags.request()
+			if err != nil {
+				return err
+			}
+			return writeExplanation(command.OutOrStdout(), snapshot, withLabels(attributes, document))
+		},
+	}
+	flags.bind(command)
+	return command
+}
+
+// writeExplanation prints the consulted rules and the decision.
+func writeExplanation(w io.Writer, snapshot *config.Snapshot, attributes rules.Attributes) error {
+	for _, rule := range snapshot.Explain(attributes).Rules {
+		writeRule(w, rule)
+	}
+	decision, err := snapshot.Classify(attributes)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "class %s, tier %d, target %s\n", decision.Class.Name, decision.Tier, decision.Target.Name)
+	return nil
+}
+
+// writeRule prints one rule and its conditions.
+func writeRule(w io.Writer, rule rules.RuleExplanation) {
+	verdict := "does not match"
+	if rule.Held {
+		verdict = "matches"
+	}
+	if rule.Failure != "" {
+		verdict += ": " + rule.Failure
+	}
+	fmt.Fprintf(w, "rule %d %s: %s\n", rule.Index+1, rule.Name, verdict)
+	for _, condition := range rule.Conditions {
+		fmt.Fprintf(w, "  %s is %s%s\n", condition.Source, condition.Value, operands(condition))
+	}
+}
+
+// operands lists the values that a condition compares.
+func operands(condition rules.Condition) string {
+	if len(condition.Operands) == 0 {
+		return ""
+	}
+	var texts []string
+	for _, operand := range condition.Operands {
+		texts = append(texts, operand.Source+" is "+operand.Value)
+	}
+	return " (" + strings.Join(texts, ", ") + ")"
+}
--- a/pkg/ctl/root.go
+++ b/pkg/ctl/root.go
@@ -53,6 +53,9 @@
 		return fault.Wrap(fault.InvalidSetting, err, "the command line is wrong; see --help")
 	})
 	command.AddCommand(
+		newCheckCommand(),
+		newExplainCommand(),
+		newDiffCommand(),
 		newLoadCommand(),
 		newStandinCommand(),
 		newStatusCommand(),
--- a/pkg/relay/selection.go
+++ b/pkg/relay/selection.go
@@ -1,14 +1,12 @@
 package relay
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/umbercrank/umbercrank/pkg/rendezvous"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -21,22 +19,11 @@
 	local := slices.DeleteFunc(slices.Clone(live), func(i types.Instance) bool {
 		return i.DataCentre != self.DataCentre
 	})
-	ordered := order(readerKey+string(self.DataCentre), local)
+	ordered := rendezvous.Order(readerKey+string(self.DataCentre), local)
 	position := slices.IndexFunc(ordered, func(i types.Instance) bool { return i.ID == self.ID })
 	return position >= 0 && position < readers
 }
 
-// order sorts the instances by highest random weight for the key.
-func order(key string, instances []types.Instance) []types.Instance {
-	weight := func(i types.Instance) uint64 {
-		return xxhash.Sum64String(key + "\x00" + string(i.ID))
-	}
-	slices.SortFunc(instances, func(a, b types.Instance) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
-	})
-	return instances
-}
-
 // chance draws random choices. It is safe for concurrent use.
 type chance struct {
 	mu     sync.Mutex
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -13,6 +13,10 @@
 // maxNodes bounds the size of one expression in syntax nodes.
 const maxNodes = 500
 
+// maxBytes bounds the length of one expression, and with it the depth of its
+// brackets.
+const maxBytes = 4096
+
 // Rule is one named when expression.
 type Rule struct {
 	Name string
@@ -57,6 +61,9 @@
 			err = fault.New(fault.InvalidConfiguration, fmt.Sprintf("expression: %v", r))
 		}
 	}()
+	if len(source) > maxBytes {
+		return nil, fault.New(fault.InvalidConfiguration, fmt.Sprintf("has %d bytes, at most %d are allowed", len(source), maxBytes))
+	}
 	program, compileErr := expr.Compile(source, append(options(), expr.AsBool())...)
 	if compileErr != nil {
 		return nil, fault.New(fault.InvalidConfiguration, compileErr.Error())
@@ -83,23 +90,21 @@
 // Match returns the index of the first rule that holds for the request. A rule
 // whose evaluation fails does not hold.
 func (l *List) Match(attributes Attributes) (index int, ok bool) {
+	// One environment and one machine serve all rules of the request.
+	var environment any = attributes
+	var machine vm.VM
 	for i := range l.rules {
-		if l.rules[i].holds(attributes) {
+		held, err := l.rules[i].evaluate(&machine, environment)
+		if err == nil && held {
 			return i, true
 		}
 	}
 	return 0, false
 }
 
-// holds evaluates the rule.
-func (c *compiled) holds(attributes Attributes) bool {
-	value, err := c.evaluate(attributes)
-	return err == nil && value
-}
-
 // evaluate runs the rule's program.
-func (c *compiled) evaluate(attributes Attributes) (bool, error) {
-	value, err := expr.Run(c.program, attributes)
+func (c *compiled) evaluate(machine *vm.VM, environment any) (bool, error) {
+	value, err := machine.Run(c.program, environment)
 	if err != nil {
 		return false, fault.New(fault.InvalidConfiguration, err.Error())
 	}
