--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net/http"
+
 	"github.com/umbercrank/umbercrank/pkg/directory"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/entry"
@@ -16,7 +18,7 @@
 // buildRoles makes the roles and registers their peer methods.
 func (n *Node) buildRoles() error {
 	row := n.settings.Row()
-	source := platform.NewClient(n.settings.PlatformURL, nil)
+	source := platform.NewClient(n.settings.PlatformURL, &http.Client{})
 	n.dialer = peer.NewDialer(n.peerOptions(n.settings.PeerAddress))
 	n.members = membership.New(membership.Options{
 		Self:        row,
@@ -73,7 +75,7 @@
 	built, err := entry.New(entry.Options{
 		Self:          row,
 		Incarnation:   n.incarnation,
-		Store:         storeView{n.store},
+		Store:         n.store,
 		Granter:       n.dispatch,
 		View:          n.members,
 		Recorder:      n.ring,
