pool: floors, preemption, capacity by learned step time, early refusal, isolation

Change: one decision a file. Floors hold a reserve and are due at once after a failover; preemption takes the cheapest lower work for a request that would start late; the batch follows the learned step time and the key-value memory; late work is refused with a time to come back; one suspect at a time on an upstream; slow engines are ejected by their own step time. It has also become stricter: lateness excuses a refusal only if the request came late or was helped.

--- a/pkg/history/pool.go
+++ b/pkg/history/pool.go
@@ -45,6 +45,8 @@
 	enqueued time.Duration
 	floor    bool
 	yielding bool
+	// helped says that some running request was preempted for this one.
+	helped bool
 }
 
 // yields reports whether the running request may be preempted.
@@ -54,9 +56,10 @@
 
 // poolState replays what one dispatcher knew.
 type poolState struct {
-	classes map[types.ClassName]config.Class
-	waiting map[types.RequestID]*poolRequest
-	running map[types.RequestID]*poolRequest
+	revision types.Revision
+	classes  map[types.ClassName]config.Class
+	waiting  map[types.RequestID]*poolRequest
+	running  map[types.RequestID]*poolRequest
 	// floorStarts holds the times of the grants that were made for floors.
 	floorStarts map[types.ClassName][]time.Duration
 }
@@ -74,10 +77,7 @@
 func (s *poolState) event(at time.Duration, event pool.Event) {
 	switch {
 	case event.Configure != nil:
-		clear(s.classes)
-		for _, c := range event.Configure.Classes {
-			s.classes[c.Name] = c
-		}
+		s.configure(*event.Configure)
 	case event.Enqueue != nil:
 		delete(s.running, event.Enqueue.ID)
 		if s.waiting[event.Enqueue.ID] == nil {
@@ -95,6 +95,18 @@
 	}
 }
 
+// configure replaces the classes, unless the configuration is an old one.
+func (s *poolState) configure(c pool.Configure) {
+	if c.Revision < s.revision {
+		return
+	}
+	s.revision = c.Revision
+	clear(s.classes)
+	for _, class := range c.Classes {
+		s.classes[class.Name] = class
+	}
+}
+
 // dropEntry forgets the requests of an entry.
 func (s *poolState) dropEntry(entry types.Incarnation) {
 	for _, requests := range []map[types.RequestID]*poolRequest{s.waiting, s.running} {
--- a/pkg/history/tiers.go
+++ b/pkg/history/tiers.go
@@ -31,6 +31,10 @@
 	// LatestStart is the time left to a target below which a request counts as
 	// late by its own age: its refusal is then no shed.
 	LatestStart time.Duration
+	// FeasibleStart is the time left at the enqueuing from which a request must
+	// not be given up as late while lower work runs that was never asked to give
+	// way for it.
+	FeasibleStart time.Duration
 }
 
 // tierChecker holds the replay of all dispatchers of a history.
@@ -128,6 +132,8 @@
 	case fault.DeadlineUnreachable:
 		if !c.late(r) {
 			c.shed(s, r)
+		} else if !r.helped && r.request.Suspect == 0 && c.arrivedInTime(r) {
+			c.shedRunning(s, r)
 		}
 	}
 }
@@ -142,6 +148,14 @@
 	return r.request.DeadlineIn-age < c.options.LatestStart
 }
 
+// arrivedInTime reports whether the request had time left when it was enqueued.
+func (c *tierChecker) arrivedInTime(r *poolRequest) bool {
+	if r.request.FirstTokenIn != 0 && r.request.FirstTokenIn < c.options.FeasibleStart {
+		return false
+	}
+	return r.request.DeadlineIn >= c.options.FeasibleStart
+}
+
 // shed checks the refusal of r for lack of room.
 func (c *tierChecker) shed(s *poolState, r *poolRequest) {
 	held := make(map[types.ClassName]int)
@@ -156,6 +170,11 @@
 			return
 		}
 	}
+	c.shedRunning(s, r)
+}
+
+// shedRunning checks that no lower tier that could give way still runs.
+func (c *tierChecker) shedRunning(s *poolState, r *poolRequest) {
 	for id, other := range s.running {
 		if other.request.Tier < r.request.Tier && other.yields() {
 			c.report(r.request.ID, RuleShed, fmt.Sprintf("%s of tier %d still runs", id, other.request.Tier))
@@ -179,6 +198,9 @@
 	if victim != nil {
 		victim.yielding = true
 	}
+	if gainer != nil {
+		gainer.helped = true
+	}
 }
 
 func (c *tierChecker) report(id types.RequestID, rule, detail string) {
--- /dev/null
+++ b/pkg/pool/admission.go
@@ -0,0 +1,142 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+)
+
+const (
+	// maxFirstTokenShare bounds the part of a first-token target that the
+	// prediction may claim, so that a pool that was slow is tried again.
+	maxFirstTokenShare = 0.7
+	// completionShare is the share of answers that must be able to end within
+	// the deadline for a request to be kept.
+	completionShare = 0.25
+	// admissionTolerance is how far the predicted wait must exceed the time left
+	// before a request is refused by prediction.
+	admissionTolerance = 1.5
+)
+
+// latestStart returns the last time at which the job can start and still keep
+// its targets.
+func (p *Pool) latestStart(j *job) time.Duration {
+	return p.latestStartFor(j, p.answerIn(j))
+}
+
+// latestStartFor returns the last start when the answer takes the given time
+// after its first token.
+func (p *Pool) latestStartFor(j *job, answer time.Duration) time.Duration {
+	first := p.firstTokenIn(j)
+	latest := j.deadline - first - answer
+	if j.firstBy != 0 {
+		latest = min(latest, j.firstBy-first)
+	}
+	return latest - p.settings.FirstTokenMargin
+}
+
+// firstTokenIn predicts the time from the start to the first token.
+func (p *Pool) firstTokenIn(j *job) time.Duration {
+	predicted := seconds(p.firstTokens.upper(j.req.PromptTokens))
+	if target := j.class.config.FirstToken.Duration(); target > 0 {
+		predicted = min(predicted, seconds(target.Seconds()*maxFirstTokenShare))
+	}
+	return predicted
+}
+
+// answerIn predicts the time from the first token to the end of the answer, for
+// one of the shorter answers of the class.
+func (p *Pool) answerIn(j *job) time.Duration {
+	if len(j.class.lengths.points) == 0 {
+		return 0
+	}
+	tokens := j.class.lengths.quantile(completionShare, j.req.Generated, j.req.MaxTokens)
+	predicted := seconds(tokens * p.steps.at(1))
+	if deadline := j.class.config.Deadline.Duration(); deadline > 0 {
+		predicted = min(predicted, seconds(deadline.Seconds()*maxFirstTokenShare))
+	}
+	return predicted
+}
+
+// refuseLate refuses the waiting jobs that can no longer keep their targets.
+func (p *Pool) refuseLate() {
+	for _, j := range p.queue.ordered() {
+		if p.late(j) {
+			p.refuse(j, p.lateCode())
+		}
+	}
+}
+
+// late reports whether the waiting job can no longer keep its targets. While a
+// lower tier is present, only the first token and the deadline itself count: the
+// length of an answer is a guess, and a wrong guess would favour the lower tier.
+func (p *Pool) late(j *job) bool {
+	if p.now < p.latestStart(j) {
+		return false
+	}
+	return p.now >= p.latestStartFor(j, 0) || !p.lowerTierPresent(j)
+}
+
+// lateCode returns why a request came too late to start.
+func (p *Pool) lateCode() fault.Code {
+	for _, e := range p.engines {
+		if e.available(p.now) {
+			return fault.DeadlineUnreachable
+		}
+	}
+	return fault.NoUpstream
+}
+
+// admit refuses the newly waiting job at once when it is predicted to start too
+// late. While a lower tier waits or runs work that can give way, the job waits
+// instead: its place may yet come from them.
+func (p *Pool) admit(j *job) {
+	if j.class.held() || j.req.Suspect > 0 || p.lowerTierPresent(j) {
+		return
+	}
+	wait := p.predictedWait(j)
+	left := p.latestStart(j) - p.now
+	if wait.Seconds() > left.Seconds()*admissionTolerance {
+		p.refuse(j, fault.DeadlineUnreachable)
+	}
+}
+
+// lowerTierPresent reports whether a lower tier waits, beyond what its floors
+// hold, or runs work that may be preempted.
+func (p *Pool) lowerTierPresent(j *job) bool {
+	if p.queue.sheddableBelow(j.req.Tier) {
+		return true
+	}
+	for _, r := range p.runningList {
+		if r.req.Tier < j.req.Tier && r.yields() {
+			return true
+		}
+	}
+	return false
+}
+
+// predictedWait returns when a place is expected for the waiting job.
+func (p *Pool) predictedWait(j *job) time.Duration {
+	ahead := p.queue.ahead(j)
+	if ahead < p.totalFree()-p.reserved {
+		return 0
+	}
+	return p.drainTime(ahead+1, j)
+}
+
+// drainTime returns how long the pool takes to start n requests of the job's
+// tier, given the places that higher tiers take.
+func (p *Pool) drainTime(n int, j *job) time.Duration {
+	rate := p.releaseRate - p.queue.startsAbove(j.req.Tier, p.now)
+	if rate <= 0 {
+		return p.settings.MaxRetryAfter
+	}
+	return seconds(float64(n) / rate)
+}
+
+// retryAfter returns when a refused job should come back: when the requests
+// that wait before it have started.
+func (p *Pool) retryAfter(j *job) time.Duration {
+	wait := p.drainTime(p.queue.atOrAbove(j.req.Tier)+1, j)
+	return min(max(wait, p.settings.MinRetryAfter), p.settings.MaxRetryAfter)
+}
--- /dev/null
+++ b/pkg/pool/capacity.go
@@ -0,0 +1,171 @@
+package pool
+
+import (
+	"time"
+)
+
+// slots returns how many requests the engine may run at once, so that the
+// tightest between-token target in use holds.
+func (p *Pool) slots(e *engine) int {
+	if e.health.probation {
+		return 1
+	}
+	bound := max(1, e.config.MaxConcurrent)
+	if p.tightestGap == 0 {
+		return bound
+	}
+	limit := p.tightestGap.Seconds() * p.settings.GapHeadroom / max(e.speed.factor, 1)
+	return p.steps.batchWithin(limit, bound)
+}
+
+// free returns how many more requests the engine may run.
+func (p *Pool) free(e *engine) int {
+	if !e.available(p.now) || e.speed.ejected {
+		return 0
+	}
+	return max(p.slots(e)-e.batch(p.now), 0)
+}
+
+// memory returns the key-value memory that the job is expected to reach, in
+// tokens.
+func (p *Pool) memory(j *job) float64 {
+	generated := j.req.Generated + j.tokens
+	return float64(j.req.PromptTokens+generated) + p.remainingTokens(j)
+}
+
+// remainingTokens returns the expected tokens still to come.
+func (p *Pool) remainingTokens(j *job) float64 {
+	return j.class.lengths.remaining(j.req.Generated+j.tokens, j.req.MaxTokens)
+}
+
+// rebook replaces the memory booked for a running job.
+func (p *Pool) rebook(j *job) {
+	memory := p.memory(j)
+	j.engine.booked += memory - j.booked
+	j.booked = memory
+}
+
+// fits reports whether the engine has a place and memory for the job. An empty
+// engine takes any job.
+func (p *Pool) fits(e *engine, j *job) bool {
+	batch := e.batch(p.now)
+	if batch >= p.slots(e) {
+		return false
+	}
+	if e.config.KVTokens <= 0 || batch == 0 {
+		return true
+	}
+	return e.booked+p.memory(j) <= float64(e.config.KVTokens)*p.settings.KVHeadroom
+}
+
+// takes reports whether the engine may be given the job now.
+func (p *Pool) takes(e *engine, j *job) bool {
+	if !e.available(p.now) || !p.fits(e, j) {
+		return false
+	}
+	if j.req.Suspect > 0 && e.suspects > 0 {
+		return false
+	}
+	if !e.speed.ejected {
+		return true
+	}
+	if j.firstBy == 0 && j.class.config.BetweenTokens == 0 {
+		return true
+	}
+	return p.now >= e.speed.probeAt && j.req.Repeatable
+}
+
+// choose returns the best engine for the job, or nil. Work that does not start
+// for a floor leaves the floors' reserve free.
+func (p *Pool) choose(j *job, floor bool) *engine {
+	if !floor && p.totalFree() <= p.reserved-p.floorsRunning {
+		return nil
+	}
+	var best *engine
+	for _, e := range p.engines {
+		if p.takes(e, j) && (best == nil || p.better(e, best)) {
+			best = e
+		}
+	}
+	if best != nil && best.speed.ejected {
+		best.speed.probeAt = p.now + p.settings.ProbeInterval
+	}
+	return best
+}
+
+// better orders engines: those not ejected first, then the shorter expected
+// step time with one more request.
+func (p *Pool) better(a, b *engine) bool {
+	if a.speed.ejected != b.speed.ejected {
+		return b.speed.ejected
+	}
+	return p.stepScore(a) < p.stepScore(b)
+}
+
+// stepScore returns the expected step time with one more request; when none has
+// been learned it is the batch size.
+func (p *Pool) stepScore(e *engine) float64 {
+	batch := e.batch(p.now) + 1
+	if !p.steps.known || p.steps.slope == 0 {
+		return float64(batch) * e.speed.factor
+	}
+	return p.steps.at(batch) * e.speed.factor
+}
+
+// totalFree returns the free places of the pool.
+func (p *Pool) totalFree() int {
+	n := 0
+	for _, e := range p.engines {
+		n += p.free(e)
+	}
+	return n
+}
+
+// capacityInterval is the time between two computations of what changes slowly.
+const capacityInterval = 50 * time.Millisecond
+
+// reviewCapacity computes the targets in use, the floors' reserve and the rate
+// at which places become free.
+func (p *Pool) reviewCapacity() {
+	if p.capacityAt != 0 && p.now < p.capacityAt {
+		return
+	}
+	p.capacityAt = p.now + capacityInterval
+	p.tightestGap = 0
+	for _, c := range p.classOrder {
+		target := c.config.BetweenTokens.Duration()
+		if target > 0 && c.active(p.now) && (p.tightestGap == 0 || target < p.tightestGap) {
+			p.tightestGap = target
+		}
+	}
+	places := 0
+	for _, e := range p.engines {
+		e.foreign.note(p.now, len(e.running))
+		if e.available(p.now) && !e.speed.ejected {
+			places += p.slots(e)
+		}
+	}
+	p.reserved = p.reserve(places)
+	p.ejectStalled()
+	p.reviewRates()
+}
+
+// minRemaining is the shortest time in which a running job is expected to end.
+const minRemaining = 10 * time.Millisecond
+
+// reviewRates computes the rate, a second, at which running jobs end.
+func (p *Pool) reviewRates() {
+	p.releaseRate = 0
+	for _, j := range p.runningList {
+		p.releaseRate += 1 / max(p.remainingTime(j), minRemaining).Seconds()
+	}
+}
+
+// remainingTime returns how long the running job is expected to hold its place.
+func (p *Pool) remainingTime(j *job) time.Duration {
+	gap := p.steps.at(j.engine.batch(p.now)) * j.engine.speed.factor
+	if j.tokens == 0 && j.class.lengths.points == nil || gap == 0 {
+		return max(j.class.expectedDuration()-(p.now-j.started), j.class.expectedDuration()/2)
+	}
+	return seconds(p.remainingTokens(j) * gap)
+}
--- a/pkg/pool/fairness.go
+++ b/pkg/pool/fairness.go
@@ -52,3 +52,26 @@
 		}
 	}
 }
+
+// charge books the tokens that the job is expected to take to its shares.
+func (q *queue) charge(j *job) {
+	tq := q.tier(j.req.Tier)
+	j.charge = j.expectedTokens()
+	tq.classes.charge(j.req.Class, j.charge, 1)
+	tq.shares.charge(j.flow(), j.charge, j.weight())
+}
+
+// correct replaces the job's charge by the tokens that it took.
+func (q *queue) correct(j *job) {
+	tq := q.tier(j.req.Tier)
+	tokens := float64(j.req.PromptTokens + j.tokens)
+	tq.classes.correct(j.req.Class, tokens-j.charge, 1)
+	tq.shares.correct(j.flow(), tokens-j.charge, j.weight())
+	j.charge = tokens
+}
+
+// expectedTokens returns the tokens that an attempt of the job is expected to
+// take, prompt and answer.
+func (j *job) expectedTokens() float64 {
+	return float64(j.req.PromptTokens) + j.class.lengths.remaining(j.req.Generated, j.req.MaxTokens)
+}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -1,37 +1,62 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
-	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// defaultAnswerTokens is the length assumed of an answer before any has been
-// seen.
-const defaultAnswerTokens = 256
-
-// Pool is the product's policy. It is not safe for concurrent use.
+// Pool is the product's policy. It is not safe for concurrent use. It needs the
+// passing of time, by events or by empty ones, at least every sweepInterval to
+// refuse in time.
 type Pool struct {
 	settings Settings
 	revision types.Revision
 	now      time.Duration
 	sequence uint64
-	classes  map[types.ClassName]config.Class
+	classes  map[types.ClassName]*class
+	// classOrder is ordered by name.
+	classOrder []*class
 	// engines is ordered by ID.
 	engines []*engine
 	queue   *queue
 	running map[types.RequestID]*job
+	// runningList holds the running jobs in an order that depends on the events
+	// alone.
+	runningList []*job
+
+	steps       stepTime
+	firstTokens firstToken
+	// factors is working space of medianFactor.
+	factors []float64
+
+	// tightestGap is the smallest between-token target in use; zero means none.
+	tightestGap time.Duration
+	// reserved counts the places that floors hold free.
+	reserved int
+	// floorsRunning counts the running jobs that started for floors.
+	floorsRunning int
+	// yielding counts the running jobs that were asked to stop.
+	yielding int
+	// releaseRate is the expected number of running jobs that end in a second.
+	releaseRate float64
+	capacityAt  time.Duration
+	sweepAt     time.Duration
+
 	actions []Action
 }
 
+// sweepInterval is the time between two checks of everything for lateness.
+const sweepInterval = 5 * time.Millisecond
+
 // New returns an empty pool, which grants nothing until it is configured.
 func New(settings Settings) *Pool {
 	return &Pool{
 		settings: settings,
-		classes:  make(map[types.ClassName]config.Class),
+		classes:  make(map[types.ClassName]*class),
 		queue:    newQueue(),
 		running:  make(map[types.RequestID]*job),
 	}
@@ -42,8 +67,16 @@
 	p.now = max(p.now, now)
 	p.actions = nil
 	p.apply(event)
-	p.expire()
+	p.reviewCapacity()
+	swept := p.sweep()
+	p.grantFloors()
 	p.grantWaiting()
+	if event.Enqueue != nil {
+		p.settle(event.Enqueue.ID)
+	}
+	if swept || event.Enqueue != nil {
+		p.preemptForBlocked()
+	}
 	return p.actions
 }
 
@@ -62,6 +95,8 @@
 		p.finish(*event.Finish)
 	case event.Cancel != nil:
 		p.cancel(*event.Cancel)
+	case event.Load != nil:
+		p.load(*event.Load)
 	case event.Upstream != nil:
 		p.upstream(*event.Upstream)
 	case event.EntryLost != nil:
@@ -69,115 +104,64 @@
 	}
 }
 
-func (p *Pool) configure(c Configure) {
-	if c.Revision < p.revision {
-		return
-	}
-	p.revision = c.Revision
-	clear(p.classes)
-	for _, class := range c.Classes {
-		p.classes[class.Name] = class
-	}
-	for _, e := range p.engines {
-		e.removed = true
-	}
-	for _, u := range c.Upstreams {
-		e := p.engineOf(u.ID)
-		e.config = u
-		e.removed = false
-	}
-}
-
-// engineOf returns the engine of the ID, made when it is unknown.
-func (p *Pool) engineOf(id types.UpstreamID) *engine {
-	i, found := slices.BinarySearchFunc(p.engines, id, func(e *engine, id types.UpstreamID) int {
-		return compareIDs(e.id, id)
-	})
-	if !found {
-		e := newEngine(config.Upstream{ID: id, MaxConcurrent: 1})
-		e.removed = true
-		p.engines = slices.Insert(p.engines, i, e)
-	}
-	return p.engines[i]
-}
-
-func (p *Pool) enqueue(r Request) {
-	if _, waiting := p.queue.jobs[r.ID]; waiting {
-		return
-	}
-	if old, ok := p.running[r.ID]; ok {
-		p.release(old)
-	}
-	p.sequence++
-	p.queue.push(newJob(p.now, r, p.sequence))
+// settle bounds the queue and decides on a request that could not start at
+// once.
+func (p *Pool) settle(id types.RequestID) {
 	p.shed()
-}
-
-func (p *Pool) register(r Running) {
-	if j, ok := p.queue.jobs[r.Request.ID]; ok {
-		p.queue.remove(j)
-	}
-	if old, ok := p.running[r.Request.ID]; ok {
-		p.release(old)
-	}
-	p.sequence++
-	j := newJob(p.now, r.Request, p.sequence)
-	j.tokens = r.Tokens
-	p.place(j, p.engineOf(r.Upstream))
-}
-
-func (p *Pool) progress(r Progress) {
-	if j, ok := p.running[r.ID]; ok {
-		j.tokens = max(j.tokens, r.Tokens)
-	}
-}
-
-func (p *Pool) finish(f Finish) {
-	j, ok := p.running[f.ID]
-	if !ok || j.engine.id != f.Upstream {
-		return
-	}
-	e := j.engine
-	p.release(j)
-	switch f.Reason {
-	case FinishComplete:
-		e.probation = false
-	case FinishCrashed, FinishUnreachable:
-		e.probation = true
-		e.retryAt = p.now + p.settings.ProbeInterval
-	case FinishLeaving:
-		e.leaving = true
-	}
-}
-
-func (p *Pool) cancel(c Cancel) {
-	if j, ok := p.queue.jobs[c.ID]; ok {
-		p.queue.remove(j)
+	if j, waiting := p.queue.jobs[id]; waiting {
+		p.admit(j)
 	}
 }
 
-func (p *Pool) upstream(u Upstream) {
-	e := p.engineOf(u.ID)
-	if e.down && !u.Down {
-		e.probation = true
+// sweep ends what has outlived its time, and reports whether it was due.
+func (p *Pool) sweep() bool {
+	if p.now < p.sweepAt {
+		return false
 	}
-	e.leaving = u.Leaving
-	e.down = u.Down
+	p.sweepAt = p.now + sweepInterval
+	p.refuseLate()
+	p.releaseWhere(func(j *job) bool { return j.expires <= p.now })
+	return true
 }
 
-func (p *Pool) entryLost(l EntryLost) {
-	for _, j := range p.queue.ordered() {
-		if j.req.Entry == l.Entry {
+// grantWaiting starts waiting jobs in order while an engine can take them. A
+// suspect that only waits for an engine without another one holds up nobody.
+func (p *Pool) grantWaiting() {
+	var aside []*job
+	for {
+		j := p.queue.first()
+		if j == nil {
+			break
+		}
+		e := p.choose(j, false)
+		if e == nil && !p.waitsAlone(j) {
+			break
+		}
+		if e == nil {
 			p.queue.remove(j)
+			aside = append(aside, j)
+			continue
 		}
+		p.grant(j, e)
 	}
-	for _, j := range p.running {
-		if j.req.Entry == l.Entry {
-			p.release(j)
-		}
+	for _, j := range aside {
+		p.queue.push(j)
 	}
 }
 
+// grant starts the waiting job on the engine.
+func (p *Pool) grant(j *job, e *engine) {
+	p.queue.remove(j)
+	p.queue.charge(j)
+	p.queue.tier(j.req.Tier).starts.add(p.now)
+	p.place(j, e)
+	j.class.clock = p.now
+	j.class.started = true
+	p.actions = append(p.actions, Action{Grant: &Grant{
+		ID: j.req.ID, Entry: j.req.Entry, Upstream: e.id, Lease: p.settings.Lease, Floor: j.floor,
+	}})
+}
+
 // place books the job on the engine.
 func (p *Pool) place(j *job, e *engine) {
 	j.engine = e
@@ -185,93 +169,66 @@
 	j.expires = max(j.deadline, p.now+p.settings.Lease) + p.settings.ExpiryGrace
 	e.running[j.req.ID] = j
 	p.running[j.req.ID] = j
+	j.index = len(p.runningList)
+	p.runningList = append(p.runningList, j)
+	j.class.running++
+	if j.req.Suspect > 0 {
+		e.suspects++
+	}
+	if j.floor {
+		p.floorsRunning++
+	}
+	e.foreign.note(p.now, len(e.running))
+	p.rebook(j)
 }
 
 // release takes the job off its engine.
 func (p *Pool) release(j *job) {
-	p.queue.correct(j, float64(j.req.PromptTokens+j.tokens))
-	delete(j.engine.running, j.req.ID)
+	e := j.engine
+	p.queue.correct(j)
+	delete(e.running, j.req.ID)
 	delete(p.running, j.req.ID)
-}
-
-// expire ends what has outlived its time: waiting jobs past their deadline and
-// grants that were never finished.
-func (p *Pool) expire() {
-	for _, j := range p.queue.ordered() {
-		if j.deadline <= p.now {
-			p.refuse(j, fault.DeadlineUnreachable)
-		}
-	}
-	for _, j := range p.running {
-		if j.expires <= p.now {
-			p.release(j)
-		}
+	p.unlist(j)
+	j.class.running--
+	e.booked -= j.booked
+	if j.req.Suspect > 0 {
+		e.suspects--
 	}
-}
-
-// shed refuses from the lowest tier while the queue is over its bound.
-func (p *Pool) shed() {
-	for p.queue.len() > p.settings.QueueLimit {
-		p.refuse(p.queue.last(), fault.Overloaded)
+	if j.floor {
+		p.floorsRunning--
 	}
-}
-
-// refuse gives the waiting job its final answer from this pool.
-func (p *Pool) refuse(j *job, code fault.Code) {
-	p.queue.remove(j)
-	p.actions = append(p.actions, Action{Refuse: &Refuse{
-		ID: j.req.ID, Entry: j.req.Entry, Code: code, RetryAfter: p.settings.MinRetryAfter,
-	}})
-}
-
-// grantWaiting starts waiting jobs in order while an engine can take them.
-func (p *Pool) grantWaiting() {
-	for {
-		j := p.queue.first()
-		if j == nil {
-			return
-		}
-		e := p.choose(j)
-		if e == nil {
-			return
-		}
-		p.grant(j, e)
+	if j.victimOf != "" {
+		e.yielding--
+		p.yielding--
 	}
 }
 
-// grant starts the waiting job on the engine.
-func (p *Pool) grant(j *job, e *engine) {
-	p.queue.remove(j)
-	p.queue.charge(j, float64(j.req.PromptTokens+defaultAnswerTokens))
-	p.place(j, e)
-	p.actions = append(p.actions, Action{Grant: &Grant{
-		ID: j.req.ID, Entry: j.req.Entry, Upstream: e.id, Lease: p.settings.Lease,
-	}})
+// unlist takes the job out of the list of running jobs.
+func (p *Pool) unlist(j *job) {
+	last := p.runningList[len(p.runningList)-1]
+	p.runningList[j.index] = last
+	last.index = j.index
+	p.runningList = p.runningList[:len(p.runningList)-1]
 }
 
-// choose returns the least loaded engine that can take the job, or nil.
-func (p *Pool) choose(j *job) *engine {
-	var best *engine
-	for _, e := range p.engines {
-		if !e.available(p.now) || len(e.running) >= e.slots() {
-			continue
-		}
-		if j.req.Suspect > 0 && e.suspects() > 0 {
-			continue
-		}
-		if best == nil || len(e.running) < len(best.running) {
-			best = e
+// releaseWhere takes every running job off its engine for which ended holds.
+func (p *Pool) releaseWhere(ended func(*job) bool) {
+	for _, j := range slices.Backward(p.runningList) {
+		if ended(j) {
+			p.release(j)
 		}
 	}
-	return best
 }
 
-func compareIDs(a, b types.UpstreamID) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
+// engineOf returns the engine of the ID, made when it is unknown.
+func (p *Pool) engineOf(id types.UpstreamID) *engine {
+	i, found := slices.BinarySearchFunc(p.engines, id, func(e *engine, id types.UpstreamID) int {
+		return cmp.Compare(e.id, id)
+	})
+	if !found {
+		e := newEngine(config.Upstream{ID: id, MaxConcurrent: 1})
+		e.removed = true
+		p.engines = slices.Insert(p.engines, i, e)
 	}
-	return 0
+	return p.engines[i]
 }
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -7,7 +7,7 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// queue holds the waiting jobs by tier, then flow, then deadline.
+// queue holds the waiting jobs by tier, then flow, then due time.
 type queue struct {
 	// tiers is ordered from the highest to the lowest.
 	tiers []*tierQueue
@@ -21,12 +21,14 @@
 	size    int
 	classes *ledger[types.ClassName]
 	shares  *ledger[flow]
+	starts  rate
 }
 
 // flowQueue holds the waiting jobs of one flow in the order of service.
 type flowQueue struct {
-	flow flow
-	jobs []*job
+	flow  flow
+	class *class
+	jobs  []*job
 }
 
 func newQueue() *queue {
@@ -51,21 +53,30 @@
 // push adds a job.
 func (q *queue) push(j *job) {
 	q.jobs[j.req.ID] = j
+	j.class.waiting++
 	tq := q.tier(j.req.Tier)
 	tq.size++
-	fq := tq.flowQueue(j.flow())
-	i, _ := slices.BinarySearchFunc(fq.jobs, j, func(a, b *job) int {
-		if a.before(b) {
-			return -1
-		}
-		return 1
-	})
+	fq := tq.flowQueue(j)
+	i, _ := slices.BinarySearchFunc(fq.jobs, j, orderInFlow)
 	fq.jobs = slices.Insert(fq.jobs, i, j)
 }
 
+// orderInFlow compares two jobs of one flow.
+func orderInFlow(a, b *job) int {
+	switch {
+	case a == b:
+		return 0
+	case a.before(b):
+		return -1
+	default:
+		return 1
+	}
+}
+
 // remove takes the job out of the queue.
 func (q *queue) remove(j *job) {
 	delete(q.jobs, j.req.ID)
+	j.class.waiting--
 	tq := q.tier(j.req.Tier)
 	tq.size--
 	for i, fq := range tq.flows {
@@ -82,23 +93,25 @@
 	}
 }
 
-// flowQueue returns the queue of the flow, made when it does not exist.
-func (tq *tierQueue) flowQueue(f flow) *flowQueue {
+// flowQueue returns the queue of the job's flow, made when it does not exist.
+func (tq *tierQueue) flowQueue(j *job) *flowQueue {
 	for _, fq := range tq.flows {
-		if fq.flow == f {
+		if fq.flow == j.flow() {
 			return fq
 		}
 	}
-	fq := &flowQueue{flow: f}
+	fq := &flowQueue{flow: j.flow(), class: j.class}
 	tq.flows = append(tq.flows, fq)
 	return fq
 }
 
 // less orders flows by the start tag of the class, then of the account, then
-// by the deadline of the first job.
+// by the due time of the first job.
 func (tq *tierQueue) less(a, b *flowQueue) bool {
-	if x, y := tq.classes.tag(a.flow.class), tq.classes.tag(b.flow.class); x != y {
-		return x < y
+	if a.class != b.class {
+		if x, y := tq.classes.tag(a.flow.class), tq.classes.tag(b.flow.class); x != y {
+			return x < y
+		}
 	}
 	if x, y := tq.shares.tag(a.flow), tq.shares.tag(b.flow); x != y {
 		return x < y
@@ -120,11 +133,6 @@
 	return best.jobs[0]
 }
 
-// flow returns the job's flow.
-func (j *job) flow() flow {
-	return flow{class: j.req.Class, account: j.req.Account}
-}
-
 // first returns the job of the highest waiting tier that is served next, or
 // nil.
 func (q *queue) first() *job {
@@ -136,30 +144,66 @@
 	return nil
 }
 
-// last returns the job of the lowest waiting tier that would be served last:
-// the latest of the flow that is furthest ahead in its share. It returns nil
-// when nothing waits.
+// last returns the job of the lowest waiting tier that would be served last,
+// leaving out what floors hold. It returns nil when there is none.
 func (q *queue) last() *job {
 	for _, tq := range slices.Backward(q.tiers) {
-		if tq.size > 0 {
-			return tq.last()
+		if j := tq.last(); j != nil {
+			return j
 		}
 	}
 	return nil
 }
 
-// last returns the job that the tier would serve last.
+// last returns the job that the tier would serve last: the latest of the flow
+// whose backlog reaches furthest ahead.
 func (tq *tierQueue) last() *job {
 	var worst *flowQueue
 	for _, fq := range tq.flows {
-		if worst == nil || len(fq.jobs) > len(worst.jobs) {
+		if fq.class.sheddable() == 0 {
+			continue
+		}
+		if worst == nil || tq.finish(fq) > tq.finish(worst) {
 			worst = fq
 		}
 	}
+	if worst == nil {
+		return nil
+	}
 	return worst.jobs[len(worst.jobs)-1]
 }
 
-// ordered returns every waiting job by its arrival.
+// finish returns the virtual time at which the flow's backlog would be served.
+func (tq *tierQueue) finish(fq *flowQueue) float64 {
+	return tq.shares.tag(fq.flow) + float64(len(fq.jobs))*fq.cost()
+}
+
+// cost returns what one job of the flow is expected to add to its share.
+func (fq *flowQueue) cost() float64 {
+	j := fq.jobs[0]
+	return j.expectedTokens() / j.weight()
+}
+
+// oldest returns the job of the class that has waited longest, or nil. Suspects
+// are left out.
+func (q *queue) oldest(class types.ClassName) *job {
+	var best *job
+	for _, tq := range q.tiers {
+		for _, fq := range tq.flows {
+			if fq.flow.class != class {
+				continue
+			}
+			for _, j := range fq.jobs {
+				if j.req.Suspect == 0 && (best == nil || j.arrived < best.arrived) {
+					best = j
+				}
+			}
+		}
+	}
+	return best
+}
+
+// ordered returns every waiting job by its arrival at the pool.
 func (q *queue) ordered() []*job {
 	jobs := make([]*job, 0, len(q.jobs))
 	for _, j := range q.jobs {
@@ -168,19 +212,3 @@
 	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.sequence, b.sequence) })
 	return jobs
 }
-
-// charge books the tokens that the job is expected to take to its shares.
-func (q *queue) charge(j *job, tokens float64) {
-	tq := q.tier(j.req.Tier)
-	j.charge = tokens
-	tq.classes.charge(j.req.Class, tokens, 1)
-	tq.shares.charge(j.flow(), tokens, j.weight())
-}
-
-// correct replaces the job's charge by the tokens that it took.
-func (q *queue) correct(j *job, tokens float64) {
-	tq := q.tier(j.req.Tier)
-	tq.classes.correct(j.req.Class, tokens-j.charge, 1)
-	tq.shares.correct(j.flow(), tokens-j.charge, j.weight())
-	j.charge = tokens
-}
--- a/test/prove/tiers_test.go
+++ b/test/prove/tiers_test.go
@@ -9,6 +9,9 @@
 	"github.com/umbercrank/umbercrank/pkg/pool"
 )
 
+// tierOptions fit the classes of the world, whose shortest target is 320 ms.
+var tierOptions = history.TierOptions{LatestStart: 100 * time.Millisecond, FeasibleStart: 250 * time.Millisecond}
+
 // newProductPolicy returns the product's policy with a short queue, so that
 // sheds occur.
 func newProductPolicy() pool.Policy {
@@ -72,7 +75,7 @@
 		w.callersGoAway(length)
 		w.schedule(length)
 		w.run(length + time.Minute)
-		violations, checked := history.Tiers(w.steps, history.TierOptions{LatestStart: 100 * time.Millisecond})
+		violations, checked := history.Tiers(w.steps, tierOptions)
 		sum.add(result{runs: 1, faults: w.faults, checked: checked, violations: len(violations) + w.unfinished()})
 		logViolations(t, seed, violations, w.unfinished())
 	}
