--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -79,12 +80,15 @@
 
 // lateCode returns why a request came too late to start.
 func (p *Pool) lateCode() fault.Code {
-	for _, e := range p.engines {
-		if e.available(p.now) {
-			return fault.DeadlineUnreachable
-		}
+	if p.deserted() {
+		return fault.NoUpstream
 	}
-	return fault.NoUpstream
+	return fault.DeadlineUnreachable
+}
+
+// deserted reports whether no engine may receive new work.
+func (p *Pool) deserted() bool {
+	return !slices.ContainsFunc(p.engines, func(e *engine) bool { return e.available(p.now) })
 }
 
 // admit refuses the newly waiting job at once when it is predicted to start too
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -108,9 +109,15 @@
 // once.
 func (p *Pool) settle(id types.RequestID) {
 	p.shed()
-	if j, waiting := p.queue.jobs[id]; waiting {
-		p.admit(j)
+	j, waiting := p.queue.jobs[id]
+	if !waiting {
+		return
 	}
+	if !j.req.LastPool && p.revision > 0 && p.deserted() {
+		p.refuse(j, fault.NoUpstream)
+		return
+	}
+	p.admit(j)
 }
 
 // sweep ends what has outlived its time, and reports whether it was due.
