Requests and attempts run on their state charts

Each request and each attempt is a machine of its chart. The chart decides whether a request may wait for a further attempt: one that is not repeatable only after an attempt that sent nothing. The lease check right before the first byte is the chart's send event. The state of GET /v1/requests/{id} is the chart's.

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -41,6 +41,7 @@
 		attributes: in.attributes,
 		arrival:    time.Now(),
 		open:       in.open,
+		life:       e.charts.request.Start(),
 	}
 	e.options.Recorder.Record(held.event(timeline.RequestArrived))
 	decision, err := in.snapshot.Classify(in.attributes)
@@ -51,12 +52,13 @@
 		return admission{}, e.refuse(held, err)
 	}
 	held.decision = decision
+	e.fire(held.life, eventClassify)
 	e.options.Recorder.Record(held.event(timeline.RequestClassified))
 	leave, err := e.countIn(in.account, held.arrival)
 	if err != nil {
 		return admission{}, e.refuse(held, err)
 	}
-	e.registry.put(held.status(stateWaiting, nil))
+	e.registry.put(held.status(nil))
 	return admission{request: held, leave: leave}, nil
 }
 
@@ -94,6 +96,7 @@
 // refuse records a refusal before any attempt and returns it.
 func (e *Entry) refuse(held *request, err error) error {
 	failure := fault.From(err).WithRunState(types.NotRun)
+	e.fire(held.life, eventRefuse)
 	event := held.event(timeline.RequestRefused)
 	event.Code = string(failure.Code)
 	event.RunState = failure.RunState
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
@@ -51,6 +52,7 @@
 	limited, cancel, deadline := e.within(ctx, held)
 	defer cancel()
 	e.budget.Earn()
+	e.fire(held.life, eventEnqueue)
 	for {
 		e.options.Recorder.Record(held.event(timeline.RequestEnqueued))
 		ask := held.poolRequest(e.options.Incarnation, deadline, x.generated())
@@ -58,13 +60,15 @@
 		if err != nil {
 			return held.settle(limited, err)
 		}
-		ending := e.attempt(limited, held, x, grant)
-		if ending.err == nil {
+		e.fire(held.life, eventGrant)
+		end := e.attempt(limited, held, x, grant)
+		if end.err == nil {
 			return nil
 		}
-		if !e.mayRetry(limited, held, x, ending) {
-			return held.settle(limited, ending.err)
+		if !e.mayRetry(limited, held, x, end) {
+			return held.settle(limited, end.err)
 		}
+		e.fire(held.life, again(end), held.facts()...)
 	}
 }
 
@@ -78,14 +82,16 @@
 func (e *Entry) attempt(ctx context.Context, held *request, x exchange, grant dispatch.Grant) ending {
 	held.attempts++
 	held.upstream = grant.Upstream().ID
-	e.registry.put(held.status(stateRunning, nil))
+	e.registry.put(held.status(nil))
 	e.options.Recorder.Record(held.event(timeline.RequestGranted))
 	running, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go cancelOnPreemption(running, cancel, grant)
 
 	started := time.Now()
-	end := classify(running, e.exchange(running, held, x, grant))
+	life := e.charts.attempt.Start()
+	end := classify(running, e.exchange(running, held, x, grant, life))
+	e.endAttempt(life, end)
 	e.finish(held, x, grant, end, time.Since(started))
 	return end
 }
@@ -99,12 +105,14 @@
 }
 
 // exchange sends the call and takes the response.
-func (e *Entry) exchange(ctx context.Context, held *request, x exchange, grant dispatch.Grant) error {
+func (e *Entry) exchange(ctx context.Context, held *request, x exchange, grant dispatch.Grant, life *statechart.Machine) error {
 	call, err := x.call(grant.Upstream())
 	if err != nil {
 		return err
 	}
-	call.Guard = func() bool { return !grant.Expired() && (held.open == nil || held.open()) }
+	call.Guard = e.guard(life, func() bool {
+		return !grant.Expired() && (held.open == nil || held.open())
+	})
 	call.Once = !held.attributes.Repeatable
 	e.options.Recorder.Record(held.event(timeline.AttemptStarted))
 	response, err := upstream.Do(ctx, e.transport(call.Once), call)
@@ -114,6 +122,10 @@
 	}
 	held.sent = true
 	defer response.Body.Close()
+	if err := refusalOf(response, held.attributes.Kind == kindChat); err != nil {
+		return err
+	}
+	e.fire(life, eventRespond)
 	return x.receive(response, grant)
 }
 
@@ -187,7 +199,7 @@
 	if !held.attributes.Repeatable && held.sent {
 		return false
 	}
-	if !x.resumable() {
+	if !held.life.Can(again(end), held.facts()...) || !x.resumable() {
 		return false
 	}
 	switch end.reason {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -52,11 +52,17 @@
 	registry *registry
 	gate     *gate
 	keys     *idempotency.Store
+	charts   charts
 }
 
 // New returns an Entry that serves at once. Failures are of code Internal.
 func New(options Options) (*Entry, error) {
+	loaded, err := loadCharts()
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
+		charts:   loaded,
 		options:  options,
 		settings: options.Settings,
 		limiter:  limits.New(),
--- a/pkg/entry/registry.go
+++ b/pkg/entry/registry.go
@@ -4,13 +4,15 @@
 	"sync"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // Status is the answer of GET /v1/requests/{id}.
 type Status struct {
-	ID       types.RequestID  `json:"id"`
-	State    string           `json:"state"`
+	ID types.RequestID `json:"id"`
+	// State is a state of the chart of requests.
+	State    statechart.State `json:"state"`
 	Class    types.ClassName  `json:"class"`
 	Tier     types.Tier       `json:"tier"`
 	Target   types.TargetName `json:"target"`
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -11,6 +11,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/rules"
+	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -26,6 +27,8 @@
 	attributes rules.Attributes
 	decision   config.Decision
 	arrival    time.Time
+	// life is the state of the request in its chart.
+	life *statechart.Machine
 	// open, if set, must hold right before the first byte to an upstream.
 	open func() bool
 	// attempts counts the grants used.
@@ -106,10 +109,10 @@
 }
 
 // status returns the public state of the request.
-func (r *request) status(state string, failure *fault.Error) Status {
+func (r *request) status(failure *fault.Error) Status {
 	status := Status{
 		ID:       r.id,
-		State:    state,
+		State:    r.life.State(),
 		Class:    r.decision.Class.Name,
 		Tier:     r.decision.Tier,
 		Target:   r.decision.Target.Name,
@@ -121,7 +124,7 @@
 	if r.sent {
 		status.RunState = types.MayHaveRun
 	}
-	if state == stateAnswered {
+	if r.life.State() == stateAnswered {
 		status.RunState = types.Ran
 	}
 	if failure != nil {
@@ -132,13 +135,8 @@
 	return status
 }
 
-// The public states of a request.
-const (
-	stateWaiting  = "waiting"
-	stateRunning  = "running"
-	stateAnswered = "answered"
-	stateFailed   = "failed"
-)
+// stateAnswered is the state of a request whose caller has the whole answer.
+const stateAnswered statechart.State = "answered"
 
 // event returns a timeline event about the request.
 func (r *request) event(kind timeline.Kind) timeline.Event {
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -99,9 +99,10 @@
 
 // conclude records the end of the request.
 func (e *Entry) conclude(held *request, failure *fault.Error) {
+	e.fire(held.life, lastEvent(failure))
 	if failure == nil {
 		e.options.Recorder.Record(held.event(timeline.RequestAnswered))
-		e.registry.end(held.status(stateAnswered, nil))
+		e.registry.end(held.status(nil))
 		return
 	}
 	event := held.event(timeline.RequestFailed)
@@ -109,5 +110,5 @@
 	event.RunState = failure.RunState
 	event.Detail = failure.Message
 	e.options.Recorder.Record(event)
-	e.registry.end(held.status(stateFailed, failure))
+	e.registry.end(held.status(failure))
 }
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -38,9 +38,6 @@
 }
 
 func (x *streamExchange) receive(response *http.Response, grant dispatch.Grant) error {
-	if err := refusalOf(response, true); err != nil {
-		return err
-	}
 	if response.StatusCode != http.StatusOK {
 		return x.pass(response)
 	}
--- a/pkg/entry/whole.go
+++ b/pkg/entry/whole.go
@@ -35,9 +35,6 @@
 func (x *wholeExchange) call(to config.Upstream) (upstream.Call, error) { return x.prepare(to) }
 
 func (x *wholeExchange) receive(response *http.Response, _ dispatch.Grant) error {
-	if err := refusalOf(response, x.engine); err != nil {
-		return err
-	}
 	body, err := readAnswer(response, x.limit)
 	if err != nil {
 		return err
