--- a/test/prove/atmostonce_test.go
+++ b/test/prove/atmostonce_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/history"
-	"github.com/umbercrank/umbercrank/pkg/idempotency"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
@@ -119,7 +118,7 @@
 		group.Go(func() {
 			if i == 0 {
 				time.Sleep(begin)
-				key = r.makeKey(executor, number)
+				key = r.keyOf(executor, fmt.Sprintf("n%d", number))
 				close(first)
 			}
 			<-first
@@ -129,19 +128,6 @@
 	}
 }
 
-// makeKey names the executor and its window as the directory would now.
-func (r *onceRun) makeKey(host string, number int) string {
-	r.entryWorld.mu.Lock()
-	l := r.entries[host]
-	r.entryWorld.mu.Unlock()
-	windows := worldSettings().Idempotency.Windows
-	return idempotency.Key{
-		Incarnation: l.incarnation,
-		Window:      windows.Current(time.Since(l.started)),
-		Nonce:       fmt.Sprintf("n%d", number),
-	}.String()
-}
-
 func (r *onceRun) sendKey(host, key string, client int) {
 	header := http.Header{}
 	header.Set("Idempotency-Key", key)
--- a/test/prove/entryworld_test.go
+++ b/test/prove/entryworld_test.go
@@ -20,6 +20,8 @@
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/entry"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/history"
+	"github.com/umbercrank/umbercrank/pkg/idempotency"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
@@ -97,7 +99,7 @@
 		Granter:       granter,
 		View:          w.fleet.View(self),
 		Recorder:      noRecorder{},
-		Logger:        zerolog.Nop(),
+		Logger:        zerolog.New(io.Discard).Hook(failOnError{w.t}),
 		Transport:     w.network.Transport(host, string(incarnation), false),
 		OnceTransport: w.network.Transport(host, string(incarnation), true),
 		Addresses:     func() any { return nil },
@@ -148,19 +150,21 @@
 	returned time.Duration
 }
 
-// send makes one request of a caller to the host and takes the whole reply.
-func (w *entryWorld) send(ctx context.Context, host, method, path, body string, header http.Header) reply {
-	got := reply{call: w.since(time.Now())}
-	defer func() { got.returned = w.since(time.Now()) }()
+// open makes one request of a caller to the host.
+func (w *entryWorld) open(ctx context.Context, host, method, path, body string, header http.Header) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+host+path, strings.NewReader(body))
 	if err != nil {
-		w.t.Error(err)
-		return got
+		return nil, err
 	}
 	request.Header = header.Clone()
 	request.Header.Set("Authorization", "Bearer good")
-	client := w.network.Transport("caller", "caller", true)
-	response, err := client.RoundTrip(request)
+	return w.network.Transport("caller", "caller", true).RoundTrip(request)
+}
+
+// send makes one request of a caller to the host and takes the whole reply.
+func (w *entryWorld) send(ctx context.Context, host, method, path, body string, header http.Header) reply {
+	got := reply{call: w.since(time.Now())}
+	response, err := w.open(ctx, host, method, path, body, header)
 	if err != nil {
 		got.err = err
 		got.returned = w.since(time.Now())
@@ -174,6 +178,40 @@
 	return got
 }
 
+// keyOf returns a key that names the entry now on the host and its window.
+func (w *entryWorld) keyOf(host, nonce string) string {
+	w.mu.Lock()
+	l := w.entries[host]
+	w.mu.Unlock()
+	windows := worldSettings().Idempotency.Windows
+	return idempotency.Key{
+		Incarnation: l.incarnation,
+		Window:      windows.Current(time.Since(l.started)),
+		Nonce:       nonce,
+	}.String()
+}
+
+// executions returns what all upstreams have run.
+func (w *entryWorld) executions() []history.Execution {
+	var all []history.Execution
+	for _, u := range w.upstreams {
+		for _, run := range u.Executions() {
+			all = append(all, history.Execution{Marker: run.Marker, At: w.since(run.At)})
+		}
+	}
+	return all
+}
+
+// failOnError fails the test when the entry logs an error.
+type failOnError struct{ t *testing.T }
+
+// Run implements zerolog.Hook.
+func (f failOnError) Run(_ *zerolog.Event, level zerolog.Level, message string) {
+	if level >= zerolog.ErrorLevel {
+		f.t.Errorf("logged: %s", message)
+	}
+}
+
 // readFailure takes the code and run state from a failure's body.
 func (r *reply) readFailure() {
 	var failure fault.Response
