Streams resume from their text; the boundary tells what has run

A call has run when its connection was handed over, and a request when any of its attempts has.

Ruled out: buffering whole streams until they end, which costs the first-token target; taking an error of the transport as not run.

--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -102,6 +102,9 @@
 	if !r.sent {
 		return failure.WithRunState(types.NotRun)
 	}
+	if failure.RunState == types.NotRun {
+		return failure.WithRunState(types.MayHaveRun)
+	}
 	return failure
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -86,6 +86,9 @@
 
 // atEnd accepts the end of the stream only when the answer has finished.
 func (x *streamExchange) atEnd() error {
+	if !x.transcript.finished {
+		return fault.New(fault.UpstreamFailed, "the stream ended before the answer was complete")
+	}
 	return x.out.push(upstream.Done)
 }
 
--- a/pkg/entry/transcript.go
+++ b/pkg/entry/transcript.go
@@ -32,7 +32,7 @@
 
 // partial returns what the next attempt has to continue.
 func (t *transcript) partial() *upstream.Partial {
-	return &upstream.Partial{}
+	return &upstream.Partial{Text: t.text.String(), Tokens: t.tokens}
 }
 
 // resumable reports whether the rest of the answer can be had from the text.
--- a/pkg/upstream/call.go
+++ b/pkg/upstream/call.go
@@ -63,7 +63,7 @@
 		return nil, fault.Wrap(fault.LeaseExpired, err, "the lease ran out before the call")
 	}
 	failure := fault.Wrap(fault.UpstreamFailed, err, "the call to the upstream failed")
-	return nil, failure.WithRunState(types.NotRun)
+	return nil, failure.WithRunState(boundary.RunState())
 }
 
 func newRequest(ctx context.Context, call Call, boundary *Boundary) (*http.Request, error) {
