--- a/pkg/ctl/root.go
+++ b/pkg/ctl/root.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/version"
 )
 
 // Exit statuses of umberctl.
@@ -45,7 +46,7 @@
 		Use:           "umberctl",
 		Short:         "Operate and try the umbercrank router",
 		Long:          "umberctl shows what running instances do, drives load at them, and serves small stand-ins of engines, services and the configuration service.",
-		Version:       version(),
+		Version:       version.String(),
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
