--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -11,16 +11,12 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/umbercrank/umbercrank/pkg/config"
-	"github.com/umbercrank/umbercrank/pkg/directory"
-	"github.com/umbercrank/umbercrank/pkg/dispatch"
-	"github.com/umbercrank/umbercrank/pkg/entry"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/peer"
-	"github.com/umbercrank/umbercrank/pkg/relay"
+	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
 
 // Timeouts of the HTTP servers.
@@ -29,19 +25,14 @@
 	callerIdleTimeout = 2 * time.Minute
 )
 
-// Node is one running instance. Its life is Provision, Serve, and the cleanup
-// that ends Serve.
+// Node is one running instance: its roles and its listeners. Its life is
+// Provision, Serve, and the cleanup that ends Serve.
 type Node struct {
 	settings    Settings
 	logger      zerolog.Logger
 	incarnation types.Incarnation
 	ring        *timeline.Ring
-	store       *config.Store
-	members     *membership.Members
-	relay       *relay.Relay
-	dispatch    *dispatch.Dispatch
-	entry       *entry.Entry
-	directory   *directory.Directory
+	roles       *Roles
 	dialer      *peer.Dialer
 	peers       *peer.Server
 	callers     *http.Server
@@ -65,7 +56,6 @@
 		settings:    settings,
 		incarnation: types.Incarnation(ulid.Make().String()),
 		ring:        timeline.NewRing(types.InstanceID(settings.Instance), settings.TimelineEvents, time.Now),
-		store:       config.NewStore(),
 	}
 	n.logger = logger.With().Str("instance", settings.Instance).Str("incarnation", string(n.incarnation)).Logger()
 	if err := n.openListeners(); err != nil {
@@ -121,10 +111,25 @@
 	}
 }
 
+// buildRoles makes the roles over real connections.
+func (n *Node) buildRoles() error {
+	n.dialer = peer.NewDialer(n.peerOptions(n.settings.PeerAddress))
+	transport := upstream.DefaultTransportSettings()
+	roles, err := NewRoles(n.settings, n.incarnation, Connections{
+		Source:        platform.NewClient(n.settings.PlatformURL, &http.Client{}),
+		Caller:        n.dialer,
+		Registrar:     n.peers,
+		Transport:     upstream.NewTransport(transport),
+		OnceTransport: upstream.NewOnceTransport(transport),
+	}, n.ring, n.logger)
+	n.roles = roles
+	return err
+}
+
 // buildServers makes the HTTP servers of callers and operators.
 func (n *Node) buildServers() {
 	n.callers = &http.Server{
-		Handler:           n.entry.Handler(),
+		Handler:           n.roles.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    n.settings.MaxHeaderBytes,
@@ -150,7 +155,8 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, running := errgroup.WithContext(running)
-	n.startRoles(group, running)
+	group.Go(func() error { return n.roles.Run(running) })
+	group.Go(func() error { return ended(running, n.peers.Serve(running)) })
 	group.Go(func() error { return served(n.operators.Serve(n.listeners.operators)) })
 	group.Go(func() error { return n.serveCallers(running) })
 	n.ring.Record(timeline.Event{Kind: timeline.InstanceStarted, Detail: n.settings.CallerAddress})
@@ -167,19 +173,10 @@
 	return group.Wait()
 }
 
-// startRoles runs the background work of every role in the group.
-func (n *Node) startRoles(group *errgroup.Group, ctx context.Context) {
-	for _, run := range []func(context.Context) error{
-		n.peers.Serve, n.members.Run, n.relay.Run, n.dispatch.Run, n.entry.Run,
-	} {
-		group.Go(func() error { return ended(ctx, run(ctx)) })
-	}
-}
-
 // serveCallers takes callers once a configuration is in force.
 func (n *Node) serveCallers(ctx context.Context) error {
 	select {
-	case <-n.relay.Ready():
+	case <-n.roles.Ready():
 	case <-ctx.Done():
 		return nil
 	}
@@ -187,14 +184,6 @@
 	return served(n.callers.Serve(limited))
 }
 
-// ended drops the failure of a role that was told to end.
-func ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
-
 // served drops the failure with which a closed HTTP server returns.
 func served(err error) error {
 	if err == http.ErrServerClosed {
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -31,15 +31,15 @@
 
 // Status returns what the node believes of itself and the fleet.
 func (n *Node) Status() Status {
-	self := n.members.Self()
+	self := n.roles.members.Self()
 	status := Status{
 		Instance:    self.ID,
 		Incarnation: n.incarnation,
 		DataCentre:  self.DataCentre,
 		State:       self.State,
-		Live:        n.members.Live(),
+		Live:        n.roles.members.Live(),
 	}
-	if current := n.store.Current(); current != nil {
+	if current := n.roles.store.Current(); current != nil {
 		status.Revision = current.Revision()
 	}
 	return status
@@ -55,7 +55,7 @@
 
 // serveHealth answers 200 while a configuration is in force.
 func (n *Node) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if n.store.Current() == nil {
+	if n.roles.store.Current() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
