--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -29,26 +29,10 @@
 	return mux
 }
 
-// Status returns what the node believes of itself and the fleet.
-func (n *Node) Status() Status {
-	self := n.roles.members.Self()
-	status := Status{
-		Instance:    self.ID,
-		Incarnation: n.incarnation,
-		DataCentre:  self.DataCentre,
-		State:       self.State,
-		Live:        n.roles.members.Live(),
-	}
-	if current := n.roles.store.Current(); current != nil {
-		status.Revision = current.Revision()
-	}
-	return status
-}
-
 // serveStatus writes the status as JSON.
 func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(n.Status()); err != nil {
+	if err := json.NewEncoder(w).Encode(n.roles.Status()); err != nil {
 		n.logger.Debug().Err(err).Msg("status not sent")
 	}
 }
@@ -61,3 +45,19 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
+
+// Status returns what the instance believes of itself and the fleet.
+func (r *Roles) Status() Status {
+	self := r.members.Self()
+	status := Status{
+		Instance:    self.ID,
+		Incarnation: r.incarnation,
+		DataCentre:  self.DataCentre,
+		State:       self.State,
+		Live:        r.members.Live(),
+	}
+	if current := r.store.Current(); current != nil {
+		status.Revision = current.Revision()
+	}
+	return status
+}
