Silent replays of net/http are refused; bodies and stream ends are bounded

Change: a call that may be sent only once takes no second and no used connection; it is refused at the hand-over, before a byte, whatever transport it is given. The bodies held at once share a bound, and a body must arrive in time. A stream whose engine breaks off after the finish reason, or after the last allowed token, is complete.

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -14,9 +14,37 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// readBody returns the whole body, or BodyTooLarge.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody returns the whole body and the function that gives its memory back,
+// which must be called once. It returns BodyTooLarge for a body above the limit,
+// Overloaded when the memory for bodies is used up, and BadRequest for a body
+// that does not arrive in time.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, func(), error) {
+	weight := e.settings.MaxBodyBytes
+	if r.ContentLength > weight {
+		return nil, nil, fault.New(fault.BodyTooLarge, "the body exceeds the limit")
+	}
+	if r.ContentLength >= 0 {
+		weight = r.ContentLength
+	}
+	if !e.memory.TryAcquire(weight) {
+		refusal := fault.New(fault.Overloaded, "this instance holds too many bodies")
+		return nil, nil, refusal.WithRetryAfter(e.settings.BusyRetryAfter)
+	}
+	release := func() { e.memory.Release(weight) }
+	body, err := e.receiveBody(w, r)
+	if err != nil {
+		release()
+		return nil, nil, err
+	}
+	return body, release, nil
+}
+
+func (e *Entry) receiveBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	// A writer without deadlines is bounded by the request's own context.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(e.settings.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
+	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		return body, nil
 	}
@@ -80,7 +108,7 @@
 // countIn takes a place at the instance and in the account's limits.
 func (e *Entry) countIn(account config.Account, now time.Time) (func(), error) {
 	if err := e.gate.enter(e.settings.MaxRequests); err != nil {
-		return nil, fault.From(err).WithRetryAfter(e.settings.LeavingRetryAfter)
+		return nil, fault.From(err).WithRetryAfter(e.settings.BusyRetryAfter)
 	}
 	release, err := e.limiter.Admit(account, now)
 	if err != nil {
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -21,10 +21,11 @@
 	if err != nil {
 		return err
 	}
-	body, err := e.readBody(w, r)
+	body, release, err := e.readBody(w, r)
 	if err != nil {
 		return err
 	}
+	defer release()
 	chat, err := upstream.ParseChat(body)
 	if err != nil {
 		return err
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/kataras/iris/v12"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
@@ -53,6 +54,7 @@
 	gate     *gate
 	keys     *idempotency.Store
 	charts   charts
+	memory   *semaphore.Weighted
 }
 
 // New returns an Entry that serves at once. Failures are of code Internal.
@@ -69,6 +71,7 @@
 		budget:   retry.NewBudget(options.Settings.Retry),
 		registry: newRegistry(options.Settings.FinishedRequests),
 		gate:     newGate(),
+		memory:   semaphore.NewWeighted(options.Settings.BodyMemoryBytes),
 		keys:     idempotency.NewStore(options.Incarnation, options.Settings.Idempotency),
 	}
 	app := iris.New()
@@ -110,6 +113,10 @@
 type Settings struct {
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// BodyMemoryBytes bounds the bodies of all requests held at once.
+	BodyMemoryBytes int64
+	// BodyTimeout bounds the arrival of a body.
+	BodyTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is held whole.
 	MaxAnswerBytes int64
 	// StreamBufferBytes bounds what is held of a stream for a slow caller.
@@ -125,8 +132,9 @@
 	FinishedRequests int
 	// DefaultDeadline applies to classes that declare no deadline.
 	DefaultDeadline time.Duration
-	// LeavingRetryAfter is told to callers while the instance is leaving.
-	LeavingRetryAfter time.Duration
+	// BusyRetryAfter tells callers when to come back to an instance that is
+	// leaving, full or not ready.
+	BusyRetryAfter time.Duration
 	// Retry shapes the retry budget.
 	Retry retry.Settings
 	// Idempotency bounds what is kept of idempotency keys.
@@ -137,6 +145,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MaxBodyBytes:      4 << 20,
+		BodyMemoryBytes:   64 << 20,
+		BodyTimeout:       10 * time.Second,
 		MaxAnswerBytes:    8 << 20,
 		StreamBufferBytes: 256 << 10,
 		WriteTimeout:      10 * time.Second,
@@ -144,7 +154,7 @@
 		MaxAttempts:       6,
 		FinishedRequests:  4096,
 		DefaultDeadline:   2 * time.Minute,
-		LeavingRetryAfter: 100 * time.Millisecond,
+		BusyRetryAfter:    100 * time.Millisecond,
 		Retry:             retry.DefaultSettings(),
 		Idempotency:       idempotency.DefaultSettings(),
 	}
--- a/pkg/entry/routes.go
+++ b/pkg/entry/routes.go
@@ -92,7 +92,7 @@
 func (e *Entry) authenticate(r *http.Request) (config.Account, *config.Snapshot, error) {
 	snapshot := e.options.Store.Current()
 	if snapshot == nil {
-		return config.Account{}, nil, fault.New(fault.NotReady, "this instance has no configuration yet").WithRetryAfter(e.settings.LeavingRetryAfter)
+		return config.Account{}, nil, fault.New(fault.NotReady, "this instance has no configuration yet").WithRetryAfter(e.settings.BusyRetryAfter)
 	}
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") || key == "" {
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -29,10 +29,11 @@
 	if _, ok := snapshot.TargetForService(name); !ok {
 		return fault.New(fault.UnknownService, "no target is the service "+name)
 	}
-	body, err := e.readBody(w, r)
+	body, release, err := e.readBody(w, r)
 	if err != nil {
 		return err
 	}
+	defer release()
 	repeat, err := repeatable(r.Header, repeatableMethod(r.Method))
 	if err != nil {
 		return err
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -69,29 +69,45 @@
 func (x *streamExchange) relay(events *upstream.EventReader, grant dispatch.Grant) error {
 	for {
 		payload, err := events.Next()
-		if err == io.EOF {
-			return x.atEnd()
+		if err == io.EOF || err == nil && bytes.Equal(payload, upstream.Done) {
+			return x.atEnd(fault.New(fault.UpstreamFailed, "the stream ended before the answer was complete"))
 		}
 		if err != nil {
-			return err
-		}
-		if bytes.Equal(payload, upstream.Done) {
-			return x.atEnd()
+			return x.atEnd(err)
 		}
 		if err := x.relayChunk(payload, grant); err != nil {
-			return err
+			return x.atEnd(err)
 		}
 	}
 }
 
-// atEnd accepts the end of the stream only when the answer has finished.
-func (x *streamExchange) atEnd() error {
+// atEnd ends the caller's stream when its answer is whole, however the engine's
+// stream ended, and returns the failure otherwise. An engine that broke off
+// after the last allowed token owes only the finish reason.
+func (x *streamExchange) atEnd(failure error) error {
+	if fault.From(failure).Code == fault.CallerGone {
+		return failure
+	}
+	if !x.transcript.finished && x.transcript.exhausted(x.chat) {
+		if err := x.finishAtLimit(); err != nil {
+			return err
+		}
+	}
 	if !x.transcript.finished {
-		return fault.New(fault.UpstreamFailed, "the stream ended before the answer was complete")
+		return failure
 	}
 	return x.out.push(upstream.Done)
 }
 
+func (x *streamExchange) finishAtLimit() error {
+	payload, err := upstream.FinishChunk(x.transcript.id, x.transcript.created, x.chat.Model, "length")
+	if err != nil {
+		return err
+	}
+	x.transcript.finished = true
+	return x.out.push(payload)
+}
+
 func (x *streamExchange) relayChunk(payload []byte, grant dispatch.Grant) error {
 	chunk, err := upstream.ParseChunk(payload)
 	if err != nil {
--- a/pkg/entry/transcript.go
+++ b/pkg/entry/transcript.go
@@ -35,6 +35,11 @@
 	return &upstream.Partial{Text: t.text.String(), Tokens: t.tokens}
 }
 
+// exhausted reports whether the caller has as many tokens as it allowed.
+func (t *transcript) exhausted(chat *upstream.ChatRequest) bool {
+	return chat.MaxTokens > 0 && t.tokens >= chat.MaxTokens
+}
+
 // resumable reports whether the rest of the answer can be had from the text.
 func (t *transcript) resumable(chat *upstream.ChatRequest) bool {
 	return !t.finished && !t.tools && chat.Resumable()
--- a/pkg/upstream/call.go
+++ b/pkg/upstream/call.go
@@ -34,7 +34,7 @@
 // left. It is safe for concurrent use.
 type Boundary struct {
 	sent    atomic.Bool
-	refused atomic.Bool
+	expired atomic.Bool
 }
 
 // RunState returns NotRun until a connection has been handed to the request.
@@ -59,7 +59,7 @@
 	if err == nil {
 		return response, nil
 	}
-	if boundary.refused.Load() && !boundary.sent.Load() {
+	if boundary.expired.Load() && !boundary.sent.Load() {
 		return nil, fault.Wrap(fault.LeaseExpired, err, "the lease ran out before the call")
 	}
 	failure := fault.Wrap(fault.UpstreamFailed, err, "the call to the upstream failed")
@@ -102,16 +102,21 @@
 			b.sent.Store(true)
 			return
 		}
-		b.refused.Store(true)
 		if info.Conn != nil {
 			_ = info.Conn.Close()
 		}
 	}}
 }
 
+// allows refuses a second connection, or one that was used before, to a call
+// that may be sent only once, and every connection after the lease.
 func (b *Boundary) allows(call Call, reused bool) bool {
 	if call.Once && (reused || b.sent.Load()) {
 		return false
 	}
-	return call.Guard == nil || call.Guard()
+	if call.Guard != nil && !call.Guard() {
+		b.expired.Store(true)
+		return false
+	}
+	return true
 }
--- a/pkg/upstream/chunk.go
+++ b/pkg/upstream/chunk.go
@@ -97,3 +97,29 @@
 	}
 	return encodeFields(fields)
 }
+
+// finishChunk is a chunk that adds only a finish reason.
+type finishChunk struct {
+	ID      string               `json:"id"`
+	Object  string               `json:"object"`
+	Created int64                `json:"created"`
+	Model   string               `json:"model"`
+	Choices [1]finishChunkChoice `json:"choices"`
+}
+
+type finishChunkChoice struct {
+	Index        int      `json:"index"`
+	Delta        struct{} `json:"delta"`
+	FinishReason string   `json:"finish_reason"`
+}
+
+// FinishChunk returns the payload that ends a choice of the stream.
+func FinishChunk(id string, created int64, model, reason string) ([]byte, error) {
+	chunk := finishChunk{ID: id, Object: "chat.completion.chunk", Created: created, Model: model}
+	chunk.Choices[0].FinishReason = reason
+	payload, err := json.Marshal(chunk)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encoding the end of a stream")
+	}
+	return payload, nil
+}
