--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of the project; README.md explains them.
 GO ?= go
 
-.PHONY: all build lint test demo prove bench slopes clean
+.PHONY: all build lint test up demo prove bench slopes clean
 
 all: lint test build
 
@@ -15,6 +15,9 @@
 test:
 	./scripts/test.sh
 
+up: build
+	./scripts/quickstart.sh
+
 demo: build
 	./scripts/demo.sh
 
