relay: life cycle by the chart, conflicting manifests, decisions tested; fork in the proof

Two manifests of one revision: the larger digest takes precedence everywhere and the other is recorded as conflicting_revision. The fake network delivers notifications by timers, so that a test may end while some are on their way.

--- /dev/null
+++ b/pkg/relay/decisions_test.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+func TestAdmit(t *testing.T) {
+	settings := DefaultSettings()
+	late := settings.AdmissionWait
+	cases := []struct {
+		name  string
+		state admission
+		want  bool
+	}{
+		{"nothing held", admission{listKnown: true, listed: 0, elapsed: late}, false},
+		{"alone on the list", admission{held: true, listKnown: true}, true},
+		{"list never read", admission{held: true}, false},
+		{"enough serving peers", admission{held: true, listed: 7, serving: 3}, true},
+		{"two serving of seven", admission{held: true, listed: 7, serving: 2}, false},
+		{"two serving of seven, late", admission{held: true, listed: 7, serving: 2, elapsed: late}, true},
+		{"the only other serves", admission{held: true, listed: 1, serving: 1}, true},
+		{"all start together", admission{held: true, listed: 7, fresh: 7}, true},
+		{"most start together", admission{held: true, listed: 7, fresh: 5}, false},
+		{"most start together, late", admission{held: true, listed: 7, fresh: 5, elapsed: late}, true},
+		{"smaller side of a partition, late", admission{held: true, listed: 7, fresh: 3, elapsed: late}, false},
+		{"isolated for an hour", admission{held: true, listed: 7, elapsed: time.Hour}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := admit(c.state, settings); got != c.want {
+				t.Errorf("admit = %v", got)
+			}
+		})
+	}
+}
+
+// drawManifest returns a manifest with some of ten parts.
+func drawManifest(t *rapid.T, revision types.Revision) platform.Manifest {
+	manifest := platform.Manifest{Revision: revision}
+	for i := range 10 {
+		if !rapid.Bool().Draw(t, "present") {
+			continue
+		}
+		content := fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "content"))
+		ref := platform.PartRef{Name: fmt.Sprintf("part-%d", i), Digest: platform.DigestOf([]byte(content)), Size: 1}
+		manifest.Parts = append(manifest.Parts, ref)
+	}
+	return manifest
+}
+
+func TestPatchReversesDifference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, next := drawManifest(t, 1), drawManifest(t, 2)
+		answer := manifestAnswer{Version: version{Revision: 2, Digest: next.Digest()}, Delta: true}
+		answer.Parts, answer.Removed = difference(base, next)
+		if got := patch(base, answer); got.Digest() != next.Digest() {
+			t.Fatalf("got %+v, want %+v", got, next)
+		}
+		for _, ref := range answer.Parts {
+			if byName(base)[ref.Name] == ref {
+				t.Fatalf("part %s did not change", ref.Name)
+			}
+		}
+	})
+}
+
+func TestReadersOfEachDataCentre(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var live []types.Instance
+		for i := range rapid.IntRange(1, 40).Draw(t, "size") {
+			centre := types.DataCentre(fmt.Sprintf("dc%d", rapid.IntRange(0, 3).Draw(t, "centre")))
+			live = append(live, types.Instance{ID: types.InstanceID(fmt.Sprintf("i%02d", i)), DataCentre: centre})
+		}
+		local, readers := map[types.DataCentre]int{}, map[types.DataCentre]int{}
+		for _, instance := range live {
+			local[instance.DataCentre]++
+			if isReader(instance, live, 2) {
+				readers[instance.DataCentre]++
+			}
+		}
+		for centre, count := range local {
+			if readers[centre] != min(2, count) {
+				t.Fatalf("%s has %d readers of %d", centre, readers[centre], count)
+			}
+		}
+	})
+}
+
+func TestPickPrefersTheDataCentre(t *testing.T) {
+	c := newChance(1)
+	var others []types.Instance
+	for i := range 20 {
+		others = append(others, types.Instance{ID: types.InstanceID(fmt.Sprint(i)), DataCentre: types.DataCentre(fmt.Sprint("dc", i%5))})
+	}
+	for range 50 {
+		local, seen := 0, map[types.InstanceID]bool{}
+		picked := c.pick(others, "dc0", 4)
+		for _, instance := range picked {
+			seen[instance.ID] = true
+			if instance.DataCentre == "dc0" {
+				local++
+			}
+		}
+		if len(picked) != 4 || len(seen) != 4 || local < 2 {
+			t.Fatalf("picked %+v", picked)
+		}
+	}
+	if got := c.pick(others[:1], "dc0", 4); len(got) != 1 {
+		t.Errorf("picked %+v of one", got)
+	}
+}
--- a/pkg/relay/take.go
+++ b/pkg/relay/take.go
@@ -5,11 +5,10 @@
 	"fmt"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -61,34 +60,61 @@
 	return wanted.newer(held) && !r.memory.isRejected(wanted)
 }
 
-// install fetches, compiles and applies a configuration.
+// install takes one revision through its life cycle: fetch, compile, apply.
 func (r *Relay) install(ctx context.Context, manifest platform.Manifest, wanted version, from origin) error {
 	started := time.Now()
-	held, current := r.held()
+	chart, err := loadChart()
+	if err != nil {
+		return err
+	}
+	life := chart.Start()
+	r.fire(life, eventFetch, wanted)
+	if life.State() != stateFetching {
+		return nil
+	}
+	_, current := r.held()
 	parts, err := r.fetchAll(ctx, manifest, current, from)
 	if err != nil {
+		r.fire(life, eventMissing, wanted)
 		return err
 	}
+	r.fire(life, eventAssemble, wanted)
 	snapshot, err := config.CompileParts(manifest.Revision, parts, current)
 	if err != nil {
+		r.fire(life, eventReject, wanted)
 		r.reject(wanted, err)
 		return nil
 	}
+	r.fire(life, eventAccept, wanted)
+	if life.State() != stateInForce {
+		return nil
+	}
+	return r.enforce(ctx, life, snapshot, started, from)
+}
+
+// enforce puts an accepted configuration in force and tells others.
+func (r *Relay) enforce(ctx context.Context, life *statechart.Machine, snapshot *config.Snapshot, started time.Time, from origin) error {
+	before, _ := r.held()
 	if err := r.options.Store.Apply(snapshot); err != nil {
 		return err
 	}
-	r.memory.apply(wanted, snapshot.Manifest())
+	if r.inForce != nil {
+		r.fire(r.inForce, eventSupersede, before)
+	}
+	r.inForce = life
+	applied := version{Revision: snapshot.Revision(), Digest: snapshot.Digest()}
+	r.memory.apply(applied, snapshot.Manifest())
 	r.counters.applied.Add(1)
 	r.record(timeline.Event{
 		Kind:     timeline.ConfigApplied,
-		Revision: wanted.Revision,
-		Detail:   fmt.Sprintf("digest %s from %s", wanted.Digest, from),
+		Revision: applied.Revision,
+		Detail:   fmt.Sprintf("digest %s from %s", applied.Digest, from),
 		Took:     time.Since(started),
 	})
-	if held.Revision == wanted.Revision {
-		r.reject(held, conflict(held, wanted))
+	if before.Revision == applied.Revision {
+		r.reject(before, conflict(before, applied))
 	}
-	r.announce(ctx, wanted)
+	r.announce(ctx, applied)
 	return nil
 }
 
@@ -114,81 +140,3 @@
 	message := fmt.Sprintf("revision %d has the digest %s and also %s, which takes precedence", loser.Revision, loser.Digest, winner.Digest)
 	return fault.New(fault.ConflictingRevision, message)
 }
-
-// fetchAll returns all parts of the manifest, those of the configuration in
-// force without a transfer.
-func (r *Relay) fetchAll(ctx context.Context, manifest platform.Manifest, current *config.Snapshot, from origin) ([]config.Encoded, error) {
-	parts := make([]config.Encoded, len(manifest.Parts))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(r.settings.PartConcurrency)
-	for i, ref := range manifest.Parts {
-		parts[i] = config.Encoded{Name: ref.Name, Digest: ref.Digest}
-		if held, ok := current.Part(ref); ok {
-			parts[i].Bytes = held
-			continue
-		}
-		group.Go(func() error {
-			bytes, err := r.fetch(ctx, ref, r.suppliers(from, current == nil))
-			parts[i].Bytes = bytes
-			return err
-		})
-	}
-	if err := group.Wait(); err != nil {
-		return nil, err
-	}
-	return parts, nil
-}
-
-// suppliers returns where to ask for a part, in order. What an instance told of
-// is asked of it first. What a reader read is asked of the service first, since
-// nobody else has it yet; a fresh instance asks others first, to spare the
-// service when many start at once.
-func (r *Relay) suppliers(from origin, fresh bool) []origin {
-	var peers []origin
-	picked := r.chance.pick(r.others(), r.options.View.Self().DataCentre, r.settings.FanOut)
-	for _, instance := range picked {
-		if instance.PeerAddress != from.address {
-			peers = append(peers, origin{instance: instance.ID, address: instance.PeerAddress})
-		}
-	}
-	switch {
-	case from != fromService:
-		return append(append([]origin{from}, peers...), fromService)
-	case fresh:
-		return append(peers, fromService)
-	default:
-		return append([]origin{fromService}, peers...)
-	}
-}
-
-// fetch returns one part from the first supplier that has it.
-func (r *Relay) fetch(ctx context.Context, ref platform.PartRef, suppliers []origin) ([]byte, error) {
-	var last error
-	for _, supplier := range suppliers {
-		part, err := r.fetchFrom(ctx, ref, supplier)
-		if err == nil {
-			return part, nil
-		}
-		last = err
-	}
-	return nil, fault.Wrap(fault.MissingPart, last, "part "+ref.Name)
-}
-
-// fetchFrom returns one part from one supplier and checks its digest.
-func (r *Relay) fetchFrom(ctx context.Context, ref platform.PartRef, supplier origin) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.settings.PartTimeout)
-	defer cancel()
-	if supplier == fromService {
-		return r.readPart(ctx, ref)
-	}
-	var answer partAnswer
-	query := partQuery{Name: ref.Name, Digest: ref.Digest}
-	if err := r.call(ctx, supplier, methodPart, query, &answer); err != nil {
-		return nil, err
-	}
-	if platform.DigestOf(answer.Bytes) != ref.Digest {
-		return nil, fault.New(fault.MissingPart, "the bytes do not have the digest")
-	}
-	r.counters.partsFromPeers.Add(1)
-	return answer.Bytes, nil
-}
--- a/pkg/rules/rules_test.go
+++ b/pkg/rules/rules_test.go
@@ -138,3 +138,13 @@
 		}
 	})
 }
+
+func BenchmarkCompile(b *testing.B) {
+	list := []Rule{{Name: "r", When: `kind == "chat" && labels["plan"] == "none" && headers["x-task"] == "summary"`}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Compile(list); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/standin/configuration/state.go
+++ b/pkg/standin/configuration/state.go
@@ -80,6 +80,23 @@
 	return manifest
 }
 
+// Fork adds the parts of a document without publishing it, and returns a
+// manifest of the next revision that lists them. Tests show it to some readers
+// as if replicas of the service disagreed.
+func (s *Service) Fork(document *config.Document) (platform.Manifest, error) {
+	parts, err := config.Split(document)
+	if err != nil {
+		return platform.Manifest{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, manifest := config.Encode(s.latest().Revision+1, parts)
+	for _, ref := range manifest.Parts {
+		s.parts[ref.Digest] = slices.Clone(parts[ref.Name])
+	}
+	return manifest, nil
+}
+
 // trim forgets old manifests and the parts that only they name.
 func (s *Service) trim() {
 	if len(s.history) <= maxHistory {
--- a/test/fakes/notify.go
+++ b/test/fakes/notify.go
@@ -8,10 +8,12 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 )
 
-// queue holds the notifications of one connection that are on their way. One
-// goroutine delivers them in order while there are any.
+// queue holds the notifications of one connection that are on their way, in
+// order of arrival.
 type queue struct {
 	waiting []notification
+	// busy says that a handler of the connection is running.
+	busy bool
 }
 
 // notification is one message without an answer.
@@ -46,7 +48,8 @@
 	return nil
 }
 
-// enqueue puts the notification at the end of its connection.
+// enqueue puts the notification at the end of its connection. It arrives no
+// sooner than the one before.
 func (n *Network) enqueue(message notification) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -55,19 +58,17 @@
 	if !ok {
 		q = &queue{}
 		n.queues[key] = q
-		go n.deliver(key, q)
+	}
+	if last := len(q.waiting) - 1; last >= 0 && message.arrival.Before(q.waiting[last].arrival) {
+		message.arrival = q.waiting[last].arrival
 	}
 	q.waiting = append(q.waiting, message)
+	time.AfterFunc(time.Until(message.arrival), func() { n.deliver(q) })
 }
 
-// deliver empties the queue in order.
-func (n *Network) deliver(key connection, q *queue) {
-	for {
-		message, ok := n.next(key, q)
-		if !ok {
-			return
-		}
-		time.Sleep(time.Until(message.arrival))
+// deliver hands over what has arrived, one after the other.
+func (n *Network) deliver(q *queue) {
+	for message, ok := n.next(q, false); ok; message, ok = n.next(q, true) {
 		target, cut := n.reach(message.from, message.to)
 		if target == nil || cut {
 			continue
@@ -78,14 +79,19 @@
 	}
 }
 
-// next takes the first message of the queue, or forgets the empty queue.
-func (n *Network) next(key connection, q *queue) (notification, bool) {
+// next takes the first message that has arrived. The caller says whether it is
+// the one that keeps the queue busy.
+func (n *Network) next(q *queue, owner bool) (notification, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(q.waiting) == 0 {
-		delete(n.queues, key)
+	if q.busy && !owner {
+		return notification{}, false
+	}
+	if len(q.waiting) == 0 || time.Now().Before(q.waiting[0].arrival) {
+		q.busy = false
 		return notification{}, false
 	}
+	q.busy = true
 	message := q.waiting[0]
 	q.waiting = q.waiting[1:]
 	return message, true
--- a/test/fakes/platform.go
+++ b/test/fakes/platform.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/standin/configuration"
@@ -18,6 +19,7 @@
 	mu    sync.Mutex
 	cut   map[string]bool
 	stale map[string]types.Revision
+	forks map[string]platform.Manifest
 }
 
 // NewPlatform returns a platform that has published nothing.
@@ -26,6 +28,7 @@
 		Service: configuration.New(),
 		cut:     map[string]bool{},
 		stale:   map[string]types.Revision{},
+		forks:   map[string]platform.Manifest{},
 	}
 }
 
@@ -51,12 +54,38 @@
 	p.stale[name] = revision
 }
 
+// Fork shows the named readers the document under the next revision, while
+// others see what is published under it.
+func (p *Platform) Fork(document *config.Document, names ...string) (platform.Manifest, error) {
+	manifest, err := p.Service.Fork(document)
+	if err != nil {
+		return manifest, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, name := range names {
+		p.forks[name] = manifest
+	}
+	return manifest, nil
+}
+
+// seenBy returns the manifest as the named reader sees it.
+func (p *Platform) seenBy(name string, manifest platform.Manifest) platform.Manifest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if fork, ok := p.forks[name]; ok && fork.Revision == manifest.Revision {
+		return fork
+	}
+	return manifest
+}
+
 // Heal ends the faults of single readers.
 func (p *Platform) Heal() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.cut)
 	clear(p.stale)
+	clear(p.forks)
 }
 
 // faults returns the faults of the reader.
@@ -86,7 +115,7 @@
 	if cut, _, _ := r.platform.faults(r.name); cut {
 		return platform.Manifest{}, unreachable()
 	}
-	return manifest, err
+	return r.platform.seenBy(r.name, manifest), err
 }
 
 // Part implements platform.Source.
--- a/test/prove/configuration_fleet_test.go
+++ b/test/prove/configuration_fleet_test.go
@@ -186,6 +186,28 @@
 	}
 }
 
+// fork publishes a document and shows some readers another one of the same
+// revision, as replicas of the service that disagree would.
+func (f *relayFleet) fork() {
+	var misled []string
+	for _, row := range f.rows {
+		if f.random.IntN(3) == 0 {
+			misled = append(misled, string(row.ID))
+		}
+	}
+	other, err := f.platform.Fork(f.document(), misled...)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	name := configurationName{other.Revision, other.Digest()}
+	f.history.valid[name] = true
+	f.publish()
+	// Readers see one of the two, so only the lesser is due from the service.
+	if f.accepted.above(name) {
+		f.accepted = name
+	}
+}
+
 // publishBad publishes a document that every instance must refuse.
 func (f *relayFleet) publishBad() {
 	f.showsBad = true
--- a/test/prove/configuration_test.go
+++ b/test/prove/configuration_test.go
@@ -59,7 +59,7 @@
 // step makes one random change or fault.
 func (f *relayFleet) step() {
 	f.faults++
-	switch f.random.IntN(10) {
+	switch f.random.IntN(11) {
 	case 0, 1:
 		f.publish()
 	case 2:
@@ -78,6 +78,8 @@
 		f.togglePartition()
 	case 9:
 		f.restart()
+	case 10:
+		f.fork()
 	}
 }
 
