prove: configuration with readers misled, isolated restarts and an order of its own

The proof did not notice when the audits, the admission of fresh instances or the tie-break between two documents of one revision were switched off: random cuts seldom hit all readers, restarts were seldom isolated, and the checker used the product's own order. It now keeps all readers from the service at once, restarts an instance that reaches a stale service alone, and orders by itself.

--- a/test/prove/configuration_checker_test.go
+++ b/test/prove/configuration_checker_test.go
@@ -1,11 +1,11 @@
 package prove
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -26,9 +26,11 @@
 	digest   platform.Digest
 }
 
-// above reports whether the configuration takes the place of other.
+// above reports whether the configuration takes the place of other: by the
+// revision, and between two documents of one revision by the digest. It stands
+// apart from the product's own order.
 func (n configurationName) above(other configurationName) bool {
-	return config.Newer(n.revision, n.digest, other.revision, other.digest)
+	return cmp.Or(cmp.Compare(n.revision, other.revision), cmp.Compare(n.digest, other.digest)) > 0
 }
 
 // instanceSample is what one instance had at one moment.
--- a/test/prove/configuration_fleet_test.go
+++ b/test/prove/configuration_fleet_test.go
@@ -238,18 +238,23 @@
 // them to a replica that stays at the revision of now.
 func (f *relayFleet) cutReaders(stale bool) {
 	for _, row := range f.rows {
-		if f.random.IntN(3) > 0 {
-			continue
-		}
-		f.cut[row.ID] = true
-		if stale {
-			f.platform.SetStale(string(row.ID), f.accepted.revision)
-		} else {
-			f.platform.Cut(string(row.ID))
+		if f.random.IntN(3) == 0 {
+			f.mislead(row, stale)
 		}
 	}
 }
 
+// mislead keeps one instance from the service, or leads it to a replica that
+// stays at the revision of now.
+func (f *relayFleet) mislead(row types.Instance, stale bool) {
+	f.cut[row.ID] = true
+	if stale {
+		f.platform.SetStale(string(row.ID), f.accepted.revision)
+	} else {
+		f.platform.Cut(string(row.ID))
+	}
+}
+
 // healReaders lets all instances read the service again.
 func (f *relayFleet) healReaders() {
 	clear(f.cut)
@@ -267,6 +272,12 @@
 	f.network.Partition(sides...)
 }
 
+// isolate cuts one instance off from all others.
+func (f *relayFleet) isolate(row types.Instance) {
+	f.group[row.ID] = 1
+	f.network.Partition([]string{row.PeerAddress})
+}
+
 // heal ends the partition.
 func (f *relayFleet) heal() {
 	clear(f.group)
--- a/test/prove/configuration_test.go
+++ b/test/prove/configuration_test.go
@@ -59,7 +59,7 @@
 // step makes one random change or fault.
 func (f *relayFleet) step() {
 	f.faults++
-	switch f.random.IntN(11) {
+	switch f.random.IntN(13) {
 	case 0, 1:
 		f.publish()
 	case 2:
@@ -80,6 +80,10 @@
 		f.restart()
 	case 10:
 		f.fork()
+	case 11:
+		f.misleadReaders()
+	case 12:
+		f.restartAlone()
 	}
 }
 
@@ -99,9 +103,37 @@
 	}
 }
 
+// misleadReaders keeps every instance that waits at the service from it, or
+// leads them all to a replica that stays at the revision of now, and publishes.
+func (f *relayFleet) misleadReaders() {
+	f.setDown(false)
+	f.healReaders()
+	stale := f.random.IntN(2) == 0
+	for _, row := range f.rows {
+		member, up := f.running[row.ID]
+		if up && member.relay.Status().Reader {
+			f.mislead(row, stale)
+		}
+	}
+	f.publish()
+}
+
+// restartAlone replaces an instance that reaches a stale service and no other
+// instance.
+func (f *relayFleet) restartAlone() {
+	f.heal()
+	row := f.rows[f.random.IntN(len(f.rows))]
+	f.isolate(row)
+	f.restartOf(row)
+}
+
 // restart replaces an instance while its service is stale.
 func (f *relayFleet) restart() {
-	row := f.rows[f.random.IntN(len(f.rows))]
+	f.restartOf(f.rows[f.random.IntN(len(f.rows))])
+}
+
+// restartOf replaces the instance while its service is stale.
+func (f *relayFleet) restartOf(row types.Instance) {
 	f.stop(row)
 	f.cut[row.ID] = true
 	f.platform.SetStale(string(row.ID), f.accepted.revision-1)
