--- a/pkg/config/bad_test.go
+++ b/pkg/config/bad_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/platform"
 )
 
 // problemsOf parses and validates a text and returns the problems as check
@@ -170,3 +171,31 @@
 		t.Errorf("%v", err)
 	}
 }
+
+func TestCheckManifest(t *testing.T) {
+	large := func(count, size int) platform.Manifest {
+		manifest := platform.Manifest{Revision: 1}
+		for i := range count {
+			manifest.Parts = append(manifest.Parts, platform.PartRef{Name: fmt.Sprint(i), Size: size})
+		}
+		return manifest
+	}
+	cases := []struct {
+		name     string
+		manifest platform.Manifest
+		valid    bool
+	}{
+		{"largest parts", large(24, MaxPartBytes), true},
+		{"most parts", large(4096, 1), true},
+		{"too large a part", large(1, MaxPartBytes+1), false},
+		{"too many parts", large(4097, 1), false},
+		{"too much in all", large(25, MaxPartBytes), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if err := CheckManifest(c.manifest); (err == nil) != c.valid {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+}
--- a/pkg/config/compile.go
+++ b/pkg/config/compile.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -12,9 +11,6 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// maxParts bounds the number of parts of one configuration.
-const maxParts = 4096
-
 // decodedPart is one part after decoding. It is immutable and shared by the
 // snapshots that hold the same part.
 type decodedPart struct {
@@ -43,9 +39,12 @@
 // them. Parts that previous holds too are not decoded again; previous may be
 // nil. The verdict depends on the parts alone.
 func CompileParts(revision types.Revision, parts []Encoded, previous *Snapshot) (*Snapshot, error) {
-	if len(parts) > maxParts {
-		message := fmt.Sprintf("%d parts, at most %d are allowed", len(parts), maxParts)
-		return nil, invalid([]Problem{{Index: -1, Message: message}})
+	sizes := make(map[string]int, len(parts))
+	for _, part := range parts {
+		sizes[part.Name] = len(part.Bytes)
+	}
+	if problems := checkSizes(len(parts), sizes); len(problems) > 0 {
+		return nil, invalid(problems)
 	}
 	decoded, err := decodeParts(parts, previous)
 	if err != nil {
@@ -86,9 +85,6 @@
 // decodePart decodes one part and checks its accounts. Parts are JSON alone: a
 // part is read by every instance, and the bounds of a YAML reader are weaker.
 func decodePart(part Encoded) (*decodedPart, []Problem) {
-	if len(part.Bytes) > MaxPartBytes {
-		return nil, []Problem{tooLarge(part.Name, len(part.Bytes))}
-	}
 	var problems []Problem
 	index := &accountPart{raw: part.Bytes}
 	count := 0
--- a/pkg/config/parts.go
+++ b/pkg/config/parts.go
@@ -17,6 +17,10 @@
 const (
 	// MaxPartBytes is the largest part that the platform holds.
 	MaxPartBytes = 1 << 20
+	// MaxDocumentBytes is the largest sum of all parts of one configuration.
+	MaxDocumentBytes = 24 << 20
+	// maxParts bounds the number of parts of one configuration.
+	maxParts = 4096
 	// accountBuckets is the number of parts that accounts are spread over.
 	accountBuckets = 256
 	// upstreamBuckets is the number of parts that upstreams are spread over.
@@ -79,6 +83,35 @@
 	return parts, nil
 }
 
+// CheckManifest refuses a manifest whose parts would be too many or too large,
+// before any of them is fetched. The failure has code InvalidConfiguration.
+func CheckManifest(manifest platform.Manifest) error {
+	sizes := make(map[string]int, len(manifest.Parts))
+	for _, ref := range manifest.Parts {
+		sizes[ref.Name] = ref.Size
+	}
+	return invalid(checkSizes(len(manifest.Parts), sizes))
+}
+
+// checkSizes checks the number and the sizes of the parts.
+func checkSizes(count int, sizes map[string]int) []Problem {
+	var problems []Problem
+	if count > maxParts {
+		problems = append(problems, Problem{Index: -1, Message: fmt.Sprintf("%d parts, at most %d are allowed", count, maxParts)})
+	}
+	total := 0
+	for _, name := range slices.Sorted(maps.Keys(sizes)) {
+		total += sizes[name]
+		if sizes[name] > MaxPartBytes {
+			problems = append(problems, tooLarge(name, sizes[name]))
+		}
+	}
+	if total > MaxDocumentBytes {
+		problems = append(problems, Problem{Index: -1, Message: fmt.Sprintf("%d bytes in all parts, at most %d are allowed", total, MaxDocumentBytes)})
+	}
+	return problems
+}
+
 // tooLarge is the problem of a part above MaxPartBytes.
 func tooLarge(name string, size int) Problem {
 	return Problem{Part: name, Index: -1, Message: fmt.Sprintf("%d bytes, at most %d are allowed", size, MaxPartBytes)}
--- a/pkg/relay/fleet_test.go
+++ b/pkg/relay/fleet_test.go
@@ -47,6 +47,13 @@
 
 // start runs a relay for the row until ctx ends.
 func (f *testFleet) start(ctx context.Context, row types.Instance) *Relay {
+	relay := f.add(row)
+	go func() { _ = relay.Run(ctx) }()
+	return relay
+}
+
+// add puts a relay on the network that does not run.
+func (f *testFleet) add(row types.Instance) *Relay {
 	caller, registrar := f.network.Node(row.PeerAddress, peer.Identity{Instance: row.ID, DataCentre: row.DataCentre})
 	view := fakes.NewView(row)
 	view.SetLive(f.rows)
@@ -60,7 +67,6 @@
 	})
 	relay.Register(registrar)
 	f.relays = append(f.relays, relay)
-	go func() { _ = relay.Run(ctx) }()
 	return relay
 }
 
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -40,7 +40,7 @@
 func (r *Relay) auditLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		fleet := max(len(r.options.View.Live()), 1)
-		pause(ctx, r.chance.around(time.Duration(fleet)*r.settings.AuditPeriod))
+		pause(ctx, r.chance.below(2*time.Duration(fleet)*r.settings.AuditPeriod))
 		if ctx.Err() == nil {
 			r.readOnce(ctx, r.memory.lastSeen(), 0)
 		}
--- a/pkg/relay/selection.go
+++ b/pkg/relay/selection.go
@@ -45,6 +45,13 @@
 	return d/2 + time.Duration(c.random.Int64N(int64(d)+1))
 }
 
+// below returns a duration between zero and d.
+func (c *chance) below(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.random.Int64N(int64(d) + 1))
+}
+
 // shuffled returns the instances in random order.
 func (c *chance) shuffled(instances []types.Instance) []types.Instance {
 	c.mu.Lock()
--- a/pkg/relay/take.go
+++ b/pkg/relay/take.go
@@ -63,6 +63,10 @@
 // install takes one revision through its life cycle: fetch, compile, apply.
 func (r *Relay) install(ctx context.Context, manifest platform.Manifest, wanted version, from origin) error {
 	started := time.Now()
+	if err := config.CheckManifest(manifest); err != nil {
+		r.reject(wanted, err)
+		return nil
+	}
 	chart, err := loadChart()
 	if err != nil {
 		return err
