prove: a poison request crashes upstream after upstream

Cause: each copy is retried within the budget, and each attempt crashes one more upstream with all that it runs.

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -68,6 +68,7 @@
 		account:    in.account,
 		attributes: in.attributes,
 		arrival:    time.Now(),
+		body:       in.body,
 		open:       in.open,
 		life:       e.charts.request.Start(),
 	}
@@ -82,6 +83,9 @@
 	held.decision = decision
 	e.fire(held.life, eventClassify)
 	e.options.Recorder.Record(held.event(timeline.RequestClassified))
+	if condemned := e.screen(held); condemned != nil {
+		return admission{}, e.refuse(held, condemned)
+	}
 	leave, err := e.countIn(in.account, held.arrival)
 	if err != nil {
 		return admission{}, e.refuse(held, err)
@@ -123,7 +127,10 @@
 
 // refuse records a refusal before any attempt and returns it.
 func (e *Entry) refuse(held *request, err error) error {
-	failure := fault.From(err).WithRunState(types.NotRun)
+	failure := fault.From(err)
+	if failure.Code != fault.Quarantined {
+		failure = failure.WithRunState(types.NotRun)
+	}
 	e.fire(held.life, eventRefuse)
 	event := held.event(timeline.RequestRefused)
 	event.Code = string(failure.Code)
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -54,6 +54,9 @@
 	e.budget.Earn()
 	e.fire(held.life, eventEnqueue)
 	for {
+		if condemned := e.screen(held); condemned != nil {
+			return condemned
+		}
 		e.options.Recorder.Record(held.event(timeline.RequestEnqueued))
 		ask := held.poolRequest(e.options.Incarnation, deadline, x.generated())
 		grant, err := e.options.Granter.Acquire(limited, held.decision.Target.Name, ask)
@@ -66,6 +69,9 @@
 			return nil
 		}
 		if !e.mayRetry(limited, held, x, end) {
+			if end.reason == pool.FinishCrashed {
+				pause(limited, spreadPause)
+			}
 			return held.settle(limited, end.err)
 		}
 		e.fire(held.life, again(end), held.facts()...)
@@ -90,8 +96,10 @@
 
 	started := time.Now()
 	life := e.charts.attempt.Start()
+	suspect := e.enterSuspect(held)
 	end := classify(running, e.exchange(running, held, x, grant, life))
 	e.endAttempt(life, end)
+	end = e.judge(held, suspect, end)
 	e.finish(held, x, grant, end, time.Since(started))
 	return end
 }
@@ -199,6 +207,9 @@
 	if !held.attributes.Repeatable && held.sent {
 		return false
 	}
+	if end.err.Code == fault.Quarantined {
+		return false
+	}
 	if !held.life.Can(again(end), held.facts()...) || !x.resumable() {
 		return false
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/umbercrank/umbercrank/pkg/limits"
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -40,7 +41,9 @@
 	OnceTransport http.RoundTripper
 	// Addresses returns the answer of GET /v1/addresses, encoded as JSON.
 	Addresses func() any
-	Settings  Settings
+	// Caller sends to other instances; nil keeps the quarantine local.
+	Caller   peer.Caller
+	Settings Settings
 }
 
 // Entry serves callers. It is safe for concurrent use.
@@ -55,6 +58,9 @@
 	keys     *idempotency.Store
 	charts   charts
 	memory   *semaphore.Weighted
+
+	quarantine *quarantine.Quarantine
+	suspects   *suspectRuns
 }
 
 // New returns an Entry that serves at once. Failures are of code Internal.
@@ -71,9 +77,16 @@
 		budget:   retry.NewBudget(options.Settings.Retry),
 		registry: newRegistry(options.Settings.FinishedRequests),
 		gate:     newGate(),
+		suspects: newSuspectRuns(),
 		memory:   semaphore.NewWeighted(options.Settings.BodyMemoryBytes),
 		keys:     idempotency.NewStore(options.Incarnation, options.Settings.Idempotency),
 	}
+	e.quarantine = quarantine.New(quarantine.Options{
+		View:     options.View,
+		Caller:   options.Caller,
+		Logger:   options.Logger,
+		Settings: options.Settings.Quarantine,
+	})
 	app := iris.New()
 	e.route(app)
 	if err := app.Build(); err != nil {
@@ -90,13 +103,10 @@
 func (e *Entry) Window() idempotency.Window { return e.keys.Current() }
 
 // Register adds the handlers for messages from other instances.
-func (e *Entry) Register(peer.Registrar) {}
+func (e *Entry) Register(registrar peer.Registrar) { e.quarantine.Register(registrar) }
 
 // Run carries out the background work until ctx ends.
-func (e *Entry) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
+func (e *Entry) Run(ctx context.Context) error { return e.quarantine.Run(ctx) }
 
 // Drain refuses new requests from now on and waits until all requests in flight
 // have ended, or returns a failure when ctx ends first.
@@ -139,6 +149,8 @@
 	Retry retry.Settings
 	// Idempotency bounds what is kept of idempotency keys.
 	Idempotency idempotency.Settings
+	// Quarantine bounds what is kept of requests that crash upstreams.
+	Quarantine quarantine.Settings
 }
 
 // DefaultSettings returns the settings for a small instance.
@@ -157,5 +169,6 @@
 		BusyRetryAfter:    100 * time.Millisecond,
 		Retry:             retry.DefaultSettings(),
 		Idempotency:       idempotency.DefaultSettings(),
+		Quarantine:        quarantine.DefaultSettings(),
 	}
 }
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -10,6 +10,7 @@
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
@@ -25,8 +26,14 @@
 	id         types.RequestID
 	account    config.Account
 	attributes rules.Attributes
-	decision   config.Decision
-	arrival    time.Time
+	// body is the caller's body, and fingerprint its name in the quarantine once
+	// it was needed.
+	body        []byte
+	fingerprint *quarantine.Fingerprint
+	// suspect is 1 when the request was part of a crash before this attempt.
+	suspect  int
+	decision config.Decision
+	arrival  time.Time
 	// life is the state of the request in its chart.
 	life *statechart.Machine
 	// open, if set, must hold right before the first byte to an upstream.
@@ -66,6 +73,7 @@
 		FirstTokenIn: r.firstTokenIn(waited, generated),
 		DeadlineIn:   max(time.Until(deadline), 1),
 		Repeatable:   r.attributes.Repeatable,
+		Suspect:      r.suspect,
 		Preemptible:  r.attributes.Repeatable && r.decision.Class.Preemptible,
 	}
 }
@@ -93,6 +101,9 @@
 // after an attempt that may have run is not "not run".
 func (r *request) settle(ctx context.Context, err error) *fault.Error {
 	failure := fault.From(err)
+	if failure.Code == fault.Quarantined {
+		return failure
+	}
 	switch context.Cause(ctx) {
 	case context.DeadlineExceeded:
 		failure = fault.Wrap(fault.DeadlineExceeded, err, "the deadline passed before the answer was complete")
--- a/pkg/idempotency/table.go
+++ b/pkg/idempotency/table.go
@@ -69,6 +69,10 @@
 	result  Result
 }
 
+// windowsAhead is how far a key may be ahead of the executor's own clock: the
+// directory that named the window may read another clock a moment earlier.
+const windowsAhead = 1
+
 // Table decides, for one incarnation, which copy of a keyed request executes.
 // It is pure: the time is the monotonic time since the start of the instance.
 // It is not safe for concurrent use.
@@ -122,7 +126,7 @@
 	if key.Incarnation != t.incarnation {
 		return fault.New(fault.OutcomeUnknown, "the key names another executor")
 	}
-	if key.Window > t.settings.Windows.Current(now) {
+	if key.Window > t.settings.Windows.Current(now)+windowsAhead {
 		return fault.New(fault.KeyInvalid, "the key names a window that has not begun")
 	}
 	if t.settings.Windows.Closed(key.Window, now) {
