Quarantine contains a request that crashes upstreams

Change: the entry counts, by a fingerprint of account and canonical content, the crashes that a request was part of. A suspect is marked in the pool's request, which keeps suspects apart, and is condemned when it crashes a second upstream as the only suspect there. A suspect that completes is cleared; calls without a body have no fingerprint.

Ruled out: condemning every request of a crashed batch, which refuses the innocents; a count of crashes alone, which an unlucky innocent reaches too.

Limit: an innocent suspect whose next engine is crashed by a second request, still unknown there, is condemned with it.

--- a/pkg/entry/poison.go
+++ b/pkg/entry/poison.go
@@ -80,7 +80,7 @@
 // suspected one before its next attempt.
 func (e *Entry) screen(held *request) *fault.Error {
 	held.suspect = 0
-	if e.quarantine != nil {
+	if e.quarantine.Empty() {
 		return nil
 	}
 	print, ok := held.print()
@@ -133,7 +133,7 @@
 
 func (e *Entry) accuse(held *request, only bool, end ending) ending {
 	print, ok := held.print()
-	if !ok || !only || !e.quarantine.Crashed(print, only).Condemned {
+	if !ok || !e.quarantine.Crashed(print, only).Condemned {
 		return end
 	}
 	event := held.event(timeline.Quarantined)
