--- /dev/null
+++ b/pkg/entry/bench_test.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/rules"
+	"github.com/umbercrank/umbercrank/pkg/upstream"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
+)
+
+// BenchmarkAdmit measures a chat from the parsed body to its place in the queue:
+// classify, count in, count out.
+func BenchmarkAdmit(b *testing.B) {
+	bench := newBench(b, httpfakes.NewUpstream("u1"))
+	snapshot := bench.entry.options.Store.Current()
+	account, _ := snapshot.AccountByKey("good")
+	body := []byte(chatJSON("a question of some length", `,"stream":true`))
+	in := inbound{
+		http: newChat("a"), account: account, snapshot: snapshot, body: body,
+		attributes: rules.Attributes{Kind: kindChat, Model: "m", Repeatable: true},
+	}
+	w := httptest.NewRecorder()
+	b.ReportAllocs()
+	for b.Loop() {
+		admitted, err := bench.entry.admit(w, in)
+		if err != nil {
+			b.Fatal(err)
+		}
+		admitted.leave()
+	}
+}
+
+// BenchmarkParseChat measures the reading of a body and the writing of the one
+// for the engine.
+func BenchmarkParseChat(b *testing.B) {
+	body := []byte(chatJSON("a question of some length", `,"stream":true,"temperature":0.2`))
+	b.ReportAllocs()
+	for b.Loop() {
+		chat, err := upstream.ParseChat(body)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := chat.Body(2, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// discardWriter is a caller that reads at once.
+type discardWriter struct{ header http.Header }
+
+func (w discardWriter) Header() http.Header         { return w.header }
+func (w discardWriter) WriteHeader(int)             {}
+func (w discardWriter) Write(p []byte) (int, error) { return io.Discard.Write(p) }
+func (w discardWriter) Flush()                      {}
+
+// BenchmarkRelayToken measures one token from the engine's event to the
+// caller's write.
+func BenchmarkRelayToken(b *testing.B) {
+	out := newOutflow(discardWriter{http.Header{}}, 256<<10, time.Second)
+	go out.pump(func() {})
+	defer out.close()
+	x := &streamExchange{out: out}
+	x.transcript.begin()
+	x.attempt.begin()
+	grant := &httpfakes.Grant{}
+	payload := []byte(`{"id":"chatcmpl-1","object":"chat.completion.chunk","created":1,"model":"m","choices":[{"index":0,"delta":{"content":" token"},"finish_reason":null}]}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := x.relayChunk(payload, grant); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -145,6 +145,8 @@
 	// BusyRetryAfter tells callers when to come back to an instance that is
 	// leaving, full or not ready.
 	BusyRetryAfter time.Duration
+	// DefaultRetryAfter is told with a refusal for which nothing better is known.
+	DefaultRetryAfter time.Duration
 	// Retry shapes the retry budget.
 	Retry retry.Settings
 	// Idempotency bounds what is kept of idempotency keys.
@@ -167,6 +169,7 @@
 		FinishedRequests:  4096,
 		DefaultDeadline:   2 * time.Minute,
 		BusyRetryAfter:    100 * time.Millisecond,
+		DefaultRetryAfter: time.Second,
 		Retry:             retry.DefaultSettings(),
 		Idempotency:       idempotency.DefaultSettings(),
 		Quarantine:        quarantine.DefaultSettings(),
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -58,7 +58,7 @@
 	granter *httpfakes.Granter
 }
 
-func newBench(t *testing.T, upstreams ...*httpfakes.Upstream) *bench {
+func newBench(t testing.TB, upstreams ...*httpfakes.Upstream) *bench {
 	t.Helper()
 	network := httpfakes.NewNetwork()
 	t.Cleanup(network.Close)
@@ -71,6 +71,7 @@
 		Incarnation:   "01ARZ3NDEKTSV4RRFFQ69G5FAV",
 		Store:         newStore(t),
 		Granter:       granter,
+		View:          httpfakes.NewFleet().View(types.Instance{ID: "e1"}),
 		Recorder:      discard{},
 		Logger:        zerolog.Nop(),
 		Transport:     network.Transport("e1", "e1", false),
@@ -91,11 +92,22 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
+	return b.serve(request)
+}
+
+func (b *bench) serve(request *http.Request) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
 	b.entry.Handler().ServeHTTP(w, request)
 	return w
 }
 
+// newChat returns a streamed chat with the prompt.
+func newChat(prompt string) *http.Request {
+	request := httptest.NewRequest("POST", chatURL, strings.NewReader(chatJSON(prompt, `,"stream":true`)))
+	request.Header.Set("Authorization", "Bearer good")
+	return request
+}
+
 const chatURL = "/v1/chat/completions"
 
 func chatJSON(prompt string, extra string) string {
--- /dev/null
+++ b/pkg/entry/lifecycle_test.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
+)
+
+// refuseOnce refuses the first request and grants the others.
+func refuseOnce() func(pool.Request) error {
+	first := true
+	return func(pool.Request) error {
+		if !first {
+			return nil
+		}
+		first = false
+		return fault.New(fault.Overloaded, "the queue is full")
+	}
+}
+
+func TestDrainFinishesWhatIsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, httpfakes.NewUpstream("u1"))
+		answered := make(chan string)
+		go func() { answered <- b.send("POST", chatURL, chatJSON("a", `,"stream":true`)).Body.String() }()
+		synctest.Wait()
+		drained := make(chan error, 1)
+		go func() { drained <- b.entry.Drain(context.Background()) }()
+		synctest.Wait()
+		w := b.send("POST", chatURL, chatJSON("b", ""))
+		if w.Code != 503 || w.Header().Get("Retry-After") == "" || !strings.Contains(w.Body.String(), `"code":"leaving"`) {
+			t.Fatalf("while leaving: %d %s", w.Code, w.Body)
+		}
+		if text, done := streamText(t, <-answered); text != httpfakes.Answer("a", 5) || !done {
+			t.Fatalf("in flight: %q %v", text, done)
+		}
+		if err := <-drained; err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// stuckWriter takes the header and then no byte until its deadline, as a caller
+// does that stops reading.
+type stuckWriter struct {
+	header   http.Header
+	deadline time.Time
+}
+
+func (w *stuckWriter) Header() http.Header { return w.header }
+func (w *stuckWriter) WriteHeader(int)     {}
+func (w *stuckWriter) Flush()              {}
+func (w *stuckWriter) SetWriteDeadline(at time.Time) error {
+	w.deadline = at
+	return nil
+}
+func (w *stuckWriter) Write([]byte) (int, error) {
+	time.Sleep(time.Until(w.deadline))
+	return 0, context.DeadlineExceeded
+}
+
+func TestStuckCallerGivesTheUpstreamBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		u.Tokens = 1_000_000
+		b := newBench(t, u)
+		request := newChat("a")
+		started := time.Now()
+		b.entry.Handler().ServeHTTP(&stuckWriter{header: http.Header{}}, request)
+		if took := time.Since(started); took > 2*DefaultSettings().WriteTimeout {
+			t.Fatalf("held the upstream for %v", took)
+		}
+		if ends := b.granter.Finished(); len(ends) != 1 || ends[0].Reason != pool.FinishCancelled {
+			t.Fatalf("ends %+v", ends)
+		}
+	})
+}
+
+func TestCallerGoneCancelsTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		u.Tokens = 1000
+		b := newBench(t, u)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		b.serve(newChat("a").WithContext(ctx))
+		if ends := b.granter.Finished(); len(ends) != 1 || ends[0].Reason != pool.FinishCancelled {
+			t.Fatalf("ends %+v", ends)
+		}
+	})
+}
+
+func TestStreamThatCannotResumeEndsWithAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		u.Tokens = 50
+		b := newBench(t, u)
+		time.AfterFunc(100*time.Millisecond, u.Crash)
+		w := b.send("POST", chatURL, chatJSON("a", `,"stream":true,"n":2`))
+		body := w.Body.String()
+		if strings.Contains(body, "[DONE]") || !strings.Contains(body, `"code":"upstream_failed"`) {
+			t.Fatalf("%s", body)
+		}
+	})
+}
+
+func TestExpiredLeaseSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		b := newBench(t, u)
+		b.granter.Lease = time.Second
+		b.granter.AtGuard = func() { time.Sleep(2 * time.Second) }
+		w := b.claim(ownKey, "x")
+		if w.Code != 503 || !strings.Contains(w.Body.String(), `"run_state":"not_run"`) {
+			t.Fatalf("%d %s", w.Code, w.Body)
+		}
+		if u.Count(ownKey) != 0 {
+			t.Fatal("executed after the lease")
+		}
+	})
+}
+
+func TestStatusOfARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, httpfakes.NewUpstream("u1"))
+		id := b.send("POST", chatURL, chatJSON("a", "")).Header().Get("X-Request-Id")
+		w := b.send("GET", "/v1/requests/"+id, "")
+		if w.Code != 200 || !strings.Contains(w.Body.String(), `"state":"answered"`) || !strings.Contains(w.Body.String(), `"run_state":"ran"`) {
+			t.Fatalf("%d %s", w.Code, w.Body)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/entry/once_test.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
+)
+
+const (
+	claimURL = "/v1/services/queue/claim"
+	ownKey   = "01ARZ3NDEKTSV4RRFFQ69G5FAV.0.n1"
+	// otherKey names an incarnation that nobody knows.
+	otherKey = "01BX5ZZKBKACTAV9WEVGEMMVRZ.0.n1"
+)
+
+// claim sends a call that is not repeatable.
+func (b *bench) claim(key, body string, header ...string) *httptest.ResponseRecorder {
+	header = append(header, "Idempotency-Key", key, httpfakes.MarkerHeader, key)
+	return b.send("POST", claimURL, body, header...)
+}
+
+func TestKeysOfCallsThatAreNotRepeatable(t *testing.T) {
+	tests := []struct {
+		name, key, hop string
+		status         int
+		code           fault.Code
+	}{
+		{"no key", "", "", 400, fault.KeyRequired},
+		{"a key of the caller's own", "order-17", "", 400, fault.KeyInvalid},
+		{"a window to come", "01ARZ3NDEKTSV4RRFFQ69G5FAV.7.n", "", 400, fault.KeyInvalid},
+		{"another incarnation", otherKey, "", 409, fault.OutcomeUnknown},
+		{"another incarnation, forwarded here", otherKey, "1", 409, fault.OutcomeUnknown},
+	}
+	u := httpfakes.NewUpstream("u1")
+	b := newBench(t, u)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := b.claim(test.key, "x", "X-Umbercrank-Hop", test.hop)
+			if w.Code != test.status || !strings.Contains(w.Body.String(), string(test.code)) {
+				t.Fatalf("%d %s", w.Code, w.Body)
+			}
+		})
+	}
+	if runs := u.Executions(); len(runs) != 0 {
+		t.Fatalf("executed %v", runs)
+	}
+}
+
+func TestCopiesShareOneExecution(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		b := newBench(t, u)
+		bodies := make([]string, 4)
+		var group sync.WaitGroup
+		for i := range bodies {
+			group.Go(func() { bodies[i] = b.claim(ownKey, "x").Body.String() })
+		}
+		group.Wait()
+		for _, body := range bodies {
+			if body != bodies[0] || !strings.Contains(body, `"result":"u1/0"`) {
+				t.Fatalf("%q and %q", body, bodies[0])
+			}
+		}
+		if u.Count(ownKey) != 1 {
+			t.Fatalf("executed %d times", u.Count(ownKey))
+		}
+		if w := b.claim(ownKey, "other body"); w.Code != 422 || !strings.Contains(w.Body.String(), string(fault.KeyReused)) {
+			t.Fatalf("reused: %d %s", w.Code, w.Body)
+		}
+		time.Sleep(DefaultSettings().Idempotency.Windows.Length + DefaultSettings().Idempotency.Windows.Grace)
+		if w := b.claim(ownKey, "x"); w.Code != 409 || !strings.Contains(w.Body.String(), string(fault.KeyExpired)) {
+			t.Fatalf("late: %d %s", w.Code, w.Body)
+		}
+	})
+}
+
+func TestChatMarkedNotRepeatable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		b := newBench(t, u)
+		for range 2 {
+			w := b.send("POST", chatURL, chatJSON("a", `,"stream":true`), "X-Umbercrank-Repeatable", "false", "Idempotency-Key", ownKey)
+			if text, done := streamText(t, w.Body.String()); text != httpfakes.Answer("a", 5) || !done {
+				t.Fatalf("%q done %v", text, done)
+			}
+		}
+		if u.Count("a") != 1 {
+			t.Fatalf("executed %d times", u.Count("a"))
+		}
+	})
+}
+
+func TestOutcomeOfAFailedExecutionIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		u.Script(httpfakes.CrashAfterExecute)
+		b := newBench(t, u)
+		for range 2 {
+			w := b.claim(ownKey, "x")
+			if w.Code != 502 || !strings.Contains(w.Body.String(), string(types.MayHaveRun)) {
+				t.Fatalf("%d %s", w.Code, w.Body)
+			}
+		}
+		if u.Count(ownKey) != 1 {
+			t.Fatalf("executed %d times", u.Count(ownKey))
+		}
+	})
+}
+
+func TestKeyIsFreeAfterNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		b := newBench(t, u)
+		b.granter.Refuse = refuseOnce()
+		if w := b.claim(ownKey, "x"); w.Code != 503 || !strings.Contains(w.Body.String(), string(types.NotRun)) {
+			t.Fatalf("%d %s", w.Code, w.Body)
+		}
+		if w := b.claim(ownKey, "x"); w.Code != 200 {
+			t.Fatalf("%d %s", w.Code, w.Body)
+		}
+	})
+}
--- a/pkg/entry/routes.go
+++ b/pkg/entry/routes.go
@@ -66,6 +66,7 @@
 }
 
 func (e *Entry) writeFailure(w http.ResponseWriter, failure *fault.Error) {
+	failure = e.withRetryAfter(failure)
 	w.Header().Set(headerRunState, string(failure.RunState))
 	if failure.Code.Status() >= http.StatusInternalServerError {
 		e.options.Logger.Warn().Err(failure).Str("code", string(failure.Code)).Msg("request failed")
@@ -75,6 +76,17 @@
 	}
 }
 
+// withRetryAfter tells callers of a busy or missing part when to come back, when
+// the part itself did not.
+func (e *Entry) withRetryAfter(failure *fault.Error) *fault.Error {
+	status := failure.Code.Status()
+	busy := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	if !busy || failure.RetryAfter > 0 {
+		return failure
+	}
+	return failure.WithRetryAfter(e.settings.DefaultRetryAfter)
+}
+
 func serveNotFound(http.ResponseWriter, *http.Request, iris.Context) error {
 	return fault.New(fault.NotFound, "the path and method name nothing")
 }
--- a/test/httpfakes/upstream.go
+++ b/test/httpfakes/upstream.go
@@ -93,6 +93,13 @@
 	u.crashed = make(chan struct{})
 }
 
+// Script fixes the faults of the next calls.
+func (u *Upstream) Script(faults ...Fault) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pending = append(u.pending, faults...)
+}
+
 // atDial draws the fault of the next call; those that strike later wait for it.
 func (u *Upstream) atDial() Fault {
 	if u.Plan == nil {
--- a/test/prove/answers_test.go
+++ b/test/prove/answers_test.go
@@ -122,7 +122,7 @@
 	}
 	group.Go(func() {
 		time.Sleep(begin)
-		r.keep(r.ask(host, c))
+		r.keep(r.request(host, c))
 	})
 }
 
@@ -145,8 +145,8 @@
 	leaveAfter time.Duration
 }
 
-// ask sends one chat and takes the answer in the manner of the caller.
-func (w *entryWorld) ask(host string, c *answerCaller) history.Answer {
+// request sends one chat and takes the answer in the manner of the caller.
+func (w *entryWorld) request(host string, c *answerCaller) history.Answer {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if c.leaveAfter > 0 {
--- a/test/prove/poison_test.go
+++ b/test/prove/poison_test.go
@@ -91,7 +91,7 @@
 	caller := &answerCaller{stream: true, prompt: fmt.Sprintf("good%d", number)}
 	group.Go(func() {
 		time.Sleep(begin)
-		answer := r.ask(host, caller)
+		answer := r.request(host, caller)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.answers = append(r.answers, answer)
