--- /dev/null
+++ b/pkg/history/stop.go
@@ -0,0 +1,107 @@
+package history
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/timeline"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// The rules that Stop checks.
+const (
+	// RuleCut is broken by a request that an instance took and that failed.
+	RuleCut = "request cut"
+	// RuleNeverEnded is broken by a request without an end.
+	RuleNeverEnded = "request without an end"
+	// RuleEndedLate is broken by a request that ended after its instance stopped.
+	RuleEndedLate = "request ended after the stop"
+	// RuleTurnedAway is broken by an instance that no longer takes a caller
+	// although the caller has not held its address for too long.
+	RuleTurnedAway = "caller turned away within the lifetime of its address"
+)
+
+// StopOptions are the parameters of Stop.
+type StopOptions struct {
+	// Lifetime is how long callers may keep an address.
+	Lifetime time.Duration
+}
+
+// stopChecker follows the requests of each instance.
+type stopChecker struct {
+	options    StopOptions
+	open       map[requestAt]timeline.Event
+	stopped    map[types.InstanceID]int64
+	violations []EventViolation
+	checked    int
+}
+
+// requestAt is a request at the instance that took it.
+type requestAt struct {
+	instance types.InstanceID
+	request  types.RequestID
+}
+
+// Stop checks that planned stops cut nothing: every request that an instance
+// took ends with its answer, before the instance stops, and no caller is turned
+// away within the lifetime of its address. The history must be of a fleet with
+// room for all its requests. It returns the violations and the number of
+// requests checked.
+func Stop(events []timeline.Event, options StopOptions) ([]EventViolation, int) {
+	c := &stopChecker{
+		options: options,
+		open:    map[requestAt]timeline.Event{},
+		stopped: map[types.InstanceID]int64{},
+	}
+	for _, event := range ordered(events) {
+		c.take(event)
+	}
+	for _, event := range c.open {
+		c.flag(event, RuleNeverEnded, "it arrived and was neither answered nor refused")
+	}
+	return c.violations, c.checked
+}
+
+func (c *stopChecker) take(event timeline.Event) {
+	key := requestAt{event.Instance, event.Request}
+	switch event.Kind {
+	case timeline.InstanceStopped:
+		c.stopped[event.Instance] = event.Stamp.Wall
+	case timeline.RequestArrived:
+		c.checked++
+		c.open[key] = event
+	case timeline.RequestAnswered:
+		c.end(key, event)
+	case timeline.RequestRefused:
+		c.refused(key, event)
+	case timeline.RequestFailed:
+		c.flag(event, RuleCut, "it failed with "+event.Code)
+		c.end(key, event)
+	}
+}
+
+// end closes the request and checks that its instance still ran.
+func (c *stopChecker) end(key requestAt, event timeline.Event) {
+	delete(c.open, key)
+	if at, stopped := c.stopped[event.Instance]; stopped && event.Stamp.Wall > at {
+		c.flag(event, RuleEndedLate, "the instance had stopped")
+	}
+}
+
+// refused checks a refusal: an instance may turn away only callers that have
+// kept its address for too long. The event's Took is how long it was kept.
+func (c *stopChecker) refused(key requestAt, event timeline.Event) {
+	if _, taken := c.open[key]; taken {
+		c.flag(event, RuleCut, "it was taken and then refused with "+event.Code)
+	}
+	delete(c.open, key)
+	if event.Code == string(fault.Leaving) && event.Took <= c.options.Lifetime {
+		detail := fmt.Sprintf("the address was %v old, its lifetime is %v", event.Took, c.options.Lifetime)
+		c.flag(event, RuleTurnedAway, detail)
+	}
+}
+
+func (c *stopChecker) flag(event timeline.Event, rule, detail string) {
+	c.violations = append(c.violations, violationOf(event, rule, detail))
+}
--- /dev/null
+++ b/pkg/history/stop_test.go
@@ -0,0 +1,56 @@
+package history
+
+import (
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/timeline"
+)
+
+// requestEvent returns an event of the request "r" at the instance "i".
+func requestEvent(second float64, kind timeline.Kind, code string) timeline.Event {
+	return stamped(second, timeline.Event{Kind: kind, Instance: "i", Request: "r", Code: code})
+}
+
+func instanceEvent(second float64, kind timeline.Kind) timeline.Event {
+	return stamped(second, timeline.Event{Kind: kind, Instance: "i"})
+}
+
+// turnedAway returns the refusal of a caller that has kept the address.
+func turnedAway(second float64, kept time.Duration) timeline.Event {
+	event := requestEvent(second, timeline.RequestRefused, "leaving")
+	event.Took = kept
+	return event
+}
+
+func TestStopFlagsCutRequests(t *testing.T) {
+	arrived := requestEvent(1, timeline.RequestArrived, "")
+	leaving := instanceEvent(2, timeline.InstanceLeaving)
+	cases := []struct {
+		name   string
+		events []timeline.Event
+		want   string
+	}{
+		{"answered before the stop", []timeline.Event{
+			arrived, leaving, requestEvent(4, timeline.RequestAnswered, ""), instanceEvent(5, timeline.InstanceStopped)}, ""},
+		{"failed", []timeline.Event{arrived, leaving, requestEvent(4, timeline.RequestFailed, "upstream_failed")}, RuleCut},
+		{"taken and then refused", []timeline.Event{
+			arrived, leaving, requestEvent(14, timeline.RequestRefused, "leaving")}, RuleCut},
+		{"never ended", []timeline.Event{arrived, leaving, instanceEvent(5, timeline.InstanceStopped)}, RuleNeverEnded},
+		{"answered by a stopped instance", []timeline.Event{
+			arrived, instanceEvent(5, timeline.InstanceStopped), requestEvent(6, timeline.RequestAnswered, "")}, RuleEndedLate},
+		{"turned away with a fresh address", []timeline.Event{leaving, turnedAway(14, 2*time.Second)}, RuleTurnedAway},
+		{"turned away with an old address", []timeline.Event{leaving, turnedAway(14, 11*time.Second)}, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			violations, _ := Stop(c.events, StopOptions{Lifetime: 10 * time.Second})
+			if c.want == "" && len(violations) > 0 {
+				t.Fatalf("unexpected violations: %v", violations)
+			}
+			if c.want != "" && (len(violations) == 0 || violations[0].Rule != c.want) {
+				t.Fatalf("violations %v, want %q", violations, c.want)
+			}
+		})
+	}
+}
