Dispatchers poll their upstreams and admit only those seen to be available

Ruled out: polling by every entry (cost grows with the fleet) and trust in the published configuration (late).

A dispatcher reads GET /load of its pool's upstreams about once a second, holds events back until each has been heard of or waited for, spreads what it knows with its answers, and refuses with no_upstream when nothing is available, so that entries turn to the sibling pools. An entry keeps its own word until the dispatcher's list confirms or denies it.

--- a/pkg/dispatch/answers.go
+++ b/pkg/dispatch/answers.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"slices"
 	"time"
-
-	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // maxActionsPerBatch bounds the actions of one message.
@@ -95,16 +92,3 @@
 	s.sentAt = now
 	return batch, true, false
 }
-
-// leaving returns the upstreams that are known to be leaving, ordered by ID.
-// The lock is held.
-func (p *poolDispatcher) leaving() []types.UpstreamID {
-	var ids []types.UpstreamID
-	for id, u := range p.upstreams {
-		if u.leaving {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -134,3 +134,19 @@
 		}
 	})
 }
+
+func TestSiblingPoolServesWhenTheLocalOneIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, document(4, "lac", "ariana"))
+		defer c.stop()
+		c.upstreams.down["engine-0"] = true
+		grant, err := c.members[0].dispatch.Acquire(t.Context(), testTarget, request("a"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer grant.Finish(pool.Finish{Reason: pool.FinishComplete})
+		if got := grant.Upstream().ID; got != "engine-1" {
+			t.Fatalf("granted %s, want the sibling's engine-1", got)
+		}
+	})
+}
--- a/pkg/dispatch/dispatcherside.go
+++ b/pkg/dispatch/dispatcherside.go
@@ -16,8 +16,9 @@
 type dispatcherSide struct {
 	dispatch *Dispatch
 
-	mu    sync.Mutex
-	pools map[types.PoolID]*poolDispatcher
+	mu       sync.Mutex
+	pools    map[types.PoolID]*poolDispatcher
+	draining bool
 }
 
 func newDispatcherSide(d *Dispatch) *dispatcherSide {
@@ -36,12 +37,26 @@
 
 // receive applies an entry's message.
 func (ds *dispatcherSide) receive(from peer.Identity, batch eventBatch) {
-	p, ok := ds.dispatcher(batch)
-	if !ok {
-		ds.answerUnknown(from, batch)
-		return
+	for {
+		p, ok := ds.dispatcher(batch)
+		if !ok {
+			ds.answerUnknown(from, batch)
+			return
+		}
+		if p.receive(from, batch) {
+			return
+		}
+		ds.forget(p)
+	}
+}
+
+// forget drops a dispatcher that has ended.
+func (ds *dispatcherSide) forget(p *poolDispatcher) {
+	ds.mu.Lock()
+	defer ds.mu.Unlock()
+	if ds.pools[p.pool] == p {
+		delete(ds.pools, p.pool)
 	}
-	p.receive(from, batch)
 }
 
 // dispatcher returns the dispatcher of the batch's pool. The opening of a
@@ -115,13 +130,22 @@
 
 // tick drops silent entries and sends heartbeats.
 func (ds *dispatcherSide) tick() {
+	draining := ds.isDraining()
 	for _, p := range ds.all() {
-		p.tick()
+		if draining {
+			p.dismiss()
+		}
+		if ended := p.tick(); ended {
+			ds.forget(p)
+		}
 	}
 }
 
 // drain tells all entries to move until none is left.
 func (ds *dispatcherSide) drain(ctx context.Context) {
+	ds.mu.Lock()
+	ds.draining = true
+	ds.mu.Unlock()
 	ticker := time.NewTicker(ds.dispatch.options.Settings.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -142,6 +166,13 @@
 	}
 }
 
+// isDraining reports whether this instance hands its pools over.
+func (ds *dispatcherSide) isDraining() bool {
+	ds.mu.Lock()
+	defer ds.mu.Unlock()
+	return ds.draining
+}
+
 // handleProbe answers an entry that avoided this instance, once the way back to
 // it has been seen to work.
 func (ds *dispatcherSide) handleProbe(ctx context.Context, _ peer.Identity, params json.RawMessage) (any, error) {
@@ -149,6 +180,9 @@
 	if err := json.Unmarshal(params, &question); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "malformed probe")
 	}
+	if ds.isDraining() {
+		return nil, fault.New(fault.Leaving, "the instance hands its pools over")
+	}
 	ctx, cancel := context.WithTimeout(ctx, ds.dispatch.options.Settings.SendTimeout/2)
 	defer cancel()
 	return nil, ds.dispatch.options.Caller.Call(ctx, question.ReplyTo, echoMethod, struct{}{}, nil)
--- a/pkg/dispatch/entryside.go
+++ b/pkg/dispatch/entryside.go
@@ -25,7 +25,7 @@
 	lastTicket uint64
 	avoided    map[types.InstanceID]*avoidance
 	// leaving holds the upstreams known to be leaving.
-	leaving   map[types.UpstreamID]bool
+	leaving   map[types.UpstreamID]leavingWord
 	summaries map[types.PoolID]summaryReading
 	tickedAt  time.Time
 }
@@ -41,7 +41,7 @@
 		dispatch:  d,
 		streams:   map[types.PoolID]*stream{},
 		avoided:   map[types.InstanceID]*avoidance{},
-		leaving:   map[types.UpstreamID]bool{},
+		leaving:   map[types.UpstreamID]leavingWord{},
 		summaries: map[types.PoolID]summaryReading{},
 		tickedAt:  time.Now(),
 	}
@@ -114,7 +114,7 @@
 	finish.ID = g.ticket.request.ID
 	finish.Upstream = g.upstream.ID
 	if finish.Reason == pool.FinishLeaving {
-		e.leaving[g.upstream.ID] = true
+		e.leaving[g.upstream.ID] = leavingWord{g.stream.pool, time.Now()}
 	}
 	g.stream.push(pool.Event{Finish: &finish})
 }
@@ -157,7 +157,7 @@
 		return
 	}
 	s.acknowledge(batch.Acknowledged)
-	e.noteLeaving(batch.Leaving)
+	e.noteLeaving(s.pool, batch.Leaving, now)
 	e.summaries[s.pool] = summaryReading{batch.Summary, now}
 	switch placed(s.received, batch.Sequence, batch.carries()) {
 	case repeated:
@@ -169,13 +169,6 @@
 	}
 }
 
-// noteLeaving keeps the dispatcher's word that upstreams are leaving.
-func (e *entrySide) noteLeaving(upstreams []types.UpstreamID) {
-	for _, id := range upstreams {
-		e.leaving[id] = true
-	}
-}
-
 // apply carries out the actions of a batch. The lock is held.
 func (e *entrySide) apply(s *stream, batch actionBatch, now time.Time) {
 	for _, action := range batch.Actions {
@@ -206,7 +199,7 @@
 		e.offerAgain(s, t)
 		return
 	}
-	if e.leaving[upstream.ID] {
+	if e.isLeaving(upstream.ID) {
 		e.returnGrant(s, granted, pool.FinishLeaving)
 		e.offerAgain(s, t)
 		return
--- a/pkg/dispatch/failover.go
+++ b/pkg/dispatch/failover.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -146,15 +145,3 @@
 		e.reselect(s, now)
 	}
 }
-
-// leavingOf returns those of the upstreams that are known to be leaving. The
-// lock is held.
-func (e *entrySide) leavingOf(upstreams []config.Upstream) []types.UpstreamID {
-	var leaving []types.UpstreamID
-	for _, upstream := range upstreams {
-		if e.leaving[upstream.ID] {
-			leaving = append(leaving, upstream.ID)
-		}
-	}
-	return leaving
-}
--- a/pkg/dispatch/holdings.go
+++ b/pkg/dispatch/holdings.go
@@ -145,9 +145,19 @@
 
 // of returns the holdings of an entry ordered by ID.
 func (h *holdings) of(entry types.Incarnation) []*holding {
+	return h.choose(func(one *holding) bool { return one.entry == entry })
+}
+
+// allWaiting returns the holdings that wait, ordered by ID.
+func (h *holdings) allWaiting() []*holding {
+	return h.choose(func(one *holding) bool { return one.upstream == "" })
+}
+
+// choose returns the holdings that fit, ordered by ID.
+func (h *holdings) choose(fits func(*holding) bool) []*holding {
 	var held []*holding
 	for _, one := range h.requests {
-		if one.entry == entry {
+		if fits(one) {
 			held = append(held, one)
 		}
 	}
--- a/pkg/dispatch/loads.go
+++ b/pkg/dispatch/loads.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -17,7 +18,8 @@
 // concurrent use.
 type LoadReader interface {
 	// Load returns the upstream's own report. The failure has code NoUpstream
-	// when nothing listens there, and UpstreamFailed for any other failure.
+	// when nothing listens there, NotFound when the upstream has no report to
+	// give, and UpstreamFailed otherwise.
 	Load(ctx context.Context, upstream config.Upstream) (LoadReport, error)
 }
 
@@ -32,6 +34,11 @@
 	AgeMilliseconds int64 `json:"age_ms"`
 }
 
+// age returns how old the report is.
+func (r LoadReport) age() time.Duration {
+	return time.Duration(r.AgeMilliseconds) * time.Millisecond
+}
+
 // maxReportBytes bounds the body of a load report.
 const maxReportBytes = 64 << 10
 
@@ -57,7 +64,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return report, fault.New(fault.UpstreamFailed, "the upstream reports no load: "+response.Status)
+		return report, fault.New(fault.NotFound, "the upstream reports no load: "+response.Status)
 	}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report); err != nil {
 		return report, fault.Wrap(fault.UpstreamFailed, err, "the upstream's load report is malformed")
--- a/pkg/dispatch/pooldispatcher.go
+++ b/pkg/dispatch/pooldispatcher.go
@@ -26,6 +26,18 @@
 	upstreams map[types.UpstreamID]*upstreamStatus
 	revision  types.Revision
 	tickedAt  time.Time
+	beganAt   time.Time
+	// availableAt is when an upstream was last available.
+	availableAt time.Time
+	// usedAt is when the last stream ended.
+	usedAt time.Time
+	// open says that events reach the policy; held are those that wait for it.
+	open bool
+	held []pool.Event
+	// closed says that the dispatcher has ended for want of streams.
+	closed bool
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // entryStream is the dispatcher's end of the exchange with one entry. Its
@@ -51,6 +63,7 @@
 }
 
 func newPoolDispatcher(d *Dispatch, id types.PoolID) *poolDispatcher {
+	now := time.Now()
 	p := &poolDispatcher{
 		dispatch:  d,
 		pool:      id,
@@ -58,25 +71,34 @@
 		holdings:  newHoldings(),
 		entries:   map[types.Incarnation]*entryStream{},
 		upstreams: map[types.UpstreamID]*upstreamStatus{},
-		tickedAt:  time.Now(),
+		tickedAt:  now,
+		beganAt:   now,
+		usedAt:    now,
+
+		availableAt: now,
 	}
+	p.ctx, p.cancel = context.WithCancel(d.ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.configureLocked()
 	return p
 }
 
-// run passes time to the policy until ctx ends.
-func (p *poolDispatcher) run(ctx context.Context) {
+// run passes time to the policy until the dispatcher ends.
+func (p *poolDispatcher) run(context.Context) {
 	ticker := time.NewTicker(p.dispatch.options.Settings.PolicyInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-p.ctx.Done():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
 			p.mu.Lock()
-			p.handle(pool.Event{})
+			p.openLate(now)
+			if p.open {
+				p.handle(pool.Event{})
+			}
+			p.refuseWithoutUpstreams(now)
 			p.mu.Unlock()
 		}
 	}
@@ -87,11 +109,15 @@
 func (p *poolDispatcher) handle(event pool.Event) {
 	now := time.Since(p.dispatch.start)
 	for _, action := range p.policy.Handle(now, event) {
-		entry := p.holdings.act(action)
-		if s, ok := p.entries[entry]; ok {
-			s.pending = append(s.pending, action)
-			s.signal()
-		}
+		p.queue(p.holdings.act(action), action)
+	}
+}
+
+// queue adds an action to the next batch for the entry. The lock is held.
+func (p *poolDispatcher) queue(entry types.Incarnation, action pool.Action) {
+	if s, ok := p.entries[entry]; ok {
+		s.pending = append(s.pending, action)
+		s.signal()
 	}
 }
 
@@ -102,11 +128,19 @@
 	}
 }
 
-// receive applies an entry's batch.
-func (p *poolDispatcher) receive(from peer.Identity, batch eventBatch) {
-	now := time.Now()
+// receive applies an entry's batch. It returns false when the dispatcher has
+// ended.
+func (p *poolDispatcher) receive(from peer.Identity, batch eventBatch) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.closed {
+		p.receiveLocked(from, batch)
+	}
+	return !p.closed
+}
+
+func (p *poolDispatcher) receiveLocked(from peer.Identity, batch eventBatch) {
+	now := time.Now()
 	s, ok := p.entries[from.Incarnation]
 	if batch.Reset && (!ok || batch.Epoch > s.epoch) {
 		s = p.openStream(from, batch, s)
@@ -166,7 +200,7 @@
 		}
 		events := p.holdings.reconcile(s.identity.Incarnation, s.opening)
 		s.opening = nil
-		p.handleAll(events)
+		p.submit(events...)
 		p.repeatPreemptions(s)
 	} else {
 		for _, event := range batch.Events {
@@ -180,7 +214,7 @@
 func (p *poolDispatcher) applyEvent(s *entryStream, event pool.Event) {
 	p.observe(event)
 	if p.holdings.note(s.identity.Incarnation, event) {
-		p.handle(event)
+		p.submit(event)
 	}
 }
 
@@ -211,12 +245,14 @@
 	s.gone = true
 	s.signal()
 	delete(p.entries, s.identity.Incarnation)
-	p.handleAll(p.holdings.drop(s.identity.Incarnation))
-	p.handle(pool.Event{EntryLost: &pool.EntryLost{Entry: s.identity.Incarnation}})
+	p.usedAt = time.Now()
+	p.submit(p.holdings.drop(s.identity.Incarnation)...)
+	p.submit(pool.Event{EntryLost: &pool.EntryLost{Entry: s.identity.Incarnation}})
 }
 
-// tick drops the entries that are silent and wakes the senders.
-func (p *poolDispatcher) tick() {
+// tick drops the entries that are silent and wakes the senders. It returns true
+// when the dispatcher has ended, because no stream has been open for long.
+func (p *poolDispatcher) tick() (ended bool) {
 	settings := p.dispatch.options.Settings
 	now := time.Now()
 	p.mu.Lock()
@@ -233,6 +269,11 @@
 		}
 		s.signal()
 	}
+	if len(p.entries) == 0 && now.Sub(p.usedAt) > settings.IdlePool {
+		p.closed = true
+		p.cancel()
+	}
+	return p.closed
 }
 
 // dismiss tells the entries to move, and returns how many other instances have
@@ -282,13 +323,8 @@
 		return
 	}
 	p.revision = snapshot.Revision()
-	upstreams := snapshot.PoolUpstreams(p.pool)
-	p.keepUpstreams(upstreams)
-	p.handle(pool.Event{Configure: &pool.Configure{
-		Revision:  p.revision,
-		Classes:   snapshot.Classes(),
-		Upstreams: upstreams,
-	}})
+	p.keepUpstreams(snapshot.PoolUpstreams(p.pool))
+	p.admit()
 }
 
 // describe returns the granted upstreams for an entry whose configuration is
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -37,6 +37,14 @@
 	DefaultPollInterval = time.Second
 	// DefaultPollTimeout bounds the reading of one load report.
 	DefaultPollTimeout = 400 * time.Millisecond
+	// DefaultOpenWait is how long a new dispatcher waits for the load reports of
+	// all its upstreams once it has one.
+	DefaultOpenWait = 100 * time.Millisecond
+	// DefaultUpstreamPatience is how long requests wait in a pool without an
+	// available upstream.
+	DefaultUpstreamPatience = time.Second
+	// DefaultIdlePool is how long a dispatcher without streams goes on.
+	DefaultIdlePool = time.Minute
 	// DefaultSummaryLifetime is how long a pool's load summary is trusted.
 	DefaultSummaryLifetime = 3 * time.Second
 )
@@ -57,6 +65,9 @@
 	MaxPools          int
 	PollInterval      time.Duration
 	PollTimeout       time.Duration
+	OpenWait          time.Duration
+	UpstreamPatience  time.Duration
+	IdlePool          time.Duration
 	SummaryLifetime   time.Duration
 }
 
@@ -75,6 +86,9 @@
 	setDefault(&s.MaxPools, DefaultMaxPools)
 	setDefault(&s.PollInterval, DefaultPollInterval)
 	setDefault(&s.PollTimeout, DefaultPollTimeout)
+	setDefault(&s.OpenWait, DefaultOpenWait)
+	setDefault(&s.UpstreamPatience, DefaultUpstreamPatience)
+	setDefault(&s.IdlePool, DefaultIdlePool)
 	setDefault(&s.SummaryLifetime, DefaultSummaryLifetime)
 	return s
 }
