Members watch each other and pass on who is leaving, down or new

Cause: see the proof of stop before: the published list alone is late or out of reach. Ruled out: a full mesh of heartbeats (cost grows with the fleet).

Each instance exchanges about twice a second, in turn with one of three ring successors and with a random peer; recent claims travel with the exchanges, the instance itself refutes doubts by a higher version, whole views are compared by marks when digests differ without news. A planned stop tells 16 peers at once.

--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -1,12 +1,12 @@
 package membership
 
 import (
-	"cmp"
 	"context"
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/peer"
@@ -27,14 +27,29 @@
 	Logger      zerolog.Logger
 }
 
-// Members is the View of one instance. It is safe for concurrent use.
+// Members is the View of one instance: the shell of a table. It is safe for
+// concurrent use.
 type Members struct {
 	options Options
 
-	mu           sync.Mutex
-	rows         map[types.InstanceID]types.Instance
-	incarnations map[types.InstanceID]types.Incarnation
-	changed      chan struct{}
+	mu    sync.Mutex
+	table *table
+	// live caches the table's live rows.
+	live    []types.Instance
+	changed chan struct{}
+	// wake asks for an exchange at once.
+	wake chan struct{}
+	// probing holds the instances that are being probed.
+	probing      map[types.InstanceID]bool
+	reconciledAt time.Time
+	turn         int
+	// random is seeded by the incarnation.
+	random *rand.Rand
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+	stopped bool
 }
 
 var _ View = (*Members)(nil)
@@ -43,124 +58,162 @@
 func New(o Options) *Members {
 	o.Settings = o.Settings.withDefaults()
 	o.Self.State = types.InstanceLive
-	return &Members{
-		options:      o,
-		rows:         map[types.InstanceID]types.Instance{o.Self.ID: o.Self},
-		incarnations: map[types.InstanceID]types.Incarnation{o.Self.ID: o.Incarnation},
-		changed:      make(chan struct{}),
+	now := time.Now()
+	self := fact{
+		Row:         o.Self,
+		Incarnation: o.Incarnation,
+		Version:     uint64(max(1, now.UnixMilli())),
+		Health:      alive,
 	}
+	m := &Members{
+		options: o,
+		table:   newTable(self, o.Settings, now),
+		changed: make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+		probing: map[types.InstanceID]bool{},
+		random:  rand.New(rand.NewPCG(xxhash.Sum64String(string(o.Incarnation)), 0)),
+	}
+	m.live = m.table.live()
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	return m
 }
 
 // Register adds the methods that peers call.
-func (m *Members) Register(peer.Registrar) {}
+func (m *Members) Register(r peer.Registrar) {
+	r.Handle(exchangeMethod, m.handleExchange)
+	r.Handle(probeMethod, m.handleProbe)
+}
 
-// Run reads the published list until ctx ends.
+// Run reads the published list and exchanges with peers until ctx ends. It
+// returns nil.
 func (m *Members) Run(ctx context.Context) error {
-	ticker := time.NewTicker(m.options.Settings.ListInterval)
-	defer ticker.Stop()
-	for {
-		m.readList(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	defer m.workers.Wait()
+	defer m.stop()
+	m.spawn(m.readLists)
+	m.exchangeAll(ctx)
+	return nil
 }
 
-// Leave marks this instance as leaving.
-func (m *Members) Leave(context.Context) {
+// stop ends the workers.
+func (m *Members) stop() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	self := m.rows[m.options.Self.ID]
-	self.State = types.InstanceLeaving
-	m.rows[self.ID] = self
-	m.announce()
-}
-
-// readList takes the published list, or keeps the last one.
-func (m *Members) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, m.options.Settings.ListTimeout)
-	defer cancel()
-	list, err := m.options.Source.Instances(ctx)
-	if err != nil {
-		m.options.Logger.Debug().Err(err).Msg("the instance list cannot be read")
-		return
-	}
-	m.apply(list)
+	m.stopped = true
+	m.cancel()
 }
 
-func (m *Members) apply(list []types.Instance) {
+// spawn runs work that ends with Run.
+func (m *Members) spawn(work func(ctx context.Context)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rows := map[types.InstanceID]types.Instance{m.options.Self.ID: m.rows[m.options.Self.ID]}
-	for _, row := range list {
-		if row.ID != m.options.Self.ID {
-			rows[row.ID] = row
-		}
+	m.spawnLocked(work)
+}
+
+func (m *Members) spawnLocked(work func(ctx context.Context)) {
+	if !m.stopped {
+		m.workers.Go(func() { work(m.ctx) })
 	}
-	if mapsEqual(rows, m.rows) {
-		return
+}
+
+// update changes the table and tells those who wait for a change of the view.
+func (m *Members) update(change func(t *table, now time.Time) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if change(m.table, time.Now()) {
+		m.announce()
 	}
-	m.rows = rows
-	m.announce()
 }
 
-// announce wakes those who wait for a change. The lock is held.
+// announce publishes a changed view. The lock is held.
 func (m *Members) announce() {
+	before := m.live
+	m.live = m.table.live()
+	m.recordChanges(before, m.live)
 	close(m.changed)
 	m.changed = make(chan struct{})
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
 }
 
-func mapsEqual(a, b map[types.InstanceID]types.Instance) bool {
-	if len(a) != len(b) {
-		return false
+// recordChanges puts what came and went on the time line.
+func (m *Members) recordChanges(before, after []types.Instance) {
+	was := map[types.InstanceID]bool{}
+	for _, row := range before {
+		was[row.ID] = true
 	}
-	for id, row := range a {
-		if other, ok := b[id]; !ok || other != row {
-			return false
+	for _, row := range after {
+		if !was[row.ID] {
+			m.recordPeer(row.ID, "live")
 		}
+		delete(was, row.ID)
+	}
+	for id := range was {
+		m.recordPeer(id, m.describe(id))
+	}
+}
+
+// describe names the state of an instance that is not live.
+func (m *Members) describe(id types.InstanceID) string {
+	r, ok := m.table.records[id]
+	switch {
+	case !ok:
+		return "gone"
+	case r.leaving():
+		return "leaving"
+	}
+	return string(r.Health)
+}
+
+func (m *Members) recordPeer(id types.InstanceID, state string) {
+	m.options.Logger.Info().Str("peer", string(id)).Str("state", state).Msg("peer changed")
+	if m.options.Recorder != nil {
+		m.options.Recorder.Record(timeline.Event{Kind: timeline.PeerState, Detail: string(id) + " " + state})
 	}
-	return true
 }
 
 // Self returns this instance's own row.
 func (m *Members) Self() types.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.rows[m.options.Self.ID]
+	return m.table.own().Row
 }
 
 // Live returns the instances believed to be up and not leaving, ordered by ID.
 func (m *Members) Live() []types.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	live := make([]types.Instance, 0, len(m.rows))
-	for _, row := range m.rows {
-		if row.State != types.InstanceLeaving {
-			live = append(live, row)
-		}
-	}
-	slices.SortFunc(live, func(a, b types.Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return live
+	return append([]types.Instance(nil), m.live...)
+}
+
+// Listed returns the instances of the last published list that it does not call
+// leaving, whatever peers say of them, ordered by ID. It serves callers of an
+// instance that has lost its peers.
+func (m *Members) Listed() []types.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.listedLive()
 }
 
 // Incarnation returns the last known incarnation of the instance.
 func (m *Members) Incarnation(id types.InstanceID) (types.Incarnation, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	incarnation, ok := m.incarnations[id]
-	return incarnation, ok
+	r, ok := m.table.records[id]
+	if !ok || !r.known() {
+		return "", false
+	}
+	return r.Incarnation, true
 }
 
 // Instance returns the row of the instance that has the incarnation.
 func (m *Members) Instance(incarnation types.Incarnation) (types.Instance, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for id, known := range m.incarnations {
-		if known == incarnation {
-			row, ok := m.rows[id]
-			return row, ok
+	for _, r := range m.table.records {
+		if r.known() && r.Incarnation == incarnation {
+			return r.Row, true
 		}
 	}
 	return types.Instance{}, false
@@ -173,5 +226,14 @@
 	return m.changed
 }
 
-// ReportFailure tells the view that a call to the instance failed.
-func (m *Members) ReportFailure(types.InstanceID) {}
+// ReportFailure probes the instance, since a call to it failed.
+func (m *Members) ReportFailure(id types.InstanceID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.table.records[id]
+	if !ok || id == m.table.self || r.Health != alive {
+		return
+	}
+	row := r.Row
+	m.spawnLocked(func(ctx context.Context) { m.probe(ctx, row) })
+}
--- a/pkg/membership/settings.go
+++ b/pkg/membership/settings.go
@@ -5,22 +5,54 @@
 // Defaults of the Settings.
 const (
 	// DefaultListInterval is the pause between two reads of the published list.
-	DefaultListInterval = 2 * time.Second
+	DefaultListInterval = 5 * time.Second
 	// DefaultListTimeout bounds one read of the published list.
 	DefaultListTimeout = 2 * time.Second
+	// DefaultExchangeInterval is the mean time between two exchanges that an
+	// instance begins.
+	DefaultExchangeInterval = 500 * time.Millisecond
+	// DefaultExchangeTimeout bounds one exchange.
+	DefaultExchangeTimeout = 500 * time.Millisecond
+	// DefaultSuspectTimeout is how long a suspected instance has to refute.
+	DefaultSuspectTimeout = 2 * time.Second
+	// DefaultJoinPeriod is how long after its start an instance takes a rumour
+	// about another life of its ID to be an old one.
+	DefaultJoinPeriod = 10 * time.Second
+	// DefaultForgetAfter is how long an instance that is down and not listed is
+	// remembered, so that late rumours of it have no effect.
+	DefaultForgetAfter = 10 * time.Minute
+	// DefaultReconcileInterval is the least time between two comparisons of
+	// whole views by one instance.
+	DefaultReconcileInterval = 30 * time.Second
+	// DefaultLeaveFanout is how many peers a leaving instance tells itself.
+	DefaultLeaveFanout = 16
 )
 
 // Settings are the intervals and bounds of Members. Zero values mean the
 // defaults.
 type Settings struct {
-	ListInterval time.Duration
-	ListTimeout  time.Duration
+	ListInterval      time.Duration
+	ListTimeout       time.Duration
+	ExchangeInterval  time.Duration
+	ExchangeTimeout   time.Duration
+	SuspectTimeout    time.Duration
+	JoinPeriod        time.Duration
+	ForgetAfter       time.Duration
+	ReconcileInterval time.Duration
+	LeaveFanout       int
 }
 
 // withDefaults returns a copy in which zero values are replaced.
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.ListInterval, DefaultListInterval)
 	setDefault(&s.ListTimeout, DefaultListTimeout)
+	setDefault(&s.ExchangeInterval, DefaultExchangeInterval)
+	setDefault(&s.ExchangeTimeout, DefaultExchangeTimeout)
+	setDefault(&s.SuspectTimeout, DefaultSuspectTimeout)
+	setDefault(&s.JoinPeriod, DefaultJoinPeriod)
+	setDefault(&s.ForgetAfter, DefaultForgetAfter)
+	setDefault(&s.ReconcileInterval, DefaultReconcileInterval)
+	setDefault(&s.LeaveFanout, DefaultLeaveFanout)
 	return s
 }
 
