history: the checker of stops tells the lives of an instance apart

The check is replaced by a stricter one: whatever is open when an instance stops is flagged at the stop, whether it ends later or never. Ruled out: a fault of the mechanism, since all flagged requests had arrived at replacements.

--- a/pkg/history/stop.go
+++ b/pkg/history/stop.go
@@ -15,8 +15,9 @@
 	RuleCut = "request cut"
 	// RuleNeverEnded is broken by a request without an end.
 	RuleNeverEnded = "request without an end"
-	// RuleEndedLate is broken by a request that ended after its instance stopped.
-	RuleEndedLate = "request ended after the stop"
+	// RuleLeftBehind is broken by a request that had not ended when its instance
+	// stopped.
+	RuleLeftBehind = "request in flight at the stop"
 	// RuleTurnedAway is broken by an instance that no longer takes a caller
 	// although the caller has not held its address for too long.
 	RuleTurnedAway = "caller turned away within the lifetime of its address"
@@ -32,7 +33,6 @@
 type stopChecker struct {
 	options    StopOptions
 	open       map[requestAt]timeline.Event
-	stopped    map[types.InstanceID]int64
 	violations []EventViolation
 	checked    int
 }
@@ -52,7 +52,6 @@
 	c := &stopChecker{
 		options: options,
 		open:    map[requestAt]timeline.Event{},
-		stopped: map[types.InstanceID]int64{},
 	}
 	for _, event := range ordered(events) {
 		c.take(event)
@@ -67,25 +66,27 @@
 	key := requestAt{event.Instance, event.Request}
 	switch event.Kind {
 	case timeline.InstanceStopped:
-		c.stopped[event.Instance] = event.Stamp.Wall
+		c.stopped(event)
 	case timeline.RequestArrived:
 		c.checked++
 		c.open[key] = event
 	case timeline.RequestAnswered:
-		c.end(key, event)
+		delete(c.open, key)
 	case timeline.RequestRefused:
 		c.refused(key, event)
 	case timeline.RequestFailed:
 		c.flag(event, RuleCut, "it failed with "+event.Code)
-		c.end(key, event)
+		delete(c.open, key)
 	}
 }
 
-// end closes the request and checks that its instance still ran.
-func (c *stopChecker) end(key requestAt, event timeline.Event) {
-	delete(c.open, key)
-	if at, stopped := c.stopped[event.Instance]; stopped && event.Stamp.Wall > at {
-		c.flag(event, RuleEndedLate, "the instance had stopped")
+// stopped checks that the instance has ended all its requests.
+func (c *stopChecker) stopped(stop timeline.Event) {
+	for key, event := range c.open {
+		if key.instance == stop.Instance {
+			c.flag(event, RuleLeftBehind, "the instance stopped before its end")
+			delete(c.open, key)
+		}
 	}
 }
 
--- a/pkg/history/stop_test.go
+++ b/pkg/history/stop_test.go
@@ -36,9 +36,14 @@
 		{"failed", []timeline.Event{arrived, leaving, requestEvent(4, timeline.RequestFailed, "upstream_failed")}, RuleCut},
 		{"taken and then refused", []timeline.Event{
 			arrived, leaving, requestEvent(14, timeline.RequestRefused, "leaving")}, RuleCut},
-		{"never ended", []timeline.Event{arrived, leaving, instanceEvent(5, timeline.InstanceStopped)}, RuleNeverEnded},
-		{"answered by a stopped instance", []timeline.Event{
-			arrived, instanceEvent(5, timeline.InstanceStopped), requestEvent(6, timeline.RequestAnswered, "")}, RuleEndedLate},
+		{"never ended", []timeline.Event{arrived, leaving}, RuleNeverEnded},
+		{"never ended by a stopped instance", []timeline.Event{
+			arrived, leaving, instanceEvent(5, timeline.InstanceStopped)}, RuleLeftBehind},
+		{"answered after the stop", []timeline.Event{
+			arrived, instanceEvent(5, timeline.InstanceStopped), requestEvent(6, timeline.RequestAnswered, "")}, RuleLeftBehind},
+		{"served by the next life", []timeline.Event{
+			instanceEvent(0.5, timeline.InstanceStopped), instanceEvent(0.7, timeline.InstanceStarted),
+			arrived, requestEvent(6, timeline.RequestAnswered, "")}, ""},
 		{"turned away with a fresh address", []timeline.Event{leaving, turnedAway(14, 2*time.Second)}, RuleTurnedAway},
 		{"turned away with an old address", []timeline.Event{leaving, turnedAway(14, 11*time.Second)}, ""},
 	}
--- a/test/prove/leaving_test.go
+++ b/test/prove/leaving_test.go
@@ -10,8 +10,8 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// leavingBound is how long a leaving upstream may still be sent new work.
-const leavingBound = 5 * time.Second
+// leavingLimit is how long a leaving upstream may still be sent new work.
+const leavingLimit = 5 * time.Second
 
 // trickle lets requests arrive at the instance at random, about one in each
 // interval.
@@ -85,7 +85,7 @@
 			f.after(moment, func() { f.upstreams[leaver].leave(lag) })
 			f.leavingFaults(moment)
 			f.finish()
-			violations, checked := history.Leaving(f.log.all(), leavingBound)
+			violations, checked := history.Leaving(f.log.all(), leavingLimit)
 			for _, v := range violations {
 				t.Logf("seed %d: %s", seed, v)
 			}
