--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -44,6 +44,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
+	// ending guards workers against additions after Run has ended.
+	ending sync.Mutex
 }
 
 var _ Granter = (*Dispatch)(nil)
@@ -74,7 +76,7 @@
 // streams and dispatchers. It returns nil.
 func (d *Dispatch) Run(ctx context.Context) error {
 	defer d.workers.Wait()
-	defer d.cancel()
+	defer d.end()
 	ticker := time.NewTicker(d.options.Settings.HeartbeatInterval / 2)
 	defer ticker.Stop()
 	for {
@@ -101,9 +103,20 @@
 	d.pools.drain(ctx)
 }
 
-// spawn runs work that ends with Run.
+// spawn runs work that ends with Run, unless Run has ended.
 func (d *Dispatch) spawn(work func(ctx context.Context)) {
-	d.workers.Go(func() { work(d.ctx) })
+	d.ending.Lock()
+	defer d.ending.Unlock()
+	if d.ctx.Err() == nil {
+		d.workers.Go(func() { work(d.ctx) })
+	}
+}
+
+// end stops the workers.
+func (d *Dispatch) end() {
+	d.ending.Lock()
+	defer d.ending.Unlock()
+	d.cancel()
 }
 
 // record sends an event to the time line, if there is one.
