--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -79,14 +79,14 @@
 	if _, err := r.callers[0].book.pick(ctx); err != nil {
 		return nil, err
 	}
-	before := engineWork(ctx, r.client, options.Engines)
+	meter := startWorkMeter(ctx, r.client, options.Engines)
 	elapsed := r.drive(ctx)
 	r.group.Wait()
 	report := r.tally.report(elapsed)
 	report.Profile = options.Profile.Name
 	report.Seed = options.Seed
 	report.Factor = options.Factor
-	report.compareWork(before, engineWork(ctx, r.client, options.Engines))
+	report.compareWork(meter.stop(ctx))
 	r.audit(ctx, report)
 	return report, nil
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -22,6 +22,7 @@
 
 work=$(mktemp -d)
 pids=()
+declare -A pid_of
 result="FAILED before the end"
 
 finish() {
@@ -64,12 +65,13 @@
 	shift
 	"$@" >"$work/$name.log" 2>&1 &
 	pids+=($!)
-	started=$!
+	pid_of[$name]=$!
 }
 
 # wait_for NAME URL waits until the URL answers.
 wait_for() {
 	for _ in $(seq $((wait_seconds * 10))); do
+		kill -0 "${pid_of[$1]}" 2>/dev/null || break
 		if curl -fs -o /dev/null --max-time 1 "$2"; then
 			return 0
 		fi
@@ -79,6 +81,12 @@
 	fail "$1 does not answer at $2"
 }
 
+# kill_one NAME ends one of our processes as a crash would.
+kill_one() {
+	kill -KILL "${pid_of[$1]}"
+	wait "${pid_of[$1]}" 2>/dev/null || true
+}
+
 caller_port() { echo $((port + 100 + $1)); }
 peer_port() { echo $((port + 200 + $1)); }
 admin_port() { echo $((port + 300 + $1)); }
@@ -153,12 +161,10 @@
 wait_for config "$platform/v1/instances"
 
 engines=()
-engine_pids=()
 for i in "${!engine_centres[@]}"; do
 	number=$((i + 1))
 	start "engine-$number" "$ctl" standin engine --address "127.0.0.1:$(engine_port $number)" --name "engine-$number" \
 		--model demo-model --seed "$number" --max-batch 24
-	engine_pids+=("$started")
 	engines+=("http://127.0.0.1:$(engine_port $number)")
 done
 services=()
@@ -167,7 +173,6 @@
 	start "queue-$number" "$ctl" standin service --address "127.0.0.1:$(service_port $number)" --name "queue-$number"
 	services+=("http://127.0.0.1:$(service_port $number)")
 done
-instance_pids=()
 callers=()
 admins=()
 for i in 1 2 3 4 5 6 7 8; do
@@ -175,7 +180,6 @@
 		--caller-address "127.0.0.1:$(caller_port $i)" --peer-address "127.0.0.1:$(peer_port $i)" \
 		--admin-address "127.0.0.1:$(admin_port $i)" --platform-url "$platform" --log-level warn \
 		--address-lifetime 2s --directory-overlap 1s
-	instance_pids+=("$started")
 	callers+=("127.0.0.1:$(caller_port $i)")
 	admins+=("127.0.0.1:$(admin_port $i)")
 done
@@ -196,21 +200,20 @@
 }
 start load "$ctl" load --profile demo --duration "${seconds}s" --address "$(join "${callers[@]}")" \
 	--engine "$(join "${engines[@]}")" --service "$(join "${services[@]}")" --json "$work/report.json" --min-answered 0.8
-load_pid=$started
 
 echo "load runs for $seconds s"
 sleep $((seconds * 3 / 10))
 echo "killing instance entry-$killed_instance"
-kill -KILL "${instance_pids[$((killed_instance - 1))]}"
+kill_one "entry-$killed_instance"
 sleep $((seconds * 2 / 10))
 instances_json "$killed_instance" | curl -fs -X PUT --data-binary @- -o /dev/null "$platform/v1/instances" ||
 	fail "cannot publish the instance list"
 sleep $((seconds / 10))
 echo "killing engine engine-$killed_engine"
-kill -KILL "${engine_pids[$((killed_engine - 1))]}"
+kill_one "engine-$killed_engine"
 
 status=0
-wait "$load_pid" || status=$?
+wait "${pid_of[load]}" || status=$?
 cat "$work/load.log"
 for i in 1 2 4 5 6 7 8; do
 	wait_for "entry-$i" "http://127.0.0.1:$(admin_port $i)/healthz"
