test/fleet: whole instances over TCP in one process

Chat whole and streamed, typed refusals, a call that must not repeat sent to every instance, a stream whose engine crashes, a graceful stop with a stream in flight, a second of checked load, and the merged time line.

--- /dev/null
+++ b/test/fleet/fleet_test.go
@@ -0,0 +1,260 @@
+// Package fleet runs whole instances in one process, over TCP on loopback, with
+// stand-ins of the platform and of the upstreams.
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/pflag"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/directory"
+	"github.com/umbercrank/umbercrank/pkg/node"
+	"github.com/umbercrank/umbercrank/pkg/standin/configuration"
+	"github.com/umbercrank/umbercrank/pkg/standin/engine"
+	"github.com/umbercrank/umbercrank/pkg/standin/service"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// apiKey is the key of the only account.
+const apiKey = "demo-key-clinic"
+
+// fleet is a running system.
+type fleet struct {
+	platform *configuration.Service
+	instances,
+	engineBases,
+	serviceBases []string
+	admins   []string
+	engines  map[types.UpstreamID]*engine.Engine
+	services []*service.Service
+	// stops asks an instance to stop gracefully; stopped gives its result.
+	stops   []context.CancelFunc
+	stopped []chan error
+}
+
+// size says how many of each kind a fleet has.
+type size struct {
+	instances, engines, services int
+	step                         time.Duration
+}
+
+// start runs a fleet until the test ends.
+func start(t *testing.T, n size) *fleet {
+	t.Helper()
+	f := &fleet{platform: configuration.New(), engines: make(map[types.UpstreamID]*engine.Engine)}
+	server := httptest.NewServer(f.platform.Handler())
+	t.Cleanup(server.Close)
+	document := f.startUpstreams(t, n)
+	if _, err := f.platform.Publish(document); err != nil {
+		t.Fatal(err)
+	}
+	f.startInstances(t, n.instances, server.URL)
+	for _, address := range append(f.instances, f.admins...) {
+		waitForTCP(t, address)
+	}
+	return f
+}
+
+// centre returns the data centre of the i-th process.
+func centre(i int) types.DataCentre {
+	return types.DataCentre([]string{"lac", "ariana"}[i%2])
+}
+
+// startUpstreams starts the stand-ins and returns the configuration that names
+// them.
+func (f *fleet) startUpstreams(t *testing.T, n size) *config.Document {
+	t.Helper()
+	document := newDocument()
+	for i := range n.engines {
+		settings := engine.DefaultSettings()
+		settings.Name = fmt.Sprintf("engine-%d", i)
+		settings.Model.StepBase = n.step
+		e := engine.New(settings)
+		f.engines[types.UpstreamID(settings.Name)] = e
+		base := serve(t, e)
+		f.engineBases = append(f.engineBases, base)
+		document.Upstreams = append(document.Upstreams, config.Upstream{
+			ID: types.UpstreamID(settings.Name), Target: "engines", DataCentre: centre(i), URL: base, MaxConcurrent: 16, KVTokens: 32768,
+		})
+	}
+	for i := range n.services {
+		s := service.New(service.DefaultSettings())
+		f.services = append(f.services, s)
+		base := serve(t, s)
+		f.serviceBases = append(f.serviceBases, base)
+		document.Upstreams = append(document.Upstreams, config.Upstream{
+			ID: types.UpstreamID(fmt.Sprintf("queue-%d", i)), Target: "queue", DataCentre: centre(i), URL: base, MaxConcurrent: 16,
+		})
+	}
+	return document
+}
+
+// newDocument returns the rules of the demonstration without upstreams.
+func newDocument() *config.Document {
+	digest := sha256.Sum256([]byte(apiKey))
+	floor := config.Floor{Starts: 1, Interval: 5000}
+	return &config.Document{
+		Classes: []config.Class{
+			{Name: "live-chat", Tier: 5, Deadline: 60_000, Floor: floor},
+			{Name: "claim", Tier: 5, Deadline: 60_000, Floor: floor},
+			{Name: "status", Tier: 3, Deadline: 60_000, Floor: floor},
+		},
+		Rules: []config.Rule{
+			{Name: "claims", When: `service == "queue" && !repeatable`, Class: "claim", Target: "queue"},
+			{Name: "statuses", When: `service == "queue"`, Class: "status", Target: "queue"},
+			{Name: "chats", When: `kind == "chat"`, Class: "live-chat", Target: "engines"},
+		},
+		Targets: []config.Target{
+			{Name: "engines", Kind: config.EngineTarget, Model: "demo-model"},
+			{Name: "queue", Kind: config.ServiceTarget, Service: "queue"},
+		},
+		Accounts: []config.Account{{ID: "clinic", KeySHA256: []string{hex.EncodeToString(digest[:])}}},
+	}
+}
+
+// server is a stand-in that answers until its context ends.
+type server interface {
+	Serve(ctx context.Context, listener net.Listener) error
+}
+
+// serve runs a stand-in until the test ends and returns its base URL.
+func serve(t *testing.T, s server) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	// A stand-in that crashes by order returns a failure.
+	group.Go(func() { _ = s.Serve(ctx, listener) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return "http://" + listener.Addr().String()
+}
+
+// startInstances opens every instance, publishes the list, and then lets them
+// serve.
+func (f *fleet) startInstances(t *testing.T, count int, platformURL string) {
+	t.Helper()
+	var nodes []*node.Node
+	var rows []types.Instance
+	for i := range count {
+		settings := instanceSettings(t, i, platformURL)
+		n, err := node.Provision(settings, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		nodes = append(nodes, n)
+		f.instances = append(f.instances, n.CallerAddress())
+		f.admins = append(f.admins, n.AdminAddress())
+		rows = append(rows, types.Instance{
+			ID: types.InstanceID(settings.Instance), DataCentre: centre(i), State: types.InstanceLive,
+			CallerAddress: n.CallerAddress(), PeerAddress: n.PeerAddress(),
+		})
+	}
+	f.platform.SetInstances(rows)
+	for _, n := range nodes {
+		f.serve(n)
+	}
+	t.Cleanup(func() { f.stop(t) })
+}
+
+// instanceSettings returns the settings of the i-th instance.
+func instanceSettings(t *testing.T, i int, platformURL string) node.Settings {
+	t.Helper()
+	var settings node.Settings
+	settings.Bind(pflag.NewFlagSet("test", pflag.ContinueOnError))
+	settings.Instance = fmt.Sprintf("entry-%d", i)
+	settings.DataCentre = string(centre(i))
+	settings.CallerAddress = "127.0.0.1:0"
+	settings.PeerAddress = "127.0.0.1:0"
+	settings.AdminAddress = "127.0.0.1:0"
+	settings.PlatformURL = platformURL
+	settings.PeerSecret = "a secret of the test fleet"
+	settings.AddressLifetime = time.Second
+	settings.DirectoryOverlap = 0
+	settings.StopTimeout = 30 * time.Second
+	return settings
+}
+
+// serve runs one instance until its stop is called.
+func (f *fleet) serve(n *node.Node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- n.Serve(ctx)
+		close(done)
+	}()
+	f.stops = append(f.stops, cancel)
+	f.stopped = append(f.stopped, done)
+}
+
+// stop asks every instance to stop and waits for all of them.
+func (f *fleet) stop(t *testing.T) {
+	for _, stop := range f.stops {
+		stop()
+	}
+	for i, done := range f.stopped {
+		if err := <-done; err != nil {
+			t.Errorf("instance %d ended with %v", i, err)
+		}
+	}
+}
+
+// waitForTCP waits until the address takes connections and answers HTTP.
+func waitForTCP(t *testing.T, address string) {
+	t.Helper()
+	for t.Context().Err() == nil {
+		response, err := http.Get("http://" + address + "/v1/addresses")
+		if err == nil {
+			response.Body.Close()
+			return
+		}
+	}
+}
+
+// send makes one request of the account to an instance.
+func send(t *testing.T, method, url, body string, headers map[string]string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+// addresses asks an instance for its addresses.
+func addresses(t *testing.T, instance string) directory.Answer {
+	t.Helper()
+	var answer directory.Answer
+	response := send(t, http.MethodGet, "http://"+instance+"/v1/addresses", "", nil)
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	return answer
+}
--- /dev/null
+++ b/test/fleet/requests_test.go
@@ -0,0 +1,242 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/load"
+	"github.com/umbercrank/umbercrank/pkg/standin/engine/answer"
+	"github.com/umbercrank/umbercrank/pkg/timeline"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// step is the time of an engine's step in these tests.
+const step = 2 * time.Millisecond
+
+// chatBody returns a chat request and the text that answers it.
+func chatBody(prompt string, stream bool) (body, want string) {
+	a := answer.To([]answer.Message{{Role: "user", Content: prompt}})
+	text, _ := json.Marshal(map[string]any{
+		"model": "demo-model", "stream": stream,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	return string(text), a.Text(0, a.Length(0))
+}
+
+// longPrompt returns a prompt whose answer has at least the given tokens.
+func longPrompt(tokens int) string {
+	prompt := "p"
+	for answer.To([]answer.Message{{Role: "user", Content: prompt}}).Length(0) < tokens {
+		prompt += "p"
+	}
+	return prompt
+}
+
+// readStream reads a stream to its end and calls first after the first token.
+// It reports whether the stream ended as complete.
+func readStream(t *testing.T, body io.Reader, first func()) (string, bool) {
+	t.Helper()
+	text := ""
+	for lines := bufio.NewScanner(body); lines.Scan(); {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+			Error   json.RawMessage
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			t.Fatal(err)
+		}
+		if len(chunk.Error) > 0 {
+			t.Logf("error event: %s", chunk.Error)
+		}
+		for _, choice := range chunk.Choices {
+			if text == "" && choice.Delta.Content != "" {
+				first()
+			}
+			text += choice.Delta.Content
+		}
+	}
+	return text, false
+}
+
+func TestRequestsAcrossTheFleet(t *testing.T) {
+	f := start(t, size{instances: 3, engines: 2, services: 2, step: step})
+	for _, instance := range f.instances {
+		body, want := chatBody("hello "+instance, false)
+		var whole struct {
+			Choices []struct{ Message struct{ Content string } }
+		}
+		response := send(t, http.MethodPost, "http://"+instance+"/v1/chat/completions", body, nil)
+		if err := json.NewDecoder(response.Body).Decode(&whole); err != nil || len(whole.Choices) != 1 {
+			t.Fatalf("status %s, %v", response.Status, err)
+		}
+		if whole.Choices[0].Message.Content != want {
+			t.Errorf("whole answer %q, want %q", whole.Choices[0].Message.Content, want)
+		}
+		body, want = chatBody("stream "+instance, true)
+		response = send(t, http.MethodPost, "http://"+instance+"/v1/chat/completions", body, nil)
+		if text, done := readStream(t, response.Body, func() {}); text != want || !done {
+			t.Errorf("stream %q, complete %v, want %q", text, done, want)
+		}
+	}
+	checkClaims(t, f)
+	checkTimeline(t, f)
+}
+
+// checkClaims sends one call that must not repeat several times, to every
+// instance, and counts its executions.
+func checkClaims(t *testing.T, f *fleet) {
+	t.Helper()
+	own := addresses(t, f.instances[0])
+	key := string(own.Incarnation) + "." + own.Window + ".claim-1"
+	for _, instance := range append(f.instances, f.instances...) {
+		response := send(t, http.MethodPost, "http://"+instance+"/v1/services/queue/claims/1", "claim", map[string]string{"Idempotency-Key": key})
+		text, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if response.StatusCode != http.StatusOK {
+			t.Logf("%s answers %s: %s", instance, response.Status, text)
+		}
+	}
+	executed := 0
+	for _, s := range f.services {
+		executed += s.Executions().Keys[key]
+	}
+	if executed != 1 {
+		t.Errorf("the claim was executed %d times", executed)
+	}
+}
+
+// checkTimeline merges the events of all instances and follows one request.
+func checkTimeline(t *testing.T, f *fleet) {
+	t.Helper()
+	var lists [][]timeline.Event
+	for _, admin := range f.admins {
+		var page timeline.Page
+		response := send(t, http.MethodGet, "http://"+admin+timeline.Path, "", nil)
+		if err := json.NewDecoder(response.Body).Decode(&page); err != nil {
+			t.Fatal(err)
+		}
+		lists = append(lists, page.Events)
+	}
+	merged := timeline.Merge(lists...)
+	answered := slices.IndexFunc(merged, func(e timeline.Event) bool { return e.Kind == timeline.RequestAnswered })
+	if answered < 0 {
+		t.Fatalf("no request was answered in %d events", len(merged))
+	}
+	var kinds []timeline.Kind
+	for _, event := range timeline.ForRequest(merged, merged[answered].Request) {
+		kinds = append(kinds, event.Kind)
+	}
+	for _, kind := range []timeline.Kind{timeline.RequestArrived, timeline.RequestGranted, timeline.AttemptStarted, timeline.AttemptEnded} {
+		if !slices.Contains(kinds, kind) {
+			t.Errorf("the request's events lack %s: %v", kind, kinds)
+		}
+	}
+}
+
+func TestRefusalsAreTyped(t *testing.T) {
+	f := start(t, size{instances: 1, engines: 1, services: 1, step: step})
+	chat, _ := chatBody("x", false)
+	tests := []struct {
+		name, path, body string
+		headers          map[string]string
+		code             fault.Code
+	}{
+		{"wrong key", "/v1/chat/completions", chat, map[string]string{"Authorization": "Bearer nobody"}, fault.Unauthorized},
+		{"malformed", "/v1/chat/completions", "{", nil, fault.BadRequest},
+		{"unknown model", "/v1/chat/completions", strings.Replace(chat, "demo-model", "other", 1), nil, fault.UnknownModel},
+		{"unknown service", "/v1/services/other/x", "", nil, fault.UnknownService},
+		{"no key", "/v1/services/queue/claims", "", nil, fault.KeyRequired},
+		{"key without executor", "/v1/services/queue/claims", "", map[string]string{"Idempotency-Key": "mine"}, fault.KeyInvalid},
+		{"unknown path", "/v2", "", nil, fault.NotFound},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			response := send(t, http.MethodPost, "http://"+f.instances[0]+test.path, test.body, test.headers)
+			var body fault.Response
+			if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
+				t.Fatal(err)
+			}
+			if body.Error.Code != test.code || response.StatusCode != test.code.Status() || body.Error.RunState != types.NotRun {
+				t.Errorf("status %s, error %+v, want %s", response.Status, body.Error, test.code)
+			}
+		})
+	}
+	if total := f.services[0].Executions().Total; total != 0 {
+		t.Errorf("refused calls were executed %d times", total)
+	}
+}
+
+func TestStreamOutlivesItsEngine(t *testing.T) {
+	f := start(t, size{instances: 2, engines: 2, services: 1, step: step})
+	body, want := chatBody(longPrompt(100), true)
+	response := send(t, http.MethodPost, "http://"+f.instances[0]+"/v1/chat/completions", body, nil)
+	upstream := types.UpstreamID(response.Header.Get("X-Umbercrank-Upstream"))
+	crash := func() { f.engines[upstream].Crash() }
+	if text, done := readStream(t, response.Body, crash); text != want || !done {
+		t.Errorf("complete %v, %d bytes of %d", done, len(text), len(want))
+	}
+}
+
+func TestGracefulStopCutsNoStream(t *testing.T) {
+	f := start(t, size{instances: 2, engines: 1, services: 1, step: step})
+	body, want := chatBody(longPrompt(300), true)
+	response := send(t, http.MethodPost, "http://"+f.instances[0]+"/v1/chat/completions", body, nil)
+	if text, done := readStream(t, response.Body, f.stops[0]); text != want || !done {
+		t.Errorf("complete %v, %d bytes of %d", done, len(text), len(want))
+	}
+	if err := <-f.stopped[0]; err != nil {
+		t.Errorf("the stop ended with %v", err)
+	}
+	body, want = chatBody("after the stop", true)
+	response = send(t, http.MethodPost, "http://"+f.instances[1]+"/v1/chat/completions", body, nil)
+	if text, done := readStream(t, response.Body, func() {}); text != want || !done {
+		t.Errorf("after the stop: complete %v, %q", done, text)
+	}
+}
+
+func TestLoadBreaksNoPromise(t *testing.T) {
+	f := start(t, size{instances: 3, engines: 2, services: 2, step: step})
+	profile, err := load.ParseProfile([]byte(`
+name: test
+rate: 60
+accounts: [{id: clinic}]
+kinds:
+  - {class: live-chat, weight: 2, chat: {model: demo-model, stream: true, prompt_tokens: 40, max_tokens: 40}, targets: {deadline_ms: 60000}}
+  - {class: claim, weight: 2, service: {name: queue, method: POST, path: /claims}, targets: {deadline_ms: 60000}}
+  - {class: status, weight: 1, service: {name: queue, method: GET, path: /status, repeatable: true}, targets: {deadline_ms: 60000}}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := load.Run(t.Context(), load.Options{
+		Profile: profile, Addresses: f.instances, Engines: f.engineBases, Services: f.serviceBases,
+		Duration: time.Second, Factor: 1, Seed: 1, Callers: 4,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, class := range report.Classes {
+		if class.Results[load.Answered] != class.Offered || class.OtherClass != 0 {
+			t.Errorf("class %s: %+v", class.Class, class)
+		}
+	}
+	if report.Violations != 0 || report.Unchecked != "" || report.Offered == 0 {
+		t.Errorf("violations %d %q, unchecked %q, offered %d", report.Violations, report.Details, report.Unchecked, report.Offered)
+	}
+}
