--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -153,10 +153,19 @@
 
 func (c ClassReport) writeRow(w io.Writer) {
 	wrong := c.Results[Wrong] + c.Results[Truncated] + c.Results[Doubled]
-	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f/%.0f\t%.1f\t%.0f\t%.1f\t\n",
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%s/%s\t%s\t%s\t%s\t\n",
 		c.Class, c.Tier, c.Offered, c.Results[Answered], c.Results[Refused], c.Results[Failed], c.Results[Broken], wrong,
 		c.Attainment, c.FirstTokenAttainment, c.GapAttainment, c.DeadlineAttainment,
-		c.FirstToken.P50, c.FirstToken.P95, c.Gap.P95, c.Total.P95, c.Refusal.P95)
+		c.FirstToken.cell(c.FirstToken.P50), c.FirstToken.cell(c.FirstToken.P95),
+		c.Gap.cell(c.Gap.P95), c.Total.cell(c.Total.P95), c.Refusal.cell(c.Refusal.P95))
+}
+
+// cell returns a value of the percentiles for a table, or a dash without any.
+func (p Percentiles) cell(value float64) string {
+	if p.Count == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", value)
 }
 
 func (r *Report) writeTotals(w io.Writer) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Shows the router at work on one machine: a configuration stand-in, eight
 # instances in four data centres, six engines and two plain services, all on
-# loopback. Drives traffic, kills one instance and one engine on the way, and
-# ends with "demo: ok" or "demo: FAILED" and that exit status.
+# loopback. Drives traffic, kills one instance and one engine and stops another
+# instance gracefully on the way, and ends with "demo: ok" or "demo: FAILED" and
+# that exit status.
 #
 # DEMO_SECONDS is the length of the load, DEMO_PORT the first of the ports.
 set -euo pipefail
@@ -19,6 +20,7 @@
 accounts=(clinic-large clinic-small party-large party-small)
 killed_instance=3
 killed_engine=3
+stopped_instance=6
 
 work=$(mktemp -d)
 pids=()
@@ -174,14 +176,12 @@
 	services+=("http://127.0.0.1:$(service_port $number)")
 done
 callers=()
-admins=()
 for i in 1 2 3 4 5 6 7 8; do
 	start "entry-$i" "$router" serve --instance "entry-$i" --data-centre "${centres[$(((i - 1) % 4))]}" \
 		--caller-address "127.0.0.1:$(caller_port $i)" --peer-address "127.0.0.1:$(peer_port $i)" \
 		--admin-address "127.0.0.1:$(admin_port $i)" --platform-url "$platform" --log-level warn \
 		--address-lifetime 2s --directory-overlap 1s
 	callers+=("127.0.0.1:$(caller_port $i)")
-	admins+=("127.0.0.1:$(admin_port $i)")
 done
 for i in "${!engines[@]}"; do
 	wait_for "engine-$((i + 1))" "${engines[$i]}/load"
@@ -199,7 +199,7 @@
 	echo "$*"
 }
 start load "$ctl" load --profile demo --duration "${seconds}s" --address "$(join "${callers[@]}")" \
-	--engine "$(join "${engines[@]}")" --service "$(join "${services[@]}")" --json "$work/report.json" --min-answered 0.8
+	--engine "$(join "${engines[@]}")" --service "$(join "${services[@]}")" --json "$work/report.json" --min-answered 0.9
 
 echo "load runs for $seconds s"
 sleep $((seconds * 3 / 10))
@@ -211,14 +211,23 @@
 sleep $((seconds / 10))
 echo "killing engine engine-$killed_engine"
 kill_one "engine-$killed_engine"
+sleep $((seconds / 10))
+echo "stopping instance entry-$stopped_instance gracefully"
+kill -TERM "${pid_of[entry-$stopped_instance]}"
 
 status=0
 wait "${pid_of[load]}" || status=$?
 cat "$work/load.log"
-for i in 1 2 4 5 6 7 8; do
+wait "${pid_of[entry-$stopped_instance]}" || fail "the graceful stop of entry-$stopped_instance ended with status $?"
+remaining=()
+for i in 1 2 3 4 5 6 7 8; do
+	if [ "$i" = "$killed_instance" ] || [ "$i" = "$stopped_instance" ]; then
+		continue
+	fi
+	remaining+=("127.0.0.1:$(admin_port $i)")
 	wait_for "entry-$i" "http://127.0.0.1:$(admin_port $i)/healthz"
 done
-"$ctl" timeline --admin "$(join "${admins[0]}" "${admins[1]}" "${admins[@]:3}")" --json "$work/timeline.json" ||
-	fail "the time line cannot be read"
+"$ctl" status --admin "$(join "${remaining[@]}")" || fail "the status cannot be read"
+"$ctl" timeline --admin "$(join "${remaining[@]}")" --json "$work/timeline.json" || fail "the time line cannot be read"
 [ "$status" -eq 0 ] || fail "the load ended with status $status"
 result=ok
