--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -130,6 +130,7 @@
 		Incarnation:   r.incarnation,
 		Store:         r.store,
 		Granter:       r.dispatch,
+		Caller:        connections.Caller,
 		View:          r.members,
 		Recorder:      r.recorder,
 		Logger:        r.logger,
