Stamps of the time line travel with the messages between instances

Cause: nobody called Ring.Observe, so the merged order was that of the wall clocks; a grant of an instance whose clock is behind stood before the request. Weighed: jsonrpc2's Meta field in pkg/peer (answers carry none), and a wrapper of Caller and Registrar that works for calls and answers over any transport; the wrapper was taken. Two lines of the node's wiring use it. Before: merged order by wall clock.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
+	"github.com/umbercrank/umbercrank/pkg/timeline/causal"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
@@ -117,8 +118,8 @@
 	transport := upstream.DefaultTransportSettings()
 	roles, err := NewRoles(n.settings, n.incarnation, Connections{
 		Source:        platform.NewClient(n.settings.PlatformURL, &http.Client{}),
-		Caller:        n.dialer,
-		Registrar:     n.peers,
+		Caller:        causal.NewCaller(n.dialer, n.ring),
+		Registrar:     causal.NewRegistrar(n.peers, n.ring),
 		Transport:     upstream.NewTransport(transport),
 		OnceTransport: upstream.NewOnceTransport(transport),
 	}, n.ring, n.logger)
