--- a/pkg/timeline/bench_test.go
+++ b/pkg/timeline/bench_test.go
@@ -1,13 +1,21 @@
 package timeline
 
 import (
+	"fmt"
+	"io"
+	"runtime"
 	"testing"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
+// benchEvents is the default capacity of an instance's ring.
+const benchEvents = 16384
+
 // BenchmarkRecord measures one event with many writers.
 func BenchmarkRecord(b *testing.B) {
-	ring := NewRing("i", 16384, time.Now)
+	ring := NewRing("i", benchEvents, time.Now)
 	event := Event{Kind: RequestArrived, Request: "01JD4Z6E0VJ8M3X5Y1T2S3R4Q5", Class: "chat", Tier: 3}
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
@@ -16,3 +24,40 @@
 		}
 	})
 }
+
+// fill records events whose request IDs are strings of their own.
+func fill(ring *Ring, events int) {
+	for i := range events {
+		ring.Record(Event{Kind: RequestGranted, Request: types.RequestID(fmt.Sprintf("01JD4Z6E0VJ8M3X5Y1T%07d", i)), Class: "chat", Tier: 3, Account: "account", Pool: "target@centre", Upstream: "engine-1"})
+	}
+}
+
+// BenchmarkMemory reports the memory that a full ring holds for each event.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		ring := NewRing("i", benchEvents, time.Now)
+		fill(ring, 2*benchEvents)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/benchEvents, "B/event")
+		runtime.KeepAlive(ring)
+	}
+}
+
+// BenchmarkMergeAndPage measures merging eight full rings into a page.
+func BenchmarkMergeAndPage(b *testing.B) {
+	var lists [][]Event
+	for i := range 8 {
+		ring := NewRing(types.InstanceID(fmt.Sprintf("i%d", i)), benchEvents, time.Now)
+		fill(ring, benchEvents)
+		lists = append(lists, ring.Events(Stamp{}))
+	}
+	for b.Loop() {
+		if err := WriteHTML(io.Discard, Merge(lists...)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
