--- a/pkg/ctl/standin_engine.go
+++ b/pkg/ctl/standin_engine.go
@@ -48,5 +48,7 @@
 	flags.Float64Var(&faults.Straggle, "straggle", 1, "factor on the time of each step")
 	flags.DurationVar(&faults.LoadLag, "load-lag", faults.LoadLag, "age of the load reports")
 	flags.StringVar(&faults.PoisonMarker, "poison-marker", "", "text in a prompt that crashes the engine; empty is off")
+	flags.IntVar(&faults.BreakNext, "break-next", 0, "next requests whose connection closes in the middle of the answer")
+	flags.IntVar(&faults.BreakAfterTokens, "break-after-tokens", 0, "tokens of a broken stream that are sent before")
 	return command
 }
--- a/pkg/standin/engine/chat.go
+++ b/pkg/standin/engine/chat.go
@@ -24,6 +24,10 @@
 	from, to int
 	prompt   int
 	poison   bool
+	// breaks says that the connection closes when the tokens up to breakAt are
+	// sent.
+	breaks   bool
+	breakAt  int
 	sequence model.Request
 	// finish is the finish_reason of the complete answer.
 	finish string
@@ -47,7 +51,7 @@
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
 	counters.Add("requests", 1)
-	faults := e.currentFaults()
+	faults := e.faultsOfNext()
 	if faults.Leaving {
 		counters.Add("refused_leaving", 1)
 		w.Header().Set(StateHeader, StateLeaving)
@@ -59,7 +63,7 @@
 		refuse(w, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
-	j, problem := newJob(request, faults.PoisonMarker)
+	j, problem := newJob(request, faults)
 	if problem != "" {
 		counters.Add("refused_bad", 1)
 		refuse(w, http.StatusBadRequest, "bad_request", problem)
@@ -81,7 +85,7 @@
 
 // newJob works out what to generate. It returns what is wrong with the request,
 // or an empty text.
-func newJob(request chatRequest, marker string) (job, string) {
+func newJob(request chatRequest, faults Faults) (job, string) {
 	if len(request.Messages) == 0 {
 		return job{}, "messages must not be empty"
 	}
@@ -89,7 +93,7 @@
 	for _, message := range request.Messages {
 		messages = append(messages, answer.Message{Role: message.Role, Content: message.text()})
 	}
-	j := job{request: request, poison: poisoned(messages, marker)}
+	j := job{request: request, poison: poisoned(messages, faults.PoisonMarker), breaks: faults.BreakNext > 0}
 	partial := ""
 	if last := messages[len(messages)-1]; request.ContinueFinalMessage && last.Role == "assistant" {
 		partial = last.Content
@@ -101,6 +105,7 @@
 		return job{}, "the final message is not the beginning of this engine's answer"
 	}
 	j.setRange(resumed)
+	j.breakAt = min(j.from+faults.BreakAfterTokens, j.to)
 	j.setSequence(messages)
 	return j, ""
 }
@@ -156,6 +161,9 @@
 		}
 		_, done = e.progress(s)
 	}
+	if j.breaks {
+		abort()
+	}
 	counters.Add("completed", 1)
 	body := e.completion(j, s, "chat.completion")
 	body.Choices[0].Message = &outMessage{Role: "assistant", Content: j.answer.Text(j.from, j.to)}
@@ -174,10 +182,16 @@
 		return false
 	case <-e.crashed:
 		// The connection is about to be reset; nothing may be answered.
-		panic(http.ErrAbortHandler)
+		abort()
+		return false
 	}
 }
 
+// abort closes the connection of the request in the middle of the answer.
+func abort() {
+	panic(http.ErrAbortHandler)
+}
+
 func (e *Engine) completion(j job, s *stream, object string) completion {
 	return completion{
 		ID:          "chatcmpl-" + e.settings.Name + "-" + string(s.id),
--- a/pkg/standin/engine/engine_test.go
+++ b/pkg/standin/engine/engine_test.go
@@ -136,6 +136,27 @@
 	}
 }
 
+func TestBreakClosesOneStreamInTheMiddle(t *testing.T) {
+	settings := DefaultSettings()
+	settings.Faults.BreakNext = 1
+	settings.Faults.BreakAfterTokens = 2
+	_, base, _ := start(t, settings)
+	for i, broken := range []bool{true, false} {
+		response, err := post(base, `{"stream":true,"messages":[`+prompt+`]}`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		if (err != nil) != broken || strings.Contains(string(text), "[DONE]") == broken {
+			t.Errorf("stream %d: %v, %q", i, err, text)
+		}
+		if got := strings.Count(string(text), "content\":\""); broken && got != 2 {
+			t.Errorf("%d tokens before the break, want 2", got)
+		}
+	}
+}
+
 func TestPoisonCrashesWithoutAnswer(t *testing.T) {
 	settings := DefaultSettings()
 	settings.Faults.PoisonMarker = "POISON"
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -32,12 +32,24 @@
 	if change.PoisonMarker != nil {
 		e.faults.PoisonMarker = *change.PoisonMarker
 	}
+	if change.BreakNext != nil {
+		e.faults.BreakNext = *change.BreakNext
+	}
+	if change.BreakAfterTokens != nil {
+		e.faults.BreakAfterTokens = *change.BreakAfterTokens
+	}
 }
 
-func (e *Engine) currentFaults() Faults {
+// faultsOfNext returns the faults in force for the next request, and uses up
+// one break.
+func (e *Engine) faultsOfNext() Faults {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faults
+	faults := e.faults
+	if !faults.Leaving && faults.BreakNext > 0 {
+		e.faults.BreakNext--
+	}
+	return faults
 }
 
 func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
--- a/pkg/standin/engine/protocol.go
+++ b/pkg/standin/engine/protocol.go
@@ -115,6 +115,11 @@
 	// LoadLagMilliseconds is the age of the load reports.
 	LoadLagMilliseconds *int64  `json:"load_lag_ms,omitempty"`
 	PoisonMarker        *string `json:"poison_marker,omitempty"`
+	// BreakNext counts the next requests whose connection is closed in the
+	// middle of the answer.
+	BreakNext *int `json:"break_next,omitempty"`
+	// BreakAfterTokens is how many tokens of a broken stream are sent before.
+	BreakAfterTokens *int `json:"break_after_tokens,omitempty"`
 	// Crash resets every connection and ends the engine.
 	Crash bool `json:"crash,omitempty"`
 }
--- a/pkg/standin/engine/settings.go
+++ b/pkg/standin/engine/settings.go
@@ -46,4 +46,9 @@
 	LoadLag time.Duration
 	// PoisonMarker crashes the engine when a prompt contains it; empty is off.
 	PoisonMarker string
+	// BreakNext counts the next requests whose connection is closed in the
+	// middle of the answer.
+	BreakNext int
+	// BreakAfterTokens is how many tokens of a broken stream are sent before.
+	BreakAfterTokens int
 }
--- a/pkg/standin/engine/stream.go
+++ b/pkg/standin/engine/stream.go
@@ -20,10 +20,16 @@
 		tokens, done = e.progress(s)
 		// An answer that was complete already still takes one step.
 		until := min(j.from+tokens, j.to)
+		if j.breaks {
+			until = min(until, j.breakAt)
+		}
 		if !e.sendTokens(w, j, s, sent, until) || control.Flush() != nil {
 			return
 		}
 		sent = until
+		if j.breaks && sent == j.breakAt {
+			abort()
+		}
 	}
 	counters.Add("completed", 1)
 	e.sendEnd(w, j, s)
--- a/test/fleet/requests_test.go
+++ b/test/fleet/requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/load"
+	"github.com/umbercrank/umbercrank/pkg/standin/engine"
 	"github.com/umbercrank/umbercrank/pkg/standin/engine/answer"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -193,6 +195,30 @@
 	}
 }
 
+// TestBrokenStreamsResumeToTheWholeAnswer breaks the stream after each number of
+// tokens, the last one included: the answer must be whole, and not longer than
+// the caller's limit.
+func TestBrokenStreamsResumeToTheWholeAnswer(t *testing.T) {
+	const limit = 4
+	f := start(t, size{instances: 1, engines: 1, services: 1, step: step})
+	one := 1
+	for sent := range limit + 1 {
+		prompt := fmt.Sprintf("break after %d %s", sent, longPrompt(10))
+		a := answer.To([]answer.Message{{Role: "user", Content: prompt}})
+		if a.Length(0) <= limit {
+			t.Fatalf("the answer to %q is too short for this test", prompt)
+		}
+		body, _ := chatBody(prompt, true)
+		body = strings.Replace(body, "{", fmt.Sprintf(`{"max_tokens":%d,`, limit), 1)
+		f.engines["engine-0"].Change(engine.FaultsChange{BreakNext: &one, BreakAfterTokens: &sent})
+		response := send(t, http.MethodPost, "http://"+f.instances[0]+"/v1/chat/completions", body, nil)
+		text, done := readStream(t, response.Body, func() {})
+		if want := a.Text(0, limit); text != want || !done {
+			t.Errorf("after %d tokens: complete %v, %q, want %q", sent, done, text, want)
+		}
+	}
+}
+
 func TestGracefulStopCutsNoStream(t *testing.T) {
 	f := start(t, size{instances: 2, engines: 1, services: 1, step: step})
 	body, want := chatBody(longPrompt(300), true)
