--- a/pkg/ctl/documents_test.go
+++ b/pkg/ctl/documents_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
 )
 
 const exampleDocument = "../../examples/rappel-sahel.json"
@@ -65,6 +68,31 @@
 	}
 }
 
+func TestCheckWritesPartsThatCompile(t *testing.T) {
+	directory := t.TempDir()
+	if status, _, stderr := runCtl(t, "check", "--parts", directory, exampleDocument); status != ExitOK {
+		t.Fatalf("status %d, %s", status, stderr)
+	}
+	parts := map[string][]byte{}
+	err := fs.WalkDir(os.DirFS(directory), ".", func(name string, entry fs.DirEntry, err error) error {
+		if err == nil && !entry.IsDir() {
+			parts[name], err = os.ReadFile(filepath.Join(directory, name))
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	encoded, _ := config.Encode(1, parts)
+	snapshot, err := config.CompileParts(1, encoded, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := snapshot.AccountByKey("demo-key-essai"); !ok || len(snapshot.Rules()) != 6 {
+		t.Errorf("%d rules", len(snapshot.Rules()))
+	}
+}
+
 func TestCheckOfAMissingFileIsAUsageFault(t *testing.T) {
 	if status, _, _ := runCtl(t, "check", "none.json"); status != ExitUsage {
 		t.Errorf("status %d", status)
