Scenario of failures on real processes: freeze, service down, straggler, leaving engine, rolling replacement

Cause: the demo kills and stops, but nothing froze a process, took the configuration service away or replaced every instance under load.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of the project; README.md explains them.
 GO ?= go
 
-.PHONY: all build lint test up demo prove bench slopes clean
+.PHONY: all build lint test up demo failures prove bench slopes clean
 
 all: lint test build
 
@@ -21,6 +21,9 @@
 demo: build
 	./scripts/demo.sh
 
+failures: build
+	./scripts/failures.sh
+
 prove:
 	./scripts/prove.sh
 
--- /dev/null
+++ b/scripts/failures.sh
@@ -0,0 +1,85 @@
+#!/usr/bin/env bash
+# Runs the whole system on loopback under load while it suffers what a demo does
+# not show: an instance frozen and woken late, the configuration service down, an
+# engine that straggles and one that leaves, a new configuration, and every
+# instance replaced in turn. Ends with "failures: ok" or "failures: FAILED …".
+#
+# FAILURES_SECONDS is the length of the load, FAILURES_PORT the first port.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+scenario=failures
+seconds=${FAILURES_SECONDS:-80}
+port=${FAILURES_PORT:-18000}
+frozen_instance=2
+frozen_seconds=8
+slow_engine=5
+leaving_engine=6
+service_down_seconds=10
+# in_force_seconds is the bound for a change to be in force everywhere.
+in_force_seconds=18
+source scripts/fleet.sh
+
+# put URL JSON sets faults of a stand-in or publishes a document.
+put() {
+	curl -fs -X PUT --data-binary "$2" -o /dev/null "$1" || fail "cannot put to $1"
+}
+
+# replace NUMBER… stops instances gracefully and starts them again.
+replace() {
+	local i
+	for i in "$@"; do
+		kill -TERM "${pid_of[entry-$i]}"
+	done
+	for i in "$@"; do
+		wait "${pid_of[entry-$i]}" || fail "the graceful stop of entry-$i ended with status $?"
+	done
+	for i in "$@"; do
+		start_instance "$i"
+	done
+	for i in "$@"; do
+		wait_instance "$i"
+	done
+}
+
+# wait_revision REVISION waits until every instance has it in force.
+wait_revision() {
+	local i deadline=$((SECONDS + in_force_seconds))
+	for i in 1 2 3 4 5 6 7 8; do
+		until curl -fs --max-time 1 "http://127.0.0.1:$(admin_port "$i")/debug/status" | grep -q "\"revision\":$1,"; do
+			[ "$SECONDS" -lt "$deadline" ] || fail "entry-$i does not have revision $1 after $in_force_seconds s"
+			sleep 0.1
+		done
+	done
+}
+
+start_fleet
+start_load
+echo "load runs for $seconds s"
+sleep 5
+
+echo "freezing entry-$frozen_instance for $frozen_seconds s"
+kill -STOP "${pid_of[entry-$frozen_instance]}"
+sleep "$frozen_seconds"
+kill -CONT "${pid_of[entry-$frozen_instance]}"
+
+echo "configuration service down for $service_down_seconds s; engine-$slow_engine straggles, engine-$leaving_engine leaves"
+put "$platform/v1/faults" '{"down":true}'
+put "http://127.0.0.1:$(engine_port "$slow_engine")/faults" '{"straggle":4}'
+put "http://127.0.0.1:$(engine_port "$leaving_engine")/faults" '{"leaving":true}'
+sleep "$service_down_seconds"
+put "$platform/v1/faults" '{}'
+
+echo "publishing a new configuration"
+put "$platform/v1/document" "$(document_json)"
+wait_revision 2
+
+echo "replacing every instance, two at a time"
+replace 1 3
+replace 2 4
+replace 5 7
+replace 6 8
+
+wait_load
+wait_revision 2
+result=ok
