relay: a fleet that starts together leaves the service to its readers

Before: 40 instances that start at once in two data centres read parts 141 times where 4 are published (TestFleetThatStartsTogetherSparesTheService, which fails without the change); 350 of them would read 275 parts each.

--- a/pkg/relay/fleet_test.go
+++ b/pkg/relay/fleet_test.go
@@ -132,6 +132,24 @@
 	}
 }
 
+// TestFleetThatStartsTogetherSparesTheService starts all instances at once.
+func TestFleetThatStartsTogetherSparesTheService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newTestFleet(40, 2)
+		parts := len(f.publish(t, 1000).Parts)
+		f.startAll(ctx)
+		for _, relay := range f.relays {
+			<-relay.Ready()
+		}
+		readers := 2 * f.relays[0].settings.Readers
+		if reads, limit := f.platform.Calls().Part, 2*readers*parts; reads > limit {
+			t.Errorf("%d reads of parts, at most %d expected", reads, limit)
+		}
+	})
+}
+
 // TestIsolatedFreshInstanceStaysOut starts an instance that reaches a stale
 // service and no peer, then heals the network.
 func TestIsolatedFreshInstanceStaysOut(t *testing.T) {
--- a/pkg/relay/join.go
+++ b/pkg/relay/join.go
@@ -30,7 +30,7 @@
 	for ctx.Err() == nil {
 		j.readList(ctx)
 		j.askSome(ctx)
-		if r.memory.lastSeen() == 0 {
+		if r.memory.lastSeen() == 0 && j.mayRead() {
 			r.readOnce(ctx, 0, 0)
 		}
 		if admit(j.state(), r.settings) {
@@ -41,6 +41,11 @@
 	}
 }
 
+// mayRead reports whether it is this instance's turn to read the service.
+func (j *joiner) mayRead() bool {
+	return j.relay.isReader() || time.Since(j.started) >= j.relay.settings.ReaderHeadStart
+}
+
 // readList reads the instance list, and takes what the view knows besides.
 func (j *joiner) readList(ctx context.Context) {
 	r := j.relay
