--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/platform"
@@ -88,13 +89,34 @@
 	return err
 }
 
-// announce tells a few instances of the version that came into force. Each of
-// them does the same, so that the word spreads in a few rounds.
-func (r *Relay) announce(ctx context.Context, applied version) {
+// announceLoop tells others of what comes into force. It stands apart from
+// taking, so that an instance that does not answer holds up no configuration.
+func (r *Relay) announceLoop(ctx context.Context) {
+	for {
+		select {
+		case <-r.applied:
+			held, _ := r.held()
+			r.announce(ctx, held)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// announce tells a few instances of the version in force. Each of them does the
+// same, so that the word spreads in a few rounds.
+func (r *Relay) announce(ctx context.Context, held version) {
+	ctx, cancel := context.WithTimeout(ctx, r.settings.PeerTimeout)
+	defer cancel()
 	self := r.options.View.Self()
+	var work sync.WaitGroup
 	for _, instance := range r.chance.pick(r.others(), self.DataCentre, r.settings.FanOut) {
-		if err := r.options.Caller.Notify(ctx, instance.PeerAddress, methodAnnounce, applied); err != nil {
-			r.counters.peerFailures.Add(1)
-		}
+		work.Go(func() {
+			err := r.options.Caller.Notify(ctx, instance.PeerAddress, methodAnnounce, held)
+			if err != nil {
+				r.counters.peerFailures.Add(1)
+			}
+		})
 	}
+	work.Wait()
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -53,6 +53,8 @@
 	chance   *chance
 	ready    chan struct{}
 	hints    chan types.Instance
+	// applied wakes announceLoop.
+	applied chan struct{}
 	// taking lets one configuration at a time be fetched and compiled.
 	taking chan struct{}
 	// inForce is the life cycle of the configuration in force; whoever holds
@@ -74,6 +76,7 @@
 		chance:   newChance(options.Seed),
 		ready:    make(chan struct{}),
 		hints:    make(chan types.Instance, hintQueue),
+		applied:  make(chan struct{}, 1),
 		taking:   make(chan struct{}, 1),
 	}
 }
@@ -95,7 +98,7 @@
 // Run works until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	loops := []func(context.Context){r.join, r.readLoop, r.auditLoop, r.exchangeLoop}
+	loops := []func(context.Context){r.join, r.readLoop, r.auditLoop, r.exchangeLoop, r.announceLoop}
 	for range followers {
 		loops = append(loops, r.followLoop)
 	}
--- a/pkg/relay/take.go
+++ b/pkg/relay/take.go
@@ -93,11 +93,11 @@
 	if life.State() != stateInForce {
 		return nil
 	}
-	return r.enforce(ctx, life, snapshot, started, from)
+	return r.enforce(life, snapshot, started, from)
 }
 
 // enforce puts an accepted configuration in force and tells others.
-func (r *Relay) enforce(ctx context.Context, life *statechart.Machine, snapshot *config.Snapshot, started time.Time, from origin) error {
+func (r *Relay) enforce(life *statechart.Machine, snapshot *config.Snapshot, started time.Time, from origin) error {
 	before, _ := r.held()
 	if err := r.options.Store.Apply(snapshot); err != nil {
 		return err
@@ -118,7 +118,10 @@
 	if before.Revision == applied.Revision {
 		r.reject(before, conflict(before, applied))
 	}
-	r.announce(ctx, applied)
+	select {
+	case r.applied <- struct{}{}:
+	default:
+	}
 	return nil
 }
 
