A condemned request explains the crashes of those that ran beside it

Change: the quarantine keeps each crash by upstream and time instead of a count. A condemned request takes its crashes from all others. Two copies in one batch count one crash.

Ruled out: letting the later request in a pair always win, which frees the poison request when its batch holds a second suspect; three strikes for all, which costs one more upstream for each poison request.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -68,6 +68,7 @@
 		if end.err == nil {
 			return nil
 		}
+		end = e.confirm(limited, held, end)
 		if !e.mayRetry(limited, held, x, end) {
 			if end.reason == pool.FinishCrashed {
 				pause(limited, spreadPause)
@@ -82,6 +83,8 @@
 type ending struct {
 	reason pool.FinishReason
 	err    *fault.Error
+	// accused says that the request seems to have crashed the upstream.
+	accused bool
 }
 
 // attempt makes one call within the grant and ends the grant.
@@ -99,8 +102,9 @@
 	suspect := e.enterSuspect(held)
 	end := classify(running, e.exchange(running, held, x, grant, life))
 	e.endAttempt(life, end)
-	end = e.judge(held, suspect, end)
-	e.finish(held, x, grant, end, time.Since(started))
+	took := time.Since(started)
+	end = e.judge(held, suspect, end, took)
+	e.finish(held, x, grant, end, took)
 	return end
 }
 
@@ -152,12 +156,12 @@
 	failure := fault.From(err)
 	if errors.Is(context.Cause(ctx), errPreempted) {
 		preempted := fault.Wrap(fault.Preempted, err, errPreempted.Message)
-		return ending{pool.FinishCancelled, preempted.WithRunState(failure.RunState)}
+		return ending{reason: pool.FinishCancelled, err: preempted.WithRunState(failure.RunState)}
 	}
 	if ctx.Err() != nil {
-		return ending{pool.FinishCancelled, failure}
+		return ending{reason: pool.FinishCancelled, err: failure}
 	}
-	return ending{reasonOf(failure), failure}
+	return ending{reason: reasonOf(failure), err: failure}
 }
 
 func reasonOf(failure *fault.Error) pool.FinishReason {
--- a/pkg/entry/poison.go
+++ b/pkg/entry/poison.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -107,37 +108,48 @@
 	return e.suspects.enter(held.upstream)
 }
 
-// judge draws the conclusions of an attempt's end about the request. A condemned
-// request ends with its final refusal.
-func (e *Entry) judge(held *request, run *suspectRun, end ending) ending {
+// judge draws the conclusions of an attempt's end about the request.
+func (e *Entry) judge(held *request, run *suspectRun, end ending, took time.Duration) ending {
 	only := run != nil && e.suspects.leave(held.upstream, run)
-	switch end.reason {
-	case pool.FinishComplete:
-		e.clear(held, run)
+	print, ok := held.crashPrint(run, end)
+	if !ok {
 		return end
-	case pool.FinishCrashed:
-		return e.accuse(held, only, end)
-	default:
+	}
+	if end.reason == pool.FinishComplete {
+		e.quarantine.Completed(print)
 		return end
 	}
+	verdict := e.quarantine.Crashed(print, quarantine.Run{Upstream: held.upstream, Took: took, OnlySuspect: only})
+	end.accused = verdict.Accused
+	if verdict.Condemned {
+		end.err = quarantinedFailure()
+	}
+	return end
 }
 
-func (e *Entry) clear(held *request, run *suspectRun) {
-	if run == nil {
-		return
-	}
-	if print, ok := held.print(); ok {
-		e.quarantine.Completed(print)
+// crashPrint returns the fingerprint when the end of the attempt says something
+// about the request: the end of a suspect, or a crash.
+func (r *request) crashPrint(run *suspectRun, end ending) (quarantine.Fingerprint, bool) {
+	if end.reason == pool.FinishCrashed || run != nil && end.reason == pool.FinishComplete {
+		return r.print()
 	}
+	return quarantine.Fingerprint{}, false
 }
 
-func (e *Entry) accuse(held *request, only bool, end ending) ending {
+// confirm waits, without an upstream, whether another request explains the crash
+// of an accused one, and ends it with its final refusal otherwise.
+func (e *Entry) confirm(ctx context.Context, held *request, end ending) ending {
 	print, ok := held.print()
-	if !ok || !e.quarantine.Crashed(print, only).Condemned {
+	if !end.accused || !ok {
+		return end
+	}
+	pause(ctx, spreadPause)
+	if !e.quarantine.Confirm(print).Condemned {
 		return end
 	}
 	event := held.event(timeline.Quarantined)
 	event.Code = string(fault.Quarantined)
 	e.options.Recorder.Record(event)
-	return ending{reason: end.reason, err: quarantinedFailure()}
+	end.err = quarantinedFailure()
+	return end
 }
--- a/pkg/quarantine/spread.go
+++ b/pkg/quarantine/spread.go
@@ -25,7 +25,7 @@
 	// one other instance.
 	exchangeInterval = 5 * time.Second
 	// maxExchanged bounds the entries of one message.
-	maxExchanged = 128
+	maxExchanged = 64
 	// sendTimeout bounds the sending of one message.
 	sendTimeout = time.Second
 	// queuedNews bounds the messages that wait to be sent.
@@ -86,14 +86,30 @@
 
 // Crashed counts a crash; see Table.Crashed. The new state spreads to the other
 // instances.
-func (q *Quarantine) Crashed(print Fingerprint, onlySuspect bool) Verdict {
+func (q *Quarantine) Crashed(print Fingerprint, run Run) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	verdict := q.table.Crashed(q.now(), print, onlySuspect)
-	q.publish([]Entry{q.table.entries[print].entry(q.now(), print)})
+	verdict := q.table.Crashed(q.now(), print, run)
+	q.publishEntry(print)
 	return verdict
 }
 
+// Confirm decides about an accused request; see Table.Confirm.
+func (q *Quarantine) Confirm(print Fingerprint) Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	verdict := q.table.Confirm(q.now(), print)
+	q.publishEntry(print)
+	return verdict
+}
+
+// publishEntry queues the state of one fingerprint.
+func (q *Quarantine) publishEntry(print Fingerprint) {
+	if entry, ok := q.table.entry(q.now(), print); ok {
+		q.publish([]Entry{entry})
+	}
+}
+
 // Completed clears a suspect that ran to its end.
 func (q *Quarantine) Completed(print Fingerprint) {
 	q.mu.Lock()
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -1,8 +1,12 @@
 package quarantine
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // Settings bounds a Table.
@@ -22,22 +26,55 @@
 	return Settings{MaxEntries: 1024, Keep: time.Hour, MaxCrashes: 4}
 }
 
-// Entry is what is known of one fingerprint. Times are remaining durations,
-// because the clocks of instances differ.
+// sameCrash is how far two reports of one crash of an upstream may be apart.
+const sameCrash = time.Second
+
+// Strike is one crash that a request was part of.
+type Strike struct {
+	Upstream types.UpstreamID `json:"upstream"`
+	// AgeMilliseconds is the time since the crash, because the clocks of
+	// instances differ.
+	AgeMilliseconds int64 `json:"age_ms"`
+}
+
+// Entry is what is known of one fingerprint.
 type Entry struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
-	// Crashes counts the crashes that the request was part of.
-	Crashes   int  `json:"crashes"`
-	Condemned bool `json:"condemned,omitempty"`
-	// KeepMilliseconds is how long the entry remains in force.
-	KeepMilliseconds int64 `json:"keep_ms"`
+	Strikes     []Strike    `json:"strikes"`
+	Condemned   bool        `json:"condemned,omitempty"`
+}
+
+// crash is a strike in the time of this instance.
+type crash struct {
+	upstream types.UpstreamID
+	at       time.Duration
+}
+
+func (c crash) same(other crash) bool {
+	return c.upstream == other.upstream && (c.at-other.at).Abs() <= sameCrash
 }
 
 // suspicion is the state of one fingerprint.
 type suspicion struct {
-	crashes   int
+	crashes   []crash
 	condemned bool
-	until     time.Duration
+	// accused says that the request awaits Confirm since accusedAt.
+	accused   bool
+	accusedAt time.Duration
+}
+
+// last returns the time of the last crash.
+func (s suspicion) last() time.Duration {
+	var last time.Duration
+	for _, c := range s.crashes {
+		last = max(last, c.at)
+	}
+	return last
+}
+
+// has reports whether the crash is counted already.
+func (s suspicion) has(c crash) bool {
+	return slices.ContainsFunc(s.crashes, c.same)
 }
 
 // Table holds suspected and condemned requests. It is pure: the time is any
@@ -57,34 +94,116 @@
 
 // Verdict is what is known of a request before it runs.
 type Verdict struct {
-	// Crashes counts the crashes that the request was part of.
-	Crashes   int
+	// Crashes counts the unexplained crashes that the request was part of.
+	Crashes int
+	// Accused says that Confirm will decide whether the request is condemned.
+	Accused   bool
 	Condemned bool
 }
 
 // Look returns what is known of the request.
 func (t *Table) Look(now time.Duration, print Fingerprint) Verdict {
+	known := t.inForce(now, print)
+	return Verdict{Crashes: len(known.crashes), Accused: known.accused, Condemned: known.condemned}
+}
+
+func (t *Table) inForce(now time.Duration, print Fingerprint) suspicion {
 	known, ok := t.entries[print]
-	if !ok || now >= known.until {
+	if !ok || now >= known.last()+t.settings.Keep {
+		return suspicion{}
+	}
+	return known
+}
+
+// Run is one attempt of a request that ended with a crash of its upstream.
+type Run struct {
+	Upstream types.UpstreamID
+	// Took is how long the attempt ran.
+	Took time.Duration
+	// OnlySuspect says that no other suspect ran there.
+	OnlySuspect bool
+}
+
+// Crashed counts a crash of the upstream that ran the request. It accuses the
+// request when it was a suspect before and the only one there. A crash that a
+// condemned request explains counts for no other, and one that another copy of
+// the request has reported counts once.
+func (t *Table) Crashed(now time.Duration, print Fingerprint, run Run) Verdict {
+	known := t.inForce(now, print)
+	here := crash{upstream: run.Upstream, at: now}
+	during := func(c crash) bool { return c.same(here) && c.at > now-run.Took }
+	if known.condemned || slices.ContainsFunc(known.crashes, during) || t.explained(during) {
+		return t.Look(now, print)
+	}
+	again := len(known.crashes) > 0 && run.OnlySuspect
+	known.crashes = append(slices.Clone(known.crashes), here)
+	if again || len(known.crashes) >= t.settings.MaxCrashes {
+		known.accused = true
+		known.accusedAt = now
+	}
+	t.put(now, print, known)
+	return t.Look(now, print)
+}
+
+// Confirm condemns an accused request, unless another one that was part of one
+// of its crashes has been accused of a later crash: then that one explains the
+// crash they share. The caller waits between Crashed and Confirm, without an
+// upstream, for as long as another suspect needs to show itself.
+func (t *Table) Confirm(now time.Duration, print Fingerprint) Verdict {
+	known := t.inForce(now, print)
+	if !known.accused {
+		return t.Look(now, print)
+	}
+	known.accused = false
+	left := slices.DeleteFunc(slices.Clone(known.crashes), func(c crash) bool { return t.blamedLater(print, known, c) })
+	known.condemned = len(left) == len(known.crashes)
+	known.crashes = left
+	if len(left) == 0 {
+		delete(t.entries, print)
 		return Verdict{}
 	}
-	return Verdict{Crashes: known.crashes, Condemned: known.condemned}
+	t.put(now, print, known)
+	return t.Look(now, print)
 }
 
-// Crashed counts a crash of an upstream that ran the request. It condemns the
-// request when it was a suspect before and the only one on that upstream.
-func (t *Table) Crashed(now time.Duration, print Fingerprint, onlySuspect bool) Verdict {
-	before := t.Look(now, print)
-	after := suspicion{
-		crashes:   before.Crashes + 1,
-		condemned: before.Condemned,
-		until:     now + t.settings.Keep,
+// blamedLater reports whether another request that was accused after this one
+// was part of the crash.
+func (t *Table) blamedLater(print Fingerprint, known suspicion, c crash) bool {
+	for other, suspect := range t.entries {
+		if other != print && suspect.accused && suspect.accusedAt > known.accusedAt && suspect.has(c) {
+			return true
+		}
 	}
-	if before.Crashes > 0 && onlySuspect || after.crashes >= t.settings.MaxCrashes {
-		after.condemned = true
+	return false
+}
+
+// explained reports whether a condemned request was part of such a crash.
+func (t *Table) explained(such func(crash) bool) bool {
+	for _, known := range t.entries {
+		if known.condemned && slices.ContainsFunc(known.crashes, such) {
+			return true
+		}
+	}
+	return false
+}
+
+// explain takes the crashes of a condemned request from all other suspects, and
+// clears those that have none left.
+func (t *Table) explain(condemned Fingerprint) {
+	culprit := t.entries[condemned]
+	for print, known := range t.entries {
+		if print == condemned || known.condemned {
+			continue
+		}
+		left := slices.DeleteFunc(slices.Clone(known.crashes), culprit.has)
+		if len(left) == 0 {
+			delete(t.entries, print)
+			continue
+		}
+		known.accused = known.accused && len(left) == len(known.crashes)
+		known.crashes = left
+		t.entries[print] = known
 	}
-	t.put(now, print, after)
-	return Verdict{Crashes: after.crashes, Condemned: after.condemned}
 }
 
 // Completed clears a suspect that ran to its end. A condemned request stays.
@@ -107,41 +226,52 @@
 }
 
 func (t *Table) mergeOne(now time.Duration, entry Entry) bool {
-	keep := min(time.Duration(entry.KeepMilliseconds)*time.Millisecond, t.settings.Keep)
-	if keep <= 0 || entry.Crashes <= 0 {
-		return false
+	known := t.inForce(now, entry.Fingerprint)
+	merged := known
+	merged.crashes = slices.Clone(known.crashes)
+	merged.condemned = known.condemned || entry.Condemned
+	for _, strike := range entry.Strikes {
+		c := crash{upstream: strike.Upstream, at: now - time.Duration(strike.AgeMilliseconds)*time.Millisecond}
+		if t.counts(now, merged, c) {
+			merged.crashes = append(merged.crashes, c)
+		}
 	}
-	known := t.Look(now, entry.Fingerprint)
-	if known.Crashes >= entry.Crashes && (known.Condemned || !entry.Condemned) {
+	if len(merged.crashes) == len(known.crashes) && merged.condemned == known.condemned || len(merged.crashes) == 0 {
 		return false
 	}
-	t.put(now, entry.Fingerprint, suspicion{
-		crashes:   max(known.Crashes, entry.Crashes),
-		condemned: known.Condemned || entry.Condemned,
-		until:     now + keep,
-	})
+	t.put(now, entry.Fingerprint, merged)
 	return true
 }
 
+// counts reports whether a crash that another instance reports is news. That of
+// a condemned request is, even when another condemned one was part of it.
+func (t *Table) counts(now time.Duration, known suspicion, c crash) bool {
+	if now-c.at >= t.settings.Keep || known.has(c) || len(known.crashes) >= t.settings.MaxCrashes {
+		return false
+	}
+	return known.condemned || !t.explained(c.same)
+}
+
 // List returns all entries in force, condemned ones first, at most limit.
 func (t *Table) List(now time.Duration, limit int) []Entry {
 	list := make([]Entry, 0, len(t.entries))
-	for print, known := range t.entries {
-		if now < known.until {
-			list = append(list, known.entry(now, print))
+	for print := range t.entries {
+		if entry, ok := t.entry(now, print); ok {
+			list = append(list, entry)
 		}
 	}
 	slices.SortFunc(list, compareEntries)
 	return list[:min(limit, len(list))]
 }
 
-func (s suspicion) entry(now time.Duration, print Fingerprint) Entry {
-	return Entry{
-		Fingerprint:      print,
-		Crashes:          s.crashes,
-		Condemned:        s.condemned,
-		KeepMilliseconds: (s.until - now).Milliseconds(),
+// entry returns the entry of a fingerprint in force.
+func (t *Table) entry(now time.Duration, print Fingerprint) (Entry, bool) {
+	known := t.inForce(now, print)
+	entry := Entry{Fingerprint: print, Condemned: known.condemned}
+	for _, c := range known.crashes {
+		entry.Strikes = append(entry.Strikes, Strike{Upstream: c.upstream, AgeMilliseconds: (now - c.at).Milliseconds()})
 	}
+	return entry, len(known.crashes) > 0
 }
 
 func compareEntries(a, b Entry) int {
@@ -151,18 +281,30 @@
 		}
 		return 1
 	}
-	if a.KeepMilliseconds != b.KeepMilliseconds {
-		return int(b.KeepMilliseconds - a.KeepMilliseconds)
+	if a.age() != b.age() {
+		return cmp.Compare(a.age(), b.age())
 	}
 	return slices.Compare(a.Fingerprint[:], b.Fingerprint[:])
 }
 
+// age returns the time since the last crash in milliseconds.
+func (e Entry) age() int64 {
+	youngest := int64(math.MaxInt64)
+	for _, strike := range e.Strikes {
+		youngest = min(youngest, strike.AgeMilliseconds)
+	}
+	return youngest
+}
+
 // put keeps the state, and makes room for it when the table is full.
 func (t *Table) put(now time.Duration, print Fingerprint, state suspicion) {
 	if _, ok := t.entries[print]; !ok && len(t.entries) >= t.settings.MaxEntries {
 		t.evict(now)
 	}
 	t.entries[print] = state
+	if state.condemned {
+		t.explain(print)
+	}
 }
 
 // evict forgets expired entries, or else the least valuable one.
@@ -170,7 +312,7 @@
 	var worst Fingerprint
 	var least *suspicion
 	for print, known := range t.entries {
-		if now >= known.until {
+		if now >= known.last()+t.settings.Keep {
 			delete(t.entries, print)
 			continue
 		}
@@ -187,5 +329,5 @@
 	if a.condemned != b.condemned {
 		return b.condemned
 	}
-	return a.until < b.until
+	return a.last() < b.last()
 }
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 func printOf(n int) Fingerprint {
@@ -29,25 +31,35 @@
 	}
 }
 
+// step is one crash in a test, a minute after the one before it.
+type step struct {
+	print    int
+	upstream types.UpstreamID
+	only     bool
+}
+
 func TestCondemnsTheOnlySuspectOfASecondCrash(t *testing.T) {
 	tests := []struct {
 		name    string
-		only    []bool
+		steps   []step
 		crashes int
 		want    bool
 	}{
-		{"first crash", []bool{true}, 1, false},
-		{"second crash, only suspect", []bool{false, true}, 2, true},
-		{"second crash beside another suspect", []bool{false, false}, 2, false},
-		{"too many crashes", []bool{false, false, false, false}, 4, true},
+		{"first crash", []step{{1, "u1", true}}, 1, false},
+		{"second crash, only suspect", []step{{1, "u1", false}, {1, "u2", true}}, 2, true},
+		{"second crash beside another suspect", []step{{1, "u1", false}, {1, "u2", false}}, 2, false},
+		{"too many crashes", []step{{1, "u1", false}, {1, "u2", false}, {1, "u3", false}, {1, "u4", false}}, 4, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			table := NewTable(DefaultSettings())
-			for _, only := range test.only {
-				table.Crashed(0, printOf(1), only)
+			now := time.Duration(0)
+			for _, s := range test.steps {
+				now += time.Minute
+				table.Crashed(now, printOf(s.print), Run{s.upstream, time.Second, s.only})
 			}
-			got := table.Look(0, printOf(1))
+			table.Confirm(now, printOf(1))
+			got := table.Look(now, printOf(1))
 			if got.Condemned != test.want || got.Crashes != test.crashes {
 				t.Fatalf("%+v", got)
 			}
@@ -55,12 +67,63 @@
 	}
 }
 
+func TestCondemnedRequestExplainsTheCrashOfOthers(t *testing.T) {
+	table := NewTable(DefaultSettings())
+	innocent, poison := printOf(1), printOf(2)
+	table.Crashed(0, innocent, Run{"u1", time.Second, false})
+	table.Crashed(time.Millisecond, poison, Run{"u1", time.Second, false})
+	table.Crashed(time.Minute, poison, Run{"u2", time.Second, true})
+	table.Confirm(time.Minute, poison)
+	if got := table.Look(time.Minute, innocent); got.Crashes != 0 {
+		t.Fatalf("still suspected: %+v", got)
+	}
+	table.Crashed(time.Minute+time.Millisecond, innocent, Run{"u2", time.Second, true})
+	if got := table.Look(time.Minute, innocent); got.Crashes != 0 {
+		t.Fatalf("suspected for an explained crash: %+v", got)
+	}
+	table.Crashed(2*time.Minute, innocent, Run{"u3", time.Second, true})
+	if got := table.Look(2*time.Minute, innocent); got.Condemned || got.Crashes != 1 {
+		t.Fatalf("condemned at its first unexplained crash: %+v", got)
+	}
+}
+
+func TestCopiesOfOneBatchCountOneCrash(t *testing.T) {
+	table := NewTable(DefaultSettings())
+	table.Crashed(time.Second, printOf(1), Run{"u1", time.Second, false})
+	if got := table.Crashed(time.Second, printOf(1), Run{"u1", time.Second, true}); got.Crashes != 1 {
+		t.Fatalf("a second copy: %+v", got)
+	}
+	later := time.Second + 10*time.Millisecond
+	if got := table.Crashed(later, printOf(1), Run{"u1", time.Millisecond, true}); !got.Accused {
+		t.Fatalf("an attempt that began after the crash: %+v", got)
+	}
+}
+
+func TestLaterAccusationExplainsAnEarlierOne(t *testing.T) {
+	table := NewTable(DefaultSettings())
+	innocent, poison := printOf(1), printOf(2)
+	table.Crashed(time.Second, innocent, Run{"u1", time.Second, false})
+	now := time.Minute
+	if got := table.Crashed(now, innocent, Run{"u2", time.Second, true}); !got.Accused {
+		t.Fatalf("innocent: %+v", got)
+	}
+	table.Crashed(now+time.Millisecond, poison, Run{"u2", time.Second, false})
+	table.Crashed(now+50*time.Millisecond, poison, Run{"u3", 10 * time.Millisecond, true})
+	if got := table.Confirm(now+300*time.Millisecond, innocent); got.Condemned || got.Crashes != 1 {
+		t.Fatalf("innocent: %+v", got)
+	}
+	if got := table.Confirm(now+350*time.Millisecond, poison); !got.Condemned || got.Crashes != 2 {
+		t.Fatalf("poison: %+v", got)
+	}
+}
+
 func TestCompletedClearsOnlySuspects(t *testing.T) {
 	table := NewTable(DefaultSettings())
-	table.Crashed(0, printOf(1), false)
+	table.Crashed(0, printOf(1), Run{"u1", time.Second, false})
 	table.Completed(printOf(1))
-	table.Crashed(0, printOf(2), false)
-	table.Crashed(0, printOf(2), true)
+	table.Crashed(0, printOf(2), Run{"u1", time.Second, false})
+	table.Crashed(0, printOf(2), Run{"u2", time.Second, true})
+	table.Confirm(0, printOf(2))
 	table.Completed(printOf(2))
 	if table.Look(0, printOf(1)).Crashes != 0 || !table.Look(0, printOf(2)).Condemned {
 		t.Fatalf("%+v %+v", table.Look(0, printOf(1)), table.Look(0, printOf(2)))
@@ -70,10 +133,11 @@
 func TestExpiryAndBound(t *testing.T) {
 	settings := Settings{MaxEntries: 3, Keep: time.Minute, MaxCrashes: 4}
 	table := NewTable(settings)
-	table.Crashed(0, printOf(0), false)
-	table.Crashed(0, printOf(0), true)
+	table.Crashed(0, printOf(0), Run{"u1", time.Second, false})
+	table.Crashed(0, printOf(0), Run{"u2", time.Second, true})
+	table.Confirm(0, printOf(0))
 	for n := 1; n < 10; n++ {
-		table.Crashed(time.Duration(n), printOf(n), false)
+		table.Crashed(time.Duration(n), printOf(n), Run{"u3", time.Second, false})
 	}
 	if table.Len() != settings.MaxEntries {
 		t.Fatalf("%d entries", table.Len())
@@ -87,22 +151,25 @@
 }
 
 func TestMergeTakesOnlyNews(t *testing.T) {
-	table := NewTable(DefaultSettings())
-	suspect := Entry{Fingerprint: printOf(1), Crashes: 1, KeepMilliseconds: 1000}
-	condemned := Entry{Fingerprint: printOf(1), Crashes: 2, Condemned: true, KeepMilliseconds: 1000}
+	table := NewTable(Settings{MaxEntries: 9, Keep: time.Minute, MaxCrashes: 4})
+	now := 10 * time.Second
+	first := Strike{Upstream: "u1", AgeMilliseconds: 5000}
+	second := Strike{Upstream: "u2", AgeMilliseconds: 10}
+	suspect := Entry{Fingerprint: printOf(1), Strikes: []Strike{first}}
+	condemned := Entry{Fingerprint: printOf(1), Strikes: []Strike{first, second}, Condemned: true}
+	mate := Entry{Fingerprint: printOf(2), Strikes: []Strike{second}}
+	old := Entry{Fingerprint: printOf(3), Strikes: []Strike{{Upstream: "u1", AgeMilliseconds: 60_000}}, Condemned: true}
 	steps := []struct {
 		entry Entry
 		news  int
-	}{{suspect, 1}, {suspect, 0}, {condemned, 1}, {suspect, 0}, {Entry{Fingerprint: printOf(2)}, 0}}
+	}{{suspect, 1}, {suspect, 0}, {condemned, 1}, {suspect, 0}, {mate, 0}, {old, 0}}
 	for i, step := range steps {
-		if news := table.Merge(0, []Entry{step.entry}); len(news) != step.news {
+		if news := table.Merge(now, []Entry{step.entry}); len(news) != step.news {
 			t.Fatalf("step %d: %v", i, news)
 		}
 	}
-	if !table.Look(0, printOf(1)).Condemned || table.Look(time.Second, printOf(1)).Condemned {
-		t.Fatal("the merged entry is not in force for its time")
-	}
-	if list := table.List(0, 5); len(list) != 1 || list[0].KeepMilliseconds != 1000 {
+	list := table.List(now, 5)
+	if len(list) != 1 || !list[0].Condemned || len(list[0].Strikes) != 2 || list[0].Strikes[0].AgeMilliseconds != 5000 {
 		t.Fatalf("%+v", list)
 	}
 }
