Answers without a marked end and too large ones fail by code of their own

Cause: an answer that ends only with the connection looks the same whole and cut; a 5xx of an engine was taken for a crash, which put its engine out of service and its request under suspicion.

Change: codes answer_unframed and answer_too_large; a 5xx of an engine is a refusal that has run. Tests of the limits and the retry budget.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -176,6 +176,8 @@
 		return pool.FinishCancelled
 	case failure.RunState == types.NotRun:
 		return pool.FinishUnreachable
+	case failure.RunState == types.Ran:
+		return pool.FinishRejected
 	default:
 		return pool.FinishCrashed
 	}
--- a/pkg/entry/capture.go
+++ b/pkg/entry/capture.go
@@ -5,7 +5,6 @@
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/idempotency"
-	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // capture holds an answer in memory, for the copies of a request that is not
@@ -35,7 +34,7 @@
 func (c *capture) Write(p []byte) (int, error) {
 	c.WriteHeader(http.StatusOK)
 	if len(c.body)+len(p) > c.limit {
-		return 0, fault.New(fault.UpstreamFailed, "the answer exceeds the limit").WithRunState(types.Ran)
+		return 0, fault.New(fault.AnswerTooLarge, "the answer exceeds the limit")
 	}
 	c.body = append(c.body, p...)
 	return len(p), nil
--- a/pkg/entry/refusal.go
+++ b/pkg/entry/refusal.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // maxRefusalBytes bounds what is read of an upstream's error body.
@@ -24,7 +25,8 @@
 		return busy(response)
 	}
 	if engine && status >= http.StatusInternalServerError {
-		return fault.New(fault.UpstreamFailed, "the engine answered with status "+strconv.Itoa(status))
+		failure := fault.New(fault.UpstreamFailed, "the engine answered with status "+strconv.Itoa(status))
+		return failure.WithRunState(types.Ran)
 	}
 	return nil
 }
--- /dev/null
+++ b/pkg/entry/upstream_test.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/rules"
+	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
+)
+
+// scripted answers every call with the same response.
+type scripted struct {
+	status int
+	body   string
+	// length is the Content-Length; -1 marks a body that ends with the connection.
+	length int64
+}
+
+func (s scripted) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{
+		StatusCode:    s.status,
+		Header:        http.Header{"Retry-After": []string{"3"}},
+		Body:          io.NopCloser(strings.NewReader(s.body)),
+		ContentLength: s.length,
+	}, nil
+}
+
+func TestAnswersOfUpstreams(t *testing.T) {
+	whole := `{"choices":[{"message":{"content":"x"}}]}`
+	tests := []struct {
+		name     string
+		response scripted
+		path     string
+		status   int
+		want     string
+		reason   pool.FinishReason
+	}{
+		{"complaint of an engine is passed on", scripted{400, `{"error":{"code":"context_length"}}`, 35}, chatURL, 400, "context_length", pool.FinishComplete},
+		{"broken engine", scripted{500, "oops", 4}, chatURL, 502, `"run_state":"ran"`, pool.FinishRejected},
+		{"full engine", scripted{429, "{}", 2}, chatURL, 503, string(fault.Overloaded), pool.FinishRejected},
+		{"leaving engine", scripted{503, `{"error":{"code":"leaving"}}`, 28}, chatURL, 503, string(fault.UpstreamLeaving), pool.FinishLeaving},
+		{"cut answer, twice", scripted{200, whole[:10], 10}, chatURL, 422, string(fault.Quarantined), pool.FinishCrashed},
+		{"answer without an end", scripted{200, whole, -1}, chatURL, 502, string(fault.AnswerUnframed), pool.FinishCancelled},
+		{"too large", scripted{200, strings.Repeat("x", 9<<20), 9 << 20}, "/v1/services/queue/x", 502, string(fault.AnswerTooLarge), pool.FinishCancelled},
+		{"error of a service is its answer", scripted{500, "sorry", 5}, "/v1/services/queue/x", 500, "sorry", pool.FinishComplete},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newScripted(t, test.response)
+			w := b.send("POST", test.path, chatJSON("a", ""), headerRepeatable, "true")
+			if w.Code != test.status || !strings.Contains(w.Body.String(), test.want) {
+				t.Fatalf("%d %.200s", w.Code, w.Body)
+			}
+			if ends := b.granter.Finished(); ends[0].Reason != test.reason {
+				t.Fatalf("ended %s", ends[0].Reason)
+			}
+		})
+	}
+}
+
+// newScripted returns an entry whose upstreams answer by the script.
+func newScripted(t *testing.T, script scripted) *bench {
+	t.Helper()
+	granter := httpfakes.NewGranter(httpfakes.NewUpstream("u1"))
+	e, err := New(Options{
+		Self:          types.Instance{ID: "e1"},
+		Incarnation:   "01ARZ3NDEKTSV4RRFFQ69G5FAV",
+		Store:         newStore(t),
+		Granter:       granter,
+		Recorder:      discard{},
+		Logger:        zerolog.Nop(),
+		Transport:     script,
+		OnceTransport: script,
+		Settings:      DefaultSettings(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &bench{entry: e, granter: granter}
+}
+
+// TestKindsOfTargets refuses a rule that leads a request astray.
+func TestKindsOfTargets(t *testing.T) {
+	tests := []struct {
+		name   string
+		target config.Target
+		code   fault.Code
+	}{
+		{"another model", config.Target{Kind: config.EngineTarget, Model: "other"}, fault.UnknownModel},
+		{"a service", config.Target{Kind: config.ServiceTarget, Service: "queue"}, fault.UnknownModel},
+	}
+	for _, test := range tests {
+		err := checkTarget(rules.Attributes{Kind: kindChat, Model: "m"}, test.target)
+		if err == nil || fault.From(err).Code != test.code {
+			t.Errorf("%s: %v", test.name, err)
+		}
+	}
+}
--- a/pkg/entry/whole.go
+++ b/pkg/entry/whole.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
@@ -60,11 +61,20 @@
 		return nil, fault.Wrap(fault.UpstreamFailed, err, "the answer broke off")
 	}
 	if int64(len(body)) > limit {
-		return nil, fault.New(fault.UpstreamFailed, "the answer exceeds the limit").WithRunState(types.Ran)
+		return nil, fault.New(fault.AnswerTooLarge, "the answer exceeds the limit")
+	}
+	if unframed(response) {
+		return nil, fault.New(fault.AnswerUnframed, "the upstream does not mark the end of its answer")
 	}
 	return body, nil
 }
 
+// unframed reports whether the body ended only with the connection, as it also
+// does when the upstream crashes.
+func unframed(response *http.Response) bool {
+	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
+}
+
 // completionTokens returns the engine's own count of the answer's tokens.
 func completionTokens(body []byte) int {
 	var counted struct {
--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -33,6 +33,11 @@
 	NoUpstream Code = "no_upstream"
 	// UpstreamFailed: the upstream failed and no retry was allowed or left.
 	UpstreamFailed Code = "upstream_failed"
+	// AnswerTooLarge: the upstream's answer exceeds the configured size.
+	AnswerTooLarge Code = "answer_too_large"
+	// AnswerUnframed: the end of the upstream's answer is not marked, so that a
+	// whole answer cannot be told from a part of one.
+	AnswerUnframed Code = "answer_unframed"
 	// UpstreamLeaving: the upstream refuses new work because it is leaving.
 	UpstreamLeaving Code = "upstream_leaving"
 	// Preempted: the request gave way to a higher tier and could not resume.
@@ -106,6 +111,8 @@
 	DeadlineExceeded:     {http.StatusGatewayTimeout, types.MayHaveRun},
 	NoUpstream:           {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamFailed:       {http.StatusBadGateway, types.MayHaveRun},
+	AnswerTooLarge:       {http.StatusBadGateway, types.Ran},
+	AnswerUnframed:       {http.StatusBadGateway, types.Ran},
 	UpstreamLeaving:      {http.StatusServiceUnavailable, types.NotRun},
 	Preempted:            {http.StatusServiceUnavailable, types.MayHaveRun},
 	Quarantined:          {http.StatusUnprocessableEntity, types.MayHaveRun},
