--- a/pkg/entry/whole.go
+++ b/pkg/entry/whole.go
@@ -72,7 +72,8 @@
 // unframed reports whether the body ended only with the connection, as it also
 // does when the upstream crashes.
 func unframed(response *http.Response) bool {
-	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
+	hasBody := response.Body != http.NoBody
+	return hasBody && response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
 }
 
 // completionTokens returns the engine's own count of the answer's tokens.
@@ -97,7 +98,9 @@
 // writeTo sends the answer to the caller.
 func (a *answer) writeTo(w http.ResponseWriter) error {
 	copyHeader(w.Header(), a.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	if len(a.body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	w.WriteHeader(a.status)
 	if _, err := w.Write(a.body); err != nil {
 		return fault.Wrap(fault.CallerGone, err, "writing the answer").WithRunState(types.Ran)
