--- a/pkg/idempotency/key.go
+++ b/pkg/idempotency/key.go
@@ -19,7 +19,7 @@
 const maxNonceBytes = 128
 
 // keyHelp tells a caller how to come by a key.
-const keyHelp = "use <incarnation>.<window>.<nonce>, with the incarnation and window from GET /v1/addresses and a nonce of your own"
+const keyHelp = "use INCARNATION.WINDOW.NONCE, with the incarnation and window from GET /v1/addresses and a nonce of your own"
 
 // Window numbers the stretches of an instance's monotonic time, from zero at
 // its start.
