prove: a duplicate answer reaches another caller over a kept connection

A new fault of the fakes: an upstream sends its answer twice, the second time 30 ms later on the same connection. net/http notices it only while the connection is idle; when the next request is on it, the duplicate is its answer.

Cause: connections to engines are kept and used again.

--- a/test/httpfakes/fault.go
+++ b/test/httpfakes/fault.go
@@ -28,6 +28,8 @@
 	Full
 	// Leaving refuses with status 503 and the code "leaving".
 	Leaving
+	// Duplicate sends the whole answer twice, the second time after a while.
+	Duplicate
 	faultCount
 )
 
--- a/test/httpfakes/upstream.go
+++ b/test/httpfakes/upstream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
@@ -160,7 +161,34 @@
 		return
 	case Slow:
 		wait(r, time.Second)
+	case Duplicate:
+		u.duplicate(w, r, body)
+		return
 	}
+	u.answer(w, r, body, fault)
+}
+
+// duplicateAfter is the time between an answer and its duplicate.
+const duplicateAfter = 30 * time.Millisecond
+
+// duplicate answers twice on the connection, and closes it then.
+func (u *Upstream) duplicate(w http.ResponseWriter, r *http.Request, body []byte) {
+	recorded := httptest.NewRecorder()
+	u.answer(recorded, r, body, None)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	text := recorded.Body.String()
+	whole := fmt.Sprintf("HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n%s", recorded.Code, len(text), text)
+	_, _ = io.WriteString(conn, whole)
+	time.Sleep(duplicateAfter)
+	_, _ = io.WriteString(conn, whole)
+}
+
+// answer executes the request.
+func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, body []byte, fault Fault) {
 	if strings.HasSuffix(r.URL.Path, "/chat/completions") {
 		u.serveChat(w, r, body, fault)
 		return
