--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -22,13 +22,12 @@
 // latestStart returns the last time at which the job can start and still keep
 // its targets.
 func (p *Pool) latestStart(j *job) time.Duration {
-	return p.latestStartFor(j, p.answerIn(j))
+	return p.latestStartFor(j, p.firstTokenIn(j, p.firstTokens.upper), p.answerIn(j))
 }
 
-// latestStartFor returns the last start when the answer takes the given time
-// after its first token.
-func (p *Pool) latestStartFor(j *job, answer time.Duration) time.Duration {
-	first := p.firstTokenIn(j)
+// latestStartFor returns the last start when the first token and the rest of
+// the answer take the given times.
+func (p *Pool) latestStartFor(j *job, first, answer time.Duration) time.Duration {
 	latest := j.deadline - first - answer
 	if j.firstBy != 0 {
 		latest = min(latest, j.firstBy-first)
@@ -36,9 +35,10 @@
 	return latest - p.settings.FirstTokenMargin
 }
 
-// firstTokenIn predicts the time from the start to the first token.
-func (p *Pool) firstTokenIn(j *job) time.Duration {
-	predicted := seconds(p.firstTokens.upper(j.req.PromptTokens))
+// firstTokenIn predicts the time from the start to the first token by an
+// estimate in seconds for the length of the prompt.
+func (p *Pool) firstTokenIn(j *job, estimate func(int) float64) time.Duration {
+	predicted := seconds(estimate(j.req.PromptTokens))
 	if target := j.class.config.FirstToken.Duration(); target > 0 {
 		predicted = min(predicted, seconds(target.Seconds()*maxFirstTokenShare))
 	}
@@ -69,13 +69,14 @@
 }
 
 // late reports whether the waiting job can no longer keep its targets. While a
-// lower tier is present, only the first token and the deadline itself count: the
-// length of an answer is a guess, and a wrong guess would favour the lower tier.
+// lower tier is present, only the mean first token and the deadline itself count:
+// the length of an answer is a guess, and a wrong guess would favour the lower
+// tier.
 func (p *Pool) late(j *job) bool {
 	if p.now < p.latestStart(j) {
 		return false
 	}
-	return p.now >= p.latestStartFor(j, 0) || !p.lowerTierPresent(j)
+	return p.now >= p.latestStartFor(j, p.firstTokenIn(j, p.firstTokens.mean), 0) || !p.lowerTierPresent(j)
 }
 
 // lateCode returns why a request came too late to start.
@@ -122,7 +123,7 @@
 // predictedWait returns when a place is expected for the waiting job.
 func (p *Pool) predictedWait(j *job) time.Duration {
 	ahead := p.queue.ahead(j)
-	if ahead < p.totalFree()-p.reserved {
+	if ahead < p.totalFree(j.req.Tier)-p.reserved {
 		return 0
 	}
 	return p.drainTime(ahead+1, j)
--- a/pkg/pool/capacity.go
+++ b/pkg/pool/capacity.go
@@ -1,29 +1,51 @@
 package pool
 
 import (
+	"math"
+	"slices"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// slots returns how many requests the engine may run at once, so that the
-// tightest between-token target in use holds.
-func (p *Pool) slots(e *engine) int {
+// slots returns how many requests the engine may run at once for one more of
+// the tier to start, so that the tightest between-token target in use holds.
+// Each tier leaves a part free for those above it that are in use: they start
+// at once, and nothing need be preempted for them.
+func (p *Pool) slots(e *engine, tier types.Tier) int {
 	if e.health.probation {
 		return 1
 	}
 	bound := max(1, e.config.MaxConcurrent)
+	share := p.tierShare(tier)
+	places := bound - int(float64(bound)*(1-share))
 	if p.tightestGap == 0 {
-		return bound
+		return places
 	}
-	limit := p.tightestGap.Seconds() * p.settings.GapHeadroom / max(e.speed.factor, 1)
-	return p.steps.batchWithin(limit, bound)
+	limit := p.tightestGap.Seconds() * p.settings.GapHeadroom * share / max(e.speed.factor, 1)
+	return p.steps.batchWithin(limit, places)
 }
 
-// free returns how many more requests the engine may run.
-func (p *Pool) free(e *engine) int {
+// tierShare returns the part of an engine that the tier may fill.
+func (p *Pool) tierShare(tier types.Tier) float64 {
+	above := 0
+	for _, t := range p.activeTiers {
+		if t > tier {
+			above++
+		}
+	}
+	return max(1-p.settings.TierReserve*float64(above), minTierShare)
+}
+
+// minTierShare is the part of an engine that the lowest tier may always fill.
+const minTierShare = 0.5
+
+// free returns how many more requests of the tier the engine may run.
+func (p *Pool) free(e *engine, tier types.Tier) int {
 	if !e.available(p.now) || e.speed.ejected {
 		return 0
 	}
-	return max(p.slots(e)-e.batch(p.now), 0)
+	return max(p.slots(e, tier)-e.batch(p.now), 0)
 }
 
 // memory returns the key-value memory that the job is expected to reach, in
@@ -49,13 +71,18 @@
 // engine takes any job.
 func (p *Pool) fits(e *engine, j *job) bool {
 	batch := e.batch(p.now)
-	if batch >= p.slots(e) {
+	if batch >= p.slots(e, j.req.Tier) {
 		return false
 	}
 	if e.config.KVTokens <= 0 || batch == 0 {
 		return true
 	}
-	return e.booked+p.memory(j) <= float64(e.config.KVTokens)*p.settings.KVHeadroom
+	return e.booked+p.memory(j) <= p.memoryBound(e, j.req.Tier)
+}
+
+// memoryBound returns the key-value memory that the tier may book, in tokens.
+func (p *Pool) memoryBound(e *engine, tier types.Tier) float64 {
+	return float64(e.config.KVTokens) * p.settings.KVHeadroom * p.tierShare(tier)
 }
 
 // takes reports whether the engine may be given the job now.
@@ -78,7 +105,7 @@
 // choose returns the best engine for the job, or nil. Work that does not start
 // for a floor leaves the floors' reserve free.
 func (p *Pool) choose(j *job, floor bool) *engine {
-	if !floor && p.totalFree() <= p.reserved-p.floorsRunning {
+	if !floor && p.totalFree(j.req.Tier) <= p.reserved-p.floorsRunning {
 		return nil
 	}
 	var best *engine
@@ -112,11 +139,11 @@
 	return p.steps.at(batch) * e.speed.factor
 }
 
-// totalFree returns the free places of the pool.
-func (p *Pool) totalFree() int {
+// totalFree returns the free places of the pool for the tier.
+func (p *Pool) totalFree(tier types.Tier) int {
 	n := 0
 	for _, e := range p.engines {
-		n += p.free(e)
+		n += p.free(e, tier)
 	}
 	return n
 }
@@ -131,18 +158,12 @@
 		return
 	}
 	p.capacityAt = p.now + capacityInterval
-	p.tightestGap = 0
-	for _, c := range p.classOrder {
-		target := c.config.BetweenTokens.Duration()
-		if target > 0 && c.active(p.now) && (p.tightestGap == 0 || target < p.tightestGap) {
-			p.tightestGap = target
-		}
-	}
+	p.reviewTargets()
 	places := 0
 	for _, e := range p.engines {
 		e.foreign.note(p.now, len(e.running))
 		if e.available(p.now) && !e.speed.ejected {
-			places += p.slots(e)
+			places += p.slots(e, topTier)
 		}
 	}
 	p.reserved = p.reserve(places)
@@ -150,6 +171,27 @@
 	p.reviewRates()
 }
 
+// topTier is above every tier.
+const topTier types.Tier = math.MaxInt
+
+// reviewTargets finds the tightest between-token target and the tiers in use.
+func (p *Pool) reviewTargets() {
+	p.tightestGap = 0
+	p.activeTiers = p.activeTiers[:0]
+	for _, c := range p.classOrder {
+		if !c.active(p.now) {
+			continue
+		}
+		target := c.config.BetweenTokens.Duration()
+		if target > 0 && (p.tightestGap == 0 || target < p.tightestGap) {
+			p.tightestGap = target
+		}
+		if !slices.Contains(p.activeTiers, c.tier) {
+			p.activeTiers = append(p.activeTiers, c.tier)
+		}
+	}
+}
+
 // minRemaining is the shortest time in which a running job is expected to end.
 const minRemaining = 10 * time.Millisecond
 
--- a/pkg/pool/class.go
+++ b/pkg/pool/class.go
@@ -17,8 +17,10 @@
 	lengths *lengths
 	// duration learns the time that an attempt holds its place.
 	duration average
-	waiting  int
-	running  int
+	// tier is that of the class's latest request.
+	tier    types.Tier
+	waiting int
+	running int
 	// seen is when a request of the class last arrived.
 	seen time.Duration
 	// clock is when the class last started a request, if started is set; the
--- a/pkg/pool/estimate.go
+++ b/pkg/pool/estimate.go
@@ -142,16 +142,27 @@
 }
 
 // upper returns a time in seconds that most first tokens keep to: the mean and
-// twice the mean deviation of the nearest range that has been seen.
+// twice the mean deviation.
 func (f *firstToken) upper(promptTokens int) float64 {
+	a := f.nearest(promptTokens)
+	return a.mean + 2*a.deviation
+}
+
+// mean returns the mean time in seconds.
+func (f *firstToken) mean(promptTokens int) float64 {
+	return f.nearest(promptTokens).mean
+}
+
+// nearest returns the average of the nearest range that has been seen.
+func (f *firstToken) nearest(promptTokens int) average {
 	at := promptRange(promptTokens)
 	for distance := range promptRanges {
 		for _, i := range [2]int{at - distance, at + distance} {
 			if i < 0 || i >= promptRanges || f.byLength[i].samples == 0 {
 				continue
 			}
-			return f.byLength[i].mean + 2*f.byLength[i].deviation
+			return f.byLength[i]
 		}
 	}
-	return 0
+	return average{}
 }
--- a/pkg/pool/job.go
+++ b/pkg/pool/job.go
@@ -50,6 +50,7 @@
 		j.firstBy = p.now + req.FirstTokenIn
 	}
 	j.class.seen = p.now
+	j.class.tier = req.Tier
 	return j
 }
 
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -36,6 +36,8 @@
 
 	// tightestGap is the smallest between-token target in use; zero means none.
 	tightestGap time.Duration
+	// activeTiers are the tiers of the classes in use, in no order.
+	activeTiers []types.Tier
 	// reserved counts the places that floors hold free.
 	reserved int
 	// floorsRunning counts the running jobs that started for floors.
--- a/pkg/pool/settings.go
+++ b/pkg/pool/settings.go
@@ -17,6 +17,9 @@
 	GapHeadroom float64
 	// KVHeadroom is the part of an engine's key-value cache that may be booked.
 	KVHeadroom float64
+	// TierReserve is the part of an engine that a tier leaves free for each
+	// higher tier in use.
+	TierReserve float64
 	// FirstTokenMargin is kept free between a predicted first token and its
 	// target.
 	FirstTokenMargin time.Duration
@@ -45,6 +48,7 @@
 		ExpiryGrace:       5 * time.Second,
 		GapHeadroom:       0.9,
 		KVHeadroom:        0.95,
+		TierReserve:       0.06,
 		FirstTokenMargin:  20 * time.Millisecond,
 		StragglerRatio:    2,
 		RecoveredRatio:    1.4,
