pool: step time by the pool's own clock and a slower average; floors use the tiers' reserve

Cause: floors were bound by the share of their tier; the gap in reports is a mean over the whole attempt, so a growing batch looked faster than it is; the average over some 20 reports followed single prompts, and each dip of the places led to preemptions. Change: a start for a floor may use all places and all memory; the gap is taken between two reports; a report weighs 0.002.

--- a/pkg/bench/request.go
+++ b/pkg/bench/request.go
@@ -48,6 +48,9 @@
 	starts int
 	// floor says that the last grant was for the floor of the class.
 	floor bool
+	// read counts the tokens that the attempts had to read, prompts and resumed
+	// answers.
+	read int
 	// overtaken says that a lower tier started at the target during the wait.
 	overtaken bool
 }
@@ -100,6 +103,7 @@
 	r.at = u
 	r.starts++
 	r.before = r.tokens
+	r.read += r.arrival.prompt + r.tokens
 	r.attemptStart = r.sim.agenda.now
 	r.sim.started(r)
 	r.reportProgress(r.attempt)
--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -69,14 +69,13 @@
 }
 
 // late reports whether the waiting job can no longer keep its targets. While a
-// lower tier is present, only the mean first token and the deadline itself count:
-// the length of an answer is a guess, and a wrong guess would favour the lower
-// tier.
+// lower tier is present, only the shortest first token and the deadline itself count: a wrong guess
+// would favour the lower tier.
 func (p *Pool) late(j *job) bool {
 	if p.now < p.latestStart(j) {
 		return false
 	}
-	return p.now >= p.latestStartFor(j, p.firstTokenIn(j, p.firstTokens.mean), 0) || !p.lowerTierPresent(j)
+	return p.now >= p.latestStartFor(j, p.firstTokenIn(j, p.firstTokens.lower), 0) || !p.lowerTierPresent(j)
 }
 
 // lateCode returns why a request came too late to start.
--- a/pkg/pool/capacity.go
+++ b/pkg/pool/capacity.go
@@ -22,6 +22,9 @@
 	if p.tightestGap == 0 {
 		return places
 	}
+	if !p.steps.known && e.config.KVTokens > 0 {
+		return max(1, places/unknownDivisor)
+	}
 	limit := p.tightestGap.Seconds() * p.settings.GapHeadroom * share / max(e.speed.factor, 1)
 	return p.steps.batchWithin(limit, places)
 }
@@ -37,6 +40,10 @@
 	return max(1-p.settings.TierReserve*float64(above), minTierShare)
 }
 
+// unknownDivisor reduces the places of an engine until a step time has been
+// seen, so that a new dispatcher does not fill the engines beyond their targets.
+const unknownDivisor = 2
+
 // minTierShare is the part of an engine that the lowest tier may always fill.
 const minTierShare = 0.5
 
@@ -68,16 +75,20 @@
 }
 
 // fits reports whether the engine has a place and memory for the job. An empty
-// engine takes any job.
-func (p *Pool) fits(e *engine, j *job) bool {
+// engine takes any job. A start for a floor may use what tiers leave free.
+func (p *Pool) fits(e *engine, j *job, floor bool) bool {
+	tier, memory := j.req.Tier, p.memoryBound(e, j.req.Tier)
+	if floor {
+		tier, memory = topTier, float64(e.config.KVTokens)
+	}
 	batch := e.batch(p.now)
-	if batch >= p.slots(e, j.req.Tier) {
+	if batch >= p.slots(e, tier) {
 		return false
 	}
 	if e.config.KVTokens <= 0 || batch == 0 {
 		return true
 	}
-	return e.booked+p.memory(j) <= p.memoryBound(e, j.req.Tier)
+	return e.booked+p.memory(j) <= memory
 }
 
 // memoryBound returns the key-value memory that the tier may book, in tokens.
@@ -86,8 +97,8 @@
 }
 
 // takes reports whether the engine may be given the job now.
-func (p *Pool) takes(e *engine, j *job) bool {
-	if !e.available(p.now) || !p.fits(e, j) {
+func (p *Pool) takes(e *engine, j *job, floor bool) bool {
+	if !e.available(p.now) || !p.fits(e, j, floor) {
 		return false
 	}
 	if j.req.Suspect > 0 && e.suspects > 0 {
@@ -105,12 +116,12 @@
 // choose returns the best engine for the job, or nil. Work that does not start
 // for a floor leaves the floors' reserve free.
 func (p *Pool) choose(j *job, floor bool) *engine {
-	if !floor && p.totalFree(j.req.Tier) <= p.reserved-p.floorsRunning {
+	if !floor && p.totalFree(topTier) <= p.reserved-p.floorsRunning {
 		return nil
 	}
 	var best *engine
 	for _, e := range p.engines {
-		if p.takes(e, j) && (best == nil || p.better(e, best)) {
+		if p.takes(e, j, floor) && (best == nil || p.better(e, best)) {
 			best = e
 		}
 	}
--- a/pkg/pool/estimate.go
+++ b/pkg/pool/estimate.go
@@ -13,13 +13,19 @@
 	samples   int
 }
 
-// averageWeight is the weight of a new sample once the average is warm.
-const averageWeight = 0.05
+const (
+	// requestWeight is the weight of a new sample of which each request gives
+	// one, once the average is warm.
+	requestWeight = 0.05
+	// stepWeight is that of a sample of which each running request gives one a
+	// second: the average must outlast the prompts that are being read.
+	stepWeight = 0.002
+)
 
-// add takes one sample.
-func (a *average) add(seconds float64) {
+// add takes one sample whose weight does not fall below the given one.
+func (a *average) add(seconds, least float64) {
 	a.samples++
-	weight := max(averageWeight, 1/float64(a.samples))
+	weight := max(least, 1/float64(a.samples))
 	difference := seconds - a.mean
 	a.mean += weight * difference
 	if difference < 0 {
@@ -68,8 +74,8 @@
 		return
 	}
 	r := &s.ranges[rangeOf(batch)]
-	r.gap.add(gap.Seconds())
-	weight := max(averageWeight, 1/float64(r.gap.samples))
+	r.gap.add(gap.Seconds(), stepWeight)
+	weight := max(stepWeight, 1/float64(r.gap.samples))
 	r.batch += weight * (float64(batch) - r.batch)
 	s.fit()
 }
@@ -137,7 +143,7 @@
 // add takes one time seen for a prompt length.
 func (f *firstToken) add(promptTokens int, took time.Duration) {
 	if took > 0 {
-		f.byLength[promptRange(promptTokens)].add(took.Seconds())
+		f.byLength[promptRange(promptTokens)].add(took.Seconds(), requestWeight)
 	}
 }
 
@@ -148,9 +154,11 @@
 	return a.mean + 2*a.deviation
 }
 
-// mean returns the mean time in seconds.
-func (f *firstToken) mean(promptTokens int) float64 {
-	return f.nearest(promptTokens).mean
+// lower returns a time in seconds that few first tokens beat: the mean less
+// twice the mean deviation.
+func (f *firstToken) lower(promptTokens int) float64 {
+	a := f.nearest(promptTokens)
+	return max(a.mean-2*a.deviation, 0)
 }
 
 // nearest returns the average of the nearest range that has been seen.
--- a/pkg/pool/events.go
+++ b/pkg/pool/events.go
@@ -65,15 +65,27 @@
 	if !ok {
 		return
 	}
-	if j.tokens == 0 && r.Tokens > 0 && r.Gap > 0 {
-		generating := time.Duration(r.Tokens-1) * r.Gap
-		p.firstTokens.add(j.req.PromptTokens, p.now-j.started-generating)
+	if r.Tokens <= j.tokens {
+		return
 	}
-	j.tokens = max(j.tokens, r.Tokens)
-	p.rebook(j)
-	if r.Tokens > 0 {
-		p.observe(j.engine, r.Gap)
+	gap := p.gapSince(j, r)
+	if j.tokens == 0 && gap > 0 {
+		p.firstTokens.add(j.req.PromptTokens, p.now-j.started-time.Duration(r.Tokens-1)*gap)
 	}
+	j.tokens = r.Tokens
+	j.progressed = p.now
+	p.rebook(j)
+	p.observe(j.engine, gap)
+}
+
+// gapSince returns the time between the tokens since the last report. It goes by
+// the pool's own clock, which shows the present step time even if the entry
+// reports a mean over the whole attempt.
+func (p *Pool) gapSince(j *job, r Progress) time.Duration {
+	if j.tokens == 0 || j.progressed == 0 {
+		return r.Gap
+	}
+	return (p.now - j.progressed) / time.Duration(r.Tokens-j.tokens)
 }
 
 func (p *Pool) finish(f Finish) {
@@ -99,7 +111,7 @@
 
 // learn takes what a complete attempt shows of its class and engine.
 func (p *Pool) learn(j *job, f Finish, reported bool) {
-	j.class.duration.add((p.now - j.started).Seconds())
+	j.class.duration.add((p.now - j.started).Seconds(), requestWeight)
 	if j.tokens > 0 {
 		j.class.lengths.add(j.req.Generated + j.tokens)
 	}
