prove: configuration fails while the service is slow

A new fault holds back every answer of the service for 3 s.

Cause: a part from the service had the same 2 s as a part from an instance, so no part could ever be read. Ruled out: the waiting reads, which have their own limit and did return the new manifest.

--- a/test/prove/configuration_fleet_test.go
+++ b/test/prove/configuration_fleet_test.go
@@ -23,6 +23,9 @@
 // viewLag is how long views take to learn of a stop, a start or a partition.
 const viewLag = 4 * time.Second
 
+// slowService is how long a slow service holds back each answer.
+const slowService = 3 * time.Second
+
 // relayFleet is many relays on one fake network with one fake platform.
 type relayFleet struct {
 	t        *testing.T
@@ -35,6 +38,7 @@
 	group    map[types.InstanceID]int
 	cut      map[types.InstanceID]bool
 	down     bool
+	slow     time.Duration
 	lives    int
 	faults   int
 	started  time.Time
@@ -231,7 +235,22 @@
 // setDown changes whether the service answers.
 func (f *relayFleet) setDown(down bool) {
 	f.down = down
-	f.platform.SetFaults(configuration.Faults{Down: down})
+	f.setFaults()
+}
+
+// toggleSlow makes the service slow, or fast again.
+func (f *relayFleet) toggleSlow() {
+	if f.slow > 0 {
+		f.slow = 0
+	} else {
+		f.slow = slowService
+	}
+	f.setFaults()
+}
+
+// setFaults tells the service its faults.
+func (f *relayFleet) setFaults() {
+	f.platform.SetFaults(configuration.Faults{Down: f.down, DelayMilliseconds: f.slow.Milliseconds()})
 }
 
 // cutReaders keeps a random third of the instances from the service, or leads
--- a/test/prove/configuration_test.go
+++ b/test/prove/configuration_test.go
@@ -59,7 +59,7 @@
 // step makes one random change or fault.
 func (f *relayFleet) step() {
 	f.faults++
-	switch f.random.IntN(13) {
+	switch f.random.IntN(14) {
 	case 0, 1:
 		f.publish()
 	case 2:
@@ -84,6 +84,8 @@
 		f.misleadReaders()
 	case 12:
 		f.restartAlone()
+	case 13:
+		f.toggleSlow()
 	}
 }
 
