--- a/pkg/relay/fetch.go
+++ b/pkg/relay/fetch.go
@@ -71,11 +71,11 @@
 
 // fetchFrom returns one part from one supplier and checks its digest.
 func (r *Relay) fetchFrom(ctx context.Context, ref platform.PartRef, supplier origin) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.settings.PartTimeout)
-	defer cancel()
 	if supplier == fromService {
 		return r.readPart(ctx, ref)
 	}
+	ctx, cancel := context.WithTimeout(ctx, r.settings.PartTimeout)
+	defer cancel()
 	var answer partAnswer
 	query := partQuery{Name: ref.Name, Digest: ref.Digest}
 	if err := r.call(ctx, supplier, methodPart, query, &answer); err != nil {
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -79,6 +79,8 @@
 
 // readPart reads a part from the service.
 func (r *Relay) readPart(ctx context.Context, ref platform.PartRef) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.settings.ServicePartTimeout)
+	defer cancel()
 	r.counters.serviceReads.Add(1)
 	part, err := r.options.Source.Part(ctx, ref)
 	if err == nil {
--- a/pkg/relay/settings.go
+++ b/pkg/relay/settings.go
@@ -20,8 +20,11 @@
 	ExchangePeriod time.Duration
 	// PeerTimeout bounds one exchange of revisions.
 	PeerTimeout time.Duration
-	// PartTimeout bounds the transfer of one part.
+	// PartTimeout bounds the transfer of one part from an instance.
 	PartTimeout time.Duration
+	// ServicePartTimeout bounds the read of one part from the service, which may
+	// be slow, and which nobody can stand in for while the part is new.
+	ServicePartTimeout time.Duration
 	// PartConcurrency bounds the transfers of parts at once.
 	PartConcurrency int
 	// AdmissionPeers is the number of serving instances that a fresh one asks
@@ -41,18 +44,19 @@
 // DefaultSettings returns the settings of a production instance.
 func DefaultSettings() Settings {
 	return Settings{
-		LongPoll:        25 * time.Second,
-		RetryDelay:      time.Second,
-		Readers:         2,
-		AuditPeriod:     time.Second,
-		FanOut:          4,
-		ExchangePeriod:  2 * time.Second,
-		PeerTimeout:     time.Second,
-		PartTimeout:     2 * time.Second,
-		PartConcurrency: 8,
-		AdmissionPeers:  3,
-		AdmissionWait:   18 * time.Second,
-		ReaderHeadStart: 5 * time.Second,
-		ListPeriod:      5 * time.Second,
+		LongPoll:           25 * time.Second,
+		RetryDelay:         time.Second,
+		Readers:            2,
+		AuditPeriod:        time.Second,
+		FanOut:             4,
+		ExchangePeriod:     2 * time.Second,
+		PeerTimeout:        time.Second,
+		PartTimeout:        2 * time.Second,
+		ServicePartTimeout: 5 * time.Second,
+		PartConcurrency:    8,
+		AdmissionPeers:     3,
+		AdmissionWait:      18 * time.Second,
+		ReaderHeadStart:    5 * time.Second,
+		ListPeriod:         5 * time.Second,
 	}
 }
