--- a/pkg/config/accounts.go
+++ b/pkg/config/accounts.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"maps"
 	"slices"
 )
 
@@ -76,76 +75,6 @@
 	return account, true
 }
 
-// shardCount is the number of shards of a hashIndex.
-const shardCount = 256
-
-// hashIndex maps hashes to the numbers of parts. Copies share the shards that
-// they do not change.
-type hashIndex struct {
-	shards [shardCount]map[shortHash]uint16
-	// owned marks the shards that this copy may write.
-	owned [shardCount]bool
-}
-
-// clone returns a copy that shares all shards.
-func (x *hashIndex) clone() *hashIndex {
-	return &hashIndex{shards: x.shards}
-}
-
-// shard returns the writable shard of the hash.
-func (x *hashIndex) shard(hash shortHash) map[shortHash]uint16 {
-	n := hash[0]
-	if !x.owned[n] {
-		x.shards[n] = maps.Clone(x.shards[n])
-		x.owned[n] = true
-	}
-	if x.shards[n] == nil {
-		x.shards[n] = map[shortHash]uint16{}
-	}
-	return x.shards[n]
-}
-
-// find returns the part of the hash.
-func (x *hashIndex) find(hash shortHash) (uint16, bool) {
-	part, ok := x.shards[hash[0]][hash]
-	return part, ok
-}
-
-// replace takes the hashes of one part out and puts others in. It returns the
-// hashes that were there already and leaves them as they were.
-func (x *hashIndex) replace(part uint16, before, after []shortHash) (duplicates []shortHash) {
-	x.remove(before, after)
-	kept := make(map[shortHash]bool, len(before))
-	for _, hash := range before {
-		kept[hash] = true
-	}
-	for _, hash := range after {
-		owner, present := x.find(hash)
-		switch {
-		case !present:
-			x.shard(hash)[hash] = part
-		case owner == part && kept[hash]:
-			kept[hash] = false
-		default:
-			duplicates = append(duplicates, hash)
-		}
-	}
-	return duplicates
-}
-
-// remove takes out the hashes of before that are not in after.
-func (x *hashIndex) remove(before, after []shortHash) {
-	stays := make(map[shortHash]bool, len(after))
-	for _, hash := range after {
-		stays[hash] = true
-	}
-	for _, hash := range before {
-		if !stays[hash] {
-			delete(x.shard(hash), hash)
-		}
-	}
-}
-
 // accountTable finds accounts by API key over all parts.
 type accountTable struct {
 	parts []*decodedPart
@@ -189,7 +118,10 @@
 			before[i] = previous.parts[i].accounts
 		}
 	}
-	return table, table.replaceChanged(before)
+	problems := table.replaceChanged(before)
+	table.keys.clip()
+	table.ids.clip()
+	return table, problems
 }
 
 // replaceChanged indexes the parts that differ from before. Hashes that leave
