--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -220,7 +220,7 @@
 
 // dispatcher returns the member that dispatches the pool by the first view.
 func (c *cluster) dispatcher(id types.PoolID) *member {
-	chosen, _ := chooseDispatcher(id, c.members[0].view.Live(), func(types.Instance) bool { return true })
+	chosen, _ := chooseDispatcher(id, c.members[0].view.Live(), nil, func(types.Instance) bool { return true })
 	for _, m := range c.members {
 		if m.row.ID == chosen.ID {
 			return m
--- a/pkg/dispatch/dispatcherside.go
+++ b/pkg/dispatch/dispatcherside.go
@@ -199,11 +199,16 @@
 	if err := json.Unmarshal(params, &query); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "malformed query")
 	}
+	return ds.summary(query.Pool)
+}
+
+// summary returns the load of a pool that is dispatched here.
+func (ds *dispatcherSide) summary(id types.PoolID) (Summary, error) {
 	ds.mu.Lock()
-	p, ok := ds.pools[query.Pool]
+	p, ok := ds.pools[id]
 	ds.mu.Unlock()
 	if !ok {
-		return nil, fault.New(fault.PeerRejected, "the pool is not dispatched here")
+		return Summary{}, fault.New(fault.PeerRejected, "the pool is not dispatched here")
 	}
 	return p.summary(), nil
 }
--- a/pkg/dispatch/entryside.go
+++ b/pkg/dispatch/entryside.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/peer"
@@ -27,13 +30,10 @@
 	// leaving holds the upstreams known to be leaving.
 	leaving   map[types.UpstreamID]leavingWord
 	summaries map[types.PoolID]summaryReading
+	regions   regions
 	tickedAt  time.Time
-}
-
-// summaryReading is a summary and the time of its receipt.
-type summaryReading struct {
-	summary Summary
-	at      time.Time
+	askedAt   time.Time
+	random    *rand.Rand
 }
 
 func newEntrySide(d *Dispatch) *entrySide {
@@ -43,7 +43,9 @@
 		avoided:   map[types.InstanceID]*avoidance{},
 		leaving:   map[types.UpstreamID]leavingWord{},
 		summaries: map[types.PoolID]summaryReading{},
+		regions:   regions{},
 		tickedAt:  time.Now(),
+		random:    rand.New(rand.NewPCG(xxhash.Sum64String(string(d.options.Incarnation)), 1)),
 	}
 }
 
--- a/pkg/dispatch/failover.go
+++ b/pkg/dispatch/failover.go
@@ -34,7 +34,8 @@
 // choose returns the dispatcher of the pool. The lock is held.
 func (e *entrySide) choose(id types.PoolID) types.Instance {
 	live := e.dispatch.options.View.Live()
-	chosen, ok := chooseDispatcher(id, live, func(instance types.Instance) bool {
+	e.regions.learn(live)
+	chosen, ok := chooseDispatcher(id, live, e.regions, func(instance types.Instance) bool {
 		_, avoided := e.avoided[instance.ID]
 		return !avoided
 	})
@@ -66,15 +67,17 @@
 // follow moves the streams after a change of the view.
 func (e *entrySide) follow() {
 	now := time.Now()
+	live := e.dispatch.options.View.Live()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.regions.learn(live)
 	for _, s := range e.streams {
 		e.reselect(s, now)
 	}
 }
 
-// tick notices silent dispatchers, sends heartbeats and progress, and closes
-// idle streams.
+// tick notices silent dispatchers, sends heartbeats and progress, closes idle
+// streams, and follows the load of sibling pools.
 func (e *entrySide) tick() {
 	settings := e.dispatch.options.Settings
 	now := time.Now()
@@ -100,6 +103,7 @@
 		s.signal()
 	}
 	e.probeAvoided(now)
+	e.refreshSummaries(now)
 }
 
 // closeStream ends a stream without tickets. The lock is held.
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -45,6 +45,9 @@
 	DefaultUpstreamPatience = time.Second
 	// DefaultIdlePool is how long a dispatcher without streams goes on.
 	DefaultIdlePool = time.Minute
+	// DefaultSummaryInterval is the least time between two rounds of questions
+	// about the load of sibling pools.
+	DefaultSummaryInterval = time.Second
 	// DefaultSummaryLifetime is how long a pool's load summary is trusted.
 	DefaultSummaryLifetime = 3 * time.Second
 )
@@ -68,6 +71,7 @@
 	OpenWait          time.Duration
 	UpstreamPatience  time.Duration
 	IdlePool          time.Duration
+	SummaryInterval   time.Duration
 	SummaryLifetime   time.Duration
 }
 
@@ -89,6 +93,7 @@
 	setDefault(&s.OpenWait, DefaultOpenWait)
 	setDefault(&s.UpstreamPatience, DefaultUpstreamPatience)
 	setDefault(&s.IdlePool, DefaultIdlePool)
+	setDefault(&s.SummaryInterval, DefaultSummaryInterval)
 	setDefault(&s.SummaryLifetime, DefaultSummaryLifetime)
 	return s
 }
