--- a/pkg/dispatch/acquire.go
+++ b/pkg/dispatch/acquire.go
@@ -16,6 +16,9 @@
 	if d.ctx.Err() != nil {
 		return nil, fault.New(fault.Leaving, "the instance has stopped dispatching")
 	}
+	if d.invalid != nil {
+		return nil, d.invalid
+	}
 	if d.options.Store.Current() == nil {
 		return nil, fault.New(fault.NotReady, "no configuration is in force yet")
 	}
--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -115,17 +115,6 @@
 		Kind:     timeline.UpstreamState,
 		Pool:     p.pool.String(),
 		Upstream: status.config.ID,
-		Detail:   status.describe(),
+		Detail:   string(status.life.State()),
 	})
 }
-
-// describe names the state of the upstream.
-func (u *upstreamStatus) describe() string {
-	switch {
-	case u.down:
-		return "down"
-	case u.leaving:
-		return "leaving"
-	}
-	return "serving"
-}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -40,6 +43,13 @@
 	start   time.Time
 	entry   *entrySide
 	pools   *dispatcherSide
+	// upstreamChart is the life cycle of upstreams; invalid says why there is
+	// none.
+	upstreamChart *statechart.Chart
+	invalid       error
+	// random is seeded by the incarnation and guarded by drawing.
+	random  *rand.Rand
+	drawing sync.Mutex
 	// ctx ends with Run; goroutines of streams and dispatchers belong to it.
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -57,6 +67,8 @@
 		o.Loads = newHTTPLoads()
 	}
 	d := &Dispatch{options: o, start: time.Now()}
+	d.upstreamChart, d.invalid = statechart.Load(chartUpstream)
+	d.random = rand.New(rand.NewPCG(xxhash.Sum64String(string(o.Incarnation)), 1))
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.entry = newEntrySide(d)
 	d.pools = newDispatcherSide(d)
@@ -73,8 +85,12 @@
 }
 
 // Run follows the view and the configuration until ctx ends, then ends all
-// streams and dispatchers. It returns nil.
+// streams and dispatchers. It returns a failure only when the life cycle of
+// upstreams cannot be loaded.
 func (d *Dispatch) Run(ctx context.Context) error {
+	if d.invalid != nil {
+		return d.invalid
+	}
 	defer d.workers.Wait()
 	defer d.end()
 	ticker := time.NewTicker(d.options.Settings.HeartbeatInterval / 2)
@@ -119,6 +135,13 @@
 	d.cancel()
 }
 
+// draw returns a random number from zero to one.
+func (d *Dispatch) draw() float64 {
+	d.drawing.Lock()
+	defer d.drawing.Unlock()
+	return d.random.Float64()
+}
+
 // record sends an event to the time line, if there is one.
 func (d *Dispatch) record(event timeline.Event) {
 	if d.options.Recorder != nil {
--- a/pkg/dispatch/entryside.go
+++ b/pkg/dispatch/entryside.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/peer"
@@ -33,7 +30,6 @@
 	regions   regions
 	tickedAt  time.Time
 	askedAt   time.Time
-	random    *rand.Rand
 }
 
 func newEntrySide(d *Dispatch) *entrySide {
@@ -45,7 +41,6 @@
 		summaries: map[types.PoolID]summaryReading{},
 		regions:   regions{},
 		tickedAt:  time.Now(),
-		random:    rand.New(rand.NewPCG(xxhash.Sum64String(string(d.options.Incarnation)), 1)),
 	}
 }
 
--- a/pkg/dispatch/summaries.go
+++ b/pkg/dispatch/summaries.go
@@ -25,7 +25,7 @@
 			known[id] = r.summary.pressure()
 		}
 	}
-	return orderPools(e.dispatch.options.Self, pools, e.regions, known, e.random.Float64())
+	return orderPools(e.dispatch.options.Self, pools, e.regions, known, e.dispatch.draw())
 }
 
 // refreshSummaries asks for the loads of the siblings of those pools in which
