--- /dev/null
+++ b/pkg/dispatch/bench_test.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// wire is a pair of instances that talk over loopback sockets, as they do
+// between machines. The first holds the requests, the second dispatches.
+type wire struct {
+	members []*member
+	meters  []*peer.Meter
+	stops   []func()
+}
+
+// newWire starts both. All upstreams are in the dispatcher's data centre.
+func newWire(b *testing.B, slots int) *wire {
+	b.Helper()
+	snapshot, err := config.Compile(1, document(slots, "ariana"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	store := config.NewStore()
+	if err := store.Apply(snapshot); err != nil {
+		b.Fatal(err)
+	}
+	w := &wire{}
+	rows := map[types.InstanceID]types.Instance{}
+	var servers []*peer.Server
+	for i, centre := range []types.DataCentre{"lac", "ariana"} {
+		id := types.InstanceID(fmt.Sprintf("node-%d", i))
+		o := w.options(id, centre)
+		server := peer.NewServer(o)
+		if err := server.Listen(); err != nil {
+			b.Fatal(err)
+		}
+		servers = append(servers, server)
+		rows[id] = types.Instance{ID: id, DataCentre: centre, PeerAddress: server.Address(), State: types.InstanceLive}
+	}
+	for i, server := range servers {
+		w.start(store, server, rows[types.InstanceID(fmt.Sprintf("node-%d", i))], rows)
+	}
+	return w
+}
+
+func (w *wire) options(id types.InstanceID, centre types.DataCentre) peer.Options {
+	meter := &peer.Meter{}
+	w.meters = append(w.meters, meter)
+	identity := peer.Identity{Instance: id, Incarnation: types.Incarnation(id), DataCentre: centre}
+	return peer.Options{Identity: identity, Secret: "a secret of the test", Address: "127.0.0.1:0", Meter: meter}
+}
+
+func (w *wire) start(store *config.Store, server *peer.Server, row types.Instance, rows map[types.InstanceID]types.Instance) {
+	view := &fixedView{self: row, rows: rows, changed: make(chan struct{})}
+	dialer := peer.NewDialer(w.options(row.ID, row.DataCentre))
+	m := &member{view: view, row: row}
+	m.dispatch = New(Options{
+		Self: row, Incarnation: types.Incarnation(row.ID), View: view, Caller: dialer, Store: store,
+		NewPolicy: func(types.PoolID) pool.Policy { return pool.NewFIFO(1000, 100000) },
+		Loads:     idleLoads{},
+	})
+	m.dispatch.Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(ctx) })
+	running.Go(func() { _ = m.dispatch.Run(ctx) })
+	w.members = append(w.members, m)
+	w.stops = append(w.stops, func() {
+		cancel()
+		dialer.Close()
+		running.Wait()
+	})
+}
+
+// traffic sums what both instances sent.
+func (w *wire) traffic() (sent, writes int64) {
+	for _, meter := range w.meters {
+		sent += meter.Traffic().BytesSent
+		writes += meter.Traffic().Writes
+	}
+	return sent, writes
+}
+
+func (w *wire) stop() {
+	for _, stop := range w.stops {
+		stop()
+	}
+}
+
+// idleLoads reports no load for any upstream.
+type idleLoads struct{}
+
+func (idleLoads) Load(context.Context, config.Upstream) (LoadReport, error) {
+	return LoadReport{}, nil
+}
+
+// processorTime returns the processor time of this process so far.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkRemoteGrant measures a request from Acquire to Finish at a remote
+// dispatcher, over TLS on loopback, with several numbers of requests at once.
+// More at once means larger batches.
+func BenchmarkRemoteGrant(b *testing.B) {
+	for _, atOnce := range []int{1, 4, 16, 64, 256} {
+		b.Run(fmt.Sprintf("at-once=%d", atOnce), func(b *testing.B) {
+			w := newWire(b, 1000)
+			defer w.stop()
+			benchmarkGrants(b, w, atOnce)
+		})
+	}
+}
+
+func benchmarkGrants(b *testing.B, w *wire, atOnce int) {
+	if err := benchmarkRequest(w.members[0], "warm"); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	sent, writes := w.traffic()
+	processor := processorTime()
+	var next atomic.Int64
+	var group sync.WaitGroup
+	b.ResetTimer()
+	for range atOnce {
+		group.Go(func() {
+			for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+				if err := benchmarkRequest(w.members[0], fmt.Sprintf("01JD0000000000000000%06d", n)); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	b.StopTimer()
+	sentAfter, writesAfter := w.traffic()
+	perRequest := 1 / float64(b.N)
+	b.ReportMetric(float64(sentAfter-sent)*perRequest, "wire-B/request")
+	b.ReportMetric(float64(writesAfter-writes)*perRequest, "writes/request")
+	b.ReportMetric(float64(processorTime()-processor)*perRequest/1000, "cpu-us/request")
+}
+
+func benchmarkRequest(m *member, id string) error {
+	r := request(id)
+	r.Account, r.PromptTokens, r.MaxTokens = "account-00417", 612, 512
+	r.FirstTokenIn, r.Weight = 320*time.Millisecond, 1
+	r.PrefixHash = 0x9ae16a3b2f90404f
+	grant, err := m.dispatch.Acquire(context.Background(), testTarget, r)
+	if err != nil {
+		return err
+	}
+	grant.Finish(pool.Finish{Reason: pool.FinishComplete, Tokens: 239, FirstToken: 210 * time.Millisecond, Gap: 61 * time.Millisecond})
+	return nil
+}
+
+// BenchmarkLocalGrant measures a request at the dispatcher of the own instance.
+func BenchmarkLocalGrant(b *testing.B) {
+	w := newWire(b, 1000)
+	defer w.stop()
+	if err := benchmarkRequest(w.members[1], "warm"); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := range b.N {
+		if err := benchmarkRequest(w.members[1], fmt.Sprint(n)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/peer/dialer.go
+++ b/pkg/peer/dialer.go
@@ -166,11 +166,17 @@
 func (d *Dialer) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.options.DialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{NetDialer: &net.Dialer{}, Config: d.credentials.clientConfig()}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.PeerUnavailable, err, "cannot connect to "+address)
 	}
+	d.options.Meter.dials.Add(1)
+	process.dials.Add(1)
+	conn := tls.Client(&meteredConn{raw, d.options.Meter}, d.credentials.clientConfig())
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, fault.Wrap(fault.PeerUnavailable, err, "cannot authenticate "+address)
+	}
 	rpc := jsonrpc2.NewConn(d.ctx, newStream(conn, d.options), silent{}, quiet(d.options.Logger))
 	var peer Identity
 	if err := rpc.Call(ctx, helloMethod, d.options.Identity, &peer); err != nil {
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -34,6 +34,8 @@
 	// Address is the host:port at which a Server listens.
 	Address string
 	Logger  zerolog.Logger
+	// Meter counts the traffic. Nil means that only the process's metrics do.
+	Meter *Meter
 
 	MaxMessage     int
 	MaxConnections int
@@ -53,6 +55,9 @@
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&o.RedialPause, DefaultRedialPause)
+	if o.Meter == nil {
+		o.Meter = &Meter{}
+	}
 	return o
 }
 
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -28,6 +28,7 @@
 
 	mu       sync.Mutex
 	listener net.Listener
+	tls      *tls.Config
 	conns    map[*jsonrpc2.Conn]struct{}
 	slots    chan struct{}
 	active   sync.WaitGroup
@@ -63,11 +64,11 @@
 	if err != nil {
 		return err
 	}
-	listener, err := tls.Listen("tcp", s.options.Address, credentials.serverConfig())
+	listener, err := net.Listen("tcp", s.options.Address)
 	if err != nil {
 		return fault.Wrap(fault.InvalidSetting, err, "cannot listen for peers at "+s.options.Address)
 	}
-	s.listener = listener
+	s.listener, s.tls = listener, credentials.serverConfig()
 	return nil
 }
 
@@ -119,10 +120,11 @@
 }
 
 // serveConn authenticates one connection and serves it to its end.
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
+	conn := tls.Server(&meteredConn{raw, s.options.Meter}, s.tls)
 	defer conn.Close()
 	handshake, cancel := context.WithTimeout(ctx, s.options.DialTimeout)
-	err := conn.(*tls.Conn).HandshakeContext(handshake)
+	err := conn.HandshakeContext(handshake)
 	cancel()
 	if err != nil {
 		s.options.Logger.Debug().Err(err).Msg("peer handshake failed")
