Ends of attempts wait for other events while nothing waits; bounded progress

Entries are left out of the wire form: the connection names them, and a sender can no longer name another.

--- a/pkg/dispatch/answers.go
+++ b/pkg/dispatch/answers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/pool"
 )
 
 // maxActionsPerBatch bounds the actions of one message.
@@ -18,42 +20,65 @@
 
 // sendAll sends the actions for one entry until its stream ends.
 func (p *poolDispatcher) sendAll(ctx context.Context, s *entryStream) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
+		case <-timer.C:
 		}
-		if !p.pace(ctx, s) {
-			return
-		}
-		batch, due, gone := p.nextBatch(s, time.Now())
-		if due {
-			p.dispatch.pools.deliver(ctx, s.identity.Instance, s.address, batch)
-		}
-		if gone {
-			return
+		if p.dueIn(s) <= 0 {
+			batch, due, gone := p.nextBatch(s, time.Now())
+			if due {
+				p.dispatch.pools.deliver(ctx, s.identity.Instance, s.address, batch)
+			}
+			if gone {
+				return
+			}
 		}
+		timer.Reset(max(0, p.dueIn(s)))
 	}
 }
 
-// pace waits until the stream may send again. It returns false at the end of
-// ctx.
-func (p *poolDispatcher) pace(ctx context.Context, s *entryStream) bool {
+// dueIn returns how long the stream may wait before its next batch.
+func (p *poolDispatcher) dueIn(s *entryStream) time.Duration {
 	p.mu.Lock()
-	rest := p.dispatch.options.Settings.BatchInterval - time.Since(s.sentAt)
-	p.mu.Unlock()
-	if s.identity.Instance == p.dispatch.options.Self.ID || rest <= 0 {
-		return ctx.Err() == nil
+	defer p.mu.Unlock()
+	now, settings := time.Now(), p.dispatch.options.Settings
+	switch {
+	case s.gone:
+		return 0
+	case len(s.pending) == 0 && !s.unknown && !s.moved:
+		return s.sentAt.Add(settings.HeartbeatInterval).Sub(now)
+	case s.identity.Instance == p.dispatch.options.Self.ID:
+		return 0
 	}
-	timer := time.NewTimer(rest)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+	return s.sentAt.Add(settings.BatchInterval).Sub(now)
+}
+
+// addressed returns the actions without the entry, which knows that they are its
+// own.
+func addressed(actions []pool.Action) []pool.Action {
+	short := make([]pool.Action, len(actions))
+	for i, action := range actions {
+		switch {
+		case action.Grant != nil:
+			grant := *action.Grant
+			grant.Entry = ""
+			short[i].Grant = &grant
+		case action.Refuse != nil:
+			refuse := *action.Refuse
+			refuse.Entry = ""
+			short[i].Refuse = &refuse
+		case action.Preempt != nil:
+			preempt := *action.Preempt
+			preempt.Entry = ""
+			short[i].Preempt = &preempt
+		}
 	}
+	return short
 }
 
 // nextBatch returns the batch that is due, if any, and whether the stream has
@@ -78,7 +103,7 @@
 		Summary:      p.summaryLocked(),
 	}
 	n := min(len(s.pending), maxActionsPerBatch)
-	batch.Actions = s.pending[:n:n]
+	batch.Actions = addressed(s.pending[:n])
 	s.pending = s.pending[n:]
 	if len(s.pending) > 0 {
 		s.signal()
--- a/pkg/dispatch/entryside.go
+++ b/pkg/dispatch/entryside.go
@@ -56,8 +56,7 @@
 	t := newTicket(e.lastTicket, request, now)
 	s.tickets[request.ID] = t
 	s.usedAt = now
-	event := t.event(now)
-	s.push(event)
+	s.push(t.event(now))
 	return t, s
 }
 
@@ -112,7 +111,20 @@
 	if finish.Reason == pool.FinishLeaving {
 		e.leaving[g.upstream.ID] = leavingWord{g.stream.pool, time.Now()}
 	}
-	g.stream.push(pool.Event{Finish: &finish})
+	e.pushFinish(g.stream, &finish)
+}
+
+// pushFinish tells the dispatcher of the end of an attempt: at once when
+// requests wait for the place or something is wrong, else with other events.
+// The lock is held.
+func (e *entrySide) pushFinish(s *stream, finish *pool.Finish) {
+	event := pool.Event{Finish: finish}
+	load, known := e.summaries[s.pool]
+	if known && load.summary.Waiting == 0 && finish.Reason == pool.FinishComplete {
+		s.pushLater(event, time.Now(), e.dispatch.options.Settings.Linger)
+		return
+	}
+	s.push(event)
 }
 
 // handleActions takes a dispatcher's message.
--- a/pkg/dispatch/failover.go
+++ b/pkg/dispatch/failover.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// tick notices silent dispatchers, sends heartbeats and progress, closes idle
-// streams, and follows the load of sibling pools.
+// tick notices silent dispatchers, reports progress, closes idle streams, and
+// follows the load of sibling pools.
 func (e *entrySide) tick() {
 	settings := e.dispatch.options.Settings
 	now := time.Now()
@@ -99,8 +99,7 @@
 			e.reselect(s, now)
 			s.heardAt = now
 		}
-		s.collectProgress(now, settings.ProgressInterval)
-		s.signal()
+		s.collectProgress(now, settings)
 	}
 	e.probeAvoided(now)
 	e.refreshSummaries(now)
--- a/pkg/dispatch/grant.go
+++ b/pkg/dispatch/grant.go
@@ -22,7 +22,8 @@
 	tokens    int
 	gap       time.Duration
 	// reported says that tokens and gap have been sent.
-	reported bool
+	reported   bool
+	reportedAt time.Time
 }
 
 // Upstream is where the attempt goes.
--- a/pkg/dispatch/pooldispatcher.go
+++ b/pkg/dispatch/pooldispatcher.go
@@ -190,6 +190,7 @@
 // applyBatch hands the events to the policy. The lock is held.
 func (p *poolDispatcher) applyBatch(s *entryStream, batch eventBatch) {
 	s.revision = batch.Revision
+	signEvents(batch.Events, s.identity.Incarnation)
 	for _, id := range batch.Leaving {
 		p.noteLeaving(id)
 	}
@@ -210,6 +211,18 @@
 	s.signal()
 }
 
+// signEvents sets the entry of the requests to the authenticated sender.
+func signEvents(events []pool.Event, entry types.Incarnation) {
+	for _, event := range events {
+		switch {
+		case event.Enqueue != nil:
+			event.Enqueue.Entry = entry
+		case event.Register != nil:
+			event.Register.Request.Entry = entry
+		}
+	}
+}
+
 // applyEvent hands one event of an open stream to the policy.
 func (p *poolDispatcher) applyEvent(s *entryStream, event pool.Event) {
 	p.observe(event)
--- a/pkg/dispatch/sender.go
+++ b/pkg/dispatch/sender.go
@@ -11,39 +11,30 @@
 // instance keep at least the batch interval between them, so that a burst
 // travels as few messages and a single request without delay.
 func (e *entrySide) sendAll(ctx context.Context, s *stream) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
+		case <-timer.C:
 		}
-		if !e.pace(ctx, s) {
-			return
-		}
-		if closed := e.sendNext(ctx, s); closed {
-			return
+		if e.dueIn(s) <= 0 {
+			if closed := e.sendNext(ctx, s); closed {
+				return
+			}
 		}
+		timer.Reset(max(0, e.dueIn(s)))
 	}
 }
 
-// pace waits until the stream may send again. It returns false at the end of
-// ctx.
-func (e *entrySide) pace(ctx context.Context, s *stream) bool {
+// dueIn returns how long the stream may wait before its next batch.
+func (e *entrySide) dueIn(s *stream) time.Duration {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	local := s.dispatcher.ID == e.dispatch.options.Self.ID
-	rest := e.dispatch.options.Settings.BatchInterval - time.Since(s.sentAt)
-	e.mu.Unlock()
-	if local || rest <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(rest)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return s.dueIn(time.Now(), e.dispatch.options.Settings, local)
 }
 
 // sendNext sends the batch that is due, if any.
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -20,6 +20,12 @@
 	// DefaultProgressInterval is the time between two reports of the tokens of
 	// running requests.
 	DefaultProgressInterval = time.Second
+	// DefaultMaxProgress bounds the requests of one stream that are reported in
+	// each progress interval.
+	DefaultMaxProgress = 10
+	// DefaultLinger is how long the end of an attempt may wait for other events
+	// while no request waits for the place.
+	DefaultLinger = 50 * time.Millisecond
 	// DefaultPolicyInterval is the time between two passes of a policy.
 	DefaultPolicyInterval = 20 * time.Millisecond
 	// DefaultProbeInterval is the first pause before an avoided dispatcher is
@@ -61,6 +67,8 @@
 	EntrySilence      time.Duration
 	IdleClose         time.Duration
 	ProgressInterval  time.Duration
+	MaxProgress       int
+	Linger            time.Duration
 	PolicyInterval    time.Duration
 	ProbeInterval     time.Duration
 	MaxProbeInterval  time.Duration
@@ -83,6 +91,8 @@
 	setDefault(&s.EntrySilence, DefaultEntrySilence)
 	setDefault(&s.IdleClose, DefaultIdleClose)
 	setDefault(&s.ProgressInterval, DefaultProgressInterval)
+	setDefault(&s.MaxProgress, DefaultMaxProgress)
+	setDefault(&s.Linger, DefaultLinger)
 	setDefault(&s.PolicyInterval, DefaultPolicyInterval)
 	setDefault(&s.ProbeInterval, DefaultProbeInterval)
 	setDefault(&s.MaxProbeInterval, DefaultMaxProbeInterval)
--- a/pkg/dispatch/stream.go
+++ b/pkg/dispatch/stream.go
@@ -40,6 +40,10 @@
 	sentAt     time.Time
 	usedAt     time.Time
 	progressAt time.Time
+	// urgent says that an event should not wait for others. Events that may
+	// wait go at lingerUntil at the latest.
+	urgent      bool
+	lingerUntil time.Time
 	// failures counts the messages in a row that could not be sent.
 	failures int
 	closed   bool
@@ -65,16 +69,48 @@
 	}
 }
 
-// push adds an event to the next batch. While an opening is due, the event is
-// dropped unless it ends an attempt, since the opening holds all the rest.
+// push adds an event to the next batch, which goes at once. While an opening is
+// due, the event is dropped unless it ends an attempt, since the opening holds
+// all the rest.
 func (s *stream) push(event pool.Event) {
+	s.add(event)
+	s.urgent = true
+	s.signal()
+}
+
+// pushLater adds an event that may wait for others for the time of linger.
+func (s *stream) pushLater(event pool.Event, now time.Time, linger time.Duration) {
+	if len(s.pending) == 0 {
+		s.lingerUntil = now.Add(linger)
+	}
+	s.add(event)
+	s.signal()
+}
+
+func (s *stream) add(event pool.Event) {
 	if event.Finish != nil {
 		s.remember(event.Finish)
 	}
 	if !s.reset {
 		s.pending = append(s.pending, event)
 	}
-	s.signal()
+}
+
+// dueIn returns how long the stream may wait before its next batch.
+func (s *stream) dueIn(now time.Time, settings Settings, local bool) time.Duration {
+	rest := s.sentAt.Add(settings.BatchInterval).Sub(now)
+	if local {
+		rest = 0
+	}
+	switch {
+	case s.closed:
+		return 0
+	case s.reset || s.opening != nil || s.urgent && len(s.pending) > 0:
+		return rest
+	case len(s.pending) > 0:
+		return max(rest, s.lingerUntil.Sub(now))
+	}
+	return s.sentAt.Add(settings.HeartbeatInterval).Sub(now)
 }
 
 // signal wakes the sender.
@@ -143,6 +179,7 @@
 	case now.Sub(s.sentAt) < heartbeat:
 		return batch, false
 	}
+	s.urgent = s.urgent && len(s.pending) > 0
 	if batch.carries() {
 		s.sequence++
 		s.markSent(batch.Events)
@@ -210,18 +247,20 @@
 	return events
 }
 
-// collectProgress adds a report for each running request with new tokens.
-func (s *stream) collectProgress(now time.Time, interval time.Duration) {
-	if s.reset || now.Sub(s.progressAt) < interval {
+// collectProgress adds reports for running requests with new tokens: a bounded
+// number in each interval, those longest unreported first.
+func (s *stream) collectProgress(now time.Time, settings Settings) {
+	if s.reset || now.Sub(s.progressAt) < settings.ProgressInterval {
 		return
 	}
 	s.progressAt = now
-	for _, t := range s.ordered() {
-		if t.state != ticketGranted || t.grant.reported {
-			continue
-		}
-		t.grant.reported = true
+	due := slices.DeleteFunc(s.ordered(), func(t *ticket) bool {
+		return t.state != ticketGranted || t.grant.reported
+	})
+	slices.SortStableFunc(due, func(a, b *ticket) int { return a.grant.reportedAt.Compare(b.grant.reportedAt) })
+	for _, t := range due[:min(len(due), settings.MaxProgress)] {
+		t.grant.reported, t.grant.reportedAt = true, now
 		progress := pool.Progress{ID: t.request.ID, Tokens: t.grant.tokens, Gap: t.grant.gap}
-		s.push(pool.Event{Progress: &progress})
+		s.pushLater(pool.Event{Progress: &progress}, now, settings.Linger)
 	}
 }
--- a/pkg/dispatch/ticket.go
+++ b/pkg/dispatch/ticket.go
@@ -42,9 +42,11 @@
 	return &ticket{number: number, request: request, created: now, outcome: make(chan outcome, 1)}
 }
 
-// event returns the event that tells a dispatcher of the ticket.
+// event returns the event that tells a dispatcher of the ticket. The entry is
+// left out: the dispatcher knows it from the connection.
 func (t *ticket) event(now time.Time) pool.Event {
 	request := aged(t.request, now.Sub(t.created))
+	request.Entry = ""
 	if t.state == ticketGranted {
 		running := pool.Running{Request: request, Upstream: t.grant.upstream.ID, Tokens: t.grant.tokens}
 		return pool.Event{Register: &running}
