--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -61,10 +61,29 @@
 
 // refuseLate refuses the waiting jobs that can no longer keep their targets.
 func (p *Pool) refuseLate() {
-	for _, j := range p.queue.ordered() {
+	p.lateJobs = p.lateJobs[:0]
+	for _, tq := range p.queue.tiers {
+		for _, fq := range tq.flows {
+			p.collectLate(fq)
+		}
+	}
+	for _, j := range p.lateJobs {
+		p.refuse(j, p.lateCode())
+	}
+}
+
+// collectLate notes the late jobs of the flow. A job is looked at again when
+// half of its remaining time has passed, since predictions change.
+func (p *Pool) collectLate(fq *flowQueue) {
+	for _, j := range fq.jobs {
+		if p.now < j.lookAt {
+			continue
+		}
 		if p.late(j) {
-			p.refuse(j, p.lateCode())
+			p.lateJobs = append(p.lateJobs, j)
+			continue
 		}
+		j.lookAt = p.now + max(p.latestStart(j)-p.now, 0)/2
 	}
 }
 
--- a/pkg/pool/job.go
+++ b/pkg/pool/job.go
@@ -18,6 +18,8 @@
 	firstBy  time.Duration
 	deadline time.Duration
 
+	// lookAt is when the waiting job is checked for lateness again.
+	lookAt time.Duration
 	// helped says that a running job was asked to stop for this one.
 	helped bool
 	// engine is where the job runs; nil while it waits.
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -34,6 +34,9 @@
 	// factors is working space of medianFactor.
 	factors []float64
 
+	// lateJobs is working space of refuseLate.
+	lateJobs []*job
+
 	// tightestGap is the smallest between-token target in use; zero means none.
 	tightestGap time.Duration
 	// activeTiers are the tiers of the classes in use, in no order.
