--- a/pkg/bench/measure.go
+++ b/pkg/bench/measure.go
@@ -38,8 +38,8 @@
 	// from the decision to the caller.
 	RefusalTime  Quantiles `json:"refusal_ms"`
 	RefusalDelay Quantiles `json:"refusal_delay_ms"`
-	// Preemptions counts the attempts beyond the first of each request.
-	Preemptions float64 `json:"extra_attempts"`
+	// ExtraAttempts counts the attempts beyond the first of each request.
+	ExtraAttempts float64 `json:"extra_attempts"`
 }
 
 // Quantiles are in milliseconds. Those of first tokens and gaps are of the top
@@ -107,7 +107,7 @@
 
 // tierKey names a tier of a target.
 func tierKey(c *ClassLoad) string {
-	return string(c.Target) + "-" + string(rune('0'+c.Class.Tier))
+	return tierName(c.Target, c.Class.Tier)
 }
 
 // add counts one request.
@@ -158,7 +158,7 @@
 	f.Goodput = float64(t.goodTokens) / (traceLength - countFrom).Seconds()
 	f.Inversions = float64(t.inverted)
 	f.Refusals = float64(t.refused) / float64(max(t.total, 1))
-	f.Preemptions = float64(t.extra)
+	f.ExtraAttempts = float64(t.extra)
 	f.FirstToken = quantilesOf(t.firsts)
 	f.Gap = quantilesOf(t.gaps)
 	f.RefusalTime = quantilesOf(t.times)
--- a/pkg/bench/workload.go
+++ b/pkg/bench/workload.go
@@ -154,21 +154,32 @@
 	return prompt, answer
 }
 
-// topFits reports whether the top tier alone fits the engines at the load, the
+// topFits reports whether the top tier alone fits the target at the load, the
 // burst included, counted in the time that its requests take.
-func (w Workload) topFits(load float64) bool {
-	prompt, answer := w.meanTokens()
-	s := engineSettings(0)
-	all := answer*s.StepPerSequence.Seconds() + prompt*s.StepPerPrefillToken.Seconds()
+func (w Workload) topFits(target types.TargetName, load float64) bool {
+	own, all := 0.0, 0.0
 	for _, c := range w.Classes {
-		if c.Target != modelTarget || c.Class.Tier != topTier(w) {
+		if c.Target != target {
 			continue
 		}
-		own := meanOf(c.AnswerTokens, c.Spread)*s.StepPerSequence.Seconds() +
-			meanOf(c.PromptTokens, c.Spread)*s.StepPerPrefillToken.Seconds()
-		return load*c.Share*w.Burst*own/all <= 1
+		work := c.Share * c.work()
+		all += work
+		if c.Class.Tier == topTier(w) {
+			own += work * w.Burst
+		}
 	}
-	return true
+	return all > 0 && load*own/all <= 1
+}
+
+// work returns the time that a request of the class takes of an upstream, in
+// seconds, apart from what the batch shares.
+func (c ClassLoad) work() float64 {
+	if c.Target == serviceTarget {
+		return meanOf(serviceTime.Seconds(), serviceSpread)
+	}
+	s := engineSettings(0)
+	return meanOf(c.AnswerTokens, c.Spread)*s.StepPerSequence.Seconds() +
+		meanOf(c.PromptTokens, c.Spread)*s.StepPerPrefillToken.Seconds()
 }
 
 // topTier returns the highest tier of the workload.
--- /dev/null
+++ b/pkg/ctl/bench.go
@@ -0,0 +1,84 @@
+package ctl
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"github.com/umbercrank/umbercrank/pkg/bench"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+)
+
+// newBenchCommand returns the command that measures the policies in virtual
+// time.
+func newBenchCommand() *cobra.Command {
+	options := bench.DefaultOptions()
+	faults := []string{}
+	for _, f := range options.Faults {
+		faults = append(faults, string(f))
+	}
+	out := "out"
+	command := &cobra.Command{
+		Use:   "bench",
+		Short: "Measure the scheduling policies on the same seeded load in virtual time",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			options.Faults = options.Faults[:0]
+			for _, f := range faults {
+				options.Faults = append(options.Faults, bench.Fault(f))
+			}
+			report, err := bench.Run(command.Context(), options)
+			if err != nil {
+				return err
+			}
+			if err := writeBench(report, out); err != nil {
+				return err
+			}
+			return report.WriteText(command.OutOrStdout())
+		},
+	}
+	flags := command.Flags()
+	flags.Uint64Var(&options.FirstSeed, "seed", options.FirstSeed, "first seed")
+	flags.IntVar(&options.Seeds, "seeds", options.Seeds, "number of seeds")
+	flags.Float64SliceVar(&options.Loads, "loads", options.Loads, "loads as multiples of the capacity")
+	flags.StringSliceVar(&faults, "faults", faults, "faults: none, straggler, crash, lag")
+	flags.StringSliceVar(&options.Workloads, "workloads", options.Workloads, "workloads: rappel, kavtaradze")
+	flags.IntVar(&options.Parallel, "parallel", options.Parallel, "runs at once")
+	flags.StringVar(&out, "out", out, "directory for bench.json and bench.html")
+	return command
+}
+
+// writeBench writes the report as JSON and as a page.
+func writeBench(report *bench.Report, directory string) error {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return fault.Wrap(fault.InvalidSetting, err, "the output directory cannot be made")
+	}
+	encode := func(w io.Writer) error {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(report)
+	}
+	if err := writeFile(filepath.Join(directory, "bench.json"), encode); err != nil {
+		return err
+	}
+	return writeFile(filepath.Join(directory, "bench.html"), report.WriteHTML)
+}
+
+// writeFile creates the file and fills it by write.
+func writeFile(path string, write func(io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fault.Wrap(fault.InvalidSetting, err, "the output file cannot be made")
+	}
+	if err := write(file); err != nil {
+		file.Close()
+		return fault.Wrap(fault.Internal, err, "the output file cannot be written")
+	}
+	if err := file.Close(); err != nil {
+		return fault.Wrap(fault.Internal, err, "the output file cannot be closed")
+	}
+	return nil
+}
--- a/pkg/ctl/root.go
+++ b/pkg/ctl/root.go
@@ -53,6 +53,7 @@
 		return fault.Wrap(fault.InvalidSetting, err, "the command line is wrong; see --help")
 	})
 	command.AddCommand(
+		newBenchCommand(),
 		newLoadCommand(),
 		newStandinCommand(),
 		newStatusCommand(),
