--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of the project; README.md explains them.
 GO ?= go
 
-.PHONY: all build lint test demo prove bench slopes clean
+.PHONY: all build lint test up demo failures prove bench slopes clean
 
 all: lint test build
 
@@ -15,9 +15,15 @@
 test:
 	./scripts/test.sh
 
+up: build
+	./scripts/quickstart.sh
+
 demo: build
 	./scripts/demo.sh
 
+failures: build
+	./scripts/failures.sh
+
 prove:
 	./scripts/prove.sh
 
--- a/pkg/config/compile.go
+++ b/pkg/config/compile.go
@@ -2,17 +2,15 @@
 
 import (
 	"bytes"
-	"fmt"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// maxParts bounds the number of parts of one configuration.
-const maxParts = 4096
-
 // decodedPart is one part after decoding. It is immutable and shared by the
 // snapshots that hold the same part.
 type decodedPart struct {
@@ -41,9 +39,12 @@
 // them. Parts that previous holds too are not decoded again; previous may be
 // nil. The verdict depends on the parts alone.
 func CompileParts(revision types.Revision, parts []Encoded, previous *Snapshot) (*Snapshot, error) {
-	if len(parts) > maxParts {
-		message := fmt.Sprintf("%d parts, at most %d are allowed", len(parts), maxParts)
-		return nil, invalid([]Problem{{Index: -1, Message: message}})
+	sizes := make(map[string]int, len(parts))
+	for _, part := range parts {
+		sizes[part.Name] = len(part.Bytes)
+	}
+	if problems := checkSizes(len(parts), sizes); len(problems) > 0 {
+		return nil, invalid(problems)
 	}
 	decoded, err := decodeParts(parts, previous)
 	if err != nil {
@@ -81,19 +82,13 @@
 	return decoded, invalid(problems)
 }
 
-// decodePart decodes one part and checks its accounts.
+// decodePart decodes one part and checks its accounts. Parts are JSON alone: a
+// part is read by every instance, and the bounds of a YAML reader are weaker.
 func decodePart(part Encoded) (*decodedPart, []Problem) {
-	if len(part.Bytes) > MaxPartBytes {
-		return nil, []Problem{tooLarge(part.Name, len(part.Bytes))}
-	}
-	text, err := toJSON(part.Bytes)
-	if err != nil {
-		return nil, partProblem(part, err)
-	}
 	var problems []Problem
-	index := &accountPart{raw: text}
+	index := &accountPart{raw: part.Bytes}
 	count := 0
-	fragment, err := decode(text, func(account Account, start, end int) {
+	fragment, err := decode(part.Bytes, func(account Account, start, end int) {
 		for _, problem := range checkAccount(account, count) {
 			problem.Part = part.Name
 			problems = append(problems, problem)
@@ -114,8 +109,14 @@
 
 // partProblem is the problem of a part that cannot be decoded.
 func partProblem(part Encoded, cause error) []Problem {
-	problem := locateSyntax(part.Bytes, cause)
-	problem.Part = part.Name
+	problem := Problem{Part: part.Name, Index: -1, Message: messageOf(cause)}
+	var schema *schemaError
+	if errors.As(cause, &schema) {
+		problem.Field = schema.field
+	}
+	if offset := offsetOf(cause); offset > 0 {
+		problem.Line = placeOf(part.Bytes, offset).line
+	}
 	return []Problem{problem}
 }
 
--- a/pkg/ctl/bench.go
+++ b/pkg/ctl/bench.go
@@ -61,14 +61,14 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(report)
 	}
-	if err := writeFile(filepath.Join(directory, "bench.json"), encode); err != nil {
+	if err := writeReportFile(filepath.Join(directory, "bench.json"), encode); err != nil {
 		return err
 	}
-	return writeFile(filepath.Join(directory, "bench.html"), report.WriteHTML)
+	return writeReportFile(filepath.Join(directory, "bench.html"), report.WriteHTML)
 }
 
-// writeFile creates the file and fills it by write.
-func writeFile(path string, write func(io.Writer) error) error {
+// writeReportFile creates the file and fills it by write.
+func writeReportFile(path string, write func(io.Writer) error) error {
 	file, err := os.Create(path)
 	if err != nil {
 		return fault.Wrap(fault.InvalidSetting, err, "the output file cannot be made")
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
@@ -51,20 +52,30 @@
 	limited, cancel, deadline := e.within(ctx, held)
 	defer cancel()
 	e.budget.Earn()
+	e.fire(held.life, eventEnqueue)
 	for {
+		if condemned := e.screen(held); condemned != nil {
+			return condemned
+		}
 		e.options.Recorder.Record(held.event(timeline.RequestEnqueued))
 		ask := held.poolRequest(e.options.Incarnation, deadline, x.generated())
 		grant, err := e.options.Granter.Acquire(limited, held.decision.Target.Name, ask)
 		if err != nil {
 			return held.settle(limited, err)
 		}
-		ending := e.attempt(limited, held, x, grant)
-		if ending.err == nil {
+		e.fire(held.life, eventGrant)
+		end := e.attempt(limited, held, x, grant)
+		if end.err == nil {
 			return nil
 		}
-		if !e.mayRetry(limited, held, x, ending) {
-			return held.settle(limited, ending.err)
+		end = e.confirm(limited, held, end)
+		if !e.mayRetry(limited, held, x, end) {
+			if end.reason == pool.FinishCrashed {
+				pause(limited, spreadPause)
+			}
+			return held.settle(limited, end.err)
 		}
+		e.fire(held.life, again(end), held.facts()...)
 	}
 }
 
@@ -72,21 +83,28 @@
 type ending struct {
 	reason pool.FinishReason
 	err    *fault.Error
+	// accused says that the request seems to have crashed the upstream.
+	accused bool
 }
 
 // attempt makes one call within the grant and ends the grant.
 func (e *Entry) attempt(ctx context.Context, held *request, x exchange, grant dispatch.Grant) ending {
 	held.attempts++
 	held.upstream = grant.Upstream().ID
-	e.registry.put(held.status(stateRunning, nil))
+	e.registry.put(held.status(nil))
 	e.options.Recorder.Record(held.event(timeline.RequestGranted))
 	running, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go cancelOnPreemption(running, cancel, grant)
 
 	started := time.Now()
-	end := classify(running, e.exchange(running, held, x, grant))
-	e.finish(held, x, grant, end, time.Since(started))
+	life := e.charts.attempt.Start()
+	suspect := e.enterSuspect(held)
+	end := classify(running, e.exchange(running, held, x, grant, life))
+	e.endAttempt(life, end)
+	took := time.Since(started)
+	end = e.judge(held, suspect, end, took)
+	e.finish(held, x, grant, end, took)
 	return end
 }
 
@@ -99,12 +117,14 @@
 }
 
 // exchange sends the call and takes the response.
-func (e *Entry) exchange(ctx context.Context, held *request, x exchange, grant dispatch.Grant) error {
+func (e *Entry) exchange(ctx context.Context, held *request, x exchange, grant dispatch.Grant, life *statechart.Machine) error {
 	call, err := x.call(grant.Upstream())
 	if err != nil {
 		return err
 	}
-	call.Guard = func() bool { return !grant.Expired() && (held.open == nil || held.open()) }
+	call.Guard = e.guard(life, func() bool {
+		return !grant.Expired() && (held.open == nil || held.open())
+	})
 	call.Once = !held.attributes.Repeatable
 	e.options.Recorder.Record(held.event(timeline.AttemptStarted))
 	response, err := upstream.Do(ctx, e.transport(call.Once), call)
@@ -114,6 +134,10 @@
 	}
 	held.sent = true
 	defer response.Body.Close()
+	if err := refusalOf(response, held.attributes.Kind == kindChat); err != nil {
+		return err
+	}
+	e.fire(life, eventRespond)
 	return x.receive(response, grant)
 }
 
@@ -132,12 +156,12 @@
 	failure := fault.From(err)
 	if errors.Is(context.Cause(ctx), errPreempted) {
 		preempted := fault.Wrap(fault.Preempted, err, errPreempted.Message)
-		return ending{pool.FinishCancelled, preempted.WithRunState(failure.RunState)}
+		return ending{reason: pool.FinishCancelled, err: preempted.WithRunState(failure.RunState)}
 	}
 	if ctx.Err() != nil {
-		return ending{pool.FinishCancelled, failure}
+		return ending{reason: pool.FinishCancelled, err: failure}
 	}
-	return ending{reasonOf(failure), failure}
+	return ending{reason: reasonOf(failure), err: failure}
 }
 
 func reasonOf(failure *fault.Error) pool.FinishReason {
@@ -152,6 +176,8 @@
 		return pool.FinishCancelled
 	case failure.RunState == types.NotRun:
 		return pool.FinishUnreachable
+	case failure.RunState == types.Ran:
+		return pool.FinishRejected
 	default:
 		return pool.FinishCrashed
 	}
@@ -187,7 +213,10 @@
 	if !held.attributes.Repeatable && held.sent {
 		return false
 	}
-	if !x.resumable() {
+	if end.err.Code == fault.Quarantined {
+		return false
+	}
+	if !held.life.Can(again(end), held.facts()...) || !x.resumable() {
 		return false
 	}
 	switch end.reason {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/kataras/iris/v12"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
@@ -18,6 +19,7 @@
 	"github.com/umbercrank/umbercrank/pkg/limits"
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -39,7 +41,9 @@
 	OnceTransport http.RoundTripper
 	// Addresses returns the answer of GET /v1/addresses, encoded as JSON.
 	Addresses func() any
-	Settings  Settings
+	// Caller sends to other instances; nil keeps the quarantine local.
+	Caller   peer.Caller
+	Settings Settings
 }
 
 // Entry serves callers. It is safe for concurrent use.
@@ -52,19 +56,37 @@
 	registry *registry
 	gate     *gate
 	keys     *idempotency.Store
+	charts   charts
+	memory   *semaphore.Weighted
+
+	quarantine *quarantine.Quarantine
+	suspects   *suspectRuns
 }
 
 // New returns an Entry that serves at once. Failures are of code Internal.
 func New(options Options) (*Entry, error) {
+	loaded, err := loadCharts()
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
+		charts:   loaded,
 		options:  options,
 		settings: options.Settings,
 		limiter:  limits.New(),
 		budget:   retry.NewBudget(options.Settings.Retry),
 		registry: newRegistry(options.Settings.FinishedRequests),
 		gate:     newGate(),
+		suspects: newSuspectRuns(),
+		memory:   semaphore.NewWeighted(options.Settings.BodyMemoryBytes),
 		keys:     idempotency.NewStore(options.Incarnation, options.Settings.Idempotency),
 	}
+	e.quarantine = quarantine.New(quarantine.Options{
+		View:     options.View,
+		Caller:   options.Caller,
+		Logger:   options.Logger,
+		Settings: options.Settings.Quarantine,
+	})
 	app := iris.New()
 	e.route(app)
 	if err := app.Build(); err != nil {
@@ -81,13 +103,10 @@
 func (e *Entry) Window() idempotency.Window { return e.keys.Current() }
 
 // Register adds the handlers for messages from other instances.
-func (e *Entry) Register(peer.Registrar) {}
+func (e *Entry) Register(registrar peer.Registrar) { e.quarantine.Register(registrar) }
 
 // Run carries out the background work until ctx ends.
-func (e *Entry) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
+func (e *Entry) Run(ctx context.Context) error { return e.quarantine.Run(ctx) }
 
 // Drain refuses new requests from now on and waits until all requests in flight
 // have ended, or returns a failure when ctx ends first.
@@ -104,6 +123,10 @@
 type Settings struct {
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// BodyMemoryBytes bounds the bodies of all requests held at once.
+	BodyMemoryBytes int64
+	// BodyTimeout bounds the arrival of a body.
+	BodyTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is held whole.
 	MaxAnswerBytes int64
 	// StreamBufferBytes bounds what is held of a stream for a slow caller.
@@ -119,18 +142,25 @@
 	FinishedRequests int
 	// DefaultDeadline applies to classes that declare no deadline.
 	DefaultDeadline time.Duration
-	// LeavingRetryAfter is told to callers while the instance is leaving.
-	LeavingRetryAfter time.Duration
+	// BusyRetryAfter tells callers when to come back to an instance that is
+	// leaving, full or not ready.
+	BusyRetryAfter time.Duration
+	// DefaultRetryAfter is told with a refusal for which nothing better is known.
+	DefaultRetryAfter time.Duration
 	// Retry shapes the retry budget.
 	Retry retry.Settings
 	// Idempotency bounds what is kept of idempotency keys.
 	Idempotency idempotency.Settings
+	// Quarantine bounds what is kept of requests that crash upstreams.
+	Quarantine quarantine.Settings
 }
 
 // DefaultSettings returns the settings for a small instance.
 func DefaultSettings() Settings {
 	return Settings{
 		MaxBodyBytes:      4 << 20,
+		BodyMemoryBytes:   64 << 20,
+		BodyTimeout:       10 * time.Second,
 		MaxAnswerBytes:    8 << 20,
 		StreamBufferBytes: 256 << 10,
 		WriteTimeout:      10 * time.Second,
@@ -138,8 +168,10 @@
 		MaxAttempts:       6,
 		FinishedRequests:  4096,
 		DefaultDeadline:   2 * time.Minute,
-		LeavingRetryAfter: 100 * time.Millisecond,
+		BusyRetryAfter:    100 * time.Millisecond,
+		DefaultRetryAfter: time.Second,
 		Retry:             retry.DefaultSettings(),
 		Idempotency:       idempotency.DefaultSettings(),
+		Quarantine:        quarantine.DefaultSettings(),
 	}
 }
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -10,7 +10,9 @@
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/rules"
+	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -24,8 +26,16 @@
 	id         types.RequestID
 	account    config.Account
 	attributes rules.Attributes
-	decision   config.Decision
-	arrival    time.Time
+	// body is the caller's body, and fingerprint its name in the quarantine once
+	// it was needed.
+	body        []byte
+	fingerprint *quarantine.Fingerprint
+	// suspect is 1 when the request was part of a crash before this attempt.
+	suspect  int
+	decision config.Decision
+	arrival  time.Time
+	// life is the state of the request in its chart.
+	life *statechart.Machine
 	// open, if set, must hold right before the first byte to an upstream.
 	open func() bool
 	// attempts counts the grants used.
@@ -63,6 +73,7 @@
 		FirstTokenIn: r.firstTokenIn(waited, generated),
 		DeadlineIn:   max(time.Until(deadline), 1),
 		Repeatable:   r.attributes.Repeatable,
+		Suspect:      r.suspect,
 		Preemptible:  r.attributes.Repeatable && r.decision.Class.Preemptible,
 	}
 }
@@ -90,6 +101,9 @@
 // after an attempt that may have run is not "not run".
 func (r *request) settle(ctx context.Context, err error) *fault.Error {
 	failure := fault.From(err)
+	if failure.Code == fault.Quarantined {
+		return failure
+	}
 	switch context.Cause(ctx) {
 	case context.DeadlineExceeded:
 		failure = fault.Wrap(fault.DeadlineExceeded, err, "the deadline passed before the answer was complete")
@@ -106,10 +120,10 @@
 }
 
 // status returns the public state of the request.
-func (r *request) status(state string, failure *fault.Error) Status {
+func (r *request) status(failure *fault.Error) Status {
 	status := Status{
 		ID:       r.id,
-		State:    state,
+		State:    r.life.State(),
 		Class:    r.decision.Class.Name,
 		Tier:     r.decision.Tier,
 		Target:   r.decision.Target.Name,
@@ -121,7 +135,7 @@
 	if r.sent {
 		status.RunState = types.MayHaveRun
 	}
-	if state == stateAnswered {
+	if r.life.State() == stateAnswered {
 		status.RunState = types.Ran
 	}
 	if failure != nil {
@@ -132,13 +146,8 @@
 	return status
 }
 
-// The public states of a request.
-const (
-	stateWaiting  = "waiting"
-	stateRunning  = "running"
-	stateAnswered = "answered"
-	stateFailed   = "failed"
-)
+// stateAnswered is the state of a request whose caller has the whole answer.
+const stateAnswered statechart.State = "answered"
 
 // event returns a timeline event about the request.
 func (r *request) event(kind timeline.Kind) timeline.Event {
--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -33,6 +33,11 @@
 	NoUpstream Code = "no_upstream"
 	// UpstreamFailed: the upstream failed and no retry was allowed or left.
 	UpstreamFailed Code = "upstream_failed"
+	// AnswerTooLarge: the upstream's answer exceeds the configured size.
+	AnswerTooLarge Code = "answer_too_large"
+	// AnswerUnframed: the end of the upstream's answer is not marked, so that a
+	// whole answer cannot be told from a part of one.
+	AnswerUnframed Code = "answer_unframed"
 	// UpstreamLeaving: the upstream refuses new work because it is leaving.
 	UpstreamLeaving Code = "upstream_leaving"
 	// Preempted: the request gave way to a higher tier and could not resume.
@@ -67,6 +72,8 @@
 	InvalidConfiguration Code = "invalid_configuration"
 	// StaleRevision: a document is older than the one in force.
 	StaleRevision Code = "stale_revision"
+	// ConflictingRevision: another document of the same revision takes precedence.
+	ConflictingRevision Code = "conflicting_revision"
 	// MissingPart: a part of a document could not be had.
 	MissingPart Code = "missing_part"
 	// PlatformUnavailable: the configuration service did not answer.
@@ -104,6 +111,8 @@
 	DeadlineExceeded:     {http.StatusGatewayTimeout, types.MayHaveRun},
 	NoUpstream:           {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamFailed:       {http.StatusBadGateway, types.MayHaveRun},
+	AnswerTooLarge:       {http.StatusBadGateway, types.Ran},
+	AnswerUnframed:       {http.StatusBadGateway, types.Ran},
 	UpstreamLeaving:      {http.StatusServiceUnavailable, types.NotRun},
 	Preempted:            {http.StatusServiceUnavailable, types.MayHaveRun},
 	Quarantined:          {http.StatusUnprocessableEntity, types.MayHaveRun},
@@ -121,6 +130,7 @@
 	InvalidSetting:       {http.StatusInternalServerError, types.NotRun},
 	InvalidConfiguration: {http.StatusInternalServerError, types.NotRun},
 	StaleRevision:        {http.StatusConflict, types.NotRun},
+	ConflictingRevision:  {http.StatusConflict, types.NotRun},
 	MissingPart:          {http.StatusInternalServerError, types.NotRun},
 	PlatformUnavailable:  {http.StatusServiceUnavailable, types.NotRun},
 	PeerUnavailable:      {http.StatusServiceUnavailable, types.MayHaveRun},
--- a/test/prove/configuration_checker_test.go
+++ b/test/prove/configuration_checker_test.go
@@ -1,11 +1,11 @@
 package prove
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -26,9 +26,11 @@
 	digest   platform.Digest
 }
 
-// above reports whether the configuration takes the place of other.
+// above reports whether the configuration takes the place of other: by the
+// revision, and between two documents of one revision by the digest. It stands
+// apart from the product's own order.
 func (n configurationName) above(other configurationName) bool {
-	return config.Newer(n.revision, n.digest, other.revision, other.digest)
+	return cmp.Or(cmp.Compare(n.revision, other.revision), cmp.Compare(n.digest, other.digest)) > 0
 }
 
 // instanceSample is what one instance had at one moment.
@@ -46,7 +48,9 @@
 type fleetSample struct {
 	at        time.Duration
 	instances map[types.InstanceID]instanceSample
-	// published is the newest valid configuration of the service.
+	// published is what the service has as its newest, or zero when that is a
+	// bad document: the service shows no other, so nobody can read the one
+	// before.
 	published configurationName
 }
 
@@ -168,12 +172,24 @@
 			want = had
 		}
 	}
-	if span[0].published.above(want) && halfReach(span, members) {
-		want = span[0].published
+	if shown := shownThroughout(span); shown.above(want) && halfReach(span, members) {
+		want = shown
 	}
 	return want
 }
 
+// shownThroughout returns the oldest configuration that the service had as its
+// newest in the span, or zero when it had a bad document.
+func shownThroughout(span []fleetSample) configurationName {
+	shown := span[0].published
+	for _, sample := range span {
+		if shown.above(sample.published) {
+			shown = sample.published
+		}
+	}
+	return shown
+}
+
 // halfReach reports whether at least half of the members could read a fresh
 // service through the whole span.
 func halfReach(span []fleetSample, members []types.InstanceID) bool {
