Every call to an upstream has a connection of its own

Cause: on a kept connection, a late duplicate of one answer is the answer to the next request on it, so a caller got another caller's text.

Ruled out: looking for bytes before a connection is used again, which net/http does while it is idle and which races with the next request; comparing a request ID in the answer, which engines do not send.

--- /dev/null
+++ b/pkg/upstream/bench_test.go
@@ -0,0 +1,34 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// BenchmarkCall measures one small call over loopback, on a connection of its
+// own and on kept ones.
+func BenchmarkCall(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "ok")
+	}))
+	defer server.Close()
+	transports := map[string]*http.Transport{"fresh": NewTransport(DefaultTransportSettings()), "kept": keeping()}
+	for name, transport := range transports {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			defer transport.CloseIdleConnections()
+			for b.Loop() {
+				response, err := Do(context.Background(), transport, keyedCall(server.URL, "x", false))
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		})
+	}
+}
--- a/pkg/upstream/call_test.go
+++ b/pkg/upstream/call_test.go
@@ -70,6 +70,14 @@
 	return last
 }
 
+// keeping returns a transport that keeps connections, as http.Transport does
+// unless it is told otherwise.
+func keeping() *http.Transport {
+	transport := NewTransport(DefaultTransportSettings())
+	transport.DisableKeepAlives = false
+	return transport
+}
+
 func keyedCall(url string, body string, once bool) Call {
 	header := http.Header{"Idempotency-Key": []string{"k"}}
 	return Call{Method: http.MethodPost, URL: url, Header: header, Body: []byte(body), Once: once}
@@ -83,10 +91,10 @@
 		body      string
 		calls     int32
 	}{
-		{"the hazard: net/http replays a keyed POST", NewTransport(DefaultTransportSettings()), false, "x", 3},
+		{"the hazard: net/http replays a keyed POST", keeping(), false, "x", 3},
 		{"once", NewOnceTransport(DefaultTransportSettings()), true, "x", 2},
 		{"once without a body", NewOnceTransport(DefaultTransportSettings()), true, "", 2},
-		{"once over a transport that keeps connections", NewTransport(DefaultTransportSettings()), true, "", 2},
+		{"once over a transport that keeps connections", keeping(), true, "", 2},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -102,7 +110,7 @@
 
 func TestOnceRefusesUsedConnection(t *testing.T) {
 	url, calls := closingServer(t)
-	transport := NewTransport(DefaultTransportSettings())
+	transport := keeping()
 	defer transport.CloseIdleConnections()
 	response, err := Do(context.Background(), transport, keyedCall(url, "x", false))
 	if err != nil {
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -10,8 +10,6 @@
 type TransportSettings struct {
 	// DialTimeout bounds the making of a connection.
 	DialTimeout time.Duration
-	// IdleTimeout closes a kept connection that is not used.
-	IdleTimeout time.Duration
 	// ConnsPerUpstream bounds the connections to one upstream.
 	ConnsPerUpstream int
 	// MaxHeaderBytes bounds the headers of a response.
@@ -22,14 +20,14 @@
 func DefaultTransportSettings() TransportSettings {
 	return TransportSettings{
 		DialTimeout:      time.Second,
-		IdleTimeout:      30 * time.Second,
 		ConnsPerUpstream: 512,
 		MaxHeaderBytes:   64 << 10,
 	}
 }
 
-// NewTransport returns the transport for repeatable calls. It keeps connections
-// and speaks HTTP/1.1 only, so that one connection carries one call.
+// NewTransport returns the transport for calls to upstreams. It speaks HTTP/1.1
+// and makes a connection for every call: on a used one, a late duplicate of an
+// earlier answer would be taken for the answer to the next call.
 func NewTransport(settings TransportSettings) *http.Transport {
 	dialer := &net.Dialer{Timeout: settings.DialTimeout}
 	protocols := &http.Protocols{}
@@ -38,18 +36,14 @@
 		DialContext:            dialer.DialContext,
 		Protocols:              protocols,
 		DisableCompression:     true,
-		IdleConnTimeout:        settings.IdleTimeout,
+		DisableKeepAlives:      true,
 		MaxConnsPerHost:        settings.ConnsPerUpstream,
-		MaxIdleConnsPerHost:    settings.ConnsPerUpstream,
 		MaxResponseHeaderBytes: settings.MaxHeaderBytes,
 	}
 }
 
-// NewOnceTransport returns the transport for calls that are not repeatable. It
-// makes a fresh connection for every call, because http.Transport replays
-// requests on reused ones.
+// NewOnceTransport returns the transport for calls that are not repeatable.
+// http.Transport replays requests on used connections, which it has none of.
 func NewOnceTransport(settings TransportSettings) *http.Transport {
-	transport := NewTransport(settings)
-	transport.DisableKeepAlives = true
-	return transport
+	return NewTransport(settings)
 }
