--- a/pkg/pool/estimate.go
+++ b/pkg/pool/estimate.go
@@ -13,13 +13,19 @@
 	samples   int
 }
 
-// averageWeight is the weight of a new sample once the average is warm.
-const averageWeight = 0.05
+const (
+	// requestWeight is the weight of a new sample of which each request gives
+	// one, once the average is warm.
+	requestWeight = 0.05
+	// stepWeight is that of a sample of which each running request gives one a
+	// second: the average must outlast the prompts that are being read.
+	stepWeight = 0.002
+)
 
-// add takes one sample.
-func (a *average) add(seconds float64) {
+// add takes one sample whose weight does not fall below the given one.
+func (a *average) add(seconds, least float64) {
 	a.samples++
-	weight := max(averageWeight, 1/float64(a.samples))
+	weight := max(least, 1/float64(a.samples))
 	difference := seconds - a.mean
 	a.mean += weight * difference
 	if difference < 0 {
@@ -68,8 +74,8 @@
 		return
 	}
 	r := &s.ranges[rangeOf(batch)]
-	r.gap.add(gap.Seconds())
-	weight := max(averageWeight, 1/float64(r.gap.samples))
+	r.gap.add(gap.Seconds(), stepWeight)
+	weight := max(stepWeight, 1/float64(r.gap.samples))
 	r.batch += weight * (float64(batch) - r.batch)
 	s.fit()
 }
@@ -137,21 +143,34 @@
 // add takes one time seen for a prompt length.
 func (f *firstToken) add(promptTokens int, took time.Duration) {
 	if took > 0 {
-		f.byLength[promptRange(promptTokens)].add(took.Seconds())
+		f.byLength[promptRange(promptTokens)].add(took.Seconds(), requestWeight)
 	}
 }
 
 // upper returns a time in seconds that most first tokens keep to: the mean and
-// twice the mean deviation of the nearest range that has been seen.
+// twice the mean deviation.
 func (f *firstToken) upper(promptTokens int) float64 {
+	a := f.nearest(promptTokens)
+	return a.mean + 2*a.deviation
+}
+
+// lower returns a time in seconds that few first tokens beat: the mean less
+// twice the mean deviation.
+func (f *firstToken) lower(promptTokens int) float64 {
+	a := f.nearest(promptTokens)
+	return max(a.mean-2*a.deviation, 0)
+}
+
+// nearest returns the average of the nearest range that has been seen.
+func (f *firstToken) nearest(promptTokens int) average {
 	at := promptRange(promptTokens)
 	for distance := range promptRanges {
 		for _, i := range [2]int{at - distance, at + distance} {
 			if i < 0 || i >= promptRanges || f.byLength[i].samples == 0 {
 				continue
 			}
-			return f.byLength[i].mean + 2*f.byLength[i].deviation
+			return f.byLength[i]
 		}
 	}
-	return 0
+	return average{}
 }
