prove: a world lets its fakes end before the bubble does

Change: the world sleeps for 5 s of fake time after it has closed all connections. The checks are unchanged.

--- a/test/prove/entryworld_test.go
+++ b/test/prove/entryworld_test.go
@@ -83,12 +83,14 @@
 	return w
 }
 
-// close ends all entries and connections.
+// close ends all entries and connections, and lets what sleeps in the fakes end:
+// the clock of a bubble stands still when the test returns.
 func (w *entryWorld) close() {
 	for _, l := range w.entries {
 		l.stop()
 	}
 	w.network.Close()
+	time.Sleep(5 * time.Second)
 }
 
 // start begins a new life of the entry on the host.
