Counters of requests, attempts, tokens and keys; service paths as rules see them

A rule sees the decoded path of a service call and the service gets it as it was written; dot segments, which a service may read otherwise, are refused. A percent-encoded service name no longer passes its prefix on.

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -132,6 +132,7 @@
 		failure = failure.WithRunState(types.NotRun)
 	}
 	e.fire(held.life, eventRefuse)
+	countEnd(failure, 0)
 	event := held.event(timeline.RequestRefused)
 	event.Code = string(failure.Code)
 	event.RunState = failure.RunState
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -76,6 +76,7 @@
 			return held.settle(limited, end.err)
 		}
 		e.fire(held.life, again(end), held.facts()...)
+		tokenCounts.Add("resumed", int64(x.generated()))
 	}
 }
 
@@ -185,6 +186,7 @@
 
 // finish ends the grant and records the end of the attempt.
 func (e *Entry) finish(held *request, x exchange, grant dispatch.Grant, end ending, took time.Duration) {
+	attemptCounts.Add(string(end.reason), 1)
 	yield := x.measure()
 	grant.Finish(pool.Finish{
 		ID:         held.id,
--- a/pkg/entry/lifecycle.go
+++ b/pkg/entry/lifecycle.go
@@ -4,6 +4,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/statechart"
+	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -149,3 +150,20 @@
 		return eventFail
 	}
 }
+
+// conclude records the end of the request, with the tokens that its caller got.
+func (e *Entry) conclude(held *request, failure *fault.Error, tokens int) {
+	countEnd(failure, tokens)
+	e.fire(held.life, lastEvent(failure))
+	if failure == nil {
+		e.options.Recorder.Record(held.event(timeline.RequestAnswered))
+		e.registry.end(held.status(nil))
+		return
+	}
+	event := held.event(timeline.RequestFailed)
+	event.Code = string(failure.Code)
+	event.RunState = failure.RunState
+	event.Detail = failure.Message
+	e.options.Recorder.Record(event)
+	e.registry.end(held.status(failure))
+}
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	keyCounts.Add(action.String(), 1)
 	if action == idempotency.Execute {
 		go e.executeOnce(newCapture(w.Header(), e.settings.MaxAnswerBytes), in, name)
 	}
@@ -75,6 +76,7 @@
 		return fault.From(err).WithRunState(types.MayHaveRun)
 	}
 	defer e.gate.leave()
+	keyCounts.Add("forwarded", 1)
 	ctx, cancel := context.WithTimeout(in.http.Context(), e.settings.DefaultDeadline)
 	defer cancel()
 	response, err := upstream.Do(ctx, e.options.OnceTransport, forwardedCall(in, executor))
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -9,7 +9,7 @@
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/rules"
-	"github.com/umbercrank/umbercrank/pkg/timeline"
+	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
 
@@ -19,6 +19,9 @@
 	kindService = "service"
 )
 
+// servicesPrefix is the path below which services are named.
+const servicesPrefix = "/v1/services/"
+
 // serveService passes a call to a plain service.
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request, params iris.Context) error {
 	account, snapshot, err := e.authenticate(r)
@@ -29,6 +32,9 @@
 	if _, ok := snapshot.TargetForService(name); !ok {
 		return fault.New(fault.UnknownService, "no target is the service "+name)
 	}
+	if err := checkServicePath(r.URL.Path); err != nil {
+		return err
+	}
 	body, release, err := e.readBody(w, r)
 	if err != nil {
 		return err
@@ -41,7 +47,7 @@
 	return e.serve(w, inbound{
 		http: r, account: account, snapshot: snapshot, body: body, answer: e.answerService,
 		attributes: rules.Attributes{
-			Kind: kindService, Service: name, Method: r.Method, Path: servicePath(r, name), Account: string(account.ID),
+			Kind: kindService, Service: name, Method: r.Method, Path: servicePath(r.URL.Path), Account: string(account.ID),
 			Labels: account.Labels, Headers: ruleHeaders(r.Header), Repeatable: repeat,
 		},
 	})
@@ -50,7 +56,7 @@
 func (e *Entry) answerService(w http.ResponseWriter, in inbound, held *request) error {
 	return e.answerWhole(w, in, held, &wholeExchange{
 		prepare: func(to config.Upstream) (upstream.Call, error) {
-			return serviceCall(in.http, in.attributes.Service, in.body, to), nil
+			return serviceCall(in.http, held.id, in.body, to), nil
 		},
 		limit: e.settings.MaxAnswerBytes,
 	})
@@ -67,49 +73,31 @@
 	}
 }
 
-// servicePath returns the escaped path below the service's name.
-func servicePath(r *http.Request, name string) string {
-	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+name)
-	if rest == "" {
-		return "/"
+// servicePath returns the part of a path below the service's name.
+func servicePath(path string) string {
+	_, below, _ := strings.Cut(strings.TrimPrefix(path, servicesPrefix), "/")
+	return "/" + below
+}
+
+// checkServicePath refuses paths that a service would read as another one than
+// the rules saw.
+func checkServicePath(path string) error {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return fault.New(fault.BadRequest, "the path has dot segments")
+		}
 	}
-	return rest
+	return nil
 }
 
-func serviceCall(r *http.Request, name string, body []byte, to config.Upstream) upstream.Call {
-	url := strings.TrimSuffix(to.URL, "/") + servicePath(r, name)
+func serviceCall(r *http.Request, id types.RequestID, body []byte, to config.Upstream) upstream.Call {
+	url := strings.TrimSuffix(to.URL, "/") + servicePath(r.URL.EscapedPath())
 	if r.URL.RawQuery != "" {
 		url += "?" + r.URL.RawQuery
 	}
 	header := make(http.Header, len(r.Header))
 	copyHeader(header, r.Header)
 	header.Del("Authorization")
+	header.Set(headerRequestID, string(id))
 	return upstream.Call{Method: r.Method, URL: url, Header: header, Body: body}
 }
-
-// answerWhole runs the exchange and writes its answer.
-func (e *Entry) answerWhole(w http.ResponseWriter, in inbound, held *request, x *wholeExchange) error {
-	failure := e.run(in.http.Context(), held, x)
-	held.describe(w.Header())
-	e.conclude(held, failure)
-	if failure != nil {
-		return failure
-	}
-	return x.answer.writeTo(w)
-}
-
-// conclude records the end of the request.
-func (e *Entry) conclude(held *request, failure *fault.Error) {
-	e.fire(held.life, lastEvent(failure))
-	if failure == nil {
-		e.options.Recorder.Record(held.event(timeline.RequestAnswered))
-		e.registry.end(held.status(nil))
-		return
-	}
-	event := held.event(timeline.RequestFailed)
-	event.Code = string(failure.Code)
-	event.RunState = failure.RunState
-	event.Detail = failure.Message
-	e.options.Recorder.Record(event)
-	e.registry.end(held.status(failure))
-}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -183,7 +183,7 @@
 	}
 	out.close()
 	<-pumped
-	e.conclude(held, failure)
+	e.conclude(held, failure, x.generated())
 	if begun || (failure == nil && x.passed == nil) {
 		return nil
 	}
--- a/pkg/entry/whole.go
+++ b/pkg/entry/whole.go
@@ -118,3 +118,14 @@
 		to[name] = values
 	}
 }
+
+// answerWhole runs the exchange and writes its answer.
+func (e *Entry) answerWhole(w http.ResponseWriter, in inbound, held *request, x *wholeExchange) error {
+	failure := e.run(in.http.Context(), held, x)
+	held.describe(w.Header())
+	e.conclude(held, failure, x.tokens)
+	if failure != nil {
+		return failure
+	}
+	return x.answer.writeTo(w)
+}
--- a/pkg/idempotency/table.go
+++ b/pkg/idempotency/table.go
@@ -54,6 +54,18 @@
 	Replay
 )
 
+// String returns what became of the copy.
+func (a Action) String() string {
+	switch a {
+	case Execute:
+		return "executed"
+	case Wait:
+		return "waited"
+	default:
+		return "replayed"
+	}
+}
+
 // Name identifies a record: keys of different accounts never meet.
 type Name struct {
 	Account types.AccountID
