--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -15,7 +15,7 @@
 	// ringSuccessors is how many instances each instance watches for good.
 	ringSuccessors = 3
 	// downShare is one in how many random exchanges goes to an instance that is
-	// down, so that the end of a partition is found.
+	// down, if there is one, so that the end of a partition is found.
 	downShare = 8
 	// minExchangePause is the least time between two exchanges, also when there
 	// is news.
@@ -57,7 +57,10 @@
 	if m.turn%2 == 0 {
 		return m.table.successor(m.turn / 2 % ringSuccessors)
 	}
-	return m.table.random(m.random.IntN(downShare) == 0, m.random.IntN)
+	if m.random.IntN(downShare) == 0 {
+		return m.table.lost(m.random.IntN)
+	}
+	return m.partners.choose(m.table, time.Now(), m.random.IntN)
 }
 
 // probe exchanges with the peer, and claims that it is suspect when it answers
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -14,12 +14,23 @@
 func (m *Members) readLists(ctx context.Context) {
 	for {
 		m.readList(ctx)
-		if !pause(ctx, m.jittered(m.options.Settings.ListInterval)) {
+		if !pause(ctx, m.jittered(m.listPause())) {
 			return
 		}
 	}
 }
 
+// listPause returns the time between two reads. It grows with the fleet up to a
+// bound, so that the reads of the whole fleet grow more slowly: what is new
+// travels between the instances.
+func (m *Members) listPause() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	settings := m.options.Settings
+	share := time.Duration(len(m.table.records)) * settings.ListShare
+	return min(max(settings.ListInterval, share), settings.MaxListInterval)
+}
+
 func (m *Members) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, m.options.Settings.ListTimeout)
 	defer cancel()
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -34,6 +34,8 @@
 
 	mu    sync.Mutex
 	table *table
+	// partners are the peers of the random exchanges.
+	partners partners
 	// live caches the table's live rows.
 	live    []types.Instance
 	changed chan struct{}
--- a/pkg/membership/settings.go
+++ b/pkg/membership/settings.go
@@ -4,8 +4,13 @@
 
 // Defaults of the Settings.
 const (
-	// DefaultListInterval is the pause between two reads of the published list.
+	// DefaultListInterval is the least pause between two reads of the published
+	// list.
 	DefaultListInterval = 5 * time.Second
+	// DefaultListShare is the pause for each instance of the fleet.
+	DefaultListShare = 250 * time.Millisecond
+	// DefaultMaxListInterval is the longest pause.
+	DefaultMaxListInterval = time.Minute
 	// DefaultListTimeout bounds one read of the published list.
 	DefaultListTimeout = 2 * time.Second
 	// DefaultExchangeInterval is the mean time between two exchanges that an
@@ -24,6 +29,11 @@
 	// DefaultReconcileInterval is the least time between two comparisons of
 	// whole views by one instance.
 	DefaultReconcileInterval = 30 * time.Second
+	// DefaultPartners is how many peers an instance takes its random exchanges
+	// from, so that its connections do not grow with the fleet.
+	DefaultPartners = 6
+	// DefaultRotateInterval is the time after which one partner is replaced.
+	DefaultRotateInterval = 10 * time.Second
 	// DefaultLeaveFanout is how many peers a leaving instance tells itself.
 	DefaultLeaveFanout = 16
 )
@@ -32,6 +42,8 @@
 // defaults.
 type Settings struct {
 	ListInterval      time.Duration
+	ListShare         time.Duration
+	MaxListInterval   time.Duration
 	ListTimeout       time.Duration
 	ExchangeInterval  time.Duration
 	ExchangeTimeout   time.Duration
@@ -39,12 +51,16 @@
 	JoinPeriod        time.Duration
 	ForgetAfter       time.Duration
 	ReconcileInterval time.Duration
+	Partners          int
+	RotateInterval    time.Duration
 	LeaveFanout       int
 }
 
 // withDefaults returns a copy in which zero values are replaced.
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.ListInterval, DefaultListInterval)
+	setDefault(&s.ListShare, DefaultListShare)
+	setDefault(&s.MaxListInterval, DefaultMaxListInterval)
 	setDefault(&s.ListTimeout, DefaultListTimeout)
 	setDefault(&s.ExchangeInterval, DefaultExchangeInterval)
 	setDefault(&s.ExchangeTimeout, DefaultExchangeTimeout)
@@ -52,6 +68,8 @@
 	setDefault(&s.JoinPeriod, DefaultJoinPeriod)
 	setDefault(&s.ForgetAfter, DefaultForgetAfter)
 	setDefault(&s.ReconcileInterval, DefaultReconcileInterval)
+	setDefault(&s.Partners, DefaultPartners)
+	setDefault(&s.RotateInterval, DefaultRotateInterval)
 	setDefault(&s.LeaveFanout, DefaultLeaveFanout)
 	return s
 }
