--- a/test/prove/configuration_fleet_test.go
+++ b/test/prove/configuration_fleet_test.go
@@ -186,6 +186,28 @@
 	}
 }
 
+// fork publishes a document and shows some readers another one of the same
+// revision, as replicas of the service that disagree would.
+func (f *relayFleet) fork() {
+	var misled []string
+	for _, row := range f.rows {
+		if f.random.IntN(3) == 0 {
+			misled = append(misled, string(row.ID))
+		}
+	}
+	other, err := f.platform.Fork(f.document(), misled...)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	name := configurationName{other.Revision, other.Digest()}
+	f.history.valid[name] = true
+	f.publish()
+	// Readers see one of the two, so only the lesser is due from the service.
+	if f.accepted.above(name) {
+		f.accepted = name
+	}
+}
+
 // publishBad publishes a document that every instance must refuse.
 func (f *relayFleet) publishBad() {
 	f.showsBad = true
@@ -216,18 +238,23 @@
 // them to a replica that stays at the revision of now.
 func (f *relayFleet) cutReaders(stale bool) {
 	for _, row := range f.rows {
-		if f.random.IntN(3) > 0 {
-			continue
-		}
-		f.cut[row.ID] = true
-		if stale {
-			f.platform.SetStale(string(row.ID), f.accepted.revision)
-		} else {
-			f.platform.Cut(string(row.ID))
+		if f.random.IntN(3) == 0 {
+			f.mislead(row, stale)
 		}
 	}
 }
 
+// mislead keeps one instance from the service, or leads it to a replica that
+// stays at the revision of now.
+func (f *relayFleet) mislead(row types.Instance, stale bool) {
+	f.cut[row.ID] = true
+	if stale {
+		f.platform.SetStale(string(row.ID), f.accepted.revision)
+	} else {
+		f.platform.Cut(string(row.ID))
+	}
+}
+
 // healReaders lets all instances read the service again.
 func (f *relayFleet) healReaders() {
 	clear(f.cut)
@@ -245,6 +272,12 @@
 	f.network.Partition(sides...)
 }
 
+// isolate cuts one instance off from all others.
+func (f *relayFleet) isolate(row types.Instance) {
+	f.group[row.ID] = 1
+	f.network.Partition([]string{row.PeerAddress})
+}
+
 // heal ends the partition.
 func (f *relayFleet) heal() {
 	clear(f.group)
