--- /dev/null
+++ b/pkg/dispatch/holdings_test.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+const testEntry types.Incarnation = "entry"
+
+func enqueueOf(id types.RequestID) pool.Event {
+	return pool.Event{Enqueue: &pool.Request{ID: id, Entry: testEntry}}
+}
+
+func registerOf(id types.RequestID, upstream types.UpstreamID) pool.Event {
+	return pool.Event{Register: &pool.Running{Request: pool.Request{ID: id, Entry: testEntry}, Upstream: upstream}}
+}
+
+func finishOf(id types.RequestID, upstream types.UpstreamID) pool.Event {
+	return pool.Event{Finish: &pool.Finish{ID: id, Upstream: upstream, Reason: pool.FinishCrashed}}
+}
+
+// names lists the events in short.
+func names(events []pool.Event) string {
+	text := ""
+	for _, e := range events {
+		switch {
+		case e.Enqueue != nil:
+			text += " enqueue:" + string(e.Enqueue.ID)
+		case e.Register != nil:
+			text += " register:" + string(e.Register.Request.ID)
+		case e.Progress != nil:
+			text += " progress:" + string(e.Progress.ID)
+		case e.Finish != nil:
+			text += fmt.Sprintf(" finish:%s:%s", e.Finish.ID, e.Finish.Reason)
+		case e.Cancel != nil:
+			text += " cancel:" + string(e.Cancel.ID)
+		}
+	}
+	return text
+}
+
+func TestReconcileLeadsFromWhatIsHeldToTheOpening(t *testing.T) {
+	cases := []struct {
+		name    string
+		held    []pool.Event
+		opening []pool.Event
+		want    string
+	}{
+		{"nothing held", nil, []pool.Event{registerOf("a", "u"), enqueueOf("b")}, " register:a enqueue:b"},
+		{"waits on both sides", []pool.Event{enqueueOf("a")}, []pool.Event{enqueueOf("a")}, ""},
+		{"runs on both sides", []pool.Event{registerOf("a", "u")}, []pool.Event{registerOf("a", "u")}, " progress:a"},
+		{"the grant was lost", []pool.Event{registerOf("a", "u")}, []pool.Event{enqueueOf("a")}, " finish:a:expired enqueue:a"},
+		{"granted by another", []pool.Event{enqueueOf("a")}, []pool.Event{registerOf("a", "u")}, " cancel:a register:a"},
+		{"runs elsewhere", []pool.Event{registerOf("a", "u")}, []pool.Event{registerOf("a", "v")}, " finish:a:cancelled register:a"},
+		{"the cancel was lost", []pool.Event{enqueueOf("a")}, nil, " cancel:a"},
+		{"the end was lost", []pool.Event{registerOf("a", "u")}, nil, " finish:a:cancelled"},
+		{"the end is sent again", []pool.Event{registerOf("a", "u")}, []pool.Event{finishOf("a", "u")}, " finish:a:crashed"},
+		{"the end was known", nil, []pool.Event{finishOf("a", "u")}, ""},
+		{"ended and offered again", []pool.Event{registerOf("a", "u")},
+			[]pool.Event{finishOf("a", "u"), enqueueOf("a")}, " finish:a:crashed enqueue:a"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHoldings()
+			for _, event := range c.held {
+				h.note(testEntry, event)
+			}
+			if got := names(h.reconcile(testEntry, c.opening)); got != c.want {
+				t.Fatalf("events%s, want%s", got, c.want)
+			}
+		})
+	}
+}
+
+func TestEventsOfAnotherEntryHaveNoEffect(t *testing.T) {
+	h := newHoldings()
+	h.note(testEntry, registerOf("a", "u"))
+	h.note(testEntry, enqueueOf("b"))
+	if h.note("other", finishOf("a", "u")) || h.note("other", pool.Event{Cancel: &pool.Cancel{ID: "b"}}) {
+		t.Fatal("another entry ended a request")
+	}
+	if h.running != 1 || h.waiting != 1 {
+		t.Fatalf("%d run and %d wait", h.running, h.waiting)
+	}
+}
+
+// TestReconcileAlwaysEndsAtTheOpening draws what is held and an opening at
+// random, and checks that the entry's word is what is held in the end.
+func TestReconcileAlwaysEndsAtTheOpening(t *testing.T) {
+	draw := func(t *rapid.T, label string) map[types.RequestID]types.UpstreamID {
+		return rapid.MapOf(
+			rapid.SampledFrom([]types.RequestID{"a", "b", "c", "d"}),
+			rapid.SampledFrom([]types.UpstreamID{"", "u", "v"}),
+		).Draw(t, label)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHoldings()
+		for id, upstream := range draw(t, "held") {
+			h.set(id, testEntry, upstream)
+		}
+		h.set("other", "other entry", "u")
+		want := draw(t, "opening")
+		var opening []pool.Event
+		for id, upstream := range want {
+			if upstream == "" {
+				opening = append(opening, enqueueOf(id))
+			} else {
+				opening = append(opening, registerOf(id, upstream))
+			}
+		}
+		h.reconcile(testEntry, opening)
+		if len(h.requests) != len(want)+1 || h.waiting+h.running != len(want)+1 {
+			t.Fatalf("%d held, want %d", len(h.requests), len(want)+1)
+		}
+		for id, upstream := range want {
+			if held, ok := h.requests[id]; !ok || held.upstream != upstream {
+				t.Fatalf("%s is held as %+v, want upstream %q", id, held, upstream)
+			}
+		}
+	})
+}
