--- a/pkg/dispatch/sender.go
+++ b/pkg/dispatch/sender.go
@@ -49,6 +49,8 @@
 	if due {
 		e.complete(&batch)
 	}
+	ctx, s.abandon = context.WithCancel(ctx)
+	defer s.abandon()
 	e.mu.Unlock()
 	if !due {
 		return false
--- a/pkg/dispatch/stream.go
+++ b/pkg/dispatch/stream.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -47,7 +48,9 @@
 	// failures counts the messages in a row that could not be sent.
 	failures int
 	closed   bool
-	wake     chan struct{}
+	// abandon ends the sending of the batch on its way, if any.
+	abandon context.CancelFunc
+	wake    chan struct{}
 }
 
 // sentFinish is the end of an attempt and the batch that carried it.
@@ -65,6 +68,7 @@
 		heardAt:    now,
 		usedAt:     now,
 		progressAt: now,
+		abandon:    func() {},
 		wake:       make(chan struct{}, 1),
 	}
 }
@@ -127,6 +131,7 @@
 	s.pending, s.opening = nil, nil
 	s.incarnation = ""
 	s.heardAt = now
+	s.abandon()
 	s.signal()
 }
 
