test/fleet: seeded faults of engines, services and the platform under load

One broken stream pauses an engine for ProbeInterval (1 s); in a pool whose only engine is paused nothing runs, so drainTime sees releaseRate 0, predicts MaxRetryAfter, and admit refuses every request as deadline_unreachable, although its deadline is 20 s away and the engine opens again within the second. predictedWait should count the earliest retryAt of the paused engines when nothing runs.

--- /dev/null
+++ b/test/fleet/faults_test.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/load"
+	"github.com/umbercrank/umbercrank/pkg/standin/configuration"
+	"github.com/umbercrank/umbercrank/pkg/standin/engine"
+	"github.com/umbercrank/umbercrank/pkg/standin/service"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+const (
+	// faultInterval is the time between two injected faults.
+	faultInterval = 100 * time.Millisecond
+	// faultSpan is how long faults are injected.
+	faultSpan = 1500 * time.Millisecond
+	// loadSpan is how long requests arrive; it outlasts the faults.
+	loadSpan = 2 * time.Second
+)
+
+// injector puts seeded faults in force until it is stopped.
+type injector struct {
+	fleet  *fleet
+	random *rand.Rand
+	faults int
+}
+
+// run injects a fault at each interval until ctx ends, and then heals all.
+func (i *injector) run(ctx context.Context) {
+	ticker := time.NewTicker(faultInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			i.inject()
+			i.faults++
+		case <-ctx.Done():
+			i.heal()
+			return
+		}
+	}
+}
+
+// inject draws one fault. At most one engine and one service are leaving.
+func (i *injector) inject() {
+	engines, services := i.engines(), i.fleet.services
+	one := 1
+	switch i.random.IntN(7) {
+	case 0:
+		tokens := i.random.IntN(6)
+		engines[i.random.IntN(len(engines))].Change(engine.FaultsChange{BreakNext: &one, BreakAfterTokens: &tokens})
+	case 1:
+		factor := 1 + 3*i.random.Float64()
+		engines[i.random.IntN(len(engines))].Change(engine.FaultsChange{Straggle: &factor})
+	case 2:
+		leaving := i.random.IntN(2) == 0
+		engines[0].Change(engine.FaultsChange{Leaving: &leaving})
+	case 3:
+		services[i.random.IntN(len(services))].Change(service.FaultsChange{ResetBefore: &one})
+	case 4:
+		services[i.random.IntN(len(services))].Change(service.FaultsChange{ResetAfter: &one})
+	case 5:
+		leaving := i.random.IntN(2) == 0
+		services[0].Change(service.FaultsChange{Leaving: &leaving})
+	case 6:
+		i.fleet.platform.SetFaults(configuration.Faults{Down: i.random.IntN(2) == 0})
+	}
+}
+
+// engines returns the engines in the order of their names.
+func (i *injector) engines() []*engine.Engine {
+	var names []string
+	for name := range i.fleet.engines {
+		names = append(names, string(name))
+	}
+	slices.Sort(names)
+	var engines []*engine.Engine
+	for _, name := range names {
+		engines = append(engines, i.fleet.engines[types.UpstreamID(name)])
+	}
+	return engines
+}
+
+func (i *injector) heal() {
+	leaving, factor, none := false, 1.0, 0
+	for _, e := range i.fleet.engines {
+		e.Change(engine.FaultsChange{Leaving: &leaving, Straggle: &factor, BreakNext: &none})
+	}
+	for _, s := range i.fleet.services {
+		s.Change(service.FaultsChange{Leaving: &leaving, ResetBefore: &none, ResetAfter: &none})
+	}
+	i.fleet.platform.SetFaults(configuration.Faults{})
+}
+
+// seed returns SEED from the environment, or one.
+func seed(t *testing.T) uint64 {
+	t.Helper()
+	text, found := os.LookupEnv("SEED")
+	if !found {
+		return 1
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("SEED=%q is not a whole number", text)
+	}
+	return n
+}
+
+// TestFaultsBreakNoPromise drives load while streams break, engines straggle and
+// leave, service calls are reset before and after their execution, and the
+// configuration service goes down and up.
+func TestFaultsBreakNoPromise(t *testing.T) {
+	f := start(t, size{instances: 3, engines: 3, services: 2, step: step})
+	inject := &injector{fleet: f, random: rand.New(rand.NewPCG(seed(t), 3))}
+	ctx, cancel := context.WithTimeout(t.Context(), faultSpan)
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { inject.run(ctx) })
+	report := driveLoad(t, f, loadSpan, seed(t))
+	group.Wait()
+	answered := 0
+	for _, class := range report.Classes {
+		answered += class.Results[load.Answered]
+		t.Logf("class %s: %d offered, %v, codes %v", class.Class, class.Offered, class.Results, class.Codes)
+	}
+	t.Logf("%d faults", inject.faults)
+	if report.Violations != 0 || report.Unchecked != "" {
+		t.Errorf("violations %d %q, unchecked %q", report.Violations, report.Details, report.Unchecked)
+	}
+	if answered*2 < report.Offered {
+		t.Errorf("%d of %d requests answered", answered, report.Offered)
+	}
+}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -108,9 +108,9 @@
 	floor := config.Floor{Starts: 1, Interval: 5000}
 	return &config.Document{
 		Classes: []config.Class{
-			{Name: "live-chat", Tier: 5, Deadline: 60_000, Floor: floor},
-			{Name: "claim", Tier: 5, Deadline: 60_000, Floor: floor},
-			{Name: "status", Tier: 3, Deadline: 60_000, Floor: floor},
+			{Name: "live-chat", Tier: 5, Deadline: 20_000, Floor: floor},
+			{Name: "claim", Tier: 5, Deadline: 20_000, Floor: floor},
+			{Name: "status", Tier: 3, Deadline: 20_000, Floor: floor},
 		},
 		Rules: []config.Rule{
 			{Name: "claims", When: `service == "queue" && !repeatable`, Class: "claim", Target: "queue"},
--- a/test/fleet/requests_test.go
+++ b/test/fleet/requests_test.go
@@ -236,27 +236,34 @@
 	}
 }
 
-func TestLoadBreaksNoPromise(t *testing.T) {
-	f := start(t, size{instances: 3, engines: 2, services: 2, step: step})
+// driveLoad sends chats, claims and status calls at the fleet for the duration.
+func driveLoad(t *testing.T, f *fleet, duration time.Duration, seed uint64) *load.Report {
+	t.Helper()
 	profile, err := load.ParseProfile([]byte(`
 name: test
 rate: 60
 accounts: [{id: clinic}]
 kinds:
-  - {class: live-chat, weight: 2, chat: {model: demo-model, stream: true, prompt_tokens: 40, max_tokens: 40}, targets: {deadline_ms: 60000}}
-  - {class: claim, weight: 2, service: {name: queue, method: POST, path: /claims}, targets: {deadline_ms: 60000}}
-  - {class: status, weight: 1, service: {name: queue, method: GET, path: /status, repeatable: true}, targets: {deadline_ms: 60000}}
+  - {class: live-chat, weight: 2, chat: {model: demo-model, stream: true, prompt_tokens: 40, max_tokens: 40}, targets: {deadline_ms: 20000}}
+  - {class: claim, weight: 2, service: {name: queue, method: POST, path: /claims}, targets: {deadline_ms: 20000}}
+  - {class: status, weight: 1, service: {name: queue, method: GET, path: /status, repeatable: true}, targets: {deadline_ms: 20000}}
 `))
 	if err != nil {
 		t.Fatal(err)
 	}
 	report, err := load.Run(t.Context(), load.Options{
 		Profile: profile, Addresses: f.instances, Engines: f.engineBases, Services: f.serviceBases,
-		Duration: time.Second, Factor: 1, Seed: 1, Callers: 4,
+		Duration: duration, Factor: 1, Seed: seed, Callers: 4,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return report
+}
+
+func TestLoadBreaksNoPromise(t *testing.T) {
+	f := start(t, size{instances: 3, engines: 2, services: 2, step: step})
+	report := driveLoad(t, f, time.Second, 1)
 	for _, class := range report.Classes {
 		if class.Results[load.Answered] != class.Offered || class.OtherClass != 0 {
 			t.Errorf("class %s: %+v", class.Class, class)
