--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -40,7 +40,7 @@
 	deadline := a.kind.Targets.Deadline.Duration()
 	ctx, cancel := context.WithTimeout(ctx, deadline+max(deadline/2, minPatience))
 	defer cancel()
-	o := &outcome{kind: a.kind, result: Broken}
+	o := &outcome{kind: a.kind, account: a.account.ID, result: Broken}
 	started := time.Now()
 	if a.kind.Chat != nil {
 		c.sendChat(ctx, a, o, started)
--- a/pkg/load/outcome.go
+++ b/pkg/load/outcome.go
@@ -30,8 +30,9 @@
 
 // outcome is what the caller of one request saw.
 type outcome struct {
-	kind   *Kind
-	result Result
+	kind    *Kind
+	account types.AccountID
+	result  Result
 	// code and runState are those of a typed failure.
 	code     fault.Code
 	runState types.RunState
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -21,9 +21,10 @@
 	Seed    uint64  `json:"seed"`
 	Factor  float64 `json:"rate_factor"`
 	// Seconds is the length of the load without the wait for the last answers.
-	Seconds float64       `json:"seconds"`
-	Offered int           `json:"offered"`
-	Classes []ClassReport `json:"classes"`
+	Seconds  float64         `json:"seconds"`
+	Offered  int             `json:"offered"`
+	Classes  []ClassReport   `json:"classes"`
+	Accounts []AccountReport `json:"accounts"`
 	// Goodput counts tokens a second of answers that kept their targets.
 	Goodput float64 `json:"goodput_tokens_per_second"`
 	// GoodAnswers counts answers a second that kept their targets.
@@ -69,6 +70,16 @@
 	Refusal              Percentiles `json:"refusal"`
 }
 
+// AccountReport is the result of one client account over all classes.
+type AccountReport struct {
+	Account types.AccountID `json:"account"`
+	Offered int             `json:"offered"`
+	// Attainment is the share of the offered requests that kept every target.
+	Attainment float64 `json:"attainment"`
+	// Tokens counts those of whole answers.
+	Tokens int `json:"answered_tokens"`
+}
+
 // Percentiles are read from a histogram, in milliseconds.
 type Percentiles struct {
 	Count int64   `json:"count"`
@@ -109,11 +120,27 @@
 	slices.SortFunc(r.Classes, func(a, b ClassReport) int {
 		return cmp.Or(cmp.Compare(b.Tier, a.Tier), cmp.Compare(a.Class, b.Class))
 	})
+	r.Accounts = t.accountReports()
 	r.Goodput = float64(goodTokens) / r.Seconds
 	r.GoodAnswers = float64(attained) / r.Seconds
 	return r
 }
 
+// accountReports returns the accounts in alphabetical order.
+func (t *tally) accountReports() []AccountReport {
+	var reports []AccountReport
+	for _, id := range slices.Sorted(maps.Keys(t.accounts)) {
+		a := t.accounts[id]
+		reports = append(reports, AccountReport{
+			Account:    id,
+			Offered:    a.offered,
+			Attainment: float64(a.attained) / float64(a.offered),
+			Tokens:     a.tokens,
+		})
+	}
+	return reports
+}
+
 func (c *classTally) report(name types.ClassName) ClassReport {
 	share := func(n int) float64 { return float64(n) / float64(max(c.offered, 1)) }
 	return ClassReport{
@@ -183,6 +210,9 @@
 		}
 		fmt.Fprintln(w)
 	}
+	for _, a := range r.Accounts {
+		fmt.Fprintf(w, "account %s: %d requests, attained %.3f, %d tokens\n", a.Account, a.Offered, a.Attainment, a.Tokens)
+	}
 	fmt.Fprintf(w, "violations: %d\n", r.Violations)
 	for _, detail := range r.Details {
 		fmt.Fprintln(w, "  "+detail)
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -139,7 +139,7 @@
 	select {
 	case r.places <- struct{}{}:
 	default:
-		r.tally.add(&outcome{kind: a.kind, result: Broken})
+		r.tally.add(&outcome{kind: a.kind, account: a.account.ID, result: Broken})
 		return
 	}
 	r.group.Go(func() {
--- a/pkg/load/tally.go
+++ b/pkg/load/tally.go
@@ -22,9 +22,17 @@
 
 // tally adds up outcomes. It is safe for concurrent use.
 type tally struct {
-	mu      sync.Mutex
-	classes map[types.ClassName]*classTally
-	details []string
+	mu       sync.Mutex
+	classes  map[types.ClassName]*classTally
+	accounts map[types.AccountID]*accountTally
+	details  []string
+}
+
+// accountTally adds up the outcomes of one client account.
+type accountTally struct {
+	offered  int
+	attained int
+	tokens   int
 }
 
 // classTally adds up the outcomes of one class.
@@ -52,7 +60,10 @@
 }
 
 func newTally() *tally {
-	return &tally{classes: make(map[types.ClassName]*classTally)}
+	return &tally{
+		classes:  make(map[types.ClassName]*classTally),
+		accounts: make(map[types.AccountID]*accountTally),
+	}
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -82,11 +93,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.class(o.kind).add(o)
+	t.addAccount(o)
 	if o.violation() && len(t.details) < maxDetails {
 		t.details = append(t.details, string(o.kind.Class)+": "+string(o.result)+": "+o.detail)
 	}
 }
 
+// addAccount counts the outcome for its account. The caller holds the lock.
+func (t *tally) addAccount(o *outcome) {
+	a := t.accounts[o.account]
+	if a == nil {
+		a = &accountTally{}
+		t.accounts[o.account] = a
+	}
+	a.offered++
+	a.attained += one(o.attained())
+	a.tokens += o.tokens
+}
+
 func (c *classTally) add(o *outcome) {
 	c.offered++
 	c.results[o.result]++
--- a/test/fleet/faults_test.go
+++ b/test/fleet/faults_test.go
@@ -118,6 +118,7 @@
 // leave, service calls are reset before and after their execution, and the
 // configuration service goes down and up.
 func TestFaultsBreakNoPromise(t *testing.T) {
+	t.Parallel()
 	f := start(t, size{instances: 3, engines: 3, services: 2, step: step})
 	inject := &injector{fleet: f, random: rand.New(rand.NewPCG(seed(t), 3))}
 	ctx, cancel := context.WithTimeout(t.Context(), faultSpan)
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -220,12 +220,15 @@
 // waitForTCP waits until the address takes connections and answers HTTP.
 func waitForTCP(t *testing.T, address string) {
 	t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
 	for t.Context().Err() == nil {
 		response, err := http.Get("http://" + address + "/v1/addresses")
 		if err == nil {
 			response.Body.Close()
 			return
 		}
+		<-ticker.C
 	}
 }
 
