--- a/pkg/load/addresses.go
+++ b/pkg/load/addresses.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/directory"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -29,7 +30,7 @@
 
 	mu      sync.Mutex
 	random  *rand.Rand
-	answer  addressAnswer
+	answer  directory.Answer
 	expires time.Time
 	failed  map[string]bool
 	// favourite is the place among the nearest addresses that this caller uses.
@@ -49,17 +50,17 @@
 
 // pick returns the address to use: one of the same data centre as the first of
 // the answer, or the next that has not failed.
-func (b *addressBook) pick(ctx context.Context) (address, error) {
+func (b *addressBook) pick(ctx context.Context) (directory.Address, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if time.Now().After(b.expires) || b.usable() == nil {
 		if err := b.refresh(ctx); err != nil {
-			return address{}, err
+			return directory.Address{}, err
 		}
 	}
 	usable := b.usable()
 	if len(usable) == 0 {
-		return address{}, fault.New(fault.PeerUnavailable, "every address has failed")
+		return directory.Address{}, fault.New(fault.PeerUnavailable, "every address has failed")
 	}
 	near := 0
 	for near < len(usable) && usable[near].DataCentre == usable[0].DataCentre {
@@ -69,8 +70,8 @@
 }
 
 // usable returns the addresses of the answer that have not failed.
-func (b *addressBook) usable() []address {
-	var usable []address
+func (b *addressBook) usable() []directory.Address {
+	var usable []directory.Address
 	for _, address := range b.answer.Addresses {
 		if !b.failed[address.Address] {
 			usable = append(usable, address)
@@ -130,10 +131,10 @@
 }
 
 // ask reads GET /v1/addresses of one instance.
-func ask(ctx context.Context, client *http.Client, address string) (addressAnswer, error) {
+func ask(ctx context.Context, client *http.Client, address string) (directory.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	var answer addressAnswer
+	var answer directory.Answer
 	err := getJSON(ctx, client, "http://"+address+"/v1/addresses", &answer)
 	if err == nil && len(answer.Addresses) == 0 {
 		err = fault.New(fault.PeerRejected, address+" names no addresses")
@@ -143,7 +144,7 @@
 
 // keyPrefix returns the incarnation and the window that a key for the address
 // must name. It asks the instance itself when the answer does not tell.
-func keyPrefix(ctx context.Context, client *http.Client, at address) (types.Incarnation, string, error) {
+func keyPrefix(ctx context.Context, client *http.Client, at directory.Address) (types.Incarnation, string, error) {
 	if at.Incarnation != "" && at.Window != "" {
 		return at.Incarnation, at.Window, nil
 	}
--- a/pkg/load/call.go
+++ b/pkg/load/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/directory"
 	"github.com/umbercrank/umbercrank/pkg/standin/service"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -40,7 +41,7 @@
 }
 
 // newKey returns a fresh idempotency key whose executor is the address.
-func (c *caller) newKey(ctx context.Context, a arrival, at address) (string, error) {
+func (c *caller) newKey(ctx context.Context, a arrival, at directory.Address) (string, error) {
 	incarnation, window, err := keyPrefix(ctx, c.client, at)
 	if err != nil {
 		return "", err
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/directory"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/standin/engine"
 	"github.com/umbercrank/umbercrank/pkg/standin/engine/answer"
@@ -43,9 +44,9 @@
 	server := httptest.NewServer(mux)
 	host := strings.TrimPrefix(server.URL, "http://")
 	mux.HandleFunc("/v1/addresses", func(w http.ResponseWriter, _ *http.Request) {
-		gone := address{Instance: "gone", Address: "127.0.0.1:1", DataCentre: "a"}
-		here := address{Instance: "here", Address: host, DataCentre: "b"}
-		_ = json.NewEncoder(w).Encode(addressAnswer{LifetimeSeconds: 1, Incarnation: "I", Window: "0", Addresses: []address{gone, here}})
+		gone := directory.Address{Instance: "gone", Address: "127.0.0.1:1", DataCentre: "a"}
+		here := directory.Address{Instance: "here", Address: host, DataCentre: "b"}
+		_ = json.NewEncoder(w).Encode(directory.Answer{LifetimeSeconds: 1, Incarnation: "I", Window: "0", Addresses: []directory.Address{gone, here}})
 	})
 	t.Cleanup(func() {
 		server.Close()
