--- a/pkg/relay/fleet_test.go
+++ b/pkg/relay/fleet_test.go
@@ -224,11 +224,11 @@
 		f.publish(t, 1000)
 		manifest := f.publish(t, 2000)
 		f.platform.SetStale("i000", 1)
-		_, liar := f.network.Node("i001", peer.Identity{Instance: "i001"})
-		liar.Handle(methodManifest, func(context.Context, peer.Identity, json.RawMessage) (any, error) {
+		_, faulty := f.network.Node("i001", peer.Identity{Instance: "i001"})
+		faulty.Handle(methodManifest, func(context.Context, peer.Identity, json.RawMessage) (any, error) {
 			return manifestAnswer{Version: version{manifest.Revision, manifest.Digest()}, Serving: true, Parts: manifest.Parts}, nil
 		})
-		liar.Handle(methodPart, func(context.Context, peer.Identity, json.RawMessage) (any, error) {
+		faulty.Handle(methodPart, func(context.Context, peer.Identity, json.RawMessage) (any, error) {
 			return partAnswer{Bytes: []byte(`{"rules": []}`)}, nil
 		})
 		relay := f.start(ctx, f.rows[0])
--- a/pkg/relay/join.go
+++ b/pkg/relay/join.go
@@ -43,7 +43,7 @@
 
 // mayRead reports whether it is this instance's turn to read the service.
 func (j *joiner) mayRead() bool {
-	return j.relay.isReader() || time.Since(j.started) >= j.relay.settings.ReaderHeadStart
+	return j.relay.isReader() || time.Since(j.started) >= j.relay.settings.FreshReadDelay
 }
 
 // readList reads the instance list, and takes what the view knows besides.
--- a/pkg/relay/settings.go
+++ b/pkg/relay/settings.go
@@ -32,10 +32,10 @@
 	AdmissionPeers int
 	// AdmissionWait is how long a fresh instance waits for them.
 	AdmissionWait time.Duration
-	// ReaderHeadStart is how long a fresh instance that is no reader leaves the
+	// FreshReadDelay is how long a fresh instance that is no reader leaves the
 	// service to the readers of its data centre, so that a fleet that starts
 	// together does not read every part once an instance.
-	ReaderHeadStart time.Duration
+	FreshReadDelay time.Duration
 	// ListPeriod is the time between two reads of the instance list while the
 	// instance is fresh.
 	ListPeriod time.Duration
@@ -56,7 +56,7 @@
 		PartConcurrency:    8,
 		AdmissionPeers:     3,
 		AdmissionWait:      18 * time.Second,
-		ReaderHeadStart:    5 * time.Second,
+		FreshReadDelay:     5 * time.Second,
 		ListPeriod:         5 * time.Second,
 	}
 }
