Quarantine decides without holding an answer back

Cause: the failure of a request that crashed an upstream was held back for 300 ms so that a resend met instances that knew, and a verdict for another 300 ms. Users do not accept a final answer that is held back. Ruled out: dropping the waits alone. Change: guilt by the third crash as the only suspect; no wait anywhere.

--- a/pkg/ctl/bench.go
+++ b/pkg/ctl/bench.go
@@ -24,7 +24,9 @@
 	command := &cobra.Command{
 		Use:   "bench",
 		Short: "Measure the scheduling policies on the same seeded load in virtual time",
-		Args:  cobra.NoArgs,
+		Example: `  umberctl bench --seeds 5 --out out
+  umberctl bench --workloads rappel --loads 2.5 --faults crash`,
+		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			options.Faults = options.Faults[:0]
 			for _, f := range faults {
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -68,11 +68,7 @@
 		if end.err == nil {
 			return nil
 		}
-		end = e.confirm(limited, held, end)
 		if !e.mayRetry(limited, held, x, end) {
-			if end.reason == pool.FinishCrashed {
-				pause(limited, spreadPause)
-			}
 			return held.settle(limited, end.err)
 		}
 		e.fire(held.life, again(end), held.facts()...)
@@ -84,8 +80,6 @@
 type ending struct {
 	reason pool.FinishReason
 	err    *fault.Error
-	// accused says that the request seems to have crashed the upstream.
-	accused bool
 }
 
 // attempt makes one call within the grant and ends the grant.
--- a/pkg/entry/poison.go
+++ b/pkg/entry/poison.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -59,10 +58,6 @@
 	return !run.shared
 }
 
-// spreadPause holds back the failure of a request that crashed an upstream, so
-// that other instances know of it before its caller can send it to them.
-const spreadPause = 300 * time.Millisecond
-
 // print returns the request's fingerprint. A call without a body has none: its
 // kind comes again and again from good callers.
 func (r *request) print() (quarantine.Fingerprint, bool) {
@@ -120,10 +115,13 @@
 		return end
 	}
 	verdict := e.quarantine.Crashed(print, quarantine.Run{Upstream: held.upstream, Took: took, OnlySuspect: only})
-	end.accused = verdict.Accused
-	if verdict.Condemned {
-		end.err = quarantinedFailure()
+	if !verdict.Condemned {
+		return end
 	}
+	event := held.event(timeline.Quarantined)
+	event.Code = string(fault.Quarantined)
+	e.options.Recorder.Record(event)
+	end.err = quarantinedFailure()
 	return end
 }
 
@@ -135,21 +133,3 @@
 	}
 	return quarantine.Fingerprint{}, false
 }
-
-// confirm waits, without an upstream, whether another request explains the crash
-// of an accused one, and ends it with its final refusal otherwise.
-func (e *Entry) confirm(ctx context.Context, held *request, end ending) ending {
-	print, ok := held.print()
-	if !end.accused || !ok {
-		return end
-	}
-	pause(ctx, spreadPause)
-	if !e.quarantine.Confirm(print).Condemned {
-		return end
-	}
-	event := held.event(timeline.Quarantined)
-	event.Code = string(fault.Quarantined)
-	e.options.Recorder.Record(event)
-	end.err = quarantinedFailure()
-	return end
-}
--- a/pkg/quarantine/spread.go
+++ b/pkg/quarantine/spread.go
@@ -94,15 +94,6 @@
 	return verdict
 }
 
-// Confirm decides about an accused request; see Table.Confirm.
-func (q *Quarantine) Confirm(print Fingerprint) Verdict {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	verdict := q.table.Confirm(q.now(), print)
-	q.publishEntry(print)
-	return verdict
-}
-
 // publishEntry queues the state of one fingerprint.
 func (q *Quarantine) publishEntry(print Fingerprint) {
 	if entry, ok := q.table.entry(q.now(), print); ok {
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -16,6 +16,9 @@
 	MaxEntries int
 	// Keep is how long a fingerprint is held after its last crash.
 	Keep time.Duration
+	// CondemnCrashes condemns a request that was part of so many crashes, of the
+	// last as the only suspect.
+	CondemnCrashes int
 	// MaxCrashes condemns a request that was part of so many crashes, though
 	// never as the only suspect.
 	MaxCrashes int
@@ -23,7 +26,7 @@
 
 // DefaultSettings returns settings that hold a request for an hour.
 func DefaultSettings() Settings {
-	return Settings{MaxEntries: 1024, Keep: time.Hour, MaxCrashes: 4}
+	return Settings{MaxEntries: 1024, Keep: time.Hour, CondemnCrashes: 3, MaxCrashes: 5}
 }
 
 // sameCrash is how far two reports of one crash of an upstream may be apart.
@@ -58,9 +61,6 @@
 type suspicion struct {
 	crashes   []crash
 	condemned bool
-	// accused says that the request awaits Confirm since accusedAt.
-	accused   bool
-	accusedAt time.Duration
 }
 
 // last returns the time of the last crash.
@@ -95,16 +95,14 @@
 // Verdict is what is known of a request before it runs.
 type Verdict struct {
 	// Crashes counts the unexplained crashes that the request was part of.
-	Crashes int
-	// Accused says that Confirm will decide whether the request is condemned.
-	Accused   bool
+	Crashes   int
 	Condemned bool
 }
 
 // Look returns what is known of the request.
 func (t *Table) Look(now time.Duration, print Fingerprint) Verdict {
 	known := t.inForce(now, print)
-	return Verdict{Crashes: len(known.crashes), Accused: known.accused, Condemned: known.condemned}
+	return Verdict{Crashes: len(known.crashes), Condemned: known.condemned}
 }
 
 func (t *Table) inForce(now time.Duration, print Fingerprint) suspicion {
@@ -124,10 +122,10 @@
 	OnlySuspect bool
 }
 
-// Crashed counts a crash of the upstream that ran the request. It accuses the
-// request when it was a suspect before and the only one there. A crash that a
-// condemned request explains counts for no other, and one that another copy of
-// the request has reported counts once.
+// Crashed counts a crash of the upstream that ran the request, and condemns the
+// request when there are enough. A crash that a condemned request explains
+// counts for no other, and one that another copy of the request has reported
+// counts once.
 func (t *Table) Crashed(now time.Duration, print Fingerprint, run Run) Verdict {
 	known := t.inForce(now, print)
 	here := crash{upstream: run.Upstream, at: now}
@@ -135,46 +133,15 @@
 	if known.condemned || slices.ContainsFunc(known.crashes, during) || t.explained(during) {
 		return t.Look(now, print)
 	}
-	again := len(known.crashes) > 0 && run.OnlySuspect
 	known.crashes = append(slices.Clone(known.crashes), here)
-	if again || len(known.crashes) >= t.settings.MaxCrashes {
-		known.accused = true
-		known.accusedAt = now
-	}
-	t.put(now, print, known)
-	return t.Look(now, print)
-}
-
-// Confirm condemns an accused request, unless another one that was part of one
-// of its crashes has been accused of a later crash: then that one explains the
-// crash they share. The caller waits between Crashed and Confirm, without an
-// upstream, for as long as another suspect needs to show itself.
-func (t *Table) Confirm(now time.Duration, print Fingerprint) Verdict {
-	known := t.inForce(now, print)
-	if !known.accused {
-		return t.Look(now, print)
-	}
-	known.accused = false
-	left := slices.DeleteFunc(slices.Clone(known.crashes), func(c crash) bool { return t.blamedLater(print, known, c) })
-	known.condemned = len(left) == len(known.crashes)
-	known.crashes = left
-	if len(left) == 0 {
-		delete(t.entries, print)
-		return Verdict{}
-	}
+	known.condemned = t.enough(len(known.crashes), run.OnlySuspect)
 	t.put(now, print, known)
 	return t.Look(now, print)
 }
 
-// blamedLater reports whether another request that was accused after this one
-// was part of the crash.
-func (t *Table) blamedLater(print Fingerprint, known suspicion, c crash) bool {
-	for other, suspect := range t.entries {
-		if other != print && suspect.accused && suspect.accusedAt > known.accusedAt && suspect.has(c) {
-			return true
-		}
-	}
-	return false
+// enough reports whether so many crashes condemn a request.
+func (t *Table) enough(crashes int, onlySuspect bool) bool {
+	return onlySuspect && crashes >= t.settings.CondemnCrashes || crashes >= t.settings.MaxCrashes
 }
 
 // explained reports whether a condemned request was part of such a crash.
@@ -200,7 +167,6 @@
 			delete(t.entries, print)
 			continue
 		}
-		known.accused = known.accused && len(left) == len(known.crashes)
 		known.crashes = left
 		t.entries[print] = known
 	}
