pool: a dominant account leaves room; suspects move on to sibling pools

Cause: the others are first in the order, but every place is held by the large account's running work of the same tier; suspects of a crash queue in one pool of two engines while the engines of the other pools could take one each. Change: an account that runs more than half of its tier leaves 8 % to the others; a suspect that waits only for an engine without another one is offered to the siblings, and may start for its floor. The checker of tiers does not count such an offer as a refusal, since it is not the last; the final one counts as before.

--- a/pkg/history/tiers.go
+++ b/pkg/history/tiers.go
@@ -131,7 +131,9 @@
 	delete(s.waiting, refusal.ID)
 	switch refusal.Code {
 	case fault.Overloaded:
-		c.shed(s, r)
+		if r.request.Suspect == 0 || r.request.LastPool {
+			c.shed(s, r)
+		}
 	case fault.DeadlineUnreachable:
 		if !c.late(r) {
 			c.shed(s, r)
--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -141,7 +141,7 @@
 // predictedWait returns when a place is expected for the waiting job.
 func (p *Pool) predictedWait(j *job) time.Duration {
 	ahead := p.queue.ahead(j)
-	if ahead < p.totalFree(j.req.Tier)-p.reserved {
+	if ahead < p.totalFree(p.share(j))-p.reserved {
 		return 0
 	}
 	return p.drainTime(ahead+1, j)
--- a/pkg/pool/capacity.go
+++ b/pkg/pool/capacity.go
@@ -1,23 +1,18 @@
 package pool
 
 import (
-	"math"
 	"slices"
 	"time"
-
-	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// slots returns how many requests the engine may run at once for one more of
-// the tier to start, so that the tightest between-token target in use holds.
-// Each tier leaves a part free for those above it that are in use: they start
-// at once, and nothing need be preempted for them.
-func (p *Pool) slots(e *engine, tier types.Tier) int {
+// slots returns how many requests the engine may run at once for one more to
+// start that may fill the given share, so that the tightest between-token target
+// in use holds.
+func (p *Pool) slots(e *engine, share float64) int {
 	if e.health.probation {
 		return 1
 	}
 	bound := max(1, e.config.MaxConcurrent)
-	share := p.tierShare(tier)
 	places := bound - int(float64(bound)*(1-share))
 	if p.tightestGap == 0 {
 		return places
@@ -29,30 +24,39 @@
 	return p.steps.batchWithin(limit, places)
 }
 
-// tierShare returns the part of an engine that the tier may fill.
-func (p *Pool) tierShare(tier types.Tier) float64 {
-	above := 0
+const (
+	// wholeShare is the share of a start for a floor.
+	wholeShare = 1.0
+	// minShare is the share that any request may fill.
+	minShare = 0.5
+	// unknownDivisor reduces the places of an engine until a step time has been
+	// seen, so that a new dispatcher does not fill the engines beyond their
+	// targets.
+	unknownDivisor = 2
+)
+
+// share returns the part of an engine that the job may fill. Each tier leaves a
+// part free for those above it that are in use, and a dominant account one for
+// the others: they start at once, and nothing need be preempted for them.
+func (p *Pool) share(j *job) float64 {
+	before := 0
 	for _, t := range p.activeTiers {
-		if t > tier {
-			above++
+		if t > j.req.Tier {
+			before++
 		}
 	}
-	return max(1-p.settings.TierReserve*float64(above), minTierShare)
+	if p.shares.dominant(j) {
+		before++
+	}
+	return max(wholeShare-p.settings.TierReserve*float64(before), minShare)
 }
 
-// unknownDivisor reduces the places of an engine until a step time has been
-// seen, so that a new dispatcher does not fill the engines beyond their targets.
-const unknownDivisor = 2
-
-// minTierShare is the part of an engine that the lowest tier may always fill.
-const minTierShare = 0.5
-
-// free returns how many more requests of the tier the engine may run.
-func (p *Pool) free(e *engine, tier types.Tier) int {
+// free returns how many more requests with the share the engine may run.
+func (p *Pool) free(e *engine, share float64) int {
 	if !e.available(p.now) || e.speed.ejected {
 		return 0
 	}
-	return max(p.slots(e, tier)-e.batch(p.now), 0)
+	return max(p.slots(e, share)-e.batch(p.now), 0)
 }
 
 // memory returns the key-value memory that the job is expected to reach, in
@@ -77,12 +81,13 @@
 // fits reports whether the engine has a place and memory for the job. An empty
 // engine takes any job. A start for a floor may use what tiers leave free.
 func (p *Pool) fits(e *engine, j *job, floor bool) bool {
-	tier, memory := j.req.Tier, p.memoryBound(e, j.req.Tier)
+	share := p.share(j)
+	memory := p.memoryBound(e, share)
 	if floor {
-		tier, memory = topTier, float64(e.config.KVTokens)
+		share, memory = wholeShare, float64(e.config.KVTokens)
 	}
 	batch := e.batch(p.now)
-	if batch >= p.slots(e, tier) {
+	if batch >= p.slots(e, share) {
 		return false
 	}
 	if e.config.KVTokens <= 0 || batch == 0 {
@@ -91,9 +96,9 @@
 	return e.booked+p.memory(j) <= memory
 }
 
-// memoryBound returns the key-value memory that the tier may book, in tokens.
-func (p *Pool) memoryBound(e *engine, tier types.Tier) float64 {
-	return float64(e.config.KVTokens) * p.settings.KVHeadroom * p.tierShare(tier)
+// memoryBound returns the key-value memory that may be booked, in tokens.
+func (p *Pool) memoryBound(e *engine, share float64) float64 {
+	return float64(e.config.KVTokens) * p.settings.KVHeadroom * share
 }
 
 // takes reports whether the engine may be given the job now.
@@ -116,7 +121,7 @@
 // choose returns the best engine for the job, or nil. Work that does not start
 // for a floor leaves the floors' reserve free.
 func (p *Pool) choose(j *job, floor bool) *engine {
-	if !floor && p.totalFree(topTier) <= p.reserved-p.floorsRunning {
+	if !floor && p.totalFree(wholeShare) <= p.reserved-p.floorsRunning {
 		return nil
 	}
 	var best *engine
@@ -150,11 +155,11 @@
 	return p.steps.at(batch) * e.speed.factor
 }
 
-// totalFree returns the free places of the pool for the tier.
-func (p *Pool) totalFree(tier types.Tier) int {
+// totalFree returns the free places of the pool for the share.
+func (p *Pool) totalFree(share float64) int {
 	n := 0
 	for _, e := range p.engines {
-		n += p.free(e, tier)
+		n += p.free(e, share)
 	}
 	return n
 }
@@ -174,7 +179,7 @@
 	for _, e := range p.engines {
 		e.foreign.note(p.now, len(e.running))
 		if e.available(p.now) && !e.speed.ejected {
-			places += p.slots(e, topTier)
+			places += p.slots(e, wholeShare)
 		}
 	}
 	p.reserved = p.reserve(places)
@@ -182,9 +187,6 @@
 	p.reviewRates()
 }
 
-// topTier is above every tier.
-const topTier types.Tier = math.MaxInt
-
 // reviewTargets finds the tightest between-token target and the tiers in use.
 func (p *Pool) reviewTargets() {
 	p.tightestGap = 0
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -41,6 +41,8 @@
 	tightestGap time.Duration
 	// activeTiers are the tiers of the classes in use, in no order.
 	activeTiers []types.Tier
+	// shares counts the running jobs of each account.
+	shares accountShares
 	// reserved counts the places that floors hold free.
 	reserved int
 	// floorsRunning counts the running jobs that started for floors.
@@ -65,6 +67,7 @@
 		classes:  make(map[types.ClassName]*class),
 		queue:    newQueue(),
 		running:  make(map[types.RequestID]*job),
+		shares:   newAccountShares(),
 	}
 }
 
@@ -122,6 +125,10 @@
 		p.refuse(j, fault.NoUpstream)
 		return
 	}
+	if !j.req.LastPool && p.waitsAlone(j) {
+		p.refuse(j, fault.Overloaded)
+		return
+	}
 	p.admit(j)
 }
 
@@ -190,6 +197,7 @@
 	if j.floor {
 		p.floorsRunning++
 	}
+	p.shares.start(j)
 	e.foreign.note(p.now, len(e.running))
 	p.rebook(j)
 }
@@ -201,6 +209,7 @@
 	delete(e.running, j.req.ID)
 	delete(p.running, j.req.ID)
 	p.unlist(j)
+	p.shares.end(j)
 	j.class.running--
 	e.booked -= j.booked
 	if j.req.Suspect > 0 {
--- a/pkg/pool/preemption.go
+++ b/pkg/pool/preemption.go
@@ -101,13 +101,13 @@
 	if !e.available(p.now) || e.speed.ejected {
 		return false
 	}
-	if e.batch(p.now)-e.yielding-1 >= p.slots(e, j.req.Tier) {
+	if e.batch(p.now)-e.yielding-1 >= p.slots(e, p.share(j)) {
 		return false
 	}
 	if e.config.KVTokens <= 0 {
 		return true
 	}
-	return e.booked-victim.booked+p.memory(j) <= p.memoryBound(e, j.req.Tier)
+	return e.booked-victim.booked+p.memory(j) <= p.memoryBound(e, p.share(j))
 }
 
 // cheaper orders victims: the lower tier, then the least lost work, then the
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -185,7 +185,7 @@
 }
 
 // oldest returns the job of the class that has waited longest, or nil. Suspects
-// are left out.
+// come last.
 func (q *queue) oldest(class types.ClassName) *job {
 	var best *job
 	for _, tq := range q.tiers {
@@ -194,7 +194,7 @@
 				continue
 			}
 			for _, j := range fq.jobs {
-				if j.req.Suspect == 0 && (best == nil || j.arrived < best.arrived) {
+				if best == nil || olderForFloor(j, best) {
 					best = j
 				}
 			}
@@ -203,6 +203,14 @@
 	return best
 }
 
+// olderForFloor orders the jobs of a class for its floor.
+func olderForFloor(a, b *job) bool {
+	if (a.req.Suspect > 0) != (b.req.Suspect > 0) {
+		return b.req.Suspect > 0
+	}
+	return a.arrived < b.arrived
+}
+
 // ordered returns every waiting job by its arrival at the pool.
 func (q *queue) ordered() []*job {
 	jobs := make([]*job, 0, len(q.jobs))
