pool: the choice of an engine counts the prompts that it has still to read

Cause: the places are there, but the engine reads the large account's prompts first: 16 of 16 losses are answers whose first token came after 320 ms.

--- a/pkg/bench/cases.go
+++ b/pkg/bench/cases.go
@@ -19,6 +19,8 @@
 	Loads     []float64
 	Faults    []Fault
 	Workloads []string
+	// Floods adds the cases of one large account.
+	Floods bool
 	// Parallel bounds the runs at once.
 	Parallel int
 }
@@ -31,6 +33,7 @@
 		Loads:     []float64{0.7, 1.0, 1.5, 2.5},
 		Faults:    []Fault{FaultNone, FaultStraggler, FaultCrash, FaultLag},
 		Workloads: []string{"rappel", "kavtaradze"},
+		Floods:    true,
 		Parallel:  max(1, runtime.GOMAXPROCS(0)/2),
 	}
 }
@@ -109,7 +112,9 @@
 			for _, load := range options.Loads {
 				group.Go(func() error { return c.runLoad(ctx, options, w, load, seed) })
 			}
-			group.Go(func() error { return c.runFlood(ctx, w, seed) })
+			if options.Floods {
+				group.Go(func() error { return c.runFlood(ctx, w, seed) })
+			}
 		}
 	}
 	if err := group.Wait(); err != nil {
@@ -208,6 +213,9 @@
 				}
 			}
 		}
+		if !r.Options.Floods {
+			continue
+		}
 		for _, policy := range Policies() {
 			key := Flood{Workload: w.Name, Policy: policy}
 			r.Floods = append(r.Floods, Flood{Workload: w.Name, Policy: policy, Loss: summarize(c.losses[key])})
--- a/pkg/pool/backlog.go
+++ b/pkg/pool/backlog.go
@@ -9,28 +9,28 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// rateWindow is the time over which rates are averaged.
-const rateWindow = 2 * time.Second
-
-// rate is an exponentially decaying count of occurrences.
-type rate struct {
-	count float64
-	at    time.Duration
-}
+const (
+	// rateWindow is the time over which rates are averaged.
+	rateWindow = 2 * time.Second
+	// promptWindow is the time in which an engine reads most prompts.
+	promptWindow = 200 * time.Millisecond
+)
 
-// add counts one occurrence.
-func (r *rate) add(now time.Duration) {
-	r.count = r.decayed(now) + 1
-	r.at = now
+// decaying is a sum that decays exponentially.
+type decaying struct {
+	sum float64
+	at  time.Duration
 }
 
-// perSecond returns the occurrences a second.
-func (r *rate) perSecond(now time.Duration) float64 {
-	return r.decayed(now) / rateWindow.Seconds()
+// add adds to the sum, which decays over the window.
+func (d *decaying) add(now time.Duration, amount float64, window time.Duration) {
+	d.sum = d.value(now, window) + amount
+	d.at = now
 }
 
-func (r *rate) decayed(now time.Duration) float64 {
-	return r.count * math.Exp(-(now-r.at).Seconds()/rateWindow.Seconds())
+// value returns what is left of the sum.
+func (d *decaying) value(now, window time.Duration) float64 {
+	return d.sum * math.Exp(-(now-d.at).Seconds()/window.Seconds())
 }
 
 // sheddable returns how many waiting requests of the class its floor does not
@@ -86,7 +86,7 @@
 		if tq.tier <= tier {
 			break
 		}
-		sum += tq.starts.perSecond(now)
+		sum += tq.starts.value(now, rateWindow) / rateWindow.Seconds()
 	}
 	return sum
 }
--- a/pkg/pool/capacity.go
+++ b/pkg/pool/capacity.go
@@ -136,23 +136,24 @@
 	return best
 }
 
-// better orders engines: those not ejected first, then the shorter expected
-// step time with one more request.
+// better orders engines: those not ejected first, then the lower score.
 func (p *Pool) better(a, b *engine) bool {
 	if a.speed.ejected != b.speed.ejected {
 		return b.speed.ejected
 	}
-	return p.stepScore(a) < p.stepScore(b)
+	return p.score(a) < p.score(b)
 }
 
-// stepScore returns the expected step time with one more request; when none has
-// been learned it is the batch size.
-func (p *Pool) stepScore(e *engine) float64 {
+// score returns the expected step time with one more request and the time for
+// the prompts that are still to be read; when no step time has been learned it
+// is the batch size.
+func (p *Pool) score(e *engine) float64 {
 	batch := e.batch(p.now) + 1
 	if !p.steps.known || p.steps.slope == 0 {
 		return float64(batch) * e.speed.factor
 	}
-	return p.steps.at(batch) * e.speed.factor
+	prompts := e.prompts.value(p.now, promptWindow) * p.promptCost
+	return (p.steps.at(batch) + prompts) * e.speed.factor
 }
 
 // totalFree returns the free places of the pool for the share.
@@ -183,6 +184,7 @@
 		}
 	}
 	p.reserved = p.reserve(places)
+	p.promptCost = p.firstTokens.perToken()
 	p.ejectStalled()
 	p.reviewRates()
 }
--- a/pkg/pool/engine.go
+++ b/pkg/pool/engine.go
@@ -14,6 +14,8 @@
 	running map[types.RequestID]*job
 	// booked is the key-value memory expected of the running jobs, in tokens.
 	booked float64
+	// prompts sums the tokens that were lately given to be read.
+	prompts decaying
 	// suspects counts the running suspects.
 	suspects int
 	// yielding counts the running jobs that were asked to stop.
--- a/pkg/pool/estimate.go
+++ b/pkg/pool/estimate.go
@@ -161,6 +161,26 @@
 	return max(a.mean-2*a.deviation, 0)
 }
 
+// perToken returns the time in seconds that each token of a prompt adds, between
+// the shortest and the longest prompts seen.
+func (f *firstToken) perToken() float64 {
+	shortest, longest := -1, -1
+	for i := range promptRanges {
+		if f.byLength[i].samples < minStepSamples {
+			continue
+		}
+		if shortest < 0 {
+			shortest = i
+		}
+		longest = i
+	}
+	if shortest == longest {
+		return 0
+	}
+	tokens := float64(int(1)<<longest - int(1)<<shortest)
+	return max((f.byLength[longest].mean-f.byLength[shortest].mean)/tokens, 0)
+}
+
 // nearest returns the average of the nearest range that has been seen.
 func (f *firstToken) nearest(promptTokens int) average {
 	at := promptRange(promptTokens)
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -39,6 +39,9 @@
 
 	// tightestGap is the smallest between-token target in use; zero means none.
 	tightestGap time.Duration
+	// promptCost is the time in seconds that a token of a prompt adds to the
+	// first token.
+	promptCost float64
 	// activeTiers are the tiers of the classes in use, in no order.
 	activeTiers []types.Tier
 	// shares counts the running jobs of each account.
@@ -172,7 +175,7 @@
 func (p *Pool) grant(j *job, e *engine) {
 	p.queue.remove(j)
 	p.queue.charge(j)
-	p.queue.tier(j.req.Tier).starts.add(p.now)
+	p.queue.tier(j.req.Tier).starts.add(p.now, 1, rateWindow)
 	p.place(j, e)
 	j.class.clock = p.now
 	j.class.started = true
@@ -198,6 +201,7 @@
 		p.floorsRunning++
 	}
 	p.shares.start(j)
+	e.prompts.add(p.now, float64(j.req.PromptTokens+j.req.Generated), promptWindow)
 	e.foreign.note(p.now, len(e.running))
 	p.rebook(j)
 }
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -21,7 +21,7 @@
 	size    int
 	classes *ledger[types.ClassName]
 	shares  *ledger[flow]
-	starts  rate
+	starts  decaying
 }
 
 // flowQueue holds the waiting jobs of one flow in the order of service.
