--- a/pkg/pool/floors.go
+++ b/pkg/pool/floors.go
@@ -36,16 +36,21 @@
 }
 
 // reserve returns the places that the floors hold free: by Little's law, the
-// places that their starts occupy, bounded by a share of the capacity.
+// places that the starts of the classes in use occupy, and at least one when any
+// class has a floor. A share of the capacity bounds it.
 func (p *Pool) reserve(capacity int) int {
-	places := 0.0
+	places, least := 0.0, 0
 	for _, c := range p.classOrder {
-		if c.hasFloor() && c.active(p.now) {
+		if !c.hasFloor() {
+			continue
+		}
+		least = 1
+		if c.active(p.now) {
 			places += c.expectedDuration().Seconds() / floorSpacing(c.config.Floor).Seconds()
 		}
 	}
 	bound := int(p.settings.FloorReserveShare * float64(capacity))
-	return min(int(math.Ceil(places)), bound)
+	return min(max(int(math.Ceil(places)), least), bound)
 }
 
 // grantFloors starts one request of each class that is due.
