--- a/pkg/pool/straggler.go
+++ b/pkg/pool/straggler.go
@@ -37,11 +37,11 @@
 
 // observe takes one gap that a running job saw on its engine.
 func (p *Pool) observe(e *engine, gap time.Duration) {
-	e.speed.heard = p.now
 	e.health.succeed()
 	if gap <= 0 {
 		return
 	}
+	e.speed.heard = p.now
 	batch := e.batch(p.now)
 	if expected := p.steps.at(batch); p.steps.known && expected > 0 {
 		e.speed.samples++
