--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -39,8 +39,13 @@
 
 	// tightestGap is the smallest between-token target in use; zero means none.
 	tightestGap time.Duration
+	// promptCost is the time in seconds that a token of a prompt adds to the
+	// first token.
+	promptCost float64
 	// activeTiers are the tiers of the classes in use, in no order.
 	activeTiers []types.Tier
+	// shares counts the running jobs of each account.
+	shares accountShares
 	// reserved counts the places that floors hold free.
 	reserved int
 	// floorsRunning counts the running jobs that started for floors.
@@ -65,6 +70,7 @@
 		classes:  make(map[types.ClassName]*class),
 		queue:    newQueue(),
 		running:  make(map[types.RequestID]*job),
+		shares:   newAccountShares(),
 	}
 }
 
@@ -122,6 +128,10 @@
 		p.refuse(j, fault.NoUpstream)
 		return
 	}
+	if !j.req.LastPool && p.waitsAlone(j) {
+		p.refuse(j, fault.Overloaded)
+		return
+	}
 	p.admit(j)
 }
 
@@ -165,7 +175,7 @@
 func (p *Pool) grant(j *job, e *engine) {
 	p.queue.remove(j)
 	p.queue.charge(j)
-	p.queue.tier(j.req.Tier).starts.add(p.now)
+	p.queue.tier(j.req.Tier).starts.add(p.now, 1, rateWindow)
 	p.place(j, e)
 	j.class.clock = p.now
 	j.class.started = true
@@ -190,6 +200,8 @@
 	if j.floor {
 		p.floorsRunning++
 	}
+	p.shares.start(j)
+	e.prompts.add(p.now, float64(j.req.PromptTokens+j.req.Generated), promptWindow)
 	e.foreign.note(p.now, len(e.running))
 	p.rebook(j)
 }
@@ -201,6 +213,7 @@
 	delete(e.running, j.req.ID)
 	delete(p.running, j.req.ID)
 	p.unlist(j)
+	p.shares.end(j)
 	j.class.running--
 	e.booked -= j.booked
 	if j.req.Suspect > 0 {
