--- a/pkg/config/bad_test.go
+++ b/pkg/config/bad_test.go
@@ -39,14 +39,14 @@
 		{"unknown section", `{"clases": []}`, `1: field clases: unknown field "clases"`},
 		{"unknown field", "{\"classes\": [\n{\"name\": \"x\",\n\"teir\": 1}]}", `3: class x: field teir: unknown field "teir"`},
 		{"field in other case", "{\"classes\": [\n{\"Name\": \"x\"}]}", `2: class #1: field Name: unknown field "Name"`},
-		{"repeated key", "{\"classes\": [\n{\"name\": \"x\",\n\"name\": \"y\"}]}", `3: field name: the key "name" is repeated`},
+		{"repeated key", "{\"classes\": [\n{\"name\": \"x\",\n\"name\": \"y\"}]}", `3: class x: field name: the key "name" is repeated`},
 		{"repeated section", "{\"rules\": [],\n\"rules\": []}", `2: field rules: the key "rules" is repeated`},
 		{"wrong type", "{\"classes\": [{\"name\": \"x\"},\n{\"name\": \"y\", \"tier\": \"high\"}]}", "2: class y: field tier: a value of type string does not fit here"},
 		{"wrong type in an account", "{\"accounts\": [{\"id\": \"a\"},\n{\"id\": \"b\",\n\"key_sha256\": [3]}]}", "3: account b: field key_sha256: a value of type number does not fit here"},
 		{"unknown nested field", "{\"classes\": [\n{\"name\": \"x\", \"floor\": {\"start\": 1}}]}", `2: class x: field floor: unknown field "start"`},
 		{"yaml unknown field", "classes:\n  - name: x\n    teir: 1\n", `3: class x: field teir: unknown field "teir"`},
 		{"yaml wrong type", "classes:\n  - name: x\n    tier: [1]\n", "3: class x: field tier: a value of type array does not fit here"},
-		{"yaml repeated key", "classes:\n  - name: x\n    tier: 1\n    tier: 2\n", `4: mapping key "tier" already defined`},
+		{"yaml repeated key", "classes:\n  - name: x\n    tier: 1\n    tier: 2\n", `4: class x: field tier: mapping key "tier" already defined`},
 		{"yaml broken", "classes:\n  - name: \"x\n", "2: "},
 	}
 	for _, c := range cases {
--- a/pkg/config/position.go
+++ b/pkg/config/position.go
@@ -120,7 +120,7 @@
 // attribute finds the item and field at the place: those of the last key that
 // starts before it.
 func attribute(source []byte, at place, problem *Problem) {
-	file, err := parser.ParseBytes(source, 0)
+	file, err := parser.ParseBytes(source, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return
 	}
@@ -186,7 +186,7 @@
 	if len(source) == 0 || len(problems) == 0 {
 		return
 	}
-	file, err := parser.ParseBytes(source, 0)
+	file, err := parser.ParseBytes(source, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return
 	}
--- a/pkg/ctl/documents_test.go
+++ b/pkg/ctl/documents_test.go
@@ -149,3 +149,29 @@
 		t.Errorf("status %d, stdout %q, stderr %q", status, stdout, stderr)
 	}
 }
+
+// TestCheckRefusesTheBadLists compares what check prints for each bad document
+// with the file beside it.
+func TestCheckRefusesTheBadLists(t *testing.T) {
+	wants, err := filepath.Glob("testdata/bad/*.want")
+	if err != nil || len(wants) == 0 {
+		t.Fatalf("%d documents, %v", len(wants), err)
+	}
+	for _, want := range wants {
+		name := strings.TrimSuffix(want, ".want")
+		t.Run(filepath.Base(name), func(t *testing.T) {
+			documents, err := filepath.Glob(name + ".[jy]*")
+			if err != nil || len(documents) != 1 {
+				t.Fatalf("%v, %v", documents, err)
+			}
+			text, err := os.ReadFile(want)
+			if err != nil {
+				t.Fatal(err)
+			}
+			status, stdout, _ := runCtl(t, "check", documents[0])
+			if status != ExitFailed || stdout != string(text) {
+				t.Errorf("status %d, got\n%s want\n%s", status, stdout, text)
+			}
+		})
+	}
+}
