--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -22,6 +22,9 @@
 	readTimeout = 5 * time.Second
 	// waitMargin is how much longer than its wait a waiting read may take.
 	waitMargin = 5 * time.Second
+	// idleConnections is the number of connections that are kept for reuse; a
+	// fresh instance reads that many parts at once.
+	idleConnections = 8
 )
 
 // Client reads the platform over HTTP. It is safe for concurrent use.
@@ -31,9 +34,25 @@
 }
 
 // NewClient returns a Client of the service at baseURL, such as
-// http://127.0.0.1:7000.
+// http://127.0.0.1:7000. An httpClient without a transport gets one that keeps
+// enough connections for the reads of a fresh instance.
 func NewClient(baseURL string, httpClient *http.Client) *Client {
-	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: httpClient}
+	own := *httpClient
+	if own.Transport == nil {
+		own.Transport = newTransport()
+	}
+	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: &own}
+}
+
+// newTransport returns the standard transport with more idle connections.
+func newTransport() http.RoundTripper {
+	standard, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		return http.DefaultTransport
+	}
+	transport := standard.Clone()
+	transport.MaxIdleConnsPerHost = idleConnections
+	return transport
 }
 
 // WaitManifest implements Source.
