A stream that stalls is continued on another engine

Cause: an engine that hangs with its connection open held a stream until the class's deadline.

Change: 10 s without an event after the first token cancel the attempt, and the rest is asked of another engine within the retry budget. The watch stands still while the caller is the slow one. The engine is not reported as crashed, since engines set requests aside under pressure. The fakes hang as one more fault.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -22,8 +22,9 @@
 type exchange interface {
 	// call returns the HTTP call of the next attempt.
 	call(upstream config.Upstream) (upstream.Call, error)
-	// receive takes the response and returns nil when the answer is complete.
-	receive(response *http.Response, grant dispatch.Grant) error
+	// receive takes the response and returns nil when the answer is complete. It
+	// may cancel the attempt.
+	receive(response *http.Response, grant dispatch.Grant, cancel context.CancelCauseFunc) error
 	// resumable reports whether a further attempt can give the caller the rest
 	// of the answer.
 	resumable() bool
@@ -43,6 +44,11 @@
 // errPreempted is the cause with which a preempted attempt is cancelled.
 var errPreempted = fault.New(fault.Preempted, "the attempt gave way to a higher tier")
 
+// errStalled is the cause with which an attempt without progress is cancelled.
+// The engine may only have set the request aside, so it does not count as
+// crashed.
+var errStalled = fault.New(fault.UpstreamFailed, "the engine sent no token for too long")
+
 // rejectedPause is the wait before an attempt after an upstream that was full.
 const rejectedPause = 10 * time.Millisecond
 
@@ -101,7 +107,7 @@
 	started := time.Now()
 	life := e.charts.attempt.Start()
 	suspect := e.enterSuspect(held)
-	end := classify(running, e.exchange(running, held, x, grant, life))
+	end := classify(running, e.exchange(running, cancel, held, x, grant, life))
 	e.endAttempt(life, end)
 	took := time.Since(started)
 	end = e.judge(held, suspect, end, took)
@@ -118,7 +124,8 @@
 }
 
 // exchange sends the call and takes the response.
-func (e *Entry) exchange(ctx context.Context, held *request, x exchange, grant dispatch.Grant, life *statechart.Machine) error {
+func (e *Entry) exchange(ctx context.Context, cancel context.CancelCauseFunc, held *request, x exchange,
+	grant dispatch.Grant, life *statechart.Machine) error {
 	call, err := x.call(grant.Upstream())
 	if err != nil {
 		return err
@@ -139,7 +146,7 @@
 		return err
 	}
 	e.fire(life, eventRespond)
-	return x.receive(response, grant)
+	return x.receive(response, grant, cancel)
 }
 
 func (e *Entry) transport(once bool) http.RoundTripper {
@@ -159,6 +166,9 @@
 		preempted := fault.Wrap(fault.Preempted, err, errPreempted.Message)
 		return ending{reason: pool.FinishCancelled, err: preempted.WithRunState(failure.RunState)}
 	}
+	if errors.Is(context.Cause(ctx), errStalled) {
+		return ending{reason: pool.FinishCancelled, err: errStalled}
+	}
 	if ctx.Err() != nil {
 		return ending{reason: pool.FinishCancelled, err: failure}
 	}
@@ -225,7 +235,7 @@
 	case pool.FinishExpired:
 		return true
 	case pool.FinishCancelled:
-		return end.err.Code == fault.Preempted
+		return end.err.Code == fault.Preempted || end.err == errStalled && e.budget.Spend()
 	case pool.FinishRejected:
 		return e.budget.Spend() && pause(ctx, rejectedPause)
 	default:
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -133,6 +133,9 @@
 	StreamBufferBytes int
 	// WriteTimeout bounds each write to a caller.
 	WriteTimeout time.Duration
+	// StallTimeout bounds the time between two events of an engine's stream,
+	// from its first token on.
+	StallTimeout time.Duration
 	// MaxRequests bounds the requests held at once.
 	MaxRequests int
 	// MaxAttempts bounds the attempts of one request.
@@ -164,6 +167,7 @@
 		MaxAnswerBytes:    8 << 20,
 		StreamBufferBytes: 256 << 10,
 		WriteTimeout:      10 * time.Second,
+		StallTimeout:      10 * time.Second,
 		MaxRequests:       4096,
 		MaxAttempts:       6,
 		FinishedRequests:  4096,
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -24,6 +24,8 @@
 	held   *request
 	header http.Header
 	limit  int64
+	// stall bounds the time between two events after the first.
+	stall time.Duration
 	// out takes the events for the caller.
 	out *outflow
 	// passed is set when the engine answered with a response that is no stream.
@@ -37,7 +39,7 @@
 	return chatCall(x.chat, x.held, x.transcript.partial(), to)
 }
 
-func (x *streamExchange) receive(response *http.Response, grant dispatch.Grant) error {
+func (x *streamExchange) receive(response *http.Response, grant dispatch.Grant, cancel context.CancelCauseFunc) error {
 	if response.StatusCode != http.StatusOK {
 		return x.pass(response)
 	}
@@ -48,7 +50,10 @@
 		x.header.Set("Content-Type", "text/event-stream")
 		x.header.Set("Cache-Control", "no-cache")
 	}
-	return x.relay(upstream.NewEventReader(response.Body), grant)
+	watch := time.AfterFunc(x.stall, func() { cancel(errStalled) })
+	watch.Stop()
+	defer watch.Stop()
+	return x.relay(upstream.NewEventReader(response.Body), grant, watch)
 }
 
 // pass keeps a response that is no stream, such as the engine's own complaint
@@ -65,10 +70,12 @@
 	return nil
 }
 
-// relay passes events on until the stream is complete or broken.
-func (x *streamExchange) relay(events *upstream.EventReader, grant dispatch.Grant) error {
+// relay passes events on until the stream is complete or broken. The watch runs
+// while it waits for the engine, and not while it waits for the caller.
+func (x *streamExchange) relay(events *upstream.EventReader, grant dispatch.Grant, watch *time.Timer) error {
 	for {
 		payload, err := events.Next()
+		watch.Stop()
 		if err == io.EOF || err == nil && bytes.Equal(payload, upstream.Done) {
 			return x.atEnd(fault.New(fault.UpstreamFailed, "the stream ended before the answer was complete"))
 		}
@@ -78,6 +85,9 @@
 		if err := x.relayChunk(payload, grant); err != nil {
 			return x.atEnd(err)
 		}
+		if x.attempt.tokens > 0 {
+			watch.Reset(x.stall)
+		}
 	}
 }
 
@@ -170,7 +180,7 @@
 	ctx, cancel := context.WithCancel(in.http.Context())
 	defer cancel()
 	out := newOutflow(w, e.settings.StreamBufferBytes, e.settings.WriteTimeout)
-	x := &streamExchange{chat: chat, held: held, header: w.Header(), limit: e.settings.MaxAnswerBytes, out: out}
+	x := &streamExchange{chat: chat, held: held, header: w.Header(), limit: e.settings.MaxAnswerBytes, stall: e.settings.StallTimeout, out: out}
 	pumped := make(chan struct{})
 	go func() {
 		defer close(pumped)
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
@@ -56,3 +57,31 @@
 		}
 	})
 }
+
+func TestStreamLeavesAnEngineThatHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u1, u2 := httpfakes.NewUpstream("u1"), httpfakes.NewUpstream("u2")
+		u1.Script(httpfakes.Hang)
+		b := newBench(t, u1, u2)
+		w := b.send("POST", chatURL, chatJSON("a", `,"stream":true`))
+		if text, done := streamText(t, w.Body.String()); text != httpfakes.Answer("a", 5) || !done {
+			t.Fatalf("%q done %v", text, done)
+		}
+		if ends := b.granter.Finished(); len(ends) != 2 || ends[0].Reason != pool.FinishCancelled {
+			t.Fatalf("ends %+v", ends)
+		}
+	})
+}
+
+func TestStreamEndsAtTheLastAllowedToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		u.Script(httpfakes.CrashMidStream)
+		b := newBench(t, u)
+		w := b.send("POST", chatURL, chatJSON("a", `,"stream":true,"max_tokens":2`))
+		text, done := streamText(t, w.Body.String())
+		if text != httpfakes.Answer("a", 2) || !done || !strings.Contains(w.Body.String(), `"finish_reason":"length"`) {
+			t.Fatalf("%s", w.Body)
+		}
+	})
+}
--- a/pkg/entry/whole.go
+++ b/pkg/entry/whole.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -35,7 +36,7 @@
 
 func (x *wholeExchange) call(to config.Upstream) (upstream.Call, error) { return x.prepare(to) }
 
-func (x *wholeExchange) receive(response *http.Response, _ dispatch.Grant) error {
+func (x *wholeExchange) receive(response *http.Response, _ dispatch.Grant, _ context.CancelCauseFunc) error {
 	body, err := readAnswer(response, x.limit)
 	if err != nil {
 		return err
--- a/test/httpfakes/engine.go
+++ b/test/httpfakes/engine.go
@@ -95,14 +95,11 @@
 	g.writer.Header().Set("Content-Type", "text/event-stream")
 	first := g.begun()
 	g.send(`{"id":"%s","created":1,"choices":[{"index":0,"delta":{"role":"assistant"}}]}`, g.upstream.Host)
-	cut := -1
-	if g.fault == CrashMidStream {
-		cut = first + g.upstream.Plan.IntN(max(1, g.upstream.Tokens-first))
-	}
+	cut := g.cut(first)
 	for i := first; i < g.upstream.Tokens; i++ {
 		g.step()
 		if i == cut {
-			panic(http.ErrAbortHandler)
+			g.breakOff()
 		}
 		g.send(`{"id":"%s","created":1,"choices":[{"index":0,"delta":{"content":%q}}]}`, g.upstream.Host, token(g.prompt, i))
 	}
@@ -115,6 +112,30 @@
 	fmt.Fprint(g.writer, "data: [DONE]\n\n")
 }
 
+// cut returns the token before which a faulty stream breaks off, or -1.
+func (g *generation) cut(first int) int {
+	left := max(1, g.upstream.Tokens-first)
+	switch {
+	case g.fault != CrashMidStream && g.fault != Hang:
+		return -1
+	case g.upstream.Plan == nil:
+		return first + left/2
+	default:
+		return first + g.upstream.Plan.IntN(left)
+	}
+}
+
+// breakOff ends the stream, at once or when the connection does.
+func (g *generation) breakOff() {
+	if g.fault == Hang {
+		select {
+		case <-g.crashed:
+		case <-g.request.Context().Done():
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (g *generation) send(format string, values ...any) {
 	fmt.Fprintf(g.writer, "data: "+format+"\n\n", values...)
 	_ = http.NewResponseController(g.writer).Flush()
--- a/test/httpfakes/fault.go
+++ b/test/httpfakes/fault.go
@@ -30,6 +30,8 @@
 	Leaving
 	// Duplicate sends the whole answer twice, the second time after a while.
 	Duplicate
+	// Hang stops in the middle of a stream and keeps the connection.
+	Hang
 	faultCount
 )
 
