--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of the project; README.md explains them.
 GO ?= go
 
-.PHONY: all build lint test up demo failures prove bench slopes clean
+.PHONY: all build lint test up demo failures rolling prove bench slopes clean
 
 all: lint test build
 
@@ -24,6 +24,9 @@
 failures: build
 	./scripts/failures.sh
 
+rolling: build
+	./scripts/rolling.sh
+
 prove:
 	./scripts/prove.sh
 
--- a/pkg/ctl/root.go
+++ b/pkg/ctl/root.go
@@ -54,9 +54,10 @@
 		return fault.Wrap(fault.InvalidSetting, err, "the command line is wrong; see --help")
 	})
 	command.AddCommand(
+		newBenchCommand(),
 		newCheckCommand(),
-		newExplainCommand(),
 		newDiffCommand(),
+		newExplainCommand(),
 		newLoadCommand(),
 		newStandinCommand(),
 		newStatusCommand(),
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -20,6 +20,12 @@
 	// DefaultProgressInterval is the time between two reports of the tokens of
 	// running requests.
 	DefaultProgressInterval = time.Second
+	// DefaultMaxProgress bounds the requests of one stream that are reported in
+	// each progress interval.
+	DefaultMaxProgress = 10
+	// DefaultLinger is how long the end of an attempt may wait for other events
+	// while no request waits for the place.
+	DefaultLinger = 50 * time.Millisecond
 	// DefaultPolicyInterval is the time between two passes of a policy.
 	DefaultPolicyInterval = 20 * time.Millisecond
 	// DefaultProbeInterval is the first pause before an avoided dispatcher is
@@ -45,6 +51,9 @@
 	DefaultUpstreamPatience = time.Second
 	// DefaultIdlePool is how long a dispatcher without streams goes on.
 	DefaultIdlePool = time.Minute
+	// DefaultSummaryInterval is the least time between two rounds of questions
+	// about the load of sibling pools.
+	DefaultSummaryInterval = time.Second
 	// DefaultSummaryLifetime is how long a pool's load summary is trusted.
 	DefaultSummaryLifetime = 3 * time.Second
 )
@@ -58,6 +67,8 @@
 	EntrySilence      time.Duration
 	IdleClose         time.Duration
 	ProgressInterval  time.Duration
+	MaxProgress       int
+	Linger            time.Duration
 	PolicyInterval    time.Duration
 	ProbeInterval     time.Duration
 	MaxProbeInterval  time.Duration
@@ -68,6 +79,7 @@
 	OpenWait          time.Duration
 	UpstreamPatience  time.Duration
 	IdlePool          time.Duration
+	SummaryInterval   time.Duration
 	SummaryLifetime   time.Duration
 }
 
@@ -79,6 +91,8 @@
 	setDefault(&s.EntrySilence, DefaultEntrySilence)
 	setDefault(&s.IdleClose, DefaultIdleClose)
 	setDefault(&s.ProgressInterval, DefaultProgressInterval)
+	setDefault(&s.MaxProgress, DefaultMaxProgress)
+	setDefault(&s.Linger, DefaultLinger)
 	setDefault(&s.PolicyInterval, DefaultPolicyInterval)
 	setDefault(&s.ProbeInterval, DefaultProbeInterval)
 	setDefault(&s.MaxProbeInterval, DefaultMaxProbeInterval)
@@ -89,6 +103,7 @@
 	setDefault(&s.OpenWait, DefaultOpenWait)
 	setDefault(&s.UpstreamPatience, DefaultUpstreamPatience)
 	setDefault(&s.IdlePool, DefaultIdlePool)
+	setDefault(&s.SummaryInterval, DefaultSummaryInterval)
 	setDefault(&s.SummaryLifetime, DefaultSummaryLifetime)
 	return s
 }
