--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -55,9 +55,11 @@
 	budget   *retry.Budget
 	registry *registry
 	gate     *gate
-	keys     *idempotency.Store
-	charts   charts
-	memory   *semaphore.Weighted
+	// waiters counts the copies that wait for an outcome, also while leaving.
+	waiters *gate
+	keys    *idempotency.Store
+	charts  charts
+	memory  *semaphore.Weighted
 
 	quarantine *quarantine.Quarantine
 	suspects   *suspectRuns
@@ -77,6 +79,7 @@
 		budget:   retry.NewBudget(options.Settings.Retry),
 		registry: newRegistry(options.Settings.FinishedRequests),
 		gate:     newGate(),
+		waiters:  newGate(),
 		suspects: newSuspectRuns(),
 		memory:   semaphore.NewWeighted(options.Settings.BodyMemoryBytes),
 		keys:     idempotency.NewStore(options.Incarnation, options.Settings.Idempotency),
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -28,8 +28,8 @@
 		return e.forward(w, in, key)
 	}
 	name := idempotency.Name{Account: in.account.ID, Key: key}
-	print := idempotency.FingerprintOf(in.http.Method, in.http.URL.RequestURI(), in.body)
-	action, pending, err := e.keys.Begin(name, print)
+	fp := idempotency.FingerprintOf(in.http.Method, in.http.URL.RequestURI(), in.body)
+	action, pending, err := e.keys.Begin(name, fp)
 	if err != nil {
 		return err
 	}
@@ -37,6 +37,12 @@
 	if action == idempotency.Execute {
 		go e.executeOnce(newCapture(w.Header(), e.settings.MaxAnswerBytes), in, name)
 	}
+	if action == idempotency.Wait {
+		if err := e.waiters.enter(e.settings.MaxRequests); err != nil {
+			return fault.From(err).WithRunState(types.MayHaveRun)
+		}
+		defer e.waiters.leave()
+	}
 	result, err := pending.Wait(in.http.Context())
 	if err != nil {
 		return err
--- a/pkg/entry/poison.go
+++ b/pkg/entry/poison.go
@@ -63,16 +63,16 @@
 // that other instances know of it before its caller can send it to them.
 const spreadPause = 300 * time.Millisecond
 
-// print returns the request's fingerprint. A call without a body has none: its
+// contentFingerprint returns the request's fingerprint. A call without a body has none: its
 // kind comes again and again from good callers.
-func (r *request) print() (quarantine.Fingerprint, bool) {
+func (r *request) contentFingerprint() (quarantine.Fingerprint, bool) {
 	if len(r.body) == 0 {
 		return quarantine.Fingerprint{}, false
 	}
 	if r.fingerprint == nil {
 		path := r.attributes.Service + r.attributes.Path
-		print := quarantine.Of(r.account.ID, r.attributes.Method, path, r.body)
-		r.fingerprint = &print
+		fp := quarantine.Of(r.account.ID, r.attributes.Method, path, r.body)
+		r.fingerprint = &fp
 	}
 	return *r.fingerprint, true
 }
@@ -84,11 +84,11 @@
 	if e.quarantine.Empty() {
 		return nil
 	}
-	print, ok := held.print()
+	fp, ok := held.contentFingerprint()
 	if !ok {
 		return nil
 	}
-	verdict := e.quarantine.Look(print)
+	verdict := e.quarantine.Look(fp)
 	if verdict.Condemned {
 		return quarantinedFailure()
 	}
@@ -111,15 +111,15 @@
 // judge draws the conclusions of an attempt's end about the request.
 func (e *Entry) judge(held *request, run *suspectRun, end ending, took time.Duration) ending {
 	only := run != nil && e.suspects.leave(held.upstream, run)
-	print, ok := held.crashPrint(run, end)
+	fp, ok := held.crashPrint(run, end)
 	if !ok {
 		return end
 	}
 	if end.reason == pool.FinishComplete {
-		e.quarantine.Completed(print)
+		e.quarantine.Completed(fp)
 		return end
 	}
-	verdict := e.quarantine.Crashed(print, quarantine.Run{Upstream: held.upstream, Took: took, OnlySuspect: only})
+	verdict := e.quarantine.Crashed(fp, quarantine.Run{Upstream: held.upstream, Took: took, OnlySuspect: only})
 	end.accused = verdict.Accused
 	if verdict.Condemned {
 		end.err = quarantinedFailure()
@@ -131,7 +131,7 @@
 // about the request: the end of a suspect, or a crash.
 func (r *request) crashPrint(run *suspectRun, end ending) (quarantine.Fingerprint, bool) {
 	if end.reason == pool.FinishCrashed || run != nil && end.reason == pool.FinishComplete {
-		return r.print()
+		return r.contentFingerprint()
 	}
 	return quarantine.Fingerprint{}, false
 }
@@ -139,12 +139,12 @@
 // confirm waits, without an upstream, whether another request explains the crash
 // of an accused one, and ends it with its final refusal otherwise.
 func (e *Entry) confirm(ctx context.Context, held *request, end ending) ending {
-	print, ok := held.print()
+	fp, ok := held.contentFingerprint()
 	if !end.accused || !ok {
 		return end
 	}
 	pause(ctx, spreadPause)
-	if !e.quarantine.Confirm(print).Condemned {
+	if !e.quarantine.Confirm(fp).Condemned {
 		return end
 	}
 	event := held.event(timeline.Quarantined)
--- a/pkg/idempotency/store.go
+++ b/pkg/idempotency/store.go
@@ -57,10 +57,10 @@
 
 // Begin decides about one copy; see Table.Begin. With Execute the caller must
 // call Finish once. With Wait the outcome comes from the Pending.
-func (s *Store) Begin(name Name, print Fingerprint) (Action, *Pending, error) {
+func (s *Store) Begin(name Name, fp Fingerprint) (Action, *Pending, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	action, result, err := s.table.Begin(time.Since(s.started), name, print)
+	action, result, err := s.table.Begin(time.Since(s.started), name, fp)
 	if err != nil {
 		return action, nil, err
 	}
--- a/pkg/idempotency/table.go
+++ b/pkg/idempotency/table.go
@@ -74,8 +74,8 @@
 
 // record is what is known of one key. It lives until its window closes.
 type record struct {
-	print Fingerprint
-	done  bool
+	fingerprint Fingerprint
+	done        bool
 	// dropped says that the result was too large to be kept.
 	dropped bool
 	result  Result
@@ -109,16 +109,16 @@
 // incarnation, KeyInvalid for a window that has not begun, KeyExpired for one
 // that has closed, KeyReused for another request under a known key, and
 // Overloaded when there is no room for a new key.
-func (t *Table) Begin(now time.Duration, name Name, print Fingerprint) (Action, Result, error) {
+func (t *Table) Begin(now time.Duration, name Name, fp Fingerprint) (Action, Result, error) {
 	t.expire(now)
 	if err := t.check(now, name.Key); err != nil {
 		return Execute, Result{}, err
 	}
 	known, ok := t.windows[name.Key.Window][name]
 	if !ok {
-		return Execute, Result{}, t.add(now, name, print)
+		return Execute, Result{}, t.add(now, name, fp)
 	}
-	if known.print != print {
+	if known.fingerprint != fp {
 		return Execute, Result{}, fault.New(fault.KeyReused, "the Idempotency-Key was used before with another request")
 	}
 	if !known.done {
@@ -149,7 +149,7 @@
 
 // add makes the record before anything runs, so that there is never a second
 // first copy.
-func (t *Table) add(now time.Duration, name Name, print Fingerprint) error {
+func (t *Table) add(now time.Duration, name Name, fp Fingerprint) error {
 	if t.records >= t.settings.MaxRecords {
 		return fault.New(fault.Overloaded, "too many keys are in use").WithRetryAfter(t.room(now))
 	}
@@ -158,7 +158,7 @@
 		window = make(map[Name]*record)
 		t.windows[name.Key.Window] = window
 	}
-	window[name] = &record{print: print}
+	window[name] = &record{fingerprint: fp}
 	t.records++
 	return nil
 }
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -46,9 +46,9 @@
 	digest := sha256.New()
 	digest.Write([]byte(string(account) + "\n" + method + " " + path + "\n"))
 	digest.Write(canonical(body))
-	var print Fingerprint
-	copy(print[:], digest.Sum(nil))
-	return print
+	var fp Fingerprint
+	copy(fp[:], digest.Sum(nil))
+	return fp
 }
 
 // canonical returns the body with sorted fields and no white space, or the body
--- a/pkg/quarantine/spread.go
+++ b/pkg/quarantine/spread.go
@@ -78,43 +78,43 @@
 }
 
 // Look returns what is known of the request.
-func (q *Quarantine) Look(print Fingerprint) Verdict {
+func (q *Quarantine) Look(fp Fingerprint) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.Look(q.now(), print)
+	return q.table.Look(q.now(), fp)
 }
 
 // Crashed counts a crash; see Table.Crashed. The new state spreads to the other
 // instances.
-func (q *Quarantine) Crashed(print Fingerprint, run Run) Verdict {
+func (q *Quarantine) Crashed(fp Fingerprint, run Run) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	verdict := q.table.Crashed(q.now(), print, run)
-	q.publishEntry(print)
+	verdict := q.table.Crashed(q.now(), fp, run)
+	q.publishEntry(fp)
 	return verdict
 }
 
 // Confirm decides about an accused request; see Table.Confirm.
-func (q *Quarantine) Confirm(print Fingerprint) Verdict {
+func (q *Quarantine) Confirm(fp Fingerprint) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	verdict := q.table.Confirm(q.now(), print)
-	q.publishEntry(print)
+	verdict := q.table.Confirm(q.now(), fp)
+	q.publishEntry(fp)
 	return verdict
 }
 
 // publishEntry queues the state of one fingerprint.
-func (q *Quarantine) publishEntry(print Fingerprint) {
-	if entry, ok := q.table.entry(q.now(), print); ok {
+func (q *Quarantine) publishEntry(fp Fingerprint) {
+	if entry, ok := q.table.entry(q.now(), fp); ok {
 		q.publish([]Entry{entry})
 	}
 }
 
 // Completed clears a suspect that ran to its end.
-func (q *Quarantine) Completed(print Fingerprint) {
+func (q *Quarantine) Completed(fp Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.table.Completed(print)
+	q.table.Completed(fp)
 }
 
 // publish queues news for Run. When the queue is full the periodic exchange
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -102,13 +102,13 @@
 }
 
 // Look returns what is known of the request.
-func (t *Table) Look(now time.Duration, print Fingerprint) Verdict {
-	known := t.inForce(now, print)
+func (t *Table) Look(now time.Duration, fp Fingerprint) Verdict {
+	known := t.inForce(now, fp)
 	return Verdict{Crashes: len(known.crashes), Accused: known.accused, Condemned: known.condemned}
 }
 
-func (t *Table) inForce(now time.Duration, print Fingerprint) suspicion {
-	known, ok := t.entries[print]
+func (t *Table) inForce(now time.Duration, fp Fingerprint) suspicion {
+	known, ok := t.entries[fp]
 	if !ok || now >= known.last()+t.settings.Keep {
 		return suspicion{}
 	}
@@ -128,12 +128,12 @@
 // request when it was a suspect before and the only one there. A crash that a
 // condemned request explains counts for no other, and one that another copy of
 // the request has reported counts once.
-func (t *Table) Crashed(now time.Duration, print Fingerprint, run Run) Verdict {
-	known := t.inForce(now, print)
+func (t *Table) Crashed(now time.Duration, fp Fingerprint, run Run) Verdict {
+	known := t.inForce(now, fp)
 	here := crash{upstream: run.Upstream, at: now}
 	during := func(c crash) bool { return c.same(here) && c.at > now-run.Took }
 	if known.condemned || slices.ContainsFunc(known.crashes, during) || t.explained(during) {
-		return t.Look(now, print)
+		return t.Look(now, fp)
 	}
 	again := len(known.crashes) > 0 && run.OnlySuspect
 	known.crashes = append(slices.Clone(known.crashes), here)
@@ -141,36 +141,36 @@
 		known.accused = true
 		known.accusedAt = now
 	}
-	t.put(now, print, known)
-	return t.Look(now, print)
+	t.put(now, fp, known)
+	return t.Look(now, fp)
 }
 
 // Confirm condemns an accused request, unless another one that was part of one
 // of its crashes has been accused of a later crash: then that one explains the
 // crash they share. The caller waits between Crashed and Confirm, without an
 // upstream, for as long as another suspect needs to show itself.
-func (t *Table) Confirm(now time.Duration, print Fingerprint) Verdict {
-	known := t.inForce(now, print)
+func (t *Table) Confirm(now time.Duration, fp Fingerprint) Verdict {
+	known := t.inForce(now, fp)
 	if !known.accused {
-		return t.Look(now, print)
+		return t.Look(now, fp)
 	}
 	known.accused = false
-	left := slices.DeleteFunc(slices.Clone(known.crashes), func(c crash) bool { return t.blamedLater(print, known, c) })
+	left := slices.DeleteFunc(slices.Clone(known.crashes), func(c crash) bool { return t.blamedLater(fp, known, c) })
 	known.condemned = len(left) == len(known.crashes)
 	known.crashes = left
 	if len(left) == 0 {
-		delete(t.entries, print)
+		delete(t.entries, fp)
 		return Verdict{}
 	}
-	t.put(now, print, known)
-	return t.Look(now, print)
+	t.put(now, fp, known)
+	return t.Look(now, fp)
 }
 
 // blamedLater reports whether another request that was accused after this one
 // was part of the crash.
-func (t *Table) blamedLater(print Fingerprint, known suspicion, c crash) bool {
+func (t *Table) blamedLater(fp Fingerprint, known suspicion, c crash) bool {
 	for other, suspect := range t.entries {
-		if other != print && suspect.accused && suspect.accusedAt > known.accusedAt && suspect.has(c) {
+		if other != fp && suspect.accused && suspect.accusedAt > known.accusedAt && suspect.has(c) {
 			return true
 		}
 	}
@@ -191,25 +191,25 @@
 // clears those that have none left.
 func (t *Table) explain(condemned Fingerprint) {
 	culprit := t.entries[condemned]
-	for print, known := range t.entries {
-		if print == condemned || known.condemned {
+	for fp, known := range t.entries {
+		if fp == condemned || known.condemned {
 			continue
 		}
 		left := slices.DeleteFunc(slices.Clone(known.crashes), culprit.has)
 		if len(left) == 0 {
-			delete(t.entries, print)
+			delete(t.entries, fp)
 			continue
 		}
 		known.accused = known.accused && len(left) == len(known.crashes)
 		known.crashes = left
-		t.entries[print] = known
+		t.entries[fp] = known
 	}
 }
 
 // Completed clears a suspect that ran to its end. A condemned request stays.
-func (t *Table) Completed(print Fingerprint) {
-	if known, ok := t.entries[print]; ok && !known.condemned {
-		delete(t.entries, print)
+func (t *Table) Completed(fp Fingerprint) {
+	if known, ok := t.entries[fp]; ok && !known.condemned {
+		delete(t.entries, fp)
 	}
 }
 
@@ -255,8 +255,8 @@
 // List returns all entries in force, condemned ones first, at most limit.
 func (t *Table) List(now time.Duration, limit int) []Entry {
 	list := make([]Entry, 0, len(t.entries))
-	for print := range t.entries {
-		if entry, ok := t.entry(now, print); ok {
+	for fp := range t.entries {
+		if entry, ok := t.entry(now, fp); ok {
 			list = append(list, entry)
 		}
 	}
@@ -265,9 +265,9 @@
 }
 
 // entry returns the entry of a fingerprint in force.
-func (t *Table) entry(now time.Duration, print Fingerprint) (Entry, bool) {
-	known := t.inForce(now, print)
-	entry := Entry{Fingerprint: print, Condemned: known.condemned}
+func (t *Table) entry(now time.Duration, fp Fingerprint) (Entry, bool) {
+	known := t.inForce(now, fp)
+	entry := Entry{Fingerprint: fp, Condemned: known.condemned}
 	for _, c := range known.crashes {
 		entry.Strikes = append(entry.Strikes, Strike{Upstream: c.upstream, AgeMilliseconds: (now - c.at).Milliseconds()})
 	}
@@ -297,13 +297,13 @@
 }
 
 // put keeps the state, and makes room for it when the table is full.
-func (t *Table) put(now time.Duration, print Fingerprint, state suspicion) {
-	if _, ok := t.entries[print]; !ok && len(t.entries) >= t.settings.MaxEntries {
+func (t *Table) put(now time.Duration, fp Fingerprint, state suspicion) {
+	if _, ok := t.entries[fp]; !ok && len(t.entries) >= t.settings.MaxEntries {
 		t.evict(now)
 	}
-	t.entries[print] = state
+	t.entries[fp] = state
 	if state.condemned {
-		t.explain(print)
+		t.explain(fp)
 	}
 }
 
@@ -311,13 +311,13 @@
 func (t *Table) evict(now time.Duration) {
 	var worst Fingerprint
 	var least *suspicion
-	for print, known := range t.entries {
+	for fp, known := range t.entries {
 		if now >= known.last()+t.settings.Keep {
-			delete(t.entries, print)
+			delete(t.entries, fp)
 			continue
 		}
 		if least == nil || lessValuable(known, *least) {
-			worst, least = print, &known
+			worst, least = fp, &known
 		}
 	}
 	if len(t.entries) >= t.settings.MaxEntries {
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -33,7 +33,7 @@
 
 // step is one crash in a test, a minute after the one before it.
 type step struct {
-	print    int
+	fp       int
 	upstream types.UpstreamID
 	only     bool
 }
@@ -56,7 +56,7 @@
 			now := time.Duration(0)
 			for _, s := range test.steps {
 				now += time.Minute
-				table.Crashed(now, printOf(s.print), Run{s.upstream, time.Second, s.only})
+				table.Crashed(now, printOf(s.fp), Run{s.upstream, time.Second, s.only})
 			}
 			table.Confirm(now, printOf(1))
 			got := table.Look(now, printOf(1))
