A refusal is not 'not run' when another copy of the key may have run

Cause: what is checked before the key (configuration, service, path, memory for bodies, body) was refused as not_run even when an earlier copy under the same key had run, here or at the instance that the key names:

Change: such refusals look at the key first and say may_have_run when it is of another incarnation, of a closed window, or has a record.

--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -19,31 +19,40 @@
 func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request, _ iris.Context) error {
 	account, snapshot, err := e.authenticate(r)
 	if err != nil {
-		return err
+		return e.early(inbound{http: r}, err)
 	}
+	in := inbound{http: r, account: account, snapshot: snapshot}
 	body, release, err := e.readBody(w, r)
 	if err != nil {
-		return err
+		return e.early(in, err)
 	}
 	defer release()
-	chat, err := upstream.ParseChat(body)
+	in.body = body
+	chat, err := parseChat(in)
 	if err != nil {
-		return err
-	}
-	if _, ok := snapshot.TargetForModel(chat.Model); !ok {
-		return fault.New(fault.UnknownModel, "no target serves the model "+chat.Model)
+		return e.early(in, err)
 	}
 	repeat, err := repeatable(r.Header, true)
 	if err != nil {
-		return err
+		return e.early(in, err)
 	}
-	return e.serve(w, inbound{
-		http: r, account: account, snapshot: snapshot, body: body,
-		attributes: chatAttributes(chat, account, r, repeat),
-		answer: func(w http.ResponseWriter, in inbound, held *request) error {
-			return e.answerChat(w, in, held, chat)
-		},
-	})
+	in.attributes = chatAttributes(chat, account, r, repeat)
+	in.answer = func(w http.ResponseWriter, in inbound, held *request) error {
+		return e.answerChat(w, in, held, chat)
+	}
+	return e.serve(w, in)
+}
+
+// parseChat reads the body and checks that some target serves its model.
+func parseChat(in inbound) (*upstream.ChatRequest, error) {
+	chat, err := upstream.ParseChat(in.body)
+	if err != nil {
+		return nil, err
+	}
+	if _, ok := in.snapshot.TargetForModel(chat.Model); !ok {
+		return nil, fault.New(fault.UnknownModel, "no target serves the model "+chat.Model)
+	}
+	return chat, nil
 }
 
 func (e *Entry) answerChat(w http.ResponseWriter, in inbound, held *request, chat *upstream.ChatRequest) error {
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -59,6 +59,20 @@
 	e.keys.Finish(name, answer.result(err))
 }
 
+// early adapts a refusal from before the key was looked at: it is not "not run"
+// when another copy of the request may have run. A caller without an account has
+// no other copies.
+func (e *Entry) early(in inbound, err error) error {
+	if fault.From(err).Code == fault.Unauthorized {
+		return err
+	}
+	key, parseErr := idempotency.ParseKey(in.http.Header.Get(headerKey))
+	if parseErr != nil || !e.keys.MayHaveRun(idempotency.Name{Account: in.account.ID, Key: key}) {
+		return err
+	}
+	return fault.From(err).WithRunState(types.MayHaveRun)
+}
+
 func writeResult(w http.ResponseWriter, result idempotency.Result) error {
 	if result.Failure != nil {
 		return result.Failure
--- a/pkg/entry/once_test.go
+++ b/pkg/entry/once_test.go
@@ -127,3 +127,29 @@
 		}
 	})
 }
+
+func TestRefusalOfALaterCopyIsNotNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, httpfakes.NewUpstream("u1"))
+		if w := b.claim(ownKey, "x"); w.Code != 200 {
+			t.Fatalf("%d %s", w.Code, w.Body)
+		}
+		if !b.entry.memory.TryAcquire(DefaultSettings().BodyMemoryBytes) {
+			t.Fatal("the memory for bodies is in use")
+		}
+		tests := []struct {
+			key  string
+			want types.RunState
+		}{
+			{ownKey, types.MayHaveRun},
+			{otherKey, types.MayHaveRun},
+			{"01ARZ3NDEKTSV4RRFFQ69G5FAV.0.new", types.NotRun},
+		}
+		for _, test := range tests {
+			w := b.claim(test.key, "x")
+			if w.Code != 503 || !strings.Contains(w.Body.String(), `"run_state":"`+string(test.want)+`"`) {
+				t.Errorf("%s: %d %s", test.key, w.Code, w.Body)
+			}
+		}
+	})
+}
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -26,31 +26,51 @@
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request, params iris.Context) error {
 	account, snapshot, err := e.authenticate(r)
 	if err != nil {
-		return err
+		return e.early(inbound{http: r}, err)
 	}
-	name := params.Params().Get("name")
-	if _, ok := snapshot.TargetForService(name); !ok {
-		return fault.New(fault.UnknownService, "no target is the service "+name)
-	}
-	if err := checkServicePath(r.URL.Path); err != nil {
-		return err
+	in := inbound{http: r, account: account, snapshot: snapshot, answer: e.answerService}
+	if err := checkService(snapshot, params.Params().Get("name"), r.URL.Path); err != nil {
+		return e.early(in, err)
 	}
 	body, release, err := e.readBody(w, r)
 	if err != nil {
-		return err
+		return e.early(in, err)
 	}
 	defer release()
 	repeat, err := repeatable(r.Header, repeatableMethod(r.Method))
 	if err != nil {
-		return err
+		return e.early(in, err)
+	}
+	in.body = body
+	in.attributes = serviceAttributes(in, params.Params().Get("name"), repeat)
+	return e.serve(w, in)
+}
+
+// checkService refuses a service that no target is, and paths that a service
+// would read as another one than the rules saw.
+func checkService(snapshot *config.Snapshot, name, path string) error {
+	if _, ok := snapshot.TargetForService(name); !ok {
+		return fault.New(fault.UnknownService, "no target is the service "+name)
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return fault.New(fault.BadRequest, "the path has dot segments")
+		}
+	}
+	return nil
+}
+
+func serviceAttributes(in inbound, name string, repeat bool) rules.Attributes {
+	return rules.Attributes{
+		Kind:       kindService,
+		Service:    name,
+		Method:     in.http.Method,
+		Path:       servicePath(in.http.URL.Path),
+		Account:    string(in.account.ID),
+		Labels:     in.account.Labels,
+		Headers:    ruleHeaders(in.http.Header),
+		Repeatable: repeat,
 	}
-	return e.serve(w, inbound{
-		http: r, account: account, snapshot: snapshot, body: body, answer: e.answerService,
-		attributes: rules.Attributes{
-			Kind: kindService, Service: name, Method: r.Method, Path: servicePath(r.URL.Path), Account: string(account.ID),
-			Labels: account.Labels, Headers: ruleHeaders(r.Header), Repeatable: repeat,
-		},
-	})
 }
 
 func (e *Entry) answerService(w http.ResponseWriter, in inbound, held *request) error {
@@ -79,17 +99,6 @@
 	return "/" + below
 }
 
-// checkServicePath refuses paths that a service would read as another one than
-// the rules saw.
-func checkServicePath(path string) error {
-	for segment := range strings.SplitSeq(path, "/") {
-		if segment == "." || segment == ".." {
-			return fault.New(fault.BadRequest, "the path has dot segments")
-		}
-	}
-	return nil
-}
-
 func serviceCall(r *http.Request, id types.RequestID, body []byte, to config.Upstream) upstream.Call {
 	url := strings.TrimSuffix(to.URL, "/") + servicePath(r.URL.EscapedPath())
 	if r.URL.RawQuery != "" {
--- a/pkg/idempotency/store.go
+++ b/pkg/idempotency/store.go
@@ -81,6 +81,14 @@
 	return p
 }
 
+// MayHaveRun reports whether a copy of the request may have run; see
+// Table.MayHaveRun.
+func (s *Store) MayHaveRun(name Name) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.MayHaveRun(time.Since(s.started), name)
+}
+
 // Finish gives the outcome of an execution to all copies. A failure that says
 // "not run" frees the key.
 func (s *Store) Finish(name Name, result Result) {
--- a/pkg/idempotency/table.go
+++ b/pkg/idempotency/table.go
@@ -130,6 +130,16 @@
 	return Replay, known.result, nil
 }
 
+// MayHaveRun reports whether a copy of the request may have run: the key is of
+// another incarnation, its window has closed, or it has a record.
+func (t *Table) MayHaveRun(now time.Duration, name Name) bool {
+	if name.Key.Incarnation != t.incarnation || t.settings.Windows.Closed(name.Key.Window, now) {
+		return true
+	}
+	_, known := t.windows[name.Key.Window][name]
+	return known
+}
+
 func droppedResult() *fault.Error {
 	return fault.New(fault.OutcomeUnknown, "the request ran; its answer is no longer kept").WithRunState(types.Ran)
 }
