Whole answers have a write deadline; headers of one connection stay on it

A caller that does not take a whole answer held its place at the instance and in its account's limits without end. A test shows that a deadline does not outlive its answer on a kept connection of the caller.

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -54,6 +54,7 @@
 
 // bench is an entry in front of httpfakes.
 type bench struct {
+	network *httpfakes.Network
 	entry   *Entry
 	granter *httpfakes.Granter
 }
@@ -82,7 +83,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &bench{entry: e, granter: granter}
+	return &bench{network: network, entry: e, granter: granter}
 }
 
 // send serves one request and returns the recorded answer.
--- a/pkg/entry/lifecycle_test.go
+++ b/pkg/entry/lifecycle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -137,3 +138,36 @@
 		}
 	})
 }
+
+func TestWriteDeadlineEndsWithItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		b := newBench(t, u)
+		b.network.Serve("entry", b.entry.Handler(), nil)
+		client := b.network.Transport("caller", "caller", false)
+		client.DisableKeepAlives = false
+		ask := func(body string) string {
+			request, err := http.NewRequest("POST", "http://entry"+chatURL, strings.NewReader(body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set("Authorization", "Bearer good")
+			response, err := client.RoundTrip(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			answer, err := io.ReadAll(response.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return string(answer)
+		}
+		ask(chatJSON("a", `,"stream":true`))
+		ask(chatJSON("a", ""))
+		u.Gap = DefaultSettings().WriteTimeout / 3
+		if got := ask(chatJSON("b", "")); !strings.Contains(got, httpfakes.Answer("b", 5)) {
+			t.Fatalf("%s", got)
+		}
+	})
+}
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	return writeResult(w, result)
+	return e.writeResult(w, result)
 }
 
 // executeOnce runs the request apart from its caller, so that the outcome is
@@ -73,13 +73,13 @@
 	return fault.From(err).WithRunState(types.MayHaveRun)
 }
 
-func writeResult(w http.ResponseWriter, result idempotency.Result) error {
+func (e *Entry) writeResult(w http.ResponseWriter, result idempotency.Result) error {
 	if result.Failure != nil {
 		return result.Failure
 	}
 	kept := answer{status: result.Status, header: result.Header, body: result.Body}
 	w.Header().Set(headerRequestID, result.Header.Get(headerRequestID))
-	return kept.writeTo(w)
+	return kept.writeTo(w, e.settings.WriteTimeout)
 }
 
 // forward passes a key of another instance to it, once. Whatever goes wrong on
@@ -110,7 +110,7 @@
 		return unknownOutcome(err, "the answer of the executor was cut short")
 	}
 	w.Header().Set(headerRequestID, response.Header.Get(headerRequestID))
-	return (&answer{status: response.StatusCode, header: response.Header, body: body}).writeTo(w)
+	return (&answer{status: response.StatusCode, header: response.Header, body: body}).writeTo(w, e.settings.WriteTimeout)
 }
 
 func forwardedCall(in inbound, executor types.Instance) upstream.Call {
--- a/pkg/entry/service_test.go
+++ b/pkg/entry/service_test.go
@@ -21,11 +21,13 @@
 		request := httptest.NewRequest("GET", test.uri, nil)
 		request.Header.Set("Authorization", "Bearer secret")
 		request.Header.Set("X-Custom", "1")
+		request.Header.Set("Connection", "close, X-Hop")
+		request.Header.Set("X-Hop", "1")
 		call := serviceCall(request, "r1", nil, config.Upstream{URL: "http://s1/"})
 		if call.URL != test.url || servicePath(request.URL.Path) != test.path {
 			t.Errorf("%s: %s, path %s", test.uri, call.URL, servicePath(request.URL.Path))
 		}
-		if call.Header.Get("Authorization") != "" || call.Header.Get("X-Custom") != "1" || call.Header.Get(headerRequestID) != "r1" {
+		if call.Header.Get("Authorization") != "" || call.Header.Get("X-Hop") != "" || call.Header.Get("X-Custom") != "1" || call.Header.Get(headerRequestID) != "r1" {
 			t.Errorf("headers %v", call.Header)
 		}
 	}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -201,7 +201,7 @@
 	if failure != nil {
 		return failure
 	}
-	return x.passed.writeTo(w)
+	return x.passed.writeTo(w, e.settings.WriteTimeout)
 }
 
 // pushFailure ends a begun stream with an error event.
--- a/pkg/entry/whole.go
+++ b/pkg/entry/whole.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
+	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
@@ -92,12 +94,14 @@
 
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = []string{
-	"Connection", "Content-Length", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Content-Length", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", headerRequestID,
 }
 
-// writeTo sends the answer to the caller.
-func (a *answer) writeTo(w http.ResponseWriter) error {
+// writeTo sends the answer to the caller, within the timeout.
+func (a *answer) writeTo(w http.ResponseWriter, timeout time.Duration) error {
+	// A writer without deadlines is bounded by its own request.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
 	copyHeader(w.Header(), a.header)
 	if len(a.body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -112,6 +116,11 @@
 // copyHeader adds the end-to-end headers of from to the header to.
 func copyHeader(to, from http.Header) {
 	end := from.Clone()
+	for _, listed := range from.Values("Connection") {
+		for name := range strings.SplitSeq(listed, ",") {
+			end.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		end.Del(name)
 	}
@@ -128,5 +137,5 @@
 	if failure != nil {
 		return failure
 	}
-	return x.answer.writeTo(w)
+	return x.answer.writeTo(w, e.settings.WriteTimeout)
 }
