--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -24,28 +24,8 @@
 	limit int
 }
 
-// WriteObject writes the object as the embedded codec does, but without a second
-// pass over objects that encode themselves.
-func (c boundedCodec) WriteObject(stream io.Writer, object any) error {
-	message, ok := object.(json.Marshaler)
-	if !ok {
-		return c.VarintObjectCodec.WriteObject(stream, object)
-	}
-	data, err := message.MarshalJSON()
-	if err != nil {
-		return err
-	}
-	prefix := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64), uint64(len(data)))
-	if _, err := stream.Write(prefix); err != nil {
-		return err
-	}
-	_, err = stream.Write(data)
-	return err
-}
-
-// ReadObject refuses a message above the limit before it reads the body. Objects
-// that decode themselves do so without a first pass.
-func (c boundedCodec) ReadObject(stream *bufio.Reader, object any) error {
+// ReadObject refuses a message above the limit before it reads the body.
+func (c boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
 	prefix, err := stream.Peek(peekBytes)
 	if err != nil {
 		return err
@@ -54,18 +34,7 @@
 	if n <= 0 || length > uint64(c.limit) {
 		return fault.New(fault.BodyTooLarge, "a peer sent a message above the limit")
 	}
-	message, ok := object.(json.Unmarshaler)
-	if !ok {
-		return c.VarintObjectCodec.ReadObject(stream, object)
-	}
-	if _, err := stream.Discard(n); err != nil {
-		return err
-	}
-	data := make([]byte, length)
-	if _, err := io.ReadFull(stream, data); err != nil {
-		return err
-	}
-	return message.UnmarshalJSON(data)
+	return c.VarintObjectCodec.ReadObject(stream, v)
 }
 
 // checkSize encodes the parameters once and refuses those above the limit, so
