--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -183,3 +183,68 @@
 		}
 	}
 }
+
+// BenchmarkPacedGrant measures requests that arrive at a steady rate at one
+// entry and run for a while, so that batches are as small as they are in use.
+// The processor time is that of both instances above their idle time.
+func BenchmarkPacedGrant(b *testing.B) {
+	for _, rate := range []int{7, 26, 115} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			w := newWire(b, 1000)
+			defer w.stop()
+			pacedGrants(b, w, time.Second/time.Duration(rate))
+		})
+	}
+}
+
+func pacedGrants(b *testing.B, w *wire, gap time.Duration) {
+	const hold = 200 * time.Millisecond
+	if err := benchmarkRequest(w.members[0], "warm"); err != nil {
+		b.Fatal(err)
+	}
+	idle := idleShare()
+	sent, writes := w.traffic()
+	processor, began := processorTime(), time.Now()
+	ticker := time.NewTicker(gap)
+	defer ticker.Stop()
+	var group sync.WaitGroup
+	b.ResetTimer()
+	for n := range b.N {
+		<-ticker.C
+		group.Go(func() {
+			if err := heldRequest(w.members[0], fmt.Sprintf("01JD0000000000000000%06d", n), hold); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	b.StopTimer()
+	busy := processorTime() - processor - time.Duration(idle*float64(time.Since(began)))
+	sentAfter, writesAfter := w.traffic()
+	perRequest := 1 / float64(b.N)
+	b.ReportMetric(float64(sentAfter-sent)*perRequest, "wire-B/request")
+	b.ReportMetric(float64(writesAfter-writes)*perRequest, "writes/request")
+	b.ReportMetric(float64(busy)*perRequest/1000, "cpu-us/request")
+	b.ReportMetric(idle*100, "idle-%-of-a-core")
+}
+
+// idleShare returns the share of a core that the instances use when idle.
+func idleShare() float64 {
+	const span = 2 * time.Second
+	before := processorTime()
+	<-time.After(span)
+	return float64(processorTime()-before) / float64(span)
+}
+
+// heldRequest is benchmarkRequest with a time for which the request runs.
+func heldRequest(m *member, id string, hold time.Duration) error {
+	r := sampleRequest(types.RequestID(id))
+	r.Class, r.Tier = "live", 1
+	grant, err := m.dispatch.Acquire(context.Background(), testTarget, r)
+	if err != nil {
+		return err
+	}
+	<-time.After(hold)
+	grant.Finish(pool.Finish{Reason: pool.FinishComplete, Tokens: 239, FirstToken: 210 * time.Millisecond, Gap: 61 * time.Millisecond})
+	return nil
+}
--- a/pkg/dispatch/entryside.go
+++ b/pkg/dispatch/entryside.go
@@ -119,12 +119,25 @@
 // The lock is held.
 func (e *entrySide) pushFinish(s *stream, finish *pool.Finish) {
 	event := pool.Event{Finish: finish}
-	load, known := e.summaries[s.pool]
-	if known && load.summary.Waiting == 0 && finish.Reason == pool.FinishComplete {
-		s.pushLater(event, time.Now(), e.dispatch.options.Settings.Linger)
+	linger := e.linger(s, finish.Reason)
+	if linger == 0 {
+		s.push(event)
 		return
 	}
-	s.push(event)
+	s.pushLater(event, time.Now(), linger)
+}
+
+// linger returns how long the end of an attempt may wait for other events: the
+// longer, the more room the pool has. The lock is held.
+func (e *entrySide) linger(s *stream, reason pool.FinishReason) time.Duration {
+	load, known := e.summaries[s.pool]
+	switch {
+	case !known || load.summary.Waiting > 0 || reason != pool.FinishComplete:
+		return 0
+	case load.summary.pressure() < halfPressure:
+		return e.dispatch.options.Settings.LongLinger
+	}
+	return e.dispatch.options.Settings.Linger
 }
 
 // handleActions takes a dispatcher's message.
--- a/pkg/dispatch/route.go
+++ b/pkg/dispatch/route.go
@@ -53,6 +53,8 @@
 	fullPressure = 1.0
 	// roomPressure is the load below which a pool takes requests of its siblings.
 	roomPressure = 0.8
+	// halfPressure is the load below which the ends of attempts are not urgent.
+	halfPressure = 0.5
 )
 
 // pressure returns the load of a pool relative to its capacity. It is infinite
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -26,6 +26,8 @@
 	// DefaultLinger is how long the end of an attempt may wait for other events
 	// while no request waits for the place.
 	DefaultLinger = 50 * time.Millisecond
+	// DefaultLongLinger is the same while the pool is half empty.
+	DefaultLongLinger = 250 * time.Millisecond
 	// DefaultPolicyInterval is the time between two passes of a policy.
 	DefaultPolicyInterval = 20 * time.Millisecond
 	// DefaultProbeInterval is the first pause before an avoided dispatcher is
@@ -69,6 +71,7 @@
 	ProgressInterval  time.Duration
 	MaxProgress       int
 	Linger            time.Duration
+	LongLinger        time.Duration
 	PolicyInterval    time.Duration
 	ProbeInterval     time.Duration
 	MaxProbeInterval  time.Duration
@@ -93,6 +96,7 @@
 	setDefault(&s.ProgressInterval, DefaultProgressInterval)
 	setDefault(&s.MaxProgress, DefaultMaxProgress)
 	setDefault(&s.Linger, DefaultLinger)
+	setDefault(&s.LongLinger, DefaultLongLinger)
 	setDefault(&s.PolicyInterval, DefaultPolicyInterval)
 	setDefault(&s.ProbeInterval, DefaultProbeInterval)
 	setDefault(&s.MaxProbeInterval, DefaultMaxProbeInterval)
