--- a/pkg/dispatch/pooldispatcher.go
+++ b/pkg/dispatch/pooldispatcher.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/config"
-	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -34,34 +32,15 @@
 	// open says that events reach the policy; held are those that wait for it.
 	open bool
 	held []pool.Event
+	// often says that the policy gets frequent passes.
+	often        bool
+	waitingBegan chan struct{}
 	// closed says that the dispatcher has ended for want of streams.
 	closed bool
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-// entryStream is the dispatcher's end of the exchange with one entry. Its
-// fields are guarded by the lock of the poolDispatcher.
-type entryStream struct {
-	identity peer.Identity
-	address  string
-	epoch    epoch
-	revision types.Revision
-	received uint64
-	sequence uint64
-	// opening collects the batches of an opening.
-	opening []pool.Event
-	pending []pool.Action
-	heardAt time.Time
-	sentAt  time.Time
-	// unknown says that the entry must open a new stream, moved that it must do
-	// so elsewhere.
-	unknown bool
-	moved   bool
-	gone    bool
-	wake    chan struct{}
-}
-
 func newPoolDispatcher(d *Dispatch, id types.PoolID) *poolDispatcher {
 	now := time.Now()
 	p := &poolDispatcher{
@@ -76,6 +55,9 @@
 		usedAt:    now,
 
 		availableAt: now,
+
+		often:        true,
+		waitingBegan: make(chan struct{}, 1),
 	}
 	p.ctx, p.cancel = context.WithCancel(d.ctx)
 	p.mu.Lock()
@@ -84,23 +66,55 @@
 	return p
 }
 
-// run passes time to the policy until the dispatcher ends.
+// run passes time to the policy until the dispatcher ends: often while requests
+// wait, else now and then.
 func (p *poolDispatcher) run(context.Context) {
-	ticker := time.NewTicker(p.dispatch.options.Settings.PolicyInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(p.dispatch.options.Settings.PolicyInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
-		case now := <-ticker.C:
-			p.mu.Lock()
-			p.openLate(now)
-			if p.open {
-				p.handle(pool.Event{})
-			}
-			p.refuseWithoutUpstreams(now)
-			p.mu.Unlock()
+		case <-p.waitingBegan:
+		case <-timer.C:
+			p.pass()
 		}
+		timer.Reset(p.nextPass())
+	}
+}
+
+// pass lets the policy act on the time alone.
+func (p *poolDispatcher) pass() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.openLate(now)
+	if p.open {
+		p.handle(pool.Event{})
+	}
+	p.refuseWithoutUpstreams(now)
+}
+
+// nextPass returns the time until the next pass.
+func (p *poolDispatcher) nextPass() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.often = !p.open || p.holdings.waiting > 0
+	if p.often {
+		return p.dispatch.options.Settings.PolicyInterval
+	}
+	return p.dispatch.options.Settings.IdlePolicyInterval
+}
+
+// hurry begins frequent passes when requests begin to wait. The lock is held.
+func (p *poolDispatcher) hurry() {
+	if p.often || p.holdings.waiting == 0 {
+		return
+	}
+	p.often = true
+	select {
+	case p.waitingBegan <- struct{}{}:
+	default:
 	}
 }
 
@@ -111,6 +125,7 @@
 	for _, action := range p.policy.Handle(now, event) {
 		p.queue(p.holdings.act(action), action)
 	}
+	p.hurry()
 }
 
 // queue adds an action to the next batch for the entry. The lock is held.
@@ -128,141 +143,6 @@
 	}
 }
 
-// receive applies an entry's batch. It returns false when the dispatcher has
-// ended.
-func (p *poolDispatcher) receive(from peer.Identity, batch eventBatch) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.closed {
-		p.receiveLocked(from, batch)
-	}
-	return !p.closed
-}
-
-func (p *poolDispatcher) receiveLocked(from peer.Identity, batch eventBatch) {
-	now := time.Now()
-	s, ok := p.entries[from.Incarnation]
-	if batch.Reset && (!ok || batch.Epoch > s.epoch) {
-		s = p.openStream(from, batch, s)
-		ok = true
-	}
-	if !ok || batch.Epoch > s.epoch {
-		p.dispatch.pools.answerUnknown(from, batch)
-		return
-	}
-	if batch.Epoch < s.epoch {
-		return
-	}
-	s.heardAt = now
-	if batch.Close {
-		p.dropEntry(s)
-		return
-	}
-	switch placed(s.received, batch.Sequence, batch.carries()) {
-	case repeated:
-	case gap:
-		s.unknown = true
-		s.signal()
-	case inOrder:
-		s.received = batch.Sequence
-		p.applyBatch(s, batch)
-	}
-}
-
-// openStream begins a new epoch of the entry. The lock is held.
-func (p *poolDispatcher) openStream(from peer.Identity, batch eventBatch, old *entryStream) *entryStream {
-	if old != nil {
-		old.gone = true
-		old.signal()
-	}
-	s := &entryStream{
-		identity: from,
-		address:  batch.ReplyTo,
-		epoch:    batch.Epoch,
-		sentAt:   time.Now(),
-		wake:     make(chan struct{}, 1),
-	}
-	p.entries[from.Incarnation] = s
-	p.dispatch.spawn(func(ctx context.Context) { p.sendAll(ctx, s) })
-	return s
-}
-
-// applyBatch hands the events to the policy. The lock is held.
-func (p *poolDispatcher) applyBatch(s *entryStream, batch eventBatch) {
-	s.revision = batch.Revision
-	signEvents(batch.Events, s.identity.Incarnation)
-	for _, id := range batch.Leaving {
-		p.noteLeaving(id)
-	}
-	if batch.Reset {
-		s.opening = append(s.opening, batch.Events...)
-		if batch.More {
-			return
-		}
-		events := p.holdings.reconcile(s.identity.Incarnation, s.opening)
-		s.opening = nil
-		p.submit(events...)
-		p.repeatPreemptions(s)
-	} else {
-		for _, event := range batch.Events {
-			p.applyEvent(s, event)
-		}
-	}
-	s.signal()
-}
-
-// signEvents sets the entry of the requests to the authenticated sender.
-func signEvents(events []pool.Event, entry types.Incarnation) {
-	for _, event := range events {
-		switch {
-		case event.Enqueue != nil:
-			event.Enqueue.Entry = entry
-		case event.Register != nil:
-			event.Register.Request.Entry = entry
-		}
-	}
-}
-
-// applyEvent hands one event of an open stream to the policy.
-func (p *poolDispatcher) applyEvent(s *entryStream, event pool.Event) {
-	p.observe(event)
-	if p.holdings.note(s.identity.Incarnation, event) {
-		p.submit(event)
-	}
-}
-
-// observe keeps what the end of an attempt says of the upstream.
-func (p *poolDispatcher) observe(event pool.Event) {
-	if event.Finish == nil {
-		return
-	}
-	switch event.Finish.Reason {
-	case pool.FinishLeaving:
-		p.noteLeaving(event.Finish.Upstream)
-	case pool.FinishUnreachable, pool.FinishCrashed:
-		p.pollSoon(event.Finish.Upstream)
-	}
-}
-
-// repeatPreemptions sends again the preemptions that the entry may not have
-// received.
-func (p *poolDispatcher) repeatPreemptions(s *entryStream) {
-	for _, preempt := range p.holdings.preempting(s.identity.Incarnation) {
-		s.pending = append(s.pending, pool.Action{Preempt: &preempt})
-	}
-}
-
-// dropEntry ends the stream of an entry that has left or is gone. The lock is
-// held.
-func (p *poolDispatcher) dropEntry(s *entryStream) {
-	s.gone = true
-	s.signal()
-	delete(p.entries, s.identity.Incarnation)
-	p.usedAt = time.Now()
-	p.submit(p.holdings.drop(s.identity.Incarnation)...)
-	p.submit(pool.Event{EntryLost: &pool.EntryLost{Entry: s.identity.Incarnation}})
-}
-
 // tick drops the entries that are silent and wakes the senders. It returns true
 // when the dispatcher has ended, because no stream has been open for long.
 func (p *poolDispatcher) tick() (ended bool) {
@@ -339,21 +219,3 @@
 	p.keepUpstreams(snapshot.PoolUpstreams(p.pool))
 	p.admit()
 }
-
-// describe returns the granted upstreams for an entry whose configuration is
-// another one.
-func (p *poolDispatcher) describe(s *entryStream, actions []pool.Action) []config.Upstream {
-	if s.revision == p.revision {
-		return nil
-	}
-	var described []config.Upstream
-	for _, action := range actions {
-		if action.Grant == nil {
-			continue
-		}
-		if u, ok := p.upstreams[action.Grant.Upstream]; ok {
-			described = append(described, u.config)
-		}
-	}
-	return described
-}
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -28,8 +28,11 @@
 	DefaultLinger = 50 * time.Millisecond
 	// DefaultLongLinger is the same while the pool is half empty.
 	DefaultLongLinger = 250 * time.Millisecond
-	// DefaultPolicyInterval is the time between two passes of a policy.
+	// DefaultPolicyInterval is the time between two passes of a policy while
+	// requests wait.
 	DefaultPolicyInterval = 20 * time.Millisecond
+	// DefaultIdlePolicyInterval is the same while none waits.
+	DefaultIdlePolicyInterval = 250 * time.Millisecond
 	// DefaultProbeInterval is the first pause before an avoided dispatcher is
 	// tried again; it doubles with each failure.
 	DefaultProbeInterval = time.Second
@@ -73,17 +76,19 @@
 	Linger            time.Duration
 	LongLinger        time.Duration
 	PolicyInterval    time.Duration
-	ProbeInterval     time.Duration
-	MaxProbeInterval  time.Duration
-	SendTimeout       time.Duration
-	MaxPools          int
-	PollInterval      time.Duration
-	PollTimeout       time.Duration
-	OpenWait          time.Duration
-	UpstreamPatience  time.Duration
-	IdlePool          time.Duration
-	SummaryInterval   time.Duration
-	SummaryLifetime   time.Duration
+
+	IdlePolicyInterval time.Duration
+	ProbeInterval      time.Duration
+	MaxProbeInterval   time.Duration
+	SendTimeout        time.Duration
+	MaxPools           int
+	PollInterval       time.Duration
+	PollTimeout        time.Duration
+	OpenWait           time.Duration
+	UpstreamPatience   time.Duration
+	IdlePool           time.Duration
+	SummaryInterval    time.Duration
+	SummaryLifetime    time.Duration
 }
 
 // withDefaults returns a copy in which zero values are replaced.
@@ -98,6 +103,7 @@
 	setDefault(&s.Linger, DefaultLinger)
 	setDefault(&s.LongLinger, DefaultLongLinger)
 	setDefault(&s.PolicyInterval, DefaultPolicyInterval)
+	setDefault(&s.IdlePolicyInterval, DefaultIdlePolicyInterval)
 	setDefault(&s.ProbeInterval, DefaultProbeInterval)
 	setDefault(&s.MaxProbeInterval, DefaultMaxProbeInterval)
 	setDefault(&s.SendTimeout, DefaultSendTimeout)
