--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -108,9 +108,9 @@
 	floor := config.Floor{Starts: 1, Interval: 5000}
 	return &config.Document{
 		Classes: []config.Class{
-			{Name: "live-chat", Tier: 5, Deadline: 60_000, Floor: floor},
-			{Name: "claim", Tier: 5, Deadline: 60_000, Floor: floor},
-			{Name: "status", Tier: 3, Deadline: 60_000, Floor: floor},
+			{Name: "live-chat", Tier: 5, Deadline: 20_000, Floor: floor},
+			{Name: "claim", Tier: 5, Deadline: 20_000, Floor: floor},
+			{Name: "status", Tier: 3, Deadline: 20_000, Floor: floor},
 		},
 		Rules: []config.Rule{
 			{Name: "claims", When: `service == "queue" && !repeatable`, Class: "claim", Target: "queue"},
@@ -220,12 +220,15 @@
 // waitForTCP waits until the address takes connections and answers HTTP.
 func waitForTCP(t *testing.T, address string) {
 	t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
 	for t.Context().Err() == nil {
 		response, err := http.Get("http://" + address + "/v1/addresses")
 		if err == nil {
 			response.Body.Close()
 			return
 		}
+		<-ticker.C
 	}
 }
 
