--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -166,18 +166,20 @@
 		rows[id] = types.Instance{ID: id, DataCentre: "lac", PeerAddress: string(id) + ":1", State: types.InstanceLive}
 	}
 	for i := range n {
-		c.members = append(c.members, c.start(rows[types.InstanceID(fmt.Sprintf("node-%d", i))], rows))
+		row := rows[types.InstanceID(fmt.Sprintf("node-%d", i))]
+		c.members = append(c.members, c.start(row, types.Incarnation(row.ID), rows))
 	}
 	return c
 }
 
-func (c *cluster) start(row types.Instance, rows map[types.InstanceID]types.Instance) *member {
+// start begins a life of an instance.
+func (c *cluster) start(row types.Instance, incarnation types.Incarnation, rows map[types.InstanceID]types.Instance) *member {
 	view := &fixedView{self: row, rows: map[types.InstanceID]types.Instance{}, changed: make(chan struct{})}
 	for id, other := range rows {
 		view.rows[id] = other
 	}
 	m := &member{view: view, row: row, done: make(chan struct{})}
-	identity := peer.Identity{Instance: row.ID, Incarnation: types.Incarnation(row.ID), DataCentre: row.DataCentre}
+	identity := peer.Identity{Instance: row.ID, Incarnation: incarnation, DataCentre: row.DataCentre}
 	caller, registrar := c.network.Node(row.PeerAddress, identity)
 	m.dispatch = New(Options{
 		Self:        row,
--- a/pkg/dispatch/failure_test.go
+++ b/pkg/dispatch/failure_test.go
@@ -232,6 +232,43 @@
 	})
 }
 
+// TestDispatcherRestartedInTheMiddle replaces the dispatcher by its next life
+// while requests run and wait: the entries open their streams anew, what runs
+// counts against the slots, and nothing starts twice.
+func TestDispatcherRestartedInTheMiddle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, document(4, "lac"))
+		defer c.stop()
+		dispatcher := c.dispatcher(testPool)
+		next := make(chan *member, 1)
+		time.AfterFunc(500*time.Millisecond, func() {
+			c.network.Stop(dispatcher.row.PeerAddress)
+			next <- c.start(dispatcher.row, "next life", dispatcher.view.rows)
+		})
+		count := &attempts{starts: map[types.RequestID]int{}}
+		var group sync.WaitGroup
+		for _, m := range c.others(dispatcher) {
+			for i := range 12 {
+				group.Go(func() {
+					if err := count.run(m, fmt.Sprintf("%s-%d", m.row.ID, i), 400*time.Millisecond); err != nil {
+						t.Errorf("%s-%d: %v", m.row.ID, i, err)
+					}
+				})
+			}
+		}
+		group.Wait()
+		c.members = append(c.members, <-next)
+		for id, n := range count.starts {
+			if n != 1 {
+				t.Errorf("%s started %d times", id, n)
+			}
+		}
+		if count.peak > 2*4 {
+			t.Errorf("%d requests ran at once on 4 slots", count.peak)
+		}
+	})
+}
+
 // TestDispatcherCutOffFromItsEntriesIsLeft cuts the dispatcher off: entries turn
 // to the next one within the bound.
 func TestDispatcherCutOffFromItsEntriesIsLeft(t *testing.T) {
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -134,10 +134,10 @@
 compare() {
 	join "$work/$2" "$work/$3" | awk -v label="$1" -v units="$4" -v what="$5" -v ticks="$ticks" '
 		{cpu += ($8 - $2) / ticks; rss += $9; if ($9 > top) top = $9
-		 sent += $10 - $4; got += $11 - $5; writes += $12 - $6; dials += $13 - $7
+		 sent += $10 - $4; got += $11 - $5; writes += $12 - $6; dials += $13 - $7; opened += $13
 		 if ($10 - $4 > most) most = $10 - $4; n++}
-		END {printf "%-34s cpu %8.3f ms  sent %8.0f B (most %8.0f)  received %8.0f B  writes %6.2f  dials %5.3f  per instance and %s; resident %.1f MB (most %.1f)\n",
-			label, 1000 * cpu / n / units, sent / n / units, most / units, got / n / units, writes / n / units, dials / n / units, what, rss / n / 1024, top / 1024}'
+		END {printf "%-34s cpu %8.3f ms  sent %8.0f B (most %8.0f)  received %8.0f B  writes %6.2f  dials %5.3f  per instance and %s; resident %.1f MB (most %.1f), %.1f dials since the start\n",
+			label, 1000 * cpu / n / units, sent / n / units, most / units, got / n / units, writes / n / units, dials / n / units, what, rss / n / 1024, top / 1024, opened / n}'
 	join <(calls_of "$work/$2.calls" | sort) <(calls_of "$work/$3.calls" | sort) |
 		awk -v label="$1" -v units="$4" -v what="$5" '{printf "%-34s platform %-10s %10.2f per %s\n", label, $1, ($3 - $2) / units, what}'
 }
