--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -19,7 +19,7 @@
 	// DefaultWriteTimeout bounds one write to a peer that does not read.
 	DefaultWriteTimeout = 2 * time.Second
 	// DefaultIdleTimeout closes a connection over which nothing came or went.
-	DefaultIdleTimeout = 2 * time.Minute
+	DefaultIdleTimeout = 30 * time.Second
 	// DefaultRedialPause is how long calls fail at once after a failed dial.
 	DefaultRedialPause = 100 * time.Millisecond
 )
