--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -108,13 +108,15 @@
 	floor := config.Floor{Starts: 1, Interval: 5000}
 	return &config.Document{
 		Classes: []config.Class{
-			{Name: "live-chat", Tier: 5, Deadline: 20_000, Floor: floor},
+			{Name: "live-chat", Tier: 5, FirstToken: 2_000, Deadline: 20_000, Floor: floor},
 			{Name: "claim", Tier: 5, Deadline: 20_000, Floor: floor},
 			{Name: "status", Tier: 3, Deadline: 20_000, Floor: floor},
+			{Name: "draft", Tier: 1, Deadline: 20_000, Floor: floor, Preemptible: true},
 		},
 		Rules: []config.Rule{
 			{Name: "claims", When: `service == "queue" && !repeatable`, Class: "claim", Target: "queue"},
 			{Name: "statuses", When: `service == "queue"`, Class: "status", Target: "queue"},
+			{Name: "drafts", When: `kind == "chat" && headers["x-task"] == "draft"`, Class: "draft", Target: "engines"},
 			{Name: "chats", When: `kind == "chat"`, Class: "live-chat", Target: "engines"},
 		},
 		Targets: []config.Target{
--- /dev/null
+++ b/test/fleet/tiers_test.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/load"
+)
+
+// overload is far more work of the lowest tier than one engine can do, and a
+// little of the highest.
+const overload = `
+name: overload
+rate: 80
+accounts: [{id: clinic}]
+kinds:
+  - {class: draft, tier: 1, weight: 9, headers: {x-task: draft}, chat: {model: demo-model, prompt_tokens: 40}, targets: {deadline_ms: 20000}}
+  - {class: live-chat, tier: 5, weight: 1, chat: {model: demo-model, stream: true, prompt_tokens: 40, max_tokens: 40}, targets: {deadline_ms: 20000}}
+`
+
+// TestHighestTierIsNeverRefusedForLowerOnes overloads the only engine with
+// drafts that may give way. The chats alone need a small part of the engine, so
+// none of them may be refused.
+func TestHighestTierIsNeverRefusedForLowerOnes(t *testing.T) {
+	t.Parallel()
+	f := start(t, size{instances: 3, engines: 1, services: 0, step: 5 * time.Millisecond})
+	profile, err := load.ParseProfile([]byte(overload))
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := load.Run(t.Context(), load.Options{
+		Profile: profile, Addresses: f.instances, Duration: 2 * time.Second, Factor: 1, Seed: seed(t), Callers: 6,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, class := range report.Classes {
+		t.Logf("class %s: %d offered, %v, codes %v", class.Class, class.Offered, class.Results, class.Codes)
+		if class.Class == "live-chat" && class.Results[load.Answered] != class.Offered {
+			t.Errorf("live-chat: %v of %d", class.Results, class.Offered)
+		}
+	}
+	if report.Violations != 0 {
+		t.Errorf("violations %q", report.Details)
+	}
+}
