--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -92,6 +92,9 @@
 	})
 }
 
+// Crashed returns a channel that is closed when the engine crashes.
+func (e *Engine) Crashed() <-chan struct{} { return e.crashed }
+
 // step ends the steps that are due and returns the time to the next end.
 func (e *Engine) step() (time.Duration, bool) {
 	e.mu.Lock()
--- a/test/fleet/requests_test.go
+++ b/test/fleet/requests_test.go
@@ -59,7 +59,8 @@
 			Error   json.RawMessage
 		}
 		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-			t.Fatal(err)
+			t.Errorf("malformed chunk %q: %v", data, err)
+			return text, false
 		}
 		if len(chunk.Error) > 0 {
 			t.Logf("error event: %s", chunk.Error)
