pool: a wait without running work is predicted from the engines set aside

Cause: nothing runs while the only engine is set aside after a failure, so the release rate is 0, the predicted wait was the longest time to come back, and requests with 20 s left were refused. Ruled out: the retry budget and the dispatcher's polls. Change: without running work the wait is the time until an engine opens again. Before: 'go test -run TestShortPause ./test/fleet' refused 4 of 4 (KNOWN-RED).

--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -144,9 +144,25 @@
 	if ahead < p.totalFree(p.share(j))-p.reserved {
 		return 0
 	}
+	if len(p.runningList) == 0 {
+		return p.opensIn()
+	}
 	return p.drainTime(ahead+1, j)
 }
 
+// opensIn returns the time until an engine that is set aside after failures may
+// be tried again.
+func (p *Pool) opensIn() time.Duration {
+	soonest := p.settings.MaxRetryAfter
+	for _, e := range p.engines {
+		if e.removed || e.leaving || e.health.down {
+			continue
+		}
+		soonest = min(soonest, max(e.health.retryAt-p.now, 0))
+	}
+	return soonest
+}
+
 // drainTime returns how long the pool takes to start n requests of the job's
 // tier, given the places that higher tiers take.
 func (p *Pool) drainTime(n int, j *job) time.Duration {
