--- a/pkg/idempotency/store.go
+++ b/pkg/idempotency/store.go
@@ -57,10 +57,10 @@
 
 // Begin decides about one copy; see Table.Begin. With Execute the caller must
 // call Finish once. With Wait the outcome comes from the Pending.
-func (s *Store) Begin(name Name, print Fingerprint) (Action, *Pending, error) {
+func (s *Store) Begin(name Name, fp Fingerprint) (Action, *Pending, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	action, result, err := s.table.Begin(time.Since(s.started), name, print)
+	action, result, err := s.table.Begin(time.Since(s.started), name, fp)
 	if err != nil {
 		return action, nil, err
 	}
@@ -81,6 +81,14 @@
 	return p
 }
 
+// MayHaveRun reports whether a copy of the request may have run; see
+// Table.MayHaveRun.
+func (s *Store) MayHaveRun(name Name) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.MayHaveRun(time.Since(s.started), name)
+}
+
 // Finish gives the outcome of an execution to all copies. A failure that says
 // "not run" frees the key.
 func (s *Store) Finish(name Name, result Result) {
