pool: the shortest first token is a step and the prompt; calls have a predicted time

Cause: with a lower tier waiting, a request of the middle tier was given up 270 ms before its target, because engines read lower priorities later and the learned first token was 0.5 s; calls to services were started 20 ms before their deadline. Change: with a lower tier present the first token counts with one step and the reading of the prompt; a call without tokens counts with its class's learned time.

--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -49,7 +49,7 @@
 // one of the shorter answers of the class.
 func (p *Pool) answerIn(j *job) time.Duration {
 	if len(j.class.lengths.points) == 0 {
-		return 0
+		return p.callIn(j)
 	}
 	tokens := j.class.lengths.quantile(completionShare, j.req.Generated, j.req.MaxTokens)
 	predicted := seconds(tokens * p.steps.at(1))
@@ -59,6 +59,34 @@
 	return predicted
 }
 
+// callIn predicts the time of a call whose answer has no tokens.
+func (p *Pool) callIn(j *job) time.Duration {
+	if j.class.duration.samples < minLengthSamples {
+		return 0
+	}
+	return seconds(j.class.duration.mean + j.class.duration.deviation)
+}
+
+// shortestFirst returns a time in seconds that few first tokens beat: that of
+// the fastest seen, and at most one step and the reading of the prompt. Engines
+// read the prompts of lower priorities later, which is no lateness of their own.
+func (p *Pool) shortestFirst(promptTokens int) float64 {
+	fastest := p.firstTokens.lower(promptTokens)
+	if p.tightestGap == 0 {
+		return fastest
+	}
+	return min(fastest, p.tightestGap.Seconds()+float64(promptTokens)*p.promptCost)
+}
+
+// shortestIn predicts the time from the first token to the end of the shortest
+// answers: nothing for tokens, half of the mean for calls without them.
+func (p *Pool) shortestIn(j *job) time.Duration {
+	if len(j.class.lengths.points) > 0 {
+		return 0
+	}
+	return p.callIn(j) / 2
+}
+
 // refuseLate refuses the waiting jobs that can no longer keep their targets.
 func (p *Pool) refuseLate() {
 	p.lateJobs = p.lateJobs[:0]
@@ -88,13 +116,13 @@
 }
 
 // late reports whether the waiting job can no longer keep its targets. While a
-// lower tier is present, only the shortest first token and the deadline itself count: a wrong guess
-// would favour the lower tier.
+// lower tier is present, only the shortest first token and answer count: a wrong guess would favour the
+// lower tier.
 func (p *Pool) late(j *job) bool {
 	if p.now < p.latestStart(j) {
 		return false
 	}
-	return p.now >= p.latestStartFor(j, p.firstTokenIn(j, p.firstTokens.lower), 0) || !p.lowerTierPresent(j)
+	return p.now >= p.latestStartFor(j, p.firstTokenIn(j, p.shortestFirst), p.shortestIn(j)) || !p.lowerTierPresent(j)
 }
 
 // lateCode returns why a request came too late to start.
--- a/pkg/pool/estimate.go
+++ b/pkg/pool/estimate.go
@@ -155,10 +155,10 @@
 }
 
 // lower returns a time in seconds that few first tokens beat: the mean less
-// twice the mean deviation.
+// twice the mean deviation, and at most half of the mean.
 func (f *firstToken) lower(promptTokens int) float64 {
 	a := f.nearest(promptTokens)
-	return max(a.mean-2*a.deviation, 0)
+	return max(min(a.mean-2*a.deviation, a.mean/2), 0)
 }
 
 // perToken returns the time in seconds that each token of a prompt adds, between
