--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -28,8 +28,8 @@
 		return e.forward(w, in, key)
 	}
 	name := idempotency.Name{Account: in.account.ID, Key: key}
-	print := idempotency.FingerprintOf(in.http.Method, in.http.URL.RequestURI(), in.body)
-	action, pending, err := e.keys.Begin(name, print)
+	fp := idempotency.FingerprintOf(in.http.Method, in.http.URL.RequestURI(), in.body)
+	action, pending, err := e.keys.Begin(name, fp)
 	if err != nil {
 		return err
 	}
@@ -37,11 +37,17 @@
 	if action == idempotency.Execute {
 		go e.executeOnce(newCapture(w.Header(), e.settings.MaxAnswerBytes), in, name)
 	}
+	if action == idempotency.Wait {
+		if err := e.waiters.enter(e.settings.MaxRequests); err != nil {
+			return fault.From(err).WithRunState(types.MayHaveRun)
+		}
+		defer e.waiters.leave()
+	}
 	result, err := pending.Wait(in.http.Context())
 	if err != nil {
 		return err
 	}
-	return writeResult(w, result)
+	return e.writeResult(w, result)
 }
 
 // executeOnce runs the request apart from its caller, so that the outcome is
@@ -53,13 +59,27 @@
 	e.keys.Finish(name, answer.result(err))
 }
 
-func writeResult(w http.ResponseWriter, result idempotency.Result) error {
+// early adapts a refusal from before the key was looked at: it is not "not run"
+// when another copy of the request may have run. A caller without an account has
+// no other copies.
+func (e *Entry) early(in inbound, err error) error {
+	if fault.From(err).Code == fault.Unauthorized {
+		return err
+	}
+	key, parseErr := idempotency.ParseKey(in.http.Header.Get(headerKey))
+	if parseErr != nil || !e.keys.MayHaveRun(idempotency.Name{Account: in.account.ID, Key: key}) {
+		return err
+	}
+	return fault.From(err).WithRunState(types.MayHaveRun)
+}
+
+func (e *Entry) writeResult(w http.ResponseWriter, result idempotency.Result) error {
 	if result.Failure != nil {
 		return result.Failure
 	}
 	kept := answer{status: result.Status, header: result.Header, body: result.Body}
 	w.Header().Set(headerRequestID, result.Header.Get(headerRequestID))
-	return kept.writeTo(w)
+	return kept.writeTo(w, e.settings.WriteTimeout)
 }
 
 // forward passes a key of another instance to it, once. Whatever goes wrong on
@@ -90,7 +110,7 @@
 		return unknownOutcome(err, "the answer of the executor was cut short")
 	}
 	w.Header().Set(headerRequestID, response.Header.Get(headerRequestID))
-	return (&answer{status: response.StatusCode, header: response.Header, body: body}).writeTo(w)
+	return (&answer{status: response.StatusCode, header: response.Header, body: body}).writeTo(w, e.settings.WriteTimeout)
 }
 
 func forwardedCall(in inbound, executor types.Instance) upstream.Call {
--- a/pkg/entry/whole.go
+++ b/pkg/entry/whole.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
+	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
@@ -35,7 +38,7 @@
 
 func (x *wholeExchange) call(to config.Upstream) (upstream.Call, error) { return x.prepare(to) }
 
-func (x *wholeExchange) receive(response *http.Response, _ dispatch.Grant) error {
+func (x *wholeExchange) receive(response *http.Response, _ dispatch.Grant, _ context.CancelCauseFunc) error {
 	body, err := readAnswer(response, x.limit)
 	if err != nil {
 		return err
@@ -91,12 +94,14 @@
 
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = []string{
-	"Connection", "Content-Length", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Content-Length", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", headerRequestID,
 }
 
-// writeTo sends the answer to the caller.
-func (a *answer) writeTo(w http.ResponseWriter) error {
+// writeTo sends the answer to the caller, within the timeout.
+func (a *answer) writeTo(w http.ResponseWriter, timeout time.Duration) error {
+	// A writer without deadlines is bounded by its own request.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
 	copyHeader(w.Header(), a.header)
 	if len(a.body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -111,6 +116,11 @@
 // copyHeader adds the end-to-end headers of from to the header to.
 func copyHeader(to, from http.Header) {
 	end := from.Clone()
+	for _, listed := range from.Values("Connection") {
+		for name := range strings.SplitSeq(listed, ",") {
+			end.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		end.Del(name)
 	}
@@ -127,5 +137,5 @@
 	if failure != nil {
 		return failure
 	}
-	return x.answer.writeTo(w)
+	return x.answer.writeTo(w, e.settings.WriteTimeout)
 }
