--- a/test/httpfakes/upstream.go
+++ b/test/httpfakes/upstream.go
@@ -222,6 +222,7 @@
 	if fault == CrashAfterExecute {
 		panic(http.ErrAbortHandler)
 	}
+	wait(r, u.Gap)
 	answer, err := json.Marshal(ServiceAnswer{Marker: run.Marker, Result: run.Result, Body: string(body)})
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/test/prove/atmostonce_test.go
+++ b/test/prove/atmostonce_test.go
@@ -24,6 +24,10 @@
 	onceSpan = 15 * time.Minute
 	// longestPause is how long a process sleeps before its write.
 	longestPause = 3 * time.Minute
+	// shortCall and longestCall are how long calls of a fake service take, as a
+	// rule and at most.
+	shortCall   = 20 * time.Millisecond
+	longestCall = 1100 * time.Millisecond
 )
 
 // onceRun is one seed of the proof that keys run at most once.
@@ -43,15 +47,19 @@
 }
 
 func proveOnce(t *testing.T, seed uint64) result {
-	run := &onceRun{entryWorld: newEntryWorld(t, seed, onceHosts, 3, 0.3)}
+	run := &onceRun{entryWorld: newEntryWorld(t, seed, 0, 3, 0.3)}
 	defer run.close()
+	run.prepare = run.disturbGuard
+	for i := range onceHosts {
+		run.start(fmt.Sprintf("e%d", i))
+	}
 	var group sync.WaitGroup
 	run.disturb(&group)
 	for key := range onceKeys {
 		run.sendCopies(&group, key)
 	}
 	group.Wait()
-	time.Sleep(longestPause)
+	time.Sleep(longestPause + longestCall)
 	run.addExecutions()
 	violations, checked := history.AtMostOnce(run.operations)
 	for _, violation := range violations {
@@ -60,11 +68,8 @@
 	return result{runs: 1, faults: run.faults + run.plan.Count(), checked: checked, violations: len(violations)}
 }
 
-// disturb schedules kills, partitions and pauses.
+// disturb schedules partitions that end with a kill.
 func (r *onceRun) disturb(group *sync.WaitGroup) {
-	for _, l := range r.entries {
-		r.pauseAtGuard(l)
-	}
 	for range 4 {
 		at := time.Duration(r.random.Int64N(int64(onceSpan)))
 		host := r.host()
@@ -81,16 +86,19 @@
 	}
 }
 
-// pauseAtGuard lets the process sleep, now and then, between its last check and
-// its write.
-func (r *onceRun) pauseAtGuard(l *life) {
-	l.granter.Lease = 0
-	l.granter.AtGuard = func() {
-		if r.plan.IntN(5) > 0 {
-			return
+// disturbGuard lets the process sleep, now and then, between its last check and
+// its write, or kills it at a random step of the call that follows.
+func (r *onceRun) disturbGuard(host string, granter *httpfakes.Granter) {
+	granter.AtGuard = func() {
+		switch r.plan.IntN(10) {
+		case 0, 1:
+			r.count()
+			time.Sleep(time.Duration(r.plan.IntN(int(longestPause))))
+		case 2:
+			r.count()
+			within := []time.Duration{shortCall, longestCall}[r.plan.IntN(2)]
+			time.AfterFunc(time.Duration(r.plan.IntN(int(within))), func() { r.replace(host) })
 		}
-		r.count()
-		time.Sleep(time.Duration(r.plan.IntN(int(longestPause))))
 	}
 }
 
--- a/test/prove/entryworld_test.go
+++ b/test/prove/entryworld_test.go
@@ -37,6 +37,8 @@
 	fleet   *httpfakes.Fleet
 	peers   *fakes.Network
 	plan    *httpfakes.Plan
+	// prepare, if set, adapts the granter of each life before it serves.
+	prepare func(host string, granter *httpfakes.Granter)
 	// shared is the granter of all entries started from now on; nil gives each
 	// its own.
 	shared    *httpfakes.Granter
@@ -104,6 +106,9 @@
 		granter = httpfakes.NewGranter(w.upstreams...)
 		granter.Pick = w.plan.IntN
 	}
+	if w.prepare != nil {
+		w.prepare(host, granter)
+	}
 	caller, registrar := w.peers.Node(self.PeerAddress, peer.Identity{Instance: self.ID, Incarnation: incarnation})
 	e, err := entry.New(entry.Options{
 		Self:          self,
