--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -39,6 +39,7 @@
 	callers     *http.Server
 	operators   *http.Server
 	listeners   listeners
+	life        *lifecycle
 }
 
 // listeners are the open sockets of a node.
@@ -59,6 +60,11 @@
 		ring:        timeline.NewRing(types.InstanceID(settings.Instance), settings.TimelineEvents, time.Now),
 	}
 	n.logger = logger.With().Str("instance", settings.Instance).Str("incarnation", string(n.incarnation)).Logger()
+	life, err := newLifecycle(n.logger)
+	if err != nil {
+		return nil, err
+	}
+	n.life = life
 	if err := n.openListeners(); err != nil {
 		return nil, err
 	}
@@ -168,6 +174,7 @@
 	case <-ctx.Done():
 		n.stop()
 	case <-running.Done():
+		n.life.fire(eventFail)
 	}
 	cancel()
 	n.cleanup()
@@ -181,6 +188,7 @@
 	case <-ctx.Done():
 		return nil
 	}
+	n.life.fire(eventReady)
 	limited := netutil.LimitListener(n.listeners.callers, n.settings.MaxConnections)
 	return served(n.callers.Serve(limited))
 }
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net/http"
 
+	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -17,6 +18,8 @@
 	// Revision is that of the configuration in force; zero before the first.
 	Revision types.Revision   `json:"revision"`
 	Live     []types.Instance `json:"live"`
+	// Phase is the state of the instance's own life cycle.
+	Phase statechart.State `json:"phase,omitempty"`
 }
 
 // operatorHandler serves metrics, the time line, the status and health.
@@ -29,10 +32,18 @@
 	return mux
 }
 
+// Status returns what the instance believes of itself and the fleet, with the
+// phase of its life.
+func (n *Node) Status() Status {
+	status := n.roles.Status()
+	status.Phase = n.life.state()
+	return status
+}
+
 // serveStatus writes the status as JSON.
 func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(n.roles.Status()); err != nil {
+	if err := json.NewEncoder(w).Encode(n.Status()); err != nil {
 		n.logger.Debug().Err(err).Msg("status not sent")
 	}
 }
--- a/test/fleet/requests_test.go
+++ b/test/fleet/requests_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/load"
+	"github.com/umbercrank/umbercrank/pkg/node"
 	"github.com/umbercrank/umbercrank/pkg/standin/engine"
 	"github.com/umbercrank/umbercrank/pkg/standin/engine/answer"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
@@ -98,6 +99,22 @@
 	}
 	checkClaims(t, f)
 	checkTimeline(t, f)
+	checkStatus(t, f)
+}
+
+// checkStatus reads the status of every instance.
+func checkStatus(t *testing.T, f *fleet) {
+	t.Helper()
+	for _, admin := range f.admins {
+		var status node.Status
+		response := send(t, http.MethodGet, "http://"+admin+"/debug/status", "", nil)
+		if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+			t.Fatal(err)
+		}
+		if status.Phase != "serving" || status.Revision != 1 || len(status.Live) != len(f.admins) {
+			t.Errorf("status %+v", status)
+		}
+	}
 }
 
 // checkClaims sends one call that must not repeat several times, to every
