--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -55,9 +55,11 @@
 	budget   *retry.Budget
 	registry *registry
 	gate     *gate
-	keys     *idempotency.Store
-	charts   charts
-	memory   *semaphore.Weighted
+	// waiters counts the copies that wait for an outcome, also while leaving.
+	waiters *gate
+	keys    *idempotency.Store
+	charts  charts
+	memory  *semaphore.Weighted
 
 	quarantine *quarantine.Quarantine
 	suspects   *suspectRuns
@@ -77,6 +79,7 @@
 		budget:   retry.NewBudget(options.Settings.Retry),
 		registry: newRegistry(options.Settings.FinishedRequests),
 		gate:     newGate(),
+		waiters:  newGate(),
 		suspects: newSuspectRuns(),
 		memory:   semaphore.NewWeighted(options.Settings.BodyMemoryBytes),
 		keys:     idempotency.NewStore(options.Incarnation, options.Settings.Idempotency),
@@ -133,6 +136,9 @@
 	StreamBufferBytes int
 	// WriteTimeout bounds each write to a caller.
 	WriteTimeout time.Duration
+	// StallTimeout bounds the time between two events of an engine's stream,
+	// from its first token on.
+	StallTimeout time.Duration
 	// MaxRequests bounds the requests held at once.
 	MaxRequests int
 	// MaxAttempts bounds the attempts of one request.
@@ -164,6 +170,7 @@
 		MaxAnswerBytes:    8 << 20,
 		StreamBufferBytes: 256 << 10,
 		WriteTimeout:      10 * time.Second,
+		StallTimeout:      10 * time.Second,
 		MaxRequests:       4096,
 		MaxAttempts:       6,
 		FinishedRequests:  4096,
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -16,6 +16,9 @@
 	MaxEntries int
 	// Keep is how long a fingerprint is held after its last crash.
 	Keep time.Duration
+	// CondemnCrashes condemns a request that was part of so many crashes, of the
+	// last as the only suspect.
+	CondemnCrashes int
 	// MaxCrashes condemns a request that was part of so many crashes, though
 	// never as the only suspect.
 	MaxCrashes int
@@ -23,7 +26,7 @@
 
 // DefaultSettings returns settings that hold a request for an hour.
 func DefaultSettings() Settings {
-	return Settings{MaxEntries: 1024, Keep: time.Hour, MaxCrashes: 4}
+	return Settings{MaxEntries: 1024, Keep: time.Hour, CondemnCrashes: 3, MaxCrashes: 5}
 }
 
 // sameCrash is how far two reports of one crash of an upstream may be apart.
@@ -58,9 +61,6 @@
 type suspicion struct {
 	crashes   []crash
 	condemned bool
-	// accused says that the request awaits Confirm since accusedAt.
-	accused   bool
-	accusedAt time.Duration
 }
 
 // last returns the time of the last crash.
@@ -95,20 +95,18 @@
 // Verdict is what is known of a request before it runs.
 type Verdict struct {
 	// Crashes counts the unexplained crashes that the request was part of.
-	Crashes int
-	// Accused says that Confirm will decide whether the request is condemned.
-	Accused   bool
+	Crashes   int
 	Condemned bool
 }
 
 // Look returns what is known of the request.
-func (t *Table) Look(now time.Duration, print Fingerprint) Verdict {
-	known := t.inForce(now, print)
-	return Verdict{Crashes: len(known.crashes), Accused: known.accused, Condemned: known.condemned}
+func (t *Table) Look(now time.Duration, fp Fingerprint) Verdict {
+	known := t.inForce(now, fp)
+	return Verdict{Crashes: len(known.crashes), Condemned: known.condemned}
 }
 
-func (t *Table) inForce(now time.Duration, print Fingerprint) suspicion {
-	known, ok := t.entries[print]
+func (t *Table) inForce(now time.Duration, fp Fingerprint) suspicion {
+	known, ok := t.entries[fp]
 	if !ok || now >= known.last()+t.settings.Keep {
 		return suspicion{}
 	}
@@ -124,57 +122,26 @@
 	OnlySuspect bool
 }
 
-// Crashed counts a crash of the upstream that ran the request. It accuses the
-// request when it was a suspect before and the only one there. A crash that a
-// condemned request explains counts for no other, and one that another copy of
-// the request has reported counts once.
-func (t *Table) Crashed(now time.Duration, print Fingerprint, run Run) Verdict {
-	known := t.inForce(now, print)
+// Crashed counts a crash of the upstream that ran the request, and condemns the
+// request when there are enough. A crash that a condemned request explains
+// counts for no other, and one that another copy of the request has reported
+// counts once.
+func (t *Table) Crashed(now time.Duration, fp Fingerprint, run Run) Verdict {
+	known := t.inForce(now, fp)
 	here := crash{upstream: run.Upstream, at: now}
 	during := func(c crash) bool { return c.same(here) && c.at > now-run.Took }
 	if known.condemned || slices.ContainsFunc(known.crashes, during) || t.explained(during) {
-		return t.Look(now, print)
+		return t.Look(now, fp)
 	}
-	again := len(known.crashes) > 0 && run.OnlySuspect
 	known.crashes = append(slices.Clone(known.crashes), here)
-	if again || len(known.crashes) >= t.settings.MaxCrashes {
-		known.accused = true
-		known.accusedAt = now
-	}
-	t.put(now, print, known)
-	return t.Look(now, print)
-}
-
-// Confirm condemns an accused request, unless another one that was part of one
-// of its crashes has been accused of a later crash: then that one explains the
-// crash they share. The caller waits between Crashed and Confirm, without an
-// upstream, for as long as another suspect needs to show itself.
-func (t *Table) Confirm(now time.Duration, print Fingerprint) Verdict {
-	known := t.inForce(now, print)
-	if !known.accused {
-		return t.Look(now, print)
-	}
-	known.accused = false
-	left := slices.DeleteFunc(slices.Clone(known.crashes), func(c crash) bool { return t.blamedLater(print, known, c) })
-	known.condemned = len(left) == len(known.crashes)
-	known.crashes = left
-	if len(left) == 0 {
-		delete(t.entries, print)
-		return Verdict{}
-	}
-	t.put(now, print, known)
-	return t.Look(now, print)
+	known.condemned = t.enough(len(known.crashes), run.OnlySuspect)
+	t.put(now, fp, known)
+	return t.Look(now, fp)
 }
 
-// blamedLater reports whether another request that was accused after this one
-// was part of the crash.
-func (t *Table) blamedLater(print Fingerprint, known suspicion, c crash) bool {
-	for other, suspect := range t.entries {
-		if other != print && suspect.accused && suspect.accusedAt > known.accusedAt && suspect.has(c) {
-			return true
-		}
-	}
-	return false
+// enough reports whether so many crashes condemn a request.
+func (t *Table) enough(crashes int, onlySuspect bool) bool {
+	return onlySuspect && crashes >= t.settings.CondemnCrashes || crashes >= t.settings.MaxCrashes
 }
 
 // explained reports whether a condemned request was part of such a crash.
@@ -191,25 +158,24 @@
 // clears those that have none left.
 func (t *Table) explain(condemned Fingerprint) {
 	culprit := t.entries[condemned]
-	for print, known := range t.entries {
-		if print == condemned || known.condemned {
+	for fp, known := range t.entries {
+		if fp == condemned || known.condemned {
 			continue
 		}
 		left := slices.DeleteFunc(slices.Clone(known.crashes), culprit.has)
 		if len(left) == 0 {
-			delete(t.entries, print)
+			delete(t.entries, fp)
 			continue
 		}
-		known.accused = known.accused && len(left) == len(known.crashes)
 		known.crashes = left
-		t.entries[print] = known
+		t.entries[fp] = known
 	}
 }
 
 // Completed clears a suspect that ran to its end. A condemned request stays.
-func (t *Table) Completed(print Fingerprint) {
-	if known, ok := t.entries[print]; ok && !known.condemned {
-		delete(t.entries, print)
+func (t *Table) Completed(fp Fingerprint) {
+	if known, ok := t.entries[fp]; ok && !known.condemned {
+		delete(t.entries, fp)
 	}
 }
 
@@ -255,8 +221,8 @@
 // List returns all entries in force, condemned ones first, at most limit.
 func (t *Table) List(now time.Duration, limit int) []Entry {
 	list := make([]Entry, 0, len(t.entries))
-	for print := range t.entries {
-		if entry, ok := t.entry(now, print); ok {
+	for fp := range t.entries {
+		if entry, ok := t.entry(now, fp); ok {
 			list = append(list, entry)
 		}
 	}
@@ -265,9 +231,9 @@
 }
 
 // entry returns the entry of a fingerprint in force.
-func (t *Table) entry(now time.Duration, print Fingerprint) (Entry, bool) {
-	known := t.inForce(now, print)
-	entry := Entry{Fingerprint: print, Condemned: known.condemned}
+func (t *Table) entry(now time.Duration, fp Fingerprint) (Entry, bool) {
+	known := t.inForce(now, fp)
+	entry := Entry{Fingerprint: fp, Condemned: known.condemned}
 	for _, c := range known.crashes {
 		entry.Strikes = append(entry.Strikes, Strike{Upstream: c.upstream, AgeMilliseconds: (now - c.at).Milliseconds()})
 	}
@@ -297,13 +263,13 @@
 }
 
 // put keeps the state, and makes room for it when the table is full.
-func (t *Table) put(now time.Duration, print Fingerprint, state suspicion) {
-	if _, ok := t.entries[print]; !ok && len(t.entries) >= t.settings.MaxEntries {
+func (t *Table) put(now time.Duration, fp Fingerprint, state suspicion) {
+	if _, ok := t.entries[fp]; !ok && len(t.entries) >= t.settings.MaxEntries {
 		t.evict(now)
 	}
-	t.entries[print] = state
+	t.entries[fp] = state
 	if state.condemned {
-		t.explain(print)
+		t.explain(fp)
 	}
 }
 
@@ -311,13 +277,13 @@
 func (t *Table) evict(now time.Duration) {
 	var worst Fingerprint
 	var least *suspicion
-	for print, known := range t.entries {
+	for fp, known := range t.entries {
 		if now >= known.last()+t.settings.Keep {
-			delete(t.entries, print)
+			delete(t.entries, fp)
 			continue
 		}
 		if least == nil || lessValuable(known, *least) {
-			worst, least = print, &known
+			worst, least = fp, &known
 		}
 	}
 	if len(t.entries) >= t.settings.MaxEntries {
