Callers of the load leave an address whose answer does not begin in time

A frozen instance held its callers until their own deadline. Services wait half the deadline, streams four times the first-token target; a claim is sent again with its key, so a frozen executor that wakes late is part of the audit.

--- a/pkg/load/call.go
+++ b/pkg/load/call.go
@@ -62,7 +62,8 @@
 	}
 	o.begin()
 	sent := time.Now()
-	response, err := c.client.Do(request)
+	response, cancel, err := c.do(request, a.kind.patience())
+	defer cancel()
 	if err != nil {
 		c.ledger.tried(key, "")
 		return false
--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -51,6 +51,40 @@
 	return o
 }
 
+const (
+	// minBeginService and minBeginStream are the least times that a caller waits
+	// for an answer to begin before it tries another address.
+	minBeginService = time.Second
+	minBeginStream  = 2 * time.Second
+	// firstTokenFactor is how often the target of the first token a caller waits.
+	firstTokenFactor = 4
+)
+
+// patience returns how long a try of the kind waits for its answer to begin, or
+// zero when only the deadline tells that nothing will come.
+func (k *Kind) patience() time.Duration {
+	switch {
+	case k.Service != nil:
+		return max(k.Targets.Deadline.Duration()/2, minBeginService)
+	case k.Chat.Stream && k.Targets.FirstToken > 0:
+		return max(firstTokenFactor*k.Targets.FirstToken.Duration(), minBeginStream)
+	default:
+		return 0
+	}
+}
+
+// do sends one try and waits for its answer to begin, at most as long as the
+// patience of the kind. The caller must call the returned function at the end.
+func (c *caller) do(request *http.Request, patience time.Duration) (*http.Response, context.CancelFunc, error) {
+	ctx, cancel := context.WithCancel(request.Context())
+	if patience > 0 {
+		timer := time.AfterFunc(patience, cancel)
+		defer timer.Stop()
+	}
+	response, err := c.client.Do(request.WithContext(ctx))
+	return response, cancel, err
+}
+
 // elsewhere reports whether a refusal means that another instance serves.
 func elsewhere(failure *fault.Error) bool {
 	return failure.Code == fault.Leaving || failure.Code == fault.NotReady
--- a/pkg/load/chat.go
+++ b/pkg/load/chat.go
@@ -73,7 +73,8 @@
 	}
 	o.begin()
 	sent := time.Now()
-	response, err := c.client.Do(request)
+	response, cancel, err := c.do(request, a.kind.patience())
+	defer cancel()
 	if err != nil {
 		return false
 	}
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+func TestCallerLeavesAnAddressThatDoesNotAnswer(t *testing.T) {
+	release := make(chan struct{})
+	frozen := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer frozen.Close()
+	defer close(release)
+	c := &caller{client: frozen.Client()}
+	request, err := http.NewRequest(http.MethodGet, frozen.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, cancel, err := c.do(request, time.Millisecond)
+	defer cancel()
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v", err)
+	}
+	kind := Kind{Service: &Service{}, Targets: Targets{Deadline: 3000}}
+	if kind.patience() != 1500*time.Millisecond || (&Kind{Chat: &Chat{}}).patience() != 0 {
+		t.Errorf("patience %v", kind.patience())
+	}
+}
+
 func TestRunFlagsDoubledCalls(t *testing.T) {
 	if report := runDemo(t, true); report.Violations == 0 {
 		t.Errorf("doubled calls went unseen: %+v", report)
