Node: callers of an instance without a configuration get not_ready at once

Cause: the caller listener was open but not accepted before the first configuration, so callers hung in the backlog. Health follows readiness, and the relay's counts are in the status and the metrics.

--- a/pkg/node/command/serve.go
+++ b/pkg/node/command/serve.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"expvar"
 	"io"
 	"os"
 
@@ -10,6 +11,9 @@
 	"github.com/umbercrank/umbercrank/pkg/node"
 )
 
+// statusMetric names the instance's status among the metrics.
+const statusMetric = "umbercrank_status"
+
 // newServe returns the command that runs one instance.
 func newServe() *cobra.Command {
 	settings := &node.Settings{}
@@ -41,6 +45,7 @@
 	if err != nil {
 		return err
 	}
+	expvar.Publish(statusMetric, expvar.Func(func() any { return built.Status() }))
 	return built.Serve(command.Context())
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -136,7 +136,7 @@
 // buildServers makes the HTTP servers of callers and operators.
 func (n *Node) buildServers() {
 	n.callers = &http.Server{
-		Handler:           n.roles.Handler(),
+		Handler:           n.whenReady(n.roles.Handler()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    n.settings.MaxHeaderBytes,
@@ -166,6 +166,7 @@
 	group.Go(func() error { return ended(running, n.peers.Serve(running)) })
 	group.Go(func() error { return served(n.operators.Serve(n.listeners.operators)) })
 	group.Go(func() error { return n.serveCallers(running) })
+	group.Go(func() error { return n.awaitReady(running) })
 	n.ring.Record(timeline.Event{Kind: timeline.InstanceStarted, Detail: n.settings.CallerAddress})
 	n.logger.Info().Str("caller_address", n.settings.CallerAddress).
 		Str("peer_address", n.settings.PeerAddress).
@@ -181,16 +182,22 @@
 	return group.Wait()
 }
 
-// serveCallers takes callers once a configuration is in force.
+// serveCallers takes callers from the start, so that none hangs in the backlog
+// of an instance that has no configuration yet.
 func (n *Node) serveCallers(ctx context.Context) error {
+	context.AfterFunc(ctx, func() { _ = n.callers.Close() })
+	limited := netutil.LimitListener(n.listeners.callers, n.settings.MaxConnections)
+	return served(n.callers.Serve(limited))
+}
+
+// awaitReady notes in the life cycle when callers are served.
+func (n *Node) awaitReady(ctx context.Context) error {
 	select {
 	case <-n.roles.Ready():
+		n.life.fire(eventReady)
 	case <-ctx.Done():
-		return nil
 	}
-	n.life.fire(eventReady)
-	limited := netutil.LimitListener(n.listeners.callers, n.settings.MaxConnections)
-	return served(n.callers.Serve(limited))
+	return nil
 }
 
 // served drops the failure with which a closed HTTP server returns.
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net/http"
 
+	"github.com/umbercrank/umbercrank/pkg/relay"
 	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -18,6 +19,7 @@
 	// Revision is that of the configuration in force; zero before the first.
 	Revision types.Revision   `json:"revision"`
 	Live     []types.Instance `json:"live"`
+	Relay    relay.Status     `json:"relay"`
 	// Phase is the state of the instance's own life cycle.
 	Phase statechart.State `json:"phase,omitempty"`
 }
@@ -48,9 +50,9 @@
 	}
 }
 
-// serveHealth answers 200 while a configuration is in force.
+// serveHealth answers 200 while callers are served.
 func (n *Node) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if n.roles.store.Current() == nil {
+	if !n.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -66,6 +68,7 @@
 		DataCentre:  self.DataCentre,
 		State:       self.State,
 		Live:        r.members.Live(),
+		Relay:       r.relay.Status(),
 	}
 	if current := r.store.Current(); current != nil {
 		status.Revision = current.Revision()
