pool: upstreams that left the configuration are forgotten once nothing runs there

Cause: each replaced upstream stayed in the pool's list for the life of the dispatcher. Change: a new configuration drops them; one that still runs work stays until the next.

--- a/pkg/pool/decisions_test.go
+++ b/pkg/pool/decisions_test.go
@@ -229,3 +229,22 @@
 		t.Fatalf("granted %v after the probe made progress", got)
 	}
 }
+
+func TestRemovedUpstreamsAreForgotten(t *testing.T) {
+	p := New(DefaultSettings())
+	p.Handle(0, configured(3, 1))
+	for i := range 3 {
+		running(t, p, request(fmt.Sprintf("r%d", i), 1))
+	}
+	p.Handle(0, Event{Finish: &Finish{ID: "r0", Upstream: p.running["r0"].engine.id, Reason: FinishComplete}})
+	smaller := configured(1, 1)
+	smaller.Configure.Revision = 2
+	smaller.Configure.Upstreams[0].ID = "new"
+	p.Handle(second, smaller)
+	if len(p.engines) != 3 {
+		t.Fatalf("%d engines, want the new one and two that still run work", len(p.engines))
+	}
+	if got := grants(p.Handle(second, Event{Enqueue: request("next", 1)})); len(got) != 1 || p.running["next"].engine.id != "new" {
+		t.Fatalf("granted %v", got)
+	}
+}
--- a/pkg/pool/events.go
+++ b/pkg/pool/events.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
@@ -29,6 +30,9 @@
 		e.config = u
 		e.removed = false
 	}
+	p.engines = slices.DeleteFunc(p.engines, func(e *engine) bool {
+		return e.removed && len(e.running) == 0
+	})
 	p.capacityAt = 0
 }
 
