--- a/test/prove/atmostonce_test.go
+++ b/test/prove/atmostonce_test.go
@@ -140,7 +140,9 @@
 	header := http.Header{}
 	header.Set("Idempotency-Key", key)
 	header.Set(httpfakes.MarkerHeader, key)
-	got := r.send(context.Background(), host, http.MethodPost, "/v1/services/queue/claim", "claim", header)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*onceSpan)
+	defer cancel()
+	got := r.send(ctx, host, http.MethodPost, "/v1/services/queue/claim", "claim", header)
 	operation := history.OnceOperation{Key: key, Client: client, Call: got.call, Return: got.returned}
 	var answer httpfakes.ServiceAnswer
 	switch {
