--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -194,6 +194,7 @@
 measure_load() {
 	local n=$1 factor=$2 requests addresses
 	addresses=$(seq "$n" | while read -r i; do echo "127.0.0.1:$(caller_port "$i")"; done | paste -sd,)
+	rm -f "$work/load.json"
 	sample load-from "$n"
 	"$ctl" load --profile demo --duration "${seconds}s" --rate-factor "$factor" --callers $((n * 4)) --address "$addresses" --json "$work/load.json" >"$work/load.log" 2>&1 || true
 	sample load-to "$n"
