A pool's refusal is not recorded as the request's

Cause: dispatch put the refusal of one pool on the time line as request_refused, while a sibling pool served the request; the proof's entry records final refusals itself, as failures, and had none. Ruled out: a cut request, since each was answered. The check stays as it is: whatever the entry ends without an answer is flagged. The entry records final refusals. Not explained: why a policy finds a deadline of 20 s unreachable around a stop.

--- a/pkg/dispatch/entryside.go
+++ b/pkg/dispatch/entryside.go
@@ -234,7 +234,7 @@
 		preempted: make(chan struct{}),
 		reported:  true,
 	}})
-	e.record(timeline.RequestGranted, s, t, granted.Upstream, "")
+	e.record(timeline.RequestGranted, s, t, granted.Upstream)
 }
 
 // returnGrant tells the dispatcher that a grant is not used.
@@ -256,8 +256,8 @@
 		return
 	}
 	e.forget(s, t)
+	// The entry records the final refusal; a sibling pool may still serve.
 	t.settle(outcome{refusal: refusalOf(refuse, s.pool)})
-	e.record(timeline.RequestRefused, s, t, "", string(refuse.Code))
 }
 
 // applyPreemption asks the holder of a grant to stop.
@@ -268,7 +268,7 @@
 	}
 	t.grant.stopping = true
 	close(t.grant.preempted)
-	e.record(timeline.RequestPreempted, s, t, t.grant.upstream.ID, "")
+	e.record(timeline.RequestPreempted, s, t, t.grant.upstream.ID)
 }
 
 // upstream returns the published upstream, or the dispatcher's description when
@@ -287,7 +287,7 @@
 	return config.Upstream{}, false
 }
 
-func (e *entrySide) record(kind timeline.Kind, s *stream, t *ticket, upstream types.UpstreamID, code string) {
+func (e *entrySide) record(kind timeline.Kind, s *stream, t *ticket, upstream types.UpstreamID) {
 	e.dispatch.record(timeline.Event{
 		Kind:     kind,
 		Request:  t.request.ID,
@@ -296,6 +296,5 @@
 		Class:    t.request.Class,
 		Tier:     t.request.Tier,
 		Account:  t.request.Account,
-		Code:     code,
 	})
 }
