dispatch: old refusals do not stand, and a pool without an upstream may be waited for

Cause: Acquire made the first refusal final though the last pool had held the request meanwhile: a resumed suspect refused by pool ariana waited in lac until lac's last engine crashed, and ended with 20 s left and an engine alive in ariana (TestStreamsBesideAPoisonAreWhole, 2 of 28 runs). And when the only engine of each pool was set aside, every pool refused at once, though one would open again within the deadline. Change: a search per request: refusals older than 250 ms are asked again, and a pool that refused for want of an upstream is asked once whether the request may wait. Refusals that all come at once are still final at once. The directory is wired to its peers: answers carry the key windows of the other addresses; the fleet tests wait for instances that are ready.

--- a/pkg/dispatch/acquire.go
+++ b/pkg/dispatch/acquire.go
@@ -9,9 +9,8 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// Acquire waits until the request may start on an upstream of the target. A
-// pool that refuses for lack of room passes the request on to the next pool of
-// the target; the refusal of the last one is final.
+// Acquire waits until the request may start on an upstream of the target; see
+// search for the order in which it asks the pools.
 func (d *Dispatch) Acquire(ctx context.Context, target types.TargetName, request pool.Request) (Grant, error) {
 	if d.ctx.Err() != nil {
 		return nil, fault.New(fault.Leaving, "the instance has stopped dispatching")
@@ -23,33 +22,9 @@
 		return nil, fault.New(fault.NotReady, "no configuration is in force yet")
 	}
 	request.Entry = d.options.Incarnation
-	created := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, request.DeadlineIn)
 	defer cancel()
-
-	var refusal *fault.Error
-	tried := map[types.PoolID]bool{}
-	for len(tried) < d.options.Settings.MaxPools {
-		id, more, ok := d.nextPool(target, tried)
-		if !ok {
-			break
-		}
-		tried[id] = true
-		offer := aged(request, time.Since(created))
-		offer.LastPool = !more
-		grant, err := d.entry.acquire(ctx, id, offer)
-		if err == nil {
-			return grant, nil
-		}
-		refusal = worse(refusal, err)
-		if !passesOn(err.Code) {
-			return nil, err
-		}
-	}
-	if refusal == nil {
-		refusal = fault.New(fault.NoUpstream, "the target "+string(target)+" has no upstreams")
-	}
-	return nil, refusal
+	return newSearch(d, target, request).run(ctx)
 }
 
 // passesOn reports whether a refusal of the code leaves hope in another pool.
--- a/pkg/dispatch/route.go
+++ b/pkg/dispatch/route.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/rendezvous"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -126,13 +127,16 @@
 }
 
 // nextPool returns the pool to try next, and whether more are left after it.
-func (d *Dispatch) nextPool(target types.TargetName, tried map[types.PoolID]bool) (id types.PoolID, more, ok bool) {
+func (d *Dispatch) nextPool(target types.TargetName, refused map[types.PoolID]time.Time) (id types.PoolID, more, ok bool) {
 	pools := d.options.Store.Current().Pools(target)
 	if len(pools) > 1 {
 		pools = d.entry.order(pools)
 	}
-	left := slices.DeleteFunc(pools, func(id types.PoolID) bool { return tried[id] })
-	left = left[:min(len(left), d.options.Settings.MaxPools-len(tried))]
+	left := slices.DeleteFunc(pools, func(id types.PoolID) bool {
+		_, asked := refused[id]
+		return asked
+	})
+	left = left[:min(len(left), max(d.options.Settings.MaxPools-len(refused), 0))]
 	if len(left) == 0 {
 		return types.PoolID{}, false, false
 	}
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -122,6 +122,7 @@
 		View:        r.members,
 		Self:        r.settings.Row(),
 		Incarnation: r.incarnation,
+		Caller:      connections.Caller,
 		Windows:     newWindowClock(settings.Idempotency.Windows),
 		Settings:    directory.Settings{Lifetime: r.settings.AddressLifetime},
 	})
@@ -148,6 +149,7 @@
 	r.members.Register(registrar)
 	r.relay.Register(registrar)
 	r.dispatch.Register(registrar)
+	r.directory.Register(registrar)
 	r.entry.Register(registrar)
 }
 
@@ -156,7 +158,7 @@
 func (r *Roles) Run(ctx context.Context) error {
 	group, running := errgroup.WithContext(ctx)
 	for _, run := range []func(context.Context) error{
-		r.members.Run, r.relay.Run, r.dispatch.Run, r.entry.Run,
+		r.members.Run, r.relay.Run, r.dispatch.Run, r.directory.Run, r.entry.Run,
 	} {
 		group.Go(func() error { return ended(ctx, run(running)) })
 	}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -63,7 +63,7 @@
 	}
 	f.startInstances(t, n.instances, server.URL)
 	for _, address := range append(f.instances, f.admins...) {
-		waitForTCP(t, address)
+		waitToServe(t, address)
 	}
 	return f
 }
@@ -219,8 +219,9 @@
 	}
 }
 
-// waitForTCP waits until the address takes connections and answers HTTP.
-func waitForTCP(t *testing.T, address string) {
+// waitToServe waits until the address answers with anything but 503, with which
+// an instance without a configuration refuses.
+func waitToServe(t *testing.T, address string) {
 	t.Helper()
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
@@ -228,7 +229,9 @@
 		response, err := http.Get("http://" + address + "/v1/addresses")
 		if err == nil {
 			response.Body.Close()
-			return
+			if response.StatusCode != http.StatusServiceUnavailable {
+				return
+			}
 		}
 		<-ticker.C
 	}
