--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -116,15 +116,13 @@
 }
 
 // late reports whether the waiting job can no longer keep its targets. While a
-// lower tier is present, only the deadline with the shortest first token and
-// answer counts: a refusal for a missed first token would shed the job in favour
-// of the lower tier.
+// lower tier is present, only the shortest first token and answer count: a wrong guess would favour the
+// lower tier.
 func (p *Pool) late(j *job) bool {
 	if p.now < p.latestStart(j) {
 		return false
 	}
-	shortest := p.firstTokenIn(j, p.shortestFirst) + p.shortestIn(j)
-	return p.now >= j.deadline-shortest-p.settings.FirstTokenMargin || !p.lowerTierPresent(j)
+	return p.now >= p.latestStartFor(j, p.firstTokenIn(j, p.shortestFirst), p.shortestIn(j)) || !p.lowerTierPresent(j)
 }
 
 // lateCode returns why a request came too late to start.
