--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -52,7 +52,7 @@
 }
 
 // start runs a fleet until the test ends.
-func start(t *testing.T, n size) *fleet {
+func start(t testing.TB, n size) *fleet {
 	t.Helper()
 	f := &fleet{platform: configuration.New(), engines: make(map[types.UpstreamID]*engine.Engine)}
 	server := httptest.NewServer(f.platform.Handler())
@@ -75,7 +75,7 @@
 
 // startUpstreams starts the stand-ins and returns the configuration that names
 // them.
-func (f *fleet) startUpstreams(t *testing.T, n size) *config.Document {
+func (f *fleet) startUpstreams(t testing.TB, n size) *config.Document {
 	t.Helper()
 	document := newDocument()
 	for i := range n.engines {
@@ -133,7 +133,7 @@
 }
 
 // serve runs a stand-in until the test ends and returns its base URL.
-func serve(t *testing.T, s server) string {
+func serve(t testing.TB, s server) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -152,7 +152,7 @@
 
 // startInstances opens every instance, publishes the list, and then lets them
 // serve.
-func (f *fleet) startInstances(t *testing.T, count int, platformURL string) {
+func (f *fleet) startInstances(t testing.TB, count int, platformURL string) {
 	t.Helper()
 	var nodes []*node.Node
 	var rows []types.Instance
@@ -178,7 +178,7 @@
 }
 
 // instanceSettings returns the settings of the i-th instance.
-func instanceSettings(t *testing.T, i int, platformURL string) node.Settings {
+func instanceSettings(t testing.TB, i int, platformURL string) node.Settings {
 	t.Helper()
 	var settings node.Settings
 	settings.Bind(pflag.NewFlagSet("test", pflag.ContinueOnError))
@@ -208,7 +208,7 @@
 }
 
 // stop asks every instance to stop and waits for all of them.
-func (f *fleet) stop(t *testing.T) {
+func (f *fleet) stop(t testing.TB) {
 	for _, stop := range f.stops {
 		stop()
 	}
@@ -221,7 +221,7 @@
 
 // waitToServe waits until the address answers with anything but 503, with which
 // an instance without a configuration refuses.
-func waitToServe(t *testing.T, address string) {
+func waitToServe(t testing.TB, address string) {
 	t.Helper()
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
@@ -238,7 +238,7 @@
 }
 
 // send makes one request of the account to an instance.
-func send(t *testing.T, method, url, body string, headers map[string]string) *http.Response {
+func send(t testing.TB, method, url, body string, headers map[string]string) *http.Response {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
 	if err != nil {
