peer: no call begins while the server waits for those that run

Cause: a connection that the server closes is still being read, so a call could be added to the wait group while it was waited for. The whole test run on a fresh clone found it (data race in test/fleet, once in several runs). Ruled out: the library, whose disconnect channel closes before its reader ends by design when this side closes. Change: a guard on the beginning and the end of calls, with a test of both at once.

--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"go.uber.org/goleak"
@@ -155,3 +156,27 @@
 		t.Fatalf("the next call must use a new connection: %v", err)
 	}
 }
+
+// TestNoCallBeginsAfterTheConnectionEnded lets calls arrive while the server
+// ends the connection; the race detector watches.
+func TestNoCallBeginsAfterTheConnectionEnded(t *testing.T) {
+	connection := &serverConn{}
+	var running atomic.Int64
+	arriving := make(chan struct{})
+	go func() {
+		defer close(arriving)
+		for range 1000 {
+			connection.begin(func() {
+				running.Add(1)
+				running.Add(-1)
+			})
+		}
+	}()
+	connection.end()
+	if n := running.Load(); n != 0 {
+		t.Errorf("%d calls run after the end", n)
+	}
+	<-arriving
+	connection.begin(func() { t.Error("a call began after the end") })
+	connection.end()
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -135,7 +135,7 @@
 	s.track(rpc, true)
 	<-rpc.DisconnectNotify()
 	s.track(rpc, false)
-	serving.active.Wait()
+	serving.end()
 }
 
 func (s *Server) track(rpc *jsonrpc2.Conn, open bool) {
@@ -163,6 +163,28 @@
 	known  bool
 	calls  chan struct{}
 	active sync.WaitGroup
+	// mu guards ended. A connection that this side closes may still be reading,
+	// so that a call could begin while the server waits for those that run.
+	mu    sync.Mutex
+	ended bool
+}
+
+// begin runs the call beside the reading, unless the connection has ended.
+func (c *serverConn) begin(call func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.active.Go(call)
+}
+
+// end lets no further call begin and waits for those that run.
+func (c *serverConn) end() {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	c.active.Wait()
 }
 
 // Handle runs notifications in place, so that they keep their order, and calls
@@ -189,7 +211,7 @@
 	}
 	c.calls <- struct{}{}
 	from := c.from
-	c.active.Go(func() {
+	c.begin(func() {
 		defer func() { <-c.calls }()
 		result, err := handler(ctx, from, params)
 		c.reply(ctx, rpc, request.ID, result, err)
