Logic that stood more than once: defaults, paced sending, the scripts' rules

Found by reading for repeated code. Zero settings take their defaults by cmp.Or; both sides of dispatching share the pacing of batches; the demo and the slopes publish the same rules from one file. Behaviour is unchanged: the tests of the four packages, 'make demo' and a small 'make slopes' pass.

--- a/pkg/directory/settings.go
+++ b/pkg/directory/settings.go
@@ -1,6 +1,9 @@
 package directory
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of the Settings.
 const (
@@ -31,17 +34,11 @@
 
 // withDefaults returns a copy in which zero values are replaced.
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Lifetime, DefaultLifetime)
-	setDefault(&s.MaxAddresses, DefaultMaxAddresses)
-	setDefault(&s.MaxAsked, DefaultMaxAsked)
-	setDefault(&s.RefreshInterval, DefaultRefreshInterval)
-	setDefault(&s.AskTimeout, DefaultAskTimeout)
-	setDefault(&s.StatusLifetime, DefaultStatusLifetime)
+	s.Lifetime = cmp.Or(s.Lifetime, DefaultLifetime)
+	s.MaxAddresses = cmp.Or(s.MaxAddresses, DefaultMaxAddresses)
+	s.MaxAsked = cmp.Or(s.MaxAsked, DefaultMaxAsked)
+	s.RefreshInterval = cmp.Or(s.RefreshInterval, DefaultRefreshInterval)
+	s.AskTimeout = cmp.Or(s.AskTimeout, DefaultAskTimeout)
+	s.StatusLifetime = cmp.Or(s.StatusLifetime, DefaultStatusLifetime)
 	return s
 }
-
-func setDefault[T int | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
--- a/pkg/dispatch/answers.go
+++ b/pkg/dispatch/answers.go
@@ -20,26 +20,18 @@
 
 // sendAll sends the actions for one entry until its stream ends.
 func (p *poolDispatcher) sendAll(ctx context.Context, s *entryStream) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.wake:
-		case <-timer.C:
-		}
-		if p.dueIn(s) <= 0 {
-			batch, due, gone := p.nextBatch(s, time.Now())
-			if due {
-				p.dispatch.pools.deliver(ctx, s.identity.Instance, s.address, batch)
-			}
-			if gone {
-				return
-			}
-		}
-		timer.Reset(max(0, p.dueIn(s)))
+	dueIn := func() time.Duration { return p.dueIn(s) }
+	paced(ctx, s.wake, dueIn, func() bool { return p.sendNext(ctx, s) })
+}
+
+// sendNext sends the batch that is due, if any, and reports whether the stream
+// has ended.
+func (p *poolDispatcher) sendNext(ctx context.Context, s *entryStream) (gone bool) {
+	batch, due, gone := p.nextBatch(s, time.Now())
+	if due {
+		p.dispatch.pools.deliver(ctx, s.identity.Instance, s.address, batch)
 	}
+	return gone
 }
 
 // dueIn returns how long the stream may wait before its next batch.
--- a/pkg/dispatch/sender.go
+++ b/pkg/dispatch/sender.go
@@ -11,22 +11,8 @@
 // instance keep at least the batch interval between them, so that a burst
 // travels as few messages and a single request without delay.
 func (e *entrySide) sendAll(ctx context.Context, s *stream) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.wake:
-		case <-timer.C:
-		}
-		if e.dueIn(s) <= 0 {
-			if closed := e.sendNext(ctx, s); closed {
-				return
-			}
-		}
-		timer.Reset(max(0, e.dueIn(s)))
-	}
+	dueIn := func() time.Duration { return e.dueIn(s) }
+	paced(ctx, s.wake, dueIn, func() bool { return e.sendNext(ctx, s) })
 }
 
 // dueIn returns how long the stream may wait before its next batch.
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of the Settings.
 const (
@@ -93,33 +96,27 @@
 
 // withDefaults returns a copy in which zero values are replaced.
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.BatchInterval, DefaultBatchInterval)
-	setDefault(&s.HeartbeatInterval, DefaultHeartbeatInterval)
-	setDefault(&s.SilenceBound, DefaultSilenceBound)
-	setDefault(&s.EntrySilence, DefaultEntrySilence)
-	setDefault(&s.IdleClose, DefaultIdleClose)
-	setDefault(&s.ProgressInterval, DefaultProgressInterval)
-	setDefault(&s.MaxProgress, DefaultMaxProgress)
-	setDefault(&s.Linger, DefaultLinger)
-	setDefault(&s.LongLinger, DefaultLongLinger)
-	setDefault(&s.PolicyInterval, DefaultPolicyInterval)
-	setDefault(&s.IdlePolicyInterval, DefaultIdlePolicyInterval)
-	setDefault(&s.ProbeInterval, DefaultProbeInterval)
-	setDefault(&s.MaxProbeInterval, DefaultMaxProbeInterval)
-	setDefault(&s.SendTimeout, DefaultSendTimeout)
-	setDefault(&s.MaxPools, DefaultMaxPools)
-	setDefault(&s.PollInterval, DefaultPollInterval)
-	setDefault(&s.PollTimeout, DefaultPollTimeout)
-	setDefault(&s.OpenWait, DefaultOpenWait)
-	setDefault(&s.UpstreamPatience, DefaultUpstreamPatience)
-	setDefault(&s.IdlePool, DefaultIdlePool)
-	setDefault(&s.SummaryInterval, DefaultSummaryInterval)
-	setDefault(&s.SummaryLifetime, DefaultSummaryLifetime)
+	s.BatchInterval = cmp.Or(s.BatchInterval, DefaultBatchInterval)
+	s.HeartbeatInterval = cmp.Or(s.HeartbeatInterval, DefaultHeartbeatInterval)
+	s.SilenceBound = cmp.Or(s.SilenceBound, DefaultSilenceBound)
+	s.EntrySilence = cmp.Or(s.EntrySilence, DefaultEntrySilence)
+	s.IdleClose = cmp.Or(s.IdleClose, DefaultIdleClose)
+	s.ProgressInterval = cmp.Or(s.ProgressInterval, DefaultProgressInterval)
+	s.MaxProgress = cmp.Or(s.MaxProgress, DefaultMaxProgress)
+	s.Linger = cmp.Or(s.Linger, DefaultLinger)
+	s.LongLinger = cmp.Or(s.LongLinger, DefaultLongLinger)
+	s.PolicyInterval = cmp.Or(s.PolicyInterval, DefaultPolicyInterval)
+	s.IdlePolicyInterval = cmp.Or(s.IdlePolicyInterval, DefaultIdlePolicyInterval)
+	s.ProbeInterval = cmp.Or(s.ProbeInterval, DefaultProbeInterval)
+	s.MaxProbeInterval = cmp.Or(s.MaxProbeInterval, DefaultMaxProbeInterval)
+	s.SendTimeout = cmp.Or(s.SendTimeout, DefaultSendTimeout)
+	s.MaxPools = cmp.Or(s.MaxPools, DefaultMaxPools)
+	s.PollInterval = cmp.Or(s.PollInterval, DefaultPollInterval)
+	s.PollTimeout = cmp.Or(s.PollTimeout, DefaultPollTimeout)
+	s.OpenWait = cmp.Or(s.OpenWait, DefaultOpenWait)
+	s.UpstreamPatience = cmp.Or(s.UpstreamPatience, DefaultUpstreamPatience)
+	s.IdlePool = cmp.Or(s.IdlePool, DefaultIdlePool)
+	s.SummaryInterval = cmp.Or(s.SummaryInterval, DefaultSummaryInterval)
+	s.SummaryLifetime = cmp.Or(s.SummaryLifetime, DefaultSummaryLifetime)
 	return s
 }
-
-func setDefault[T int | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
--- a/pkg/membership/settings.go
+++ b/pkg/membership/settings.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of the Settings.
 const (
@@ -58,24 +61,18 @@
 
 // withDefaults returns a copy in which zero values are replaced.
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.ListInterval, DefaultListInterval)
-	setDefault(&s.ListShare, DefaultListShare)
-	setDefault(&s.MaxListInterval, DefaultMaxListInterval)
-	setDefault(&s.ListTimeout, DefaultListTimeout)
-	setDefault(&s.ExchangeInterval, DefaultExchangeInterval)
-	setDefault(&s.ExchangeTimeout, DefaultExchangeTimeout)
-	setDefault(&s.SuspectTimeout, DefaultSuspectTimeout)
-	setDefault(&s.JoinPeriod, DefaultJoinPeriod)
-	setDefault(&s.ForgetAfter, DefaultForgetAfter)
-	setDefault(&s.ReconcileInterval, DefaultReconcileInterval)
-	setDefault(&s.Partners, DefaultPartners)
-	setDefault(&s.RotateInterval, DefaultRotateInterval)
-	setDefault(&s.LeaveFanout, DefaultLeaveFanout)
+	s.ListInterval = cmp.Or(s.ListInterval, DefaultListInterval)
+	s.ListShare = cmp.Or(s.ListShare, DefaultListShare)
+	s.MaxListInterval = cmp.Or(s.MaxListInterval, DefaultMaxListInterval)
+	s.ListTimeout = cmp.Or(s.ListTimeout, DefaultListTimeout)
+	s.ExchangeInterval = cmp.Or(s.ExchangeInterval, DefaultExchangeInterval)
+	s.ExchangeTimeout = cmp.Or(s.ExchangeTimeout, DefaultExchangeTimeout)
+	s.SuspectTimeout = cmp.Or(s.SuspectTimeout, DefaultSuspectTimeout)
+	s.JoinPeriod = cmp.Or(s.JoinPeriod, DefaultJoinPeriod)
+	s.ForgetAfter = cmp.Or(s.ForgetAfter, DefaultForgetAfter)
+	s.ReconcileInterval = cmp.Or(s.ReconcileInterval, DefaultReconcileInterval)
+	s.Partners = cmp.Or(s.Partners, DefaultPartners)
+	s.RotateInterval = cmp.Or(s.RotateInterval, DefaultRotateInterval)
+	s.LeaveFanout = cmp.Or(s.LeaveFanout, DefaultLeaveFanout)
 	return s
 }
-
-func setDefault[T int | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -48,21 +49,15 @@
 
 // withDefaults returns a copy in which zero limits are replaced.
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxMessage, DefaultMaxMessage)
-	setDefault(&o.MaxConnections, DefaultMaxConnections)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.RedialPause, DefaultRedialPause)
+	o.MaxMessage = cmp.Or(o.MaxMessage, DefaultMaxMessage)
+	o.MaxConnections = cmp.Or(o.MaxConnections, DefaultMaxConnections)
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, DefaultWriteTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.RedialPause = cmp.Or(o.RedialPause, DefaultRedialPause)
 	if o.Meter == nil {
 		o.Meter = &Meter{}
 	}
 	return o
 }
-
-func setDefault[T int | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -7,6 +7,7 @@
 # measurement, SLOPES_PORT the first of the ports.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+source scripts/rules.sh
 
 sizes=${SLOPES_SIZES:-"8 24 72"}
 seconds=${SLOPES_SECONDS:-20}
@@ -63,21 +64,7 @@
 document_json() {
 	local i
 	cat <<-JSON
-		{"classes":[
-		{"name":"live-chat","tier":5,"first_token_ms":320,"between_tokens_ms":73,"deadline_ms":20000,"floor":{"starts":1,"interval_ms":5000}},
-		{"name":"claim","tier":5,"deadline_ms":3000,"floor":{"starts":1,"interval_ms":1000}},
-		{"name":"status","tier":3,"deadline_ms":5000,"floor":{"starts":1,"interval_ms":2000}},
-		{"name":"summary","tier":3,"first_token_ms":1000,"between_tokens_ms":120,"deadline_ms":30000,"floor":{"starts":1,"interval_ms":5000}},
-		{"name":"draft","tier":1,"deadline_ms":60000,"floor":{"starts":1,"interval_ms":10000},"preemptible":true}],
-		"rules":[
-		{"name":"claims","when":"service == \"queue\" && !repeatable","class":"claim","target":"queue"},
-		{"name":"statuses","when":"service == \"queue\"","class":"status","target":"queue"},
-		{"name":"summaries","when":"kind == \"chat\" && headers[\"x-task\"] == \"summary\"","class":"summary","target":"engines"},
-		{"name":"drafts","when":"kind == \"chat\" && headers[\"x-task\"] == \"draft\"","class":"draft","target":"engines"},
-		{"name":"chats","when":"kind == \"chat\"","class":"live-chat","target":"engines"}],
-		"targets":[
-		{"name":"engines","kind":"engine","model":"demo-model"},
-		{"name":"queue","kind":"service","service":"queue"}],
+		$(rules_json)
 		"upstreams":[
 		{"id":"engine-1","target":"engines","data_centre":"lac","url":"http://127.0.0.1:$((port + 1))","max_concurrent":64,"kv_tokens":65536},
 		{"id":"engine-2","target":"engines","data_centre":"ariana","url":"http://127.0.0.1:$((port + 2))","max_concurrent":64,"kv_tokens":65536},
