--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -88,7 +88,7 @@
 type Progress struct {
 	ID     types.RequestID `json:"id"`
 	Tokens int             `json:"tokens"`
-	// Gap is the mean time between the tokens since the last report.
+	// Gap is the mean time between the tokens of the attempt so far.
 	Gap time.Duration `json:"gap,omitempty"`
 }
 
