One pause between rounds of background work

Cause: node, membership, relay, entry and directory each had the same wait for a duration or the end of a context. They call wait.For now. Behaviour is unchanged: lint and the whole of 'go test -race ./...' pass.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -13,6 +13,7 @@
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 // Windows gives the current key window of an instance. A request that is not
@@ -156,7 +157,7 @@
 			return nil
 		case <-d.options.View.Changed():
 			// A new instance should not wait for its first window.
-			if !pause(ctx, minRefreshPause) {
+			if !wait.For(ctx, minRefreshPause) {
 				return nil
 			}
 		case <-ticker.C:
--- a/pkg/directory/status.go
+++ b/pkg/directory/status.go
@@ -106,15 +106,3 @@
 	}
 	return loads
 }
-
-// pause waits and reports whether ctx goes on.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 // exchange is the part of a request that differs between whole answers and
@@ -231,20 +232,8 @@
 	case pool.FinishCancelled:
 		return end.err.Code == fault.Preempted || end.err == errStalled && e.budget.Spend()
 	case pool.FinishRejected:
-		return e.budget.Spend() && pause(ctx, rejectedPause)
+		return e.budget.Spend() && wait.For(ctx, rejectedPause)
 	default:
 		return e.budget.Spend()
 	}
 }
-
-// pause waits and reports whether ctx still lives.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -9,6 +9,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 const (
@@ -38,7 +39,7 @@
 		case <-timer.C:
 		case <-m.wake:
 			timer.Stop()
-			if !pause(ctx, minExchangePause) {
+			if !wait.For(ctx, minExchangePause) {
 				return
 			}
 		}
@@ -280,15 +281,3 @@
 	defer m.mu.Unlock()
 	return time.Duration(float64(interval) * (1 + jitterShare*(2*m.random.Float64()-1)))
 }
-
-// pause waits and reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 // readLists reads the published list until ctx ends. While it cannot be read,
@@ -14,7 +15,7 @@
 func (m *Members) readLists(ctx context.Context) {
 	for {
 		m.readList(ctx)
-		if !pause(ctx, m.jittered(m.listPause())) {
+		if !wait.For(ctx, m.jittered(m.listPause())) {
 			return
 		}
 	}
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -19,6 +18,7 @@
 	"github.com/umbercrank/umbercrank/pkg/relay"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 // Connections are a node's ways to everything outside it. Tests put fakes here.
@@ -173,7 +173,7 @@
 	r.logger.Info().Msg("leaving")
 	r.members.Leave(ctx)
 	r.dispatch.Drain(ctx)
-	pause(ctx, r.settings.AddressLifetime+r.settings.DirectoryOverlap)
+	wait.For(ctx, r.settings.AddressLifetime+r.settings.DirectoryOverlap)
 	if err := r.entry.Drain(ctx); err != nil {
 		r.logger.Warn().Err(err).Msg("requests in flight did not end in time")
 	}
@@ -192,13 +192,3 @@
 	}
 	return err
 }
-
-// pause waits for the duration or the end of ctx.
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -8,13 +8,14 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 // exchangeLoop compares versions with one random instance each period, so that
 // what announcements miss arrives all the same.
 func (r *Relay) exchangeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, r.chance.around(r.settings.ExchangePeriod))
+		wait.For(ctx, r.chance.around(r.settings.ExchangePeriod))
 		others := r.chance.shuffled(r.others())
 		if len(others) > 0 && ctx.Err() == nil {
 			_, _ = r.exchange(ctx, others[0])
--- a/pkg/relay/join.go
+++ b/pkg/relay/join.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 // joinConcurrency bounds the instances that a fresh one asks at once.
@@ -37,7 +38,7 @@
 			close(r.ready)
 			return
 		}
-		pause(ctx, r.chance.around(r.settings.RetryDelay))
+		wait.For(ctx, r.chance.around(r.settings.RetryDelay))
 	}
 }
 
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -6,6 +6,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 // isReader reports whether this instance waits at the service for its data
@@ -28,7 +29,7 @@
 		started := time.Now()
 		progress := r.readOnce(ctx, r.memory.lastSeen(), r.settings.LongPoll)
 		if !progress && time.Since(started) < fastAnswer {
-			pause(ctx, r.chance.around(r.settings.RetryDelay))
+			wait.For(ctx, r.chance.around(r.settings.RetryDelay))
 		}
 	}
 }
@@ -40,7 +41,7 @@
 func (r *Relay) auditLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		fleet := max(len(r.options.View.Live()), 1)
-		pause(ctx, r.chance.below(2*time.Duration(fleet)*r.settings.AuditPeriod))
+		wait.For(ctx, r.chance.below(2*time.Duration(fleet)*r.settings.AuditPeriod))
 		if ctx.Err() == nil {
 			r.readOnce(ctx, r.memory.lastSeen(), 0)
 		}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -141,13 +141,3 @@
 	event.Instance = r.options.View.Self().ID
 	r.options.Recorder.Record(event)
 }
-
-// pause waits for the duration or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
