--- /dev/null
+++ b/pkg/admission/admission.go
@@ -0,0 +1,62 @@
+// Package admission decides whether a request is sent to its best upstream or
+// refused at once with the time to come back. It is pure.
+//
+// It answers the load of a burst that the engines cannot read in time: without a
+// bound everything waits beyond its objective, and the callers who give up leave
+// work behind that nobody gets.
+package admission
+
+import (
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/placement"
+)
+
+const (
+	// waitShare is the part of the objective that a request may wait before its
+	// prompt is read; the rest is needed to read it.
+	waitShare = 0.9
+	// minWait lets requests of short objectives wait for a step or two.
+	minWait = 60 * time.Millisecond
+	// shortestReturn is the soonest that a refused caller is asked to come back.
+	shortestReturn = 100 * time.Millisecond
+	// longestReturn bounds it: callers honour up to a third of their time.
+	longestReturn = 2 * time.Second
+)
+
+// Request is what the decision needs to know of a request.
+type Request struct {
+	// Objective is the time in which the answer is worth its full value.
+	Objective time.Duration
+	// Elapsed is the time since the request came.
+	Elapsed time.Duration
+	// Remaining is the time until its deadline.
+	Remaining time.Duration
+	// Spread is uniform in [0, 1); it keeps callers from coming back together.
+	Spread float64
+}
+
+// Decision is the outcome.
+type Decision struct {
+	Admit bool
+	// ReturnAfter tells the caller when to come back, if it is not admitted.
+	ReturnAfter time.Duration
+}
+
+// Decide admits the request if the wait before its work begins leaves time for
+// the objective. The length of its own prompt does not count, so that long
+// requests are not the ones that are always refused.
+func Decide(request Request, choice placement.Choice) Decision {
+	bound := max(time.Duration(waitShare*float64(request.Objective)), minWait)
+	if choice.Wait <= bound && choice.Wait < request.Remaining {
+		return Decision{Admit: true}
+	}
+	return Decision{ReturnAfter: Return(request, choice.Wait-bound/2)}
+}
+
+// Return is when a refused caller may come back, given the time until there is
+// room.
+func Return(request Request, room time.Duration) time.Duration {
+	after := min(max(room, shortestReturn), longestReturn)
+	return after + time.Duration(request.Spread*float64(after)/2)
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,375 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/umbercrank/umbercrank/pkg/catalog"
+	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/mesh"
+	"github.com/umbercrank/umbercrank/pkg/placement"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
+	"github.com/umbercrank/umbercrank/pkg/retry"
+	"github.com/umbercrank/umbercrank/pkg/roster"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+const (
+	// bodyBudget bounds the bytes of request bodies that are held at once, so
+	// that large bodies cannot take the memory of a small instance.
+	bodyBudget = 24 << 20
+	// refusedReturn is when a caller may come back that was refused because the
+	// instance itself cannot serve; another one probably can at once.
+	refusedReturn = 100 * time.Millisecond
+	// unavailableReturn is when a caller may come back that found no upstream.
+	unavailableReturn = 400 * time.Millisecond
+	// quarantinedReturn is when a request that crashes upstreams may be tried
+	// again: long after the upstreams are back.
+	quarantinedReturn = time.Minute
+	// defaultPatience is the deadline of a request that names none, on a route
+	// without a timeout.
+	defaultPatience = time.Minute
+)
+
+// Fleet is told of this instance's work.
+type Fleet interface {
+	Changed()
+	Placed(mesh.Placement)
+	Struck(quarantine.Entry)
+}
+
+// Options are what a Gateway works with.
+type Options struct {
+	DataCentre types.DataCentre
+	Protocol   Protocol
+	Roster     *roster.Roster
+	Fleet      Fleet
+	Clock      clock.Clock
+	Logger     zerolog.Logger
+	Metrics    *Metrics
+	// Retries bounds the repeated sends to each service.
+	Retries retry.Settings
+}
+
+// Gateway is safe for concurrent use.
+type Gateway struct {
+	options  Options
+	catalog  atomic.Pointer[catalog.Catalog]
+	stopping atomic.Bool
+	active   atomic.Int64
+	bodies   atomic.Int64
+
+	mu         sync.Mutex
+	budgets    map[types.TargetName]*retry.Budget
+	quarantine *quarantine.Table
+}
+
+// New returns a Gateway that refuses requests until it has a catalog.
+func New(options Options) *Gateway {
+	return &Gateway{
+		options:    options,
+		budgets:    make(map[types.TargetName]*retry.Budget),
+		quarantine: quarantine.NewTable(quarantine.DefaultSettings()),
+	}
+}
+
+// Apply puts a catalog in force.
+func (g *Gateway) Apply(c *catalog.Catalog) { g.catalog.Store(c) }
+
+// Catalog returns the catalog in force, or nil.
+func (g *Gateway) Catalog() *catalog.Catalog { return g.catalog.Load() }
+
+// Stop makes the gateway refuse requests that come from now on.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Active returns the number of requests that are being served.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// budget returns the retry budget of a service.
+func (g *Gateway) budget(target types.TargetName) *retry.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b, ok := g.budgets[target]
+	if !ok {
+		b = retry.NewBudget(g.options.Retries)
+		g.budgets[target] = b
+	}
+	return b
+}
+
+// Strikes returns what is known of requests that crash upstreams.
+func (g *Gateway) Strikes() []quarantine.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.List(g.options.Clock(), maxStrikes)
+}
+
+// maxStrikes bounds the strikes of one message.
+const maxStrikes = 32
+
+// Merge takes what a peer knows of requests that crash upstreams.
+func (g *Gateway) Merge(entries []quarantine.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, news := range g.quarantine.Merge(g.options.Clock(), entries) {
+		g.options.Logger.Info().Hex("fingerprint", news.Fingerprint[:]).Int("strikes", len(news.Strikes)).Bool("condemned", news.Condemned).Msg("strikes heard from a peer")
+	}
+}
+
+// request is one caller's request on its way.
+type request struct {
+	gateway *Gateway
+	call    Call
+	route   *catalog.Route
+	account catalog.Account
+	target  types.TargetName
+	work    placement.Work
+	http    *http.Request
+	writer  http.ResponseWriter
+	body    []byte
+	print   quarantine.Fingerprint
+	begun   time.Duration
+	limit   time.Duration
+	replied bool
+	done    progress
+	tried   map[types.UpstreamID]bool
+	last    types.UpstreamID
+	status  int
+	first   time.Duration
+}
+
+// ServeHTTP serves one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	q := &request{gateway: g, http: r, writer: w, begun: g.options.Clock(), tried: make(map[types.UpstreamID]bool)}
+	err := q.serve()
+	q.finish(err)
+}
+
+// serve returns nil when the caller has an answer.
+func (q *request) serve() error {
+	if failure := q.identify(); failure != nil {
+		return failure
+	}
+	if failure := q.readBody(); failure != nil {
+		return failure
+	}
+	defer q.gateway.bodies.Add(-int64(len(q.body)))
+	if failure := q.screen(); failure != nil {
+		return failure
+	}
+	ctx, cancel := context.WithTimeout(q.http.Context(), q.remaining())
+	defer cancel()
+	return q.run(ctx)
+}
+
+// identify finds the rule and the account.
+func (q *request) identify() error {
+	g := q.gateway
+	current := g.Catalog()
+	if current == nil {
+		return fault.New(fault.NotReady, "no configuration is in force here yet").WithRetryAfter(refusedReturn)
+	}
+	if g.stopping.Load() {
+		return fault.New(fault.Leaving, "this instance is stopping").WithRetryAfter(refusedReturn)
+	}
+	call, err := g.options.Protocol.Call(q.http)
+	if err != nil {
+		return fault.Wrap(fault.BadRequest, err, "the headers cannot be read")
+	}
+	q.call = call
+	path, _, _ := strings.Cut(q.http.RequestURI, "?")
+	q.route = current.Match(q.http.Host, path)
+	if q.route == nil {
+		return fault.New(fault.NotFound, "no route matches")
+	}
+	if current.Keyed && !q.route.Public {
+		account, ok := current.Account(call.Key)
+		if !ok {
+			return fault.New(fault.Unauthorized, "the key is unknown")
+		}
+		q.account = account
+	}
+	q.target = q.route.Target(rand.Float64())
+	service, ok := current.Service(q.target)
+	if !ok {
+		return fault.New(fault.NoUpstream, "the route's service is not in the configuration").WithRetryAfter(unavailableReturn)
+	}
+	q.describe(service)
+	q.limit = deadline(q.route, call)
+	return nil
+}
+
+// describe sets what the request asks of an upstream.
+func (q *request) describe(service catalog.Service) {
+	if service.Engine == nil {
+		return
+	}
+	q.work = placement.Work{Engine: true, Parts: q.call.Parts, Tokens: q.call.Tokens, Output: q.call.Output}
+	q.work.StepPause = q.route.PauseObjective / time.Duration(max(service.Engine.Stride, 1))
+}
+
+// deadline is the time from arrival to the final answer.
+func deadline(route *catalog.Route, call Call) time.Duration {
+	limit := route.Timeout
+	if call.Patience > 0 && (limit <= 0 || call.Patience < limit) {
+		limit = call.Patience
+	}
+	if limit <= 0 {
+		limit = defaultPatience
+	}
+	return limit
+}
+
+func (q *request) elapsed() time.Duration   { return q.gateway.options.Clock() - q.begun }
+func (q *request) remaining() time.Duration { return q.limit - q.elapsed() }
+
+// readBody reads the whole body, so that nothing reaches an upstream of a
+// request that is malformed.
+func (q *request) readBody() error {
+	limit := q.gateway.Catalog().Limits.BodyBytes
+	if limit > 0 && q.http.ContentLength > limit {
+		return fault.New(fault.BodyTooLarge, "the body is above the limit")
+	}
+	if q.gateway.bodies.Load() > bodyBudget {
+		return fault.New(fault.Overloaded, "the bodies of other requests fill the memory").WithRetryAfter(refusedReturn)
+	}
+	reader := io.Reader(q.http.Body)
+	if limit > 0 {
+		reader = io.LimitReader(reader, limit+1)
+	}
+	body, err := readAll(reader, q.http.ContentLength)
+	if err != nil {
+		return fault.Wrap(fault.CallerGone, err, "the body was cut")
+	}
+	if limit > 0 && int64(len(body)) > limit {
+		return fault.New(fault.BodyTooLarge, "the body is above the limit")
+	}
+	q.body = body
+	q.gateway.bodies.Add(int64(len(body)))
+	return nil
+}
+
+// maxPreallocated bounds the memory that a length alone may claim.
+const maxPreallocated = 128 << 10
+
+// readAll reads a body whose length may be known.
+func readAll(reader io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > maxPreallocated {
+		return io.ReadAll(reader)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(reader, body)
+	return body, err
+}
+
+// screen refuses requests that crash upstreams.
+func (q *request) screen() error {
+	g := q.gateway
+	q.print = quarantine.Of(q.account.ID, q.http.Method, q.http.RequestURI, q.body)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if verdict := g.quarantine.Look(g.options.Clock(), q.print); verdict.Condemned {
+		return fault.New(fault.Quarantined, "the request crashed upstreams before").WithRunState(types.NotRun).WithRetryAfter(quarantinedReturn)
+	}
+	return nil
+}
+
+// finish writes the final answer of a failure, the log line and the counters.
+func (q *request) finish(err error) {
+	g := q.gateway
+	elapsed := q.elapsed()
+	failure := (*fault.Error)(nil)
+	if err != nil {
+		failure = fault.From(err)
+	}
+	g.options.Metrics.count(q, failure, elapsed)
+	q.log(failure, elapsed)
+	if failure == nil {
+		return
+	}
+	if q.replied || failure.Code == fault.CallerGone {
+		// Only a closed connection says that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	g.options.Protocol.Refuse(q.writer, q.call.ID, failure)
+}
+
+func (q *request) log(failure *fault.Error, elapsed time.Duration) {
+	event := q.gateway.options.Logger.Info()
+	outcome := "answered"
+	if failure != nil {
+		outcome = string(failure.Code)
+		event = event.Str("reason", failure.Error()).Str("run_state", string(failure.RunState))
+		if failure.RetryAfter > 0 {
+			event = event.Dur("retry_after_ms", failure.RetryAfter)
+		}
+	}
+	if q.route != nil {
+		event = event.Str("route", q.route.Name)
+	}
+	event.Str("request", string(q.call.ID)).Str("account", string(q.account.ID)).Str("upstream", string(q.last)).
+		Int("status", q.status).Int("sends", q.done.sends).Int("runs", q.done.runs).Int("events", q.done.events).
+		Dur("first_ms", q.first).Dur("elapsed_ms", elapsed).Str("outcome", outcome).Msg("request")
+}
+
+// Server returns the HTTP server of the gateway.
+func (g *Gateway) Server() *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(g.guard),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ConnContext:       withHead,
+		ErrorLog:          nil,
+	}
+}
+
+const (
+	// headerTimeout and idleTimeout are above what configurations allow callers.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
+	// maxHeader is above what configurations allow; net/http adds 4 KiB.
+	maxHeader = 64 << 10
+)
+
+// guard refuses requests whose length is ambiguous before they are read.
+func (g *Gateway) guard(w http.ResponseWriter, r *http.Request) {
+	head, _ := r.Context().Value(headKey{}).(*head)
+	if head != nil {
+		ambiguous := head.take()
+		defer head.reset()
+		if ambiguous && len(r.TransferEncoding) > 0 {
+			w.Header().Set("Connection", "close")
+			g.options.Protocol.Refuse(w, "", fault.New(fault.BadRequest, "the request has a length and chunks"))
+			return
+		}
+	}
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	g.ServeHTTP(w, r)
+}
+
+type headKey struct{}
+
+func withHead(ctx context.Context, conn net.Conn) context.Context {
+	if watched, ok := conn.(*watchedConn); ok {
+		return context.WithValue(ctx, headKey{}, &watched.head)
+	}
+	return ctx
+}
--- /dev/null
+++ b/pkg/mesh/beat.go
@@ -0,0 +1,91 @@
+// Package mesh joins the instances of a small fleet that no list names: each
+// knows a few seeds, learns of the others from its peers, and tells all of them
+// about its own work. What an instance lacks of the published collections it
+// fetches from a peer that is ahead.
+package mesh
+
+import (
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/placement"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
+	"github.com/umbercrank/umbercrank/pkg/replica"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// Row is what the fleet knows of one instance.
+type Row struct {
+	ID          types.InstanceID  `json:"id"`
+	Incarnation types.Incarnation `json:"inc"`
+	// Peer and Front are its addresses for peers and for callers.
+	Peer  string `json:"peer"`
+	Front string `json:"front"`
+	// Serving says that callers may be sent to it.
+	Serving bool `json:"serving,omitempty"`
+}
+
+// Sighting is a row that an instance passes on, with the time since anybody
+// heard of it.
+type Sighting struct {
+	Row
+	AgeMilliseconds int64 `json:"age"`
+}
+
+// Placement tells which parts of a prompt an upstream has begun to read.
+type Placement struct {
+	Upstream types.UpstreamID `json:"u"`
+	Parts    []string         `json:"p"`
+}
+
+// Beat is the message by which an instance tells a peer of itself. Loads and
+// revisions are whole; placements and strikes are those since the last beat.
+type Beat struct {
+	Row
+	Loads      map[types.UpstreamID]placement.Load `json:"loads,omitempty"`
+	Ejected    map[types.UpstreamID]int64          `json:"ejected,omitempty"`
+	Placements []Placement                         `json:"placed,omitempty"`
+	Strikes    []quarantine.Entry                  `json:"strikes,omitempty"`
+	Revisions  map[string]types.Revision           `json:"rev,omitempty"`
+	Sightings  []Sighting                          `json:"seen,omitempty"`
+}
+
+// fetchRequest asks for the items of a collection after a revision.
+type fetchRequest struct {
+	Collection string         `json:"collection"`
+	After      types.Revision `json:"after"`
+}
+
+// fetchAnswer has the items.
+type fetchAnswer struct {
+	Items []replica.Item `json:"items"`
+}
+
+const (
+	beatMethod  = "mesh.beat"
+	fetchMethod = "mesh.fetch"
+)
+
+// Intervals of the mesh.
+const (
+	// beatPause is the shortest time between two beats to one peer: reports of
+	// work that are older than a step or two of an engine lead to herds.
+	beatPause = 40 * time.Millisecond
+	// beatInterval is the longest, when nothing changes.
+	beatInterval = 300 * time.Millisecond
+	// sightingInterval is the time between two passings-on of the known rows.
+	sightingInterval = time.Second
+	// silentAfter is the time without a beat after which callers are no longer
+	// sent to an instance: four beats.
+	silentAfter = 1200 * time.Millisecond
+	// forgetAfter is the time after which a silent instance is forgotten; until
+	// then it is tried again, as a partition may heal.
+	forgetAfter = time.Minute
+	// retryInterval is the time between two tries at a silent instance.
+	retryInterval = time.Second
+	// fetchPause gives the store itself time to bring what a peer has already.
+	fetchPause = 150 * time.Millisecond
+	// callTimeout bounds one message; peers are some milliseconds away.
+	callTimeout = 700 * time.Millisecond
+	// maxPending bounds the placements and strikes that wait for a slow peer.
+	maxPending = 256
+)
--- /dev/null
+++ b/pkg/node/command/join.go
@@ -0,0 +1,59 @@
+package command
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"github.com/spf13/cobra"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/node"
+	"github.com/umbercrank/umbercrank/platform"
+)
+
+const (
+	// logLines is the number of log lines that wait to be written; more are
+	// dropped and counted, so that a slow reader of the log delays nothing.
+	logLines = 2048
+	// logPoll is the time between two looks for lines to write.
+	logPoll = 20 * time.Millisecond
+)
+
+// newJoin returns the command that runs one instance on the users' platform.
+func newJoin() *cobra.Command {
+	var path, secret string
+	join := &cobra.Command{
+		Use:   "join",
+		Short: "Run one instance with the settings, store and protocol of a platform",
+		Long: "Run one instance until SIGTERM, which stops it gracefully. Its addresses, peers and\n" +
+			"bounds come from the platform's settings file; see docs/PLATFORM.md.",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if err := node.ApplyEnvironment(command.Flags(), os.LookupEnv); err != nil {
+				return err
+			}
+			if path == "" {
+				return fault.New(fault.InvalidSetting, "settings: the path of the settings file is needed")
+			}
+			out, flush := boundedLog(command.OutOrStdout())
+			defer flush()
+			logger := zerolog.New(out).With().Timestamp().Logger()
+			return platform.Run(command.Context(), path, secret, logger)
+		},
+	}
+	join.Flags().StringVar(&path, "settings", platform.SettingsPath(), "path of the platform's settings file")
+	join.Flags().StringVar(&secret, "peer-secret", "", "secret that all instances share")
+	return join
+}
+
+// boundedLog returns a writer that never blocks, and what writes the rest.
+func boundedLog(out io.Writer) (io.Writer, func()) {
+	writer := diode.NewWriter(out, logLines, logPoll, func(missed int) {
+		logger := zerolog.New(out)
+		logger.Warn().Int("lines", missed).Msg("log lines dropped")
+	})
+	return writer, func() { _ = writer.Close() }
+}
--- a/pkg/node/command/root.go
+++ b/pkg/node/command/root.go
@@ -49,6 +49,6 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return fault.Wrap(fault.InvalidSetting, err, "the command line is wrong; see --help")
 	})
-	root.AddCommand(newServe())
+	root.AddCommand(newServe(), newJoin())
 	return root
 }
--- /dev/null
+++ b/pkg/placement/placement.go
@@ -0,0 +1,252 @@
+// Package placement decides which upstream runs a request, or that none should.
+// It is pure: the time and what is known of the upstreams are passed in.
+//
+// It answers the load of many independent entry instances in front of few model
+// engines: long prompts that share parts, short prompts whose streams allow only
+// short pauses, bursts of either, and upstreams that fail in part.
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/rendezvous"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+const (
+	// readRate is the number of prompt tokens that an engine reads in a
+	// millisecond, as the engines' makers state it.
+	readRate = 40.0
+	// stepTime is a step of an engine without a prompt to read, as stated.
+	stepTime = 5 * time.Millisecond
+	// readChunk is the number of prompt tokens that one step reads.
+	readChunk = 1024
+	// longRead is the prompt beyond which one step is not enough; the steps of
+	// such prompts delay the tokens of all streams beside them.
+	longRead = 2 * readChunk
+	// sensitivePause is the pause per step of a stream below which a step that
+	// reads a whole chunk of a long prompt makes the stream late.
+	sensitivePause = 45 * time.Millisecond
+	// mismatch is the cost of mixing long reads with sensitive streams: a few
+	// steps of the one, which the other's pauses have to bear.
+	mismatch = 150 * time.Millisecond
+	// sensitivePerEngine is the part of the batch that sensitive streams fill
+	// before another engine is set apart for them.
+	sensitivePerEngine = 0.6
+	// cacheKeep is how long a part is believed to stay in an engine's memory
+	// without use.
+	cacheKeep = 30 * time.Second
+	// distance is the cost of another data centre, in waiting time.
+	distance = 4 * time.Millisecond
+	// unhealthy is the cost of an upstream that fails all its requests.
+	unhealthy = 600 * time.Millisecond
+	// overdueCost is the cost of each request that an upstream has left
+	// unanswered well beyond its predicted time.
+	overdueCost = 80 * time.Millisecond
+	// plainWork is the assumed time of a call of a plain service without history.
+	plainWork = 40 * time.Millisecond
+)
+
+// Part is one part of a prompt: requests share parts by ID.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Work is what a request asks of an upstream.
+type Work struct {
+	// Engine says that a model engine runs it.
+	Engine bool
+	// Parts are the parts of the prompt in order, the request's own last.
+	Parts []Part
+	// Tokens is the length of the whole prompt.
+	Tokens int
+	// Output is the largest number of tokens generated.
+	Output int
+	// StepPause is the pause that a stream allows for each step; zero for others.
+	StepPause time.Duration
+}
+
+// Sensitive reports whether long reads beside the stream make it late.
+func (w *Work) Sensitive() bool { return w.Engine && w.StepPause > 0 && w.StepPause < sensitivePause }
+
+func (w *Work) long() bool { return w.Engine && w.Tokens >= longRead }
+
+// affinity returns the part by which requests are kept together: that of the
+// session, before the request's own.
+func (w *Work) affinity() string {
+	if len(w.Parts) < 2 {
+		return ""
+	}
+	return w.Parts[len(w.Parts)-2].ID
+}
+
+// Load is the work that is known to be at an upstream.
+type Load struct {
+	// Unread is the number of prompt tokens sent that have not brought a first
+	// event yet.
+	Unread int `json:"u,omitempty"`
+	// Waiting counts the requests without a first event or answer.
+	Waiting int `json:"w,omitempty"`
+	// Running counts the streams after their first event.
+	Running int `json:"r,omitempty"`
+	// Sensitive counts the streams, waiting or running, that long reads harm.
+	Sensitive int `json:"s,omitempty"`
+	// Overdue counts the requests that wait well beyond their predicted time.
+	Overdue int `json:"o,omitempty"`
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(other Load) Load {
+	return Load{
+		Unread:    l.Unread + other.Unread,
+		Waiting:   l.Waiting + other.Waiting,
+		Running:   l.Running + other.Running,
+		Sensitive: l.Sensitive + other.Sensitive,
+		Overdue:   l.Overdue + other.Overdue,
+	}
+}
+
+// Candidate is an upstream that may run a request, and what is known of it.
+type Candidate struct {
+	ID         types.UpstreamID
+	DataCentre types.DataCentre
+	Slots      int
+	Load       Load
+	// Failing is the recent part of failed requests, 0 to 1.
+	Failing float64
+	// Pace is the upstream's time for a request against that predicted; 1 is as
+	// predicted, zero is unknown.
+	Pace float64
+	// Held returns how many tokens of the prompt the upstream is believed to keep.
+	Held int
+}
+
+// Choice is a placement.
+type Choice struct {
+	ID types.UpstreamID
+	// Wait is the predicted time before the upstream begins to read the prompt
+	// or, at a plain service, to work.
+	Wait time.Duration
+	// First is the predicted time to the first event or the answer.
+	First time.Duration
+	// Cost is what the choice was made by.
+	Cost time.Duration
+}
+
+// Choose returns the placement with the smallest cost, and false when there is
+// no candidate. Equal costs go to the first in rendezvous order.
+func Choose(work *Work, here types.DataCentre, request string, candidates []Candidate) (Choice, bool) {
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	apart := setApart(candidates)
+	key := cmp.Or(work.affinity(), request)
+	var best Choice
+	var bestWeight uint64
+	found := false
+	for i := range candidates {
+		candidate := &candidates[i]
+		choice := predict(work, candidate)
+		choice.Cost = choice.First + penalties(work, here, candidate, apart[candidate.ID])
+		weight := rendezvous.Weight(key, types.InstanceID(candidate.ID))
+		if work.Engine && work.affinity() != "" {
+			// The home of a session is its first choice among equals: what the
+			// session shares is read once there, whoever sends it.
+			choice.Cost -= affinityGain(work, candidates, weight, key)
+		}
+		if !found || choice.Cost < best.Cost || choice.Cost == best.Cost && weight > bestWeight {
+			best, bestWeight, found = choice, weight, true
+		}
+	}
+	return best, found
+}
+
+// affinityGain is the reading that a session's home saves the requests to come.
+// Only the first in rendezvous order has it.
+func affinityGain(work *Work, candidates []Candidate, weight uint64, key string) time.Duration {
+	for i := range candidates {
+		if rendezvous.Weight(key, types.InstanceID(candidates[i].ID)) > weight {
+			return 0
+		}
+	}
+	shared := work.Tokens - work.Parts[len(work.Parts)-1].Tokens
+	return readTime(shared) / 2
+}
+
+// predict returns the times that an upstream will take.
+func predict(work *Work, candidate *Candidate) Choice {
+	pace := cmp.Or(candidate.Pace, 1)
+	choice := Choice{ID: candidate.ID}
+	if !work.Engine {
+		busy := float64(candidate.Load.Waiting) / float64(max(candidate.Slots, 1))
+		choice.Wait = time.Duration(math.Max(0, busy-0.5) * float64(plainWork) * pace)
+		choice.First = choice.Wait + time.Duration(float64(plainWork)*pace*(1+busy/4))
+		return choice
+	}
+	choice.Wait = scale(readTime(candidate.Load.Unread)+slotTime(candidate), pace)
+	choice.First = choice.Wait + scale(readTime(max(work.Tokens-candidate.Held, 1))+2*stepTime, pace)
+	return choice
+}
+
+// slotTime is the wait for a slot when the batch is full: streams end one after
+// the other over the time that one takes.
+func slotTime(candidate *Candidate) time.Duration {
+	full := candidate.Load.Waiting + candidate.Load.Running - candidate.Slots
+	if candidate.Slots == 0 || full < 0 {
+		return 0
+	}
+	return time.Duration(full+1) * 30 * time.Millisecond
+}
+
+// readTime is the time in which an engine reads so many tokens, steps included.
+func readTime(tokens int) time.Duration {
+	read := time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
+	return read + time.Duration(tokens/readChunk)*stepTime
+}
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+func penalties(work *Work, here types.DataCentre, candidate *Candidate, apart bool) time.Duration {
+	cost := scale(unhealthy, candidate.Failing) + time.Duration(candidate.Load.Overdue)*overdueCost
+	if candidate.DataCentre != here {
+		cost += distance
+	}
+	if apart && work.long() || !apart && work.Sensitive() {
+		cost += mismatch
+	}
+	if work.Engine {
+		// Streams that run side by side slow each other's steps a little.
+		cost += time.Duration(candidate.Load.Running) * 200 * time.Microsecond
+	}
+	return cost
+}
+
+// setApart returns the engines that are kept for sensitive streams. It depends
+// only on the fleet's load and the engines' names, so that instances which see
+// about the same load set about the same engines apart.
+func setApart(candidates []Candidate) map[types.UpstreamID]bool {
+	sensitive, slots := 0, 0
+	for i := range candidates {
+		sensitive += candidates[i].Load.Sensitive
+		slots += candidates[i].Slots
+	}
+	apart := make(map[types.UpstreamID]bool)
+	if len(candidates) < 2 || slots == 0 {
+		return apart
+	}
+	perEngine := float64(slots) / float64(len(candidates)) * sensitivePerEngine
+	count := min(1+int(float64(sensitive)/perEngine), len(candidates)-1)
+	order := slices.Clone(candidates)
+	slices.SortFunc(order, func(a, b Candidate) int {
+		wa, wb := rendezvous.Weight("sensitive", types.InstanceID(a.ID)), rendezvous.Weight("sensitive", types.InstanceID(b.ID))
+		return cmp.Or(cmp.Compare(wb, wa), cmp.Compare(a.ID, b.ID))
+	})
+	for _, candidate := range order[:count] {
+		apart[candidate.ID] = true
+	}
+	return apart
+}
