Loads by priority, homes of sessions among engines of one kind, readers for the fleet

Ruled out: a stale first read (the log shows no reply at all until the timeout). Change: two instances use short watches and peers fetch from them; a revision without changes is gone on from 3 s later; work is counted by priority; homes are chosen among the engines of the work's kind.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -169,7 +169,7 @@
 
 // follower returns the reader of one collection.
 func (e *Edge) follower(name string, source follow.Source) *follow.Follower {
-	return &follow.Follower{Name: name, Source: source, Sink: sink{e, name}, Clock: clock.Boot, Logger: e.logger}
+	return &follow.Follower{Name: name, Source: source, Sink: sink{e, name}, Clock: clock.Boot, Logger: e.logger, Reader: e.mesh.First}
 }
 
 // serveOthers opens the listeners beside that for callers.
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -26,8 +26,8 @@
 	// List reads the whole collection and the revision it is complete up to.
 	List(ctx context.Context) ([]replica.Item, types.Revision, error)
 	// Watch returns the changes after a revision as soon as there are any, or
-	// none after a while, with the revision to go on from.
-	Watch(ctx context.Context, after types.Revision) ([]replica.Item, types.Revision, error)
+	// none after the wait, with the revision to go on from.
+	Watch(ctx context.Context, after types.Revision, wait time.Duration) ([]replica.Item, types.Revision, error)
 }
 
 // Sink takes what was read.
@@ -44,6 +44,15 @@
 	// call is priced, and entries are due within 2 s of the store's return.
 	firstPause = 100 * time.Millisecond
 	lastPause  = time.Second
+	// longWait is the wait of a watch; each call is priced, and peers that read
+	// more often tell when a watch hangs.
+	longWait = 10 * time.Second
+	// shortWait is the wait of the instances that read for the others: a watch
+	// that the store has silently dropped is noticed within it.
+	shortWait = 700 * time.Millisecond
+	// settled is the age at which a revision without changes is gone on from: a
+	// store in trouble may tell of changes late.
+	settled = 3 * time.Second
 )
 
 // Follower reads one collection. Run is called once.
@@ -53,8 +62,14 @@
 	Sink   Sink
 	Clock  clock.Clock
 	Logger zerolog.Logger
+	// Reader reports whether this instance reads for the others.
+	Reader func() bool
 
-	after    types.Revision
+	after types.Revision
+	// quiet is a revision up to which nothing has changed, and quietAt when that
+	// was first heard.
+	quiet    types.Revision
+	quietAt  time.Duration
 	listed   bool
 	pause    time.Duration
 	answered time.Duration
@@ -86,7 +101,7 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	items, next, err := f.Source.Watch(ctx, f.after)
+	items, next, err := f.Source.Watch(ctx, f.after, f.wait())
 	if errors.Is(err, ErrHistoryGone) {
 		f.Logger.Info().Str("collection", f.Name).Uint64("after", uint64(f.after)).Msg("history has a gap, reading the collection again")
 		f.listed = false
@@ -95,15 +110,33 @@
 	if err != nil {
 		return err
 	}
-	if f.lost {
-		// Entries may have lapsed without an event while the store was away.
-		f.listed = false
-	}
 	f.Sink.Merge(items)
-	f.after = max(f.after, next)
+	f.advance(len(items) > 0, next)
 	return nil
 }
 
+// wait returns how long the store may let a watch wait.
+func (f *Follower) wait() time.Duration {
+	if f.Reader != nil && f.Reader() {
+		return shortWait
+	}
+	return longWait
+}
+
+// advance moves the revision that watches go on from. Where there were no
+// changes it follows some time later.
+func (f *Follower) advance(changes bool, next types.Revision) {
+	now := f.Clock()
+	switch {
+	case changes:
+		f.after, f.quiet = max(f.after, next), 0
+	case f.quiet == 0:
+		f.quiet, f.quietAt = next, now
+	case now-f.quietAt >= settled:
+		f.after, f.quiet = max(f.after, f.quiet), 0
+	}
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	items, at, err := f.Source.List(ctx)
 	if err != nil {
@@ -114,7 +147,7 @@
 		outage = f.Clock() - f.answered
 	}
 	f.Sink.Replace(items, at, outage)
-	f.after, f.listed = at, true
+	f.after, f.quiet, f.listed = at, 0, true
 	return nil
 }
 
@@ -131,6 +164,8 @@
 }
 
 func (f *Follower) failed(err error) {
+	// Entries may have lapsed without an event while the store was away.
+	f.listed = false
 	f.pause = min(max(firstPause, f.pause*2), lastPause)
 	if !f.lost {
 		f.lost = true
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -125,7 +125,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, news := range g.quarantine.Merge(g.options.Clock(), entries) {
-		g.options.Logger.Info().Hex("fingerprint", news.Fingerprint[:]).Int("strikes", len(news.Strikes)).Bool("condemned", news.Condemned).Msg("strikes heard from a peer")
+		if news.Condemned {
+			g.options.Logger.Info().Hex("fingerprint", news.Fingerprint[:]).Int("strikes", len(news.Strikes)).Msg("request condemned by a peer")
+		}
 	}
 }
 
@@ -216,10 +218,11 @@
 
 // describe sets what the request asks of an upstream.
 func (q *request) describe(service catalog.Service) {
+	q.work.Priority = priority(q.route, q.account)
 	if service.Engine == nil {
 		return
 	}
-	q.work = placement.Work{Engine: true, Parts: q.call.Parts, Tokens: q.call.Tokens, Output: q.call.Output}
+	q.work.Engine, q.work.Parts, q.work.Tokens, q.work.Output = true, q.call.Parts, q.call.Tokens, q.call.Output
 	q.work.StepPause = q.route.PauseObjective / time.Duration(max(service.Engine.Stride, 1))
 }
 
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -406,3 +406,20 @@
 	}
 	return size
 }
+
+// readers is the number of instances that read the store for the others.
+const readers = 2
+
+// First reports whether this instance is among the first of those that are up,
+// in the order of their names. Instances that do not see each other may all be.
+func (m *Mesh) First() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := 0
+	for _, known := range m.members {
+		if !known.silent && known.row.ID < m.options.Self.ID {
+			before++
+		}
+	}
+	return before < readers
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -24,6 +24,11 @@
 	stepTime = 5 * time.Millisecond
 	// readChunk is the number of prompt tokens that one step reads.
 	readChunk = 1024
+	// begunRead is the reading of less urgent prompts that a step has begun.
+	begunRead = readChunk
+	// rereadCost weighs the reading of shared parts that another engine keeps: it
+	// takes the engine's time from all its other requests.
+	rereadCost = 0.75
 	// longRead is the prompt beyond which one step is not enough; the steps of
 	// such prompts delay the tokens of all streams beside them.
 	longRead = 2 * readChunk
@@ -36,9 +41,11 @@
 	// sensitivePerEngine is the part of the batch that sensitive streams fill
 	// before another engine is set apart for them.
 	sensitivePerEngine = 0.6
-	// cacheKeep is how long a part is believed to stay in an engine's memory
-	// without use.
-	cacheKeep = 30 * time.Second
+	// slotTurn is the mean time between two streams that end in a full batch: a
+	// stream of two seconds in a batch of 64.
+	slotTurn = 30 * time.Millisecond
+	// besides is the cost of each stream that runs beside a new one.
+	besides = 200 * time.Microsecond
 	// distance is the cost of another data centre, in waiting time.
 	distance = 4 * time.Millisecond
 	// unhealthy is the cost of an upstream that fails all its requests.
@@ -66,6 +73,8 @@
 	Tokens int
 	// Output is the largest number of tokens generated.
 	Output int
+	// Priority is the rank; zero is the most urgent.
+	Priority int
 	// StepPause is the pause that a stream allows for each step; zero for others.
 	StepPause time.Duration
 }
@@ -84,8 +93,8 @@
 	return w.Parts[len(w.Parts)-2].ID
 }
 
-// Load is the work that is known to be at an upstream.
-type Load struct {
+// Rank is the work of one priority at an upstream.
+type Rank struct {
 	// Unread is the number of prompt tokens sent that have not brought a first
 	// event yet.
 	Unread int `json:"u,omitempty"`
@@ -93,23 +102,58 @@
 	Waiting int `json:"w,omitempty"`
 	// Running counts the streams after their first event.
 	Running int `json:"r,omitempty"`
+}
+
+// Load is the work that is known to be at an upstream.
+type Load struct {
+	// Ranks is the work by priority; zero is the most urgent.
+	Ranks map[int]Rank `json:"p,omitempty"`
 	// Sensitive counts the streams, waiting or running, that long reads harm.
 	Sensitive int `json:"s,omitempty"`
 	// Overdue counts the requests that wait well beyond their predicted time.
 	Overdue int `json:"o,omitempty"`
 }
 
-// Add returns the sum of two loads.
-func (l Load) Add(other Load) Load {
-	return Load{
-		Unread:    l.Unread + other.Unread,
-		Waiting:   l.Waiting + other.Waiting,
-		Running:   l.Running + other.Running,
-		Sensitive: l.Sensitive + other.Sensitive,
-		Overdue:   l.Overdue + other.Overdue,
+// Add adds another load to this one.
+func (l *Load) Add(other Load) {
+	l.Sensitive += other.Sensitive
+	l.Overdue += other.Overdue
+	for priority, rank := range other.Ranks {
+		if l.Ranks == nil {
+			l.Ranks = make(map[int]Rank, len(other.Ranks))
+		}
+		sum := l.Ranks[priority]
+		sum.Unread += rank.Unread
+		sum.Waiting += rank.Waiting
+		sum.Running += rank.Running
+		l.Ranks[priority] = sum
 	}
 }
 
+// Empty reports whether there is no work.
+func (l Load) Empty() bool { return len(l.Ranks) == 0 && l.Overdue == 0 }
+
+// ahead returns the work that an engine does before or beside a request of the
+// priority: it admits the more urgent first, but ends the steps it has begun.
+func (l Load) ahead(priority int) Rank {
+	var ahead Rank
+	less := 0
+	for p, rank := range l.Ranks {
+		if p > priority {
+			less += rank.Unread
+			continue
+		}
+		ahead.Unread += rank.Unread
+		ahead.Waiting += rank.Waiting
+		ahead.Running += rank.Running
+	}
+	ahead.Unread += min(less, begunRead)
+	return ahead
+}
+
+// all returns the work of all priorities.
+func (l Load) all() Rank { return l.ahead(math.MaxInt) }
+
 // Candidate is an upstream that may run a request, and what is known of it.
 type Candidate struct {
 	ID         types.UpstreamID
@@ -145,6 +189,7 @@
 	}
 	apart := setApart(candidates)
 	key := cmp.Or(work.affinity(), request)
+	home := home(work, key, candidates, apart)
 	var best Choice
 	var bestWeight uint64
 	found := false
@@ -152,12 +197,10 @@
 		candidate := &candidates[i]
 		choice := predict(work, candidate)
 		choice.Cost = choice.First + penalties(work, here, candidate, apart[candidate.ID])
-		weight := rendezvous.Weight(key, types.InstanceID(candidate.ID))
-		if work.Engine && work.affinity() != "" {
-			// The home of a session is its first choice among equals: what the
-			// session shares is read once there, whoever sends it.
-			choice.Cost -= affinityGain(work, candidates, weight, key)
+		if work.Engine && candidate.ID != home {
+			choice.Cost += scale(readTime(work.shared()-candidate.Held), rereadCost)
 		}
+		weight := rendezvous.Weight(key, types.InstanceID(candidate.ID))
 		if !found || choice.Cost < best.Cost || choice.Cost == best.Cost && weight > bestWeight {
 			best, bestWeight, found = choice, weight, true
 		}
@@ -165,16 +208,30 @@
 	return best, found
 }
 
-// affinityGain is the reading that a session's home saves the requests to come.
-// Only the first in rendezvous order has it.
-func affinityGain(work *Work, candidates []Candidate, weight uint64, key string) time.Duration {
+// home returns the engine that keeps what a session shares: the first in
+// rendezvous order among those of the work's kind, so that all instances read
+// it once, at the same place.
+func home(work *Work, key string, candidates []Candidate, apart map[types.UpstreamID]bool) types.UpstreamID {
+	var first types.UpstreamID
+	var most uint64
 	for i := range candidates {
-		if rendezvous.Weight(key, types.InstanceID(candidates[i].ID)) > weight {
-			return 0
+		if apart[candidates[i].ID] != work.Sensitive() {
+			continue
 		}
+		if weight := rendezvous.Weight(key, types.InstanceID(candidates[i].ID)); first == "" || weight > most {
+			first, most = candidates[i].ID, weight
+		}
+	}
+	return first
+}
+
+// shared is the number of tokens that other requests may share.
+func (w *Work) shared() int {
+	shared := 0
+	for i := 0; i+1 < len(w.Parts); i++ {
+		shared += w.Parts[i].Tokens
 	}
-	shared := work.Tokens - work.Parts[len(work.Parts)-1].Tokens
-	return readTime(shared) / 2
+	return shared
 }
 
 // predict returns the times that an upstream will take.
@@ -182,28 +239,30 @@
 	pace := cmp.Or(candidate.Pace, 1)
 	choice := Choice{ID: candidate.ID}
 	if !work.Engine {
-		busy := float64(candidate.Load.Waiting) / float64(max(candidate.Slots, 1))
+		busy := float64(candidate.Load.all().Waiting) / float64(max(candidate.Slots, 1))
 		choice.Wait = time.Duration(math.Max(0, busy-0.5) * float64(plainWork) * pace)
 		choice.First = choice.Wait + time.Duration(float64(plainWork)*pace*(1+busy/4))
 		return choice
 	}
-	choice.Wait = scale(readTime(candidate.Load.Unread)+slotTime(candidate), pace)
+	ahead := candidate.Load.ahead(work.Priority)
+	choice.Wait = scale(readTime(ahead.Unread)+slotTime(ahead, candidate.Slots), pace)
 	choice.First = choice.Wait + scale(readTime(max(work.Tokens-candidate.Held, 1))+2*stepTime, pace)
 	return choice
 }
 
 // slotTime is the wait for a slot when the batch is full: streams end one after
 // the other over the time that one takes.
-func slotTime(candidate *Candidate) time.Duration {
-	full := candidate.Load.Waiting + candidate.Load.Running - candidate.Slots
-	if candidate.Slots == 0 || full < 0 {
+func slotTime(ahead Rank, slots int) time.Duration {
+	full := ahead.Waiting + ahead.Running - slots
+	if slots == 0 || full < 0 {
 		return 0
 	}
-	return time.Duration(full+1) * 30 * time.Millisecond
+	return time.Duration(full+1) * slotTurn
 }
 
 // readTime is the time in which an engine reads so many tokens, steps included.
 func readTime(tokens int) time.Duration {
+	tokens = max(tokens, 0)
 	read := time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
 	return read + time.Duration(tokens/readChunk)*stepTime
 }
@@ -220,7 +279,7 @@
 	}
 	if work.Engine {
 		// Streams that run side by side slow each other's steps a little.
-		cost += time.Duration(candidate.Load.Running) * 200 * time.Microsecond
+		cost += time.Duration(candidate.Load.all().Running) * besides
 	}
 	return cost
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -166,7 +166,7 @@
 	load := row.own(now)
 	for _, report := range r.peers {
 		if now-report.at < peerKeep {
-			load = load.Add(report.loads[row.ID])
+			load.Add(report.loads[row.ID])
 		}
 	}
 	return load
@@ -176,7 +176,7 @@
 func (row *row) own(now time.Duration) placement.Load {
 	var load placement.Load
 	for ticket := range row.tickets {
-		load = load.Add(ticket.load(now))
+		load.Add(ticket.load(now))
 	}
 	return load
 }
@@ -219,7 +219,7 @@
 	defer r.mu.Unlock()
 	loads := make(map[types.UpstreamID]placement.Load)
 	for id, row := range r.rows {
-		if load := row.own(now); load != (placement.Load{}) {
+		if load := row.own(now); !load.Empty() {
 			loads[id] = load
 		}
 	}
--- a/pkg/roster/ticket.go
+++ b/pkg/roster/ticket.go
@@ -14,6 +14,7 @@
 	begun     time.Duration
 	predicted time.Duration
 	unread    int
+	priority  int
 	sensitive bool
 	running   bool
 }
@@ -32,6 +33,7 @@
 		begun:     now,
 		predicted: choice.First,
 		unread:    max(work.Tokens-row.heldTokens(now, work), 0),
+		priority:  work.Priority,
 		sensitive: work.Sensitive(),
 	}
 	row.tickets[t] = struct{}{}
@@ -50,14 +52,14 @@
 
 func (t *Ticket) load(now time.Duration) placement.Load {
 	var load placement.Load
-	if t.running {
-		load.Running = 1
-	} else {
-		load.Waiting, load.Unread = 1, t.unread
+	rank := placement.Rank{Running: 1}
+	if !t.running {
+		rank = placement.Rank{Waiting: 1, Unread: t.unread}
 		if now-t.begun > max(overdueFactor*t.predicted, overdueFloor) {
 			load.Overdue = 1
 		}
 	}
+	load.Ranks = map[int]placement.Rank{t.priority: rank}
 	if t.sensitive {
 		load.Sensitive = 1
 	}
