Harm to streams of short pauses, urgent work admitted beside less urgent, readers that reach the store

Readers are now the first of those whose store answers. (4) parent-chat late: long reads beside streams that allow 37 ms a step; a long read now costs 40 ms for each such stream.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -16,6 +16,10 @@
 	// waitShare is the part of the objective that a request may wait before its
 	// prompt is read; the rest is needed to read it.
 	waitShare = 0.9
+	// urgentShare is the same for requests beside which less urgent ones are
+	// served: these are refused first, and callers leave a stream that has not
+	// begun after four times its objective, or two seconds.
+	urgentShare = 3.5
 	// minWait lets requests of short objectives wait for a step or two.
 	minWait = 60 * time.Millisecond
 	// shortestReturn is the soonest that a refused caller is asked to come back.
@@ -47,7 +51,11 @@
 // the objective. The length of its own prompt does not count, so that long
 // requests are not the ones that are always refused.
 func Decide(request Request, choice placement.Choice) Decision {
-	bound := max(time.Duration(waitShare*float64(request.Objective)), minWait)
+	share := waitShare
+	if choice.Urgent {
+		share = urgentShare
+	}
+	bound := max(time.Duration(share*float64(request.Objective)), minWait)
 	if choice.Wait <= bound && choice.Wait < request.Remaining {
 		return Decision{Admit: true}
 	}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -77,6 +77,8 @@
 	peers    *peer.Server
 	dialer   *peer.Dialer
 	stopping atomic.Bool
+	// followers read the published collections.
+	followers []*follow.Follower
 
 	mu            sync.Mutex
 	configuration *replica.Set
@@ -114,6 +116,7 @@
 		Logger: logger,
 	})
 	e.mesh.Register(e.peers)
+	e.followers = []*follow.Follower{e.follower(configuration, ports.Configuration), e.follower(upstreams, ports.Upstreams)}
 	e.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre,
 		Protocol:   ports.Protocol,
@@ -145,8 +148,9 @@
 	group, roles := errgroup.WithContext(roles)
 	group.Go(func() error { return e.peers.Serve(roles) })
 	group.Go(func() error { return e.mesh.Run(roles) })
-	group.Go(func() error { return e.follower("configuration", e.ports.Configuration).Run(roles) })
-	group.Go(func() error { return e.follower("upstreams", e.ports.Upstreams).Run(roles) })
+	for _, follower := range e.followers {
+		group.Go(func() error { return follower.Run(roles) })
+	}
 	group.Go(func() error { e.expireLoop(roles); return nil })
 	if err := e.serveOthers(roles, group); err != nil {
 		return err
@@ -224,3 +228,13 @@
 func (e *Edge) serving() bool {
 	return !e.stopping.Load() && e.gateway.Catalog() != nil && e.roster.Ready() > 0
 }
+
+// reading reports whether the store answers this instance.
+func (e *Edge) reading() bool {
+	for _, follower := range e.followers {
+		if follower.Away() {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -184,6 +184,9 @@
 // Serving implements mesh.State.
 func (s state) Serving() bool { return s.edge.serving() }
 
+// Reading implements mesh.State.
+func (s state) Reading() bool { return s.edge.reading() }
+
 // Loads implements mesh.State.
 func (s state) Loads() map[types.UpstreamID]placement.Load { return s.edge.roster.Loads(clock.Boot()) }
 
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -74,8 +75,13 @@
 	pause    time.Duration
 	answered time.Duration
 	lost     bool
+	// away mirrors lost for other goroutines.
+	away atomic.Bool
 }
 
+// Away reports whether the store's last answer is overdue.
+func (f *Follower) Away() bool { return f.away.Load() }
+
 // Run follows the collection until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.answered = f.Clock()
@@ -156,6 +162,7 @@
 	if f.lost && f.listed {
 		f.Logger.Info().Str("collection", f.Name).Dur("outage_ms", now-f.answered).Uint64("revision", uint64(f.after)).Msg("store regained")
 		f.lost = false
+		f.away.Store(false)
 	}
 	if !f.lost {
 		f.answered = now
@@ -169,6 +176,7 @@
 	f.pause = min(max(firstPause, f.pause*2), lastPause)
 	if !f.lost {
 		f.lost = true
+		f.away.Store(true)
 		f.Logger.Warn().Err(err).Str("collection", f.Name).Uint64("revision", uint64(f.after)).Msg("store lost")
 	}
 }
--- a/pkg/mesh/beat.go
+++ b/pkg/mesh/beat.go
@@ -22,6 +22,8 @@
 	Front string `json:"front"`
 	// Serving says that callers may be sent to it.
 	Serving bool `json:"serving,omitempty"`
+	// Reading says that the store answers it.
+	Reading bool `json:"reading,omitempty"`
 }
 
 // Sighting is a row that an instance passes on, with the time since anybody
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -24,6 +24,8 @@
 type State interface {
 	// Serving reports whether callers may be sent here.
 	Serving() bool
+	// Reading reports whether the store answers this instance.
+	Reading() bool
 	// Loads and Ejected are this instance's own work and findings.
 	Loads() map[types.UpstreamID]placement.Load
 	Ejected() map[types.UpstreamID]time.Duration
@@ -191,7 +193,7 @@
 func (m *Mesh) beat(to *member, full bool) Beat {
 	state := m.options.State
 	beat := Beat{Row: m.options.Self, Loads: state.Loads(), Ejected: make(map[types.UpstreamID]int64), Revisions: state.Revisions()}
-	beat.Serving = state.Serving()
+	beat.Serving, beat.Reading = state.Serving(), state.Reading()
 	for id, rest := range state.Ejected() {
 		beat.Ejected[id] = rest.Milliseconds()
 	}
@@ -410,14 +412,14 @@
 // readers is the number of instances that read the store for the others.
 const readers = 2
 
-// First reports whether this instance is among the first of those that are up,
-// in the order of their names. Instances that do not see each other may all be.
+// First reports whether this instance is among the first of those that reach the
+// store, in the order of their names. Instances that do not see each other may all be.
 func (m *Mesh) First() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := 0
 	for _, known := range m.members {
-		if !known.silent && known.row.ID < m.options.Self.ID {
+		if !known.silent && known.row.Reading && known.row.ID < m.options.Self.ID {
 			before++
 		}
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -35,9 +35,13 @@
 	// sensitivePause is the pause per step of a stream below which a step that
 	// reads a whole chunk of a long prompt makes the stream late.
 	sensitivePause = 45 * time.Millisecond
-	// mismatch is the cost of mixing long reads with sensitive streams: a few
-	// steps of the one, which the other's pauses have to bear.
-	mismatch = 150 * time.Millisecond
+	// harm is the cost of a long read for each sensitive stream beside it, which
+	// it makes late: some twenty of them outweigh the longest wait that is
+	// admitted.
+	harm = 40 * time.Millisecond
+	// exposed is the cost of a sensitive stream among long reads: beyond the
+	// objectives of such streams, as it will be late.
+	exposed = 400 * time.Millisecond
 	// sensitivePerEngine is the part of the batch that sensitive streams fill
 	// before another engine is set apart for them.
 	sensitivePerEngine = 0.6
@@ -151,6 +155,16 @@
 	return ahead
 }
 
+// lessUrgent reports whether there is work that gives way to the priority.
+func (l Load) lessUrgent(priority int) bool {
+	for p := range l.Ranks {
+		if p > priority {
+			return true
+		}
+	}
+	return false
+}
+
 // all returns the work of all priorities.
 func (l Load) all() Rank { return l.ahead(math.MaxInt) }
 
@@ -179,6 +193,8 @@
 	First time.Duration
 	// Cost is what the choice was made by.
 	Cost time.Duration
+	// Urgent says that less urgent work is at the upstreams, which gives way.
+	Urgent bool
 }
 
 // Choose returns the placement with the smallest cost, and false when there is
@@ -205,6 +221,7 @@
 			best, bestWeight, found = choice, weight, true
 		}
 	}
+	best.Urgent = slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Load.lessUrgent(work.Priority) })
 	return best, found
 }
 
@@ -274,8 +291,11 @@
 	if candidate.DataCentre != here {
 		cost += distance
 	}
-	if apart && work.long() || !apart && work.Sensitive() {
-		cost += mismatch
+	if !apart && work.Sensitive() {
+		cost += exposed
+	}
+	if work.long() {
+		cost += time.Duration(candidate.Load.Sensitive) * harm
 	}
 	if work.Engine {
 		// Streams that run side by side slow each other's steps a little.
