--- /dev/null
+++ b/pkg/replica/replica_test.go
@@ -0,0 +1,76 @@
+package replica
+
+import (
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// TestMergeInAnyOrder plays a history of writes and removals to two copies, each
+// of which gets every item at least once, in an order of its own.
+func TestMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := make([]Item, rapid.IntRange(1, 20).Draw(t, "writes"))
+		for i := range history {
+			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+			removed := rapid.Bool().Draw(t, "removed")
+			history[i] = Item{Key: key, Revision: types.Revision(i + 1), Removed: removed}
+			if !removed {
+				history[i].Value = []byte{byte(i)}
+			}
+		}
+		ordered := New()
+		ordered.Merge(history)
+		other := New()
+		for _, i := range rapid.Permutation(indices(len(history))).Draw(t, "order") {
+			before := other.Changed()
+			other.Merge(history[i : i+1])
+			if other.Changed() < before {
+				t.Fatalf("the copy went back from %d to %d", before, other.Changed())
+			}
+		}
+		if !reflect.DeepEqual(ordered.Present(), other.Present()) {
+			t.Fatalf("copies differ: %v and %v", ordered.Present(), other.Present())
+		}
+	})
+}
+
+func indices(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+func TestReplaceRemovesWhatWasNotRead(t *testing.T) {
+	s := New()
+	s.Merge([]Item{{Key: "old", Revision: 3, Value: []byte("x")}, {Key: "kept", Revision: 4, Value: []byte("y")}, {Key: "newer", Revision: 9, Value: []byte("z")}})
+	news := s.Replace([]Item{{Key: "kept", Revision: 4, Value: []byte("y")}}, 7)
+	if len(news) != 1 || news[0].Key != "old" || !news[0].Removed {
+		t.Fatalf("the reading changed %v", news)
+	}
+	var keys []string
+	for _, item := range s.Present() {
+		keys = append(keys, item.Key)
+	}
+	if !reflect.DeepEqual(keys, []string{"kept", "newer"}) {
+		t.Fatalf("left are %v; an item newer than the reading must stay", keys)
+	}
+	if news := s.Merge([]Item{{Key: "old", Revision: 5, Value: []byte("late")}}); len(news) != 0 {
+		t.Fatalf("a late event brought back a removed item: %v", news)
+	}
+}
+
+func TestSinceBringsAPeerUpToDate(t *testing.T) {
+	ahead, behind := New(), New()
+	ahead.Merge([]Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}, {Key: "a", Revision: 3, Removed: true}})
+	behind.Merge([]Item{{Key: "a", Revision: 1}})
+	behind.Merge(ahead.Since(behind.Changed()))
+	if !reflect.DeepEqual(ahead.Present(), behind.Present()) || ahead.Changed() != behind.Changed() {
+		t.Fatalf("after the fetch: %v, want %v", behind.Present(), ahead.Present())
+	}
+}
