Room for short prompts after a start; a body above the limit is refused at once

Ruled out: the bound for urgent work (tenants' priorities make both kinds equal there). Change: at least a sixth of the engines is apart, and a wait of 200 ms is as bad as long reads beside a stream. Found by the gateway's own test: an answer 413 waited for the whole declared body, since net/http reads on before it answers.

--- a/pkg/exchange/events.go
+++ b/pkg/exchange/events.go
@@ -32,24 +32,36 @@
 // with the bytes after the last event, if there are any.
 func (e *Events) Next() (Event, error) {
 	var event Event
+	begins := true
 	for {
-		line, err := e.reader.ReadSlice('\n')
+		part, err := e.reader.ReadSlice('\n')
+		event.Bytes = append(event.Bytes, part...)
 		if errors.Is(err, bufio.ErrBufferFull) {
-			err = nil
+			// The line goes on beyond the buffer.
+			e.noteID(&event, part, begins)
+			begins = false
+			if len(event.Bytes) > maxEvent {
+				return event, errors.New("an event is above the limit")
+			}
+			continue
 		}
-		event.Bytes = append(event.Bytes, line...)
 		if err != nil {
 			return event, err
 		}
+		e.noteID(&event, part, begins)
+		if begins && len(bytes.TrimRight(part, "\r\n")) == 0 {
+			return event, nil
+		}
 		if len(event.Bytes) > maxEvent {
 			return event, errors.New("an event is above the limit")
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			event.ID = string(bytes.TrimSpace(id))
-		}
-		if len(text) == 0 && len(line) > 0 && line[len(line)-1] == '\n' {
-			return event, nil
-		}
+		begins = true
+	}
+}
+
+// noteID keeps the ID if the part begins a line that has it.
+func (e *Events) noteID(event *Event, part []byte, begins bool) {
+	if id, ok := bytes.CutPrefix(part, []byte("id:")); ok && begins {
+		event.ID = string(bytes.TrimSpace(id))
 	}
 }
--- /dev/null
+++ b/pkg/exchange/exchange_test.go
@@ -0,0 +1,197 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// upstream serves one connection with raw bytes and returns what it read.
+func upstream(t *testing.T, serve func(conn net.Conn, request *http.Request, body []byte)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				body, _ := io.ReadAll(request.Body)
+				serve(conn, request, body)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func send(t *testing.T, address string) (*Answer, error) {
+	t.Helper()
+	answer, err := Do(context.Background(), &Request{Address: address, Method: "POST", Target: "/a", Host: "h", Body: []byte("x")})
+	if err == nil {
+		t.Cleanup(answer.Close)
+	}
+	return answer, err
+}
+
+// TestRequestsArriveByteForByte sends random targets, headers and bodies.
+func TestRequestsArriveByteForByte(t *testing.T) {
+	type arrival struct {
+		request *http.Request
+		body    []byte
+	}
+	arrivals := make(chan arrival, 1)
+	address := upstream(t, func(conn net.Conn, request *http.Request, body []byte) {
+		arrivals <- arrival{request, body}
+		_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		target := "/" + rapid.StringMatching(`[a-zA-Z0-9._~/%+-]{0,30}(\?[a-z=&%0-9/.]{0,20})?`).Draw(t, "target")
+		target = strings.ReplaceAll(target, "%", "%2F")
+		body := rapid.SliceOfN(rapid.Byte(), 0, 20_000).Draw(t, "body")
+		value := rapid.StringMatching(`[!-~]([ -~]{0,20}[!-~])?`).Draw(t, "value")
+		method := rapid.SampledFrom([]string{"GET", "POST", "PUT", "DELETE"}).Draw(t, "method")
+		answer, err := Do(context.Background(), &Request{Address: address, Method: method, Target: target, Host: "some.example",
+			Header: http.Header{"X-Test": {value}}, Body: body})
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Close()
+		got := <-arrivals
+		if got.request.Method != method || got.request.RequestURI != target || got.request.Host != "some.example" {
+			t.Fatalf("arrived: %s %s of %s", got.request.Method, got.request.RequestURI, got.request.Host)
+		}
+		if got.request.Header.Get("X-Test") != value || !bytes.Equal(got.body, body) {
+			t.Fatalf("header %q, body of %d bytes, want %q and %d", got.request.Header.Get("X-Test"), len(got.body), value, len(body))
+		}
+	})
+}
+
+func TestACutAnswerIsNotWhole(t *testing.T) {
+	for name, raw := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+		"chunk":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nshort",
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer, err := send(t, upstream(t, func(conn net.Conn, _ *http.Request, _ []byte) { _, _ = io.WriteString(conn, raw) }))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(answer.Body); err == nil {
+				t.Error("the end of a cut answer looks like that of a whole one")
+			}
+		})
+	}
+}
+
+func TestAnUnframedAnswerThatIsResetIsNotWhole(t *testing.T) {
+	address := upstream(t, func(conn net.Conn, _ *http.Request, _ []byte) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	answer, err := send(t, address)
+	if err == nil {
+		_, err = io.ReadAll(answer.Body)
+	}
+	if err == nil {
+		t.Error("a reset looks like the end of the answer")
+	}
+}
+
+func TestAnAnswerBeforeTheBodyIsRead(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := bufio.NewReader(conn).ReadString('\n'); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull")
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	answer, err := Do(context.Background(), &Request{Address: listener.Addr().String(), Method: "POST", Target: "/", Host: "h", Body: make([]byte, 8<<20)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	answer.Close()
+	if err != nil || string(body) != "full" || answer.Status != 503 {
+		t.Errorf("answer %d %q, %v", answer.Status, body, err)
+	}
+}
+
+func TestTheStageTellsWhetherItMayHaveRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	var failure *Error
+	if _, err := send(t, address); !errors.As(err, &failure) || failure.Stage != Unsent {
+		t.Errorf("nobody listens: %v", err)
+	}
+	silent := upstream(t, func(net.Conn, *http.Request, []byte) {})
+	if _, err := send(t, silent); !errors.As(err, &failure) || failure.Stage != Sent {
+		t.Errorf("closed without an answer: %v", err)
+	}
+	spoilt := upstream(t, func(conn net.Conn, _ *http.Request, _ []byte) { _, _ = io.WriteString(conn, "garbage\r\n\r\n") })
+	if _, err := send(t, spoilt); !errors.As(err, &failure) || failure.Stage != Sent {
+		t.Errorf("bytes that are no answer: %v", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := Do(ctx, &Request{Address: silent, Method: "GET", Target: "/", Host: "h"}); !errors.As(err, &failure) || failure.Stage != Unsent {
+		t.Errorf("ended before it was sent: %v", err)
+	}
+}
+
+// TestEventsAreWhole splits a stream at random places.
+func TestEventsAreWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(0, 6).Draw(t, "events")
+		var whole []string
+		for i := range count {
+			data := strings.Repeat(rapid.StringMatching(`[ -~]{1,40}`).Draw(t, "data"), rapid.IntRange(0, 300).Draw(t, "times"))
+			end := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "line end")
+			whole = append(whole, "id: "+string(rune('a'+i))+end+"data: "+data+end+end)
+		}
+		rest := rapid.SampledFrom([]string{"", "id: z\ndata: cut"}).Draw(t, "rest")
+		events := NewEvents(strings.NewReader(strings.Join(whole, "") + rest))
+		for i, want := range whole {
+			event, err := events.Next()
+			if err != nil || string(event.Bytes) != want || event.ID != string(rune('a'+i)) {
+				t.Fatalf("event %d: id %q, %d bytes of %d, %v", i, event.ID, len(event.Bytes), len(want), err)
+			}
+		}
+		event, err := events.Next()
+		if !errors.Is(err, io.EOF) || string(event.Bytes) != rest {
+			t.Fatalf("the end is %q, %v", event.Bytes, err)
+		}
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -309,6 +309,11 @@
 		// Only a closed connection says that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
+	if failure.Code == fault.BodyTooLarge {
+		// Otherwise net/http reads on before it answers, and waits for a body
+		// that the caller may not send at all.
+		q.writer.Header().Set("Connection", "close")
+	}
 	g.options.Protocol.Refuse(q.writer, q.call.ID, failure)
 }
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -39,9 +39,13 @@
 	// it makes late: some twenty of them outweigh the longest wait that is
 	// admitted.
 	harm = 40 * time.Millisecond
-	// exposed is the cost of a sensitive stream among long reads: beyond the
-	// objectives of such streams, as it will be late.
-	exposed = 400 * time.Millisecond
+	// exposed is the cost of a sensitive stream among long reads, which make it
+	// late: a wait that uses up the objective of such streams is no better.
+	exposed = 200 * time.Millisecond
+	// leastApart is the part of the engines that is kept for sensitive streams
+	// before there are any, so that the first of them find more than one engine.
+	// Long reads use these engines while nobody else does.
+	leastApart = 1.0 / 6
 	// sensitivePerEngine is the part of the batch that sensitive streams fill
 	// before another engine is set apart for them.
 	sensitivePerEngine = 0.6
@@ -318,7 +322,8 @@
 		return apart
 	}
 	perEngine := float64(slots) / float64(len(candidates)) * sensitivePerEngine
-	count := min(1+int(float64(sensitive)/perEngine), len(candidates)-1)
+	least := int(math.Ceil(leastApart * float64(len(candidates))))
+	count := min(max(1+int(float64(sensitive)/perEngine), least), len(candidates)-1)
 	order := slices.Clone(candidates)
 	slices.SortFunc(order, func(a, b Candidate) int {
 		wa, wb := rendezvous.Weight("sensitive", types.InstanceID(a.ID)), rendezvous.Weight("sensitive", types.InstanceID(b.ID))
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -133,3 +133,24 @@
 	}
 	place(t, short(), list)
 }
+
+// TestABurstOfShortPromptsFindsRoom plays the first seconds after a start: short
+// prompts come before any stream runs.
+func TestABurstOfShortPromptsFindsRoom(t *testing.T) {
+	list := engines(18)
+	for range 30 {
+		choice := place(t, short(), list)
+		if choice.Wait > 225*time.Millisecond {
+			t.Fatalf("a short prompt waits %v before 18 engines", choice.Wait)
+		}
+		for i := range list {
+			if list[i].ID == choice.ID {
+				rank := list[i].Load.Ranks[0]
+				rank.Unread += 800
+				rank.Waiting++
+				list[i].Load.Ranks = map[int]Rank{0: rank}
+				list[i].Load.Sensitive++
+			}
+		}
+	}
+}
