--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -71,8 +71,10 @@
 	settings Settings
 	ports    Ports
 	logger   zerolog.Logger
+	now      clock.Clock
 	gateway  *gateway.Gateway
 	roster   *roster.Roster
+	metrics  *gateway.Metrics
 	mesh     *mesh.Mesh
 	peers    *peer.Server
 	dialer   *peer.Dialer
@@ -94,7 +96,9 @@
 		settings:      settings,
 		ports:         ports,
 		logger:        logger,
+		now:           clock.Boot,
 		roster:        roster.New(),
+		metrics:       gateway.NewMetrics(),
 		configuration: replica.New(),
 		upstreams:     replica.New(),
 		unreadable:    make(map[string]types.Revision),
@@ -124,7 +128,7 @@
 		Fleet:      e.mesh,
 		Clock:      clock.Boot,
 		Logger:     logger,
-		Metrics:    gateway.NewMetrics("requests"),
+		Metrics:    e.metrics,
 		Retries:    settings.Retries,
 	})
 	return e
@@ -135,6 +139,7 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (e *Edge) Run(ctx context.Context) error {
+	e.publish()
 	listener, err := listen(ctx, e.settings.Callers)
 	if err != nil {
 		return err
@@ -238,3 +243,23 @@
 	}
 	return true
 }
+
+// publish adds the instance's metrics to those of the process.
+func (e *Edge) publish() {
+	e.metrics.Publish("requests")
+	expvar.Publish("instance", expvar.Func(func() any {
+		status := struct {
+			Configuration string `json:"configuration"`
+			Revision      uint64 `json:"revision"`
+			Upstreams     int    `json:"upstreams"`
+			Peers         int    `json:"peers"`
+			Active        int64  `json:"active"`
+			Reading       bool   `json:"reading"`
+			Serving       bool   `json:"serving"`
+		}{Upstreams: e.roster.Ready(), Peers: e.mesh.Size(), Active: e.gateway.Active(), Reading: e.reading(), Serving: e.serving()}
+		if current := e.gateway.Catalog(); current != nil {
+			status.Configuration, status.Revision = current.Version, uint64(current.Revision)
+		}
+		return status
+	}))
+}
--- /dev/null
+++ b/pkg/edge/edge_test.go
@@ -0,0 +1,161 @@
+package edge
+
+import (
+	"errors"
+	"net/http"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/umbercrank/umbercrank/pkg/catalog"
+	"github.com/umbercrank/umbercrank/pkg/mesh"
+	"github.com/umbercrank/umbercrank/pkg/placement"
+	"github.com/umbercrank/umbercrank/pkg/replica"
+	"github.com/umbercrank/umbercrank/pkg/roster"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// decoder reads the value as the name: "bad" cannot be read.
+type decoder struct{}
+
+func (decoder) Catalog(items []replica.Item) (*catalog.Catalog, error) {
+	if len(items) == 0 {
+		return nil, nil
+	}
+	if string(items[0].Value) == "bad" {
+		return nil, errors.New("it cannot be read")
+	}
+	return catalog.New(catalog.Contents{Version: string(items[0].Value), Revision: items[0].Revision}), nil
+}
+
+func (decoder) Upstream(item replica.Item) (roster.Upstream, error) {
+	if string(item.Value) == "bad" {
+		return roster.Upstream{}, errors.New("it cannot be read")
+	}
+	return roster.Upstream{ID: types.UpstreamID(item.Key), Target: "s", Address: item.Key, Slots: 1, Ready: string(item.Value) != "leaving"}, nil
+}
+
+// still is an edge that does not run, with a clock of the test's own.
+func still() (*Edge, *time.Duration) {
+	now := time.Hour
+	e := New(Settings{Instance: "n", PeerSecret: "x", Peers: "n:1", Callers: "n:2"}, Ports{
+		Decoder:   decoder{},
+		Seeds:     func() []string { return nil },
+		Directory: func(func() []string) http.Handler { return nil },
+	}, zerolog.Nop())
+	e.now = func() time.Duration { return now }
+	return e, &now
+}
+
+func entry(key, value string, revision types.Revision) replica.Item {
+	return replica.Item{Key: key, Value: []byte(value), Revision: revision}
+}
+
+// ready returns the upstreams that take work.
+func ready(e *Edge) []string {
+	var ids []string
+	for _, c := range e.roster.Candidates(e.now(), "s", &placement.Work{}, nil) {
+		ids = append(ids, string(c.ID))
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func wantReady(t *testing.T, e *Edge, when string, want ...string) {
+	t.Helper()
+	if got := ready(e); !reflect.DeepEqual(got, want) {
+		t.Errorf("%s: ready are %v, want %v", when, got, want)
+	}
+}
+
+func TestAMalformedEntryHarmsNoOther(t *testing.T) {
+	e, _ := still()
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "bad", 2), entry("c", "", 3)}, 3, 0)
+	wantReady(t, e, "one of three is malformed", "a", "c")
+	sink{e, upstreams}.Merge([]replica.Item{entry("a", "bad", 4)})
+	wantReady(t, e, "another becomes malformed", "c")
+}
+
+func TestALeavingUpstreamLeavesAtOnce(t *testing.T) {
+	e, _ := still()
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "", 2), entry("c", "", 3)}, 3, 0)
+	sink{e, upstreams}.Merge([]replica.Item{entry("a", "leaving", 4), {Key: "b", Revision: 5, Removed: true}})
+	wantReady(t, e, "one is leaving and one was removed", "c")
+}
+
+func TestLapsedEntriesHaveTheirTimeToComeBack(t *testing.T) {
+	e, now := still()
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "", 2), entry("c", "", 3)}, 3, 0)
+	sink{e, upstreams}.Replace([]replica.Item{entry("c", "leaving", 8)}, 9, 8*time.Second)
+	wantReady(t, e, "entries lapsed during an outage", "a", "b")
+	*now += time.Second
+	sink{e, upstreams}.Merge([]replica.Item{entry("a", "", 10)})
+	*now += lapseGrace
+	e.expire()
+	wantReady(t, e, "one entry came back", "a")
+}
+
+func TestWithoutAnOutageARemovalCounts(t *testing.T) {
+	e, now := still()
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "", 2)}, 3, 0)
+	sink{e, upstreams}.Replace([]replica.Item{entry("b", "", 2)}, 9, 0)
+	wantReady(t, e, "the history had a gap", "b")
+	sink{e, upstreams}.Replace([]replica.Item{entry("b", "", 2)}, 10, shortOutage)
+	*now += lapseGrace + time.Second
+	sink{e, upstreams}.Merge([]replica.Item{{Key: "b", Revision: 11, Removed: true}})
+	wantReady(t, e, "the grace was over")
+}
+
+func TestTheConfigurationNeverGoesBack(t *testing.T) {
+	e, _ := still()
+	sink{e, configuration}.Replace([]replica.Item{entry("c", "v1", 5)}, 5, 0)
+	sink{e, configuration}.Merge([]replica.Item{entry("c", "v0", 4)})
+	state{e}.Fetched(configuration, []replica.Item{entry("c", "v0", 3)})
+	if got := e.gateway.Catalog().Version; got != "v1" {
+		t.Errorf("in force is %s", got)
+	}
+	sink{e, configuration}.Merge([]replica.Item{entry("c", "bad", 6)})
+	if got := e.gateway.Catalog().Version; got != "v1" {
+		t.Errorf("after a document that cannot be read, in force is %s", got)
+	}
+	state{e}.Fetched(configuration, []replica.Item{entry("c", "v2", 7)})
+	if got := e.gateway.Catalog().Version; got != "v2" {
+		t.Errorf("after a fetch from a peer, in force is %s", got)
+	}
+}
+
+func TestReadinessDirectoryAndDrainAreApart(t *testing.T) {
+	e, _ := still()
+	if e.serving() || len(e.mesh.Fronts()) != 0 {
+		t.Error("an instance that knows nothing serves")
+	}
+	sink{e, configuration}.Replace([]replica.Item{entry("c", "v1", 5)}, 5, 0)
+	if e.serving() {
+		t.Error("an instance without upstreams serves")
+	}
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1)}, 5, 0)
+	if !e.serving() || len(e.mesh.Fronts()) != 1 {
+		t.Error("an instance that knows all does not serve")
+	}
+	e.stopping.Store(true)
+	if e.serving() || len(e.mesh.Fronts()) != 0 || e.gateway.Catalog() == nil {
+		t.Error("a stopping instance is still told to callers, or serves nobody")
+	}
+}
+
+func TestAPeersWorkCounts(t *testing.T) {
+	e, _ := still()
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1)}, 1, 0)
+	loads := map[types.UpstreamID]placement.Load{"a": {Ranks: map[int]placement.Rank{0: {Running: 5}}}}
+	state{e}.Hear(mesh.Beat{Row: mesh.Row{ID: "p"}, Loads: loads})
+	if got := e.roster.Candidates(e.now(), "s", &placement.Work{}, nil)[0].Load.Ranks[0].Running; got != 5 {
+		t.Errorf("a peer's 5 streams count as %d", got)
+	}
+	state{e}.Lost("p")
+	if load := e.roster.Candidates(e.now(), "s", &placement.Work{}, nil)[0].Load; !load.Empty() {
+		t.Errorf("a lost peer's work counts: %+v", load)
+	}
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
@@ -49,7 +48,7 @@
 	defer e.mu.Unlock()
 	set := e.set(s.name)
 	if s.name == upstreams && outage > shortOutage {
-		e.grace.until = clock.Boot() + lapseGrace
+		e.grace.until = e.now() + lapseGrace
 	}
 	before := set.Present()
 	e.took(s.name, "store", before, set.Replace(items, at))
@@ -105,7 +104,7 @@
 
 // keepLapsed keeps the removed upstreams while the grace lasts.
 func (e *Edge) keepLapsed(before, news []replica.Item) {
-	if clock.Boot() >= e.grace.until {
+	if e.now() >= e.grace.until {
 		return
 	}
 	for _, item := range news {
@@ -168,7 +167,7 @@
 func (e *Edge) expire() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.grace.kept) == 0 || clock.Boot() < e.grace.until {
+	if len(e.grace.kept) == 0 || e.now() < e.grace.until {
 		return
 	}
 	e.logger.Info().Int("upstreams", len(e.grace.kept)).Msg("lapsed upstreams dropped")
@@ -188,11 +187,11 @@
 func (s state) Reading() bool { return s.edge.reading() }
 
 // Loads implements mesh.State.
-func (s state) Loads() map[types.UpstreamID]placement.Load { return s.edge.roster.Loads(clock.Boot()) }
+func (s state) Loads() map[types.UpstreamID]placement.Load { return s.edge.roster.Loads(s.edge.now()) }
 
 // Ejected implements mesh.State.
 func (s state) Ejected() map[types.UpstreamID]time.Duration {
-	return s.edge.roster.Ejected(clock.Boot())
+	return s.edge.roster.Ejected(s.edge.now())
 }
 
 // Revisions implements mesh.State.
@@ -216,7 +215,7 @@
 
 // Hear implements mesh.State.
 func (s state) Hear(beat mesh.Beat) {
-	now := clock.Boot()
+	now := s.edge.now()
 	ejected := make(map[types.UpstreamID]time.Duration, len(beat.Ejected))
 	for id, rest := range beat.Ejected {
 		ejected[id] = time.Duration(rest) * time.Millisecond
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -26,13 +26,16 @@
 	latencies map[catalog.Kind]*hdrhistogram.Histogram
 }
 
-// NewMetrics returns metrics that are published under the name.
-func NewMetrics(name string) *Metrics {
-	m := &Metrics{outcomes: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+// NewMetrics returns metrics that are not published yet.
+func NewMetrics() *Metrics {
+	return &Metrics{outcomes: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+}
+
+// Publish adds the metrics to those of the process. It is called once.
+func (m *Metrics) Publish(name string) {
 	all := expvar.NewMap(name)
 	all.Set("outcomes", m.outcomes)
 	all.Set("first_ms", expvar.Func(m.quantiles))
-	return m
 }
 
 // count notes one request.
--- /dev/null
+++ b/pkg/mesh/mesh_test.go
@@ -0,0 +1,226 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/placement"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
+	"github.com/umbercrank/umbercrank/pkg/replica"
+	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/test/fakes"
+)
+
+// local is the state of one instance of a test.
+type local struct {
+	mu      sync.Mutex
+	reading bool
+	serving bool
+	set     *replica.Set
+	loads   map[types.UpstreamID]placement.Load
+	heard   map[types.InstanceID]Beat
+	placed  []Placement
+	strikes []quarantine.Entry
+	lost    []types.InstanceID
+}
+
+func (l *local) do(change func(l *local)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l)
+}
+
+func (l *local) Serving() (yes bool) { l.do(func(l *local) { yes = l.serving }); return yes }
+func (l *local) Reading() (yes bool) { l.do(func(l *local) { yes = l.reading }); return yes }
+func (l *local) Loads() (loads map[types.UpstreamID]placement.Load) {
+	l.do(func(l *local) { loads = l.loads })
+	return loads
+}
+func (l *local) Ejected() map[types.UpstreamID]time.Duration { return nil }
+func (l *local) Revisions() (revisions map[string]types.Revision) {
+	l.do(func(l *local) { revisions = map[string]types.Revision{"c": l.set.Changed()} })
+	return revisions
+}
+func (l *local) Since(_ string, after types.Revision) (items []replica.Item) {
+	l.do(func(l *local) { items = l.set.Since(after) })
+	return items
+}
+func (l *local) Strikes() []quarantine.Entry { return nil }
+func (l *local) Hear(beat Beat) {
+	l.do(func(l *local) {
+		l.heard[beat.ID] = beat
+		l.placed = append(l.placed, beat.Placements...)
+		l.strikes = append(l.strikes, beat.Strikes...)
+	})
+}
+func (l *local) Fetched(_ string, items []replica.Item) { l.do(func(l *local) { l.set.Merge(items) }) }
+func (l *local) Lost(id types.InstanceID)               { l.do(func(l *local) { l.lost = append(l.lost, id) }) }
+
+// fleet is some instances on a network in fake time.
+type fleet struct {
+	network *fakes.Network
+	states  []*local
+	meshes  []*Mesh
+	begun   time.Time
+	ctx     context.Context
+	runs    sync.WaitGroup
+}
+
+func address(i int) string { return fmt.Sprint("node", i, ":1") }
+
+// playing starts n instances whose only seed is the first.
+func playing(t *testing.T, n int, play func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{network: fakes.NewNetwork(1), begun: time.Now(), ctx: ctx}
+		f.network.SetDelay(time.Millisecond, 3*time.Millisecond)
+		for i := range n {
+			f.start(i)
+		}
+		play(t, f)
+		cancel()
+		f.runs.Wait()
+	})
+}
+
+// start runs an instance, or a new life of it.
+func (f *fleet) start(i int) {
+	id := types.InstanceID(fmt.Sprint("n", i))
+	caller, registrar := f.network.Node(address(i), peer.Identity{Instance: id})
+	state := &local{reading: true, serving: true, set: replica.New(), heard: map[types.InstanceID]Beat{}}
+	m := New(Options{
+		Self:   Row{ID: id, Peer: address(i), Front: fmt.Sprint("front", i)},
+		Seeds:  func() []string { return []string{address(0)} },
+		Caller: caller, State: state, Logger: zerolog.Nop(),
+		Clock: func() time.Duration { return time.Since(f.begun) },
+	})
+	m.Register(registrar)
+	if i == len(f.states) {
+		f.states, f.meshes = append(f.states, state), append(f.meshes, m)
+	} else {
+		f.states[i], f.meshes[i] = state, m
+	}
+	f.runs.Go(func() { _ = m.Run(f.ctx) })
+}
+
+func TestAllFindEachOtherThroughOneSeed(t *testing.T) {
+	playing(t, 8, func(t *testing.T, f *fleet) {
+		time.Sleep(3 * time.Second)
+		for i, m := range f.meshes {
+			if got := len(m.Fronts()); got != 8 {
+				t.Errorf("instance %d knows %d fronts after 3 s", i, got)
+			}
+		}
+	})
+}
+
+func TestASeedThatComesLaterIsFound(t *testing.T) {
+	playing(t, 4, func(t *testing.T, f *fleet) {
+		f.network.Stop(address(0))
+		time.Sleep(10 * time.Second)
+		f.start(0)
+		time.Sleep(4 * time.Second)
+		if got := len(f.meshes[0].Fronts()); got != 4 {
+			t.Errorf("the seed knows %d fronts 4 s after its start", got)
+		}
+	})
+}
+
+func TestASilentPeerGetsNoCallers(t *testing.T) {
+	playing(t, 3, func(t *testing.T, f *fleet) {
+		time.Sleep(3 * time.Second)
+		f.network.Partition([]string{address(0), address(1)})
+		time.Sleep(2 * time.Second)
+		if got := f.meshes[0].Fronts(); !reflect.DeepEqual(got, []string{"front0", "front1"}) {
+			t.Errorf("2 s after the cut callers are sent to %v", got)
+		}
+		f.states[0].do(func(l *local) {
+			if !reflect.DeepEqual(l.lost, []types.InstanceID{"n2"}) {
+				t.Errorf("lost: %v", l.lost)
+			}
+		})
+		f.network.Heal()
+		time.Sleep(4 * time.Second)
+		if got := len(f.meshes[0].Fronts()); got != 3 {
+			t.Errorf("4 s after the cut callers are sent to %d", got)
+		}
+	})
+}
+
+func TestAStoppingPeerGetsNoCallers(t *testing.T) {
+	playing(t, 3, func(t *testing.T, f *fleet) {
+		time.Sleep(3 * time.Second)
+		f.states[2].do(func(l *local) { l.serving = false })
+		f.meshes[2].Changed()
+		time.Sleep(100 * time.Millisecond)
+		if got := f.meshes[0].Fronts(); !reflect.DeepEqual(got, []string{"front0", "front1"}) {
+			t.Errorf("callers are sent to %v", got)
+		}
+	})
+}
+
+func TestWhatAPeerIsAheadWithIsFetched(t *testing.T) {
+	playing(t, 3, func(t *testing.T, f *fleet) {
+		time.Sleep(3 * time.Second)
+		f.states[1].do(func(l *local) { l.set.Merge([]replica.Item{{Key: "k", Revision: 7, Value: []byte("v")}}) })
+		f.meshes[1].Changed()
+		time.Sleep(time.Second)
+		for i, state := range f.states {
+			if got := state.Revisions()["c"]; got != 7 {
+				t.Errorf("instance %d is at %d a second after", i, got)
+			}
+		}
+	})
+}
+
+// TestTheReadersReachTheStore cuts the first two instances from the store.
+func TestTheReadersReachTheStore(t *testing.T) {
+	playing(t, 4, func(t *testing.T, f *fleet) {
+		time.Sleep(3 * time.Second)
+		readers := func() (list []int) {
+			for i, m := range f.meshes {
+				if m.First() {
+					list = append(list, i)
+				}
+			}
+			return list
+		}
+		if got := readers(); !reflect.DeepEqual(got, []int{0, 1}) {
+			t.Errorf("readers are %v", got)
+		}
+		for _, i := range []int{0, 1} {
+			f.states[i].do(func(l *local) { l.reading = false })
+		}
+		time.Sleep(time.Second)
+		if got := readers(); len(got) != 4 {
+			t.Errorf("with two instances cut from the store, readers are %v", got)
+		}
+	})
+}
+
+func TestWorkAndStrikesReachAllPeers(t *testing.T) {
+	playing(t, 3, func(t *testing.T, f *fleet) {
+		time.Sleep(3 * time.Second)
+		f.states[0].do(func(l *local) {
+			l.loads = map[types.UpstreamID]placement.Load{"u": {Ranks: map[int]placement.Rank{1: {Waiting: 2, Unread: 9000}}}}
+		})
+		f.meshes[0].Placed(Placement{Upstream: "u", Parts: []string{"p"}})
+		f.meshes[0].Struck(quarantine.Entry{Fingerprint: quarantine.Fingerprint{1}})
+		time.Sleep(100 * time.Millisecond)
+		for i := 1; i < 3; i++ {
+			f.states[i].do(func(l *local) {
+				if l.heard["n0"].Loads["u"].Ranks[1].Unread != 9000 || len(l.placed) != 1 || len(l.strikes) != 1 {
+					t.Errorf("instance %d heard %+v, placements %v, strikes %v", i, l.heard["n0"].Loads, l.placed, l.strikes)
+				}
+			})
+		}
+	})
+}
--- a/pkg/peer/dialer.go
+++ b/pkg/peer/dialer.go
@@ -4,13 +4,13 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 )
 
 // Dialer sends messages to other instances over one connection per address,
@@ -166,7 +166,7 @@
 func (d *Dialer) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.options.DialTimeout)
 	defer cancel()
-	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	raw, err := netconn.Dialer(d.options.DialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.PeerUnavailable, err, "cannot connect to "+address)
 	}
