--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -27,9 +27,15 @@
 // it, in bytes; the rest of a longer one is passed on as it comes.
 const maxWhole = 1 << 20
 
+// overdue times the predicted time is when an upstream without a first event or
+// an answer is held to fail, though the request's time is over.
+const overdue = 4
+
 // attempt is one send to one upstream.
 type attempt struct {
 	*request
+	// ctx ends with the request: when the caller leaves or its time is over.
+	ctx context.Context
 	choice placement.Choice
 	ticket *roster.Ticket
 	cancel context.CancelFunc
@@ -109,6 +115,14 @@
 	return fault.New(fault.DeadlineExceeded, "no answer in time").WithRunState(q.done.runState())
 }
 
+// over is the failure of a request whose caller left or whose time is over.
+func (q *request) over() error {
+	if err := q.http.Context().Err(); err != nil {
+		return fault.Wrap(fault.CallerGone, err, "the caller left")
+	}
+	return q.expired()
+}
+
 // giveUp is the failure of a request that is not sent any more.
 func (q *request) giveUp(message string, cause error) error {
 	code := fault.NoUpstream
@@ -127,11 +141,8 @@
 
 // ended decides what follows an attempt without an answer: nil is another one.
 func (q *request) ended(ctx context.Context, result result) error {
-	if q.http.Context().Err() != nil {
-		return fault.Wrap(fault.CallerGone, q.http.Context().Err(), "the caller left")
-	}
 	if ctx.Err() != nil || q.remaining() <= 0 {
-		return q.expired()
+		return q.over()
 	}
 	if result.ran && !q.done.mayRepeat(q.route, q.remaining()) {
 		return q.giveUp("the upstream failed", result.err)
@@ -150,10 +161,11 @@
 	if !ok {
 		return result{outcome: roster.Abandoned, err: errors.New("the upstream is leaving")}
 	}
+	whole := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	now := g.options.Clock()
-	a := &attempt{request: q, choice: choice, cancel: cancel, ticket: g.options.Roster.Begin(now, &q.work, choice)}
+	a := &attempt{request: q, ctx: whole, choice: choice, cancel: cancel, ticket: g.options.Roster.Begin(now, &q.work, choice)}
 	if parts := roster.SharedParts(&q.work); len(parts) > 0 {
 		g.options.Fleet.Placed(mesh.Placement{Upstream: choice.ID, Parts: parts})
 	} else {
@@ -161,7 +173,7 @@
 	}
 	q.done.sends++
 	outcome := a.exchange(ctx, address)
-	if q.http.Context().Err() != nil && outcome.outcome == roster.Failed {
+	if outcome.outcome == roster.Failed && !a.blames(g.options.Clock()-now) {
 		outcome.outcome = roster.Abandoned
 	}
 	a.ticket.End(g.options.Clock(), outcome.outcome)
@@ -202,6 +214,15 @@
 	return a.judge(address, answer)
 }
 
+// blames reports whether a failure after so long tells of the upstream: one at
+// the end of the request's time does if the upstream was long overdue.
+func (a *attempt) blames(took time.Duration) bool {
+	if a.http.Context().Err() != nil {
+		return false
+	}
+	return a.ctx.Err() == nil || a.done.events == 0 && took > overdue*a.choice.First
+}
+
 func (a *attempt) stopTimer() {
 	if a.timer != nil {
 		a.timer.Stop()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -81,6 +81,9 @@
 // cut is the result of a stream that broke off.
 func (a *attempt) cut(address string, cause error) result {
 	q := a.request
+	if q.replied && a.ctx.Err() != nil {
+		return result{answered: true, outcome: roster.Abandoned, err: q.over()}
+	}
 	a.strike(address, cause)
 	if !q.replied || q.done.mayRepeat(q.route, q.remaining()) {
 		return result{ran: true, outcome: roster.Failed, err: cause}
