prove: a world that has closed replaces no entry

Cause: close read the entries while a late replace, from the timer of a guard, wrote them. Lint reads platform/ too.

--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -35,7 +35,7 @@
 type attempt struct {
 	*request
 	// ctx ends with the request: when the caller leaves or its time is over.
-	ctx context.Context
+	ctx    context.Context
 	choice placement.Choice
 	ticket *roster.Ticket
 	cancel context.CancelFunc
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-unformatted=$(gofmt -l cmd pkg test 2>/dev/null || true)
+unformatted=$(gofmt -l cmd pkg platform test 2>/dev/null || true)
 if [ -n "$unformatted" ]; then
 	echo "gofmt would change:"
 	echo "$unformatted"
--- a/test/prove/entryworld_test.go
+++ b/test/prove/entryworld_test.go
@@ -46,6 +46,10 @@
 	started   time.Time
 	lives     int
 
+	// changing lets one change of the entries or the close happen at a time.
+	changing sync.Mutex
+	closed   bool
+
 	mu      sync.Mutex
 	entries map[string]*life
 }
@@ -88,9 +92,12 @@
 // close ends all entries and connections, and lets what sleeps in the fakes end:
 // the clock of a bubble stands still when the test returns.
 func (w *entryWorld) close() {
+	w.changing.Lock()
+	w.closed = true
 	for _, l := range w.entries {
 		l.stop()
 	}
+	w.changing.Unlock()
 	w.network.Close()
 	time.Sleep(5 * time.Second)
 }
@@ -139,8 +146,14 @@
 	return l
 }
 
-// replace kills the entry on the host and starts another in its place.
+// replace kills the entry on the host and starts another in its place, unless
+// the world has closed.
 func (w *entryWorld) replace(host string) {
+	w.changing.Lock()
+	defer w.changing.Unlock()
+	if w.closed {
+		return
+	}
 	w.mu.Lock()
 	old := w.entries[host]
 	w.mu.Unlock()
