--- a/pkg/relay/peers_test.go
+++ b/pkg/relay/peers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -15,6 +16,9 @@
 )
 
 // realRelay is a relay behind a real peer server on loopback.
+// patient is the time limit of transfers whose time is not what a test checks.
+const patient = time.Minute
+
 func realRelay(t *testing.T, platform *fakes.Platform, name string) (*Relay, types.Instance) {
 	t.Helper()
 	options := peer.Options{
@@ -22,6 +26,9 @@
 		Secret:   "a secret of the test",
 		Address:  "127.0.0.1:0",
 		Logger:   zerolog.Nop(),
+		// These connections are real: a starved machine must not end them.
+		WriteTimeout: patient,
+		DialTimeout:  patient,
 	}
 	server := peer.NewServer(options)
 	if err := server.Listen(); err != nil {
@@ -29,7 +36,10 @@
 	}
 	row := types.Instance{ID: types.InstanceID(name), PeerAddress: server.Address()}
 	dialer := peer.NewDialer(options)
+	settings := DefaultSettings()
+	settings.PeerTimeout, settings.PartTimeout = patient, patient
 	relay := New(Options{
+		Settings: settings,
 		Source:   platform.Reader(name),
 		Caller:   dialer,
 		View:     fakes.NewView(row),
