mesh: the beats of an instance do not grow with the fleet

Change: from eight instances on the pause grows so that an instance sends at most some 100 beats a second, and the rows are passed on to eight peers a second. Fleets of eight keep their pace.

--- a/pkg/mesh/beat.go
+++ b/pkg/mesh/beat.go
@@ -69,16 +69,28 @@
 
 // Intervals of the mesh.
 const (
-	// beatPause is the shortest time between two beats to one peer: reports of
-	// work that are older than a step or two of an engine lead to herds.
+	// beatPause is the shortest time between two beats to one peer in a small
+	// fleet: reports of work that are older than a step or two of an engine lead
+	// to herds.
 	beatPause = 40 * time.Millisecond
-	// beatInterval is the longest, when nothing changes.
+	// beatSpacing is the shortest time between any two beats of an instance of a
+	// large fleet, so that what beats cost it does not grow with the fleet: at 100
+	// a second, some hundredths of a core.
+	beatSpacing = 10 * time.Millisecond
+	// smallFleet is the size up to which peers are told without that spacing.
+	smallFleet = 4
+	// beatInterval is the longest time between two beats to one peer of a small
+	// fleet, when nothing changes; in a large one it is twice the pause.
 	beatInterval = 300 * time.Millisecond
+	// sightingPeers is the number of peers to which an instance passes on all
+	// rows it knows at a time; each of them has as many bytes as the fleet is
+	// large.
+	sightingPeers = 8
 	// sightingInterval is the time between two passings-on of the known rows.
 	sightingInterval = time.Second
-	// silentAfter is the time without a beat after which callers are no longer
-	// sent to an instance: four beats.
-	silentAfter = 1200 * time.Millisecond
+	// silentBeats is the number of missed beats after which callers are no
+	// longer sent to an instance.
+	silentBeats = 4
 	// forgetAfter is the time after which a silent instance is forgotten; until
 	// then it is tried again, as a partition may heal.
 	forgetAfter = time.Minute
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -142,24 +142,42 @@
 	var sighted time.Duration
 	for ctx.Err() == nil && m.knows(address, to) {
 		now := m.options.Clock()
-		full := now-sighted >= sightingInterval
+		pace := m.pace()
+		full := now-sighted >= pace.sighting
 		if full {
 			sighted = now
 		}
 		err := m.send(ctx, address, m.beat(to, full))
-		pause := beatPause
+		pause := pace.pause
 		if err != nil {
-			pause = retryInterval
+			pause = max(retryInterval, pause)
 			sighted = 0
 		}
-		if !m.pause(ctx, to, pause) {
+		if !m.pause(ctx, to, pause, pace.interval) {
 			return
 		}
 	}
 }
 
-// pause waits at least so long, and then until something changes.
-func (m *Mesh) pause(ctx context.Context, to *member, shortest time.Duration) bool {
+// pace is how often an instance tells each peer of itself.
+type pace struct {
+	pause, interval, sighting, silent time.Duration
+}
+
+// pace follows the size of the fleet, so that the beats of an instance do not.
+func (m *Mesh) pace() pace { return paceOf(m.Size()) }
+
+func paceOf(size int) pace {
+	p := pace{pause: max(beatPause, time.Duration(size-smallFleet)*beatSpacing)}
+	p.interval = max(beatInterval, 2*p.pause)
+	p.sighting = max(sightingInterval, sightingInterval*time.Duration(size)/sightingPeers)
+	p.silent = silentBeats * p.interval
+	return p
+}
+
+// pause waits at least the shortest time, and then until something changes or
+// the longest is over.
+func (m *Mesh) pause(ctx context.Context, to *member, shortest, longest time.Duration) bool {
 	timer := time.NewTimer(shortest)
 	defer timer.Stop()
 	select {
@@ -167,7 +185,7 @@
 		return false
 	case <-timer.C:
 	}
-	timer.Reset(max(beatInterval-shortest, 0))
+	timer.Reset(max(longest-shortest, 0))
 	select {
 	case <-ctx.Done():
 		return false
@@ -275,7 +293,7 @@
 	m.hear(beat)
 	m.options.State.Hear(beat)
 	for _, sighting := range beat.Sightings {
-		if time.Duration(sighting.AgeMilliseconds)*time.Millisecond < silentAfter {
+		if time.Duration(sighting.AgeMilliseconds)*time.Millisecond < m.pace().silent {
 			m.meet(sighting.Row)
 		}
 	}
@@ -358,6 +376,7 @@
 func (m *Mesh) expire() {
 	now := m.options.Clock()
 	seeds := m.options.Seeds()
+	silentAfter := m.pace().silent
 	m.mu.Lock()
 	var lost []types.InstanceID
 	for address, known := range m.members {
@@ -385,6 +404,7 @@
 		fronts = append(fronts, m.options.Self.Front)
 	}
 	now := m.options.Clock()
+	silentAfter := m.pace().silent
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, known := range m.members {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -224,3 +224,30 @@
 		}
 	})
 }
+
+// TestBeatsOfAnInstanceDoNotGrowWithTheFleet is the cost of the full mesh.
+func TestBeatsOfAnInstanceDoNotGrowWithTheFleet(t *testing.T) {
+	for _, size := range []int{2, 8, 30, 87, 350} {
+		p := paceOf(size)
+		if beats := float64(size-1) / p.pause.Seconds(); beats > 200 {
+			t.Errorf("an instance of %d sends %.0f beats a second at the most", size, beats)
+		}
+		if rows := float64(size*(size-1)) / p.sighting.Seconds(); size > 8 && rows > 8*float64(size) {
+			t.Errorf("an instance of %d passes on %.0f rows a second", size, rows)
+		}
+	}
+	if p := paceOf(8); p.pause > beatPause || p.silent > 1200*time.Millisecond {
+		t.Errorf("eight instances keep the pace %+v", p)
+	}
+}
+
+func TestALargeFleetFindsItself(t *testing.T) {
+	playing(t, 40, func(t *testing.T, f *fleet) {
+		time.Sleep(10 * time.Second)
+		for i, m := range f.meshes {
+			if got := len(m.Fronts()); got != 40 {
+				t.Fatalf("instance %d knows %d fronts after 10 s", i, got)
+			}
+		}
+	})
+}
--- a/pkg/relay/peers_test.go
+++ b/pkg/relay/peers_test.go
@@ -15,10 +15,10 @@
 	"github.com/umbercrank/umbercrank/test/fakes"
 )
 
-// realRelay is a relay behind a real peer server on loopback.
 // patient is the time limit of transfers whose time is not what a test checks.
 const patient = time.Minute
 
+// realRelay is a relay behind a real peer server on loopback.
 func realRelay(t *testing.T, platform *fakes.Platform, name string) (*Relay, types.Instance) {
 	t.Helper()
 	options := peer.Options{
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -18,8 +18,9 @@
 	// below the time in which a crashed upstream is back.
 	firstEjection = 250 * time.Millisecond
 	lastEjection  = 2 * time.Second
-	// peerKeep is how long a peer's report counts without a newer one.
-	peerKeep = 1500 * time.Millisecond
+	// peerKeep is how long a peer's report counts without a newer one; the mesh
+	// says sooner when a peer is silent, and beats are rare in a large fleet.
+	peerKeep = 4 * time.Second
 	// heldKeep is how long a part of a prompt is believed to stay in an
 	// upstream's memory after its last use.
 	heldKeep = 20 * time.Second
