placement: what a session shares is read again only where it saves three times as much

Cause: in bursts requests left their session's home for a slightly shorter queue, and the 6300 shared tokens that they read there delayed all behind them.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -18,8 +18,8 @@
 
 const (
 	// readRate is the number of prompt tokens that an engine reads in a
-	// millisecond, as the engines' makers state it.
-	readRate = 40.0
+	// millisecond: the slower of the users' engines, as stated.
+	readRate = 38.0
 	// stepTime is a step of an engine without a prompt to read, as stated.
 	stepTime = 5 * time.Millisecond
 	// readChunk is the number of prompt tokens that one step reads.
@@ -27,8 +27,8 @@
 	// begunRead is the reading of less urgent prompts that a step has begun.
 	begunRead = readChunk
 	// rereadCost weighs the reading of shared parts that another engine keeps: it
-	// takes the engine's time from all its other requests.
-	rereadCost = 0.75
+	// delays each of the requests that wait behind it, some three in a burst.
+	rereadCost = 3.0
 	// longRead is the prompt beyond which one step is not enough; the steps of
 	// such prompts delay the tokens of all streams beside them.
 	longRead = 2 * readChunk
