--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -38,6 +38,8 @@
 	Callers, Readiness, Directory, Peers, Metrics string
 	// PeerSecret is shared by all instances.
 	PeerSecret string
+	// Capacity is the part of a processor that the instance has, in hundredths.
+	Capacity int
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace time.Duration
 	// Retries bounds the repeated sends of this instance to each service.
@@ -112,7 +114,7 @@
 	}
 	e.peers, e.dialer = peer.NewServer(options), peer.NewDialer(options)
 	e.mesh = mesh.New(mesh.Options{
-		Self:   mesh.Row{ID: settings.Instance, Incarnation: incarnation, Peer: settings.Peers, Front: settings.Callers},
+		Self:   mesh.Row{ID: settings.Instance, Incarnation: incarnation, Peer: settings.Peers, Front: settings.Callers, DataCentre: settings.DataCentre, Capacity: settings.Capacity},
 		Seeds:  ports.Seeds,
 		Caller: e.dialer,
 		State:  state{e},
@@ -178,7 +180,7 @@
 
 // follower returns the reader of one collection.
 func (e *Edge) follower(name string, source follow.Source) *follow.Follower {
-	return &follow.Follower{Name: name, Source: source, Sink: sink{e, name}, Clock: clock.Boot, Logger: e.logger, Reader: e.mesh.First}
+	return &follow.Follower{Name: name, Source: source, Sink: sink{e, name}, Clock: clock.Boot, Logger: e.logger, Reader: e.mesh.First, Covered: e.mesh.Covered}
 }
 
 // serveOthers opens the listeners beside that for callers.
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -187,7 +187,9 @@
 func (s state) Reading() bool { return s.edge.reading() }
 
 // Loads implements mesh.State.
-func (s state) Loads() map[types.UpstreamID]placement.Load { return s.edge.roster.Loads(s.edge.now()) }
+func (s state) Loads(peers map[types.InstanceID]bool) map[types.UpstreamID]placement.Load {
+	return s.edge.roster.Loads(s.edge.now(), peers)
+}
 
 // Ejected implements mesh.State.
 func (s state) Ejected() map[types.UpstreamID]time.Duration {
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -51,6 +51,8 @@
 	// shortWait is the wait of the instances that read for the others: a watch
 	// that the store has silently dropped is noticed within it.
 	shortWait = 700 * time.Millisecond
+	// coveredPause is the time between two looks at whether a peer still reads.
+	coveredPause = 300 * time.Millisecond
 	// settled is the age at which a revision without changes is gone on from: a
 	// store in trouble may tell of changes late.
 	settled = 3 * time.Second
@@ -65,6 +67,9 @@
 	Logger zerolog.Logger
 	// Reader reports whether this instance reads for the others.
 	Reader func() bool
+	// Covered reports whether a peer reads for this instance, which then makes
+	// no calls after the first reading.
+	Covered func() bool
 
 	after types.Revision
 	// quiet is a revision up to which nothing has changed, and quietAt when that
@@ -86,6 +91,10 @@
 func (f *Follower) Run(ctx context.Context) error {
 	f.answered = f.Clock()
 	for ctx.Err() == nil {
+		if f.listed && f.Covered != nil && f.Covered() {
+			wait.For(ctx, coveredPause)
+			continue
+		}
 		err := f.step(ctx)
 		if err == nil {
 			f.regained()
--- a/pkg/mesh/beat.go
+++ b/pkg/mesh/beat.go
@@ -20,6 +20,9 @@
 	// Peer and Front are its addresses for peers and for callers.
 	Peer  string `json:"peer"`
 	Front string `json:"front"`
+	// DataCentre and Capacity say which instances may collect for others.
+	DataCentre types.DataCentre `json:"dc,omitempty"`
+	Capacity   int              `json:"cap,omitempty"`
 	// Serving says that callers may be sent to it.
 	Serving bool `json:"serving,omitempty"`
 	// Reading says that the store answers it.
@@ -40,7 +43,8 @@
 }
 
 // Beat is the message by which an instance tells a peer of itself. Loads and
-// revisions are whole; placements and strikes are those since the last beat.
+// revisions are whole; placements and strikes are those since the last beat. A
+// hub's loads are those of all that it collects from.
 type Beat struct {
 	Row
 	Loads      map[types.UpstreamID]placement.Load `json:"loads,omitempty"`
@@ -88,9 +92,16 @@
 	sightingPeers = 8
 	// sightingInterval is the time between two passings-on of the known rows.
 	sightingInterval = time.Second
+	// relayPause is the shortest time between two beats between an instance and
+	// its hub, and between hubs, of a large fleet.
+	relayPause = 80 * time.Millisecond
+	// layoutInterval is the time between two looks at who is a hub.
+	layoutInterval = beatInterval
 	// silentBeats is the number of missed beats after which callers are no
 	// longer sent to an instance.
 	silentBeats = 4
+	// distantBeats is the same for the rare beats of a large fleet.
+	distantBeats = 3
 	// forgetAfter is the time after which a silent instance is forgotten; until
 	// then it is tried again, as a partition may heal.
 	forgetAfter = time.Minute
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -26,8 +26,10 @@
 	Serving() bool
 	// Reading reports whether the store answers this instance.
 	Reading() bool
-	// Loads and Ejected are this instance's own work and findings.
-	Loads() map[types.UpstreamID]placement.Load
+	// Loads is this instance's own work, with that of the peers from which it
+	// collects.
+	Loads(peers map[types.InstanceID]bool) map[types.UpstreamID]placement.Load
+	// Ejected are this instance's own findings.
 	Ejected() map[types.UpstreamID]time.Duration
 	// Revisions are the newest changes held of each collection.
 	Revisions() map[string]types.Revision
@@ -75,6 +77,7 @@
 	mu sync.Mutex
 	// members are known instances by peer address.
 	members  map[string]*member
+	layout   layout
 	fetching map[string]bool
 	ctx      context.Context
 	workers  sync.WaitGroup
@@ -106,6 +109,7 @@
 			m.meet(Row{Peer: seed})
 		}
 		m.expire()
+		m.arrange()
 		select {
 		case <-ctx.Done():
 			m.workers.Wait()
@@ -142,12 +146,13 @@
 	var sighted time.Duration
 	for ctx.Err() == nil && m.knows(address, to) {
 		now := m.options.Clock()
-		pace := m.pace()
+		relation := m.relationTo(address)
+		pace := paceOf(m.Size(), relation)
 		full := now-sighted >= pace.sighting
 		if full {
 			sighted = now
 		}
-		err := m.send(ctx, address, m.beat(to, full))
+		err := m.send(ctx, address, m.beat(to, relation, full))
 		pause := pace.pause
 		if err != nil {
 			pause = max(retryInterval, pause)
@@ -164,17 +169,63 @@
 	pause, interval, sighting, silent time.Duration
 }
 
-// pace follows the size of the fleet, so that the beats of an instance do not.
-func (m *Mesh) pace() pace { return paceOf(m.Size()) }
-
-func paceOf(size int) pace {
+// paceOf follows the size of the fleet, so that the beats of an instance do not.
+func paceOf(size int, to relation) pace {
 	p := pace{pause: max(beatPause, time.Duration(size-smallFleet)*beatSpacing)}
-	p.interval = max(beatInterval, 2*p.pause)
 	p.sighting = max(sightingInterval, sightingInterval*time.Duration(size)/sightingPeers)
-	p.silent = silentBeats * p.interval
+	if size <= meshLimit {
+		p.interval = max(beatInterval, 2*p.pause)
+		p.silent = silentBeats * p.interval
+		return p
+	}
+	p.interval = p.pause
+	p.silent = distantBeats * p.interval
+	if to != distant {
+		p.pause, p.interval = relayPause, min(beatInterval, p.interval)
+	}
 	return p
 }
 
+// silent is the time without a beat after which an instance counts as down.
+func (m *Mesh) silent() time.Duration { return paceOf(m.Size(), distant).silent }
+
+// arrange looks at who is a hub.
+func (m *Mesh) arrange() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var others []Row
+	for _, known := range m.members {
+		if !known.silent {
+			others = append(others, known.row)
+		}
+	}
+	m.layout = layoutOf(m.options.Self, others)
+}
+
+func (m *Mesh) relationTo(address string) relation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.layout.relationTo(address)
+}
+
+// told returns the peers whose work is told along with this instance's own: to
+// a spoke that of all, to a fellow hub that of the spokes.
+func (m *Mesh) told(to relation) map[types.InstanceID]bool {
+	if to != spoke && to != fellow {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	peers := make(map[types.InstanceID]bool)
+	for address, known := range m.members {
+		from := m.layout.relationTo(address)
+		if from == spoke || to == spoke && from == fellow {
+			peers[known.row.ID] = true
+		}
+	}
+	return peers
+}
+
 // pause waits at least the shortest time, and then until something changes or
 // the longest is over.
 func (m *Mesh) pause(ctx context.Context, to *member, shortest, longest time.Duration) bool {
@@ -208,9 +259,12 @@
 }
 
 // beat returns the next message to the instance.
-func (m *Mesh) beat(to *member, full bool) Beat {
+func (m *Mesh) beat(to *member, relation relation, full bool) Beat {
 	state := m.options.State
-	beat := Beat{Row: m.options.Self, Loads: state.Loads(), Ejected: make(map[types.UpstreamID]int64), Revisions: state.Revisions()}
+	beat := Beat{Row: m.options.Self, Ejected: make(map[types.UpstreamID]int64), Revisions: state.Revisions()}
+	if relation != distant {
+		beat.Loads = state.Loads(m.told(relation))
+	}
 	beat.Serving, beat.Reading = state.Serving(), state.Reading()
 	for id, rest := range state.Ejected() {
 		beat.Ejected[id] = rest.Milliseconds()
@@ -249,7 +303,10 @@
 }
 
 func (m *Mesh) wakeAll() {
-	for _, known := range m.members {
+	for address, known := range m.members {
+		if m.layout.relationTo(address) == distant {
+			continue
+		}
 		select {
 		case known.wake <- struct{}{}:
 		default:
@@ -261,12 +318,35 @@
 func (m *Mesh) Placed(placement Placement) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, known := range m.members {
-		if !known.silent && len(known.pending.placements) < maxPending {
-			known.pending.placements = append(known.pending.placements, placement)
+	m.passOn("", []Placement{placement}, func(to relation) bool { return to != distant })
+	m.wakeAll()
+}
+
+// passOn adds placements to what some peers are told next; m.mu is held.
+func (m *Mesh) passOn(from string, placements []Placement, some func(to relation) bool) {
+	for address, known := range m.members {
+		if address == from || known.silent || !some(m.layout.relationTo(address)) {
+			continue
 		}
+		room := max(maxPending-len(known.pending.placements), 0)
+		known.pending.placements = append(known.pending.placements, placements[:min(room, len(placements))]...)
+	}
+}
+
+// relay passes a peer's placements on if this instance is a hub: those of its
+// spokes to all that it tells, those of its fellows to its spokes.
+func (m *Mesh) relay(beat Beat) {
+	if len(beat.Placements) == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch m.layout.relationTo(beat.Peer) {
+	case spoke:
+		m.passOn(beat.Peer, beat.Placements, func(to relation) bool { return to == spoke || to == fellow })
+	case fellow:
+		m.passOn(beat.Peer, beat.Placements, func(to relation) bool { return to == spoke })
 	}
-	m.wakeAll()
 }
 
 // Struck tells all peers of a crash that a request was part of.
@@ -293,10 +373,11 @@
 	m.hear(beat)
 	m.options.State.Hear(beat)
 	for _, sighting := range beat.Sightings {
-		if time.Duration(sighting.AgeMilliseconds)*time.Millisecond < m.pace().silent {
+		if time.Duration(sighting.AgeMilliseconds)*time.Millisecond < m.silent() {
 			m.meet(sighting.Row)
 		}
 	}
+	m.relay(beat)
 	m.compare(beat)
 	return struct{}{}, nil
 }
@@ -376,7 +457,7 @@
 func (m *Mesh) expire() {
 	now := m.options.Clock()
 	seeds := m.options.Seeds()
-	silentAfter := m.pace().silent
+	silentAfter := m.silent()
 	m.mu.Lock()
 	var lost []types.InstanceID
 	for address, known := range m.members {
@@ -404,7 +485,7 @@
 		fronts = append(fronts, m.options.Self.Front)
 	}
 	now := m.options.Clock()
-	silentAfter := m.pace().silent
+	silentAfter := m.silent()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, known := range m.members {
@@ -437,11 +518,25 @@
 func (m *Mesh) First() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.layout.isHub(m.options.Self.Peer) {
+		return false
+	}
 	before := 0
-	for _, known := range m.members {
-		if !known.silent && known.row.Reading && known.row.ID < m.options.Self.ID {
+	for address, known := range m.members {
+		if !known.silent && known.row.Reading && m.layout.isHub(address) && known.row.ID < m.options.Self.ID {
 			before++
 		}
 	}
 	return before < readers
 }
+
+// Covered reports whether a hub reads the store for this instance.
+func (m *Mesh) Covered() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.layout.isHub(m.options.Self.Peer) {
+		return false
+	}
+	known, ok := m.members[m.layout.hubs[m.options.Self.Peer]]
+	return ok && !known.silent && known.row.Reading
+}
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -40,7 +40,7 @@
 
 func (l *local) Serving() (yes bool) { l.do(func(l *local) { yes = l.serving }); return yes }
 func (l *local) Reading() (yes bool) { l.do(func(l *local) { yes = l.reading }); return yes }
-func (l *local) Loads() (loads map[types.UpstreamID]placement.Load) {
+func (l *local) Loads(map[types.InstanceID]bool) (loads map[types.UpstreamID]placement.Load) {
 	l.do(func(l *local) { loads = l.loads })
 	return loads
 }
@@ -228,7 +228,7 @@
 // TestBeatsOfAnInstanceDoNotGrowWithTheFleet is the cost of the full mesh.
 func TestBeatsOfAnInstanceDoNotGrowWithTheFleet(t *testing.T) {
 	for _, size := range []int{2, 8, 30, 87, 350} {
-		p := paceOf(size)
+		p := paceOf(size, distant)
 		if beats := float64(size-1) / p.pause.Seconds(); beats > 200 {
 			t.Errorf("an instance of %d sends %.0f beats a second at the most", size, beats)
 		}
@@ -236,7 +236,7 @@
 			t.Errorf("an instance of %d passes on %.0f rows a second", size, rows)
 		}
 	}
-	if p := paceOf(8); p.pause > beatPause || p.silent > 1200*time.Millisecond {
+	if p := paceOf(8, equal); p.pause > beatPause || p.silent > 1200*time.Millisecond {
 		t.Errorf("eight instances keep the pace %+v", p)
 	}
 }
@@ -251,3 +251,42 @@
 		}
 	})
 }
+
+// large is a fleet of four data centres with two large instances each.
+func large(n int) []Row {
+	var rows []Row
+	for i := range n {
+		capacity := 20
+		if i < 8 {
+			capacity = 80
+		}
+		rows = append(rows, Row{ID: types.InstanceID(fmt.Sprintf("n%03d", i)), Peer: fmt.Sprintf("n%03d:1", i), Capacity: capacity, DataCentre: types.DataCentre(fmt.Sprint("dc", i%4))})
+	}
+	return rows
+}
+
+func TestTheLargeInstancesAreHubs(t *testing.T) {
+	rows := large(87)
+	spokes := map[string]int{}
+	for i := range rows {
+		l := layoutOf(rows[i], append(append([]Row(nil), rows[:i]...), rows[i+1:]...))
+		if l.isHub(rows[i].Peer) != (i < 8) {
+			t.Errorf("instance %d: hub %v", i, l.isHub(rows[i].Peer))
+		}
+		spokes[l.hubs[rows[i].Peer]]++
+		for j := range rows {
+			there := layoutOf(rows[j], append(append([]Row(nil), rows[:j]...), rows[j+1:]...))
+			if (l.relationTo(rows[j].Peer) == hub) != (there.relationTo(rows[i].Peer) == spoke) {
+				t.Fatalf("%d and %d do not agree", i, j)
+			}
+		}
+	}
+	for hub, count := range spokes {
+		if count > 20 {
+			t.Errorf("%s collects from %d", hub, count)
+		}
+	}
+	if got := layoutOf(rows[0], rows[1:8]).relationTo(rows[1].Peer); got != equal {
+		t.Errorf("in a fleet of 8 the relation is %v", got)
+	}
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -18,9 +18,8 @@
 	// below the time in which a crashed upstream is back.
 	firstEjection = 250 * time.Millisecond
 	lastEjection  = 2 * time.Second
-	// peerKeep is how long a peer's report counts without a newer one; the mesh
-	// says sooner when a peer is silent, and beats are rare in a large fleet.
-	peerKeep = 4 * time.Second
+	// peerKeep is how long a peer's report counts without a newer one: five beats.
+	peerKeep = 1500 * time.Millisecond
 	// heldKeep is how long a part of a prompt is believed to stay in an
 	// upstream's memory after its last use.
 	heldKeep = 20 * time.Second
@@ -214,13 +213,20 @@
 	return row.Address, true
 }
 
-// Loads returns the work of this instance at each upstream that has some.
-func (r *Roster) Loads(now time.Duration) map[types.UpstreamID]placement.Load {
+// Loads returns the work of this instance, and of some peers, at each upstream
+// that has some.
+func (r *Roster) Loads(now time.Duration, peers map[types.InstanceID]bool) map[types.UpstreamID]placement.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	loads := make(map[types.UpstreamID]placement.Load)
 	for id, row := range r.rows {
-		if load := row.own(now); !load.Empty() {
+		load := row.own(now)
+		for peer := range peers {
+			if report, ok := r.peers[peer]; ok && now-report.at < peerKeep {
+				load.Add(report.loads[id])
+			}
+		}
+		if !load.Empty() {
 			loads[id] = load
 		}
 	}
--- a/test/load/world_test.go
+++ b/test/load/world_test.go
@@ -307,7 +307,7 @@
 // hear delivers the reports of all instances to all others.
 func (w *world) hear() {
 	for from, r := range w.rosters {
-		loads := r.Loads(w.now)
+		loads := r.Loads(w.now, nil)
 		for to, other := range w.rosters {
 			if to != from {
 				other.Hear(w.now, types.InstanceID(fmt.Sprint(from)), loads, nil)
