--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -133,24 +133,24 @@
 
 // request is one caller's request on its way.
 type request struct {
-	gateway *Gateway
-	call    Call
-	route   *catalog.Route
-	account catalog.Account
-	target  types.TargetName
-	work    placement.Work
-	http    *http.Request
-	writer  http.ResponseWriter
-	body    []byte
-	print   quarantine.Fingerprint
-	begun   time.Duration
-	limit   time.Duration
-	replied bool
-	done    progress
-	tried   map[types.UpstreamID]bool
-	last    types.UpstreamID
-	status  int
-	first   time.Duration
+	gateway     *Gateway
+	call        Call
+	route       *catalog.Route
+	account     catalog.Account
+	target      types.TargetName
+	work        placement.Work
+	http        *http.Request
+	writer      http.ResponseWriter
+	body        []byte
+	fingerprint quarantine.Fingerprint
+	begun       time.Duration
+	limit       time.Duration
+	replied     bool
+	done        progress
+	tried       map[types.UpstreamID]bool
+	last        types.UpstreamID
+	status      int
+	first       time.Duration
 }
 
 // ServeHTTP serves one request.
@@ -283,10 +283,10 @@
 // screen refuses requests that crash upstreams.
 func (q *request) screen() error {
 	g := q.gateway
-	q.print = quarantine.Of(q.account.ID, q.http.Method, q.http.RequestURI, q.body)
+	q.fingerprint = quarantine.Of(q.account.ID, q.http.Method, q.http.RequestURI, q.body)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if verdict := g.quarantine.Look(g.options.Clock(), q.print); verdict.Condemned {
+	if verdict := g.quarantine.Look(g.options.Clock(), q.fingerprint); verdict.Condemned {
 		return fault.New(fault.Quarantined, "the request crashed upstreams before").WithRunState(types.NotRun).WithRetryAfter(quarantinedReturn)
 	}
 	return nil
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -161,18 +161,17 @@
 	if !ok {
 		return result{outcome: roster.Abandoned, err: errors.New("the upstream is leaving")}
 	}
-	whole := ctx
-	ctx, cancel := context.WithCancel(ctx)
+	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
 	now := g.options.Clock()
-	a := &attempt{request: q, ctx: whole, choice: choice, cancel: cancel, ticket: g.options.Roster.Begin(now, &q.work, choice)}
+	a := &attempt{request: q, ctx: ctx, choice: choice, cancel: cancel, ticket: g.options.Roster.Begin(now, &q.work, choice)}
 	if parts := roster.SharedParts(&q.work); len(parts) > 0 {
 		g.options.Fleet.Placed(mesh.Placement{Upstream: choice.ID, Parts: parts})
 	} else {
 		g.options.Fleet.Changed()
 	}
 	q.done.sends++
-	outcome := a.exchange(ctx, address)
+	outcome := a.exchange(sending, address)
 	if outcome.outcome == roster.Failed && !a.blames(g.options.Clock()-now) {
 		outcome.outcome = roster.Abandoned
 	}
@@ -347,7 +346,7 @@
 func (q *request) completed() {
 	q.gateway.mu.Lock()
 	defer q.gateway.mu.Unlock()
-	q.gateway.quarantine.Completed(q.print)
+	q.gateway.quarantine.Completed(q.fingerprint)
 }
 
 // probeTimeout bounds the connection that tells a crash from a lost answer.
@@ -358,18 +357,18 @@
 // request up.
 func (a *attempt) strike(address string, cause error) {
 	q := a.request
-	if q.http.Context().Err() != nil || q.remaining() <= 0 || ended(cause) {
+	if q.http.Context().Err() != nil || q.remaining() <= 0 || endedHere(cause) {
 		return
 	}
-	go q.gateway.strike(q.call.ID, q.print, a.choice.ID, address, q.elapsed())
+	go q.gateway.strike(q.call.ID, q.fingerprint, a.choice.ID, address, q.elapsed())
 }
 
-// ended reports whether this instance itself ended the exchange.
-func ended(cause error) bool {
+// endedHere reports whether this instance itself ended the exchange.
+func endedHere(cause error) bool {
 	return errors.Is(cause, context.Canceled) || errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, net.ErrClosed)
 }
 
-func (g *Gateway) strike(id types.RequestID, print quarantine.Fingerprint, upstream types.UpstreamID, address string, took time.Duration) {
+func (g *Gateway) strike(id types.RequestID, fingerprint quarantine.Fingerprint, upstream types.UpstreamID, address string, took time.Duration) {
 	conn, err := netconn.Dialer(probeTimeout).Dial("tcp", address)
 	if err == nil {
 		_ = conn.Close()
@@ -377,14 +376,14 @@
 	}
 	now := g.options.Clock()
 	g.mu.Lock()
-	before := g.quarantine.Look(now, print)
-	verdict := g.quarantine.Crashed(now, print, quarantine.Run{Upstream: upstream, Took: took, OnlySuspect: true})
+	before := g.quarantine.Look(now, fingerprint)
+	verdict := g.quarantine.Crashed(now, fingerprint, quarantine.Run{Upstream: upstream, Took: took, OnlySuspect: true})
 	g.mu.Unlock()
-	g.options.Logger.Warn().Str("request", string(id)).Str("upstream", string(upstream)).Hex("fingerprint", print[:]).
+	g.options.Logger.Warn().Str("request", string(id)).Str("upstream", string(upstream)).Hex("fingerprint", fingerprint[:]).
 		Int("crashes", verdict.Crashes).Bool("condemned", verdict.Condemned).Msg("upstream crashed while it ran the request")
 	if verdict.Crashes > before.Crashes {
 		g.options.Fleet.Struck(quarantine.Entry{
-			Fingerprint: print,
+			Fingerprint: fingerprint,
 			Strikes:     []quarantine.Strike{{Upstream: upstream}},
 			Condemned:   verdict.Condemned,
 		})
