--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -36,6 +36,9 @@
 	// quarantinedReturn is when a request that crashes upstreams may be tried
 	// again: long after the upstreams are back.
 	quarantinedReturn = time.Minute
+	// leastSharers is the number of instances that a budget is shared by, though
+	// fewer are heard of: a cut may hide the others.
+	leastSharers = 8
 	// defaultPatience is the deadline of a request that names none, on a route
 	// without a timeout.
 	defaultPatience = time.Minute
@@ -43,6 +46,8 @@
 
 // Fleet is told of this instance's work.
 type Fleet interface {
+	// Size is the number of instances that are up.
+	Size() int
 	Changed()
 	Placed(mesh.Placement)
 	Struck(quarantine.Entry)
@@ -57,7 +62,8 @@
 	Clock      clock.Clock
 	Logger     zerolog.Logger
 	Metrics    *Metrics
-	// Retries bounds the repeated sends to each service.
+	// Retries bounds the repeated sends of the whole fleet to each service; the
+	// saved ones are shared by its instances.
 	Retries retry.Settings
 }
 
@@ -95,15 +101,18 @@
 // Active returns the number of requests that are being served.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
-// budget returns the retry budget of a service.
+// budget returns this instance's share of the retry budget of a service.
 func (g *Gateway) budget(target types.TargetName) *retry.Budget {
+	settings := g.options.Retries
+	settings.Burst /= float64(max(g.options.Fleet.Size(), leastSharers))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b, ok := g.budgets[target]
 	if !ok {
-		b = retry.NewBudget(g.options.Retries)
+		b = retry.NewBudget(settings)
 		g.budgets[target] = b
 	}
+	b.Share(settings.Burst)
 	return b
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -68,6 +68,7 @@
 	struck  chan struct{}
 }
 
+func (*quietFleet) Size() int             { return leastSharers }
 func (*quietFleet) Changed()              {}
 func (*quietFleet) Placed(mesh.Placement) {}
 func (f *quietFleet) Struck(entry quarantine.Entry) {
@@ -103,7 +104,7 @@
 	t.Helper()
 	w := &world{t: t, fleet: &quietFleet{}, roster: roster.New()}
 	w.gateway = New(Options{Protocol: plain{}, Roster: w.roster, Fleet: w.fleet, Clock: clock.Boot, Logger: zerolog.Nop(),
-		Retries: retry.Settings{Ratio: 0.2, Burst: 10}})
+		Retries: retry.Settings{Ratio: 0.2, Burst: 10 * leastSharers}})
 	for i := range routes {
 		routes[i].Host, routes[i].Shares = "h", []catalog.Share{{Target: "s", Weight: 1}}
 		if routes[i].Timeout == 0 {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -47,3 +47,12 @@
 	b.tokens--
 	return true
 }
+
+// Share sets the saved retries that the budget may hold, as the share of a
+// larger one changes with the number of those who hold it.
+func (b *Budget) Share(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settings.Burst = burst
+	b.tokens = min(b.tokens, burst)
+}
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -27,3 +27,20 @@
 		t.Fatalf("a full budget gave %d retries", got)
 	}
 }
+
+func TestAShareShrinksAndGrows(t *testing.T) {
+	b := NewBudget(Settings{Ratio: 1, Burst: 8})
+	b.Share(2)
+	for want := range 2 {
+		if !b.Spend() {
+			t.Fatalf("a share of 2 gave %d retries", want)
+		}
+	}
+	if b.Spend() {
+		t.Fatal("a share of 2 gave 3 retries")
+	}
+	b.Share(4)
+	if b.Spend() {
+		t.Fatal("a larger share gave retries that nobody earned")
+	}
+}
