gateway: a body that does not come ends with the request's time

Found by reading: the time of a request began to count only after its body, so that a caller which stalls held memory for as long as it liked. The answer is 503, which is true: nothing was sent.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -6,11 +6,13 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
@@ -255,6 +257,7 @@
 func (q *request) readBody() error {
 	limit := q.gateway.Catalog().Limits.BodyBytes
 	if limit > 0 && q.http.ContentLength > limit {
+		q.unread = true
 		return fault.New(fault.BodyTooLarge, "the body is above the limit")
 	}
 	if q.gateway.bodies.Load() > bodyBudget {
@@ -264,11 +267,20 @@
 	if limit > 0 {
 		reader = io.LimitReader(reader, limit+1)
 	}
+	control := http.NewResponseController(q.writer)
+	// A writer without deadlines, as in tests, has no caller that stalls.
+	_ = control.SetReadDeadline(time.Now().Add(q.remaining()))
 	body, err := readAll(reader, q.http.ContentLength)
+	_ = control.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		q.unread = true
+		return fault.Wrap(fault.DeadlineUnreachable, err, "the body did not come in time").WithRetryAfter(refusedReturn)
+	}
 	if err != nil {
 		return fault.Wrap(fault.CallerGone, err, "the body was cut")
 	}
 	if limit > 0 && int64(len(body)) > limit {
+		q.unread = true
 		return fault.New(fault.BodyTooLarge, "the body is above the limit")
 	}
 	q.body = body
@@ -318,7 +330,7 @@
 		// Only a closed connection says that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
-	if failure.Code == fault.BodyTooLarge {
+	if q.unread {
 		// Otherwise net/http reads on before it answers, and waits for a body
 		// that the caller may not send at all.
 		q.writer.Header().Set("Connection", "close")
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -425,6 +425,16 @@
 	}
 }
 
+func TestABodyThatDoesNotComeEndsWithTheTime(t *testing.T) {
+	routes := []catalog.Route{{Prefix: "/", Kind: catalog.Once, Timeout: 50 * time.Millisecond}}
+	w := newWorld(t, routes, always(whole(200, "fine")), 1)
+	got := w.raw("POST / HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 5\r\n\r\nab")
+	if got.status != 503 || !got.closes || got.header.Get("Run-State") != string(types.NotRun) {
+		t.Errorf("got %+v", got)
+	}
+	w.wantArrivals(0)
+}
+
 // TestARequestThatCrashesUpstreamsIsCondemned has upstreams that are down after
 // they ran it; the request comes again and again.
 func TestARequestThatCrashesUpstreamsIsCondemned(t *testing.T) {
