--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -157,11 +157,13 @@
 	begun       time.Duration
 	limit       time.Duration
 	replied     bool
-	done        progress
-	tried       map[types.UpstreamID]bool
-	last        types.UpstreamID
-	status      int
-	first       time.Duration
+	// unread says that the rest of the body will not be read.
+	unread bool
+	done   progress
+	tried  map[types.UpstreamID]bool
+	last   types.UpstreamID
+	status int
+	first  time.Duration
 }
 
 // ServeHTTP serves one request.
