--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,10 +43,23 @@
 	Capacity int
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace time.Duration
-	// Retries bounds the repeated sends of this instance to each service.
-	Retries retry.Settings
+	// Memory is the number of bytes beyond which the process is killed; zero
+	// means that it is not.
+	Memory int64
+	// RetryRatio and RetrySlack bound the repeated sends of the whole fleet to
+	// each service: a share of the requests, and a number beside.
+	RetryRatio, RetrySlack float64
 }
 
+const (
+	// memoryShare is the part of the process's memory beyond which the garbage
+	// collector works harder; the rest is for stacks and the sockets' buffers.
+	memoryShare = 0.5
+	// budgetMargin is the part of the retry bounds that is used: instances learn
+	// late how many they are.
+	budgetMargin = 0.75
+)
+
 // Ports are what speaks to the world around an instance.
 type Ports struct {
 	Configuration follow.Source
@@ -131,7 +145,7 @@
 		Clock:      clock.Boot,
 		Logger:     logger,
 		Metrics:    e.metrics,
-		Retries:    settings.Retries,
+		Retries:    retry.Settings{Ratio: budgetMargin * settings.RetryRatio, Burst: budgetMargin * settings.RetrySlack},
 	})
 	return e
 }
@@ -142,6 +156,9 @@
 // Run serves until ctx ends, then stops gracefully.
 func (e *Edge) Run(ctx context.Context) error {
 	e.publish()
+	if e.settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(e.settings.Memory)))
+	}
 	listener, err := listen(ctx, e.settings.Callers)
 	if err != nil {
 		return err
