--- a/pkg/mesh/beat.go
+++ b/pkg/mesh/beat.go
@@ -95,8 +95,6 @@
 	// relayPause is the shortest time between two beats between an instance and
 	// its hub, and between hubs, of a large fleet.
 	relayPause = 80 * time.Millisecond
-	// layoutInterval is the time between two looks at who is a hub.
-	layoutInterval = beatInterval
 	// silentBeats is the number of missed beats after which callers are no
 	// longer sent to an instance.
 	silentBeats = 4
