One rendezvous choice for anything with an ID; state and fields that nothing reads are gone

Placement and the mesh's layout wrote the search for the first in rendezvous order again, and the engines to set apart were sorted with two hashes in each comparison, on every request: both now call rendezvous.FirstOf and OrderOf, of which First and Order are a case. An answer's length and its channel of write results, the output of a placement's work and the elapsed time of an admission were set and never read. Behaviour as before; tests of the packages pass without a change to their assertions.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -32,8 +32,6 @@
 type Request struct {
 	// Objective is the time in which the answer is worth its full value.
 	Objective time.Duration
-	// Elapsed is the time since the request came.
-	Elapsed time.Duration
 	// Remaining is the time until its deadline.
 	Remaining time.Duration
 	// Spread is uniform in [0, 1); it keeps callers from coming back together.
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -67,15 +67,12 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body, or -1 when it is not known beforehand.
-	Length int64
 	// Body fails with an error other than io.EOF when the answer is cut.
 	Body io.Reader
 
-	conn    net.Conn
-	stop    func() bool
-	once    sync.Once
-	writing <-chan error
+	conn net.Conn
+	stop func() bool
+	once sync.Once
 }
 
 // Close ends the connection, which makes the upstream drop the work.
@@ -114,16 +111,12 @@
 // exchange writes the request and reads the final header, at the same time,
 // since an upstream may answer before it has read the body.
 func exchange(conn net.Conn, request *Request) (*Answer, error) {
-	written := make(chan error, 1)
 	message := encode(request)
+	// A write that fails shows in the read: the connection is broken.
 	if len(message) <= readBuffer {
-		_, err := conn.Write(message)
-		written <- err
+		_, _ = conn.Write(message)
 	} else {
-		go func() {
-			_, err := conn.Write(message)
-			written <- err
-		}()
+		go func() { _, _ = conn.Write(message) }()
 	}
 	reader := bufio.NewReaderSize(conn, readBuffer)
 	response, err := readFinal(reader, request.Method)
@@ -131,12 +124,10 @@
 		return nil, err
 	}
 	return &Answer{
-		Status:  response.StatusCode,
-		Header:  response.Header,
-		Length:  response.ContentLength,
-		Body:    response.Body,
-		conn:    conn,
-		writing: written,
+		Status: response.StatusCode,
+		Header: response.Header,
+		Body:   response.Body,
+		conn:   conn,
 	}, nil
 }
 
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -79,13 +79,12 @@
 	listed   bool
 	pause    time.Duration
 	answered time.Duration
-	lost     bool
-	// away mirrors lost for other goroutines.
-	away atomic.Bool
+	// lost says that the store's last call failed; other goroutines read it.
+	lost atomic.Bool
 }
 
 // Away reports whether the store's last answer is overdue.
-func (f *Follower) Away() bool { return f.away.Load() }
+func (f *Follower) Away() bool { return f.lost.Load() }
 
 // Run follows the collection until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
@@ -158,7 +157,7 @@
 		return err
 	}
 	outage := time.Duration(0)
-	if f.lost {
+	if f.lost.Load() {
 		outage = f.Clock() - f.answered
 	}
 	f.Sink.Replace(items, at, outage)
@@ -168,12 +167,11 @@
 
 func (f *Follower) regained() {
 	now := f.Clock()
-	if f.lost && f.listed {
+	if f.lost.Load() && f.listed {
 		f.Logger.Info().Str("collection", f.Name).Dur("outage_ms", now-f.answered).Uint64("revision", uint64(f.after)).Msg("store regained")
-		f.lost = false
-		f.away.Store(false)
+		f.lost.Store(false)
 	}
-	if !f.lost {
+	if !f.lost.Load() {
 		f.answered = now
 	}
 	f.pause = 0
@@ -183,9 +181,8 @@
 	// Entries may have lapsed without an event while the store was away.
 	f.listed = false
 	f.pause = min(max(firstPause, f.pause*2), lastPause)
-	if !f.lost {
-		f.lost = true
-		f.away.Store(true)
+	if !f.lost.Load() {
+		f.lost.Store(true)
 		f.Logger.Warn().Err(err).Str("collection", f.Name).Uint64("revision", uint64(f.after)).Msg("store lost")
 	}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -235,7 +235,7 @@
 	if service.Engine == nil {
 		return
 	}
-	q.work.Engine, q.work.Parts, q.work.Tokens, q.work.Output = true, q.call.Parts, q.call.Tokens, q.call.Output
+	q.work.Engine, q.work.Parts, q.work.Tokens = true, q.call.Parts, q.call.Tokens
 	q.work.StepPause = q.route.PauseObjective / time.Duration(max(service.Engine.Stride, 1))
 }
 
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -95,7 +95,6 @@
 	}
 	decision := admission.Decide(admission.Request{
 		Objective: q.route.Objective,
-		Elapsed:   q.elapsed(),
 		Remaining: remaining,
 		Spread:    rand.Float64(),
 	}, choice)
@@ -200,7 +199,7 @@
 		Header: q.gateway.options.Protocol.Forward(q.http.Header, Send{
 			Upstream:  a.choice.ID,
 			Account:   q.account.ID,
-			Priority:  priority(q.route, q.account),
+			Priority:  q.work.Priority,
 			Remaining: q.remaining(),
 			LastEvent: q.done.lastEvent,
 		}),
--- a/pkg/mesh/layout.go
+++ b/pkg/mesh/layout.go
@@ -66,17 +66,11 @@
 
 // hubOf returns the peer address of the instance's hub, spread over the hubs.
 func hubOf(row Row, hubs []Row) string {
-	var first string
-	var most uint64
-	for _, h := range hubs {
-		if h.Peer == row.Peer {
-			return row.Peer
-		}
-		if weight := rendezvous.Weight(string(row.ID), h.ID); first == "" || weight > most {
-			first, most = h.Peer, weight
-		}
+	if slices.ContainsFunc(hubs, func(h Row) bool { return h.Peer == row.Peer }) {
+		return row.Peer
 	}
-	return first
+	first, _ := rendezvous.FirstOf(string(row.ID), hubs, func(h Row) types.InstanceID { return h.ID }, nil)
+	return first.Peer
 }
 
 // relationTo returns what the instance at the address is to this one.
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -17,6 +17,7 @@
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 // State is what the mesh tells peers of this instance, and what it does with
@@ -229,14 +230,11 @@
 // pause waits at least the shortest time, and then until something changes or
 // the longest is over.
 func (m *Mesh) pause(ctx context.Context, to *member, shortest, longest time.Duration) bool {
-	timer := time.NewTimer(shortest)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !wait.For(ctx, shortest) {
 		return false
-	case <-timer.C:
 	}
-	timer.Reset(max(longest-shortest, 0))
+	timer := time.NewTimer(max(longest-shortest, 0))
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
@@ -421,12 +419,8 @@
 		defer m.mu.Unlock()
 		delete(m.fetching, collection)
 	}()
-	timer := time.NewTimer(fetchPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !wait.For(ctx, fetchPause) {
 		return
-	case <-timer.C:
 	}
 	after := m.options.State.Revisions()[collection]
 	if after >= beat.Revisions[collection] {
@@ -509,34 +503,3 @@
 	}
 	return size
 }
-
-// readers is the number of instances that read the store for the others.
-const readers = 2
-
-// First reports whether this instance is among the first of those that reach the
-// store, in the order of their names. Instances that do not see each other may all be.
-func (m *Mesh) First() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.layout.isHub(m.options.Self.Peer) {
-		return false
-	}
-	before := 0
-	for address, known := range m.members {
-		if !known.silent && known.row.Reading && m.layout.isHub(address) && known.row.ID < m.options.Self.ID {
-			before++
-		}
-	}
-	return before < readers
-}
-
-// Covered reports whether a hub reads the store for this instance.
-func (m *Mesh) Covered() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.layout.isHub(m.options.Self.Peer) {
-		return false
-	}
-	known, ok := m.members[m.layout.hubs[m.options.Self.Peer]]
-	return ok && !known.silent && known.row.Reading
-}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -79,8 +79,6 @@
 	Parts []Part
 	// Tokens is the length of the whole prompt.
 	Tokens int
-	// Output is the largest number of tokens generated.
-	Output int
 	// Priority is the rank; zero is the most urgent.
 	Priority int
 	// StepPause is the pause that a stream allows for each step; zero for others.
@@ -220,7 +218,7 @@
 		if work.Engine && candidate.ID != home {
 			choice.Cost += scale(readTime(work.shared()-candidate.Held), rereadCost)
 		}
-		weight := rendezvous.Weight(key, types.InstanceID(candidate.ID))
+		weight := rendezvous.Weight(key, candidateID(*candidate))
 		if !found || choice.Cost < best.Cost || choice.Cost == best.Cost && weight > bestWeight {
 			best, bestWeight, found = choice, weight, true
 		}
@@ -233,19 +231,14 @@
 // rendezvous order among those of the work's kind, so that all instances read
 // it once, at the same place.
 func home(work *Work, key string, candidates []Candidate, apart map[types.UpstreamID]bool) types.UpstreamID {
-	var first types.UpstreamID
-	var most uint64
-	for i := range candidates {
-		if apart[candidates[i].ID] != work.Sensitive() {
-			continue
-		}
-		if weight := rendezvous.Weight(key, types.InstanceID(candidates[i].ID)); first == "" || weight > most {
-			first, most = candidates[i].ID, weight
-		}
-	}
-	return first
+	first, _ := rendezvous.FirstOf(key, candidates, candidateID, func(c Candidate) bool {
+		return apart[c.ID] == work.Sensitive()
+	})
+	return first.ID
 }
 
+func candidateID(c Candidate) types.InstanceID { return types.InstanceID(c.ID) }
+
 // shared is the number of tokens that other requests may share.
 func (w *Work) shared() int {
 	shared := 0
@@ -324,11 +317,7 @@
 	perEngine := float64(slots) / float64(len(candidates)) * sensitivePerEngine
 	least := int(math.Ceil(leastApart * float64(len(candidates))))
 	count := min(max(1+int(float64(sensitive)/perEngine), least), len(candidates)-1)
-	order := slices.Clone(candidates)
-	slices.SortFunc(order, func(a, b Candidate) int {
-		wa, wb := rendezvous.Weight("sensitive", types.InstanceID(a.ID)), rendezvous.Weight("sensitive", types.InstanceID(b.ID))
-		return cmp.Or(cmp.Compare(wb, wa), cmp.Compare(a.ID, b.ID))
-	})
+	order := rendezvous.OrderOf("sensitive", candidates, candidateID)
 	for _, candidate := range order[:count] {
 		apart[candidate.ID] = true
 	}
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -27,23 +27,19 @@
 // Order returns the instances for the key, first choice first. Instances of
 // equal weight are ordered by ID. The argument is left as it is.
 func Order(key string, instances []types.Instance) []types.Instance {
-	type weighted struct {
-		weight   uint64
-		instance types.Instance
-	}
-	rows := make([]weighted, len(instances))
-	for i, instance := range instances {
-		rows[i] = weighted{Weight(key, instance.ID), instance}
+	return OrderOf(key, instances, instanceID)
+}
+
+// OrderOf is Order for anything that has an ID.
+func OrderOf[T any](key string, list []T, id func(T) types.InstanceID) []T {
+	rows := make([]choice[T], len(list))
+	for i, item := range list {
+		rows[i] = weigh(key, item, id)
 	}
-	slices.SortFunc(rows, func(a, b weighted) int {
-		if c := cmp.Compare(b.weight, a.weight); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.instance.ID, b.instance.ID)
-	})
-	ordered := make([]types.Instance, len(rows))
+	slices.SortFunc(rows, compare)
+	ordered := make([]T, len(rows))
 	for i, row := range rows {
-		ordered[i] = row.instance
+		ordered[i] = row.item
 	}
 	return ordered
 }
@@ -51,26 +47,39 @@
 // First returns the first choice for the key among the instances that accept
 // returns true for, and false when there is none. A nil accept takes all.
 func First(key string, instances []types.Instance, accept func(types.Instance) bool) (types.Instance, bool) {
-	var best types.Instance
-	var bestWeight uint64
+	return FirstOf(key, instances, instanceID, accept)
+}
+
+// FirstOf is First for anything that has an ID.
+func FirstOf[T any](key string, list []T, id func(T) types.InstanceID, accept func(T) bool) (T, bool) {
+	var best choice[T]
 	found := false
-	for _, instance := range instances {
-		if accept != nil && !accept(instance) {
+	for _, item := range list {
+		if accept != nil && !accept(item) {
 			continue
 		}
-		weight := Weight(key, instance.ID)
-		if found && !precedes(weight, instance, bestWeight, best) {
-			continue
+		if next := weigh(key, item, id); !found || compare(next, best) < 0 {
+			best, found = next, true
 		}
-		best, bestWeight, found = instance, weight, true
 	}
-	return best, found
+	return best.item, found
 }
 
-// precedes reports whether the first instance comes before the second.
-func precedes(w1 uint64, i1 types.Instance, w2 uint64, i2 types.Instance) bool {
-	if w1 != w2 {
-		return w1 > w2
-	}
-	return i1.ID < i2.ID
+func instanceID(instance types.Instance) types.InstanceID { return instance.ID }
+
+// choice is an item with its weight for a key.
+type choice[T any] struct {
+	item   T
+	id     types.InstanceID
+	weight uint64
+}
+
+func weigh[T any](key string, item T, id func(T) types.InstanceID) choice[T] {
+	name := id(item)
+	return choice[T]{item: item, id: name, weight: Weight(key, name)}
+}
+
+// compare orders the larger weight first, and equal weights by ID.
+func compare[T any](a, b choice[T]) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
 }
--- a/test/load/world_test.go
+++ b/test/load/world_test.go
@@ -94,7 +94,7 @@
 		return choice, admission.Decision{ReturnAfter: time.Second}
 	}
 	return choice, admission.Decide(admission.Request{
-		Objective: r.kind.objective, Elapsed: w.now - r.came, Remaining: 6 * time.Second, Spread: w.random.Float64(),
+		Objective: r.kind.objective, Remaining: 6 * time.Second, Spread: w.random.Float64(),
 	}, choice)
 }
 
