--- a/pkg/exchange/events.go
+++ b/pkg/exchange/events.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
 )
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -41,7 +43,7 @@
 			e.noteID(&event, part, begins)
 			begins = false
 			if len(event.Bytes) > maxEvent {
-				return event, errors.New("an event is above the limit")
+				return event, fault.New(fault.AnswerTooLarge, "an event is above the limit")
 			}
 			continue
 		}
@@ -53,7 +55,7 @@
 			return event, nil
 		}
 		if len(event.Bytes) > maxEvent {
-			return event, errors.New("an event is above the limit")
+			return event, fault.New(fault.AnswerTooLarge, "an event is above the limit")
 		}
 		begins = true
 	}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
 )
 
@@ -142,10 +143,10 @@
 			return response, nil
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the upstream wants another protocol")
+			return nil, fault.New(fault.UpstreamFailed, "the upstream wants another protocol")
 		}
 	}
-	return nil, errors.New("the upstream sends no final answer")
+	return nil, fault.New(fault.UpstreamFailed, "the upstream sends no final answer")
 }
 
 // encode returns the bytes of the request.
