--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -247,17 +247,17 @@
 		if answer.Status == http.StatusMisdirectedRequest {
 			return result{outcome: roster.Misdirected, err: fault.New(fault.NoUpstream, "another upstream has the address")}
 		}
-		return result{outcome: roster.Rejected, err: fault.New(fault.NoUpstream, "the upstream did not take the request: status " + strconv.Itoa(answer.Status))}
+		return result{outcome: roster.Rejected, err: fault.New(fault.NoUpstream, "the upstream did not take the request: status "+strconv.Itoa(answer.Status))}
 	}
 	q.done.runs++
 	if facts.ID != q.call.ID || facts.Encoded || !facts.Sealed && answer.Status < http.StatusMultipleChoices {
 		return result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, "the answer is not that of the request")}
 	}
 	if q.replied && answer.Status >= http.StatusMultipleChoices {
-		return result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, "the stream cannot go on: status " + strconv.Itoa(answer.Status))}
+		return result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, "the stream cannot go on: status "+strconv.Itoa(answer.Status))}
 	}
 	if answer.Status >= http.StatusInternalServerError && q.done.mayRepeat(q.route, q.remaining()) {
-		return result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, "the upstream failed: status " + strconv.Itoa(answer.Status))}
+		return result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, "the upstream failed: status "+strconv.Itoa(answer.Status))}
 	}
 	if q.route.Kind == catalog.Stream && answer.Status < http.StatusMultipleChoices {
 		return a.stream(address, answer)
