The operator's limits on headers, header time and idle time hold

Cause: only the size of a body was taken from the configuration; the size of a head, the time for it and the idle time were fixed and above it (64 KiB, 10 s, 75 s), so that silent callers kept a small instance's descriptors for 75 s. Ruled out: fields of http.Server, which are read once per server: a new document would not count for connections that are open, and a second server beside the first would end idle connections that callers still use. Change: the listener knows what each connection waits for and since when, by the clock that counts suspension; each second the connections over the limits of the newest document are closed. A head above the limit gets 431. A body that nobody reads is read before the next head begins. Before: 200 KiB of such a body counted as a head (test: 431 for a proper request).

The grace of a stop is measured by the same clock.

mesh: the large fleet runs under the race detector again, 40 instances on one processor.

--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -18,14 +18,14 @@
 	e.stopping.Store(true)
 	e.mesh.Changed()
 	e.logger.Info().Int64("active", e.gateway.Active()).Dur("grace_ms", e.settings.Grace).Msg("stopping")
-	begun := time.Now()
+	begun := e.now()
 	accept := time.Duration(acceptShare * float64(e.settings.Grace))
 	end := time.Duration(endShare * float64(e.settings.Grace))
-	for time.Since(begun) < accept {
+	for e.now()-begun < accept {
 		time.Sleep(drainPoll)
 	}
 	e.gateway.Stop()
-	for e.gateway.Active() > 0 && time.Since(begun) < end {
+	for e.gateway.Active() > 0 && e.now()-begun < end {
 		time.Sleep(drainPoll)
 	}
 	e.logger.Info().Int64("active", e.gateway.Active()).Msg("stopped serving")
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -180,7 +180,9 @@
 		return err
 	}
 	server := e.gateway.Server()
-	group.Go(func() error { return closed(server.Serve(gateway.Listener(listener))) })
+	callers := gateway.NewListener(listener, e.now)
+	group.Go(func() error { e.gateway.Enforce(roles, callers); return nil })
+	group.Go(func() error { return closed(server.Serve(callers)) })
 	e.logger.Info().Str("callers", e.settings.Callers).Str("peers", e.settings.Peers).Str("metrics", e.settings.Metrics).Msg("started")
 	select {
 	case <-ctx.Done():
--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -13,6 +13,8 @@
 	BadRequest Code = "bad_request"
 	// BodyTooLarge: the body exceeds the configured size.
 	BodyTooLarge Code = "body_too_large"
+	// HeaderTooLarge: the head of the request exceeds the configured size.
+	HeaderTooLarge Code = "header_too_large"
 	// Unauthorized: the API key is missing or unknown.
 	Unauthorized Code = "unauthorized"
 	// UnknownModel: no rule leads the request to a target that serves the model.
@@ -101,6 +103,7 @@
 var table = map[Code]description{
 	BadRequest:           {http.StatusBadRequest, types.NotRun},
 	BodyTooLarge:         {http.StatusRequestEntityTooLarge, types.NotRun},
+	HeaderTooLarge:       {http.StatusRequestHeaderFieldsTooLarge, types.NotRun},
 	Unauthorized:         {http.StatusUnauthorized, types.NotRun},
 	UnknownModel:         {http.StatusNotFound, types.NotRun},
 	UnknownService:       {http.StatusNotFound, types.NotRun},
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -157,13 +157,13 @@
 	begun       time.Duration
 	limit       time.Duration
 	replied     bool
-	// unread says that the rest of the body will not be read.
-	unread bool
-	done   progress
-	tried  map[types.UpstreamID]bool
-	last   types.UpstreamID
-	status int
-	first  time.Duration
+	// read says that the whole body was read, unread that its rest will not be.
+	read, unread bool
+	done         progress
+	tried        map[types.UpstreamID]bool
+	last         types.UpstreamID
+	status       int
+	first        time.Duration
 }
 
 // ServeHTTP serves one request.
@@ -285,7 +285,7 @@
 		q.unread = true
 		return fault.New(fault.BodyTooLarge, "the body is above the limit")
 	}
-	q.body = body
+	q.body, q.read = body, true
 	q.gateway.bodies.Add(int64(len(body)))
 	return nil
 }
@@ -338,6 +338,24 @@
 		q.writer.Header().Set("Connection", "close")
 	}
 	g.options.Protocol.Refuse(q.writer, q.call.ID, failure)
+	if !q.unread && !q.read && q.http.ContentLength != 0 {
+		q.discard()
+	}
+}
+
+// discardTimeout bounds how long an answer waits for a body that nobody reads.
+// Bodies follow their heads within milliseconds, or their callers stall.
+const discardTimeout = 250 * time.Millisecond
+
+// discard sends the answer, for which net/http reads the rest of a small body.
+// That must be over before the next head of the connection is waited for.
+func (q *request) discard() {
+	control := http.NewResponseController(q.writer)
+	// A writer without deadlines, as in tests, has no caller that stalls.
+	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
+	// A caller that has gone does not read the answer.
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Time{})
 }
 
 func (q *request) log(failure *fault.Error, elapsed time.Duration) {
@@ -358,35 +376,27 @@
 		Dur("first_ms", q.first).Dur("elapsed_ms", elapsed).Str("outcome", outcome).Msg("request")
 }
 
-// Server returns the HTTP server of the gateway.
+// Server returns the HTTP server of the gateway. It serves a Listener, whose
+// connections Enforce bounds.
 func (g *Gateway) Server() *http.Server {
 	return &http.Server{
-		Handler:           http.HandlerFunc(g.guard),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
-		ConnContext:       withHead,
-		ErrorLog:          nil,
+		Handler:        http.HandlerFunc(g.guard),
+		MaxHeaderBytes: maxHeader,
+		ConnContext:    withHead,
+		ErrorLog:       nil,
 	}
 }
 
-const (
-	// headerTimeout and idleTimeout are above what configurations allow callers.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 75 * time.Second
-	// maxHeader is above what configurations allow; net/http adds 4 KiB.
-	maxHeader = 64 << 10
-)
-
-// guard refuses requests whose length is ambiguous before they are read.
+// guard refuses requests by their head, before anything else of them is read.
 func (g *Gateway) guard(w http.ResponseWriter, r *http.Request) {
-	head, _ := r.Context().Value(headKey{}).(*head)
-	if head != nil {
-		ambiguous := head.take()
+	if head, ok := r.Context().Value(headKey{}).(*head); ok {
+		length, ambiguous := head.take()
 		defer head.reset()
-		if ambiguous && len(r.TransferEncoding) > 0 {
+		if failure := g.inspect(r, length, ambiguous); failure != nil {
+			g.options.Metrics.refused(failure.Code)
+			g.options.Logger.Info().Int("header_bytes", length).Str("outcome", string(failure.Code)).Str("reason", failure.Error()).Msg("request")
 			w.Header().Set("Connection", "close")
-			g.options.Protocol.Refuse(w, "", fault.New(fault.BadRequest, "the request has a length and chunks"))
+			g.options.Protocol.Refuse(w, "", failure)
 			return
 		}
 	}
@@ -396,11 +406,22 @@
 	g.ServeHTTP(w, r)
 }
 
+// inspect returns why a request is refused by its head.
+func (g *Gateway) inspect(r *http.Request, length int, ambiguous bool) *fault.Error {
+	if ambiguous && len(r.TransferEncoding) > 0 {
+		return fault.New(fault.BadRequest, "the request has a length and chunks")
+	}
+	if limit := g.limits().HeaderBytes; limit > 0 && length > limit {
+		return fault.New(fault.HeaderTooLarge, "the head of the request is above the limit")
+	}
+	return nil
+}
+
 type headKey struct{}
 
 func withHead(ctx context.Context, conn net.Conn) context.Context {
-	if watched, ok := conn.(*watchedConn); ok {
-		return context.WithValue(ctx, headKey{}, &watched.head)
+	if caller, ok := conn.(*callerConn); ok {
+		return context.WithValue(ctx, headKey{}, &caller.head)
 	}
 	return ctx
 }
--- a/pkg/gateway/head.go
+++ b/pkg/gateway/head.go
@@ -2,70 +2,79 @@
 
 import (
 	"bytes"
-	"net"
 	"sync"
-)
-
-// Listener wraps a listener so that the heads of requests are looked at as they
-// were sent: net/http drops a length beside chunks without a word, and such a
-// request may hide another.
-func Listener(inner net.Listener) net.Listener { return watchedListener{inner} }
+	"time"
 
-type watchedListener struct{ net.Listener }
-
-// Accept returns a connection whose heads are looked at.
-func (l watchedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &watchedConn{Conn: conn}, nil
-}
+	"github.com/umbercrank/umbercrank/pkg/clock"
+)
 
-type watchedConn struct {
-	net.Conn
-	head head
-}
+// phase is what a connection waits for.
+type phase int
 
-// Read reads and keeps the head.
-func (c *watchedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.head.add(b[:n])
-	return n, err
-}
+const (
+	// idling: the first byte of the next request.
+	idling phase = iota
+	// reading: the rest of a request's head.
+	reading
+	// serving: the end of a request.
+	serving
+)
 
 // head is the head of the request that a connection is at.
 type head struct {
+	now clock.Clock
+
 	mu    sync.Mutex
+	phase phase
+	since time.Duration
+	// bytes begin with the request line and end with the last field.
 	bytes []byte
-	whole bool
 }
 
 var headEnd = []byte("\r\n\r\n")
 
+// add takes what was read. Of a head that is too long only the beginning is kept.
 func (h *head) add(b []byte) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.whole || len(b) == 0 {
+	if h.phase == serving || len(b) == 0 {
 		return
 	}
+	if h.phase == idling {
+		h.enter(reading)
+	}
 	h.bytes = append(h.bytes, b[:min(len(b), max(maxHeader-len(h.bytes), 0))]...)
 	if end := bytes.Index(h.bytes, headEnd); end >= 0 {
-		h.bytes, h.whole = h.bytes[:end+2], true
+		h.bytes = h.bytes[:end+2]
+		h.enter(serving)
 	}
 }
 
-// take reports whether the head has both a length and a transfer coding.
-func (h *head) take() bool {
+// enter begins a phase; h.mu is held.
+func (h *head) enter(next phase) { h.phase, h.since = next, h.now() }
+
+// take returns the length of the head and whether it has both a length of the
+// body and a transfer coding. The connection serves the request from now on,
+// also if the head came together with the request before.
+func (h *head) take() (length int, ambiguous bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.enter(serving)
 	lower := bytes.ToLower(h.bytes)
-	return bytes.Contains(lower, []byte("\ncontent-length")) && bytes.Contains(lower, []byte("\ntransfer-encoding"))
+	return len(lower), bytes.Contains(lower, []byte("\ncontent-length")) && bytes.Contains(lower, []byte("\ntransfer-encoding"))
 }
 
-// reset begins the head of the next request.
+// reset begins to wait for the next request.
 func (h *head) reset() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.bytes, h.whole = h.bytes[:0], false
+	h.bytes = h.bytes[:0]
+	h.enter(idling)
+}
+
+// waiting returns what the connection waits for, and since when.
+func (h *head) waiting() (phase, time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.phase, h.since
 }
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -20,7 +20,8 @@
 
 // Metrics counts the requests by outcome and keeps their latencies.
 type Metrics struct {
-	outcomes *expvar.Map
+	outcomes    *expvar.Map
+	connections *expvar.Map
 
 	mu        sync.Mutex
 	latencies map[catalog.Kind]*hdrhistogram.Histogram
@@ -28,16 +29,33 @@
 
 // NewMetrics returns metrics that are not published yet.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish adds the metrics to those of the process. It is called once.
 func (m *Metrics) Publish(name string) {
 	all := expvar.NewMap(name)
 	all.Set("outcomes", m.outcomes)
+	all.Set("connections", m.connections)
 	all.Set("first_ms", expvar.Func(m.quantiles))
 }
 
+// refused notes a request that was refused by its head.
+func (m *Metrics) refused(code fault.Code) {
+	if m != nil {
+		m.outcomes.Add(string(code), 1)
+	}
+}
+
+// closed notes connections that were closed because their caller took too long
+// to send a head, or sent nothing.
+func (m *Metrics) closed(headers, idle int) {
+	if m != nil {
+		m.connections.Add("closed_header_timeout", int64(headers))
+		m.connections.Add("closed_idle", int64(idle))
+	}
+}
+
 // count notes one request.
 func (m *Metrics) count(q *request, failure *fault.Error, elapsed time.Duration) {
 	if m == nil {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"reflect"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -241,7 +242,14 @@
 	}
 }
 
+// TestALargeFleetFindsItself runs on one processor: with two or more the race
+// detector of Go 1.26 itself ends when this many timers of a bubble fire. What
+// it finds does not depend on the number of processors.
 func TestALargeFleetFindsItself(t *testing.T) {
+	// largeFleet is well above the size from which hubs collect.
+	const largeFleet = 40
+	processors := runtime.GOMAXPROCS(1)
+	defer runtime.GOMAXPROCS(processors)
 	playing(t, largeFleet, func(t *testing.T, f *fleet) {
 		time.Sleep(10 * time.Second)
 		for i, m := range f.meshes {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,13 +1,9 @@
 #!/usr/bin/env bash
-# Runs every test with the race detector, and one package without it too. Tests listed in KNOWN-RED.txt run
+# Runs every test with the race detector. Tests listed in KNOWN-RED.txt run
 # apart: their failures are printed and passed over, all others count.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-# The large fleet of this package is more than the race detector bears; see
-# KNOWN-RED.txt.
-go test ./pkg/mesh
-
 known=""
 if [ -f KNOWN-RED.txt ]; then
 	known=$(sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
