--- a/pkg/config/bad_test.go
+++ b/pkg/config/bad_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 )
 
 // problemsOf parses and validates a text and returns the problems as check
@@ -173,16 +173,16 @@
 }
 
 func TestCheckManifest(t *testing.T) {
-	large := func(count, size int) platform.Manifest {
-		manifest := platform.Manifest{Revision: 1}
+	large := func(count, size int) configservice.Manifest {
+		manifest := configservice.Manifest{Revision: 1}
 		for i := range count {
-			manifest.Parts = append(manifest.Parts, platform.PartRef{Name: fmt.Sprint(i), Size: size})
+			manifest.Parts = append(manifest.Parts, configservice.PartRef{Name: fmt.Sprint(i), Size: size})
 		}
 		return manifest
 	}
 	cases := []struct {
 		name     string
-		manifest platform.Manifest
+		manifest configservice.Manifest
 		valid    bool
 	}{
 		{"largest parts", large(24, MaxPartBytes), true},
--- a/pkg/config/compile.go
+++ b/pkg/config/compile.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -15,7 +15,7 @@
 // snapshots that hold the same part.
 type decodedPart struct {
 	name     string
-	digest   platform.Digest
+	digest   configservice.Digest
 	raw      []byte
 	fragment *Document
 	accounts *accountPart
--- a/pkg/config/parts.go
+++ b/pkg/config/parts.go
@@ -9,8 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -85,7 +85,7 @@
 
 // CheckManifest refuses a manifest whose parts would be too many or too large,
 // before any of them is fetched. The failure has code InvalidConfiguration.
-func CheckManifest(manifest platform.Manifest) error {
+func CheckManifest(manifest configservice.Manifest) error {
 	sizes := make(map[string]int, len(manifest.Parts))
 	for _, ref := range manifest.Parts {
 		sizes[ref.Name] = ref.Size
@@ -171,19 +171,19 @@
 // Encoded is one part as published.
 type Encoded struct {
 	Name   string
-	Digest platform.Digest
+	Digest configservice.Digest
 	Bytes  []byte
 }
 
 // Encode returns the parts in the order of their names, and the manifest that
 // lists them.
-func Encode(revision types.Revision, parts map[string][]byte) ([]Encoded, platform.Manifest) {
-	manifest := platform.Manifest{Revision: revision}
+func Encode(revision types.Revision, parts map[string][]byte) ([]Encoded, configservice.Manifest) {
+	manifest := configservice.Manifest{Revision: revision}
 	encoded := make([]Encoded, 0, len(parts))
 	for _, name := range slices.Sorted(maps.Keys(parts)) {
-		part := Encoded{Name: name, Digest: platform.DigestOf(parts[name]), Bytes: parts[name]}
+		part := Encoded{Name: name, Digest: configservice.DigestOf(parts[name]), Bytes: parts[name]}
 		encoded = append(encoded, part)
-		manifest.Parts = append(manifest.Parts, platform.PartRef{Name: name, Digest: part.Digest, Size: len(part.Bytes)})
+		manifest.Parts = append(manifest.Parts, configservice.PartRef{Name: name, Digest: part.Digest, Size: len(part.Bytes)})
 	}
 	return encoded, manifest
 }
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"slices"
 
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -14,8 +14,8 @@
 // Snapshot is one validated and compiled configuration. It is immutable;
 // returned slices belong to the caller.
 type Snapshot struct {
-	manifest platform.Manifest
-	digest   platform.Digest
+	manifest configservice.Manifest
+	digest   configservice.Digest
 	parts    map[string]*decodedPart
 	core     *core
 	accounts *accountTable
@@ -24,13 +24,13 @@
 // newSnapshot puts the compiled pieces together.
 func newSnapshot(revision types.Revision, parts []*decodedPart, core *core, accounts *accountTable) *Snapshot {
 	snapshot := &Snapshot{
-		manifest: platform.Manifest{Revision: revision, Parts: make([]platform.PartRef, 0, len(parts))},
+		manifest: configservice.Manifest{Revision: revision, Parts: make([]configservice.PartRef, 0, len(parts))},
 		parts:    make(map[string]*decodedPart, len(parts)),
 		core:     core,
 		accounts: accounts,
 	}
 	for _, part := range parts {
-		ref := platform.PartRef{Name: part.name, Digest: part.digest, Size: len(part.raw)}
+		ref := configservice.PartRef{Name: part.name, Digest: part.digest, Size: len(part.raw)}
 		snapshot.manifest.Parts = append(snapshot.manifest.Parts, ref)
 		snapshot.parts[part.name] = part
 	}
@@ -42,15 +42,15 @@
 func (s *Snapshot) Revision() types.Revision { return s.manifest.Revision }
 
 // Digest returns the digest of the manifest.
-func (s *Snapshot) Digest() platform.Digest { return s.digest }
+func (s *Snapshot) Digest() configservice.Digest { return s.digest }
 
 // Manifest returns the parts that the configuration was compiled from.
-func (s *Snapshot) Manifest() platform.Manifest {
-	return platform.Manifest{Revision: s.manifest.Revision, Parts: slices.Clone(s.manifest.Parts)}
+func (s *Snapshot) Manifest() configservice.Manifest {
+	return configservice.Manifest{Revision: s.manifest.Revision, Parts: slices.Clone(s.manifest.Parts)}
 }
 
 // Part returns the published bytes of the part, which must not be changed.
-func (s *Snapshot) Part(ref platform.PartRef) ([]byte, bool) {
+func (s *Snapshot) Part(ref configservice.PartRef) ([]byte, bool) {
 	part, ok := s.decodedPart(ref.Name)
 	if !ok || part.digest != ref.Digest {
 		return nil, false
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"sync"
 
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -53,7 +53,7 @@
 // Newer reports whether the first configuration takes the place of the second:
 // a higher revision does, and of two manifests with one revision that with the
 // larger digest, so that every instance picks the same.
-func Newer(revision types.Revision, digest platform.Digest, thanRevision types.Revision, thanDigest platform.Digest) bool {
+func Newer(revision types.Revision, digest configservice.Digest, thanRevision types.Revision, thanDigest configservice.Digest) bool {
 	if revision != thanRevision {
 		return revision > thanRevision
 	}
--- a/pkg/platform/client.go
+++ b/pkg/configservice/client.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"context"
@@ -27,7 +27,7 @@
 	idleConnections = 8
 )
 
-// Client reads the platform over HTTP. It is safe for concurrent use.
+// Client reads the service over HTTP. It is safe for concurrent use.
 type Client struct {
 	base string
 	http *http.Client
--- a/pkg/platform/client_test.go
+++ b/pkg/configservice/client_test.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"net/http"
--- a/pkg/platform/digest.go
+++ b/pkg/configservice/digest.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"crypto/sha256"
--- a/pkg/platform/source.go
+++ b/pkg/configservice/source.go
@@ -1,6 +1,6 @@
-// Package platform reads what the users' platform publishes: configuration
-// values and the instance list. It never writes.
-package platform
+// Package configservice reads what the configuration service publishes: the
+// values of the configuration and the instance list. It never writes.
+package configservice
 
 import (
 	"context"
@@ -22,12 +22,12 @@
 
 // Manifest lists the parts that make up one configuration.
 type Manifest struct {
-	// Revision is assigned by the platform and orders manifests.
+	// Revision is assigned by the service and orders manifests.
 	Revision types.Revision `json:"revision"`
 	Parts    []PartRef      `json:"parts"`
 }
 
-// Source reads the platform. Implementations are safe for concurrent use and
+// Source reads the service. Implementations are safe for concurrent use and
 // return *fault.Error of code PlatformUnavailable when there is no answer.
 type Source interface {
 	// WaitManifest returns the manifest as soon as its revision is above after,
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/peer"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -20,7 +20,7 @@
 	// Self is this instance's own row; it is in the view before any list is.
 	Self        types.Instance
 	Incarnation types.Incarnation
-	Source      platform.Source
+	Source      configservice.Source
 	Caller      peer.Caller
 	Settings    Settings
 	Recorder    timeline.Recorder
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -11,9 +11,9 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/peer"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/timeline/causal"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -123,7 +123,7 @@
 	n.dialer = peer.NewDialer(n.peerOptions(n.settings.PeerAddress))
 	transport := upstream.DefaultTransportSettings()
 	roles, err := NewRoles(n.settings, n.incarnation, Connections{
-		Source:        platform.NewClient(n.settings.PlatformURL, &http.Client{}),
+		Source:        configservice.NewClient(n.settings.PlatformURL, &http.Client{}),
 		Caller:        causal.NewCaller(n.dialer, n.ring),
 		Registrar:     causal.NewRegistrar(n.peers, n.ring),
 		Transport:     upstream.NewTransport(transport),
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -8,12 +8,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/directory"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/entry"
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/peer"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/relay"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
@@ -23,8 +23,8 @@
 
 // Connections are a node's ways to everything outside it. Tests put fakes here.
 type Connections struct {
-	// Source reads the platform.
-	Source platform.Source
+	// Source reads the configuration service.
+	Source configservice.Source
 	// Caller sends messages to other instances.
 	Caller peer.Caller
 	// Registrar takes the methods that other instances call.
--- a/pkg/relay/bench_test.go
+++ b/pkg/relay/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
-	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -26,7 +26,7 @@
 	for i := range 47_000 {
 		large.Accounts = append(large.Accounts, config.Account{
 			ID:        types.AccountID(fmt.Sprintf("account-%05d", i)),
-			KeySHA256: []string{string(platform.DigestOf(fmt.Append(nil, i)))},
+			KeySHA256: []string{string(configservice.DigestOf(fmt.Append(nil, i)))},
 			Labels:    map[string]string{"plan": "standard"},
 			Limits:    config.Limits{RequestsPerSecond: 50, Concurrent: 100, Weight: 1},
 		})
--- a/pkg/relay/decisions_test.go
+++ b/pkg/relay/decisions_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -42,14 +42,14 @@
 }
 
 // drawManifest returns a manifest with some of ten parts.
-func drawManifest(t *rapid.T, revision types.Revision) platform.Manifest {
-	manifest := platform.Manifest{Revision: revision}
+func drawManifest(t *rapid.T, revision types.Revision) configservice.Manifest {
+	manifest := configservice.Manifest{Revision: revision}
 	for i := range 10 {
 		if !rapid.Bool().Draw(t, "present") {
 			continue
 		}
 		content := fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "content"))
-		ref := platform.PartRef{Name: fmt.Sprintf("part-%d", i), Digest: platform.DigestOf([]byte(content)), Size: 1}
+		ref := configservice.PartRef{Name: fmt.Sprintf("part-%d", i), Digest: configservice.DigestOf([]byte(content)), Size: 1}
 		manifest.Parts = append(manifest.Parts, ref)
 	}
 	return manifest
--- a/pkg/relay/delta.go
+++ b/pkg/relay/delta.go
@@ -3,12 +3,12 @@
 import (
 	"slices"
 
-	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 )
 
 // difference returns the parts of next that base does not have in the same
 // form, and the names of base that next does not have.
-func difference(base, next platform.Manifest) (changed []platform.PartRef, removed []string) {
+func difference(base, next configservice.Manifest) (changed []configservice.PartRef, removed []string) {
 	before := byName(base)
 	for _, ref := range next.Parts {
 		if before[ref.Name] != ref {
@@ -24,13 +24,13 @@
 }
 
 // patch applies the answer to the asker's manifest.
-func patch(base platform.Manifest, answer manifestAnswer) platform.Manifest {
-	next := platform.Manifest{Revision: answer.Version.Revision}
+func patch(base configservice.Manifest, answer manifestAnswer) configservice.Manifest {
+	next := configservice.Manifest{Revision: answer.Version.Revision}
 	if !answer.Delta {
 		next.Parts = answer.Parts
 		return next
 	}
-	changed := byName(platform.Manifest{Parts: answer.Parts})
+	changed := byName(configservice.Manifest{Parts: answer.Parts})
 	for _, ref := range base.Parts {
 		replacement, replaced := changed[ref.Name]
 		switch {
@@ -51,8 +51,8 @@
 }
 
 // byName indexes the parts.
-func byName(manifest platform.Manifest) map[string]platform.PartRef {
-	index := make(map[string]platform.PartRef, len(manifest.Parts))
+func byName(manifest configservice.Manifest) map[string]configservice.PartRef {
+	index := make(map[string]configservice.PartRef, len(manifest.Parts))
 	for _, ref := range manifest.Parts {
 		index[ref.Name] = ref
 	}
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"sync"
 
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/wait"
 )
@@ -60,7 +60,7 @@
 	if !r.wants(answer.Version) {
 		return answer, nil
 	}
-	base := platform.Manifest{}
+	base := configservice.Manifest{}
 	if current != nil {
 		base = current.Manifest()
 	}
--- a/pkg/relay/fetch.go
+++ b/pkg/relay/fetch.go
@@ -6,13 +6,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 )
 
 // fetchAll returns all parts of the manifest, those of the configuration in
 // force without a transfer.
-func (r *Relay) fetchAll(ctx context.Context, manifest platform.Manifest, current *config.Snapshot, from origin) ([]config.Encoded, error) {
+func (r *Relay) fetchAll(ctx context.Context, manifest configservice.Manifest, current *config.Snapshot, from origin) ([]config.Encoded, error) {
 	parts := make([]config.Encoded, len(manifest.Parts))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(r.settings.PartConcurrency)
@@ -57,7 +57,7 @@
 }
 
 // fetch returns one part from the first supplier that has it.
-func (r *Relay) fetch(ctx context.Context, ref platform.PartRef, suppliers []origin) ([]byte, error) {
+func (r *Relay) fetch(ctx context.Context, ref configservice.PartRef, suppliers []origin) ([]byte, error) {
 	var last error
 	for _, supplier := range suppliers {
 		part, err := r.fetchFrom(ctx, ref, supplier)
@@ -70,7 +70,7 @@
 }
 
 // fetchFrom returns one part from one supplier and checks its digest.
-func (r *Relay) fetchFrom(ctx context.Context, ref platform.PartRef, supplier origin) ([]byte, error) {
+func (r *Relay) fetchFrom(ctx context.Context, ref configservice.PartRef, supplier origin) ([]byte, error) {
 	if supplier == fromService {
 		return r.readPart(ctx, ref)
 	}
@@ -81,7 +81,7 @@
 	if err := r.call(ctx, supplier, methodPart, query, &answer); err != nil {
 		return nil, err
 	}
-	if platform.DigestOf(answer.Bytes) != ref.Digest {
+	if configservice.DigestOf(answer.Bytes) != ref.Digest {
 		return nil, fault.New(fault.MissingPart, "the bytes do not have the digest")
 	}
 	r.counters.partsFromPeers.Add(1)
--- a/pkg/relay/fleet_test.go
+++ b/pkg/relay/fleet_test.go
@@ -11,9 +11,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/peer"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/test/fakes"
@@ -78,7 +78,7 @@
 }
 
 // publish publishes a document whose deadline tells it from others.
-func (f *testFleet) publish(t *testing.T, deadline config.Milliseconds) platform.Manifest {
+func (f *testFleet) publish(t *testing.T, deadline config.Milliseconds) configservice.Manifest {
 	t.Helper()
 	published := document()
 	published.Classes[0].Deadline = deadline
--- a/pkg/relay/handlers.go
+++ b/pkg/relay/handlers.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/peer"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 )
 
 // Register takes the relay's peer methods into service.
@@ -53,7 +53,7 @@
 		return nil, badParameters(err)
 	}
 	_, current := r.held()
-	part, ok := current.Part(platform.PartRef{Name: query.Name, Digest: query.Digest})
+	part, ok := current.Part(configservice.PartRef{Name: query.Name, Digest: query.Digest})
 	if !ok {
 		return nil, fault.New(fault.MissingPart, "part "+query.Name+" is not in force here")
 	}
--- a/pkg/relay/memory.go
+++ b/pkg/relay/memory.go
@@ -4,7 +4,7 @@
 	"slices"
 	"sync"
 
-	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -20,7 +20,7 @@
 // appliedManifest is a manifest that was in force.
 type appliedManifest struct {
 	version  version
-	manifest platform.Manifest
+	manifest configservice.Manifest
 }
 
 const (
@@ -53,7 +53,7 @@
 }
 
 // apply remembers a manifest that came into force.
-func (m *memory) apply(v version, manifest platform.Manifest) {
+func (m *memory) apply(v version, manifest configservice.Manifest) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applied = append(m.applied, appliedManifest{v, manifest})
@@ -63,7 +63,7 @@
 }
 
 // manifest returns the remembered manifest of the version.
-func (m *memory) manifest(v version) (platform.Manifest, bool) {
+func (m *memory) manifest(v version) (configservice.Manifest, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, known := range m.applied {
@@ -71,7 +71,7 @@
 			return known.manifest, true
 		}
 	}
-	return platform.Manifest{}, false
+	return configservice.Manifest{}, false
 }
 
 // sawRevision remembers that a revision of the service needs no more reads.
--- a/pkg/relay/messages.go
+++ b/pkg/relay/messages.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/umbercrank/umbercrank/pkg/config"
-	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -18,8 +18,8 @@
 
 // version names a configuration. The zero version means that there is none.
 type version struct {
-	Revision types.Revision  `json:"revision"`
-	Digest   platform.Digest `json:"digest"`
+	Revision types.Revision       `json:"revision"`
+	Digest   configservice.Digest `json:"digest"`
 }
 
 // newer reports whether v takes the place of other.
@@ -35,15 +35,15 @@
 	// Serving says that the answering instance has been admitted.
 	Serving bool `json:"serving"`
 	// Delta says that Parts and Removed are changes to the asker's manifest.
-	Delta   bool               `json:"delta,omitempty"`
-	Parts   []platform.PartRef `json:"parts,omitempty"`
-	Removed []string           `json:"removed,omitempty"`
+	Delta   bool                    `json:"delta,omitempty"`
+	Parts   []configservice.PartRef `json:"parts,omitempty"`
+	Removed []string                `json:"removed,omitempty"`
 }
 
 // partQuery asks for one part.
 type partQuery struct {
-	Name   string          `json:"name"`
-	Digest platform.Digest `json:"digest"`
+	Name   string               `json:"name"`
+	Digest configservice.Digest `json:"digest"`
 }
 
 // partAnswer carries one part.
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/wait"
 )
@@ -79,7 +79,7 @@
 }
 
 // readPart reads a part from the service.
-func (r *Relay) readPart(ctx context.Context, ref platform.PartRef) ([]byte, error) {
+func (r *Relay) readPart(ctx context.Context, ref configservice.PartRef) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.settings.ServicePartTimeout)
 	defer cancel()
 	r.counters.serviceReads.Add(1)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -12,9 +12,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/peer"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -35,7 +35,7 @@
 type Options struct {
 	// Settings are the intervals and bounds; the zero value means the defaults.
 	Settings Settings
-	Source   platform.Source
+	Source   configservice.Source
 	Caller   peer.Caller
 	View     membership.View
 	Store    *config.Store
--- a/pkg/relay/status.go
+++ b/pkg/relay/status.go
@@ -3,7 +3,7 @@
 import (
 	"sync/atomic"
 
-	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -21,8 +21,8 @@
 
 // Status is what operators see of a relay.
 type Status struct {
-	Revision types.Revision  `json:"revision"`
-	Digest   platform.Digest `json:"digest"`
+	Revision types.Revision       `json:"revision"`
+	Digest   configservice.Digest `json:"digest"`
 	// Serving says that the instance has been admitted.
 	Serving bool `json:"serving"`
 	// Reader says that the instance waits at the service for its data centre.
--- a/pkg/relay/take.go
+++ b/pkg/relay/take.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -33,7 +33,7 @@
 // take puts the manifest's configuration in force if it is newer. It reports
 // whether the manifest was new. The failure means that the manifest could not
 // be dealt with yet; a refused document is dealt with.
-func (r *Relay) take(ctx context.Context, manifest platform.Manifest, from origin) (bool, error) {
+func (r *Relay) take(ctx context.Context, manifest configservice.Manifest, from origin) (bool, error) {
 	wanted := version{Revision: manifest.Revision, Digest: manifest.Digest()}
 	if !r.wants(wanted) {
 		return false, nil
@@ -61,7 +61,7 @@
 }
 
 // install takes one revision through its life cycle: fetch, compile, apply.
-func (r *Relay) install(ctx context.Context, manifest platform.Manifest, wanted version, from origin) error {
+func (r *Relay) install(ctx context.Context, manifest configservice.Manifest, wanted version, from origin) error {
 	started := time.Now()
 	if err := config.CheckManifest(manifest); err != nil {
 		r.reject(wanted, err)
--- a/pkg/standin/configuration/handler.go
+++ b/pkg/standin/configuration/handler.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -53,7 +53,7 @@
 }
 
 func (s *Service) getPart(w http.ResponseWriter, r *http.Request) {
-	part, err := s.Part(r.Context(), platform.PartRef{Digest: platform.Digest(r.PathValue("digest"))})
+	part, err := s.Part(r.Context(), configservice.PartRef{Digest: configservice.Digest(r.PathValue("digest"))})
 	if err != nil {
 		refuse(w, err)
 		return
--- a/pkg/standin/configuration/handler_test.go
+++ b/pkg/standin/configuration/handler_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 )
 
 // put sends a body and returns the status.
@@ -39,7 +39,7 @@
 	if status := put(t, server.URL+"/v1/document", string(text)); status != http.StatusOK {
 		t.Fatalf("status %d", status)
 	}
-	client := platform.NewClient(server.URL, server.Client())
+	client := configservice.NewClient(server.URL, server.Client())
 	manifest, err := client.WaitManifest(t.Context(), 0, time.Second)
 	if err != nil || manifest.Revision != 1 {
 		t.Fatalf("manifest %+v, %v", manifest, err)
@@ -64,7 +64,7 @@
 	service := New()
 	server := httptest.NewServer(service.Handler())
 	defer server.Close()
-	client := platform.NewClient(server.URL, server.Client())
+	client := configservice.NewClient(server.URL, server.Client())
 	service.PublishParts(map[string][]byte{"a": []byte("{}")})
 	service.PublishParts(map[string][]byte{"a": []byte("{ }")})
 	put(t, server.URL+"/v1/faults", `{"stale_revision": 1}`)
--- a/pkg/standin/configuration/state.go
+++ b/pkg/standin/configuration/state.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -40,11 +40,11 @@
 }
 
 // Service is the state of the stand-in. It is safe for concurrent use and
-// implements platform.Source for tests within one process.
+// implements configservice.Source for tests within one process.
 type Service struct {
 	mu        sync.Mutex
-	history   []platform.Manifest
-	parts     map[platform.Digest][]byte
+	history   []configservice.Manifest
+	parts     map[configservice.Digest][]byte
 	instances []types.Instance
 	faults    Faults
 	calls     Calls
@@ -53,21 +53,21 @@
 
 // New returns a Service that has published nothing.
 func New() *Service {
-	return &Service{parts: map[platform.Digest][]byte{}, changed: make(chan struct{})}
+	return &Service{parts: map[configservice.Digest][]byte{}, changed: make(chan struct{})}
 }
 
 // Publish splits the document into parts, publishes them and returns the
 // manifest. The document's meaning is not checked.
-func (s *Service) Publish(document *config.Document) (platform.Manifest, error) {
+func (s *Service) Publish(document *config.Document) (configservice.Manifest, error) {
 	parts, err := config.Split(document)
 	if err != nil {
-		return platform.Manifest{}, err
+		return configservice.Manifest{}, err
 	}
 	return s.PublishParts(parts), nil
 }
 
 // PublishParts publishes the parts as they are under the next revision.
-func (s *Service) PublishParts(parts map[string][]byte) platform.Manifest {
+func (s *Service) PublishParts(parts map[string][]byte) configservice.Manifest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, manifest := config.Encode(s.latest().Revision+1, parts)
@@ -83,10 +83,10 @@
 // Fork adds the parts of a document without publishing it, and returns a
 // manifest of the next revision that lists them. Tests show it to some readers
 // as if replicas of the service disagreed.
-func (s *Service) Fork(document *config.Document) (platform.Manifest, error) {
+func (s *Service) Fork(document *config.Document) (configservice.Manifest, error) {
 	parts, err := config.Split(document)
 	if err != nil {
-		return platform.Manifest{}, err
+		return configservice.Manifest{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,26 +103,26 @@
 		return
 	}
 	s.history = slices.Delete(s.history, 0, len(s.history)-maxHistory)
-	named := map[platform.Digest]bool{}
+	named := map[configservice.Digest]bool{}
 	for _, manifest := range s.history {
 		for _, ref := range manifest.Parts {
 			named[ref.Digest] = true
 		}
 	}
-	maps.DeleteFunc(s.parts, func(digest platform.Digest, _ []byte) bool { return !named[digest] })
+	maps.DeleteFunc(s.parts, func(digest configservice.Digest, _ []byte) bool { return !named[digest] })
 }
 
 // latest returns the newest manifest, or a zero one.
-func (s *Service) latest() platform.Manifest {
+func (s *Service) latest() configservice.Manifest {
 	if len(s.history) == 0 {
-		return platform.Manifest{}
+		return configservice.Manifest{}
 	}
 	return s.history[len(s.history)-1]
 }
 
 // visible returns the newest manifest that the limit and the faults let a
 // reader see.
-func (s *Service) visible(limit types.Revision) platform.Manifest {
+func (s *Service) visible(limit types.Revision) configservice.Manifest {
 	if s.faults.StaleRevision != 0 {
 		limit = min(limit, s.faults.StaleRevision)
 	}
@@ -131,7 +131,7 @@
 			return manifest
 		}
 	}
-	return platform.Manifest{}
+	return configservice.Manifest{}
 }
 
 // wake ends the waits of readers.
@@ -162,16 +162,16 @@
 	return s.calls
 }
 
-// WaitManifest implements platform.Source.
-func (s *Service) WaitManifest(ctx context.Context, after types.Revision, wait time.Duration) (platform.Manifest, error) {
+// WaitManifest implements configservice.Source.
+func (s *Service) WaitManifest(ctx context.Context, after types.Revision, wait time.Duration) (configservice.Manifest, error) {
 	return s.WaitManifestUpTo(ctx, after, wait, math.MaxUint64)
 }
 
 // WaitManifestUpTo is WaitManifest at a replica that has no manifest above the
 // limit.
-func (s *Service) WaitManifestUpTo(ctx context.Context, after types.Revision, wait time.Duration, limit types.Revision) (platform.Manifest, error) {
+func (s *Service) WaitManifestUpTo(ctx context.Context, after types.Revision, wait time.Duration, limit types.Revision) (configservice.Manifest, error) {
 	if err := s.begin(ctx, func(c *Calls) { c.Manifest++ }); err != nil {
-		return platform.Manifest{}, err
+		return configservice.Manifest{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -185,23 +185,23 @@
 		case <-timer.C:
 			return manifest, nil
 		case <-ctx.Done():
-			return platform.Manifest{}, unavailable("the reader left")
+			return configservice.Manifest{}, unavailable("the reader left")
 		}
 	}
 }
 
 // look returns the visible manifest and the channel of the next change.
-func (s *Service) look(limit types.Revision) (platform.Manifest, <-chan struct{}, error) {
+func (s *Service) look(limit types.Revision) (configservice.Manifest, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
-		return platform.Manifest{}, nil, unavailable("the service is down")
+		return configservice.Manifest{}, nil, unavailable("the service is down")
 	}
 	return s.visible(limit), s.changed, nil
 }
 
-// Part implements platform.Source.
-func (s *Service) Part(ctx context.Context, ref platform.PartRef) ([]byte, error) {
+// Part implements configservice.Source.
+func (s *Service) Part(ctx context.Context, ref configservice.PartRef) ([]byte, error) {
 	if err := s.begin(ctx, func(c *Calls) { c.Part++ }); err != nil {
 		return nil, err
 	}
@@ -215,7 +215,7 @@
 	return slices.Clone(part), nil
 }
 
-// Instances implements platform.Source.
+// Instances implements configservice.Source.
 func (s *Service) Instances(ctx context.Context) ([]types.Instance, error) {
 	if err := s.begin(ctx, func(c *Calls) { c.Instances++ }); err != nil {
 		return nil, err
--- a/test/fakes/platform.go
+++ b/test/fakes/platform.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/standin/configuration"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -19,7 +19,7 @@
 	mu    sync.Mutex
 	cut   map[string]bool
 	stale map[string]types.Revision
-	forks map[string]platform.Manifest
+	forks map[string]configservice.Manifest
 }
 
 // NewPlatform returns a platform that has published nothing.
@@ -28,12 +28,12 @@
 		Service: configuration.New(),
 		cut:     map[string]bool{},
 		stale:   map[string]types.Revision{},
-		forks:   map[string]platform.Manifest{},
+		forks:   map[string]configservice.Manifest{},
 	}
 }
 
 // Reader returns the platform as the named reader sees it.
-func (p *Platform) Reader(name string) platform.Source {
+func (p *Platform) Reader(name string) configservice.Source {
 	return &reader{platform: p, name: name}
 }
 
@@ -56,7 +56,7 @@
 
 // Fork shows the named readers the document under the next revision, while
 // others see what is published under it.
-func (p *Platform) Fork(document *config.Document, names ...string) (platform.Manifest, error) {
+func (p *Platform) Fork(document *config.Document, names ...string) (configservice.Manifest, error) {
 	manifest, err := p.Service.Fork(document)
 	if err != nil {
 		return manifest, err
@@ -70,7 +70,7 @@
 }
 
 // seenBy returns the manifest as the named reader sees it.
-func (p *Platform) seenBy(name string, manifest platform.Manifest) platform.Manifest {
+func (p *Platform) seenBy(name string, manifest configservice.Manifest) configservice.Manifest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if fork, ok := p.forks[name]; ok && fork.Revision == manifest.Revision {
@@ -102,31 +102,31 @@
 	name     string
 }
 
-// WaitManifest implements platform.Source.
-func (r *reader) WaitManifest(ctx context.Context, after types.Revision, wait time.Duration) (platform.Manifest, error) {
+// WaitManifest implements configservice.Source.
+func (r *reader) WaitManifest(ctx context.Context, after types.Revision, wait time.Duration) (configservice.Manifest, error) {
 	cut, stale, isStale := r.platform.faults(r.name)
 	if cut {
-		return platform.Manifest{}, unreachable()
+		return configservice.Manifest{}, unreachable()
 	}
 	if isStale {
 		return r.platform.Service.WaitManifestUpTo(ctx, after, wait, stale)
 	}
 	manifest, err := r.platform.Service.WaitManifest(ctx, after, wait)
 	if cut, _, _ := r.platform.faults(r.name); cut {
-		return platform.Manifest{}, unreachable()
+		return configservice.Manifest{}, unreachable()
 	}
 	return r.platform.seenBy(r.name, manifest), err
 }
 
-// Part implements platform.Source.
-func (r *reader) Part(ctx context.Context, ref platform.PartRef) ([]byte, error) {
+// Part implements configservice.Source.
+func (r *reader) Part(ctx context.Context, ref configservice.PartRef) ([]byte, error) {
 	if cut, _, _ := r.platform.faults(r.name); cut {
 		return nil, unreachable()
 	}
 	return r.platform.Service.Part(ctx, ref)
 }
 
-// Instances implements platform.Source.
+// Instances implements configservice.Source.
 func (r *reader) Instances(ctx context.Context) ([]types.Instance, error) {
 	if cut, _, _ := r.platform.faults(r.name); cut {
 		return nil, unreachable()
--- a/test/prove/configuration_checker_test.go
+++ b/test/prove/configuration_checker_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/platform"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -23,7 +23,7 @@
 // configurationName orders configurations as instances do.
 type configurationName struct {
 	revision types.Revision
-	digest   platform.Digest
+	digest   configservice.Digest
 }
 
 // above reports whether the configuration takes the place of other: by the
--- a/test/prove/configuration_fleet_test.go
+++ b/test/prove/configuration_fleet_test.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/peer"
-	"github.com/umbercrank/umbercrank/pkg/platform"
 	"github.com/umbercrank/umbercrank/pkg/relay"
 	"github.com/umbercrank/umbercrank/pkg/standin/configuration"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -26,7 +26,7 @@
 // slowService is how long a slow service holds back each answer.
 const slowService = 3 * time.Second
 
-// relayFleet is many relays on one fake network with one fake platform.
+// relayFleet is many relays on one fake network with one fake configuration service.
 type relayFleet struct {
 	t        *testing.T
 	random   *rand.Rand
@@ -181,7 +181,7 @@
 }
 
 // accept remembers a valid manifest.
-func (f *relayFleet) accept(manifest platform.Manifest) {
+func (f *relayFleet) accept(manifest configservice.Manifest) {
 	name := configurationName{manifest.Revision, manifest.Digest()}
 	f.history.valid[name] = true
 	f.showsBad = false
