engine model: chains of shared parts, one memory, costs of context and of long prompts

Cause: the model kept one prefix of a request in a memory of its own and read prompts at one rate; the users' engines share memory between running requests and cached parts, cache chains of parts, and read long prompts more slowly. After: shared parts count once, those in use stay, the others yield by last use; a part helps only after all before it; steps cost for context and for pairs of tokens (settings, zero by default). Ruled out: a second model beside the first; the old prefix is a chain of one.

--- a/pkg/standin/engine/model/engine.go
+++ b/pkg/standin/engine/model/engine.go
@@ -12,13 +12,14 @@
 type Engine struct {
 	settings Settings
 	jitter   *rand.Rand
-	prefixes *prefixCache
+	parts    *partMemory
 	// waiting is sorted by rank.
 	waiting []*sequence
 	// running is the batch, sorted by rank.
-	running  []*sequence
-	byID     map[types.RequestID]*sequence
-	kvUsed   int
+	running []*sequence
+	byID    map[types.RequestID]*sequence
+	// private counts the tokens in memory that belong to one sequence alone.
+	private  int
 	arrivals uint64
 	stepping bool
 	stepEnd  time.Duration
@@ -37,7 +38,7 @@
 	return &Engine{
 		settings: settings,
 		jitter:   rand.New(rand.NewPCG(settings.Seed, 0)),
-		prefixes: newPrefixCache(settings.PrefixTokens),
+		parts:    newPartMemory(settings.PrefixTokens),
 		byID:     make(map[types.RequestID]*sequence),
 	}
 }
@@ -88,7 +89,7 @@
 
 // Load returns the state at this moment, without any lag.
 func (e *Engine) Load() Load {
-	return Load{Running: len(e.running), Waiting: len(e.waiting), KVUsed: e.kvUsed}
+	return Load{Running: len(e.running), Waiting: len(e.waiting), KVUsed: e.private + e.parts.used}
 }
 
 // Counters returns the running totals.
@@ -120,9 +121,11 @@
 			continue
 		}
 		e.counters.GeneratedTokens++
-		e.kvUsed++
+		e.private++
+		if s.generated == s.base+1 {
+			e.parts.finish(s.parts)
+		}
 		if s.done() {
-			e.prefixes.add(s.request.PrefixHash, s.prefixTokens())
 			e.remove(s)
 		}
 		events = append(events, Event{ID: s.request.ID, Tokens: 1, Done: s.done()})
@@ -144,11 +147,14 @@
 // stepTime plans the prompt tokens of the step and returns its duration.
 func (e *Engine) stepTime() time.Duration {
 	budget := e.settings.PrefillChunk
-	generating := 0
+	generating, context, pairs := 0, 0, 0
 	for _, s := range e.running {
-		budget -= s.plan(budget)
+		read := s.plan(budget)
+		budget -= read
+		pairs += read * (s.inMemory() + read/2)
 		if s.generates() {
 			generating++
+			context += s.length()
 		}
 	}
 	prefill := e.settings.PrefillChunk - budget
@@ -156,6 +162,8 @@
 	cost := e.settings.StepBase
 	cost += time.Duration(generating) * e.settings.StepPerSequence
 	cost += time.Duration(prefill) * e.settings.StepPerPrefillToken
+	cost += time.Duration(context) * e.settings.StepPerContextKilotoken / 1000
+	cost += time.Duration(pairs/1000) * e.settings.PrefillPerMegapair / 1000
 	return e.vary(cost)
 }
 
@@ -171,7 +179,8 @@
 	delete(e.byID, s.request.ID)
 	if s.admitted {
 		e.running = removeByRank(e.running, s)
-		e.kvUsed -= s.kv()
+		e.private -= s.kv()
+		e.parts.release(s.parts)
 		return
 	}
 	e.waiting = removeByRank(e.waiting, s)
--- a/pkg/standin/engine/model/memory.go
+++ b/pkg/standin/engine/model/memory.go
@@ -3,9 +3,10 @@
 // fitMemory puts back the last sequences of the batch until the next token of
 // each remaining one has a place. One sequence always stays.
 func (e *Engine) fitMemory() {
-	for len(e.running) > 1 && e.kvUsed+len(e.running) > e.settings.KVTokens {
+	for len(e.running) > 1 && e.private+e.parts.used+len(e.running) > e.settings.KVTokens {
 		e.putBack(e.running[len(e.running)-1])
 	}
+	e.parts.shrink(e.settings.KVTokens - e.private - e.parts.used - len(e.running))
 }
 
 // admit moves waiting sequences into the batch in order of rank. A sequence of
@@ -23,7 +24,7 @@
 // makeRoom reports whether the sequence fits, after putting back sequences of a
 // later priority if that makes it fit.
 func (e *Engine) makeRoom(next *sequence) bool {
-	keep, kv := len(e.running), e.kvUsed
+	keep, kv := len(e.running), e.private
 	for keep > 0 && !e.fits(next, keep, kv) {
 		last := e.running[keep-1]
 		if last.request.Priority <= next.request.Priority {
@@ -39,7 +40,7 @@
 }
 
 // fits reports whether the sequence has a place beside running sequences that
-// hold kv tokens. An empty engine takes any sequence.
+// hold kv tokens of their own. An empty engine takes any sequence.
 func (e *Engine) fits(next *sequence, running, kv int) bool {
 	if running == 0 {
 		return true
@@ -47,19 +48,17 @@
 	if running >= e.settings.MaxBatch {
 		return false
 	}
-	return kv+next.length()+running+1 <= e.settings.KVTokens
+	return kv+e.parts.used+e.parts.missing(next.parts)+next.own()+running+1 <= e.settings.KVTokens
 }
 
 // start moves the sequence from the queue into the batch.
 func (e *Engine) start(s *sequence) {
 	e.waiting = removeByRank(e.waiting, s)
-	cached := 0
-	if e.prefixes.use(s.request.PrefixHash) {
-		cached = s.prefixTokens()
-	}
+	cached := e.parts.take(s.parts)
 	e.counters.CachedTokens += cached
 	s.admit(cached)
-	e.kvUsed += s.kv()
+	e.private += s.kv()
+	e.parts.shrink(e.settings.KVTokens - e.private - e.parts.used)
 	e.running = insertByRank(e.running, s)
 }
 
@@ -67,7 +66,8 @@
 func (e *Engine) putBack(s *sequence) {
 	e.counters.Preemptions++
 	e.running = removeByRank(e.running, s)
-	e.kvUsed -= s.kv()
+	e.private -= s.kv()
+	e.parts.release(s.parts)
 	s.putBack()
 	e.waiting = insertByRank(e.waiting, s)
 }
--- a/pkg/standin/engine/model/sequence.go
+++ b/pkg/standin/engine/model/sequence.go
@@ -9,6 +9,9 @@
 type sequence struct {
 	request Request
 	arrival uint64
+	// parts are the shared parts of the prompt, and shared their tokens.
+	parts  []Part
+	shared int
 	// generated counts the tokens produced, kept through preemptions.
 	generated int
 	// unread counts the tokens that must be read before the next one is
@@ -29,7 +32,14 @@
 func newSequence(request Request, arrival uint64) *sequence {
 	request.OutputTokens = max(request.OutputTokens, 1)
 	request.PromptTokens = max(request.PromptTokens, 1)
-	return &sequence{request: request, arrival: arrival}
+	s := &sequence{request: request, arrival: arrival}
+	for _, part := range request.parts() {
+		if s.shared+part.Tokens > request.PromptTokens {
+			break
+		}
+		s.parts, s.shared = append(s.parts, part), s.shared+part.Tokens
+	}
+	return s
 }
 
 // length is the number of tokens that memory must hold at admission.
@@ -38,18 +48,16 @@
 // kv is the memory held.
 func (s *sequence) kv() int { return s.reserved + s.generated - s.base }
 
-// prefixTokens is the length of the shared start.
-func (s *sequence) prefixTokens() int {
-	if s.request.PrefixTokens == 0 {
-		return s.request.PromptTokens
-	}
-	return min(s.request.PrefixTokens, s.request.PromptTokens)
-}
+// own is the part of length that is not shared.
+func (s *sequence) own() int { return s.length() - s.shared }
+
+// inMemory is the number of tokens before the next one to read.
+func (s *sequence) inMemory() int { return s.length() - s.unread }
 
 // admit takes memory; cached tokens need not be read again.
 func (s *sequence) admit(cached int) {
 	s.admitted = true
-	s.reserved = s.length()
+	s.reserved = s.own()
 	s.base = s.generated
 	// The last token of the prompt is always read, as it yields the next one.
 	s.unread = max(s.length()-cached, 1)
--- a/pkg/standin/engine/model/settings.go
+++ b/pkg/standin/engine/model/settings.go
@@ -20,6 +20,12 @@
 	StepPerSequence time.Duration `json:"step_per_sequence_ns"`
 	// StepPerPrefillToken is added for each prompt token read in the step.
 	StepPerPrefillToken time.Duration `json:"step_per_prefill_token_ns"`
+	// StepPerContextKilotoken is added for each thousand tokens in the memory of
+	// the sequences that generate in the step.
+	StepPerContextKilotoken time.Duration `json:"step_per_context_kilotoken_ns"`
+	// PrefillPerMegapair is added for each million pairs of a token that is read
+	// and one before it in the same prompt.
+	PrefillPerMegapair time.Duration `json:"prefill_per_megapair_ns"`
 	// Jitter is the largest relative change of a step's time, from 0 to 1.
 	Jitter float64 `json:"jitter"`
 	// Straggle multiplies the time of each step; one is an ordinary engine.
@@ -30,7 +36,8 @@
 	PrefillChunk int `json:"prefill_chunk"`
 	// KVTokens is the key-value memory in tokens.
 	KVTokens int `json:"kv_tokens"`
-	// PrefixTokens is the memory of the prefix cache in tokens.
+	// PrefixTokens bounds the tokens of shared parts that are kept while nobody
+	// uses them. They are part of KVTokens, and yield to running sequences.
 	PrefixTokens int `json:"prefix_tokens"`
 }
 
@@ -65,6 +72,21 @@
 	// PrefixTokens is the length of the shared start; zero means the whole
 	// prompt.
 	PrefixTokens int `json:"prefix_tokens,omitempty"`
+	// Parts are the shared parts of the prompt in order, in the place of
+	// PrefixHash.
+	Parts []Part `json:"parts,omitempty"`
+}
+
+// parts returns the shared parts of the prompt.
+func (r Request) parts() []Part {
+	if len(r.Parts) > 0 || r.PrefixHash == 0 {
+		return r.Parts
+	}
+	tokens := r.PrefixTokens
+	if tokens == 0 {
+		tokens = r.PromptTokens
+	}
+	return []Part{{ID: r.PrefixHash, Tokens: min(tokens, r.PromptTokens)}}
 }
 
 // Event reports what one step did for one sequence.
