--- a/pkg/ctl/bench.go
+++ b/pkg/ctl/bench.go
@@ -10,6 +10,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/bench"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/simulate"
 )
 
 // newBenchCommand returns the command that measures the policies in virtual
@@ -36,7 +37,7 @@
 			if err != nil {
 				return err
 			}
-			if err := writeBench(report, out); err != nil {
+			if err := writeReport(report, report.WriteHTML, out, "bench"); err != nil {
 				return err
 			}
 			return report.WriteText(command.OutOrStdout())
@@ -50,11 +51,45 @@
 	flags.StringSliceVar(&options.Workloads, "workloads", options.Workloads, "workloads: rappel, kavtaradze")
 	flags.IntVar(&options.Parallel, "parallel", options.Parallel, "runs at once")
 	flags.StringVar(&out, "out", out, "directory for bench.json and bench.html")
+	command.AddCommand(newBenchEntriesCommand())
 	return command
 }
 
-// writeBench writes the report as JSON and as a page.
-func writeBench(report *bench.Report, directory string) error {
+// newBenchEntriesCommand returns the command that measures what entries decide
+// by themselves, without dispatchers.
+func newBenchEntriesCommand() *cobra.Command {
+	options := simulate.DefaultOptions()
+	out := "out"
+	command := &cobra.Command{
+		Use:   "entries",
+		Short: "Measure placing and refusing by independent entries on the users' loads in virtual time",
+		Example: `  umberctl bench entries --seeds 3 --out out
+  umberctl bench entries --sites callbacks --days crashes --loads 1,1.3`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			report, err := simulate.Play(command.Context(), options)
+			if err != nil {
+				return err
+			}
+			if err := writeReport(report, report.WriteHTML, out, "entries"); err != nil {
+				return err
+			}
+			return report.WriteText(command.OutOrStdout())
+		},
+	}
+	flags := command.Flags()
+	flags.Uint64Var(&options.FirstSeed, "seed", options.FirstSeed, "first seed")
+	flags.IntVar(&options.Seeds, "seeds", options.Seeds, "number of seeds")
+	flags.Float64SliceVar(&options.Loads, "loads", options.Loads, "loads as multiples of the stated rates")
+	flags.StringSliceVar(&options.Sites, "sites", nil, "sites: callbacks, bookings (all)")
+	flags.StringSliceVar(&options.Days, "days", nil, "days: steady, waves, crashes, crash-in-burst, slow-engines (all)")
+	flags.IntVar(&options.Parallel, "parallel", options.Parallel, "runs at once")
+	flags.StringVar(&out, "out", out, "directory for entries.json and entries.html")
+	return command
+}
+
+// writeReport writes a report as JSON and as a page.
+func writeReport(report any, page func(io.Writer) error, directory, name string) error {
 	if err := os.MkdirAll(directory, 0o755); err != nil {
 		return fault.Wrap(fault.InvalidSetting, err, "the output directory cannot be made")
 	}
@@ -63,10 +98,10 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(report)
 	}
-	if err := writeReportFile(filepath.Join(directory, "bench.json"), encode); err != nil {
+	if err := writeReportFile(filepath.Join(directory, name+".json"), encode); err != nil {
 		return err
 	}
-	return writeReportFile(filepath.Join(directory, "bench.html"), report.WriteHTML)
+	return writeReportFile(filepath.Join(directory, name+".html"), page)
 }
 
 // writeReportFile creates the file and fills it by write.
--- /dev/null
+++ b/pkg/simulate/policy.go
@@ -0,0 +1,112 @@
+package simulate
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/admission"
+	"github.com/umbercrank/umbercrank/pkg/placement"
+)
+
+// PolicyName names a policy.
+type PolicyName string
+
+// The policies that are compared.
+const (
+	// Product is what the gateway does.
+	Product PolicyName = "umbercrank"
+	// Independent takes the less loaded of two engines drawn at random and
+	// refuses nothing.
+	Independent PolicyName = "independent"
+	// LeastLoaded takes the engine with the fewest requests and refuses nothing.
+	LeastLoaded PolicyName = "least-loaded"
+	// ShortestWait takes the engine with the fewest prompt tokens to read and
+	// refuses nothing.
+	ShortestWait PolicyName = "shortest-wait"
+	// FIFO is one queue in the order of arrival that sees all engines as they
+	// are and puts at most half a batch on each.
+	FIFO PolicyName = "fifo"
+)
+
+// Policies returns all policies, the product first.
+func Policies() []PolicyName {
+	return []PolicyName{Product, Independent, LeastLoaded, ShortestWait, FIFO}
+}
+
+// verdict is what becomes of a request for now.
+type verdict struct {
+	// to is the engine that gets the request; none if it is empty.
+	to placement.Choice
+	// wait says that the request waits for an engine.
+	wait bool
+	// returnAfter is when a refused caller is asked to come back.
+	returnAfter time.Duration
+}
+
+// decide applies a policy to one request at one entry.
+func decide(name PolicyName, random *rand.Rand, r *request, candidates []placement.Candidate) verdict {
+	if len(candidates) == 0 {
+		return verdict{returnAfter: 400 * time.Millisecond}
+	}
+	switch name {
+	case Independent:
+		a, b := candidates[random.IntN(len(candidates))], candidates[random.IntN(len(candidates))]
+		return sendTo(smallest([]placement.Candidate{a, b}, requests))
+	case LeastLoaded:
+		return sendTo(smallest(candidates, requests))
+	case ShortestWait:
+		return sendTo(smallest(candidates, unread))
+	case FIFO:
+		best := smallest(candidates, requests)
+		if requests(best) >= best.Slots/2 {
+			return verdict{wait: true}
+		}
+		return sendTo(best)
+	default:
+		return product(random, r, candidates)
+	}
+}
+
+func product(random *rand.Rand, r *request, candidates []placement.Candidate) verdict {
+	choice, _ := placement.Choose(&r.work, "", string(r.id), candidates)
+	if r.runs > 0 {
+		return verdict{to: choice}
+	}
+	decision := admission.Decide(admission.Request{Objective: r.kind.Objective, Remaining: r.remaining, Spread: random.Float64()}, choice)
+	if !decision.Admit {
+		return verdict{returnAfter: decision.ReturnAfter}
+	}
+	return verdict{to: choice}
+}
+
+func sendTo(candidate placement.Candidate) verdict {
+	return verdict{to: placement.Choice{ID: candidate.ID}}
+}
+
+// smallest returns the candidate with the smallest measure; equal ones in the
+// order of their names.
+func smallest(candidates []placement.Candidate, measure func(placement.Candidate) int) placement.Candidate {
+	best := candidates[0]
+	for _, candidate := range candidates[1:] {
+		if m, least := measure(candidate), measure(best); m < least || m == least && candidate.ID < best.ID {
+			best = candidate
+		}
+	}
+	return best
+}
+
+func requests(candidate placement.Candidate) int {
+	total := 0
+	for _, rank := range candidate.Load.Ranks {
+		total += rank.Waiting + rank.Running
+	}
+	return total
+}
+
+func unread(candidate placement.Candidate) int {
+	total := 0
+	for _, rank := range candidate.Load.Ranks {
+		total += rank.Unread
+	}
+	return total
+}
