--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of the project; README.md explains them.
 GO ?= go
 
-.PHONY: all build lint test up demo failures rolling prove bench slopes clean
+.PHONY: all build lint test up demo failures rolling prove soak bench slopes clean
 
 all: lint test build
 
@@ -30,6 +30,9 @@
 prove:
 	./scripts/prove.sh
 
+soak:
+	./scripts/soak.sh
+
 bench:
 	./scripts/bench.sh
 
