mesh: in a large fleet only hubs are told, and tell who is up

Ruled out: longer pauses in the full mesh, which only age what is known. Change: beats to distant instances are gone. Spokes tell their hub; hubs pass changes of rows, strikes and placements on, and twice a second who is up. An instance that knows less of the fleet than the one it speaks to is introduced once a second. Hubs try silent instances, spokes do not.

--- a/pkg/mesh/beat.go
+++ b/pkg/mesh/beat.go
@@ -52,7 +52,14 @@
 	Placements []Placement                         `json:"placed,omitempty"`
 	Strikes    []quarantine.Entry                  `json:"strikes,omitempty"`
 	Revisions  map[string]types.Revision           `json:"rev,omitempty"`
-	Sightings  []Sighting                          `json:"seen,omitempty"`
+	// Sightings are rows that the peer may lack or have in an older state.
+	Sightings []Sighting `json:"seen,omitempty"`
+	// Ages are the milliseconds since others were heard, of those that are up.
+	Ages map[types.InstanceID]int64 `json:"ages,omitempty"`
+	// Hub says that the sender is told of the fleet by the receiver.
+	Hub bool `json:"hub,omitempty"`
+	// Known is the number of instances that the sender believes to be up.
+	Known int `json:"known,omitempty"`
 }
 
 // fetchRequest asks for the items of a collection after a revision.
@@ -77,34 +84,44 @@
 	// fleet: reports of work that are older than a step or two of an engine lead
 	// to herds.
 	beatPause = 40 * time.Millisecond
-	// beatSpacing is the shortest time between any two beats of an instance of a
-	// large fleet, so that what beats cost it does not grow with the fleet: at 100
-	// a second, some hundredths of a core.
+	// beatSpacing is the shortest time between any two beats of an instance, so
+	// that what beats cost it does not grow with a small fleet: at 100 a second, some
+	// hundredths of a core. smallFleet is the size up to which it does not count.
 	beatSpacing = 10 * time.Millisecond
-	// smallFleet is the size up to which peers are told without that spacing.
-	smallFleet = 4
-	// beatInterval is the longest time between two beats to one peer of a small
-	// fleet, when nothing changes; in a large one it is twice the pause.
+	smallFleet  = 4
+	// beatInterval is the longest time between two beats to one peer when nothing
+	// changes.
 	beatInterval = 300 * time.Millisecond
-	// sightingPeers is the number of peers to which an instance passes on all
-	// rows it knows at a time; each of them has as many bytes as the fleet is
-	// large.
-	sightingPeers = 8
-	// sightingInterval is the time between two passings-on of the known rows.
-	sightingInterval = time.Second
+	// sightingInterval is the time between two passings-on of all known rows to
+	// one peer of a small fleet, to sightingPeers of them at the most. In a large
+	// one hubs pass changes on at once, and all rows in the longer time, since each
+	// passing-on has as many bytes as the fleet is large.
+	sightingPeers         = 8
+	sightingInterval      = time.Second
+	largeSightingInterval = 10 * time.Second
+	// agesInterval is the time between two passings-on of who is up.
+	agesInterval = 500 * time.Millisecond
 	// relayPause is the shortest time between two beats between an instance and
 	// its hub, and between hubs, of a large fleet.
 	relayPause = 80 * time.Millisecond
-	// silentBeats is the number of missed beats after which callers are no
-	// longer sent to an instance.
-	silentBeats = 4
-	// distantBeats is the same for the rare beats of a large fleet.
-	distantBeats = 3
+	// silentAfter is the time without a beat after which callers are no longer sent
+	// to an instance: four beats, and one more where a busy hub collects.
+	silentAfter      = 4 * beatInterval
+	silentAfterLarge = 5 * beatInterval
+	// distantSilentAfter is the same for instances that only hubs hear: a beat to
+	// the hub, one between hubs and one from the hub, each of them late.
+	distantSilentAfter = 3 * time.Second
 	// forgetAfter is the time after which a silent instance is forgotten; until
 	// then it is tried again, as a partition may heal.
 	forgetAfter = time.Minute
 	// retryInterval is the time between two tries at a silent instance.
 	retryInterval = time.Second
+	// idlePause is the time after which an instance looks again whether to tell a
+	// distant one; what changes that wakes it.
+	idlePause = 10 * time.Second
+	// introduction is the shortest time between two beats to a distant instance
+	// that knows less of the fleet.
+	introduction = time.Second
 	// fetchPause gives the store itself time to bring what a peer has already.
 	fetchPause = 150 * time.Millisecond
 	// callTimeout bounds one message; peers are some milliseconds away.
--- /dev/null
+++ b/pkg/mesh/cost_test.go
@@ -0,0 +1,88 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/replica"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// BenchmarkIdleFleet measures the processor time of an instance whose fleet only
+// tells that it is up, over real connections, after it has found itself.
+func BenchmarkIdleFleet(b *testing.B) {
+	for _, size := range []int{8, 48, 87} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) { idleFleet(b, size) })
+	}
+}
+
+func idleFleet(b *testing.B, size int) {
+	const (
+		starting = 8 * time.Second
+		measured = 4 * time.Second
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	// Each instance has an address of its own, so that no connection takes the port
+	// of one that has not begun to listen.
+	var addresses []string
+	for i := range size {
+		addresses = append(addresses, fmt.Sprintf("127.88.%d.%d:7200", size, i+1))
+	}
+	var meshes []*Mesh
+	for i, address := range addresses {
+		id := types.InstanceID(fmt.Sprintf("n%03d", i))
+		options := peer.Options{Identity: peer.Identity{Instance: id, Incarnation: "1"}, Secret: "s", Address: address, Logger: zerolog.Nop()}
+		server, dialer := peer.NewServer(options), peer.NewDialer(options)
+		capacity := 20
+		if i < 8 {
+			capacity = 80
+		}
+		m := New(Options{
+			Self:  Row{ID: id, Peer: address, Front: "front" + address, Capacity: capacity, DataCentre: types.DataCentre(fmt.Sprint("dc", i%4))},
+			Seeds: func() []string { return addresses[:1] }, Caller: dialer, Clock: clock.Boot, Logger: zerolog.Nop(),
+			State: &local{reading: true, serving: true, set: replica.New(), heard: map[types.InstanceID]Beat{}},
+		})
+		m.Register(server)
+		if err := server.Listen(); err != nil {
+			b.Fatal(err)
+		}
+		meshes = append(meshes, m)
+		running.Go(func() { _ = server.Serve(ctx) })
+		running.Go(func() { _ = m.Run(ctx); dialer.Close() })
+	}
+	begun := processorTime(b)
+	time.Sleep(starting)
+	found := processorTime(b)
+	for b.Loop() {
+		time.Sleep(measured)
+	}
+	took := processorTime(b) - found
+	for i, m := range meshes {
+		if got := len(m.Fronts()); got != size {
+			b.Errorf("instance %d knows %d fronts", i, got)
+		}
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric((found-begun).Seconds()*1000/float64(size), "ms-to-start/instance")
+	b.ReportMetric(took.Seconds()*1000/float64(size)/(measured.Seconds()*float64(b.N)), "ms/s/instance")
+	cancel()
+	running.Wait()
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -63,12 +64,27 @@
 	silent  bool
 	pending pending
 	wake    chan struct{}
+	// claims says that the instance counts this one as its hub.
+	claims bool
+	// aged is when it was last told who is up, owed that it is to be told of the
+	// fleet though it is distant, and introduced when that was done last.
+	aged, introduced time.Duration
+	owed             bool
+}
+
+// stir ends a pause before the next beat.
+func (k *member) stir() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
 }
 
 // pending is what has not been told to a peer yet.
 type pending struct {
 	placements []Placement
 	strikes    []quarantine.Entry
+	rows       []Sighting
 }
 
 // Mesh is safe for concurrent use; Run is called once.
@@ -77,16 +93,25 @@
 
 	mu sync.Mutex
 	// members are known instances by peer address.
-	members  map[string]*member
-	layout   layout
-	fetching map[string]bool
-	ctx      context.Context
-	workers  sync.WaitGroup
+	members map[string]*member
+	layout  layout
+	// candidates are those that would be hubs if all known instances were up.
+	candidates map[string]bool
+	loads      map[relation]collected
+	fetching   map[string]bool
+	ctx        context.Context
+	workers    sync.WaitGroup
+}
+
+// collected is the work that was last put together for peers of a relation.
+type collected struct {
+	at    time.Duration
+	loads map[types.UpstreamID]placement.Load
 }
 
 // New returns a Mesh that has not started.
 func New(options Options) *Mesh {
-	return &Mesh{options: options, members: make(map[string]*member), fetching: make(map[string]bool)}
+	return &Mesh{options: options, members: make(map[string]*member), fetching: make(map[string]bool), loads: make(map[relation]collected)}
 }
 
 // Register adds the methods that peers call.
@@ -145,11 +170,21 @@
 // tell sends beats to one instance until it is forgotten.
 func (m *Mesh) tell(ctx context.Context, address string, to *member) {
 	var sighted time.Duration
+	before := equal
 	for ctx.Err() == nil && m.knows(address, to) {
-		now := m.options.Clock()
-		relation := m.relationTo(address)
+		relation, wanted := m.wants(address, to)
+		if relation != before {
+			before, sighted = relation, 0
+		}
 		pace := paceOf(m.Size(), relation)
-		full := now-sighted >= pace.sighting
+		if !wanted {
+			if !m.pause(ctx, to, 0, idlePause) {
+				return
+			}
+			continue
+		}
+		now := m.options.Clock()
+		full := sighted == 0 || pace.sighting > 0 && now-sighted >= pace.sighting || relation == distant
 		if full {
 			sighted = now
 		}
@@ -165,48 +200,95 @@
 	}
 }
 
-// pace is how often an instance tells each peer of itself.
+// wants returns what the instance is to this one and whether to send it a beat.
+// A distant one gets beats only if it knows less of the fleet, or if it is silent
+// and this instance is one of those that try to reach it.
+func (m *Mesh) wants(address string, to *member) (relation, bool) {
+	seeds := m.options.Seeds()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	relation := m.relation(address)
+	switch {
+	case relation == equal && to.silent && len(m.members) >= meshLimit:
+		// The instance sees few others, but there are many: it is cut off.
+		return relation, m.candidates[address] || slices.Contains(seeds, address)
+	case relation != distant:
+		return relation, true
+	case to.owed:
+		to.owed, to.introduced = false, m.options.Clock()
+		return relation, true
+	case to.silent && m.layout.isHub(m.options.Self.Peer):
+		return relation, m.candidates[address] || slices.Contains(seeds, address) || to.row.DataCentre == m.options.Self.DataCentre
+	}
+	return relation, false
+}
+
+// pace is how often an instance tells a peer of itself.
 type pace struct {
-	pause, interval, sighting, silent time.Duration
+	pause, interval, sighting time.Duration
 }
 
-// paceOf follows the size of the fleet, so that the beats of an instance do not.
 func paceOf(size int, to relation) pace {
-	p := pace{pause: max(beatPause, time.Duration(size-smallFleet)*beatSpacing)}
-	p.sighting = max(sightingInterval, sightingInterval*time.Duration(size)/sightingPeers)
-	if size <= meshLimit {
-		p.interval = max(beatInterval, 2*p.pause)
-		p.silent = silentBeats * p.interval
-		return p
-	}
-	p.interval = p.pause
-	p.silent = distantBeats * p.interval
-	if to != distant {
-		p.pause, p.interval = relayPause, min(beatInterval, p.interval)
+	switch to {
+	case equal:
+		return pace{
+			pause:    max(beatPause, time.Duration(size-smallFleet)*beatSpacing),
+			interval: beatInterval,
+			sighting: max(sightingInterval, sightingInterval*time.Duration(size)/sightingPeers),
+		}
+	case hub:
+		return pace{pause: relayPause, interval: beatInterval}
+	case distant:
+		return pace{pause: relayPause, interval: retryInterval}
+	default:
+		return pace{pause: relayPause, interval: beatInterval, sighting: largeSightingInterval}
 	}
-	return p
 }
 
-// silent is the time without a beat after which an instance counts as down.
-func (m *Mesh) silent() time.Duration { return paceOf(m.Size(), distant).silent }
+// silence is the time without news after which the instance counts as down;
+// m.mu is held.
+func (m *Mesh) silence(address string) time.Duration {
+	switch m.relation(address) {
+	case equal:
+		return silentAfter
+	case distant:
+		return distantSilentAfter
+	default:
+		return silentAfterLarge
+	}
+}
 
 // arrange looks at who is a hub.
 func (m *Mesh) arrange() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var others []Row
+	var up, all []Row
 	for _, known := range m.members {
+		all = append(all, known.row)
 		if !known.silent {
-			others = append(others, known.row)
+			up = append(up, known.row)
+		}
+	}
+	before := m.layout
+	m.layout = layoutOf(m.options.Self, up)
+	if !maps.Equal(before.hubs, m.layout.hubs) {
+		for _, known := range m.members {
+			known.stir()
 		}
 	}
-	m.layout = layoutOf(m.options.Self, others)
+	m.candidates = make(map[string]bool)
+	for address, hub := range layoutOf(m.options.Self, all).hubs {
+		m.candidates[address] = address == hub
+	}
 }
 
-func (m *Mesh) relationTo(address string) relation {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.layout.relationTo(address)
+// relation returns what the instance at the address is to this one; m.mu is held.
+func (m *Mesh) relation(address string) relation {
+	relation := m.layout.relationTo(address)
+	if known, ok := m.members[address]; ok && relation == distant && known.claims {
+		return spoke
+	}
+	return relation
 }
 
 // told returns the peers whose work is told along with this instance's own: to
@@ -219,7 +301,7 @@
 	defer m.mu.Unlock()
 	peers := make(map[types.InstanceID]bool)
 	for address, known := range m.members {
-		from := m.layout.relationTo(address)
+		from := m.relation(address)
 		if from == spoke || to == spoke && from == fellow {
 			peers[known.row.ID] = true
 		}
@@ -259,9 +341,9 @@
 // beat returns the next message to the instance.
 func (m *Mesh) beat(to *member, relation relation, full bool) Beat {
 	state := m.options.State
-	beat := Beat{Row: m.options.Self, Ejected: make(map[types.UpstreamID]int64), Revisions: state.Revisions()}
+	beat := Beat{Row: m.options.Self, Ejected: make(map[types.UpstreamID]int64), Revisions: state.Revisions(), Hub: relation == hub, Known: m.Size()}
 	if relation != distant {
-		beat.Loads = state.Loads(m.told(relation))
+		beat.Loads = m.collect(relation)
 	}
 	beat.Serving, beat.Reading = state.Serving(), state.Reading()
 	for id, rest := range state.Ejected() {
@@ -274,13 +356,50 @@
 	defer m.mu.Unlock()
 	beat.Placements = to.pending.placements
 	beat.Strikes = append(beat.Strikes, to.pending.strikes...)
+	beat.Sightings = to.pending.rows
 	to.pending = pending{}
 	if full {
 		beat.Sightings = m.sightings()
 	}
+	if now := m.options.Clock(); (relation == spoke || relation == fellow) && now-to.aged >= agesInterval {
+		beat.Ages, to.aged = m.ages(relation), now
+	}
 	return beat
 }
 
+// collect returns the work that peers of the relation are told of. What was put
+// together for one of them a moment ago is good for the others.
+func (m *Mesh) collect(to relation) map[types.UpstreamID]placement.Load {
+	if to != spoke && to != fellow {
+		return m.options.State.Loads(nil)
+	}
+	now := m.options.Clock()
+	m.mu.Lock()
+	last := m.loads[to]
+	m.mu.Unlock()
+	if last.loads != nil && now-last.at < relayPause/2 {
+		return last.loads
+	}
+	loads := m.options.State.Loads(m.told(to))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loads[to] = collected{now, loads}
+	return loads
+}
+
+// ages returns when those were heard that are up: for a fellow hub the spokes,
+// for a spoke all; m.mu is held.
+func (m *Mesh) ages(to relation) map[types.InstanceID]int64 {
+	now := m.options.Clock()
+	ages := make(map[types.InstanceID]int64)
+	for address, known := range m.members {
+		if known.row.ID != "" && !known.silent && (to == spoke || m.relation(address) == spoke) {
+			ages[known.row.ID] = (now - known.heard).Milliseconds()
+		}
+	}
+	return ages
+}
+
 // sightings returns the rows of the instances that are up; m.mu is held.
 func (m *Mesh) sightings() []Sighting {
 	now := m.options.Clock()
@@ -302,13 +421,10 @@
 
 func (m *Mesh) wakeAll() {
 	for address, known := range m.members {
-		if m.layout.relationTo(address) == distant {
+		if m.relation(address) == distant {
 			continue
 		}
-		select {
-		case known.wake <- struct{}{}:
-		default:
-		}
+		known.stir()
 	}
 }
 
@@ -316,47 +432,55 @@
 func (m *Mesh) Placed(placement Placement) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.passOn("", []Placement{placement}, func(to relation) bool { return to != distant })
+	m.passOn("", pending{placements: []Placement{placement}}, func(to relation) bool { return to != distant })
+	m.wakeAll()
+}
+
+// Struck tells all peers of a crash that a request was part of.
+func (m *Mesh) Struck(entry quarantine.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.passOn("", pending{strikes: []quarantine.Entry{entry}}, func(to relation) bool { return to != distant })
 	m.wakeAll()
 }
 
-// passOn adds placements to what some peers are told next; m.mu is held.
-func (m *Mesh) passOn(from string, placements []Placement, some func(to relation) bool) {
+// passOn adds news to what some peers are told next; m.mu is held.
+func (m *Mesh) passOn(from string, news pending, some func(to relation) bool) {
 	for address, known := range m.members {
-		if address == from || known.silent || !some(m.layout.relationTo(address)) {
+		if address == from || known.silent || !some(m.relation(address)) {
 			continue
 		}
-		room := max(maxPending-len(known.pending.placements), 0)
-		known.pending.placements = append(known.pending.placements, placements[:min(room, len(placements))]...)
+		known.pending.placements = appendBounded(known.pending.placements, news.placements)
+		known.pending.strikes = appendBounded(known.pending.strikes, news.strikes)
+		known.pending.rows = appendBounded(known.pending.rows, news.rows)
 	}
 }
 
-// relay passes a peer's placements on if this instance is a hub: those of its
-// spokes to all that it tells, those of its fellows to its spokes.
-func (m *Mesh) relay(beat Beat) {
-	if len(beat.Placements) == 0 {
+// appendBounded adds what fits in maxPending.
+func appendBounded[T any](list, news []T) []T {
+	return append(list, news[:min(max(maxPending-len(list), 0), len(news))]...)
+}
+
+// relay passes a peer's news on if this instance is a hub: those of its spokes to
+// all that it tells, those of others to its spokes.
+func (m *Mesh) relay(beat Beat, rows []Sighting) {
+	news := pending{placements: beat.Placements, strikes: beat.Strikes, rows: rows}
+	if len(news.placements)+len(news.strikes)+len(news.rows) == 0 {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	switch m.layout.relationTo(beat.Peer) {
+	switch m.relation(beat.Peer) {
 	case spoke:
-		m.passOn(beat.Peer, beat.Placements, func(to relation) bool { return to == spoke || to == fellow })
-	case fellow:
-		m.passOn(beat.Peer, beat.Placements, func(to relation) bool { return to == spoke })
+		m.passOn(beat.Peer, news, func(to relation) bool { return to == spoke || to == fellow })
+	case equal:
+		return
+	default:
+		m.passOn(beat.Peer, news, func(to relation) bool { return to == spoke })
 	}
-}
-
-// Struck tells all peers of a crash that a request was part of.
-func (m *Mesh) Struck(entry quarantine.Entry) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, known := range m.members {
-		if len(known.pending.strikes) < maxPending {
-			known.pending.strikes = append(known.pending.strikes, entry)
-		}
+	if len(rows) > 0 {
+		m.wakeAll()
 	}
-	m.wakeAll()
 }
 
 // handleBeat takes a peer's beat.
@@ -368,31 +492,102 @@
 	if beat.ID == "" || beat.Peer == "" {
 		return nil, fault.New(fault.BadRequest, "the beat names no instance")
 	}
-	m.hear(beat)
+	rows := m.hear(beat)
 	m.options.State.Hear(beat)
 	for _, sighting := range beat.Sightings {
-		if time.Duration(sighting.AgeMilliseconds)*time.Millisecond < m.silent() {
-			m.meet(sighting.Row)
+		if m.sight(sighting) {
+			rows = append(rows, sighting)
 		}
 	}
-	m.relay(beat)
+	m.age(beat.Ages)
+	m.relay(beat, rows)
 	m.compare(beat)
 	return struct{}{}, nil
 }
 
-// hear notes that the instance is up.
-func (m *Mesh) hear(beat Beat) {
+// hear notes that the instance is up, and returns its row if that is news.
+func (m *Mesh) hear(beat Beat) []Sighting {
 	m.meet(beat.Row)
+	now := m.options.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known, ok := m.members[beat.Peer]
 	if !ok {
-		return
+		return nil
+	}
+	news := known.silent || known.row != beat.Row
+	if known.silent {
+		m.regained(beat.Row, "itself")
+	}
+	known.row, known.heard, known.silent, known.claims = beat.Row, now, false, beat.Hub
+	if beat.Known < m.size() && now-known.introduced >= introduction && m.relation(beat.Peer) == distant {
+		known.owed = true
+		known.stir()
+	}
+	if !news {
+		return nil
+	}
+	return []Sighting{{Row: beat.Row}}
+}
+
+func (m *Mesh) regained(row Row, from string) {
+	m.options.Logger.Info().Str("peer", string(row.ID)).Str("incarnation", string(row.Incarnation)).Str("address", row.Peer).Str("from", from).Msg("peer regained")
+}
+
+// sight takes a row from a peer, if that is fresher than what is known, and
+// reports whether it differs.
+func (m *Mesh) sight(sighting Sighting) bool {
+	age := time.Duration(sighting.AgeMilliseconds) * time.Millisecond
+	if sighting.Peer == m.options.Self.Peer || sighting.ID == "" || age >= distantSilentAfter {
+		return false
+	}
+	m.mu.Lock()
+	known, ok := m.members[sighting.Peer]
+	unknown := !ok || known.row.ID == ""
+	m.mu.Unlock()
+	m.meet(sighting.Row)
+	heard := m.options.Clock() - age
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok = m.members[sighting.Peer]
+	if !ok || !unknown && heard <= known.heard || !m.trusts(sighting.Peer) {
+		return false
 	}
+	news := known.silent || known.row != sighting.Row
 	if known.silent {
-		m.options.Logger.Info().Str("peer", string(beat.ID)).Str("incarnation", string(beat.Incarnation)).Str("address", beat.Peer).Msg("peer regained")
+		m.regained(sighting.Row, "a peer")
+	}
+	known.row, known.heard, known.silent = sighting.Row, heard, false
+	return news
+}
+
+// trusts reports whether a peer's word counts for the instance at the address:
+// in a large fleet, if this one does not hear it itself; m.mu is held.
+func (m *Mesh) trusts(address string) bool {
+	relation := m.relation(address)
+	return relation == distant || relation == equal && len(m.members) >= meshLimit
+}
+
+// age takes a hub's word on who is up.
+func (m *Mesh) age(ages map[types.InstanceID]int64) {
+	if len(ages) == 0 {
+		return
+	}
+	now := m.options.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, known := range m.members {
+		milliseconds, ok := ages[known.row.ID]
+		heard := now - time.Duration(milliseconds)*time.Millisecond
+		if !ok || heard <= known.heard || !m.trusts(address) {
+			continue
+		}
+		if known.silent && now-heard < distantSilentAfter {
+			m.regained(known.row, "a peer")
+			known.silent = false
+		}
+		known.heard = heard
 	}
-	known.row, known.heard, known.silent = beat.Row, m.options.Clock(), false
 }
 
 // compare fetches what the peer is ahead with.
@@ -451,13 +646,13 @@
 func (m *Mesh) expire() {
 	now := m.options.Clock()
 	seeds := m.options.Seeds()
-	silentAfter := m.silent()
 	m.mu.Lock()
 	var lost []types.InstanceID
 	for address, known := range m.members {
 		quiet := now - known.heard
-		if !known.silent && quiet > silentAfter {
-			known.silent = true
+		if !known.silent && quiet > m.silence(address) {
+			known.silent, known.claims = true, false
+			known.stir()
 			lost = append(lost, known.row.ID)
 			m.options.Logger.Warn().Str("peer", string(known.row.ID)).Str("address", address).Dur("silent_ms", quiet).Msg("peer lost")
 		}
@@ -479,11 +674,10 @@
 		fronts = append(fronts, m.options.Self.Front)
 	}
 	now := m.options.Clock()
-	silentAfter := m.silent()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, known := range m.members {
-		if !known.silent && known.row.Serving && now-known.heard <= silentAfter {
+	for address, known := range m.members {
+		if !known.silent && known.row.Serving && now-known.heard <= m.silence(address) {
 			fronts = append(fronts, known.row.Front)
 		}
 	}
@@ -495,6 +689,11 @@
 func (m *Mesh) Size() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.size()
+}
+
+// size is Size; m.mu is held.
+func (m *Mesh) size() int {
 	size := 1
 	for _, known := range m.members {
 		if !known.silent {
