placement: long prompts of a large fleet are spread, sessions kept together more firmly, idle engines used before a refusal

Change: a fleet above sixteen considers, for a long prompt, two drawn engines beside those that keep its parts; reading elsewhere costs 6 instead of 3 times; before a refusal an idle engine is taken, in a large fleet if a quarter of them is.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -60,6 +60,26 @@
 	return Decision{ReturnAfter: Return(request, choice.Wait-bound/2)}
 }
 
+// Place chooses an upstream for the request and decides whether it is admitted.
+// If the best one by cost is too busy, as the one that keeps a session's prompts
+// may be, an idle one is chosen: nobody is refused while there is any. In a burst
+// there is none, and callers are served better where their session's prompts were
+// read, a little later. It returns false when there is no candidate.
+func Place(request Request, work *placement.Work, entry placement.Entry, id string, candidates []placement.Candidate) (placement.Choice, Decision, bool) {
+	choice, ok := placement.Choose(work, entry, id, candidates)
+	if !ok {
+		return choice, Decision{}, false
+	}
+	decision := Decide(request, choice)
+	if decision.Admit {
+		return choice, decision, true
+	}
+	if other, ok := placement.Choose(work, entry, id, placement.Idle(work, entry, candidates)); ok {
+		return other, Decide(request, other), true
+	}
+	return choice, decision, true
+}
+
 // Return is when a refused caller may come back, given the time until there is
 // room.
 func Return(request Request, room time.Duration) time.Duration {
--- a/pkg/ctl/bench.go
+++ b/pkg/ctl/bench.go
@@ -81,7 +81,7 @@
 	flags.Uint64Var(&options.FirstSeed, "seed", options.FirstSeed, "first seed")
 	flags.IntVar(&options.Seeds, "seeds", options.Seeds, "number of seeds")
 	flags.Float64SliceVar(&options.Loads, "loads", options.Loads, "loads as multiples of the stated rates")
-	flags.StringSliceVar(&options.Sites, "sites", nil, "sites: callbacks, bookings (all)")
+	flags.StringSliceVar(&options.Sites, "sites", nil, "sites: callbacks, bookings, callbacks-grown, bookings-grown (all)")
 	flags.StringSliceVar(&options.Days, "days", nil, "days: steady, waves, crashes, crash-in-burst, slow-engines (all)")
 	flags.IntVar(&options.Parallel, "parallel", options.Parallel, "runs at once")
 	flags.StringVar(&out, "out", out, "directory for entries.json and entries.html")
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -86,18 +86,15 @@
 		return placement.Choice{}, q.expired()
 	}
 	candidates := g.options.Roster.Candidates(now, q.target, &q.work, q.tried)
-	choice, ok := placement.Choose(&q.work, g.options.DataCentre, string(q.call.ID), candidates)
+	asked := admission.Request{Objective: q.route.Objective, Remaining: remaining, Spread: rand.Float64()}
+	entry := placement.Entry{DataCentre: g.options.DataCentre, Fleet: g.options.Fleet.Size()}
+	choice, decision, ok := admission.Place(asked, &q.work, entry, string(q.call.ID), candidates)
 	if !ok {
 		return choice, q.giveUp("no upstream is available", nil)
 	}
 	if q.done.runs > 0 {
 		return choice, nil
 	}
-	decision := admission.Decide(admission.Request{
-		Objective: q.route.Objective,
-		Remaining: remaining,
-		Spread:    rand.Float64(),
-	}, choice)
 	if !decision.Admit {
 		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).Dur("wait_ms", choice.Wait).
 			Dur("objective_ms", q.route.Objective).Dur("return_ms", decision.ReturnAfter).Int("candidates", len(candidates)).Msg("refused")
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -27,8 +27,17 @@
 	// begunRead is the reading of less urgent prompts that a step has begun.
 	begunRead = readChunk
 	// rereadCost weighs the reading of shared parts that another engine keeps: it
-	// delays each of the requests that wait behind it, some three in a burst.
-	rereadCost = 3.0
+	// takes time from all requests that wait there and that come while it lasts,
+	// some six in a burst.
+	rereadCost = 6.0
+	// directFleet is the number of instances up to which each hears of the others'
+	// work at once. In a larger fleet that is old enough for many of them to send
+	// long prompts to the same engine, the least loaded as far as they know.
+	directFleet = 16
+	// sampled is the number of engines, drawn for each request, that a large fleet
+	// considers for a long prompt beside those that keep its shared parts: two, by
+	// which load spreads nearly evenly whatever the age of the reports.
+	sampled = 2
 	// longRead is the prompt beyond which one step is not enough; the steps of
 	// such prompts delay the tokens of all streams beside them.
 	longRead = 2 * readChunk
@@ -49,6 +58,10 @@
 	// sensitivePerEngine is the part of the batch that sensitive streams fill
 	// before another engine is set apart for them.
 	sensitivePerEngine = 0.6
+	// idleShare is the part of the engines that a large fleet must believe to be
+	// idle before it sends a request to one of them for that reason alone: in the
+	// time between two reports some hundred requests come for as many engines.
+	idleShare = 0.25
 	// slotTurn is the mean time between two streams that end in a full batch: a
 	// stream of two seconds in a batch of 64.
 	slotTurn = 30 * time.Millisecond
@@ -199,22 +212,33 @@
 	Urgent bool
 }
 
+// Entry is the instance that decides.
+type Entry struct {
+	DataCentre types.DataCentre
+	// Fleet is the number of instances that decide independently.
+	Fleet int
+}
+
 // Choose returns the placement with the smallest cost, and false when there is
 // no candidate. Equal costs go to the first in rendezvous order.
-func Choose(work *Work, here types.DataCentre, request string, candidates []Candidate) (Choice, bool) {
+func Choose(work *Work, entry Entry, request string, candidates []Candidate) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	apart := setApart(candidates)
 	key := cmp.Or(work.affinity(), request)
 	home := home(work, key, candidates, apart)
+	some := sample(work, entry, request, candidates)
 	var best Choice
 	var bestWeight uint64
 	found := false
 	for i := range candidates {
 		candidate := &candidates[i]
+		if some != nil && !some[candidate.ID] && candidate.ID != home && (candidate.Held == 0 || candidate.Held < work.shared()) {
+			continue
+		}
 		choice := predict(work, candidate)
-		choice.Cost = choice.First + penalties(work, here, candidate, apart[candidate.ID])
+		choice.Cost = choice.First + penalties(work, entry.DataCentre, candidate, apart[candidate.ID])
 		if work.Engine && candidate.ID != home {
 			choice.Cost += scale(readTime(work.shared()-candidate.Held), rereadCost)
 		}
@@ -227,6 +251,34 @@
 	return best, found
 }
 
+// Idle returns the candidates that would begin to work on the request at once,
+// without those that are set apart for others. In a large fleet a few do not
+// count: others that know the same are about to take them.
+func Idle(work *Work, entry Entry, candidates []Candidate) []Candidate {
+	apart := setApart(candidates)
+	idle := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
+		return work.Engine && apart[c.ID] != work.Sensitive() || predict(work, &c).Wait > 0
+	})
+	if entry.Fleet > directFleet && float64(len(idle)) < idleShare*float64(len(candidates)) {
+		return nil
+	}
+	return idle
+}
+
+// sample returns the engines that are considered beside those that keep the shared
+// parts; nil means all. Streams of short pauses are short to read, and need the
+// engines that are set apart.
+func sample(work *Work, entry Entry, request string, candidates []Candidate) map[types.UpstreamID]bool {
+	if entry.Fleet <= directFleet || !work.Engine || work.Sensitive() || len(candidates) <= sampled {
+		return nil
+	}
+	some := make(map[types.UpstreamID]bool, sampled)
+	for _, candidate := range rendezvous.OrderOf(request, candidates, candidateID)[:sampled] {
+		some[candidate.ID] = true
+	}
+	return some
+}
+
 // home returns the engine that keeps what a session shares: the first in
 // rendezvous order among those of the work's kind, so that all instances read
 // it once, at the same place.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -27,7 +27,7 @@
 
 func place(t *testing.T, work *Work, candidates []Candidate) Choice {
 	t.Helper()
-	choice, ok := Choose(work, "", "request", candidates)
+	choice, ok := Choose(work, Entry{}, "request", candidates)
 	if !ok {
 		t.Fatal("nothing was chosen")
 	}
@@ -154,3 +154,52 @@
 		}
 	}
 }
+
+// TestALargeFleetDoesNotHerd has many instances place long prompts of different
+// sessions by the same report, in which one engine has just become idle.
+func TestALargeFleetDoesNotHerd(t *testing.T) {
+	const engines, requests = 40, 400
+	var candidates []Candidate
+	for i := range engines {
+		c := Candidate{ID: types.UpstreamID(fmt.Sprint("e", i)), Slots: 48, Load: Load{Ranks: map[int]Rank{1: {Waiting: 3, Unread: 30_000}}}}
+		if i == 0 {
+			c.Load = Load{}
+		}
+		candidates = append(candidates, c)
+	}
+	most := func(fleet int) int {
+		count := make(map[types.UpstreamID]int)
+		for i := range requests {
+			work := &Work{Engine: true, Priority: 1, Tokens: 9000, StepPause: 60 * time.Millisecond,
+				Parts: []Part{{ID: fmt.Sprint("s", i), Tokens: 1000}, {ID: fmt.Sprint("r", i), Tokens: 8000}}}
+			choice, _ := Choose(work, Entry{Fleet: fleet}, fmt.Sprint("r", i), candidates)
+			count[choice.ID]++
+		}
+		most := 0
+		for _, n := range count {
+			most = max(most, n)
+		}
+		return most
+	}
+	if got := most(87); got > 4*requests/engines {
+		t.Errorf("of %d prompts placed by one report %d go to one engine of %d", requests, got, engines)
+	}
+	if got := most(8); got < requests/2 {
+		t.Errorf("in a small fleet only %d of %d prompts go to the idle engine", got, requests)
+	}
+}
+
+// TestAStreamOfShortPausesFindsTheEnginesSetApart in a fleet of any size.
+func TestAStreamOfShortPausesFindsTheEnginesSetApart(t *testing.T) {
+	var candidates []Candidate
+	for i := range 40 {
+		candidates = append(candidates, Candidate{ID: types.UpstreamID(fmt.Sprint("e", i)), Slots: 48, Load: Load{Ranks: map[int]Rank{1: {Waiting: 2, Unread: 9000}}}})
+	}
+	apart := setApart(candidates)
+	for i := range 100 {
+		work := &Work{Engine: true, Tokens: 800, StepPause: 30 * time.Millisecond, Parts: []Part{{ID: fmt.Sprint("s", i), Tokens: 200}, {ID: fmt.Sprint("r", i), Tokens: 600}}}
+		if choice, _ := Choose(work, Entry{Fleet: 87}, fmt.Sprint("r", i), candidates); !apart[choice.ID] {
+			t.Fatalf("request %d goes to %s, among long prompts", i, choice.ID)
+		}
+	}
+}
--- a/pkg/simulate/policy.go
+++ b/pkg/simulate/policy.go
@@ -43,8 +43,8 @@
 	returnAfter time.Duration
 }
 
-// decide applies a policy to one request at one entry.
-func decide(name PolicyName, random *rand.Rand, r *request, candidates []placement.Candidate) verdict {
+// decide applies a policy to one request at one entry of a fleet.
+func decide(name PolicyName, fleet int, random *rand.Rand, r *request, candidates []placement.Candidate) verdict {
 	if len(candidates) == 0 {
 		return verdict{returnAfter: 400 * time.Millisecond}
 	}
@@ -63,17 +63,14 @@
 		}
 		return sendTo(best)
 	default:
-		return product(random, r, candidates)
+		return product(fleet, random, r, candidates)
 	}
 }
 
-func product(random *rand.Rand, r *request, candidates []placement.Candidate) verdict {
-	choice, _ := placement.Choose(&r.work, "", string(r.id), candidates)
-	if r.runs > 0 {
-		return verdict{to: choice}
-	}
-	decision := admission.Decide(admission.Request{Objective: r.kind.Objective, Remaining: r.remaining, Spread: random.Float64()}, choice)
-	if !decision.Admit {
+func product(fleet int, random *rand.Rand, r *request, candidates []placement.Candidate) verdict {
+	asked := admission.Request{Objective: r.kind.Objective, Remaining: r.remaining, Spread: random.Float64()}
+	choice, decision, _ := admission.Place(asked, &r.work, placement.Entry{Fleet: fleet}, string(r.id), candidates)
+	if !decision.Admit && r.runs == 0 {
 		return verdict{returnAfter: decision.ReturnAfter}
 	}
 	return verdict{to: choice}
--- a/pkg/simulate/simulate_test.go
+++ b/pkg/simulate/simulate_test.go
@@ -57,6 +57,23 @@
 	}
 }
 
+// TestALargeFleetSpreadsItsLongPrompts plays a burst that many entries place by
+// old reports, as they do and as a small fleet would.
+func TestALargeFleetSpreadsItsLongPrompts(t *testing.T) {
+	s, d := named(t, "callbacks-grown", "waves")
+	s.Engines, s.Entries, d.Length = 15, 24, seconds(6)
+	for i := range s.Kinds {
+		s.Kinds[i].Rate /= 4
+		s.Kinds[i].Sessions /= 4
+	}
+	got := play(s, d, 1, Product, 1).measure().All
+	trusting := s
+	trusting.TrustsReports = true
+	if other := play(trusting, d, 1, Product, 1).measure().All; got.Worth < 1.1*other.Worth {
+		t.Errorf("callers get %.3f; if each took the engine that looks best, %.3f", got.Worth, other.Worth)
+	}
+}
+
 func nothing(f Figures) float64 {
 	return float64(f.Refused+f.Failed+f.Left) / float64(max(f.Asked, 1))
 }
--- a/pkg/simulate/site.go
+++ b/pkg/simulate/site.go
@@ -57,7 +57,16 @@
 	Engine  model.Settings
 	// Queue is the number of requests that wait at an engine before it is full.
 	Queue int
-	Kinds []Kind
+	// Stride is the number of tokens in one event of a stream.
+	Stride int
+	// Entries is the number of instances that decide independently, and Hearing the
+	// time between two reports of their work to each other: directly in a small
+	// fleet, summed up by hubs in a large one.
+	Entries int
+	Hearing time.Duration
+	// TrustsReports has entries of a large fleet decide as those of a small one.
+	TrustsReports bool
+	Kinds         []Kind
 }
 
 // Burst multiplies the requests of a kind for a while.
@@ -118,8 +127,12 @@
 	}
 }
 
-// tokensPerEvent is the number of tokens in one event of a stream, as stated.
-const tokensPerEvent = 4
+// The times between two reports, as measured: in fleets of eight, and by way of
+// hubs.
+const (
+	directHearing = 40 * time.Millisecond
+	hubHearing    = 200 * time.Millisecond
+)
 
 // The kinds of request of the users, by the length of their prompts.
 const (
@@ -150,11 +163,38 @@
 // Sites returns the users' deployments: what they state of engines and requests.
 func Sites() []Site {
 	return []Site{
-		{Name: "callbacks", Engines: 9, Queue: 134, Engine: engine(5050*time.Microsecond, 40.8, 368_513),
+		{Name: "callbacks", Engines: 9, Queue: 134, Stride: 4, Entries: 8, Hearing: directHearing, Engine: engine(5050*time.Microsecond, 40.8, 368_513),
 			Kinds: []Kind{long(24.5, 138, 4, 1.2), short(30.5, 40, 173, 1.4, 0.13)}},
-		{Name: "bookings", Engines: 18, Queue: 134, Engine: engine(5230*time.Microsecond, 38.4, 258_710),
+		{Name: "bookings", Engines: 18, Queue: 134, Stride: 4, Entries: 8, Hearing: directHearing, Engine: engine(5230*time.Microsecond, 38.4, 258_710),
 			Kinds: []Kind{long(39.9, 338, 4.7, 1.5), short(56.4, 20, 212, 1.1, 0.1)}},
+		grownCallbacks(),
+		grownBookings(),
+	}
+}
+
+// grownCallbacks is the first deployment with several times as many machines.
+func grownCallbacks() Site {
+	s := Site{Name: "callbacks-grown", Engines: 60, Queue: 100, Stride: 5, Entries: 87, Hearing: hubHearing, Engine: engine(5050*time.Microsecond, 40.8, 356_442),
+		Kinds: []Kind{long(224, 917, 3.8, 1.1), short(151, 80, 992, 1.3, 0.12)}}
+	s.Engine.MaxBatch = 48
+	for i := range s.Kinds {
+		s.Kinds[i].Events.Mean *= 0.8
+	}
+	return s
+}
+
+// grownBookings is the same of the second, whose engines run few requests at once.
+func grownBookings() Site {
+	s := Site{Name: "bookings-grown", Engines: 140, Queue: 48, Stride: 5, Entries: 71, Hearing: hubHearing, Engine: engine(5230*time.Microsecond, 38.4, 226_865),
+		Kinds: []Kind{long(402, 2472, 3.2, 0.99), short(149, 40, 651, 0.77, 0.072)}}
+	s.Engine.MaxBatch = 16
+	s.Engine.StepPerSequence, s.Engine.StepPerContextKilotoken, s.Engine.PrefillPerMegapair = 3670*time.Nanosecond, 8530*time.Nanosecond, 647*time.Microsecond
+	for i := range s.Kinds {
+		s.Kinds[i].Events.Mean *= 0.8
 	}
+	s.Kinds[0].Pause, s.Kinds[0].Deadline = 300*time.Millisecond, 5*time.Second
+	s.Kinds[1].Objective, s.Kinds[1].Pause = 300*time.Millisecond, 200*time.Millisecond
+	return s
 }
 
 // Days returns days like the users' standard ones, from the calmest on.
--- a/pkg/simulate/world.go
+++ b/pkg/simulate/world.go
@@ -18,11 +18,8 @@
 	target types.TargetName = "engines"
 	// tick is the resolution of the simulation.
 	tick = time.Millisecond
-	// hearing is the time between two reports of entries to each other, as
-	// measured in fleets of eight.
-	hearing = 40 * time.Millisecond
-	// entries is the number of instances that decide independently.
-	entries = 8
+	// meshLimit is the number of entries up to which each hears of each.
+	meshLimit = 16
 	// unlisting is the time after which an engine that is silent is no longer
 	// listed: three of its heartbeats.
 	unlisting = 3600 * time.Millisecond
@@ -132,7 +129,7 @@
 		w.order = append(w.order, id)
 		w.engines[id] = &slot{engine: model.New(settings), settings: settings}
 	}
-	for range entries {
+	for range site.Entries {
 		w.rosters = append(w.rosters, roster.New())
 	}
 	for i := range site.Kinds {
@@ -150,7 +147,7 @@
 		w.arrive()
 		w.comeBack()
 		w.step()
-		if w.now%hearing == 0 {
+		if w.now%site.Hearing == 0 {
 			w.leave()
 			w.hear()
 		}
@@ -270,14 +267,14 @@
 	}
 	root := session % k.Roots
 	r := &request{
-		id: types.RequestID(fmt.Sprint("r", len(w.requests))), kind: k, came: w.now, entry: w.arrivals.IntN(entries),
-		own: k.OwnTokens.draw(w.arrivals), output: k.Events.draw(w.arrivals) * tokensPerEvent,
+		id: types.RequestID(fmt.Sprint("r", len(w.requests))), kind: k, came: w.now, entry: w.arrivals.IntN(w.site.Entries),
+		own: k.OwnTokens.draw(w.arrivals), output: k.Events.draw(w.arrivals) * w.site.Stride,
 	}
 	rootName, sessionName := fmt.Sprint(k.Name, "-root", root), fmt.Sprint(k.Name, "-session", session)
 	rootTokens, sessionTokens := w.roots[k.Name][root], w.sessions[k.Name][session]
 	r.parts = []model.Part{{ID: xxhash.Sum64String(rootName), Tokens: rootTokens}, {ID: xxhash.Sum64String(sessionName), Tokens: sessionTokens}}
 	r.work = placement.Work{
-		Engine: true, Priority: k.Priority, Tokens: rootTokens + sessionTokens + r.own, StepPause: k.Pause / tokensPerEvent,
+		Engine: true, Priority: k.Priority, Tokens: rootTokens + sessionTokens + r.own, StepPause: k.Pause / time.Duration(w.site.Stride),
 		Parts: []placement.Part{{ID: rootName, Tokens: rootTokens}, {ID: sessionName, Tokens: sessionTokens}, {ID: string(r.id), Tokens: r.own}},
 	}
 	w.requests = append(w.requests, r)
@@ -295,7 +292,11 @@
 func (w *world) offer(r *request) {
 	r.remaining = r.came + r.kind.Deadline - w.now
 	for len(r.tried) < maxSends {
-		verdict := decide(w.policy, w.random, r, w.candidates(r))
+		fleet := w.site.Entries
+		if w.site.TrustsReports {
+			fleet = 1
+		}
+		verdict := decide(w.policy, fleet, w.random, r, w.candidates(r))
 		if verdict.wait {
 			w.queued = append(w.queued, r)
 			return
@@ -381,7 +382,7 @@
 			continue
 		}
 		r.outcome = ""
-		r.entry = w.random.IntN(entries)
+		r.entry = w.random.IntN(w.site.Entries)
 		w.attempt(r)
 	}
 	queued := w.queued
@@ -420,7 +421,7 @@
 // token notes one token; some of them are an event for the caller.
 func (w *world) token(r *request, at time.Duration, done bool) {
 	r.tokens++
-	if r.tokens%tokensPerEvent == 0 || done {
+	if r.tokens%w.site.Stride == 0 || done {
 		if r.first == 0 {
 			r.first = at
 		} else {
@@ -460,11 +461,15 @@
 
 // hear delivers the reports of all entries to all others.
 func (w *world) hear() {
-	for from, r := range w.rosters {
-		loads, ejected := r.Loads(w.now, nil), r.Ejected(w.now)
-		for to, other := range w.rosters {
-			if to != from {
-				other.Hear(w.now, types.InstanceID(fmt.Sprint(from)), loads, ejected)
+	if w.site.Entries > meshLimit {
+		w.hearHub()
+	} else {
+		for from, r := range w.rosters {
+			loads, ejected := r.Loads(w.now, nil), r.Ejected(w.now)
+			for to, other := range w.rosters {
+				if to != from {
+					other.Hear(w.now, types.InstanceID(fmt.Sprint(from)), loads, ejected)
+				}
 			}
 		}
 	}
@@ -478,6 +483,21 @@
 	w.placed = nil
 }
 
+// hearHub delivers the work of all, summed up, to each entry.
+func (w *world) hearHub() {
+	all := make(map[engineID]placement.Load)
+	for _, r := range w.rosters {
+		for id, load := range r.Loads(w.now, nil) {
+			sum := all[id]
+			sum.Add(load)
+			all[id] = sum
+		}
+	}
+	for _, r := range w.rosters {
+		r.Hear(w.now, "hub", all, nil)
+	}
+}
+
 func sum(a, b model.Counters) model.Counters {
 	return model.Counters{
 		Steps: a.Steps + b.Steps, GeneratedTokens: a.GeneratedTokens + b.GeneratedTokens,
