--- /dev/null
+++ b/pkg/mesh/hear.go
@@ -0,0 +1,165 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// pending is what has not been told to a peer yet.
+type pending struct {
+	placements []Placement
+	strikes    []quarantine.Entry
+	rows       []Sighting
+}
+
+// passOn adds news to what some peers are told next; m.mu is held.
+func (m *Mesh) passOn(from string, news pending, some func(to relation) bool) {
+	for address, known := range m.members {
+		if address == from || known.silent || !some(m.relation(address)) {
+			continue
+		}
+		known.pending.placements = appendBounded(known.pending.placements, news.placements)
+		known.pending.strikes = appendBounded(known.pending.strikes, news.strikes)
+		known.pending.rows = appendBounded(known.pending.rows, news.rows)
+	}
+}
+
+// appendBounded adds what fits in maxPending.
+func appendBounded[T any](list, news []T) []T {
+	return append(list, news[:min(max(maxPending-len(list), 0), len(news))]...)
+}
+
+// relay passes a peer's news on if this instance is a hub: those of its spokes to
+// all that it tells, those of others to its spokes.
+func (m *Mesh) relay(beat Beat, rows []Sighting) {
+	news := pending{placements: beat.Placements, strikes: beat.Strikes, rows: rows}
+	if len(news.placements)+len(news.strikes)+len(news.rows) == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch m.relation(beat.Peer) {
+	case spoke:
+		m.passOn(beat.Peer, news, func(to relation) bool { return to == spoke || to == fellow })
+	case equal:
+		return
+	default:
+		m.passOn(beat.Peer, news, func(to relation) bool { return to == spoke })
+	}
+	if len(rows) > 0 {
+		m.wakeAll()
+	}
+}
+
+// handleBeat takes a peer's beat.
+func (m *Mesh) handleBeat(_ context.Context, _ peer.Identity, params json.RawMessage) (any, error) {
+	var beat Beat
+	if err := peer.Unpack(params, &beat); err != nil {
+		return nil, err
+	}
+	if beat.ID == "" || beat.Peer == "" {
+		return nil, fault.New(fault.BadRequest, "the beat names no instance")
+	}
+	rows := m.hear(beat)
+	m.options.State.Hear(beat)
+	for _, sighting := range beat.Sightings {
+		if m.sight(sighting) {
+			rows = append(rows, sighting)
+		}
+	}
+	m.age(beat.Ages)
+	m.relay(beat, rows)
+	m.compare(beat)
+	return struct{}{}, nil
+}
+
+// hear notes that the instance is up, and returns its row if that is news.
+func (m *Mesh) hear(beat Beat) []Sighting {
+	m.meet(beat.Row)
+	now := m.options.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.members[beat.Peer]
+	if !ok {
+		return nil
+	}
+	news := known.silent || known.row != beat.Row
+	if known.silent {
+		m.regained(beat.Row, "itself")
+	}
+	known.row, known.heard, known.silent, known.claims = beat.Row, now, false, beat.Hub
+	if beat.Known < m.size() && now-known.introduced >= introduction && m.relation(beat.Peer) == distant {
+		known.owed = true
+		known.stir()
+	}
+	if !news {
+		return nil
+	}
+	return []Sighting{{Row: beat.Row}}
+}
+
+func (m *Mesh) regained(row Row, from string) {
+	m.options.Logger.Info().Str("peer", string(row.ID)).Str("incarnation", string(row.Incarnation)).Str("address", row.Peer).Str("from", from).Msg("peer regained")
+}
+
+// sight takes a row from a peer, if that is fresher than what is known, and
+// reports whether it differs.
+func (m *Mesh) sight(sighting Sighting) bool {
+	age := time.Duration(sighting.AgeMilliseconds) * time.Millisecond
+	if sighting.Peer == m.options.Self.Peer || sighting.ID == "" || age >= distantSilentAfter {
+		return false
+	}
+	m.mu.Lock()
+	known, ok := m.members[sighting.Peer]
+	unknown := !ok || known.row.ID == ""
+	m.mu.Unlock()
+	m.meet(sighting.Row)
+	heard := m.options.Clock() - age
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok = m.members[sighting.Peer]
+	if !ok || !unknown && heard <= known.heard || !m.trusts(sighting.Peer) {
+		return false
+	}
+	news := known.silent || known.row != sighting.Row
+	if known.silent {
+		m.regained(sighting.Row, "a peer")
+	}
+	known.row, known.heard, known.silent = sighting.Row, heard, false
+	return news
+}
+
+// trusts reports whether a peer's word counts for the instance at the address:
+// in a large fleet, if this one does not hear it itself; m.mu is held.
+func (m *Mesh) trusts(address string) bool {
+	relation := m.relation(address)
+	return relation == distant || relation == equal && len(m.members) >= meshLimit
+}
+
+// age takes a hub's word on who is up.
+func (m *Mesh) age(ages map[types.InstanceID]int64) {
+	if len(ages) == 0 {
+		return
+	}
+	now := m.options.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, known := range m.members {
+		milliseconds, ok := ages[known.row.ID]
+		heard := now - time.Duration(milliseconds)*time.Millisecond
+		if !ok || heard <= known.heard || !m.trusts(address) {
+			continue
+		}
+		if known.silent && now-heard < distantSilentAfter {
+			m.regained(known.row, "a peer")
+			known.silent = false
+		}
+		known.heard = heard
+	}
+}
