--- a/pkg/gateway/forward_test.go
+++ b/pkg/gateway/forward_test.go
@@ -87,7 +87,7 @@
 	scripts map[string]script
 }
 
-func newScripted(t *testing.T) *scripted {
+func newScripted(t testing.TB) *scripted {
 	s := &scripted{scripts: make(map[string]script)}
 	s.world = newWorld(t, slices.Clone(all), func(conn net.Conn, request *http.Request, _ int) {
 		id := request.Header.Get("Id")
@@ -122,12 +122,8 @@
 // FuzzWhatIsForwarded searches the same property by coverage; its corpus is in
 // testdata.
 func FuzzWhatIsForwarded(f *testing.F) {
-	var once sync.Once
-	var s *scripted
-	f.Fuzz(func(t *testing.T, input []byte) {
-		once.Do(func() { s = newScripted(t) })
-		rapid.MakeFuzz(s.property)(t, input)
-	})
+	s := newScripted(f)
+	f.Fuzz(rapid.MakeFuzz(s.property))
 }
 
 var requestNumber struct {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -87,7 +87,7 @@
 
 // world is a gateway before upstreams that answer as the test says.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	gateway *Gateway
 	address string
 	fleet   *quietFleet
@@ -100,7 +100,7 @@
 // answerer writes the raw answer to a request; n counts the arrivals from one.
 type answerer func(conn net.Conn, request *http.Request, n int)
 
-func newWorld(t *testing.T, routes []catalog.Route, answer answerer, upstreams int) *world {
+func newWorld(t testing.TB, routes []catalog.Route, answer answerer, upstreams int) *world {
 	t.Helper()
 	w := &world{t: t, fleet: &quietFleet{}, roster: roster.New()}
 	w.gateway = New(Options{Protocol: plain{}, Roster: w.roster, Fleet: w.fleet, Clock: clock.Boot, Logger: zerolog.Nop(),
