One copy each: a member's note, a raw upstream for tests, sums of counters and of loads; heads are searched only if they need it

Reading the change once more; behaviour stays as it is. gateway: each request's head was copied in lower case and searched twice, though only a request with a transfer coding needs it; the body's limit comes from limits() like the others, and Enforce reads them once. mesh: hear and sight took the lock twice around meet; note serves all three. told checked again what its only caller has checked; wants named the well-known instances twice. simulate: Load.All and Counters.Add in the place of own sums. tests: httpfakes.ListenRaw in the place of two listeners; assertions unchanged.

--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -11,37 +11,10 @@
 	"strings"
 	"testing"
 
+	"github.com/umbercrank/umbercrank/test/httpfakes"
 	"pgregory.net/rapid"
 )
 
-// upstream serves one connection with raw bytes and returns what it read.
-func upstream(t *testing.T, serve func(conn net.Conn, request *http.Request, body []byte)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				body, _ := io.ReadAll(request.Body)
-				serve(conn, request, body)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 func send(t *testing.T, address string) (*Answer, error) {
 	t.Helper()
 	answer, err := Do(context.Background(), &Request{Address: address, Method: "POST", Target: "/a", Host: "h", Body: []byte("x")})
@@ -58,7 +31,7 @@
 		body    []byte
 	}
 	arrivals := make(chan arrival, 1)
-	address := upstream(t, func(conn net.Conn, request *http.Request, body []byte) {
+	address := httpfakes.ListenRaw(t, func(conn net.Conn, request *http.Request, body []byte) {
 		arrivals <- arrival{request, body}
 		_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
 	})
@@ -91,7 +64,7 @@
 		"chunk":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nshort",
 	} {
 		t.Run(name, func(t *testing.T) {
-			answer, err := send(t, upstream(t, func(conn net.Conn, _ *http.Request, _ []byte) { _, _ = io.WriteString(conn, raw) }))
+			answer, err := send(t, httpfakes.ListenRaw(t, func(conn net.Conn, _ *http.Request, _ []byte) { _, _ = io.WriteString(conn, raw) }))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -103,7 +76,7 @@
 }
 
 func TestAnUnframedAnswerThatIsResetIsNotWhole(t *testing.T) {
-	address := upstream(t, func(conn net.Conn, _ *http.Request, _ []byte) {
+	address := httpfakes.ListenRaw(t, func(conn net.Conn, _ *http.Request, _ []byte) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	})
@@ -156,11 +129,11 @@
 	if _, err := send(t, address); !errors.As(err, &failure) || failure.Stage != Unsent {
 		t.Errorf("nobody listens: %v", err)
 	}
-	silent := upstream(t, func(net.Conn, *http.Request, []byte) {})
+	silent := httpfakes.ListenRaw(t, func(net.Conn, *http.Request, []byte) {})
 	if _, err := send(t, silent); !errors.As(err, &failure) || failure.Stage != Sent {
 		t.Errorf("closed without an answer: %v", err)
 	}
-	spoilt := upstream(t, func(conn net.Conn, _ *http.Request, _ []byte) { _, _ = io.WriteString(conn, "garbage\r\n\r\n") })
+	spoilt := httpfakes.ListenRaw(t, func(conn net.Conn, _ *http.Request, _ []byte) { _, _ = io.WriteString(conn, "garbage\r\n\r\n") })
 	if _, err := send(t, spoilt); !errors.As(err, &failure) || failure.Stage != Sent {
 		t.Errorf("bytes that are no answer: %v", err)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -257,7 +257,7 @@
 // readBody reads the whole body, so that nothing reaches an upstream of a
 // request that is malformed.
 func (q *request) readBody() error {
-	limit := q.gateway.Catalog().Limits.BodyBytes
+	limit := q.gateway.limits().BodyBytes
 	if limit > 0 && q.http.ContentLength > limit {
 		q.unread = true
 		return fault.New(fault.BodyTooLarge, "the body is above the limit")
@@ -390,9 +390,9 @@
 // guard refuses requests by their head, before anything else of them is read.
 func (g *Gateway) guard(w http.ResponseWriter, r *http.Request) {
 	if head, ok := r.Context().Value(headKey{}).(*head); ok {
-		length, ambiguous := head.take()
+		length := head.take()
 		defer head.reset()
-		if failure := g.inspect(r, length, ambiguous); failure != nil {
+		if failure := g.inspect(r, head, length); failure != nil {
 			g.options.Metrics.refused(failure.Code)
 			g.options.Logger.Info().Int("header_bytes", length).Str("outcome", string(failure.Code)).Str("reason", failure.Error()).Msg("request")
 			w.Header().Set("Connection", "close")
@@ -407,8 +407,9 @@
 }
 
 // inspect returns why a request is refused by its head.
-func (g *Gateway) inspect(r *http.Request, length int, ambiguous bool) *fault.Error {
-	if ambiguous && len(r.TransferEncoding) > 0 {
+func (g *Gateway) inspect(r *http.Request, head *head, length int) *fault.Error {
+	// Few requests have a transfer coding, and only their heads are searched.
+	if len(r.TransferEncoding) > 0 && head.ambiguous() {
 		return fault.New(fault.BadRequest, "the request has a length and chunks")
 	}
 	if limit := g.limits().HeaderBytes; limit > 0 && length > limit {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
 // plain is a protocol with short header names.
@@ -133,30 +134,10 @@
 
 // upstream serves until the test ends.
 func (w *world) upstream(id string, answer answerer) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	w.t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				body, _ := io.ReadAll(request.Body)
-				answer(conn, request, w.arrived(arrival{id, request.Header.Get("Id"), request.Header.Get("Account"),
-					request.Header.Get("Last-Event-Id"), request.RequestURI, string(body)}))
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return httpfakes.ListenRaw(w.t, func(conn net.Conn, request *http.Request, body []byte) {
+		answer(conn, request, w.arrived(arrival{id, request.Header.Get("Id"), request.Header.Get("Account"),
+			request.Header.Get("Last-Event-Id"), request.RequestURI, string(body)}))
+	})
 }
 
 func (w *world) arrived(a arrival) int {
--- a/pkg/gateway/head.go
+++ b/pkg/gateway/head.go
@@ -53,15 +53,22 @@
 // enter begins a phase; h.mu is held.
 func (h *head) enter(next phase) { h.phase, h.since = next, h.now() }
 
-// take returns the length of the head and whether it has both a length of the
-// body and a transfer coding. The connection serves the request from now on,
-// also if the head came together with the request before.
-func (h *head) take() (length int, ambiguous bool) {
+// take returns the length of the head. The connection serves the request from
+// now on, also if the head came together with the request before.
+func (h *head) take() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.enter(serving)
+	return len(h.bytes)
+}
+
+// ambiguous reports whether the head has both a length of the body and a transfer
+// coding.
+func (h *head) ambiguous() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	lower := bytes.ToLower(h.bytes)
-	return len(lower), bytes.Contains(lower, []byte("\ncontent-length")) && bytes.Contains(lower, []byte("\ntransfer-encoding"))
+	return bytes.Contains(lower, []byte("\ncontent-length")) && bytes.Contains(lower, []byte("\ntransfer-encoding"))
 }
 
 // reset begins to wait for the next request.
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -43,9 +43,10 @@
 // newest configuration counts at once, also for connections that are open.
 func (g *Gateway) Enforce(ctx context.Context, callers *Listener) {
 	for wait.For(ctx, enforceInterval) {
-		headers, idle := callers.closeOverdue(g.limits())
+		limits := g.limits()
+		headers, idle := callers.closeOverdue(limits)
 		if headers > 0 {
-			g.options.Logger.Info().Int("connections", headers).Dur("limit_ms", g.limits().HeaderTimeout).
+			g.options.Logger.Info().Int("connections", headers).Dur("limit_ms", limits.HeaderTimeout).
 				Msg("closed connections whose request's head did not come in time")
 		}
 		g.options.Metrics.closed(headers, idle)
--- a/pkg/mesh/hear.go
+++ b/pkg/mesh/hear.go
@@ -81,12 +81,11 @@
 
 // hear notes that the instance is up, and returns its row if that is news.
 func (m *Mesh) hear(beat Beat) []Sighting {
-	m.meet(beat.Row)
 	now := m.options.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known, ok := m.members[beat.Peer]
-	if !ok {
+	known, _ := m.note(beat.Row)
+	if known == nil {
 		return nil
 	}
 	news := known.silent || known.row != beat.Row
@@ -115,16 +114,13 @@
 	if sighting.Peer == m.options.Self.Peer || sighting.ID == "" || age >= distantSilentAfter {
 		return false
 	}
-	m.mu.Lock()
-	known, ok := m.members[sighting.Peer]
-	unknown := !ok || known.row.ID == ""
-	m.mu.Unlock()
-	m.meet(sighting.Row)
 	heard := m.options.Clock() - age
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known, ok = m.members[sighting.Peer]
-	if !ok || !unknown && heard <= known.heard || !m.trusts(sighting.Peer) {
+	known, isNew := m.note(sighting.Row)
+	// A seed that has not answered has no name, and its time is that of its note.
+	isNew = isNew || known.row.ID == ""
+	if !isNew && heard <= known.heard || !m.trusts(sighting.Peer) {
 		return false
 	}
 	news := known.silent || known.row != sighting.Row
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -123,18 +123,26 @@
 
 // meet notes an instance. A row without a name is a seed that has not answered.
 func (m *Mesh) meet(row Row) {
-	if row.Peer == m.options.Self.Peer {
-		return
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, ok := m.members[row.Peer]; ok {
-		return
+	m.note(row)
+}
+
+// note returns what is known of the instance, from now on at least its row, and
+// whether that is new; nil is this instance itself. m.mu is held.
+func (m *Mesh) note(row Row) (known *member, isNew bool) {
+	if row.Peer == m.options.Self.Peer {
+		return nil, false
+	}
+	if known, ok := m.members[row.Peer]; ok {
+		return known, false
 	}
-	m.members[row.Peer] = &member{row: row, heard: m.options.Clock(), silent: true, wake: make(chan struct{}, 1)}
+	known = &member{row: row, heard: m.options.Clock(), silent: true, wake: make(chan struct{}, 1)}
+	m.members[row.Peer] = known
 	if m.ctx != nil {
 		m.start(row.Peer)
 	}
+	return known, true
 }
 
 // start begins to tell the instance; m.mu is held.
--- a/pkg/mesh/tell.go
+++ b/pkg/mesh/tell.go
@@ -66,17 +66,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	relation := m.relation(address)
+	// Whoever is cut off finds the fleet again through these.
+	wellKnown := m.candidates[address] || slices.Contains(seeds, address)
 	switch {
 	case relation == equal && to.silent && len(m.members) >= meshLimit:
 		// The instance sees few others, but there are many: it is cut off.
-		return relation, m.candidates[address] || slices.Contains(seeds, address)
+		return relation, wellKnown
 	case relation != distant:
 		return relation, true
 	case to.owed:
 		to.owed, to.introduced = false, m.options.Clock()
 		return relation, true
 	case to.silent && m.layout.isHub(m.options.Self.Peer):
-		return relation, m.candidates[address] || slices.Contains(seeds, address) || to.row.DataCentre == m.options.Self.DataCentre
+		return relation, wellKnown || to.row.DataCentre == m.options.Self.DataCentre
 	}
 	return relation, false
 }
@@ -106,9 +108,6 @@
 // told returns the peers whose work is told along with this instance's own: to
 // a spoke that of all, to a fellow hub that of the spokes.
 func (m *Mesh) told(to relation) map[types.InstanceID]bool {
-	if to != spoke && to != fellow {
-		return nil
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	peers := make(map[types.InstanceID]bool)
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -180,8 +180,8 @@
 	return false
 }
 
-// all returns the work of all priorities.
-func (l Load) all() Rank { return l.ahead(math.MaxInt) }
+// All returns the work of all priorities.
+func (l Load) All() Rank { return l.ahead(math.MaxInt) }
 
 // Candidate is an upstream that may run a request, and what is known of it.
 type Candidate struct {
@@ -305,7 +305,7 @@
 	pace := cmp.Or(candidate.Pace, 1)
 	choice := Choice{ID: candidate.ID}
 	if !work.Engine {
-		busy := float64(candidate.Load.all().Waiting) / float64(max(candidate.Slots, 1))
+		busy := float64(candidate.Load.All().Waiting) / float64(max(candidate.Slots, 1))
 		choice.Wait = time.Duration(math.Max(0, busy-0.5) * float64(plainWork) * pace)
 		choice.First = choice.Wait + time.Duration(float64(plainWork)*pace*(1+busy/4))
 		return choice
@@ -348,7 +348,7 @@
 	}
 	if work.Engine {
 		// Streams that run side by side slow each other's steps a little.
-		cost += time.Duration(candidate.Load.all().Running) * besides
+		cost += time.Duration(candidate.Load.All().Running) * besides
 	}
 	return cost
 }
--- a/pkg/simulate/figures.go
+++ b/pkg/simulate/figures.go
@@ -82,9 +82,9 @@
 func (w *world) counters() model.Counters {
 	var all model.Counters
 	for _, s := range w.engines {
-		all = sum(all, s.ended)
+		all.Add(s.ended)
 		if !s.down {
-			all = sum(all, s.engine.Counters())
+			all.Add(s.engine.Counters())
 		}
 	}
 	return all
--- a/pkg/simulate/policy.go
+++ b/pkg/simulate/policy.go
@@ -93,17 +93,8 @@
 }
 
 func requests(candidate placement.Candidate) int {
-	total := 0
-	for _, rank := range candidate.Load.Ranks {
-		total += rank.Waiting + rank.Running
-	}
-	return total
+	all := candidate.Load.All()
+	return all.Waiting + all.Running
 }
 
-func unread(candidate placement.Candidate) int {
-	total := 0
-	for _, rank := range candidate.Load.Ranks {
-		total += rank.Unread
-	}
-	return total
-}
+func unread(candidate placement.Candidate) int { return candidate.Load.All().Unread }
--- a/pkg/simulate/world.go
+++ b/pkg/simulate/world.go
@@ -214,7 +214,7 @@
 		return
 	}
 	s.down, s.unlisted = true, w.now+unlisting
-	s.ended = sum(s.ended, s.engine.Counters())
+	s.ended.Add(s.engine.Counters())
 	for _, r := range slices.Clone(w.live) {
 		if r.engine != id || w.running[r.id] != r {
 			continue
@@ -497,11 +497,3 @@
 		r.Hear(w.now, "hub", all, nil)
 	}
 }
-
-func sum(a, b model.Counters) model.Counters {
-	return model.Counters{
-		Steps: a.Steps + b.Steps, GeneratedTokens: a.GeneratedTokens + b.GeneratedTokens,
-		PrefillTokens: a.PrefillTokens + b.PrefillTokens, CachedTokens: a.CachedTokens + b.CachedTokens,
-		Preemptions: a.Preemptions + b.Preemptions,
-	}
-}
--- a/pkg/standin/engine/model/settings.go
+++ b/pkg/standin/engine/model/settings.go
@@ -117,3 +117,12 @@
 	// sooner priority.
 	Preemptions int `json:"preemptions"`
 }
+
+// Add adds the totals of another engine, or of another life of this one.
+func (c *Counters) Add(other Counters) {
+	c.Steps += other.Steps
+	c.GeneratedTokens += other.GeneratedTokens
+	c.PrefillTokens += other.PrefillTokens
+	c.CachedTokens += other.CachedTokens
+	c.Preemptions += other.Preemptions
+}
