retry, placement: the budget is a sliding window; cached long prompts do not count as long

Ruled out: MaxAttempts (3 of 18), missing upstreams (0).

Change: retry.Budget counts first attempts and retries in a sliding window, in serve and join; the window is the platform's. A long prompt whose segments are mostly cached does not pay for the streams beside it; prefill at another engine weighs 12 instead of 6.

--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -22,3 +22,10 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Process returns a clock that starts at zero and stops while the system is
+// suspended.
+func Process() Clock {
+	started := time.Now()
+	return func() time.Duration { return time.Since(started) }
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -50,6 +50,8 @@
 	// RetryRatio and RetryBurst bound the retries of the whole fleet to each
 	// service: a share of the requests, plus a fixed number.
 	RetryRatio, RetryBurst float64
+	// RetryWindow is the time to which both apply.
+	RetryWindow time.Duration
 }
 
 const (
@@ -149,7 +151,7 @@
 		Clock:      clock.Boot,
 		Logger:     logger,
 		Metrics:    e.metrics,
-		Retries:    retry.Settings{Ratio: retryBudgetShare * settings.RetryRatio, Burst: retryBudgetShare * settings.RetryBurst},
+		Retries:    retry.Settings{Ratio: retryBudgetShare * settings.RetryRatio, Burst: retryBudgetShare * settings.RetryBurst, Window: settings.RetryWindow},
 	})
 	return e
 }
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -56,7 +56,7 @@
 func (e *Entry) runAttempts(ctx context.Context, req *request, x exchange) *fault.Error {
 	limited, cancel, deadline := e.withDeadline(ctx, req)
 	defer cancel()
-	e.budget.Earn()
+	e.budget.RecordFirst()
 	e.fire(req.lifecycle, eventEnqueue)
 	for {
 		if condemned := e.checkQuarantine(req); condemned != nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -80,7 +81,7 @@
 		options:  options,
 		settings: options.Settings,
 		limiter:  limits.New(),
-		budget:   retry.NewBudget(options.Settings.Retry),
+		budget:   retry.NewBudget(options.Settings.Retry, clock.Process()),
 		registry: newRegistry(options.Settings.FinishedRequests),
 		inFlight: newInFlightCounter(),
 		waiters:  newInFlightCounter(),
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -63,7 +63,7 @@
 // run sends the request to upstreams until it is answered or no further attempt is
 // allowed.
 func (q *request) run(ctx context.Context) error {
-	q.gateway.budget(q.target).Earn()
+	q.gateway.budget(q.target).RecordFirst()
 	for {
 		choice, failure := q.chooseUpstream()
 		if failure != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -120,7 +120,7 @@
 	defer g.mu.Unlock()
 	b, ok := g.budgets[target]
 	if !ok {
-		b = retry.NewBudget(settings)
+		b = retry.NewBudget(settings, g.options.Clock)
 		g.budgets[target] = b
 	}
 	b.SetBurst(settings.Burst)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -107,7 +107,7 @@
 	t.Helper()
 	env := &testEnv{t: t, fleet: &recordingFleet{}, roster: roster.New()}
 	env.gateway = New(Options{Protocol: testProtocol{}, Roster: env.roster, Fleet: env.fleet, Clock: clock.Boot, Logger: zerolog.Nop(),
-		Retries: retry.Settings{Ratio: 0.2, Burst: 10 * minBudgetShares}})
+		Retries: retry.Settings{Ratio: 0.2, Burst: 10 * minBudgetShares, Window: 10 * time.Second}})
 	for i := range routes {
 		routes[i].Host, routes[i].Targets = "h", []catalog.WeightedTarget{{Target: "s", Weight: 1}}
 		if routes[i].Timeout == 0 {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -31,7 +31,7 @@
 	// recomputeWeight weighs the prefill of shared segments that another engine has
 	// cached. This prefill delays all requests that wait at the engine or arrive
 	// meanwhile, about six in a burst.
-	recomputeWeight = 6.0
+	recomputeWeight = 12.0
 	// smallFleetSize is the number of instances up to which each learns of the
 	// others' load immediately. In a larger fleet the load reports are so old that
 	// many instances would send long prompts to the same engine, the least loaded
@@ -366,7 +366,7 @@
 	if !reserved && work.LatencySensitive() {
 		cost += unreservedPenalty
 	}
-	if work.long() {
+	if work.long() && work.Tokens-candidate.CachedTokens >= LongPromptTokens {
 		cost += time.Duration(candidate.Load.LatencySensitive) * longPromptPenalty
 	}
 	if work.Engine {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -2,57 +2,102 @@
 // retries do not overload a failing target.
 package retry
 
-import "sync"
+import (
+	"sync"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/clock"
+)
 
 // Settings configures a Budget.
 type Settings struct {
-	// Ratio is the number of retries that each first attempt adds to the budget.
+	// Ratio is the number of retries that each first attempt within Window allows.
 	Ratio float64
-	// Burst is the capacity of the budget and its initial content, in retries.
+	// Burst is the number of retries that a Window allows in addition.
 	Burst float64
+	// Window is the length of the sliding window.
+	Window time.Duration
 }
 
 // DefaultSettings allows one retry for five first attempts.
 func DefaultSettings() Settings {
-	return Settings{Ratio: 0.2, Burst: 256}
+	return Settings{Ratio: 0.2, Burst: 256, Window: 10 * time.Second}
 }
 
-// Budget is a token bucket that first attempts refill and retries take from. It
-// is safe for concurrent use.
+// slotsPerWindow is the number of slots in which the attempts of a window are
+// counted.
+const slotsPerWindow = 40
+
+// slot counts the attempts in a fraction of the window.
+type slot struct {
+	// number is the time since the epoch of the clock in units of the slot length.
+	number         int64
+	first, retries int
+}
+
+// Budget limits the retries in every window. The whole allowance of a window can be
+// used at once, as when an upstream crashes with all of its requests. It is safe for
+// concurrent use.
 type Budget struct {
-	settings Settings
+	clock    clock.Clock
 	mu       sync.Mutex
-	tokens   float64
+	settings Settings
+	// slots is a ring, indexed by number. It has one slot more than the window,
+	// because the oldest one is partly inside.
+	slots [slotsPerWindow + 1]slot
 }
 
-// NewBudget returns a full budget.
-func NewBudget(settings Settings) *Budget {
-	return &Budget{settings: settings, tokens: settings.Burst}
+// NewBudget returns a Budget without attempts.
+func NewBudget(settings Settings, clock clock.Clock) *Budget {
+	return &Budget{settings: settings, clock: clock}
 }
 
-// Earn adds Ratio retries to the budget for a first attempt.
-func (b *Budget) Earn() {
+// RecordFirst counts a first attempt.
+func (b *Budget) RecordFirst() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+b.settings.Ratio, b.settings.Burst)
+	b.slot(b.clock()).first++
 }
 
-// Spend takes one retry from the budget. It returns false if none is left.
+// Spend counts a retry and returns true, or returns false if the window allows no
+// more.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
+	current := b.slot(b.clock())
+	first, retries := 0, 0
+	for i := range b.slots {
+		age := current.number - b.slots[i].number
+		if age > slotsPerWindow {
+			continue
+		}
+		retries += b.slots[i].retries
+		if age < slotsPerWindow {
+			first += b.slots[i].first
+		}
+	}
+	if float64(retries+1) > b.settings.Ratio*float64(first)+b.settings.Burst {
 		return false
 	}
-	b.tokens--
+	current.retries++
 	return true
 }
 
-// SetBurst changes the capacity of the budget. Instances that divide one budget
-// among themselves call it when their number changes.
+// slot returns the slot of a time, emptied if it was used for an earlier one.
+// b.mu must be held.
+func (b *Budget) slot(now time.Duration) *slot {
+	number := int64(now / max(b.settings.Window/slotsPerWindow, 1))
+	s := &b.slots[number%int64(len(b.slots))]
+	if s.number != number {
+		*s = slot{number: number}
+	}
+	return s
+}
+
+// SetBurst changes the burst. Instances that divide one budget among themselves call
+// it when their number changes.
 func (b *Budget) SetBurst(burst float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.settings.Burst = burst
-	b.tokens = min(b.tokens, burst)
 }
