catalog: the priority of the route orders the requests of accounts with the same priority

Cause: on every site all accounts have a priority, nearly all the same, and it replaced the route's. Ruled out: memory of the engines; a priority missing from the header.

Change: requests are ordered by the account's priority and then by the route's; the pairs of a configuration are numbered. The request line has the priority. Also in placement: the wait for a slot follows from the number of slots, and a full batch with less urgent work costs the prefill that it repeats.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -105,7 +105,7 @@
 // Account is a client account.
 type Account struct {
 	ID types.AccountID
-	// Priority overrides the priority of the route if it is set.
+	// Priority takes precedence over the priority of the route if it is set.
 	Priority *int
 }
 
@@ -129,6 +129,7 @@
 	hosts      map[string][]*Route
 	services   map[types.TargetName]Service
 	keys       map[string]Account
+	priorities map[urgency]int
 }
 
 // Contents holds the values from which New builds a Catalog.
@@ -153,6 +154,7 @@
 		hosts:      make(map[string][]*Route),
 		services:   make(map[types.TargetName]Service, len(contents.Services)),
 		keys:       contents.Keys,
+		priorities: rankUrgencies(contents),
 	}
 	for _, service := range contents.Services {
 		c.services[service.Name] = service
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -243,6 +243,7 @@
 	if !ok {
 		return fault.New(fault.NoUpstream, "the service of the route is not in the configuration").WithRetryAfter(noUpstreamRetryAfter)
 	}
+	q.work.Priority = current.Priority(q.route, q.account)
 	q.setWork(service)
 	q.timeout = requestTimeout(q.route, call)
 	return nil
@@ -250,7 +251,6 @@
 
 // setWork sets what the placement needs to know about the request.
 func (q *request) setWork(service catalog.Service) {
-	q.work.Priority = priority(q.route, q.account)
 	if service.Engine == nil {
 		return
 	}
@@ -402,7 +402,7 @@
 		event = event.Str("route", q.route.Name)
 	}
 	if q.work.Engine {
-		event = event.Int("prompt_tokens", q.work.Tokens).Dur("beside_prefill_ms", q.work.PrefillInterToken).
+		event = event.Int("priority", q.work.Priority).Int("prompt_tokens", q.work.Tokens).Dur("beside_prefill_ms", q.work.PrefillInterToken).
 			Bool("latency_sensitive", q.work.LatencySensitive()).Dur("longest_gap_ms", q.longestGap)
 	}
 	event.Str("request", string(q.call.ID)).Str("account", string(q.account.ID)).Str("upstream", string(q.lastUpstream)).
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -65,12 +64,3 @@
 	// WriteError writes the response for a failure.
 	WriteError(w http.ResponseWriter, id types.RequestID, failure *fault.Error)
 }
-
-// priority returns the priority of a request. That of the account, if set, takes
-// precedence over that of the route.
-func priority(route *catalog.Route, account catalog.Account) int {
-	if account.Priority != nil {
-		return *account.Priority
-	}
-	return route.Priority
-}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -31,7 +31,7 @@
 	// recomputeWeight weighs the prefill of shared segments that another engine has
 	// cached. This prefill delays all requests that wait at the engine or arrive
 	// meanwhile, about six in a burst.
-	recomputeWeight = 12.0
+	recomputeWeight = 8.0
 	// smallFleetSize is the number of instances up to which each learns of the
 	// others' load immediately. In a larger fleet the load reports are so old that
 	// many instances would send long prompts to the same engine, the least loaded
@@ -68,9 +68,11 @@
 	// large fleet prefers an engine only because it is idle. Between two load
 	// reports about as many requests arrive as there are engines: some hundred.
 	minIdleShare = 0.25
-	// slotTurnover is the mean time between the ends of two streams in a full
-	// batch: streams of two seconds in a batch of 64.
-	slotTurnover = 30 * time.Millisecond
+	// streamDuration is the assumed mean duration of a stream in a full batch.
+	streamDuration = 2 * time.Second
+	// preemptionPenalty is the cost of a request that finds the batch full, because
+	// the engine then interrupts less urgent work and prefills its prompt again.
+	preemptionPenalty = 300 * time.Millisecond
 	// runningStreamPenalty is the cost of each stream that runs in the same batch
 	// as a new one.
 	runningStreamPenalty = 200 * time.Microsecond
@@ -338,14 +340,13 @@
 	return choice
 }
 
-// slotWait returns the wait for a slot in a full batch, in which one stream ends
-// per slotTurnover.
+// slotWait returns the wait for a slot in a full batch.
 func slotWait(ahead PriorityLoad, slots int) time.Duration {
 	excess := ahead.Waiting + ahead.Running - slots
 	if slots == 0 || excess < 0 {
 		return 0
 	}
-	return time.Duration(excess+1) * slotTurnover
+	return time.Duration(excess+1) * streamDuration / time.Duration(slots)
 }
 
 // prefillTime returns the time in which an engine prefills the tokens, including
@@ -371,7 +372,11 @@
 	}
 	if work.Engine {
 		// Each stream in a batch slows the steps of the others slightly.
-		cost += time.Duration(candidate.Load.Total().Running) * runningStreamPenalty
+		total := candidate.Load.Total()
+		cost += time.Duration(total.Running) * runningStreamPenalty
+		if candidate.Slots > 0 && total.Running+total.Waiting >= candidate.Slots && candidate.Load.lessUrgent(work.Priority) {
+			cost += preemptionPenalty
+		}
 	}
 	return cost
 }
