--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -259,7 +259,8 @@
 	q.work.InterTokenObjective = q.route.InterEventObjective / time.Duration(q.tokensPerEvent)
 	// Until it is measured how streams fare beside long prompts, those with the
 	// strictest objective are kept apart from them.
-	q.work.PrefillInterToken = cmp.Or(q.gateway.options.Roster.PrefillInterToken(q.target), service.StrictestInterEvent/time.Duration(q.tokensPerEvent))
+	q.work.Timing = q.gateway.options.Roster.Timing(q.target)
+	q.work.PrefillInterToken = cmp.Or(q.work.PrefillInterToken, service.StrictestInterEvent/time.Duration(q.tokensPerEvent))
 }
 
 // requestTimeout returns the maximum time from the arrival of a request to the end
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -107,9 +107,17 @@
 	// InterTokenObjective is the longest inter-token latency at which a stream is
 	// in time. It is zero for other requests.
 	InterTokenObjective time.Duration
+	Timing
+}
+
+// Timing is what was measured at the engines of a target. Zero means unknown.
+type Timing struct {
 	// PrefillInterToken is the inter-token latency of a stream while its engine
 	// prefills a long prompt of another request.
 	PrefillInterToken time.Duration
+	// FirstEventDelay is the time to the first event in addition to the wait and the
+	// prefill.
+	FirstEventDelay time.Duration
 }
 
 // LatencySensitive reports whether long prompts in the same batch make the
@@ -336,7 +344,7 @@
 	}
 	ahead := candidate.Load.ahead(work.Priority)
 	choice.Wait = scale(prefillTime(ahead.PrefillTokens)+slotWait(ahead, candidate.Slots), ratio)
-	choice.FirstResponse = choice.Wait + scale(prefillTime(max(work.Tokens-candidate.CachedTokens, 1))+2*stepDuration, ratio)
+	choice.FirstResponse = choice.Wait + work.FirstEventDelay + scale(prefillTime(max(work.Tokens-candidate.CachedTokens, 1))+2*stepDuration, ratio)
 	return choice
 }
 
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -1,23 +1,30 @@
 package roster
 
 import (
+	"cmp"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/interference"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // Attempt is an attempt that counts as load at an upstream until End.
 type Attempt struct {
-	roster        *Roster
-	upstream      *upstreamState
-	started       time.Duration
-	predicted     time.Duration
-	prefillTokens int
-	priority      int
-	sensitive     bool
-	running       bool
+	roster    *Roster
+	upstream  *upstreamState
+	started   time.Duration
+	predicted time.Duration
+	// predictedDelay and predictedRatio are the delay of the first event and the
+	// latency ratio that the prediction includes. immediate reports whether it
+	// includes no wait.
+	predictedDelay time.Duration
+	predictedRatio float64
+	immediate      bool
+	engine         bool
+	prefillTokens  int
+	priority       int
+	sensitive      bool
+	running        bool
 	// lastEventAt is the time of the last event of a stream, and besidePrefill
 	// whether the engine had a long prompt of another request to prefill then.
 	lastEventAt   time.Duration
@@ -33,13 +40,17 @@
 		return &Attempt{roster: r, started: now}
 	}
 	a := &Attempt{
-		roster:        r,
-		upstream:      upstream,
-		started:       now,
-		predicted:     choice.FirstResponse,
-		prefillTokens: max(work.Tokens-upstream.cachedTokens(now, work), 0),
-		priority:      work.Priority,
-		sensitive:     work.LatencySensitive(),
+		roster:         r,
+		upstream:       upstream,
+		started:        now,
+		predicted:      choice.FirstResponse,
+		predictedDelay: work.FirstEventDelay,
+		predictedRatio: cmp.Or(upstream.latencyRatio, 1),
+		immediate:      choice.Wait == 0,
+		engine:         work.Engine,
+		prefillTokens:  max(work.Tokens-upstream.cachedTokens(now, work), 0),
+		priority:       work.Priority,
+		sensitive:      work.LatencySensitive(),
 	}
 	upstream.attempts[a] = struct{}{}
 	upstream.markCached(now, SharedSegments(work))
@@ -82,52 +93,7 @@
 	if a.predicted <= 0 {
 		return
 	}
-	ratio := min(max(float64(now-a.started)/float64(a.predicted), minLatencyRatio), maxLatencyRatio)
-	if a.upstream.latencyRatio == 0 {
-		a.upstream.latencyRatio = 1
-	}
-	// The prediction already includes the current ratio.
-	a.upstream.latencyRatio += latencyRatioWeight * (ratio*a.upstream.latencyRatio - a.upstream.latencyRatio)
-	a.upstream.latencyRatio = min(max(a.upstream.latencyRatio, minLatencyRatio), maxLatencyRatio)
-}
-
-// RecordEvent records an event of a stream that carries the given number of tokens.
-func (a *Attempt) RecordEvent(now time.Duration, tokens int) {
-	r := a.roster
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if a.upstream == nil {
-		return
-	}
-	before, last := a.besidePrefill, a.lastEventAt
-	a.besidePrefill, a.lastEventAt = r.prefillsLongPrompt(now, a.upstream), now
-	if before && a.besidePrefill && last > 0 {
-		r.estimator(a.upstream.Target).Observe((now - last) / time.Duration(max(tokens, 1)))
-	}
-}
-
-// prefillsLongPrompt reports whether the upstream has a long prompt to prefill.
-// r.mu must be held.
-func (r *Roster) prefillsLongPrompt(now time.Duration, upstream *upstreamState) bool {
-	return r.load(now, upstream).Total().PrefillTokens >= placement.LongPromptTokens
-}
-
-// estimator returns the estimator of a target. r.mu must be held.
-func (r *Roster) estimator(target types.TargetName) *interference.Estimator {
-	estimator, ok := r.interference[target]
-	if !ok {
-		estimator = new(interference.Estimator)
-		r.interference[target] = estimator
-	}
-	return estimator
-}
-
-// PrefillInterToken returns the inter-token latency of streams at the target while
-// their engine prefills a long prompt, or zero if it is unknown.
-func (r *Roster) PrefillInterToken(target types.TargetName) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.estimator(target).InterToken()
+	a.measureFirstResponse(now)
 }
 
 // End removes the attempt from the upstream's load and updates the upstream's
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/interference"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -28,11 +27,6 @@
 	// failureWeight is the weight of one outcome in the failure rate, a moving
 	// average. A few requests are enough to recognise a failing upstream.
 	failureWeight = 0.25
-	// latencyRatioWeight is the weight of one measurement in the latency ratio, a
-	// moving average.
-	latencyRatioWeight = 0.15
-	// minLatencyRatio and maxLatencyRatio bound the effect of measured latencies.
-	minLatencyRatio, maxLatencyRatio = 0.5, 8.0
 	// failureHalfLife is the half-life of the failure rate. Because of the decay, an
 	// upstream that no longer gets requests is tried again.
 	failureHalfLife = 2 * time.Second
@@ -101,16 +95,16 @@
 	mu        sync.Mutex
 	upstreams map[types.UpstreamID]*upstreamState
 	peers     map[types.InstanceID]peerReport
-	// interference has an estimator for each target that has streamed.
-	interference map[types.TargetName]*interference.Estimator
+	// timings has the estimates of each target with engines.
+	timings map[types.TargetName]*timing
 }
 
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
-		upstreams:    make(map[types.UpstreamID]*upstreamState),
-		peers:        make(map[types.InstanceID]peerReport),
-		interference: make(map[types.TargetName]*interference.Estimator),
+		upstreams: make(map[types.UpstreamID]*upstreamState),
+		peers:     make(map[types.InstanceID]peerReport),
+		timings:   make(map[types.TargetName]*timing),
 	}
 }
 
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -305,7 +305,8 @@
 // it, or the request is queued or refused.
 func (sim *simulation) place(r *request) {
 	r.remaining = r.arrivedAt + r.kind.Deadline - sim.now
-	r.work.PrefillInterToken = cmp.Or(sim.rosters[r.entry].PrefillInterToken(target), sim.site.strictestInterToken())
+	r.work.Timing = sim.rosters[r.entry].Timing(target)
+	r.work.PrefillInterToken = cmp.Or(r.work.PrefillInterToken, sim.site.strictestInterToken())
 	for len(r.tried) < maxEngineAttempts {
 		fleetSize := sim.site.Entries
 		if sim.site.IgnoreFleetSize {
