--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -243,7 +243,7 @@
 	if !ok {
 		return fault.New(fault.NoUpstream, "the service of the route is not in the configuration").WithRetryAfter(noUpstreamRetryAfter)
 	}
-	q.work.Priority = current.Priority(q.route, q.account)
+	q.work.Priority, q.work.Objective = current.Priority(q.route, q.account), q.route.Objective
 	q.setWork(service)
 	q.timeout = requestTimeout(q.route, call)
 	return nil
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -48,14 +48,14 @@
 	// sensitivityMargin is the ratio of the inter-token objective to the latency beside
 	// a prefill below which a stream is latency-sensitive.
 	sensitivityMargin = 1.15
-	// longPromptPenalty is the cost of a long prompt for each latency-sensitive
-	// stream in the same batch, because it makes the stream late. About twenty of
-	// them outweigh the longest wait that is admitted.
-	longPromptPenalty = 40 * time.Millisecond
-	// unreservedPenalty is the cost of a latency-sensitive stream among long
-	// prompts, which make it late. It equals a wait that uses up the objective of
-	// such a stream.
-	unreservedPenalty = 200 * time.Millisecond
+	// longPromptShare is the cost of a long prompt for each latency-sensitive stream
+	// in the same batch, which it makes late, as a share of the prompt's own
+	// objective. About fifteen streams outweigh a wait that makes the prompt late.
+	longPromptShare = 1.0 / 15
+	// unreservedShare is the cost of a latency-sensitive stream among long prompts,
+	// as a share of the stream's objective: these make it late, as does a wait that
+	// uses up the objective.
+	unreservedShare = 0.8
 	// minReservedShare is the share of the engines that is reserved for
 	// latency-sensitive streams before there are any, so that the first of them
 	// find more than one engine. Long prompts may use reserved engines that have no
@@ -107,6 +107,9 @@
 	// InterTokenObjective is the longest inter-token latency at which a stream is
 	// in time. It is zero for other requests.
 	InterTokenObjective time.Duration
+	// Objective is the longest time to the first event or the response at which a
+	// request is in time.
+	Objective time.Duration
 	Timing
 }
 
@@ -373,10 +376,10 @@
 		cost += remotePenalty
 	}
 	if !reserved && work.LatencySensitive() {
-		cost += unreservedPenalty
+		cost += scale(work.Objective, unreservedShare)
 	}
 	if work.long() && work.Tokens-candidate.CachedTokens >= LongPromptTokens {
-		cost += time.Duration(candidate.Load.LatencySensitive) * longPromptPenalty
+		cost += scale(work.Objective, longPromptShare*float64(candidate.Load.LatencySensitive))
 	}
 	if work.Engine {
 		// Each stream in a batch slows the steps of the others slightly.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -17,12 +17,12 @@
 }
 
 func longPrompt(session string) *Work {
-	return &Work{Engine: true, Priority: 1, Tokens: 9000, InterTokenObjective: 62 * time.Millisecond, Timing: Timing{PrefillInterToken: 38 * time.Millisecond},
+	return &Work{Engine: true, Priority: 1, Tokens: 9000, Objective: 600 * time.Millisecond, InterTokenObjective: 62 * time.Millisecond, Timing: Timing{PrefillInterToken: 38 * time.Millisecond},
 		Segments: []PromptSegment{{"system", 2500}, {session, 3800}, {"own", 2700}}}
 }
 
 func shortPrompt() *Work {
-	return &Work{Engine: true, Tokens: 800, InterTokenObjective: 37 * time.Millisecond, Timing: Timing{PrefillInterToken: 38 * time.Millisecond}, Segments: []PromptSegment{{"system", 120}, {"s", 80}, {"own", 600}}}
+	return &Work{Engine: true, Tokens: 800, Objective: 250 * time.Millisecond, InterTokenObjective: 37 * time.Millisecond, Timing: Timing{PrefillInterToken: 38 * time.Millisecond}, Segments: []PromptSegment{{"system", 120}, {"s", 80}, {"own", 600}}}
 }
 
 func place(t *testing.T, work *Work, candidates []Candidate) Choice {
@@ -201,7 +201,7 @@
 	}
 	reserved := reservedEngines(candidates)
 	for i := range 100 {
-		work := &Work{Engine: true, Tokens: 800, InterTokenObjective: 30 * time.Millisecond, Timing: Timing{PrefillInterToken: 38 * time.Millisecond}, Segments: []PromptSegment{{ID: fmt.Sprint("s", i), Tokens: 200}, {ID: fmt.Sprint("r", i), Tokens: 600}}}
+		work := &Work{Engine: true, Tokens: 800, Objective: 250 * time.Millisecond, InterTokenObjective: 30 * time.Millisecond, Timing: Timing{PrefillInterToken: 38 * time.Millisecond}, Segments: []PromptSegment{{ID: fmt.Sprint("s", i), Tokens: 200}, {ID: fmt.Sprint("r", i), Tokens: 600}}}
 		if choice, _ := Choose(work, Entry{FleetSize: 87}, fmt.Sprint("r", i), candidates); !reserved[choice.ID] {
 			t.Fatalf("request %d goes to %s, among long prompts", i, choice.ID)
 		}
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -287,7 +287,7 @@
 	rootTokens, sessionTokens := sim.roots[kind.Name][root], sim.sessions[kind.Name][session]
 	r.segments = []model.PromptSegment{{ID: xxhash.Sum64String(rootName), Tokens: rootTokens}, {ID: xxhash.Sum64String(sessionName), Tokens: sessionTokens}}
 	r.work = placement.Work{
-		Engine: true, Priority: kind.Priority, Tokens: rootTokens + sessionTokens + r.uniqueTokens, InterTokenObjective: kind.InterEventObjective / time.Duration(sim.site.TokensPerEvent),
+		Engine: true, Priority: kind.Priority, Objective: kind.Objective, Tokens: rootTokens + sessionTokens + r.uniqueTokens, InterTokenObjective: kind.InterEventObjective / time.Duration(sim.site.TokensPerEvent),
 		Segments: []placement.PromptSegment{{ID: rootName, Tokens: rootTokens}, {ID: sessionName, Tokens: sessionTokens}, {ID: string(r.id), Tokens: r.uniqueTokens}},
 	}
 	sim.requests = append(sim.requests, r)
