placement: prefill at another engine weighs more where requests wait

Cause: the weight 8 stood for the requests of a burst that a repeated prefill delays, also at an engine where none waits. Change: 6 plus the requests that wait at the engine.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -29,9 +29,9 @@
 	// request waits for: the chunk of a step that has already started.
 	startedPrefillTokens = prefillChunkTokens
 	// recomputeWeight weighs the prefill of shared segments that another engine has
-	// cached. This prefill delays all requests that wait at the engine or arrive
-	// meanwhile, about six in a burst.
-	recomputeWeight = 8.0
+	// cached. This prefill also delays the requests that wait at the engine, which are
+	// added, and those that arrive meanwhile.
+	recomputeWeight = 6.0
 	// smallFleetSize is the number of instances up to which each learns of the
 	// others' load immediately. In a larger fleet the load reports are so old that
 	// many instances would send long prompts to the same engine, the least loaded
@@ -271,7 +271,8 @@
 		choice := predict(work, candidate)
 		choice.Cost = choice.FirstResponse + penalties(work, entry.DataCentre, candidate, reserved[candidate.ID])
 		if work.Engine && candidate.ID != preferred {
-			choice.Cost += scale(prefillTime(work.sharedTokens()-candidate.CachedTokens), recomputeWeight)
+			waiting := float64(candidate.Load.Total().Waiting)
+			choice.Cost += scale(prefillTime(work.sharedTokens()-candidate.CachedTokens), recomputeWeight+waiting)
 		}
 		weight := rendezvous.Weight(key, candidateID(*candidate))
 		if !found || choice.Cost < best.Cost || choice.Cost == best.Cost && weight > bestWeight {
