--- /dev/null
+++ b/pkg/roster/timing_test.go
@@ -0,0 +1,61 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/placement"
+)
+
+// playShortPrompts runs requests that the engine answers after the given delay and
+// the predicted prefill.
+func playShortPrompts(r *Roster, delay time.Duration, requests int) {
+	now := time.Duration(0)
+	for range requests {
+		work := prompt(0)
+		work.Timing = r.Timing(pool)
+		choice, ok := placement.Choose(work, placement.Entry{}, "r", r.Candidates(now, pool, work, nil))
+		if !ok {
+			panic("no candidate")
+		}
+		attempt := r.Begin(now, work, choice)
+		prefill := float64(choice.FirstResponse-work.FirstEventDelay) / attempt.predictedRatio
+		now += delay + time.Duration(prefill)
+		attempt.RecordFirstResponse(now)
+		attempt.End(now, Completed)
+	}
+}
+
+// TestFirstEventDelayIsNotSlowness checks that an engine with a fixed delay before the
+// first event does not count as slow: urgent streams would leave it for engines with
+// long prompts.
+func TestFirstEventDelayIsNotSlowness(t *testing.T) {
+	r := newRoster("a")
+	const delay = 90 * time.Millisecond
+	playShortPrompts(r, delay, 200)
+	if got := r.Timing(pool).FirstEventDelay; got < delay-5*time.Millisecond || got > delay+5*time.Millisecond {
+		t.Errorf("the delay is estimated at %v, want %v", got, delay)
+	}
+	if got := candidate(t, r, time.Hour, "a").LatencyRatio; got > 1.3 {
+		t.Errorf("the latency ratio is %.2f", got)
+	}
+}
+
+// TestSlowEngineHasHighLatencyRatio checks that prefill which takes longer than
+// predicted still counts.
+func TestSlowEngineHasHighLatencyRatio(t *testing.T) {
+	r := newRoster("a")
+	now := time.Duration(0)
+	work := &placement.Work{Engine: true, Tokens: 9000}
+	for range 60 {
+		work.Timing = r.Timing(pool)
+		choice, _ := placement.Choose(work, placement.Entry{}, "r", r.Candidates(now, pool, work, nil))
+		attempt := r.Begin(now, work, choice)
+		now += 3 * time.Duration(float64(choice.FirstResponse)/attempt.predictedRatio)
+		attempt.RecordFirstResponse(now)
+		attempt.End(now, Completed)
+	}
+	if got := candidate(t, r, now, "a").LatencyRatio; got < 2.5 {
+		t.Errorf("the latency ratio of an engine that takes three times as long is %.2f", got)
+	}
+}
