--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -36,7 +36,7 @@
 	// noticedUntil is the end of the last one that this instance noticed itself. Only
 	// that is reported to peers, so that a period is not passed on in circles.
 	until, noticedUntil time.Duration
-	kept  map[string]replica.Item
+	kept                map[string]replica.Item
 }
 
 // sink applies what the follower of one collection reads.
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -18,16 +18,6 @@
 )
 
 const (
-	// prefillTokensPerMs is the prefill rate of the slower engine type, in prompt
-	// tokens per millisecond.
-	prefillTokensPerMs = 38.0
-	// stepDuration is the duration of an engine step without prefill.
-	stepDuration = 5 * time.Millisecond
-	// prefillChunkTokens is the number of prompt tokens that one step prefills.
-	prefillChunkTokens = 1024
-	// startedPrefillTokens bounds the prefill of less urgent prompts that a new
-	// request waits for: the chunk of a step that has already started.
-	startedPrefillTokens = prefillChunkTokens
 	// recomputeWeight weighs the prefill of shared segments that another engine has
 	// cached. This prefill also delays the requests that wait at the engine, which are
 	// added, and those that arrive meanwhile.
@@ -56,24 +46,10 @@
 	// as a share of the stream's objective: these make it late, as does a wait that
 	// uses up the objective.
 	unreservedShare = 0.8
-	// minReservedShare is the share of the engines that is reserved for
-	// latency-sensitive streams before there are any, so that the first of them
-	// find more than one engine. Long prompts may use reserved engines that have no
-	// latency-sensitive streams.
-	minReservedShare = 1.0 / 6
-	// reservedBatchShare is the share of a batch that latency-sensitive streams
-	// fill before another engine is reserved for them.
-	reservedBatchShare = 0.6
-	// slowStepRatio is the step time of an engine, relative to the median of all, from
-	// which it is not reserved for latency-sensitive streams. A full batch alone
-	// lengthens the steps by up to a half.
-	slowStepRatio = 1.8
 	// minIdleShare is the share of the engines that must appear idle before a
 	// large fleet prefers an engine only because it is idle. Between two load
 	// reports about as many requests arrive as there are engines: some hundred.
 	minIdleShare = 0.25
-	// streamDuration is the assumed mean duration of a stream in a full batch.
-	streamDuration = 2 * time.Second
 	// preemptionPenalty is the cost of a request that finds the batch full, because
 	// the engine then interrupts less urgent work and prefills its prompt again.
 	preemptionPenalty = 300 * time.Millisecond
@@ -87,9 +63,6 @@
 	// overduePenalty is the cost of each request that has been without a response
 	// for well beyond its predicted time.
 	overduePenalty = 80 * time.Millisecond
-	// defaultServiceTime is the assumed duration of a call to a plain service. It is
-	// scaled by the upstream's LatencyRatio once that is known.
-	defaultServiceTime = 40 * time.Millisecond
 )
 
 // PromptSegment is a segment of a prompt. Requests share segments by ID.
@@ -343,41 +316,6 @@
 	return tokens
 }
 
-// predict returns the predicted times of the request at the candidate.
-func predict(work *Work, candidate *Candidate) Choice {
-	ratio := cmp.Or(candidate.LatencyRatio, 1)
-	choice := Choice{ID: candidate.ID}
-	if !work.Engine {
-		utilization := float64(candidate.Load.Total().Waiting) / float64(max(candidate.Slots, 1))
-		choice.Wait = time.Duration(math.Max(0, utilization-0.5) * float64(defaultServiceTime) * ratio)
-		choice.FirstResponse = choice.Wait + time.Duration(float64(defaultServiceTime)*ratio*(1+utilization/4))
-		return choice
-	}
-	ahead := candidate.Load.ahead(work.Priority)
-	choice.Wait = scale(prefillTime(ahead.PrefillTokens)+slotWait(ahead, candidate.Slots), ratio)
-	choice.FirstResponse = choice.Wait + work.FirstEventDelay + scale(prefillTime(max(work.Tokens-candidate.CachedTokens, 1))+2*stepDuration, ratio)
-	return choice
-}
-
-// slotWait returns the wait for a slot in a full batch.
-func slotWait(ahead PriorityLoad, slots int) time.Duration {
-	excess := ahead.Waiting + ahead.Running - slots
-	if slots == 0 || excess < 0 {
-		return 0
-	}
-	return time.Duration(excess+1) * streamDuration / time.Duration(slots)
-}
-
-// prefillTime returns the time in which an engine prefills the tokens, including
-// the step overhead.
-func prefillTime(tokens int) time.Duration {
-	tokens = max(tokens, 0)
-	prefill := time.Duration(float64(tokens) / prefillTokensPerMs * float64(time.Millisecond))
-	return prefill + time.Duration(tokens/prefillChunkTokens)*stepDuration
-}
-
-func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
-
 func penalties(work *Work, local types.DataCentre, candidate *Candidate, reserved bool) time.Duration {
 	cost := scale(failurePenalty, candidate.FailureRate) + time.Duration(candidate.Load.Overdue)*overduePenalty
 	if candidate.DataCentre != local {
@@ -399,54 +337,3 @@
 	}
 	return cost
 }
-
-// reservedEngines returns the engines that are reserved for latency-sensitive
-// streams. The result depends only on the fleet's load and the engine IDs, so
-// instances with a similar view of the load reserve nearly the same engines.
-func reservedEngines(candidates []Candidate) map[types.UpstreamID]bool {
-	sensitive, slots := 0, 0
-	for i := range candidates {
-		sensitive += candidates[i].Load.LatencySensitive
-		slots += candidates[i].Slots
-	}
-	reserved := make(map[types.UpstreamID]bool)
-	if len(candidates) < 2 || slots == 0 {
-		return reserved
-	}
-	perEngine := float64(slots) / float64(len(candidates)) * reservedBatchShare
-	least := int(math.Ceil(minReservedShare * float64(len(candidates))))
-	count := min(max(1+int(float64(sensitive)/perEngine), least), len(candidates)-1)
-	order := rendezvous.OrderOf("sensitive", withoutSlow(candidates), candidateID)
-	for _, candidate := range order[:min(count, len(order))] {
-		reserved[candidate.ID] = true
-	}
-	return reserved
-}
-
-// Slow reports whether the step time of an engine is much longer than the median of
-// all. A time of zero is unknown.
-func Slow(stepTime, median time.Duration) bool {
-	return median > 0 && stepTime > scale(median, slowStepRatio)
-}
-
-// withoutSlow returns the engines whose steps are not much longer than those of the
-// others.
-func withoutSlow(candidates []Candidate) []Candidate {
-	var times []time.Duration
-	for i := range candidates {
-		if candidates[i].StepTime > 0 {
-			times = append(times, candidates[i].StepTime)
-		}
-	}
-	if len(times) == 0 {
-		return candidates
-	}
-	slices.Sort(times)
-	var fast []Candidate
-	for i := range candidates {
-		if !Slow(candidates[i].StepTime, times[len(times)/2]) {
-			fast = append(fast, candidates[i])
-		}
-	}
-	return fast
-}
--- a/pkg/roster/timing.go
+++ b/pkg/roster/timing.go
@@ -88,7 +88,20 @@
 // prefillsLongPrompt reports whether the upstream has a long prompt to prefill.
 // r.mu must be held.
 func (r *Roster) prefillsLongPrompt(now time.Duration, upstream *upstreamState) bool {
-	return r.load(now, upstream).Total().PrefillTokens >= placement.LongPromptTokens
+	tokens := 0
+	for attempt := range upstream.attempts {
+		if !attempt.running {
+			tokens += attempt.prefillTokens
+		}
+	}
+	for _, report := range r.peers {
+		if now-report.at < peerReportTTL {
+			for _, load := range report.loads[upstream.ID].ByPriority {
+				tokens += load.PrefillTokens
+			}
+		}
+	}
+	return tokens >= placement.LongPromptTokens
 }
 
 // measureFirstResponse compares the time to the first event or the response with the
