Revert "edge, mesh: removals fetched from a peer keep the grace period after an outage"

The store turned three of eight instances away from 2.9 to 11.9 s; when one regained it, its grace period went to all instances, also to those that had read the store all the time and saw the removal of 12.1 s. That peers drop lapsed entries before they list the store stays open.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -33,10 +33,8 @@
 // outage. They stay in use until the grace period ends.
 type lapsedUpstreams struct {
 	// until is the end of the grace period, which starts when the store recovers.
-	// noticedUntil is the end of the last one that this instance noticed itself. Only
-	// that is reported to peers, so that a period is not passed on in circles.
-	until, noticedUntil time.Duration
-	kept                map[string]replica.Item
+	until time.Duration
+	kept  map[string]replica.Item
 }
 
 // sink applies what the follower of one collection reads.
@@ -52,8 +50,7 @@
 	defer e.mu.Unlock()
 	set := e.set(s.name)
 	if s.name == upstreams && outage > shortOutage {
-		e.lapsed.noticedUntil = e.now() + lapseGracePeriod
-		e.lapsed.until = e.lapsed.noticedUntil
+		e.lapsed.until = e.now() + lapseGracePeriod
 	}
 	before := set.Live()
 	e.apply(s.name, "store", before, set.Replace(items, at))
@@ -107,16 +104,6 @@
 	e.logger.Info().Str("version", next.Version).Uint64("revision", uint64(next.Revision)).Str("source", source).Msg("configuration in force")
 }
 
-// extendGracePeriod makes the grace period last at least for the given time.
-func (e *Edge) extendGracePeriod(remaining time.Duration) {
-	if remaining <= 0 {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.lapsed.until = max(e.lapsed.until, e.now()+remaining)
-}
-
 // keepLapsed keeps the removed upstreams during the grace period.
 func (e *Edge) keepLapsed(before, changes []replica.Item) {
 	if e.now() >= e.lapsed.until {
@@ -227,20 +214,12 @@
 	return e.set(collection).Since(after)
 }
 
-// RemovalGrace implements mesh.State.
-func (s state) RemovalGrace() time.Duration {
-	s.edge.mu.Lock()
-	defer s.edge.mu.Unlock()
-	return max(s.edge.lapsed.noticedUntil-s.edge.now(), 0)
-}
-
 // QuarantineEntries implements mesh.State.
 func (s state) QuarantineEntries() []quarantine.Entry { return s.edge.gateway.QuarantineEntries() }
 
 // HandleHeartbeat implements mesh.State.
 func (s state) HandleHeartbeat(heartbeat mesh.Heartbeat) {
 	now := s.edge.now()
-	s.edge.extendGracePeriod(min(time.Duration(heartbeat.RemovalGraceMilliseconds)*time.Millisecond, lapseGracePeriod))
 	ejected := make(map[types.UpstreamID]time.Duration, len(heartbeat.Ejected))
 	for id, remaining := range heartbeat.Ejected {
 		ejected[id] = time.Duration(remaining) * time.Millisecond
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -58,10 +58,6 @@
 	CachedSegments    []CachedSegments                    `json:"placed,omitempty"`
 	QuarantineEntries []quarantine.Entry                  `json:"strikes,omitempty"`
 	Revisions         map[string]types.Revision           `json:"rev,omitempty"`
-	// RemovalGraceMilliseconds is how long the sender keeps removed items in use after
-	// an outage of the store. The receiver, which may fetch the removals before it
-	// notices the outage itself, keeps them as long.
-	RemovalGraceMilliseconds int64 `json:"grace,omitempty"`
 	// Gossip has the entries that the peer may lack or may have in an older version.
 	Gossip []GossipEntry `json:"seen,omitempty"`
 	// AgesMilliseconds is the time since each instance that is up was last heard
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -35,10 +35,6 @@
 	Revisions() map[string]types.Revision
 	// Since returns the items of a collection that are newer than a revision.
 	Since(collection string, after types.Revision) []replica.Item
-	// RemovalGrace returns how long removed items stay in use, because they may have
-	// expired during an outage of the store. It is zero unless this instance noticed
-	// an outage itself.
-	RemovalGrace() time.Duration
 	// QuarantineEntries returns the known requests that crashed upstreams.
 	QuarantineEntries() []quarantine.Entry
 	// HandleHeartbeat processes a peer's heartbeat.
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -170,7 +170,6 @@
 		heartbeat.Loads = m.loadsFor(relation)
 	}
 	heartbeat.Serving, heartbeat.StoreReachable = state.Serving(), state.StoreReachable()
-	heartbeat.RemovalGraceMilliseconds = state.RemovalGrace().Milliseconds()
 	for id, remaining := range state.Ejected() {
 		heartbeat.Ejected[id] = remaining.Milliseconds()
 	}
