edge, follow: the grace period of lapsed entries starts when the store may have recovered

Cause: an instance that is turned away by the store tries again after up to 1.5 s and counted the 2 s of grace from then. Change: the time since the last failed call is taken off. TestGracePeriodStartsWhenStoreMayHaveRecovered fails without it.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
+	"github.com/umbercrank/umbercrank/pkg/follow"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/replica"
@@ -74,7 +75,7 @@
 
 func TestMalformedEntryIsSkipped(t *testing.T) {
 	e, _ := newTestEdge()
-	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "bad", 2), entry("c", "", 3)}, 3, 0)
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "bad", 2), entry("c", "", 3)}, 3, follow.Outage{})
 	wantReady(t, e, "one of three is malformed", "a", "c")
 	sink{e, upstreams}.Merge([]replica.Item{entry("a", "bad", 4)})
 	wantReady(t, e, "another becomes malformed", "c")
@@ -82,15 +83,15 @@
 
 func TestLeavingUpstreamIsRemovedImmediately(t *testing.T) {
 	e, _ := newTestEdge()
-	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "", 2), entry("c", "", 3)}, 3, 0)
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "", 2), entry("c", "", 3)}, 3, follow.Outage{})
 	sink{e, upstreams}.Merge([]replica.Item{entry("a", "leaving", 4), {Key: "b", Revision: 5, Removed: true}})
 	wantReady(t, e, "one upstream is leaving and one was removed", "c")
 }
 
 func TestLapsedUpstreamsAreKeptForGracePeriod(t *testing.T) {
 	e, now := newTestEdge()
-	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "", 2), entry("c", "", 3)}, 3, 0)
-	sink{e, upstreams}.Replace([]replica.Item{entry("c", "leaving", 8)}, 9, 8*time.Second)
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "", 2), entry("c", "", 3)}, 3, follow.Outage{})
+	sink{e, upstreams}.Replace([]replica.Item{entry("c", "leaving", 8)}, 9, follow.Outage{Length: 8 * time.Second})
 	wantReady(t, e, "entries expired during an outage", "a", "b")
 	*now += time.Second
 	sink{e, upstreams}.Merge([]replica.Item{entry("a", "", 10)})
@@ -101,10 +102,10 @@
 
 func TestRemovalWithoutOutageIsImmediate(t *testing.T) {
 	e, now := newTestEdge()
-	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "", 2)}, 3, 0)
-	sink{e, upstreams}.Replace([]replica.Item{entry("b", "", 2)}, 9, 0)
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "", 2)}, 3, follow.Outage{})
+	sink{e, upstreams}.Replace([]replica.Item{entry("b", "", 2)}, 9, follow.Outage{})
 	wantReady(t, e, "entry missing from a listing without an outage", "b")
-	sink{e, upstreams}.Replace([]replica.Item{entry("b", "", 2)}, 10, shortOutage)
+	sink{e, upstreams}.Replace([]replica.Item{entry("b", "", 2)}, 10, follow.Outage{Length: shortOutage})
 	*now += lapseGracePeriod + time.Second
 	sink{e, upstreams}.Merge([]replica.Item{{Key: "b", Revision: 11, Removed: true}})
 	wantReady(t, e, "entry removed after the grace period")
@@ -112,7 +113,7 @@
 
 func TestConfigurationRevisionNeverDecreases(t *testing.T) {
 	e, _ := newTestEdge()
-	sink{e, configuration}.Replace([]replica.Item{entry("c", "v1", 5)}, 5, 0)
+	sink{e, configuration}.Replace([]replica.Item{entry("c", "v1", 5)}, 5, follow.Outage{})
 	sink{e, configuration}.Merge([]replica.Item{entry("c", "v0", 4)})
 	state{e}.HandleFetched(configuration, []replica.Item{entry("c", "v0", 3)})
 	if got := e.gateway.Catalog().Version; got != "v1" {
@@ -136,11 +137,11 @@
 	if e.serving() || len(e.mesh.CallerAddresses()) != 0 {
 		t.Error("an instance without configuration and upstreams is serving")
 	}
-	sink{e, configuration}.Replace([]replica.Item{entry("c", "v1", 5)}, 5, 0)
+	sink{e, configuration}.Replace([]replica.Item{entry("c", "v1", 5)}, 5, follow.Outage{})
 	if e.serving() {
 		t.Error("an instance without upstreams is serving")
 	}
-	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1)}, 5, 0)
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1)}, 5, follow.Outage{})
 	if !e.serving() || len(e.mesh.CallerAddresses()) != 1 {
 		t.Error("an instance with configuration and upstreams is not serving")
 	}
@@ -152,7 +153,7 @@
 
 func TestPeerLoadIsCounted(t *testing.T) {
 	e, _ := newTestEdge()
-	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1)}, 1, 0)
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1)}, 1, follow.Outage{})
 	loads := map[types.UpstreamID]placement.Load{"a": {ByPriority: map[int]placement.PriorityLoad{0: {Running: 5}}}}
 	state{e}.HandleHeartbeat(mesh.Heartbeat{InstanceInfo: mesh.InstanceInfo{ID: "p"}, Loads: loads})
 	if got := e.roster.Candidates(e.now(), "s", &placement.Work{}, nil)[0].Load.ByPriority[0].Running; got != 5 {
@@ -163,3 +164,17 @@
 		t.Errorf("the load of a lost peer is still counted: %+v", load)
 	}
 }
+
+// TestGracePeriodStartsWhenStoreMayHaveRecovered checks an instance that notices the
+// recovery late: the entry may belong to an upstream that left right after it.
+func TestGracePeriodStartsWhenStoreMayHaveRecovered(t *testing.T) {
+	e, now := newTestEdge()
+	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1), entry("b", "", 2)}, 3, follow.Outage{})
+	sink{e, upstreams}.Replace([]replica.Item{entry("b", "", 2)}, 9, follow.Outage{Length: 8 * time.Second, RecoveredWithin: 500 * time.Millisecond})
+	*now += lapseGracePeriod - 501*time.Millisecond
+	e.expire()
+	wantReady(t, e, "an entry removed up to 0.5 s ago, before the grace period ends", "a", "b")
+	*now += time.Millisecond
+	e.expire()
+	wantReady(t, e, "after the grace period", "b")
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/follow"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
@@ -44,13 +45,15 @@
 }
 
 // Replace implements follow.Sink.
-func (s sink) Replace(items []replica.Item, at types.Revision, outage time.Duration) {
+func (s sink) Replace(items []replica.Item, at types.Revision, outage follow.Outage) {
 	e := s.edge
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	set := e.set(s.name)
-	if s.name == upstreams && outage > shortOutage {
-		e.lapsed.until = e.now() + lapseGracePeriod
+	if s.name == upstreams && outage.Length > shortOutage {
+		// The entry of an upstream that left for good may have been removed as soon as
+		// the store recovered.
+		e.lapsed.until = e.now() + lapseGracePeriod - outage.RecoveredWithin
 	}
 	before := set.Live()
 	e.apply(s.name, "store", before, set.Replace(items, at))
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -33,13 +33,22 @@
 
 // Sink receives the items that a Follower reads.
 type Sink interface {
-	// Replace stores a complete listing. The outage is how long the store had been
-	// unavailable before it, or zero.
-	Replace(items []replica.Item, at types.Revision, outage time.Duration)
+	// Replace stores a complete listing. The outage before it is zero if the store was
+	// available.
+	Replace(items []replica.Item, at types.Revision, outage Outage)
 	// Merge stores changes.
 	Merge(items []replica.Item)
 }
 
+// Outage is a time in which the store was unavailable to this instance.
+type Outage struct {
+	// Length is the time since the last successful call.
+	Length time.Duration
+	// RecoveredWithin is the time since the last failed call. The store recovered at
+	// some point in it.
+	RecoveredWithin time.Duration
+}
+
 const (
 	// minBackoff and maxBackoff bound the exponential backoff between failed calls.
 	// Calls to the store are billed, and entries must be read within 2 s of its
@@ -84,6 +93,7 @@
 	listed       bool
 	backoff      time.Duration
 	lastAnswer   time.Duration
+	lastFailure  time.Duration
 	// unavailable is set by a failed call and cleared by the next listing. Other
 	// goroutines read it.
 	unavailable atomic.Bool
@@ -163,9 +173,10 @@
 	if err != nil {
 		return err
 	}
-	outage := time.Duration(0)
+	var outage Outage
 	if f.unavailable.Load() {
-		outage = f.Clock() - f.lastAnswer
+		now := f.Clock()
+		outage = Outage{Length: now - f.lastAnswer, RecoveredWithin: now - f.lastFailure}
 	}
 	f.Sink.Replace(items, at, outage)
 	f.after, f.idleRevision, f.listed = at, 0, true
@@ -187,6 +198,7 @@
 func (f *Follower) recordFailure(err error) {
 	// Entries may have expired without an event while the store was unavailable.
 	f.listed = false
+	f.lastFailure = f.Clock()
 	f.backoff = min(max(minBackoff, f.backoff*2), maxBackoff)
 	if !f.unavailable.Load() {
 		f.unavailable.Store(true)
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -96,11 +96,11 @@
 	outages []time.Duration
 }
 
-func (c *recordingSink) Replace(items []replica.Item, at types.Revision, outage time.Duration) {
+func (c *recordingSink) Replace(items []replica.Item, at types.Revision, outage Outage) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.set.Replace(items, at)
-	c.outages = append(c.outages, outage)
+	c.outages = append(c.outages, outage.Length)
 }
 
 func (c *recordingSink) Merge(items []replica.Item) {
