--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -257,10 +256,7 @@
 	q.work.Engine, q.work.Segments, q.work.Tokens = true, q.call.Segments, q.call.PromptTokens
 	q.tokensPerEvent = max(service.Engine.TokensPerEvent, 1)
 	q.work.InterTokenObjective = q.route.InterEventObjective / time.Duration(q.tokensPerEvent)
-	// Until it is measured how streams fare beside long prompts, those with the
-	// strictest objective are kept apart from them.
-	q.work.Timing = q.gateway.options.Roster.Timing(q.target)
-	q.work.PrefillInterToken = cmp.Or(q.work.PrefillInterToken, service.StrictestInterEvent/time.Duration(q.tokensPerEvent))
+	q.work.Timing = q.gateway.options.Roster.Timing(q.target).Bounded(service.StrictestInterEvent / time.Duration(q.tokensPerEvent))
 }
 
 // requestTimeout returns the maximum time from the arrival of a request to the end
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -38,6 +38,10 @@
 	// sensitivityMargin is the ratio of the inter-token objective to the latency beside
 	// a prefill below which a stream is latency-sensitive.
 	sensitivityMargin = 1.15
+	// maxPrefillRatio bounds the inter-token latency beside a prefill, relative to the
+	// strictest objective of the service. If the streams of all kinds counted as
+	// sensitive, none could be kept apart from long prompts.
+	maxPrefillRatio = 1.2
 	// longPromptShare is the cost of a long prompt for each latency-sensitive stream
 	// in the same batch, which it makes late, as a share of the prompt's own
 	// objective. About fifteen streams outweigh a wait that makes the prompt late.
@@ -100,6 +104,14 @@
 	FirstEventDelay time.Duration
 }
 
+// Bounded returns the timing for a service with the given strictest inter-token
+// objective. Until it is measured how streams fare beside long prompts, those with
+// this objective count as latency-sensitive.
+func (t Timing) Bounded(strictest time.Duration) Timing {
+	t.PrefillInterToken = min(cmp.Or(t.PrefillInterToken, strictest), scale(strictest, maxPrefillRatio))
+	return t
+}
+
 // LatencySensitive reports whether long prompts in the same batch make the
 // stream late.
 func (w *Work) LatencySensitive() bool {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -228,3 +228,21 @@
 		t.Errorf("reserved are %v; %s is slow", reserved, first)
 	}
 }
+
+// TestOnlyStrictestStreamsAreSensitive checks that a slow prefill does not make the
+// streams of all kinds latency-sensitive.
+func TestOnlyStrictestStreamsAreSensitive(t *testing.T) {
+	const strict, lenient = 30 * time.Millisecond, 50 * time.Millisecond
+	for _, measured := range []time.Duration{0, 48 * time.Millisecond, 200 * time.Millisecond} {
+		timing := Timing{PrefillInterToken: measured}.Bounded(strict)
+		if urgent := (&Work{Engine: true, InterTokenObjective: strict, Timing: timing}); !urgent.LatencySensitive() {
+			t.Errorf("measured %v: a stream with the strictest objective is not sensitive", measured)
+		}
+		if other := (&Work{Engine: true, InterTokenObjective: lenient, Timing: timing}); other.LatencySensitive() {
+			t.Errorf("measured %v: a stream with an objective of %v is sensitive, the strictest is %v", measured, lenient, strict)
+		}
+	}
+	if quick := (Timing{PrefillInterToken: 10 * time.Millisecond}).Bounded(strict); quick.PrefillInterToken != 10*time.Millisecond {
+		t.Errorf("a short prefill is not kept: %v", quick.PrefillInterToken)
+	}
+}
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -1,7 +1,6 @@
 package simulate
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -305,8 +304,7 @@
 // it, or the request is queued or refused.
 func (sim *simulation) place(r *request) {
 	r.remaining = r.arrivedAt + r.kind.Deadline - sim.now
-	r.work.Timing = sim.rosters[r.entry].Timing(target)
-	r.work.PrefillInterToken = cmp.Or(r.work.PrefillInterToken, sim.site.strictestInterToken())
+	r.work.Timing = sim.rosters[r.entry].Timing(target).Bounded(sim.site.strictestInterToken())
 	for len(r.tried) < maxEngineAttempts {
 		fleetSize := sim.site.Entries
 		if sim.site.IgnoreFleetSize {
