roster, estimate, catalog: one loop over peers' reports, estimates without sorting

No change of behaviour. The prefill beside a stream and the load of an upstream use one iterator over the reports of peers. Quantile keeps its samples sorted instead of sorting up to 512 at an event. Priorities are ranked over distinct values, no longer over every key and route. long takes the cached tokens, which its caller compared again.

--- a/pkg/catalog/priority.go
+++ b/pkg/catalog/priority.go
@@ -23,14 +23,21 @@
 // rankUrgencies numbers all urgencies that requests can have, from the most urgent
 // one at zero. Consecutive numbers fit the few levels that engines distinguish.
 func rankUrgencies(contents Contents) map[urgency]int {
-	ranks := make(map[urgency]int)
-	accounts := []Account{{}}
+	// There are far fewer priorities than accounts and routes.
+	accounts, routes := make(map[int]bool), make(map[int]bool)
 	for _, account := range contents.Keys {
-		accounts = append(accounts, account)
+		if account.Priority != nil {
+			accounts[*account.Priority] = true
+		}
 	}
 	for i := range contents.Routes {
-		for _, account := range accounts {
-			ranks[urgencyOf(&contents.Routes[i], account)] = 0
+		routes[contents.Routes[i].Priority] = true
+	}
+	ranks := make(map[urgency]int)
+	for route := range routes {
+		ranks[urgency{account: route, route: route}] = 0
+		for account := range accounts {
+			ranks[urgency{account: account, route: route}] = 0
 		}
 	}
 	ordered := slices.SortedFunc(maps.Keys(ranks), func(a, b urgency) int {
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -24,7 +24,7 @@
 }
 
 // Process returns a clock that starts at zero and stops while the system is
-// suspended.
+// suspended. Unlike Boot, it follows the fake time of testing/synctest.
 func Process() Clock {
 	started := time.Now()
 	return func() time.Duration { return time.Since(started) }
--- a/pkg/estimate/quantile.go
+++ b/pkg/estimate/quantile.go
@@ -14,10 +14,11 @@
 type Quantile struct {
 	quantile float64
 	window   int
-	samples  []time.Duration
-	next     int
-	// value is the quantile of the samples, or zero if it has to be computed again.
-	value time.Duration
+	// samples are in the order of their arrival, from next on once the window is full.
+	samples []time.Duration
+	next    int
+	// sorted has the same samples in ascending order.
+	sorted []time.Duration
 }
 
 // NewQuantile returns an estimator of a quantile between zero and one of the most
@@ -28,13 +29,16 @@
 
 // Observe adds a measurement.
 func (q *Quantile) Observe(measured time.Duration) {
-	q.value = 0
 	if len(q.samples) < q.window {
 		q.samples = append(q.samples, measured)
-		return
+	} else {
+		oldest, _ := slices.BinarySearch(q.sorted, q.samples[q.next])
+		q.sorted = slices.Delete(q.sorted, oldest, oldest+1)
+		q.samples[q.next] = measured
+		q.next = (q.next + 1) % q.window
 	}
-	q.samples[q.next] = measured
-	q.next = (q.next + 1) % q.window
+	position, _ := slices.BinarySearch(q.sorted, measured)
+	q.sorted = slices.Insert(q.sorted, position, measured)
 }
 
 // Value returns the estimate, or zero while there are too few measurements.
@@ -42,9 +46,5 @@
 	if len(q.samples) < minSamples {
 		return 0
 	}
-	if q.value == 0 {
-		sorted := slices.Sorted(slices.Values(q.samples))
-		q.value = sorted[int(q.quantile*float64(len(sorted)))]
-	}
-	return q.value
+	return q.sorted[int(q.quantile*float64(len(q.sorted)))]
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -242,14 +242,14 @@
 	if !ok {
 		return fault.New(fault.NoUpstream, "the service of the route is not in the configuration").WithRetryAfter(noUpstreamRetryAfter)
 	}
-	q.work.Priority, q.work.Objective = current.Priority(q.route, q.account), q.route.Objective
-	q.setWork(service)
+	q.setWork(service, current.Priority(q.route, q.account))
 	q.timeout = requestTimeout(q.route, call)
 	return nil
 }
 
 // setWork sets what the placement needs to know about the request.
-func (q *request) setWork(service catalog.Service) {
+func (q *request) setWork(service catalog.Service, priority int) {
+	q.work.Priority, q.work.Objective = priority, q.route.Objective
 	if service.Engine == nil {
 		return
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -118,7 +118,11 @@
 	return w.Engine && w.InterTokenObjective > 0 && w.InterTokenObjective < scale(w.PrefillInterToken, sensitivityMargin)
 }
 
-func (w *Work) long() bool { return w.Engine && !w.LatencySensitive() && w.Tokens >= LongPromptTokens }
+// long reports whether the prefill of the prompt makes streams in the same batch late
+// at an engine that has some of its tokens cached.
+func (w *Work) long(cachedTokens int) bool {
+	return w.Engine && !w.LatencySensitive() && w.Tokens-cachedTokens >= LongPromptTokens
+}
 
 // affinityKey returns the ID of the last shared segment, which identifies the
 // session, or "" if the prompt has no shared segment.
@@ -336,7 +340,7 @@
 	if !reserved && work.LatencySensitive() {
 		cost += scale(work.Objective, unreservedShare)
 	}
-	if work.long() && work.Tokens-candidate.CachedTokens >= LongPromptTokens {
+	if work.long(candidate.CachedTokens) {
 		cost += scale(work.Objective, longPromptShare*float64(candidate.Load.LatencySensitive))
 	}
 	if work.Engine {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -5,6 +5,7 @@
 package roster
 
 import (
+	"iter"
 	"sync"
 	"time"
 
@@ -180,14 +181,24 @@
 // load returns the load from this instance and its peers at the upstream.
 func (r *Roster) load(now time.Duration, upstream *upstreamState) placement.Load {
 	load := upstream.localLoad(now)
-	for _, report := range r.peers {
-		if now-report.at < peerReportTTL {
-			load.Add(report.loads[upstream.ID])
-		}
+	for reported := range r.peerLoads(now, upstream.ID) {
+		load.Add(reported)
 	}
 	return load
 }
 
+// peerLoads yields the loads that peers reported for an upstream and that have not
+// expired. r.mu must be held.
+func (r *Roster) peerLoads(now time.Duration, id types.UpstreamID) iter.Seq[placement.Load] {
+	return func(yield func(placement.Load) bool) {
+		for _, report := range r.peers {
+			if now-report.at < peerReportTTL && !yield(report.loads[id]) {
+				return
+			}
+		}
+	}
+}
+
 // localLoad returns the load from this instance at the upstream.
 func (u *upstreamState) localLoad(now time.Duration) placement.Load {
 	var load placement.Load
--- a/pkg/roster/timing.go
+++ b/pkg/roster/timing.go
@@ -94,11 +94,9 @@
 			tokens += attempt.prefillTokens
 		}
 	}
-	for _, report := range r.peers {
-		if now-report.at < peerReportTTL {
-			for _, load := range report.loads[upstream.ID].ByPriority {
-				tokens += load.PrefillTokens
-			}
+	for reported := range r.peerLoads(now, upstream.ID) {
+		for _, load := range reported.ByPriority {
+			tokens += load.PrefillTokens
 		}
 	}
 	return tokens >= placement.LongPromptTokens
