gateway: log how a response is framed and what follows the last event of a stream

The line `request` did not distinguish a stream that its upstream ended from one that ended with its connection in the middle of an event. It now has the framing of the upstream's response and the number of bytes after the last complete event. No change of behaviour.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -64,10 +64,23 @@
 	Body   []byte
 }
 
+// Framing is how the end of a response body is marked.
+type Framing string
+
+const (
+	// FramingLength means that the header has the length.
+	FramingLength Framing = "length"
+	// FramingChunked means chunked transfer coding.
+	FramingChunked Framing = "chunked"
+	// FramingClose means that the body ends with the connection.
+	FramingClose Framing = "close"
+)
+
 // Response is the response of an upstream. The caller must call Close.
 type Response struct {
-	Status int
-	Header http.Header
+	Status  int
+	Header  http.Header
+	Framing Framing
 	// Body returns an error other than io.EOF if the response is truncated.
 	Body io.Reader
 
@@ -128,13 +141,25 @@
 		return nil, err
 	}
 	return &Response{
-		Status: response.StatusCode,
-		Header: response.Header,
-		Body:   response.Body,
-		conn:   conn,
+		Status:  response.StatusCode,
+		Header:  response.Header,
+		Framing: framingOf(response),
+		Body:    response.Body,
+		conn:    conn,
 	}, nil
 }
 
+func framingOf(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return FramingChunked
+	case response.ContentLength >= 0:
+		return FramingLength
+	default:
+		return FramingClose
+	}
+}
+
 // readFinalHeader skips 1xx responses and reads the header of the final response.
 func readFinalHeader(reader *bufio.Reader, method string) (*http.Response, error) {
 	for range maxInformational {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -213,7 +213,7 @@
 		return a.handleError(address, err)
 	}
 	defer response.Close()
-	q.lastUpstream = a.choice.ID
+	q.lastUpstream, q.framing, q.partialEventBytes = a.choice.ID, response.Framing, 0
 	return a.handleResponse(address, response)
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/placement"
@@ -176,6 +177,10 @@
 	tried                   map[types.UpstreamID]bool
 	lastUpstream            types.UpstreamID
 	status                  int
+	// framing is that of the last upstream's response, and partialEventBytes the
+	// number of bytes after the last complete event of its stream.
+	framing           exchange.Framing
+	partialEventBytes int
 	// timeToFirstResponse is the time from the arrival of the request to the first
 	// event or the response.
 	timeToFirstResponse time.Duration
@@ -402,6 +407,9 @@
 		event = event.Int("priority", q.work.Priority).Int("prompt_tokens", q.work.Tokens).Dur("beside_prefill_ms", q.work.PrefillInterToken).
 			Bool("latency_sensitive", q.work.LatencySensitive()).Dur("longest_gap_ms", q.longestGap)
 	}
+	if q.framing != "" {
+		event = event.Str("framing", string(q.framing)).Int("partial_event_bytes", q.partialEventBytes)
+	}
 	event.Str("request", string(q.call.ID)).Str("account", string(q.account.ID)).Str("upstream", string(q.lastUpstream)).
 		Int("status", q.status).Int("sends", q.progress.sends).Int("runs", q.progress.runs).Int("events", q.progress.events).
 		Dur("first_ms", q.timeToFirstResponse).Dur("elapsed_ms", elapsed).Str("outcome", outcome).Msg("request")
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -18,6 +18,9 @@
 	events := exchange.NewEventReader(response.Body)
 	for {
 		event, err := events.Next()
+		if err != nil {
+			a.partialEventBytes = len(event.Bytes)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return a.handleBrokenStream(address, err)
 		}
