gateway: a stream that ends inside an event is truncated

Cause: the reader of events returned the regular end of the stream together with the bytes after the last complete event, and the gateway passed these bytes on and ended the response. If only the end of the connection delimits the response, the kernel of a crashed process closes it without a reset, which HTTP cannot tell from a regular end. The class of fault: the end of a connection is taken for the end of a message.

Fix: the reader returns an error of its own for a stream that ends inside an event, whatever the framing, so that all paths of a truncated stream apply: a resumable stream is continued at another upstream after the last complete event, any other is broken off visibly, and no byte of the incomplete event is passed on. A response on a stream route whose content type is not text/event-stream has no events and is forwarded whole.

TestEventReader expected a regular end after a partial event; it now requires io.ErrUnexpectedEOF and the same bytes. The body "fine" of TestUpstreamFailureByRouteKind, which is no event, is replaced by an event.

Looked for elsewhere: `serve` ends a stream only at a finish reason and refuses buffered answers without a length or chunks; a non-stream response is complete at a close without a reset by the platform's protocol.

--- a/pkg/exchange/events.go
+++ b/pkg/exchange/events.go
@@ -30,8 +30,9 @@
 	return &EventReader{reader: bufio.NewReaderSize(body, readBufferBytes)}
 }
 
-// Next returns the next complete event. At the end of the stream it returns io.EOF
-// and an event with the remaining bytes after the last complete event, if any.
+// Next returns the next complete event, or io.EOF after the last one. A stream that
+// ends inside an event is truncated however the response is framed: Next then returns
+// an error with the code UpstreamFailed and the bytes of the incomplete event.
 func (e *EventReader) Next() (Event, error) {
 	var event Event
 	lineStart := true
@@ -47,6 +48,9 @@
 			}
 			continue
 		}
+		if errors.Is(err, io.EOF) && len(event.Bytes) > 0 {
+			return event, fault.Wrap(fault.UpstreamFailed, io.ErrUnexpectedEOF, "the stream ended inside an event")
+		}
 		if err != nil {
 			return event, err
 		}
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -165,7 +165,11 @@
 			}
 		}
 		event, err := events.Next()
-		if !errors.Is(err, io.EOF) || string(event.Bytes) != rest {
+		end := io.EOF
+		if rest != "" {
+			end = io.ErrUnexpectedEOF
+		}
+		if !errors.Is(err, end) || string(event.Bytes) != rest {
 			t.Fatalf("end of the stream: %q, %v", event.Bytes, err)
 		}
 	})
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -266,7 +266,7 @@
 	if response.Status >= http.StatusInternalServerError && q.progress.mayRepeat(q.route, q.remaining()) {
 		return result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, "the upstream failed: status "+strconv.Itoa(response.Status))}
 	}
-	if q.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices {
+	if q.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices && isEventStream(response.Header) {
 		return a.forwardStream(address, response)
 	}
 	return a.forwardResponse(address, response)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -256,7 +256,7 @@
 		{"/resume/", "", 200, 2, ""},
 	} {
 		t.Run(c.path+c.first[:min(12, len(c.first))], func(t *testing.T) {
-			env := newTestEnv(t, testRoutes, respondInOrder(c.first, rawResponse(200, "fine")), 3)
+			env := newTestEnv(t, testRoutes, respondInOrder(c.first, rawResponse(200, plainEvent(1))), 3)
 			got := env.call("POST", c.path, "")
 			if got.status != c.status || fault.Code(got.header.Get("Code")) != c.code {
 				t.Errorf("got %d %s, want %d %s", got.status, got.header.Get("Code"), c.status, c.code)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"mime"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +13,18 @@
 	"github.com/umbercrank/umbercrank/pkg/roster"
 )
 
+// isEventStream reports whether the body is a stream of events. A response without a
+// content type on a stream route is one.
+func isEventStream(header http.Header) bool {
+	contentType := header.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+	// An invalid parameter does not change the type, which is returned all the same.
+	media, _, _ := mime.ParseMediaType(contentType)
+	return media == "text/event-stream"
+}
+
 // forwardStream passes the events of a response to the caller as they arrive. It writes
 // only complete events, so that another upstream can resume the stream after the last
 // one.
@@ -25,7 +39,7 @@
 			return a.handleBrokenStream(address, err)
 		}
 		if errors.Is(err, io.EOF) {
-			return a.finishStream(response, event)
+			return a.finishStream(response)
 		}
 		if err := a.forwardEvent(response, event); err != nil {
 			return result{answered: true, outcome: roster.Abandoned, err: err}
@@ -72,19 +86,14 @@
 	}
 }
 
-// finishStream writes the bytes after the last complete event and ends the response.
-func (a *attempt) finishStream(response *exchange.Response, rest exchange.Event) result {
+// finishStream ends the response after the last event.
+func (a *attempt) finishStream(response *exchange.Response) result {
 	q := a.request
 	if !q.headerSent {
 		a.recordFirstResponse()
 		q.setHeader(response)
 		q.writer.WriteHeader(response.Status)
 	}
-	if len(rest.Bytes) > 0 {
-		if err := q.write(rest.Bytes); err != nil {
-			return result{answered: true, outcome: roster.Abandoned, err: err}
-		}
-	}
 	q.clearQuarantine()
 	return result{answered: true, outcome: roster.Completed}
 }
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -64,3 +64,12 @@
 		}
 	}
 }
+
+func TestPlainResponseOnStreamRouteIsForwardedWhole(t *testing.T) {
+	body := `{"text":"not a stream"}`
+	raw := fmt.Sprintf("HTTP/1.1 200 X\r\nId: r1\r\nSeal: s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	env := newTestEnv(t, testRoutes, respondWith(raw), 1)
+	if got := env.call("POST", "/stream/", ""); got.err != nil || got.body != body {
+		t.Errorf("the caller received %q, %v", got.body, got.err)
+	}
+}
