--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -360,6 +360,9 @@
 	if q.headerSent || failure.Code == fault.CallerGone {
 		// After the header is sent, only closing the connection marks the response as
 		// incomplete. A caller that has disconnected gets no response.
+		if q.headerSent && !q.incoming.ProtoAtLeast(1, 1) {
+			q.resetConnection()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if q.bodyAbandoned {
@@ -373,6 +376,25 @@
 	}
 }
 
+// resetConnection closes the connection with a TCP reset. A response to HTTP/1.0 without
+// a length ends with the connection, so a regular close would mark it as complete.
+func (q *request) resetConnection() {
+	conn, _, err := http.NewResponseController(q.writer).Hijack()
+	if err != nil {
+		q.gateway.options.Logger.Warn().Err(err).Str("request", string(q.call.ID)).Msg("cannot reset the connection of an incomplete response")
+		return
+	}
+	inner := conn
+	if caller, ok := conn.(*callerConn); ok {
+		inner = caller.Conn
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // discardTimeout limits how long a response waits for a body that is discarded.
 // Unless the caller stalls, a body follows its header within milliseconds.
 const discardTimeout = 250 * time.Millisecond
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -73,3 +73,11 @@
 		t.Errorf("the caller received %q, %v", got.body, got.err)
 	}
 }
+
+func TestTruncatedResponseIsResetForHTTP10Caller(t *testing.T) {
+	env := newTestEnv(t, testRoutes, respondWith(framedStream("close", plainEvent(1)+"id: 2")), 1)
+	got := env.sendRaw("POST /stream/ HTTP/1.0\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n")
+	if got.err == nil {
+		t.Errorf("a truncated response ended without an error: %q", got.body)
+	}
+}
