gateway, roster, platform: log software versions and what a request resumes

The log could not tell which version of an upstream served a stream, nor whether a caller resumed an earlier one, so the hypotheses of docs/incidents/mixed-versions.md could not be counted apart. The adapter now reads the version of an entry and the header that names the resumed attempt; `request`, `attempt failed` and `upstream changed` have them. An attempt whose upstream's entry has been replaced by another process since has no known version. No change of behaviour.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -149,7 +149,7 @@
 	for _, item := range changes {
 		event := e.logger.Info().Str("key", item.Key).Uint64("revision", uint64(item.Revision)).Str("source", source)
 		if upstream, err := e.deps.Decoder.Upstream(item); err == nil {
-			event = event.Str("address", upstream.Address).Bool("ready", upstream.Ready)
+			event = event.Str("address", upstream.Address).Str("version", string(upstream.Version)).Bool("ready", upstream.Ready)
 		}
 		event.Bool("removed", item.Removed).Int("upstreams", len(list)).Msg("upstream changed")
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -182,8 +182,8 @@
 	a.rosterAttempt.End(g.options.Clock(), outcome.outcome)
 	g.options.Fleet.ReportChange()
 	if outcome.err != nil {
-		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).Dur("predicted_ms", choice.FirstResponse).
-			Dur("took_ms", g.options.Clock()-now).Bool("ran", outcome.ran).Int("held_events", q.progress.events).Err(outcome.err).Msg("attempt failed")
+		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).
+			Str("version", string(a.rosterAttempt.Version())).Dur("predicted_ms", choice.FirstResponse).Dur("took_ms", g.options.Clock()-now).Bool("ran", outcome.ran).Int("held_events", q.progress.events).Err(outcome.err).Msg("attempt failed")
 	}
 	return outcome
 }
@@ -213,7 +213,8 @@
 		return a.handleError(address, err)
 	}
 	defer response.Close()
-	q.lastUpstream, q.framing, q.partialEventBytes = a.choice.ID, response.Framing, 0
+	q.lastUpstream, q.lastVersion = a.choice.ID, a.rosterAttempt.Version()
+	q.framing, q.partialEventBytes = response.Framing, 0
 	return a.handleResponse(address, response)
 }
 
@@ -239,7 +240,7 @@
 	if errors.As(err, &failure) && failure.Stage == exchange.Unsent {
 		return result{outcome: roster.Unreachable, err: err}
 	}
-	a.lastUpstream = a.choice.ID
+	a.lastUpstream, a.lastVersion = a.choice.ID, a.rosterAttempt.Version()
 	a.progress.runs++
 	a.reportCrash(address, err)
 	return result{ran: true, outcome: roster.Failed, err: err}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -176,7 +176,9 @@
 	progress                progress
 	tried                   map[types.UpstreamID]bool
 	lastUpstream            types.UpstreamID
-	status                  int
+	// lastVersion is the software version of lastUpstream.
+	lastVersion types.SoftwareVersion
+	status      int
 	// framing is that of the last upstream's response, and partialEventBytes the
 	// number of bytes after the last complete event of its stream.
 	framing           exchange.Framing
@@ -429,11 +431,14 @@
 		event = event.Int("priority", q.work.Priority).Int("prompt_tokens", q.work.Tokens).Dur("beside_prefill_ms", q.work.PrefillInterToken).
 			Bool("latency_sensitive", q.work.LatencySensitive()).Dur("longest_gap_ms", q.longestGap)
 	}
+	if q.call.LastEvent != "" || q.call.Resumes != "" {
+		event = event.Str("resumes", string(q.call.Resumes)).Str("last_event", q.call.LastEvent)
+	}
 	if q.framing != "" {
 		event = event.Str("framing", string(q.framing)).Int("partial_event_bytes", q.partialEventBytes)
 	}
 	event.Str("request", string(q.call.ID)).Str("account", string(q.account.ID)).Str("upstream", string(q.lastUpstream)).
-		Int("status", q.status).Int("sends", q.progress.sends).Int("runs", q.progress.runs).Int("events", q.progress.events).
+		Str("version", string(q.lastVersion)).Int("status", q.status).Int("sends", q.progress.sends).Int("runs", q.progress.runs).Int("events", q.progress.events).
 		Dur("first_ms", q.timeToFirstResponse).Dur("elapsed_ms", elapsed).Str("outcome", outcome).Msg("request")
 }
 
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -21,6 +21,9 @@
 	Timeout time.Duration
 	// LastEvent is the ID of the event after which a stream is resumed, or empty.
 	LastEvent string
+	// Resumes is the ID of the caller's earlier request that received the first event
+	// of the stream that this one resumes, or empty.
+	Resumes types.RequestID
 	// Segments, PromptTokens and OutputTokens describe the size of a model request.
 	Segments     []placement.PromptSegment
 	PromptTokens int
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// Version returns the software version of the upstream, or "" if it is unknown: the
+// upstream was not listed at Begin, or its entry has been replaced since by that of
+// another process.
+func (a *Attempt) Version() types.SoftwareVersion {
+	a.roster.mu.Lock()
+	defer a.roster.mu.Unlock()
+	if a.upstream == nil {
+		return ""
+	}
+	if current, ok := a.roster.upstreams[a.upstream.ID]; ok && current != a.upstream {
+		return ""
+	}
+	return a.upstream.Version
+}
+
 // Upstream returns the ID of the upstream, or "" if it was not listed at Begin.
 func (a *Attempt) Upstream() types.UpstreamID {
 	if a.upstream == nil {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -46,6 +46,7 @@
 	Address    string
 	DataCentre types.DataCentre
 	Slots      int
+	Version    types.SoftwareVersion
 	// Ready is false while the upstream drains before it leaves.
 	Ready bool
 	// StartedUnixMilli is the start time of the upstream process in Unix
--- a/pkg/types/types.go
+++ b/pkg/types/types.go
@@ -19,6 +19,10 @@
 // UpstreamID identifies an upstream: a model engine or a plain service.
 type UpstreamID string
 
+// SoftwareVersion is the version of the software that an upstream runs. Versions are
+// compared only for equality; the empty version is unknown.
+type SoftwareVersion string
+
 // AccountID identifies a client account.
 type AccountID string
 
