gateway: failing tests of streams that continue at another version

The tests play both ways on which this happens, within one answer and over two requests of a caller, and a resumption whose beginning nobody knows.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -30,7 +30,8 @@
 
 func (testProtocol) ParseRequest(r *http.Request) (RequestInfo, error) {
 	wait, _ := strconv.Atoi(r.Header.Get("Wait"))
-	return RequestInfo{ID: types.RequestID(r.Header.Get("Id")), Key: r.Header.Get("Key"), Timeout: time.Duration(wait) * time.Millisecond}, nil
+	return RequestInfo{ID: types.RequestID(r.Header.Get("Id")), Key: r.Header.Get("Key"), Timeout: time.Duration(wait) * time.Millisecond,
+		LastEvent: r.Header.Get("Last-Event-Id"), Resumes: types.RequestID(r.Header.Get("Resumes"))}, nil
 }
 
 func (testProtocol) RequestHeader(caller http.Header, options ForwardOptions) http.Header {
