gateway, mesh, origin: a stream continues only at the version that began it

Cause: nothing that chooses an upstream knew software versions. Within one answer the rest of an interrupted stream went to any upstream of the service, and a caller that resumed a stream at another instance was served like a new one. The class of fault: state of a conversation (here the version that began it) is held only by the connection and is lost with it.

Fix: the origin of a stream, its service and version, is a value of its own. The instance that passes on the first event records it and reports it to its peers with the next heartbeat (all of them in a full mesh; the hub and two holders chosen by rendezvous hashing in a large fleet). A resumption looks it up in this instance, then at the peers, and goes only to upstreams of that service and version; without one, or if the origin is unknown among several versions, it is refused as not run with a time to return. If the record is lost, the only version that served counts, provided that this instance or a peer has known all versions for 30 s and every peer to ask has responded. The version is fixed by the entry of the process that accepted the request: if that entry is replaced before the first event, the origin is unknown. Timers that move a slow stream to another upstream do so only if one of its version exists.

Tests of the table with rapid, of the search in fleets of 8 and 40 instances with lost instances and hubs, of lost records and partitions.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -62,6 +62,11 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// Allows reports whether the route leads to the service.
+func (r *Route) Allows(name types.TargetName) bool {
+	return slices.ContainsFunc(r.Targets, func(target WeightedTarget) bool { return target.Target == name && target.Weight > 0 })
+}
+
 // PickTarget selects a service by weight; point is uniform in [0, 1). It returns
 // "" if no service has a positive weight.
 func (r *Route) PickTarget(point float64) types.TargetName {
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -59,7 +59,7 @@
 // ready returns the upstreams that accept work.
 func ready(e *Edge) []string {
 	var ids []string
-	for _, c := range e.roster.Candidates(e.now(), "s", &placement.Work{}, nil) {
+	for _, c := range e.roster.Candidates(e.now(), roster.Selection{Target: "s"}, &placement.Work{}) {
 		ids = append(ids, string(c.ID))
 	}
 	slices.Sort(ids)
@@ -156,11 +156,11 @@
 	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1)}, 1, follow.Outage{})
 	loads := map[types.UpstreamID]placement.Load{"a": {ByPriority: map[int]placement.PriorityLoad{0: {Running: 5}}}}
 	state{e}.HandleHeartbeat(mesh.Heartbeat{InstanceInfo: mesh.InstanceInfo{ID: "p"}, Loads: loads})
-	if got := e.roster.Candidates(e.now(), "s", &placement.Work{}, nil)[0].Load.ByPriority[0].Running; got != 5 {
+	if got := e.roster.Candidates(e.now(), roster.Selection{Target: "s"}, &placement.Work{})[0].Load.ByPriority[0].Running; got != 5 {
 		t.Errorf("5 running requests reported by a peer count as %d", got)
 	}
 	state{e}.HandlePeerLost("p")
-	if load := e.roster.Candidates(e.now(), "s", &placement.Work{}, nil)[0].Load; !load.Empty() {
+	if load := e.roster.Candidates(e.now(), roster.Selection{Target: "s"}, &placement.Work{})[0].Load; !load.Empty() {
 		t.Errorf("the load of a lost peer is still counted: %+v", load)
 	}
 }
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/follow"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
+	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/replica"
@@ -145,7 +146,7 @@
 		}
 		list = append(list, upstream)
 	}
-	e.roster.Update(list)
+	e.gateway.UpdateUpstreams(list)
 	for _, item := range changes {
 		event := e.logger.Info().Str("key", item.Key).Uint64("revision", uint64(item.Revision)).Str("source", source)
 		if upstream, err := e.deps.Decoder.Upstream(item); err == nil {
@@ -220,6 +221,14 @@
 // QuarantineEntries implements mesh.State.
 func (s state) QuarantineEntries() []quarantine.Entry { return s.edge.gateway.QuarantineEntries() }
 
+// FindStream implements mesh.State.
+func (s state) FindStream(key origin.Key) (origin.Origin, bool) {
+	return s.edge.gateway.FindStream(key)
+}
+
+// Versions implements mesh.State.
+func (s state) Versions() origin.History { return s.edge.gateway.Versions() }
+
 // HandleHeartbeat implements mesh.State.
 func (s state) HandleHeartbeat(heartbeat mesh.Heartbeat) {
 	now := s.edge.now()
@@ -232,6 +241,7 @@
 		s.edge.roster.AddCachedSegments(now, cached.Upstream, cached.Segments)
 	}
 	s.edge.gateway.MergeQuarantineEntries(heartbeat.QuarantineEntries)
+	s.edge.gateway.MergeStreams(heartbeat.Streams, heartbeat.Versions)
 }
 
 // HandleFetched implements mesh.State.
--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -35,6 +35,9 @@
 	DeadlineExceeded Code = "deadline_exceeded"
 	// NoUpstream: no upstream of the target is available.
 	NoUpstream Code = "no_upstream"
+	// CannotResume: no upstream may continue the stream, because the software version
+	// that began it is unknown or has no upstream.
+	CannotResume Code = "cannot_resume"
 	// UpstreamFailed: the upstream failed and no retry was allowed or left.
 	UpstreamFailed Code = "upstream_failed"
 	// AnswerTooLarge: the upstream's answer exceeds the configured size.
@@ -117,6 +120,7 @@
 	DeadlineUnreachable:  {http.StatusServiceUnavailable, types.NotRun},
 	DeadlineExceeded:     {http.StatusGatewayTimeout, types.MayHaveRun},
 	NoUpstream:           {http.StatusServiceUnavailable, types.NotRun},
+	CannotResume:         {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamFailed:       {http.StatusBadGateway, types.MayHaveRun},
 	AnswerTooLarge:       {http.StatusBadGateway, types.Ran},
 	AnswerUnframed:       {http.StatusBadGateway, types.Ran},
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -91,14 +91,21 @@
 	if remaining <= 0 {
 		return placement.Choice{}, q.deadlineError()
 	}
-	candidates := g.options.Roster.Candidates(now, q.target, &q.work, q.tried)
+	selection, failure := q.selection()
+	if failure != nil {
+		return placement.Choice{}, failure
+	}
+	candidates := g.options.Roster.Candidates(now, selection, &q.work)
 	admissionRequest := admission.Request{Objective: q.route.Objective, Remaining: remaining, Jitter: rand.Float64()}
 	entry := placement.Entry{DataCentre: g.options.DataCentre, FleetSize: g.options.Fleet.Size()}
 	choice, decision, ok := admission.Place(admissionRequest, &q.work, entry, string(q.call.ID), candidates)
+	if !ok && q.began != nil {
+		return choice, q.cannotResume("no upstream of the version that began the stream is available")
+	}
 	if !ok {
 		return choice, q.giveUp("no upstream is available", nil)
 	}
-	if q.progress.runs > 0 {
+	if q.progress.runs > 0 || q.began != nil {
 		return choice, nil
 	}
 	if !decision.Admit {
@@ -182,8 +189,9 @@
 	a.rosterAttempt.End(g.options.Clock(), outcome.outcome)
 	g.options.Fleet.ReportChange()
 	if outcome.err != nil {
+		version, _ := a.rosterAttempt.Version()
 		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).
-			Str("version", string(a.rosterAttempt.Version())).Dur("predicted_ms", choice.FirstResponse).Dur("took_ms", g.options.Clock()-now).Bool("ran", outcome.ran).Int("held_events", q.progress.events).Err(outcome.err).Msg("attempt failed")
+			Str("version", string(version)).Dur("predicted_ms", choice.FirstResponse).Dur("took_ms", g.options.Clock()-now).Bool("ran", outcome.ran).Int("held_events", q.progress.events).Err(outcome.err).Msg("attempt failed")
 	}
 	return outcome
 }
@@ -192,7 +200,7 @@
 func (a *attempt) exchange(ctx context.Context, address string) result {
 	q := a.request
 	if wait := attemptTimeout(q.route, a.choice.FirstResponse, &q.progress); wait > 0 {
-		a.timer = time.AfterFunc(wait, a.cancel)
+		a.timer = time.AfterFunc(wait, a.cancelIfReplaceable)
 	}
 	defer a.stopTimer()
 	response, err := exchange.Do(ctx, &exchange.Request{
@@ -213,7 +221,8 @@
 		return a.handleError(address, err)
 	}
 	defer response.Close()
-	q.lastUpstream, q.lastVersion = a.choice.ID, a.rosterAttempt.Version()
+	q.lastUpstream = a.choice.ID
+	q.lastVersion, _ = a.rosterAttempt.Version()
 	q.framing, q.partialEventBytes = response.Framing, 0
 	return a.handleResponse(address, response)
 }
@@ -240,7 +249,8 @@
 	if errors.As(err, &failure) && failure.Stage == exchange.Unsent {
 		return result{outcome: roster.Unreachable, err: err}
 	}
-	a.lastUpstream, a.lastVersion = a.choice.ID, a.rosterAttempt.Version()
+	a.lastUpstream = a.choice.ID
+	a.lastVersion, _ = a.rosterAttempt.Version()
 	a.progress.runs++
 	a.reportCrash(address, err)
 	return result{ran: true, outcome: roster.Failed, err: err}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
+	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/retry"
@@ -59,6 +60,11 @@
 	// ReportCachedSegments is called instead of ReportChange when the prompt of a
 	// request has segments that other requests may share.
 	ReportCachedSegments(mesh.CachedSegments)
+	// ReportStream is called with the origin of a stream when its first event arrives.
+	ReportStream(origin.Stream)
+	// FindStream asks the other instances for the origin of a stream. Conclusive
+	// reports whether a stream that is not found is unknown to all of them.
+	FindStream(ctx context.Context, key origin.Key) (found origin.Origin, ok, conclusive bool)
 	// ReportCrash is called when an upstream crashed while it ran a request.
 	ReportCrash(quarantine.Entry)
 }
@@ -89,6 +95,7 @@
 	mu         sync.Mutex
 	budgets    map[types.TargetName]*retry.Budget
 	quarantine *quarantine.Table
+	origins    *origin.Table
 }
 
 // New returns a Gateway that refuses all requests until Apply is called.
@@ -97,6 +104,7 @@
 		options:    options,
 		budgets:    make(map[types.TargetName]*retry.Budget),
 		quarantine: quarantine.NewTable(quarantine.DefaultSettings()),
+		origins:    origin.NewTable(options.Clock()),
 	}
 }
 
@@ -158,8 +166,12 @@
 	call    RequestInfo
 	route   *catalog.Route
 	account catalog.Account
+	// catalog is the one that was in force when the request arrived.
+	catalog *catalog.Catalog
 	target  types.TargetName
-	work    placement.Work
+	// began is where the stream began, or nil if it has not begun or that is unknown.
+	began *origin.Origin
+	work  placement.Work
 	// tokensPerEvent is the number of tokens in one event of a stream.
 	tokensPerEvent int
 	incoming       *http.Request
@@ -214,6 +226,9 @@
 	}
 	ctx, cancel := context.WithTimeout(q.incoming.Context(), q.remaining())
 	defer cancel()
+	if failure := q.findOrigin(ctx); failure != nil {
+		return failure
+	}
 	return q.run(ctx)
 }
 
@@ -244,13 +259,18 @@
 		}
 		q.account = account
 	}
-	q.target = q.route.PickTarget(rand.Float64())
-	service, ok := current.Service(q.target)
+	q.catalog, q.timeout = current, requestTimeout(q.route, call)
+	return q.setTarget(q.route.PickTarget(rand.Float64()))
+}
+
+// setTarget sets the service that runs the request.
+func (q *request) setTarget(name types.TargetName) error {
+	service, ok := q.catalog.Service(name)
 	if !ok {
 		return fault.New(fault.NoUpstream, "the service of the route is not in the configuration").WithRetryAfter(noUpstreamRetryAfter)
 	}
-	q.setWork(service, current.Priority(q.route, q.account))
-	q.timeout = requestTimeout(q.route, call)
+	q.target = name
+	q.setWork(service, q.catalog.Priority(q.route, q.account))
 	return nil
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,7 @@
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
+	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/roster"
@@ -63,8 +65,12 @@
 	w.WriteHeader(failure.Code.Status())
 }
 
-// recordingFleet is a Fleet without peers. It records the reported crashes.
+// recordingFleet is a Fleet whose peers know the given streams. It records the reported
+// crashes.
 type recordingFleet struct {
+	streams      map[origin.Key]origin.Origin
+	inconclusive bool
+
 	mu       sync.Mutex
 	crashes  []quarantine.Entry
 	reported chan struct{}
@@ -73,6 +79,11 @@
 func (*recordingFleet) Size() int                                { return minBudgetShares }
 func (*recordingFleet) ReportChange()                            {}
 func (*recordingFleet) ReportCachedSegments(mesh.CachedSegments) {}
+func (*recordingFleet) ReportStream(origin.Stream)               {}
+func (f *recordingFleet) FindStream(_ context.Context, key origin.Key) (origin.Origin, bool, bool) {
+	found, ok := f.streams[key]
+	return found, ok, !f.inconclusive
+}
 func (f *recordingFleet) ReportCrash(entry quarantine.Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -123,7 +134,7 @@
 		id := types.UpstreamID(fmt.Sprint("u", i))
 		list = append(list, roster.Upstream{ID: id, Target: "s", Address: env.upstream(string(id), respond), Slots: 4, Ready: true})
 	}
-	env.roster.Update(list)
+	env.gateway.UpdateUpstreams(list)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -290,7 +301,7 @@
 	unreachable := listener.Addr().String()
 	_ = listener.Close()
 	live := env.upstream("live", respondWith(rawResponse(200, "fine")))
-	env.roster.Update([]roster.Upstream{
+	env.gateway.UpdateUpstreams([]roster.Upstream{
 		{ID: "dead", Target: "s", Address: unreachable, Slots: 400, Ready: true},
 		{ID: "live", Target: "s", Address: live, Slots: 1, Ready: true},
 	})
@@ -452,14 +463,14 @@
 				_ = conn.Close()
 			}
 		}()
-		env.roster.Update([]roster.Upstream{{ID: id, Target: "s", Address: listener.Addr().String(), Slots: 1, Ready: true}})
+		env.gateway.UpdateUpstreams([]roster.Upstream{{ID: id, Target: "s", Address: listener.Addr().String(), Slots: 1, Ready: true}})
 		if got := env.call("POST", "/once/", "poison"); got.status != 502 {
 			t.Fatalf("crash %d: %+v", i, got)
 		}
 		<-env.fleet.reported
 	}
 	live := env.upstream("live", respondWith(rawResponse(200, "fine")))
-	env.roster.Update([]roster.Upstream{{ID: "live", Target: "s", Address: live, Slots: 1, Ready: true}})
+	env.gateway.UpdateUpstreams([]roster.Upstream{{ID: "live", Target: "s", Address: live, Slots: 1, Ready: true}})
 	if got := env.call("POST", "/once/", "poison"); fault.Code(got.header.Get("Code")) != fault.Quarantined {
 		t.Errorf("after %d crashes: %+v", crashes, got)
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -22,6 +22,7 @@
 type Metrics struct {
 	outcomes    *expvar.Map
 	connections *expvar.Map
+	origins     *expvar.Map
 
 	mu        sync.Mutex
 	latencies map[catalog.Kind]*hdrhistogram.Histogram
@@ -29,7 +30,7 @@
 
 // NewMetrics returns unpublished metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish publishes the metrics with expvar under the name. It must be called only
@@ -38,6 +39,7 @@
 	all := expvar.NewMap(name)
 	all.Set("outcomes", m.outcomes)
 	all.Set("connections", m.connections)
+	all.Set("resumed_stream_origins", m.origins)
 	all.Set("first_ms", expvar.Func(m.latencySummaries))
 }
 
@@ -57,6 +59,13 @@
 	}
 }
 
+// countOrigin counts a resumed stream by how its origin was found.
+func (m *Metrics) countOrigin(source originSource) {
+	if m != nil {
+		m.origins.Add(string(source), 1)
+	}
+}
+
 // countRequest counts a request by its outcome and records its latency if it was
 // answered.
 func (m *Metrics) countRequest(q *request, failure *fault.Error, elapsed time.Duration) {
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -29,12 +31,12 @@
 	v.first = listed("first", "v1", func(conn net.Conn, request *http.Request, _ int) {
 		writeEvents(conn, request, 2)
 		_, _ = io.WriteString(conn, "id: 3\nda")
-		v.roster.Update(append([]roster.Upstream{v.first}, v.others...))
+		v.gateway.UpdateUpstreams(append([]roster.Upstream{v.first}, v.others...))
 	})
 	for _, version := range others {
 		v.others = append(v.others, listed(types.UpstreamID("other-"+version), version, func(conn net.Conn, request *http.Request, _ int) { writeEvents(conn, request, 4) }))
 	}
-	v.roster.Update([]roster.Upstream{v.first})
+	v.gateway.UpdateUpstreams([]roster.Upstream{v.first})
 	return v
 }
 
@@ -93,7 +95,7 @@
 		env.call("POST", "/resume/", "")
 		second := roster.Upstream{ID: "second", Target: "s", Slots: 4, Ready: true, Version: "v1",
 			Address: env.upstream("second", func(conn net.Conn, request *http.Request, _ int) { writeEvents(conn, request, 4) })}
-		env.roster.Update(append(env.others, second))
+		env.gateway.UpdateUpstreams(append(env.others, second))
 		if got := env.resume(fmt.Sprint("again", i), "r1"); got.err != nil || got.body != rest {
 			t.Fatalf("with an upstream of the same version: %d, %q, %v", got.status, got.body, got.err)
 		}
@@ -103,7 +105,7 @@
 	}
 	env := newVersionedEnv(t, "v2", "v3")
 	env.call("POST", "/resume/", "")
-	env.roster.Update(env.others)
+	env.gateway.UpdateUpstreams(env.others)
 	got := env.resume("again", "r1")
 	if got.status != 503 || got.header.Get("Run-State") != string(types.NotRun) || got.header.Get("Return") == "0s" || fault.Code(got.header.Get("Code")) == "" {
 		t.Errorf("without an upstream of the same version: %+v", got)
@@ -114,10 +116,94 @@
 func TestStreamOfUnknownOriginIsNotResumedAmongSeveralVersions(t *testing.T) {
 	for _, resumes := range []string{"unknown", ""} {
 		env := newVersionedEnv(t, "v2")
-		env.roster.Update(append([]roster.Upstream{env.first}, env.others...))
+		env.gateway.UpdateUpstreams(append([]roster.Upstream{env.first}, env.others...))
 		if got := env.resume("again", resumes); got.status != 503 || got.header.Get("Run-State") != string(types.NotRun) || got.header.Get("Return") == "0s" {
 			t.Errorf("resumes %q: %+v", resumes, got)
 		}
 		env.checkRequestCount(0)
 	}
 }
+
+// newListedEnv lists one upstream for each version, which sends all events.
+func newListedEnv(t *testing.T, versions ...types.SoftwareVersion) *versionedEnv {
+	env := newVersionedEnv(t, versions...)
+	env.gateway.UpdateUpstreams(env.others)
+	return env
+}
+
+func wantRefused(t *testing.T, env *versionedEnv, when, resumes string) {
+	t.Helper()
+	got := env.resume("again", resumes)
+	if got.status != 503 || fault.Code(got.header.Get("Code")) != fault.CannotResume || got.header.Get("Run-State") != string(types.NotRun) {
+		t.Errorf("%s: got %d %s, %s", when, got.status, got.header.Get("Code"), got.header.Get("Run-State"))
+	}
+	env.checkRequestCount(0)
+}
+
+func wantResumed(t *testing.T, env *versionedEnv, when, resumes string, at types.UpstreamID) {
+	t.Helper()
+	if got := env.resume("again", resumes); got.err != nil || got.body != rest || env.sentTo(at) != 1 {
+		t.Errorf("%s: got %d, %q, %v; upstreams received %+v", when, got.status, got.body, got.err, env.requests())
+	}
+}
+
+func TestResumedRequestUsesOriginKnownToPeers(t *testing.T) {
+	for _, version := range []types.SoftwareVersion{"v1", "v2", "v3"} {
+		env := newListedEnv(t, "v1", "v2", "v3")
+		env.fleet.streams = map[origin.Key]origin.Origin{origin.KeyOf("r1"): {Target: "s", Version: version}}
+		env.fleet.inconclusive = true
+		wantResumed(t, env, string(version), "r1", types.UpstreamID("other-"+version))
+	}
+	env := newListedEnv(t, "v1", "v2")
+	env.gateway.MergeStreams([]origin.Batch{{Origin: origin.Origin{Target: "s", Version: "v2"}, Keys: []origin.Key{origin.KeyOf("r1")}}}, nil)
+	wantResumed(t, env, "reported by a peer", "r1", "other-v2")
+}
+
+func TestStreamOfUnknownOriginContinuesOnlyIfNoOtherVersionServed(t *testing.T) {
+	history := func(sightings ...origin.Sighting) *origin.History {
+		return &origin.History{Sightings: sightings, CoverageMilliseconds: time.Hour.Milliseconds()}
+	}
+	wantResumed(t, newListedEnv(t, "v1"), "the beginning is not named", "", "other-v1")
+	wantRefused(t, newListedEnv(t, "v1"), "versions of the past are not known", "lost")
+
+	env := newListedEnv(t, "v1")
+	env.gateway.MergeStreams(nil, history())
+	wantResumed(t, env, "no other version served", "lost", "other-v1")
+
+	env = newListedEnv(t, "v1")
+	env.gateway.MergeStreams(nil, history())
+	env.fleet.inconclusive = true
+	wantRefused(t, env, "a peer does not respond", "lost")
+
+	for _, resumes := range []string{"lost", ""} {
+		env = newListedEnv(t, "v1")
+		env.gateway.MergeStreams(nil, history(origin.Sighting{Origin: origin.Origin{Target: "s", Version: "v2"}, AgeMilliseconds: 5000}))
+		wantRefused(t, env, "another version served 5 s ago", resumes)
+	}
+}
+
+func TestStreamIsNotResumedAtAnotherService(t *testing.T) {
+	env := newListedEnv(t, "v1")
+	env.fleet.streams = map[origin.Key]origin.Origin{origin.KeyOf("r1"): {Target: "moved", Version: "v1"}}
+	wantRefused(t, env, "the route no longer leads to the service", "r1")
+}
+
+func TestOverdueAttemptIsCancelledOnlyIfAnotherUpstreamMayRunIt(t *testing.T) {
+	env := newListedEnv(t, "v1", "v2")
+	for _, c := range []struct {
+		began     *origin.Origin
+		tried     types.UpstreamID
+		cancelled bool
+	}{
+		{nil, "other-v1", true},
+		{&origin.Origin{Target: "s", Version: "v1"}, "", true},
+		{&origin.Origin{Target: "s", Version: "v1"}, "other-v1", false},
+	} {
+		cancelled := false
+		q := &request{gateway: env.gateway, target: "s", began: c.began, tried: map[types.UpstreamID]bool{c.tried: true}}
+		(&attempt{request: q, cancel: func() { cancelled = true }}).cancelIfReplaceable()
+		if cancelled != c.cancelled {
+			t.Errorf("began %v, tried %q: cancelled is %v", c.began, c.tried, cancelled)
+		}
+	}
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -50,6 +50,7 @@
 // forwardEvent writes one event to the caller.
 func (a *attempt) forwardEvent(response *exchange.Response, event exchange.Event) error {
 	q := a.request
+	a.recordBeginning()
 	a.recordFirstResponse()
 	a.rosterAttempt.RecordEvent(q.gateway.options.Clock(), q.tokensPerEvent)
 	a.resetIdleTimer()
@@ -80,7 +81,7 @@
 	case !a.progress.mayRepeat(a.route, a.remaining()):
 		a.stopTimer()
 	case a.timer == nil:
-		a.timer = time.AfterFunc(streamIdleTimeout, a.cancel)
+		a.timer = time.AfterFunc(streamIdleTimeout, a.cancelIfReplaceable)
 	default:
 		a.timer.Reset(streamIdleTimeout)
 	}
--- a/pkg/mesh/bench_test.go
+++ b/pkg/mesh/bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/replica"
@@ -63,7 +64,7 @@
 		m := New(Options{
 			Self:  InstanceInfo{ID: id, PeerAddress: address, CallerAddress: "front" + address, Capacity: capacity, DataCentre: types.DataCentre(fmt.Sprint("dc", i%4))},
 			Seeds: func() []string { return addresses[:1] }, Caller: dialer, Clock: clock.Boot, Logger: zerolog.Nop(),
-			State: &fakeState{storeReachable: true, serving: true, set: replica.New(), loads: loads, heartbeats: map[types.InstanceID]Heartbeat{}},
+			State: &fakeState{storeReachable: true, serving: true, set: replica.New(), loads: loads, heartbeats: map[types.InstanceID]Heartbeat{}, origins: map[origin.Key]origin.Origin{}},
 		})
 		m.Register(server)
 		if err := server.Listen(); err != nil {
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/replica"
@@ -67,6 +68,10 @@
 	ReceiverIsHub bool `json:"hub,omitempty"`
 	// AliveCount is the number of instances that are up according to the sender.
 	AliveCount int `json:"known,omitempty"`
+	// Streams has the origins of the streams that began since the previous heartbeat.
+	Streams []origin.Batch `json:"streams,omitempty"`
+	// Versions is what the sender knows of the upstreams' versions, in full heartbeats.
+	Versions *origin.History `json:"versions,omitempty"`
 }
 
 // fetchRequest requests the items of a collection that are newer than a revision.
@@ -142,7 +147,7 @@
 	// callTimeout bounds one message. The round trip to a peer is a few
 	// milliseconds.
 	callTimeout = 700 * time.Millisecond
-	// maxPending bounds each of the queues of cached segments, quarantine entries and
-	// gossip entries for a slow peer.
+	// maxPending bounds each of the queues of cached segments, quarantine entries, gossip
+	// entries and streams for a slow peer.
 	maxPending = 256
 )
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
@@ -37,6 +38,10 @@
 	Since(collection string, after types.Revision) []replica.Item
 	// QuarantineEntries returns the known requests that crashed upstreams.
 	QuarantineEntries() []quarantine.Entry
+	// FindStream returns the origin of a stream if this instance knows it.
+	FindStream(key origin.Key) (origin.Origin, bool)
+	// Versions returns what this instance knows of the upstreams' versions.
+	Versions() origin.History
 	// HandleHeartbeat processes a peer's heartbeat.
 	HandleHeartbeat(heartbeat Heartbeat)
 	// HandleFetched merges items fetched from a peer.
@@ -98,6 +103,7 @@
 func (m *Mesh) Register(r peer.Registrar) {
 	r.Handle(heartbeatMethod, m.handleHeartbeat)
 	r.Handle(fetchMethod, m.handleFetch)
+	r.Handle(streamMethod, m.handleStream)
 }
 
 // Run sends heartbeats and maintains the membership until ctx is done.
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
@@ -32,6 +33,7 @@
 	cached         []CachedSegments
 	quarantined    []quarantine.Entry
 	lost           []types.InstanceID
+	origins        map[origin.Key]origin.Origin
 }
 
 func (s *fakeState) withLock(change func(s *fakeState)) {
@@ -61,11 +63,21 @@
 	s.withLock(func(s *fakeState) { items = s.set.Since(after) })
 	return items
 }
+func (s *fakeState) FindStream(key origin.Key) (found origin.Origin, ok bool) {
+	s.withLock(func(s *fakeState) { found, ok = s.origins[key] })
+	return found, ok
+}
+func (s *fakeState) Versions() origin.History              { return origin.History{CoverageMilliseconds: 1} }
 func (s *fakeState) QuarantineEntries() []quarantine.Entry { return nil }
 func (s *fakeState) HandleHeartbeat(heartbeat Heartbeat) {
 	s.withLock(func(s *fakeState) {
 		s.heartbeats[heartbeat.ID] = heartbeat
 		s.cached = append(s.cached, heartbeat.CachedSegments...)
+		for _, batch := range heartbeat.Streams {
+			for _, stream := range batch.Streams() {
+				s.origins[stream.Key] = stream.Origin
+			}
+		}
 		s.quarantined = append(s.quarantined, heartbeat.QuarantineEntries...)
 	})
 }
@@ -108,7 +120,7 @@
 func (f *fleet) start(i int) {
 	id := types.InstanceID(fmt.Sprint("n", i))
 	caller, registrar := f.network.AddNode(address(i), peer.Identity{Instance: id})
-	state := &fakeState{storeReachable: true, serving: true, set: replica.New(), heartbeats: map[types.InstanceID]Heartbeat{}}
+	state := &fakeState{storeReachable: true, serving: true, set: replica.New(), heartbeats: map[types.InstanceID]Heartbeat{}, origins: map[origin.Key]origin.Origin{}}
 	capacity := 20
 	if i < 8 {
 		capacity = 80
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -16,6 +17,7 @@
 	cachedSegments []CachedSegments
 	quarantined    []quarantine.Entry
 	entries        []GossipEntry
+	streams        []origin.Stream
 }
 
 // queueUpdates queues updates for the live peers whose relation is included,
@@ -77,6 +79,7 @@
 	}
 	m.mergeAges(heartbeat.AgesMilliseconds)
 	m.relayUpdates(heartbeat, entries)
+	m.relayStreams(heartbeat)
 	m.fetchNewer(heartbeat)
 	return struct{}{}, nil
 }
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -175,12 +176,15 @@
 	}
 	if full {
 		heartbeat.QuarantineEntries = state.QuarantineEntries()
+		versions := state.Versions()
+		heartbeat.Versions = &versions
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	heartbeat.CachedSegments = to.pending.cachedSegments
 	heartbeat.QuarantineEntries = append(heartbeat.QuarantineEntries, to.pending.quarantined...)
 	heartbeat.Gossip = to.pending.entries
+	heartbeat.Streams = origin.Batches(to.pending.streams)
 	to.pending = pending{}
 	if full {
 		heartbeat.Gossip = m.gossipEntries()
--- /dev/null
+++ b/pkg/mesh/streams.go
@@ -0,0 +1,156 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/origin"
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/rendezvous"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// streamMethod asks a peer for the origin of a stream.
+const streamMethod = "mesh.stream"
+
+const (
+	// streamHolders is the number of hubs that hold the origin of a stream in a fleet
+	// with hubs, besides the hub of the instance that began it.
+	streamHolders = 2
+	// findTimeout bounds the search for the origin of a stream. The round trip to a
+	// peer is a few milliseconds, and callers time out after 2 s without an event.
+	findTimeout = 300 * time.Millisecond
+)
+
+// streamRequest asks for the origin of a stream.
+type streamRequest struct {
+	Key origin.Key `json:"key"`
+}
+
+// streamResponse is the origin of the stream if the peer knows it.
+type streamResponse struct {
+	Known  bool          `json:"known,omitempty"`
+	Origin origin.Origin `json:"origin"`
+}
+
+// ReportStream reports to the peers which origin a stream has that this instance has
+// begun to pass to its caller.
+func (m *Mesh) ReportStream(stream origin.Stream) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.queueStreams("", []origin.Stream{stream})
+	m.wakeSenders()
+}
+
+// queueStreams queues the origins of streams for the peers that hold them. This
+// instance's own go to all peers of a full mesh or to its hub, and a hub passes all
+// that it gets to the holders of each stream. m.mu must be held.
+func (m *Mesh) queueStreams(from string, streams []origin.Stream) {
+	if from == "" {
+		for address, member := range m.members {
+			if relation := m.relation(address); !member.down && (relation == meshPeer || relation == hub) {
+				member.pending.streams = appendBounded(member.pending.streams, streams)
+			}
+		}
+	}
+	if m.topology.hubs == nil || !m.topology.isHub(m.options.Self.PeerAddress) {
+		return
+	}
+	for _, stream := range streams {
+		for _, address := range m.holders(stream.Key) {
+			if member, ok := m.members[address]; ok && !member.down && address != from {
+				member.pending.streams = appendBounded(member.pending.streams, []origin.Stream{stream})
+			}
+		}
+	}
+}
+
+// holders returns the addresses of the hubs that hold the origin of the stream. m.mu
+// must be held.
+func (m *Mesh) holders(key origin.Key) []string {
+	ordered := rendezvous.OrderOf(strconv.FormatUint(uint64(key), 16), m.topology.hubList, func(address string) types.InstanceID { return types.InstanceID(address) })
+	return ordered[:min(streamHolders, len(ordered))]
+}
+
+// relayStreams passes the origins that a spoke reports to the other hubs.
+func (m *Mesh) relayStreams(heartbeat Heartbeat) {
+	if len(heartbeat.Streams) == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.relation(heartbeat.PeerAddress) != spoke {
+		return
+	}
+	for _, batch := range heartbeat.Streams {
+		m.queueStreams(heartbeat.PeerAddress, batch.Streams())
+	}
+}
+
+// FindStream asks the peers that may hold the origin of a stream. Conclusive reports
+// whether a stream that is not found is unknown to the fleet: all of these peers have
+// responded.
+func (m *Mesh) FindStream(ctx context.Context, key origin.Key) (found origin.Origin, ok, conclusive bool) {
+	addresses, alone := m.streamPeers(key)
+	if len(addresses) == 0 {
+		return origin.Origin{}, false, alone
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	type reply struct {
+		streamResponse
+		err error
+	}
+	replies := make(chan reply, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			var r reply
+			r.err = m.options.Caller.Call(ctx, address, streamMethod, streamRequest{Key: key}, &r.streamResponse)
+			replies <- r
+		}()
+	}
+	conclusive = true
+	for range addresses {
+		r := <-replies
+		if r.err != nil {
+			conclusive = false
+			m.options.Logger.Debug().Err(r.err).Msg("a peer did not say whether it knows the origin of a stream")
+		}
+		if r.err == nil && r.Known {
+			return r.Origin, true, true
+		}
+	}
+	return origin.Origin{}, false, conclusive
+}
+
+// streamPeers returns the addresses of the live peers to ask for the origin of a
+// stream. Alone reports whether no other instance has ever been heard from.
+func (m *Mesh) streamPeers(key origin.Key) (addresses []string, alone bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	holders := m.holders(key)
+	alone = true
+	for address, member := range m.members {
+		alone = alone && member.info.ID == ""
+		if member.down {
+			continue
+		}
+		if relation := m.relation(address); relation == meshPeer || relation == hub || slices.Contains(holders, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses, alone
+}
+
+func (m *Mesh) handleStream(_ context.Context, _ peer.Identity, params json.RawMessage) (any, error) {
+	var request streamRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "malformed request for the origin of a stream")
+	}
+	found, ok := m.options.State.FindStream(request.Key)
+	return streamResponse{Known: ok, Origin: found}, nil
+}
--- /dev/null
+++ b/pkg/mesh/streams_test.go
@@ -0,0 +1,117 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/origin"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+var began = origin.Origin{Target: "s", Version: "v1"}
+
+// begin makes an instance begin a stream.
+func (f *fleet) begin(i int, key origin.Key) {
+	f.states[i].withLock(func(s *fakeState) { s.origins[key] = began })
+	f.meshes[i].ReportStream(origin.Stream{Key: key, Origin: began})
+}
+
+// wantStream checks that an instance finds the origin of a stream, itself or at its peers.
+func (f *fleet) wantStream(t *testing.T, i int, key origin.Key) {
+	t.Helper()
+	if _, ok := f.states[i].FindStream(key); ok {
+		return
+	}
+	if found, ok, _ := f.meshes[i].FindStream(f.ctx, key); !ok || found != began {
+		t.Errorf("instance %d: the origin of stream %d is %v, found: %v", i, key, found, ok)
+	}
+}
+
+func TestStreamOriginOutlivesItsInstance(t *testing.T) {
+	runFleet(t, 8, func(t *testing.T, f *fleet) {
+		time.Sleep(3 * time.Second)
+		for key := range origin.Key(20) {
+			f.begin(3, key)
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.network.RemoveNode(address(3))
+		f.start(5)
+		time.Sleep(400 * time.Millisecond)
+		for key := range origin.Key(20) {
+			for i := range f.meshes {
+				if i != 3 {
+					f.wantStream(t, i, key)
+				}
+			}
+		}
+	})
+}
+
+func TestLargeFleetStreamOriginOutlivesInstanceAndHub(t *testing.T) {
+	runLargeFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(10 * time.Second)
+		const streams = 40
+		for key := range origin.Key(streams) {
+			f.begin(20, key)
+		}
+		time.Sleep(500 * time.Millisecond)
+		f.network.Partition([]string{address(20)}, []string{address(0)})
+		for key := range origin.Key(streams) {
+			f.wantStream(t, 21+int(key)%10, key)
+		}
+		time.Sleep(6 * time.Second)
+		for key := range origin.Key(streams) {
+			f.wantStream(t, 1+int(key)%10, key)
+		}
+		copies := 0
+		for _, state := range f.states {
+			state.withLock(func(s *fakeState) { copies += len(s.origins) })
+		}
+		if limit := (streamHolders + 2) * streams; copies > limit {
+			t.Errorf("%d copies of %d origins, want %d at most", copies, streams, limit)
+		}
+	})
+}
+
+func TestUnansweredSearchForStreamIsNotConclusive(t *testing.T) {
+	runFleet(t, 4, func(t *testing.T, f *fleet) {
+		time.Sleep(3 * time.Second)
+		if _, ok, conclusive := f.meshes[0].FindStream(f.ctx, 7); ok || !conclusive {
+			t.Errorf("an unknown stream: found %v, conclusive %v", ok, conclusive)
+		}
+		f.network.Partition([]string{address(0)})
+		for _, pause := range []time.Duration{0, 3 * time.Second} {
+			time.Sleep(pause)
+			if _, ok, conclusive := f.meshes[0].FindStream(f.ctx, 7); ok || conclusive {
+				t.Errorf("%v after the partition: found %v, conclusive %v", pause, ok, conclusive)
+			}
+		}
+	})
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		if _, ok, conclusive := f.meshes[0].FindStream(f.ctx, 7); ok || !conclusive {
+			t.Errorf("a single instance: found %v, conclusive %v", ok, conclusive)
+		}
+	})
+}
+
+func TestStreamHoldersAreSpread(t *testing.T) {
+	m := New(Options{Self: InstanceInfo{PeerAddress: "self"}})
+	m.topology = newTopology(largeFleetInfos(40)[0], largeFleetInfos(40)[1:])
+	counts := make(map[string]int)
+	const streams = 4000
+	for i := range streams {
+		holders := m.holders(origin.KeyOf(types.RequestID(fmt.Sprint(i))))
+		if len(holders) != streamHolders || holders[0] == holders[1] {
+			t.Fatalf("holders are %v", holders)
+		}
+		for _, address := range holders {
+			counts[address]++
+		}
+	}
+	for _, address := range m.topology.hubList {
+		if share := float64(counts[address]) * float64(len(m.topology.hubList)) / (streams * streamHolders); share < 0.8 || share > 1.2 {
+			t.Errorf("hub %s holds %.2f of its share of the streams", address, share)
+		}
+	}
+}
--- a/pkg/mesh/topology.go
+++ b/pkg/mesh/topology.go
@@ -40,7 +40,9 @@
 	// hubs maps the peer address of each instance to that of its hub. A hub maps to
 	// itself. The map is nil in a small fleet.
 	hubs map[string]string
-	self string
+	// hubList has the peer addresses of all hubs.
+	hubList []string
+	self    string
 }
 
 // newTopology selects the instances with the largest capacity of each data centre
@@ -60,6 +62,11 @@
 			hubsByDataCentre[info.DataCentre] = append(hubsByDataCentre[info.DataCentre], info)
 		}
 	}
+	for _, hubs := range hubsByDataCentre {
+		for _, info := range hubs {
+			t.hubList = append(t.hubList, info.PeerAddress)
+		}
+	}
 	t.hubs = make(map[string]string, len(all))
 	for _, info := range all {
 		t.hubs[info.PeerAddress] = hubOf(info, hubsByDataCentre[info.DataCentre])
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -120,19 +120,19 @@
 	}
 }
 
-// Version returns the software version of the upstream, or "" if it is unknown: the
+// Version returns the software version of the upstream, or false if it is unknown: the
 // upstream was not listed at Begin, or its entry has been replaced since by that of
 // another process.
-func (a *Attempt) Version() types.SoftwareVersion {
+func (a *Attempt) Version() (types.SoftwareVersion, bool) {
 	a.roster.mu.Lock()
 	defer a.roster.mu.Unlock()
 	if a.upstream == nil {
-		return ""
+		return "", false
 	}
 	if current, ok := a.roster.upstreams[a.upstream.ID]; ok && current != a.upstream {
-		return ""
+		return "", false
 	}
-	return a.upstream.Version
+	return a.upstream.Version, true
 }
 
 // Upstream returns the ID of the upstream, or "" if it was not listed at Begin.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -114,14 +114,14 @@
 }
 
 // Update replaces the published list. The state of an upstream is kept until the
-// upstream restarts, changes its address or is no longer listed.
+// upstream restarts, changes its address or version, or is no longer listed.
 func (r *Roster) Update(list []Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	upstreams := make(map[types.UpstreamID]*upstreamState, len(list))
 	for _, upstream := range list {
 		known, ok := r.upstreams[upstream.ID]
-		if !ok || known.StartedUnixMilli != upstream.StartedUnixMilli || known.Address != upstream.Address {
+		if !ok || known.StartedUnixMilli != upstream.StartedUnixMilli || known.Address != upstream.Address || known.Version != upstream.Version {
 			known = &upstreamState{
 				attempts:       make(map[*Attempt]struct{}),
 				cachedSegments: make(map[string]time.Duration),
@@ -147,14 +147,26 @@
 	return count
 }
 
-// Candidates returns the upstreams of the target that may run the work. Ejected
-// upstreams are left out unless there is no other.
-func (r *Roster) Candidates(now time.Duration, target types.TargetName, work *placement.Work, except map[types.UpstreamID]bool) []placement.Candidate {
+// Selection restricts the upstreams that may run a request.
+type Selection struct {
+	Target types.TargetName
+	Except map[types.UpstreamID]bool
+	// Version is the only version that may run the request, unless it is nil.
+	Version *types.SoftwareVersion
+}
+
+func (s Selection) includes(upstream *upstreamState) bool {
+	return upstream.Target == s.Target && upstream.Ready && !s.Except[upstream.ID] && (s.Version == nil || upstream.Version == *s.Version)
+}
+
+// Candidates returns the selected upstreams that may run the work. Ejected upstreams
+// are left out unless there is no other.
+func (r *Roster) Candidates(now time.Duration, selection Selection, work *placement.Work) []placement.Candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var candidates, ejected []placement.Candidate
 	for _, upstream := range r.upstreams {
-		if upstream.Target != target || !upstream.Ready || except[upstream.ID] {
+		if !selection.includes(upstream) {
 			continue
 		}
 		candidate := placement.Candidate{
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -27,7 +27,7 @@
 // candidate returns the candidate of one upstream.
 func candidate(t *testing.T, r *Roster, now time.Duration, id types.UpstreamID) placement.Candidate {
 	t.Helper()
-	for _, c := range r.Candidates(now, pool, prompt(0), nil) {
+	for _, c := range r.Candidates(now, Selection{Target: pool}, prompt(0)) {
 		if c.ID == id {
 			return c
 		}
@@ -59,13 +59,13 @@
 func TestUnreachableUpstreamIsEjected(t *testing.T) {
 	r := newRoster("a", "b")
 	r.Begin(0, prompt(0), placement.Choice{ID: "a"}).End(0, Unreachable)
-	if list := r.Candidates(0, pool, prompt(0), nil); len(list) != 1 || list[0].ID != "b" {
+	if list := r.Candidates(0, Selection{Target: pool}, prompt(0)); len(list) != 1 || list[0].ID != "b" {
 		t.Errorf("candidates are %v", list)
 	}
-	if list := r.Candidates(0, pool, prompt(0), map[types.UpstreamID]bool{"b": true}); len(list) != 1 || list[0].ID != "a" {
+	if list := r.Candidates(0, Selection{Target: pool, Except: map[types.UpstreamID]bool{"b": true}}, prompt(0)); len(list) != 1 || list[0].ID != "a" {
 		t.Errorf("with no other, candidates are %v", list)
 	}
-	if list := r.Candidates(minEjection, pool, prompt(0), nil); len(list) != 2 {
+	if list := r.Candidates(minEjection, Selection{Target: pool}, prompt(0)); len(list) != 2 {
 		t.Errorf("after the ejection candidates are %v", list)
 	}
 }
@@ -73,7 +73,7 @@
 func TestLeavingUpstreamIsExcluded(t *testing.T) {
 	r := newRoster("a", "b")
 	r.Update([]Upstream{{ID: "a", Target: pool, Address: "a:1"}, {ID: "b", Target: pool, Address: "b:1", Ready: true}})
-	if list := r.Candidates(0, pool, prompt(0), nil); len(list) != 1 || list[0].ID != "b" {
+	if list := r.Candidates(0, Selection{Target: pool}, prompt(0)); len(list) != 1 || list[0].ID != "b" {
 		t.Errorf("candidates are %v", list)
 	}
 	if _, ok := r.Address("a"); ok {
@@ -145,3 +145,41 @@
 		t.Errorf("after the prefill the estimate changed to %v", got)
 	}
 }
+
+func TestVersionOfReplacedUpstreamIsUnknown(t *testing.T) {
+	listed := Upstream{ID: "a", Target: pool, Address: "a:1", Slots: 4, Ready: true, Version: "v1", StartedUnixMilli: 1}
+	for name, change := range map[string]func(u *Upstream){
+		"version": func(u *Upstream) { u.Version = "v2" },
+		"start":   func(u *Upstream) { u.StartedUnixMilli = 2 },
+		"address": func(u *Upstream) { u.Address = "a:2" },
+	} {
+		r := New()
+		r.Update([]Upstream{listed})
+		attempt := r.Begin(0, prompt(0), placement.Choice{ID: "a"})
+		draining := listed
+		draining.Ready = false
+		r.Update([]Upstream{draining})
+		if version, ok := attempt.Version(); version != "v1" || !ok {
+			t.Errorf("while it drains: %q, %v", version, ok)
+		}
+		replaced := listed
+		change(&replaced)
+		r.Update([]Upstream{replaced})
+		if version, ok := attempt.Version(); ok {
+			t.Errorf("after a change of the %s: %q", name, version)
+		}
+		r.Update(nil)
+		if version, ok := attempt.Version(); version != "v1" || !ok {
+			t.Errorf("after its removal: %q, %v", version, ok)
+		}
+	}
+}
+
+func TestSelectionByVersion(t *testing.T) {
+	r := New()
+	r.Update([]Upstream{{ID: "a", Target: pool, Ready: true, Version: "v1"}, {ID: "b", Target: pool, Ready: true, Version: "v2"}, {ID: "c", Target: "other", Ready: true, Version: "v1"}})
+	version := types.SoftwareVersion("v1")
+	if list := r.Candidates(0, Selection{Target: pool, Version: &version}, prompt(0)); len(list) != 1 || list[0].ID != "a" {
+		t.Errorf("candidates of v1: %+v", list)
+	}
+}
--- a/pkg/roster/timing_test.go
+++ b/pkg/roster/timing_test.go
@@ -14,7 +14,7 @@
 	for range requests {
 		work := prompt(0)
 		work.Timing = r.Timing(pool)
-		choice, ok := placement.Choose(work, placement.Entry{}, "r", r.Candidates(now, pool, work, nil))
+		choice, ok := placement.Choose(work, placement.Entry{}, "r", r.Candidates(now, Selection{Target: pool}, work))
 		if !ok {
 			panic("no candidate")
 		}
@@ -49,7 +49,7 @@
 	work := &placement.Work{Engine: true, Tokens: 9000}
 	for range 60 {
 		work.Timing = r.Timing(pool)
-		choice, _ := placement.Choose(work, placement.Entry{}, "r", r.Candidates(now, pool, work, nil))
+		choice, _ := placement.Choose(work, placement.Entry{}, "r", r.Candidates(now, Selection{Target: pool}, work))
 		attempt := r.Begin(now, work, choice)
 		now += 3 * time.Duration(float64(choice.FirstResponse)/attempt.predictedRatio)
 		attempt.RecordFirstResponse(now)
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -329,7 +329,7 @@
 // candidates returns the engines with the load that the request's entry knows,
 // or with their current load under the FIFO policy.
 func (sim *simulation) candidates(r *request) []placement.Candidate {
-	candidates := sim.rosters[r.entry].Candidates(sim.now, target, &r.work, r.tried)
+	candidates := sim.rosters[r.entry].Candidates(sim.now, roster.Selection{Target: target, Except: r.tried}, &r.work)
 	slices.SortFunc(candidates, func(a, b placement.Candidate) int { return compareEngineIDs(a.ID, b.ID) })
 	if sim.policy != FIFO {
 		return candidates
