serve: an interrupted stream continues only at an engine of its version

The same cause as in `join`: a stream that an engine breaks off was continued at any engine of the target, since neither the document nor a request for a grant had a version. Found by reading; no caller of `serve` has reported it.

An upstream of the document may have a version. Once a caller has the first chunk, the request for the next grant names the version that sent it, and the pool grants it only at such an engine. Documents without versions behave as before, because all versions are equal.

--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -105,6 +105,9 @@
 	// KVTokens is the capacity of the engine's key-value cache in tokens; engines
 	// only.
 	KVTokens int `json:"kv_tokens,omitempty"`
+	// Version is the version of the upstream's software; engines only. A stream is
+	// continued only by an engine of the version that began it.
+	Version types.SoftwareVersion `json:"version,omitempty"`
 	// ChecksFencing reports whether the engine rejects requests with an outdated
 	// fencing token.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -30,6 +30,9 @@
 	resumable() bool
 	// stats returns the measurements of the current attempt so far.
 	stats() attemptStats
+	// version returns the software version that began the stream that the next attempt
+	// continues, or nil if no stream has begun.
+	version() *types.SoftwareVersion
 	// generated returns the number of tokens passed to the caller in all attempts.
 	generated() int
 }
@@ -64,6 +67,7 @@
 		}
 		e.options.Recorder.Record(req.event(timeline.RequestEnqueued))
 		poolRequest := req.poolRequest(e.options.Incarnation, deadline, x.generated())
+		poolRequest.Version = x.version()
 		grant, err := e.options.Granter.Acquire(limited, req.decision.Target.Name, poolRequest)
 		if err != nil {
 			return req.finalFailure(limited, err)
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -53,9 +53,10 @@
 	return nil
 }
 
-func (x *bufferedExchange) resumable() bool     { return x.answer == nil }
-func (x *bufferedExchange) stats() attemptStats { return attemptStats{tokens: x.tokens} }
-func (x *bufferedExchange) generated() int      { return 0 }
+func (x *bufferedExchange) resumable() bool                 { return x.answer == nil }
+func (x *bufferedExchange) stats() attemptStats             { return attemptStats{tokens: x.tokens} }
+func (x *bufferedExchange) version() *types.SoftwareVersion { return nil }
+func (x *bufferedExchange) generated() int                  { return 0 }
 
 // readAnswer returns the complete body of the response. An answer above the limit
 // is an error with the run state Ran.
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -11,6 +11,7 @@
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
 
@@ -32,7 +33,9 @@
 	nonStream *answer
 
 	transcript transcript
-	clock      attemptClock
+	// began is the software version of the engine that sent the first chunk.
+	began types.SoftwareVersion
+	clock attemptClock
 }
 
 func (x *streamExchange) call(to config.Upstream) (upstream.Call, error) {
@@ -49,6 +52,7 @@
 		x.req.setHeaders(x.header)
 		x.header.Set("Content-Type", "text/event-stream")
 		x.header.Set("Cache-Control", "no-cache")
+		x.began = grant.Upstream().Version
 	}
 	idleTimer := time.AfterFunc(x.idleTimeout, func() { cancel(errStreamIdle) })
 	idleTimer.Stop()
@@ -145,6 +149,13 @@
 	return attemptStats{tokens: x.clock.tokens, firstToken: x.clock.first, interTokenLatency: x.clock.interTokenLatency()}
 }
 
+func (x *streamExchange) version() *types.SoftwareVersion {
+	if x.transcript.empty() {
+		return nil
+	}
+	return &x.began
+}
+
 func (x *streamExchange) generated() int { return x.transcript.tokens }
 
 // attemptClock measures the token times of one attempt.
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -86,3 +86,17 @@
 		}
 	})
 }
+
+func TestInterruptedStreamAsksForTheVersionThatBegan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u1, u2 := httpfakes.NewUpstream("u1"), httpfakes.NewUpstream("u2")
+		u1.QueueFaults(httpfakes.CrashMidStream)
+		f := newFixture(t, u1, u2)
+		f.granter.SetVersions("v1", "v2")
+		f.send("POST", chatURL, chatJSON("a", `,"stream":true`))
+		requests := f.granter.Requests()
+		if len(requests) != 2 || requests[0].Version != nil || requests[1].Version == nil || *requests[1].Version != "v1" {
+			t.Fatalf("requests for grants: %+v", requests)
+		}
+	})
+}
--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -99,7 +99,7 @@
 		}
 	}
 	for _, j := range p.lateJobs {
-		p.refuse(j, p.lateRefusalCode())
+		p.refuse(j, p.lateRefusalCode(j))
 	}
 }
 
@@ -130,16 +130,16 @@
 
 // lateRefusalCode returns the error code for a request that cannot start in
 // time.
-func (p *Pool) lateRefusalCode() fault.Code {
-	if p.noUpstreamAvailable() {
+func (p *Pool) lateRefusalCode(j *job) fault.Code {
+	if p.noUpstreamAvailable(j) {
 		return fault.NoUpstream
 	}
 	return fault.DeadlineUnreachable
 }
 
-// noUpstreamAvailable reports whether no engine accepts new work.
-func (p *Pool) noUpstreamAvailable() bool {
-	return !slices.ContainsFunc(p.engines, func(e *engine) bool { return e.available(p.now) })
+// noUpstreamAvailable reports whether no engine that may run the job accepts new work.
+func (p *Pool) noUpstreamAvailable(j *job) bool {
+	return !slices.ContainsFunc(p.engines, func(e *engine) bool { return e.available(p.now) && j.allows(e) })
 }
 
 // admit refuses a newly queued job that is predicted to start too late. If
--- a/pkg/pool/capacity.go
+++ b/pkg/pool/capacity.go
@@ -104,7 +104,7 @@
 
 // accepts reports whether the engine may be given the job now.
 func (p *Pool) accepts(e *engine, j *job, floor bool) bool {
-	if !e.available(p.now) || !p.fits(e, j, floor) {
+	if !e.available(p.now) || !j.allows(e) || !p.fits(e, j, floor) {
 		return false
 	}
 	if j.req.Crashes > 0 && e.suspects > 0 {
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -126,7 +126,7 @@
 	if !waiting {
 		return
 	}
-	if !j.req.LastPool && p.revision > 0 && p.noUpstreamAvailable() {
+	if p.revision > 0 && (!j.req.LastPool && p.noUpstreamAvailable(j) || p.versionGone(j)) {
 		p.refuse(j, fault.NoUpstream)
 		return
 	}
@@ -150,8 +150,8 @@
 }
 
 // grantWaiting starts waiting jobs in the order of service while an engine
-// accepts them. A suspect that waits only for an engine without another suspect
-// does not block the jobs behind it.
+// accepts them. A suspect that waits only for an engine without another suspect, and
+// a job that waits for an engine of its version, do not block the jobs behind them.
 func (p *Pool) grantWaiting() {
 	var skipped []*job
 	for {
@@ -160,7 +160,7 @@
 			break
 		}
 		e := p.chooseEngine(j, false)
-		if e == nil && !p.blockedBySuspects(j) {
+		if e == nil && j.req.Version == nil && !p.blockedBySuspects(j) {
 			break
 		}
 		if e == nil {
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -72,6 +72,9 @@
 	Crashes int `json:"suspect,omitempty"`
 	// PrefixHash groups requests that share a prompt prefix; zero means none.
 	PrefixHash uint64 `json:"prefix_hash,omitempty"`
+	// Version is the software version that began the stream of which this attempt
+	// sends the rest, or nil if no stream has begun.
+	Version *types.SoftwareVersion `json:"version,omitempty"`
 	// LastPool is set if the sibling pools of the target have already refused
 	// the request.
 	LastPool bool `json:"last_pool,omitempty"`
--- a/test/httpfakes/granter.go
+++ b/test/httpfakes/granter.go
@@ -50,6 +50,15 @@
 	return g
 }
 
+// SetVersions sets the software versions of the upstreams, in their order.
+func (g *Granter) SetVersions(versions ...types.SoftwareVersion) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, version := range versions {
+		g.upstreams[i].Version = version
+	}
+}
+
 // suspectPollInterval is the time between the attempts of a waiting suspect to get
 // a grant.
 const suspectPollInterval = 5 * time.Millisecond
