mesh, gateway: the form of heartbeats stays, timers use a copy of the selection

The origins of streams were new fields of the heartbeat. Packed structs have no field names, and an instance rejects one with more or fewer fields than its own, so instances of the previous release and of this one would not have understood each other's heartbeats: in a rolling restart the fleet would have fallen into two. The origins now go in a message of their own after the heartbeat, which an older instance ignores. The comment of peer.Pack said that fields may be added at the end; it now says what holds. TestHeartbeatOfPreviousReleaseIsUnderstood decodes one that the release packed, and fails with a field more.

The timers of an attempt run beside the request and read its set of tried upstreams, which the request changes: a data race that can end the process. They now use a copy, made when the attempt starts and at its first event. The race detector reports the read without the copy in TestOverdueAttemptIsCancelledOnlyIfAnotherUpstreamMayRunIt. A stream whose version is unknown counts as not replaceable from its first event on.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -229,6 +229,11 @@
 // Versions implements mesh.State.
 func (s state) Versions() origin.History { return s.edge.gateway.Versions() }
 
+// HandleStreams implements mesh.State.
+func (s state) HandleStreams(batches []origin.Batch, versions *origin.History) {
+	s.edge.gateway.MergeStreams(batches, versions)
+}
+
 // HandleHeartbeat implements mesh.State.
 func (s state) HandleHeartbeat(heartbeat mesh.Heartbeat) {
 	now := s.edge.now()
@@ -241,7 +246,6 @@
 		s.edge.roster.AddCachedSegments(now, cached.Upstream, cached.Segments)
 	}
 	s.edge.gateway.MergeQuarantineEntries(heartbeat.QuarantineEntries)
-	s.edge.gateway.MergeStreams(heartbeat.Streams, heartbeat.Versions)
 }
 
 // HandleFetched implements mesh.State.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,6 +45,9 @@
 	// timer cancels the attempt when no event or response arrives in time. If it is
 	// nil, only the deadline applies.
 	timer *time.Timer
+	// replacements selects the upstreams that may run the request instead, or is nil if
+	// none may.
+	replacements atomic.Pointer[roster.Selection]
 	// responded reports whether the first event or the response has arrived.
 	responded bool
 }
@@ -190,8 +194,9 @@
 	g.options.Fleet.ReportChange()
 	if outcome.err != nil {
 		version, _ := a.rosterAttempt.Version()
-		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).
-			Str("version", string(version)).Dur("predicted_ms", choice.FirstResponse).Dur("took_ms", g.options.Clock()-now).Bool("ran", outcome.ran).Int("held_events", q.progress.events).Err(outcome.err).Msg("attempt failed")
+		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).Str("version", string(version)).
+			Dur("predicted_ms", choice.FirstResponse).Dur("took_ms", g.options.Clock()-now).Bool("ran", outcome.ran).
+			Int("held_events", q.progress.events).Err(outcome.err).Msg("attempt failed")
 	}
 	return outcome
 }
@@ -200,6 +205,7 @@
 func (a *attempt) exchange(ctx context.Context, address string) result {
 	q := a.request
 	if wait := attemptTimeout(q.route, a.choice.FirstResponse, &q.progress); wait > 0 {
+		a.updateReplacements()
 		a.timer = time.AfterFunc(wait, a.cancelIfReplaceable)
 	}
 	defer a.stopTimer()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -169,9 +169,11 @@
 	// catalog is the one that was in force when the request arrived.
 	catalog *catalog.Catalog
 	target  types.TargetName
-	// began is where the stream began, or nil if it has not begun or that is unknown.
-	began *origin.Origin
-	work  placement.Work
+	// streaming reports whether the first event of a resumable stream has arrived, and
+	// began is where the stream began, or nil if that is unknown.
+	streaming bool
+	began     *origin.Origin
+	work      placement.Work
 	// tokensPerEvent is the number of tokens in one event of a stream.
 	tokensPerEvent int
 	incoming       *http.Request
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
@@ -86,7 +87,11 @@
 // recordBeginning records where the stream began when its first event arrives.
 func (a *attempt) recordBeginning() {
 	q := a.request
-	if q.began != nil || q.progress.events > 0 || !q.route.Resumable {
+	if q.streaming || !q.route.Resumable {
+		return
+	}
+	q.streaming = true
+	if q.began != nil {
 		return
 	}
 	version, ok := a.rosterAttempt.Version()
@@ -105,7 +110,7 @@
 	selection := roster.Selection{Target: q.target, Except: q.tried}
 	if q.began != nil {
 		selection.Version = &q.began.Version
-	} else if q.progress.events > 0 {
+	} else if q.streaming {
 		return selection, q.cannotResume("the version that began the stream is not known")
 	}
 	return selection, nil
@@ -119,11 +124,23 @@
 	return fault.New(fault.CannotResume, message).WithRetryAfter(noUpstreamRetryAfter/2 + rand.N(noUpstreamRetryAfter))
 }
 
-// cancelIfReplaceable cancels the attempt if another upstream may run the request.
+// updateReplacements determines which upstreams may run the request instead of this one.
+func (a *attempt) updateReplacements() {
+	selection, err := a.selection()
+	if err != nil {
+		a.replacements.Store(nil)
+		return
+	}
+	selection.Except = maps.Clone(selection.Except)
+	a.replacements.Store(&selection)
+}
+
+// cancelIfReplaceable cancels the attempt if another upstream may run the request. It is
+// called by timers, while the attempt runs.
 func (a *attempt) cancelIfReplaceable() {
 	q, g := a.request, a.gateway
-	selection, err := q.selection()
-	if err == nil && len(g.options.Roster.Candidates(g.options.Clock(), selection, &q.work)) > 0 {
+	selection := a.replacements.Load()
+	if selection != nil && len(g.options.Roster.Candidates(g.options.Clock(), *selection, &q.work)) > 0 {
 		a.cancel()
 		return
 	}
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -201,7 +201,16 @@
 	} {
 		cancelled := false
 		q := &request{gateway: env.gateway, target: "s", began: c.began, tried: map[types.UpstreamID]bool{c.tried: true}}
-		(&attempt{request: q, cancel: func() { cancelled = true }}).cancelIfReplaceable()
+		a := &attempt{request: q, cancel: func() { cancelled = true }}
+		a.updateReplacements()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			a.cancelIfReplaceable()
+		}()
+		// The request goes on while the timer runs.
+		q.tried["another"], q.began, q.streaming = true, nil, true
+		<-done
 		if cancelled != c.cancelled {
 			t.Errorf("began %v, tried %q: cancelled is %v", c.began, c.tried, cancelled)
 		}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -50,7 +50,10 @@
 // forwardEvent writes one event to the caller.
 func (a *attempt) forwardEvent(response *exchange.Response, event exchange.Event) error {
 	q := a.request
-	a.recordBeginning()
+	if !a.responded {
+		a.recordBeginning()
+		a.updateReplacements()
+	}
 	a.recordFirstResponse()
 	a.rosterAttempt.RecordEvent(q.gateway.options.Clock(), q.tokensPerEvent)
 	a.resetIdleTimer()
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -7,7 +7,6 @@
 import (
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/replica"
@@ -51,7 +50,8 @@
 // gossip entries of all instances that are up. The loads sent by a hub include
 // those of the instances that it aggregates. Heartbeats are encoded with peer.Pack
 // because decoding the loads of a hundred upstreams from JSON took most of the
-// processor time of an instance.
+// processor time of an instance. Instances of the previous release cannot decode a
+// heartbeat with another number of fields.
 type Heartbeat struct {
 	InstanceInfo
 	Loads             map[types.UpstreamID]placement.Load `json:"loads,omitempty"`
@@ -68,10 +68,6 @@
 	ReceiverIsHub bool `json:"hub,omitempty"`
 	// AliveCount is the number of instances that are up according to the sender.
 	AliveCount int `json:"known,omitempty"`
-	// Streams has the origins of the streams that began since the previous heartbeat.
-	Streams []origin.Batch `json:"streams,omitempty"`
-	// Versions is what the sender knows of the upstreams' versions, in full heartbeats.
-	Versions *origin.History `json:"versions,omitempty"`
 }
 
 // fetchRequest requests the items of a collection that are newer than a revision.
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -42,6 +42,9 @@
 	FindStream(key origin.Key) (origin.Origin, bool)
 	// Versions returns what this instance knows of the upstreams' versions.
 	Versions() origin.History
+	// HandleStreams adds the origins of streams that a peer reports, and what it knows
+	// of the upstreams' versions, if it says so.
+	HandleStreams(batches []origin.Batch, versions *origin.History)
 	// HandleHeartbeat processes a peer's heartbeat.
 	HandleHeartbeat(heartbeat Heartbeat)
 	// HandleFetched merges items fetched from a peer.
@@ -103,7 +106,8 @@
 func (m *Mesh) Register(r peer.Registrar) {
 	r.Handle(heartbeatMethod, m.handleHeartbeat)
 	r.Handle(fetchMethod, m.handleFetch)
-	r.Handle(streamMethod, m.handleStream)
+	r.Handle(streamsMethod, m.handleStreams)
+	r.Handle(findStreamMethod, m.handleFindStream)
 }
 
 // Run sends heartbeats and maintains the membership until ctx is done.
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -69,15 +69,19 @@
 }
 func (s *fakeState) Versions() origin.History              { return origin.History{CoverageMilliseconds: 1} }
 func (s *fakeState) QuarantineEntries() []quarantine.Entry { return nil }
-func (s *fakeState) HandleHeartbeat(heartbeat Heartbeat) {
+func (s *fakeState) HandleStreams(batches []origin.Batch, _ *origin.History) {
 	s.withLock(func(s *fakeState) {
-		s.heartbeats[heartbeat.ID] = heartbeat
-		s.cached = append(s.cached, heartbeat.CachedSegments...)
-		for _, batch := range heartbeat.Streams {
+		for _, batch := range batches {
 			for _, stream := range batch.Streams() {
 				s.origins[stream.Key] = stream.Origin
 			}
 		}
+	})
+}
+func (s *fakeState) HandleHeartbeat(heartbeat Heartbeat) {
+	s.withLock(func(s *fakeState) {
+		s.heartbeats[heartbeat.ID] = heartbeat
+		s.cached = append(s.cached, heartbeat.CachedSegments...)
 		s.quarantined = append(s.quarantined, heartbeat.QuarantineEntries...)
 	})
 }
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -79,7 +79,6 @@
 	}
 	m.mergeAges(heartbeat.AgesMilliseconds)
 	m.relayUpdates(heartbeat, entries)
-	m.relayStreams(heartbeat)
 	m.fetchNewer(heartbeat)
 	return struct{}{}, nil
 }
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -51,6 +50,9 @@
 			lastGossip = now
 		}
 		err := m.send(ctx, address, m.newHeartbeat(to, relation, full))
+		if err == nil && relation != distant {
+			err = m.sendStreams(ctx, address, to, full)
+		}
 		shortest := sched.minInterval
 		if err != nil {
 			shortest = max(downRetryInterval, shortest)
@@ -176,16 +178,13 @@
 	}
 	if full {
 		heartbeat.QuarantineEntries = state.QuarantineEntries()
-		versions := state.Versions()
-		heartbeat.Versions = &versions
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	heartbeat.CachedSegments = to.pending.cachedSegments
 	heartbeat.QuarantineEntries = append(heartbeat.QuarantineEntries, to.pending.quarantined...)
 	heartbeat.Gossip = to.pending.entries
-	heartbeat.Streams = origin.Batches(to.pending.streams)
-	to.pending = pending{}
+	to.pending = pending{streams: to.pending.streams}
 	if full {
 		heartbeat.Gossip = m.gossipEntries()
 	}
--- a/pkg/mesh/streams.go
+++ b/pkg/mesh/streams.go
@@ -14,8 +14,10 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// streamMethod asks a peer for the origin of a stream.
-const streamMethod = "mesh.stream"
+const (
+	streamsMethod    = "mesh.streams"
+	findStreamMethod = "mesh.find_stream"
+)
 
 const (
 	// streamHolders is the number of hubs that hold the origin of a stream in a fleet
@@ -26,6 +28,17 @@
 	findTimeout = 300 * time.Millisecond
 )
 
+// streamsReport tells a peer of streams. It follows a heartbeat.
+type streamsReport struct {
+	// From is the peer address of the sender.
+	From string `json:"from"`
+	// Streams has the streams that began since the previous report.
+	Streams []origin.Batch `json:"streams,omitempty"`
+	// Versions is what the sender knows of the upstreams' versions. It follows full
+	// heartbeats.
+	Versions *origin.History `json:"versions,omitempty"`
+}
+
 // streamRequest asks for the origin of a stream.
 type streamRequest struct {
 	Key origin.Key `json:"key"`
@@ -76,19 +89,41 @@
 	return ordered[:min(streamHolders, len(ordered))]
 }
 
-// relayStreams passes the origins that a spoke reports to the other hubs.
-func (m *Mesh) relayStreams(heartbeat Heartbeat) {
-	if len(heartbeat.Streams) == 0 {
-		return
+// sendStreams sends the pending streams, and after a full heartbeat also the versions.
+func (m *Mesh) sendStreams(ctx context.Context, address string, to *memberState, full bool) error {
+	report := streamsReport{From: m.options.Self.PeerAddress}
+	if full {
+		versions := m.options.State.Versions()
+		report.Versions = &versions
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.relation(heartbeat.PeerAddress) != spoke {
-		return
+	report.Streams = origin.Batches(to.pending.streams)
+	to.pending.streams = nil
+	m.mu.Unlock()
+	if len(report.Streams) == 0 && report.Versions == nil {
+		return nil
 	}
-	for _, batch := range heartbeat.Streams {
-		m.queueStreams(heartbeat.PeerAddress, batch.Streams())
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return m.options.Caller.Notify(ctx, address, streamsMethod, report)
+}
+
+// handleStreams processes a peer's report of streams. A hub passes those of its spokes on
+// to their holders.
+func (m *Mesh) handleStreams(_ context.Context, _ peer.Identity, params json.RawMessage) (any, error) {
+	var report streamsReport
+	if err := json.Unmarshal(params, &report); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "malformed report of streams")
+	}
+	m.options.State.HandleStreams(report.Streams, report.Versions)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.relation(report.From) == spoke {
+		for _, batch := range report.Streams {
+			m.queueStreams(report.From, batch.Streams())
+		}
 	}
+	return struct{}{}, nil
 }
 
 // FindStream asks the peers that may hold the origin of a stream. Conclusive reports
@@ -109,7 +144,7 @@
 	for _, address := range addresses {
 		go func() {
 			var r reply
-			r.err = m.options.Caller.Call(ctx, address, streamMethod, streamRequest{Key: key}, &r.streamResponse)
+			r.err = m.options.Caller.Call(ctx, address, findStreamMethod, streamRequest{Key: key}, &r.streamResponse)
 			replies <- r
 		}()
 	}
@@ -146,7 +181,8 @@
 	return addresses, alone
 }
 
-func (m *Mesh) handleStream(_ context.Context, _ peer.Identity, params json.RawMessage) (any, error) {
+// handleFindStream answers a peer that looks for the origin of a stream.
+func (m *Mesh) handleFindStream(_ context.Context, _ peer.Identity, params json.RawMessage) (any, error) {
 	var request streamRequest
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "malformed request for the origin of a stream")
--- a/pkg/mesh/streams_test.go
+++ b/pkg/mesh/streams_test.go
@@ -1,11 +1,14 @@
 package mesh
 
 import (
+	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/origin"
+	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -115,3 +118,20 @@
 		}
 	}
 }
+
+// TestHeartbeatOfPreviousReleaseIsUnderstood decodes a heartbeat that the release before
+// the reports of streams has packed, and packs the same one again.
+func TestHeartbeatOfPreviousReleaseIsUnderstood(t *testing.T) {
+	const packed = `"3AARom4xomkxo3A6MaNjOjGiZGMow8LAgaJ1Mcz6wMCBoWMHwMDDCA=="`
+	var heartbeat Heartbeat
+	if err := peer.Unpack(json.RawMessage(packed), &heartbeat); err != nil {
+		t.Fatal(err)
+	}
+	if heartbeat.ID != "n1" || heartbeat.Ejected["u1"] != 250 || heartbeat.Revisions["c"] != 7 || heartbeat.AliveCount != 8 {
+		t.Errorf("decoded %+v", heartbeat)
+	}
+	again, err := peer.Pack(heartbeat)
+	if text := `"` + base64.StdEncoding.EncodeToString(again) + `"`; err != nil || text != packed {
+		t.Errorf("packed again: %s, %v", text, err)
+	}
+}
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -20,8 +20,8 @@
 // Origin is the service and the software version of the upstream that sent the first
 // event of a stream.
 type Origin struct {
-	Target  types.TargetName
-	Version types.SoftwareVersion
+	Target  types.TargetName      `json:"target"`
+	Version types.SoftwareVersion `json:"version"`
 }
 
 // Key identifies a stream by the hash of the ID of the request that received its first
@@ -39,15 +39,15 @@
 
 // Sighting is a version that upstreams of a service had, and the time since then.
 type Sighting struct {
-	Origin          Origin
-	AgeMilliseconds int64
+	Origin          Origin `json:"origin"`
+	AgeMilliseconds int64  `json:"age_ms"`
 }
 
 // History is what an instance knows of the versions in use. CoverageMilliseconds is the
 // length of the time for which it is complete.
 type History struct {
-	Sightings            []Sighting
-	CoverageMilliseconds int64
+	Sightings            []Sighting `json:"sightings"`
+	CoverageMilliseconds int64      `json:"coverage_ms"`
 }
 
 // Table holds the origins of streams and the versions in use. It is not safe for
@@ -118,6 +118,9 @@
 // Merge adds what a peer knows of the versions in use.
 func (t *Table) Merge(now time.Duration, history History) {
 	for _, sighting := range history.Sightings {
+		if sighting.AgeMilliseconds > lifetime.Milliseconds() {
+			continue
+		}
 		at := now - time.Duration(sighting.AgeMilliseconds)*time.Millisecond
 		if last, ok := t.lastSeen[sighting.Origin]; !ok || at > last {
 			t.lastSeen[sighting.Origin] = at
@@ -142,8 +145,8 @@
 
 // Batch holds streams of one origin.
 type Batch struct {
-	Origin Origin
-	Keys   []Key
+	Origin Origin `json:"origin"`
+	Keys   []Key  `json:"keys"`
 }
 
 // Batches groups streams by origin, in the order of their first stream.
--- a/pkg/peer/pack.go
+++ b/pkg/peer/pack.go
@@ -11,8 +11,9 @@
 
 // Pack encodes the parameters of a frequent message as MessagePack, with structs as
 // arrays without field names. The result is sent as one string in the JSON of the
-// call. Fields may only be added at the end of a struct, so that instances of
-// adjacent versions stay compatible.
+// call. An instance cannot decode a struct with more or fewer fields than its own, so
+// that the fields of a packed message must not change between adjacent releases; what
+// is new needs a message of its own.
 func Pack(params any) ([]byte, error) {
 	var buffer bytes.Buffer
 	encoder := msgpack.GetEncoder()
