mesh: a stream that has just begun is searched again in a fleet with hubs

In a soak of 18 processes, 53 of 192 resumptions that named their beginning were refused as of unknown origin; 42 of 43 whose first event could be timed had begun less than 125 ms before. Cause: the origin takes two heartbeats to the hubs that hold it, one to the hub of the instance and one from there, each up to 125 ms. The search now asks again every 125 ms for 400 ms in all; a full mesh asks the instance itself and needs no second search. TestLargeFleetFindsStreamThatHasJustBegun fails without the change.

--- a/pkg/mesh/streams.go
+++ b/pkg/mesh/streams.go
@@ -12,6 +12,7 @@
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/rendezvous"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 const (
@@ -25,7 +26,10 @@
 	streamHolders = 2
 	// findTimeout bounds the search for the origin of a stream. The round trip to a
 	// peer is a few milliseconds, and callers time out after 2 s without an event.
-	findTimeout = 300 * time.Millisecond
+	findTimeout = 400 * time.Millisecond
+	// findInterval is the time after which a fleet with hubs is searched again. The
+	// origin of a stream that has just begun takes up to two heartbeats to its holders.
+	findInterval = minHubHeartbeatInterval
 )
 
 // streamsReport tells a peer of streams. It follows a heartbeat.
@@ -128,14 +132,31 @@
 
 // FindStream asks the peers that may hold the origin of a stream. Conclusive reports
 // whether a stream that is not found is unknown to the fleet: all of these peers have
-// responded.
+// responded. In a fleet with hubs it asks again until findTimeout.
 func (m *Mesh) FindStream(ctx context.Context, key origin.Key) (found origin.Origin, ok, conclusive bool) {
-	addresses, alone := m.streamPeers(key)
-	if len(addresses) == 0 {
-		return origin.Origin{}, false, alone
-	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
+	for {
+		addresses, alone := m.streamPeers(key)
+		if len(addresses) == 0 {
+			return origin.Origin{}, false, alone
+		}
+		found, ok, conclusive = m.askForStream(ctx, addresses, key)
+		if ok || !m.hasHubs() || !wait.For(ctx, findInterval) {
+			return found, ok, conclusive
+		}
+	}
+}
+
+// hasHubs reports whether the fleet is so large that it has hubs.
+func (m *Mesh) hasHubs() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.topology.hubs != nil
+}
+
+// askForStream asks the peers at the addresses for the origin of a stream.
+func (m *Mesh) askForStream(ctx context.Context, addresses []string, key origin.Key) (found origin.Origin, ok, conclusive bool) {
 	type reply struct {
 		streamResponse
 		err error
--- a/pkg/mesh/streams_test.go
+++ b/pkg/mesh/streams_test.go
@@ -77,6 +77,20 @@
 	})
 }
 
+func TestLargeFleetFindsStreamThatHasJustBegun(t *testing.T) {
+	runLargeFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(10 * time.Second)
+		for key := range origin.Key(40) {
+			f.begin(20+int(key)%4, key)
+			f.wantStream(t, 30+int(key)%10, key)
+		}
+		before := time.Now()
+		if _, ok, conclusive := f.meshes[20].FindStream(f.ctx, 1000); ok || !conclusive || time.Since(before) > findTimeout {
+			t.Errorf("an unknown stream: found %v, conclusive %v after %v", ok, conclusive, time.Since(before))
+		}
+	})
+}
+
 func TestUnansweredSearchForStreamIsNotConclusive(t *testing.T) {
 	runFleet(t, 4, func(t *testing.T, f *fleet) {
 		time.Sleep(3 * time.Second)
