gateway: a search for an origin that the caller or the deadline ends says so

If the caller disconnected or the deadline passed while the peers were asked where a stream began, the request was logged as cannot_resume. It now has the code of what ended it, and no upstream is chosen. TestSearchForOriginEndsWithTheRequest fails without the change.

--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -40,6 +40,9 @@
 	g.options.Logger.Info().Str("request", string(q.call.ID)).Str("resumes", string(q.call.Resumes)).Str("last_event", q.call.LastEvent).
 		Str("source", string(source)).Str("target", string(began.Target)).Str("version", string(began.Version)).
 		Bool("conclusive", conclusive).Dur("elapsed_ms", q.elapsed()).Msg("stream origin")
+	if ctx.Err() != nil {
+		return q.contextError()
+	}
 	if source == originUnknown {
 		return q.cannotResume("it is not known which version began the stream")
 	}
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/roster"
@@ -216,3 +218,17 @@
 		}
 	}
 }
+
+func TestSearchForOriginEndsWithTheRequest(t *testing.T) {
+	env := newListedEnv(t, "v1", "v2")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	incoming, err := http.NewRequestWithContext(ctx, http.MethodPost, "/resume/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q := &request{gateway: env.gateway, incoming: incoming, route: &catalog.Route{Kind: catalog.Stream, Resumable: true}, call: RequestInfo{ID: "again", LastEvent: "2", Resumes: "lost"}}
+	if got := fault.From(q.findOrigin(ctx)).Code; got != fault.CallerGone {
+		t.Errorf("the caller has disconnected: got %s", got)
+	}
+}
