gateway: the line of an attempt that broke off its answer says that it ran

`attempt failed` had "ran":false for an attempt whose response had begun to reach the caller, because the result of such an attempt left the field out. Seen in the recorded lines of a resumed stream in docs/OPERATIONS.md. The decisions do not read the field there, so nothing else changes.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -309,11 +309,11 @@
 	}
 	q.writer.WriteHeader(response.Status)
 	if err := q.write(body); err != nil {
-		return result{answered: true, outcome: roster.Abandoned, err: err}
+		return result{answered: true, ran: true, outcome: roster.Abandoned, err: err}
 	}
 	if hasMore {
 		if _, err := io.Copy(q.writer, response.Body); err != nil {
-			return result{answered: true, outcome: roster.Failed, err: fault.Wrap(fault.UpstreamFailed, err, "the response is incomplete")}
+			return result{answered: true, ran: true, outcome: roster.Failed, err: fault.Wrap(fault.UpstreamFailed, err, "the response is incomplete")}
 		}
 	}
 	q.clearQuarantine()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -42,7 +42,7 @@
 			return a.finishStream(response)
 		}
 		if err := a.forwardEvent(response, event); err != nil {
-			return result{answered: true, outcome: roster.Abandoned, err: err}
+			return result{answered: true, ran: true, outcome: roster.Abandoned, err: err}
 		}
 	}
 }
@@ -106,11 +106,11 @@
 func (a *attempt) handleBrokenStream(address string, cause error) result {
 	q := a.request
 	if q.headerSent && a.ctx.Err() != nil {
-		return result{answered: true, outcome: roster.Abandoned, err: q.contextError()}
+		return result{answered: true, ran: true, outcome: roster.Abandoned, err: q.contextError()}
 	}
 	a.reportCrash(address, cause)
 	if !q.headerSent || q.progress.mayRepeat(q.route, q.remaining()) {
 		return result{ran: true, outcome: roster.Failed, err: cause}
 	}
-	return result{answered: true, outcome: roster.Failed, err: fault.Wrap(fault.UpstreamFailed, cause, "the stream is incomplete")}
+	return result{answered: true, ran: true, outcome: roster.Failed, err: fault.Wrap(fault.UpstreamFailed, cause, "the stream is incomplete")}
 }
