--- a/pkg/mesh/streams_test.go
+++ b/pkg/mesh/streams_test.go
@@ -77,6 +77,53 @@
 	})
 }
 
+// TestLargeFleetFindsMostStreamsAfterMassRestart restarts three fifths of the instances,
+// hubs among them, at the same moment, and searches at the others for their streams.
+func TestLargeFleetFindsMostStreamsAfterMassRestart(t *testing.T) {
+	runLargeFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(10 * time.Second)
+		const streamsEach = 5
+		for i := range f.meshes {
+			for n := range streamsEach {
+				f.begin(i, origin.Key(100*i+n))
+			}
+			time.Sleep(25 * time.Millisecond)
+		}
+		var survivors []int
+		for i := range f.meshes {
+			if i%5 < 2 {
+				survivors = append(survivors, i)
+				continue
+			}
+			f.network.RemoveNode(address(i))
+		}
+		time.Sleep(500 * time.Millisecond)
+		for i := range f.meshes {
+			if i%5 >= 2 {
+				f.start(i)
+			}
+		}
+		searched, found := 0, 0
+		for i := range f.meshes {
+			for n := range streamsEach {
+				key, at := origin.Key(100*i+n), survivors[(i+n)%len(survivors)]
+				if i%5 < 2 {
+					continue
+				}
+				searched++
+				_, own := f.states[at].FindStream(key)
+				if _, ok, _ := f.meshes[at].FindStream(f.ctx, key); ok || own {
+					found++
+				}
+			}
+		}
+		t.Logf("%d of %d origins are found", found, searched)
+		if 2*found < searched {
+			t.Errorf("%d of %d origins are found, want half at least", found, searched)
+		}
+	})
+}
+
 func TestLargeFleetFindsStreamThatHasJustBegun(t *testing.T) {
 	runLargeFleet(t, func(t *testing.T, f *fleet) {
 		time.Sleep(10 * time.Second)
