--- /dev/null
+++ b/pkg/gateway/finish.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+)
+
+// finish updates the metrics, logs the request and, after a failure, writes the error
+// response.
+func (q *request) finish(err error) {
+	g := q.gateway
+	elapsed := q.elapsed()
+	failure := (*fault.Error)(nil)
+	if err != nil {
+		failure = fault.From(err)
+	}
+	g.options.Metrics.countRequest(q, failure, elapsed)
+	q.log(failure, elapsed)
+	if failure == nil {
+		return
+	}
+	if q.headerSent || failure.Code == fault.CallerGone {
+		// After the header is sent, only closing the connection marks the response as
+		// incomplete. A caller that has disconnected gets no response.
+		if q.headerSent && !q.incoming.ProtoAtLeast(1, 1) {
+			q.resetConnection()
+		}
+		panic(http.ErrAbortHandler)
+	}
+	if q.bodyAbandoned {
+		// Without this, net/http reads the rest of the body before it sends the
+		// response, and the caller may never send the rest.
+		q.writer.Header().Set("Connection", "close")
+	}
+	g.options.Protocol.WriteError(q.writer, q.call.ID, failure)
+	if !q.bodyAbandoned && !q.bodyRead && q.incoming.ContentLength != 0 {
+		q.discardBody()
+	}
+}
+
+// resetConnection closes the connection with a TCP reset. A response to HTTP/1.0 without
+// a length ends with the connection, so a regular close would mark it as complete.
+func (q *request) resetConnection() {
+	conn, _, err := http.NewResponseController(q.writer).Hijack()
+	if err != nil {
+		q.gateway.options.Logger.Warn().Err(err).Str("request", string(q.call.ID)).Msg("cannot reset the connection of an incomplete response")
+		return
+	}
+	inner := conn
+	if caller, ok := conn.(*callerConn); ok {
+		inner = caller.Conn
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// discardTimeout limits how long a response waits for a body that is discarded.
+// Unless the caller stalls, a body follows its header within milliseconds.
+const discardTimeout = 250 * time.Millisecond
+
+// discardBody flushes the response, which makes net/http read the rest of a small
+// body. This must be complete before the header tracker of the connection waits for
+// the next header.
+func (q *request) discardBody() {
+	control := http.NewResponseController(q.writer)
+	// Setting a deadline fails only for the writers of tests, whose callers do not
+	// stall.
+	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
+	// An error means that the caller has disconnected.
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Time{})
+}
+
+func (q *request) log(failure *fault.Error, elapsed time.Duration) {
+	event := q.gateway.options.Logger.Info()
+	outcome := "answered"
+	if failure != nil {
+		outcome = string(failure.Code)
+		event = event.Str("reason", failure.Error()).Str("run_state", string(failure.RunState))
+		if failure.RetryAfter > 0 {
+			event = event.Dur("retry_after_ms", failure.RetryAfter)
+		}
+	}
+	if q.route != nil {
+		event = event.Str("route", q.route.Name)
+	}
+	if q.work.Engine {
+		event = event.Int("priority", q.work.Priority).Int("prompt_tokens", q.work.Tokens).Dur("beside_prefill_ms", q.work.PrefillInterToken).
+			Bool("latency_sensitive", q.work.LatencySensitive()).Dur("longest_gap_ms", q.longestGap)
+	}
+	if q.call.LastEvent != "" || q.call.Resumes != "" {
+		event = event.Str("resumes", string(q.call.Resumes)).Str("last_event", q.call.LastEvent)
+	}
+	if q.framing != "" {
+		event = event.Str("framing", string(q.framing)).Int("partial_event_bytes", q.partialEventBytes)
+	}
+	event.Str("request", string(q.call.ID)).Str("account", string(q.account.ID)).Str("upstream", string(q.lastUpstream)).
+		Str("version", string(q.lastVersion)).Int("status", q.status).Int("sends", q.progress.sends).Int("runs", q.progress.runs).Int("events", q.progress.events).
+		Dur("first_ms", q.timeToFirstResponse).Dur("elapsed_ms", elapsed).Str("outcome", outcome).Msg("request")
+}
