mesh: a hub passes the origins of streams on at once

Cause: a hub queued the origins that its spokes report for the other hubs, but did not wake its senders, so that in an idle fleet they waited for the next heartbeat, up to 300 ms, after up to 125 ms to the hub. It depended on where between two heartbeats the stream began. The hub now wakes the senders to the holders, which send at most every 125 ms. Fleets of up to sixteen instances have no hubs and are not concerned.

--- a/pkg/mesh/streams.go
+++ b/pkg/mesh/streams.go
@@ -81,6 +81,7 @@
 		for _, address := range m.holders(stream.Key) {
 			if member, ok := m.members[address]; ok && !member.down && address != from {
 				member.pending.streams = appendBounded(member.pending.streams, []origin.Stream{stream})
+				member.wakeSender()
 			}
 		}
 	}
--- a/pkg/mesh/streams_test.go
+++ b/pkg/mesh/streams_test.go
@@ -128,6 +128,8 @@
 	runLargeFleet(t, func(t *testing.T, f *fleet) {
 		time.Sleep(10 * time.Second)
 		for key := range origin.Key(40) {
+			// The streams begin at different times between two heartbeats of an idle fleet.
+			time.Sleep(700*time.Millisecond + time.Duration(key)*11*time.Millisecond)
 			f.begin(20+int(key)%4, key)
 			f.wantStream(t, 30+int(key)%10, key)
 		}
