gateway: one delay for callers that find no upstream, one question whether a request resumes

A rename in lookupOrigin, whose argument had the name that elsewhere means the origin. No change of behaviour.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -137,6 +137,12 @@
 	return q.deadlineError()
 }
 
+// jitteredRetryAfter returns the retry delay when no upstream is available, spread so
+// that callers do not return together.
+func jitteredRetryAfter() time.Duration {
+	return noUpstreamRetryAfter/2 + rand.N(noUpstreamRetryAfter)
+}
+
 // giveUp returns the error of a request for which no further attempt is made.
 func (q *request) giveUp(message string, cause error) error {
 	code := fault.NoUpstream
@@ -148,7 +154,7 @@
 		failure = fault.Wrap(code, cause, message)
 	}
 	if code == fault.NoUpstream {
-		return failure.WithRetryAfter(noUpstreamRetryAfter/2 + rand.N(noUpstreamRetryAfter))
+		return failure.WithRetryAfter(jitteredRetryAfter())
 	}
 	return failure.WithRunState(q.progress.runState())
 }
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -94,7 +94,7 @@
 		event = event.Int("priority", q.work.Priority).Int("prompt_tokens", q.work.Tokens).Dur("beside_prefill_ms", q.work.PrefillInterToken).
 			Bool("latency_sensitive", q.work.LatencySensitive()).Dur("longest_gap_ms", q.longestGap)
 	}
-	if q.call.LastEvent != "" || q.call.Resumes != "" {
+	if q.call.resumes() {
 		event = event.Str("resumes", string(q.call.Resumes)).Str("last_event", q.call.LastEvent)
 	}
 	if q.framing != "" {
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -56,11 +55,11 @@
 // lookupOrigin looks up the stream that a request began, first in this instance and then
 // at its peers. Conclusive reports whether a stream that is not found is unknown to the
 // fleet.
-func (g *Gateway) lookupOrigin(ctx context.Context, began types.RequestID) (found origin.Origin, source originSource, conclusive bool) {
-	if began == "" {
+func (g *Gateway) lookupOrigin(ctx context.Context, beginner types.RequestID) (found origin.Origin, source originSource, conclusive bool) {
+	if beginner == "" {
 		return origin.Origin{}, originUnknown, false
 	}
-	key := origin.KeyOf(began)
+	key := origin.KeyOf(beginner)
 	if found, ok := g.FindStream(key); ok {
 		return found, originOwn, true
 	}
@@ -124,7 +123,7 @@
 	if q.progress.runs > 0 {
 		return fault.New(fault.UpstreamFailed, message).WithRunState(q.progress.runState())
 	}
-	return fault.New(fault.CannotResume, message).WithRetryAfter(noUpstreamRetryAfter/2 + rand.N(noUpstreamRetryAfter))
+	return fault.New(fault.CannotResume, message).WithRetryAfter(jitteredRetryAfter())
 }
 
 // updateReplacements determines which upstreams may run the request instead of this one.
