gateway, platform: the limit that an upstream names is read and logged

The logs could not tell whether an instance has received the limit of an upstream, so "the limit is not read" and "each instance keeps it alone" could not be distinguished. Each change of what an upstream names is logged with the request whose response named it, invalid values with their text, and responses with a limit are counted. The order of late responses is decided by when their requests were sent (pkg/permit). No request is placed differently.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -48,6 +48,7 @@
 	// replacements selects the upstreams that may run the request instead, or is nil if
 	// none may.
 	replacements atomic.Pointer[roster.Selection]
+	sentAt       time.Duration
 	// responded reports whether the first event or the response has arrived.
 	responded bool
 }
@@ -185,7 +186,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	now := g.options.Clock()
-	a := &attempt{request: q, ctx: ctx, choice: choice, cancel: cancel, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
+	a := &attempt{request: q, sentAt: now, ctx: ctx, choice: choice, cancel: cancel, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
 	if segments := roster.SharedSegments(&q.work); len(segments) > 0 {
 		g.options.Fleet.ReportCachedSegments(mesh.CachedSegments{Upstream: choice.ID, Segments: segments})
 	} else {
@@ -274,6 +275,9 @@
 func (a *attempt) handleResponse(address string, response *exchange.Response) result {
 	q := a.request
 	info := q.gateway.options.Protocol.ParseResponse(response.Status, response.Header)
+	if info.ID == q.call.ID && response.Status != http.StatusMisdirectedRequest {
+		a.observeLimit(info)
+	}
 	if info.NotRun {
 		if response.Status == http.StatusMisdirectedRequest {
 			return result{outcome: roster.Misdirected, err: fault.New(fault.NoUpstream, "the address belongs to another upstream")}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -99,6 +99,7 @@
 	budgets    map[types.TargetName]*retry.Budget
 	quarantine *quarantine.Table
 	origins    *origin.Table
+	permits    *permits
 }
 
 // New returns a Gateway that refuses all requests until Apply is called.
@@ -108,6 +109,7 @@
 		budgets:    make(map[types.TargetName]*retry.Budget),
 		quarantine: quarantine.NewTable(quarantine.DefaultSettings()),
 		origins:    origin.NewTable(options.Clock()),
+		permits:    newPermits(),
 	}
 }
 
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -23,6 +23,8 @@
 	outcomes    *expvar.Map
 	connections *expvar.Map
 	origins     *expvar.Map
+	// limits counts what the limits of upstreams cause.
+	limits *expvar.Map
 
 	mu        sync.Mutex
 	latencies map[catalog.Kind]*hdrhistogram.Histogram
@@ -30,7 +32,7 @@
 
 // NewMetrics returns unpublished metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish publishes the metrics with expvar under the name. It must be called only
@@ -40,6 +42,7 @@
 	all.Set("outcomes", m.outcomes)
 	all.Set("connections", m.connections)
 	all.Set("resumed_stream_origins", m.origins)
+	all.Set("upstream_limits", m.limits)
 	all.Set("first_ms", expvar.Func(m.latencySummaries))
 }
 
@@ -66,6 +69,13 @@
 	}
 }
 
+// countLimit adds to a count of what the limits of upstreams cause.
+func (m *Metrics) countLimit(name string) {
+	if m != nil {
+		m.limits.Add(name, 1)
+	}
+}
+
 // countRequest counts a request by its outcome and records its latency if it was
 // answered.
 func (m *Metrics) countRequest(q *request, failure *fault.Error, elapsed time.Duration) {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -52,6 +53,10 @@
 	// Encoded reports whether the body has a content coding, so that it is not as the
 	// upstream produced it.
 	Encoded bool
+	// Limit is the request rate that the upstream accepts from the whole fleet, or nil
+	// if it names none. InvalidLimit is the text of a limit that cannot be used.
+	Limit        *permit.Limit
+	InvalidLimit string
 }
 
 // Protocol translates between HTTP headers and the types of this package.
