permit, mesh, gateway: an upstream's limit holds for the fleet, not for each instance

Callers saw little; the upstreams did: a worker that named a limit of 2.2 requests a second got 32 in 4 s where 18 are allowed, while it was in need.

Cause: nothing read the limit. Reading it alone would not help: a limit that each of n instances keeps for itself lets n times as much through, and one request each from 61 instances already breaks it.

Change: an instance sends a request to an upstream with a limit only with a permit. For each upstream one instance issues them from a token bucket: the first in rendezvous order among the instances that callers are sent to, among the hubs in a large fleet. It holds soft state only. A new issuer begins with an empty bucket, since the one before may have used up its own; an issuer that sees less than two thirds of the instances known in the last minute uses only their share, so that the parts of a partition together stay below what upstreams tolerate. Permits expire after 0.5 s. Refused instances ask again after a time that grows with their number, so that requests for permits do not grow with the fleet. More urgent requests get permits first, without starving others. First attempts, retries and resumed streams all ask; the product makes no other calls to upstreams. What is refused at all upstreams ends at once as not run (upstream_limited) with a time to return. Instances tell each other of limits; late responses with an older one are ordered by when their requests were sent, and while the order is unknown the stricter one counts.

Before: TestUpstreamLimitIsNotMultipliedByTheFleet failed, 87 requests in 6 s.

Conclusion: the sum is decided in one place per upstream, so it does not depend on the number of instances.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -7,6 +7,7 @@
 	"github.com/umbercrank/umbercrank/pkg/follow"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/origin"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/replica"
@@ -234,6 +235,24 @@
 	s.edge.gateway.MergeStreams(batches, versions)
 }
 
+// Limits implements mesh.State.
+func (s state) Limits() map[types.UpstreamID]permit.Observation { return s.edge.gateway.Limits() }
+
+// HandleLimits implements mesh.State.
+func (s state) HandleLimits(from types.InstanceID, limits map[types.UpstreamID]permit.Observation) map[types.UpstreamID]permit.Observation {
+	return s.edge.gateway.MergeLimits(from, limits)
+}
+
+// IssuePermit implements mesh.State.
+func (s state) IssuePermit(request permit.Request, share float64) permit.Reply {
+	return s.edge.gateway.IssuePermit(request, share)
+}
+
+// RetainPermits implements mesh.State.
+func (s state) RetainPermits(issues func(types.UpstreamID) bool) {
+	s.edge.gateway.RetainPermits(issues)
+}
+
 // HandleHeartbeat implements mesh.State.
 func (s state) HandleHeartbeat(heartbeat mesh.Heartbeat) {
 	now := s.edge.now()
--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -35,6 +35,9 @@
 	DeadlineExceeded Code = "deadline_exceeded"
 	// NoUpstream: no upstream of the target is available.
 	NoUpstream Code = "no_upstream"
+	// UpstreamLimited: the upstreams that may run the request limit their request rate,
+	// and the limits are used up.
+	UpstreamLimited Code = "upstream_limited"
 	// CannotResume: no upstream may continue the stream, because the software version
 	// that began it is unknown or has no upstream.
 	CannotResume Code = "cannot_resume"
@@ -120,6 +123,7 @@
 	DeadlineUnreachable:  {http.StatusServiceUnavailable, types.NotRun},
 	DeadlineExceeded:     {http.StatusGatewayTimeout, types.MayHaveRun},
 	NoUpstream:           {http.StatusServiceUnavailable, types.NotRun},
+	UpstreamLimited:      {http.StatusServiceUnavailable, types.NotRun},
 	CannotResume:         {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamFailed:       {http.StatusBadGateway, types.MayHaveRun},
 	AnswerTooLarge:       {http.StatusBadGateway, types.Ran},
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -74,9 +74,16 @@
 		if failure != nil {
 			return failure
 		}
-		if q.progress.sends > 0 && q.lastUpstream != "" && !q.gateway.budget(q.target).Spend() {
-			return q.giveUp("the retry budget is exhausted", nil)
+		if q.progress.sends > 0 && q.lastUpstream != "" && !q.retryPaid {
+			if !q.gateway.budget(q.target).Spend() {
+				return q.giveUp("the retry budget is exhausted", nil)
+			}
+			q.retryPaid = true
 		}
+		if !q.obtainPermit(ctx, choice) {
+			continue
+		}
+		q.retryPaid = false
 		result := q.tryUpstream(ctx, choice)
 		if result.answered {
 			return result.err
@@ -100,7 +107,10 @@
 	if failure != nil {
 		return placement.Choice{}, failure
 	}
-	candidates := g.options.Roster.Candidates(now, selection, &q.work)
+	candidates, blocked := q.withoutBlocked(now, g.options.Roster.Candidates(now, selection, &q.work))
+	if len(candidates) == 0 && len(blocked) > 0 {
+		return placement.Choice{}, q.refuseLimited(blocked)
+	}
 	admissionRequest := admission.Request{Objective: q.route.Objective, Remaining: remaining, Jitter: rand.Float64()}
 	entry := placement.Entry{DataCentre: g.options.DataCentre, FleetSize: g.options.Fleet.Size()}
 	choice, decision, ok := admission.Place(admissionRequest, &q.work, entry, string(q.call.ID), candidates)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/origin"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/retry"
@@ -65,6 +66,10 @@
 	// FindStream asks the other instances for the origin of a stream. Conclusive
 	// reports whether a stream that is not found is unknown to all of them.
 	FindStream(ctx context.Context, key origin.Key) (found origin.Origin, ok, conclusive bool)
+	// ReportLimit is called when the limit of an upstream has changed.
+	ReportLimit(types.UpstreamID, permit.Observation)
+	// RequestPermit asks for permission to send one request to an upstream with a limit.
+	RequestPermit(ctx context.Context, request permit.Request, limit permit.Observation) (permit.Reply, error)
 	// ReportCrash is called when an upstream crashed while it ran a request.
 	ReportCrash(quarantine.Entry)
 }
@@ -193,8 +198,12 @@
 	// rest is left unread.
 	bodyRead, bodyAbandoned bool
 	progress                progress
-	tried                   map[types.UpstreamID]bool
-	lastUpstream            types.UpstreamID
+	// retryPaid reports whether the next attempt has been counted as a retry.
+	// permitsRefused counts the permits that were refused.
+	retryPaid      bool
+	permitsRefused int
+	tried          map[types.UpstreamID]bool
+	lastUpstream   types.UpstreamID
 	// lastVersion is the software version of lastUpstream.
 	lastVersion types.SoftwareVersion
 	status      int
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/origin"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/roster"
@@ -49,7 +50,15 @@
 }
 
 func (testProtocol) ParseResponse(_ int, upstream http.Header) ResponseInfo {
-	return ResponseInfo{ID: types.RequestID(upstream.Get("Id")), Sealed: upstream.Get("Seal") != "", NotRun: upstream.Get("Not-Run") != ""}
+	info := ResponseInfo{ID: types.RequestID(upstream.Get("Id")), Sealed: upstream.Get("Seal") != "", NotRun: upstream.Get("Not-Run") != ""}
+	if text := upstream.Get("Limit"); text != "" {
+		if perSecond, err := strconv.ParseFloat(text, 64); err == nil {
+			info.Limit = &permit.Limit{PerSecond: perSecond, Limited: true}
+		} else {
+			info.InvalidLimit = text
+		}
+	}
+	return info
 }
 
 func (testProtocol) ResponseHeader(upstream http.Header) http.Header {
@@ -70,6 +79,8 @@
 type recordingFleet struct {
 	streams      map[origin.Key]origin.Origin
 	inconclusive bool
+	// issue decides on requests for permits; nil grants all.
+	issue func(permit.Request) (permit.Reply, error)
 
 	mu       sync.Mutex
 	crashes  []quarantine.Entry
@@ -84,6 +95,13 @@
 	found, ok := f.streams[key]
 	return found, ok, !f.inconclusive
 }
+func (*recordingFleet) ReportLimit(types.UpstreamID, permit.Observation) {}
+func (f *recordingFleet) RequestPermit(_ context.Context, request permit.Request, _ permit.Observation) (permit.Reply, error) {
+	if f.issue == nil {
+		return permit.Reply{Granted: true}, nil
+	}
+	return f.issue(request)
+}
 func (f *recordingFleet) ReportCrash(entry quarantine.Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -23,7 +23,7 @@
 	outcomes    *expvar.Map
 	connections *expvar.Map
 	origins     *expvar.Map
-	// limits counts what the limits of upstreams cause.
+	// limits counts permits by outcome, refused requests, and limits in force.
 	limits *expvar.Map
 
 	mu        sync.Mutex
@@ -69,13 +69,22 @@
 	}
 }
 
-// countLimit adds to a count of what the limits of upstreams cause.
+// countLimit adds to a count of what the limits of upstreams caused.
 func (m *Metrics) countLimit(name string) {
 	if m != nil {
 		m.limits.Add(name, 1)
 	}
 }
 
+// setLimitsInForce sets the number of upstreams with a limit.
+func (m *Metrics) setLimitsInForce(count int) {
+	if m != nil {
+		inForce := new(expvar.Int)
+		inForce.Set(int64(count))
+		m.limits.Set("in_force", inForce)
+	}
+}
+
 // countRequest counts a request by its outcome and records its latency if it was
 // answered.
 func (m *Metrics) countRequest(q *request, failure *fault.Error, elapsed time.Duration) {
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -137,12 +137,13 @@
 	a.replacements.Store(&selection)
 }
 
-// cancelIfReplaceable cancels the attempt if another upstream may run the request. It is
-// called by timers, while the attempt runs.
+// cancelIfReplaceable cancels the attempt if another upstream may run the request. One
+// with a limit does not count, because it may be refused. It is called by timers, while
+// the attempt runs.
 func (a *attempt) cancelIfReplaceable() {
 	q, g := a.request, a.gateway
 	selection := a.replacements.Load()
-	if selection != nil && len(g.options.Roster.Candidates(g.options.Clock(), *selection, &q.work)) > 0 {
+	if selection != nil && g.hasUnlimited(g.options.Roster.Candidates(g.options.Clock(), *selection, &q.work)) {
 		a.cancel()
 		return
 	}
@@ -199,4 +200,5 @@
 	g.origins.Observe(g.options.Clock(), listed)
 	g.mu.Unlock()
 	g.options.Roster.Update(list)
+	g.options.Metrics.setLimitsInForce(g.permits.retainListed(g.options.Clock(), list))
 }
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/replica"
@@ -45,6 +46,16 @@
 	// HandleStreams adds the origins of streams that a peer reports, and what it knows
 	// of the upstreams' versions, if it says so.
 	HandleStreams(batches []origin.Batch, versions *origin.History)
+	// Limits returns the latest limit of each upstream that has named one.
+	Limits() map[types.UpstreamID]permit.Observation
+	// HandleLimits adds the limits that a peer has observed, and returns those that have
+	// changed.
+	HandleLimits(from types.InstanceID, limits map[types.UpstreamID]permit.Observation) map[types.UpstreamID]permit.Observation
+	// IssuePermit decides on a request for a permit. Share is the part of the limit that
+	// this instance may use.
+	IssuePermit(request permit.Request, share float64) permit.Reply
+	// RetainPermits is called with the upstreams whose permits this instance issues.
+	RetainPermits(issues func(types.UpstreamID) bool)
 	// HandleHeartbeat processes a peer's heartbeat.
 	HandleHeartbeat(heartbeat Heartbeat)
 	// HandleFetched merges items fetched from a peer.
@@ -108,6 +119,8 @@
 	r.Handle(fetchMethod, m.handleFetch)
 	r.Handle(streamsMethod, m.handleStreams)
 	r.Handle(findStreamMethod, m.handleFindStream)
+	r.Handle(limitsMethod, m.handleLimits)
+	r.Handle(permitMethod, m.handlePermit)
 }
 
 // Run sends heartbeats and maintains the membership until ctx is done.
@@ -126,6 +139,7 @@
 		}
 		m.expire()
 		m.updateTopology()
+		m.retainPermits()
 		select {
 		case <-ctx.Done():
 			m.workers.Wait()
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/replica"
@@ -34,6 +35,9 @@
 	quarantined    []quarantine.Entry
 	lost           []types.InstanceID
 	origins        map[origin.Key]origin.Origin
+	limits         *permit.Table
+	issuer         *permit.Issuer
+	clock          func() time.Duration
 }
 
 func (s *fakeState) withLock(change func(s *fakeState)) {
@@ -85,6 +89,31 @@
 		s.quarantined = append(s.quarantined, heartbeat.QuarantineEntries...)
 	})
 }
+func (s *fakeState) Limits() (all map[types.UpstreamID]permit.Observation) {
+	s.withLock(func(s *fakeState) { all = s.limits.All() })
+	return all
+}
+func (s *fakeState) HandleLimits(_ types.InstanceID, limits map[types.UpstreamID]permit.Observation) map[types.UpstreamID]permit.Observation {
+	changed := make(map[types.UpstreamID]permit.Observation)
+	s.withLock(func(s *fakeState) {
+		for id, o := range limits {
+			if _, ok := s.limits.Observe(id, o); ok {
+				changed[id] = o
+			}
+		}
+	})
+	return changed
+}
+func (s *fakeState) IssuePermit(request permit.Request, share float64) (reply permit.Reply) {
+	s.withLock(func(s *fakeState) {
+		limit, _ := s.limits.InForce(request.Upstream)
+		reply = s.issuer.Issue(s.clock(), request, limit.Limit, share)
+	})
+	return reply
+}
+func (s *fakeState) RetainPermits(issues func(types.UpstreamID) bool) {
+	s.withLock(func(s *fakeState) { s.issuer.Retain(issues) })
+}
 func (s *fakeState) HandleFetched(_ string, items []replica.Item) {
 	s.withLock(func(s *fakeState) { s.set.Merge(items) })
 }
@@ -124,7 +153,8 @@
 func (f *fleet) start(i int) {
 	id := types.InstanceID(fmt.Sprint("n", i))
 	caller, registrar := f.network.AddNode(address(i), peer.Identity{Instance: id})
-	state := &fakeState{storeReachable: true, serving: true, set: replica.New(), heartbeats: map[types.InstanceID]Heartbeat{}, origins: map[origin.Key]origin.Origin{}}
+	state := &fakeState{storeReachable: true, serving: true, set: replica.New(), heartbeats: map[types.InstanceID]Heartbeat{}, origins: map[origin.Key]origin.Origin{},
+		limits: permit.NewTable(), issuer: permit.NewIssuer(), clock: func() time.Duration { return time.Since(f.started) }}
 	capacity := 20
 	if i < 8 {
 		capacity = 80
--- /dev/null
+++ b/pkg/mesh/permits.go
@@ -0,0 +1,212 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/permit"
+	"github.com/umbercrank/umbercrank/pkg/rendezvous"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+const (
+	limitsMethod = "mesh.limits"
+	permitMethod = "mesh.permit"
+)
+
+// permitTimeout bounds the request for a permit. The round trip to a peer is a few
+// milliseconds; a caller's request waits for it.
+const permitTimeout = 100 * time.Millisecond
+
+// limitReport is an observed limit of an upstream. The times are relative to the sending
+// of the message, since the clocks of instances differ.
+type limitReport struct {
+	Upstream types.UpstreamID `json:"upstream"`
+	permit.Limit
+	SentAgo     time.Duration `json:"sent_ago_ns"`
+	ReceivedAgo time.Duration `json:"received_ago_ns"`
+}
+
+// limitsReport tells a peer of limits that have changed, or of all limits. It follows a
+// heartbeat.
+type limitsReport struct {
+	// From is the peer address of the sender.
+	From   string        `json:"from"`
+	Limits []limitReport `json:"limits"`
+}
+
+// permitRequest asks for a permit and tells the issuer of the limit.
+type permitRequest struct {
+	permit.Request
+	Limit limitReport `json:"limit"`
+}
+
+func newLimitReport(now time.Duration, id types.UpstreamID, o permit.Observation) limitReport {
+	return limitReport{Upstream: id, Limit: o.Limit, SentAgo: now - o.SentAt, ReceivedAgo: now - o.ReceivedAt}
+}
+
+func (r limitReport) observation(now time.Duration) permit.Observation {
+	return permit.Observation{Limit: r.Limit, SentAt: now - r.SentAgo, ReceivedAt: now - r.ReceivedAgo}
+}
+
+// ReportLimit reports to the peers that the limit of an upstream has changed.
+func (m *Mesh) ReportLimit(id types.UpstreamID, o permit.Observation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.queueLimits("", map[types.UpstreamID]permit.Observation{id: o}, func(to relation) bool { return to != distant })
+}
+
+// queueLimits queues limits for the live peers whose relation is included, except for the
+// peer they came from. m.mu must be held.
+func (m *Mesh) queueLimits(from string, limits map[types.UpstreamID]permit.Observation, include func(to relation) bool) {
+	for address, member := range m.members {
+		if address == from || member.down || !include(m.relation(address)) {
+			continue
+		}
+		if member.pending.limits == nil {
+			member.pending.limits = make(map[types.UpstreamID]permit.Observation)
+		}
+		maps.Copy(member.pending.limits, limits)
+		member.wakeSender()
+	}
+}
+
+// sendLimits sends the pending limits, or all of them.
+func (m *Mesh) sendLimits(ctx context.Context, address string, to *memberState, all bool) error {
+	m.mu.Lock()
+	limits := to.pending.limits
+	to.pending.limits = nil
+	m.mu.Unlock()
+	if all {
+		limits = m.options.State.Limits()
+	}
+	if len(limits) == 0 {
+		return nil
+	}
+	now := m.options.Clock()
+	report := limitsReport{From: m.options.Self.PeerAddress}
+	for id, o := range limits {
+		report.Limits = append(report.Limits, newLimitReport(now, id, o))
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return m.options.Caller.Notify(ctx, address, limitsMethod, report)
+}
+
+// handleLimits processes a peer's report of limits. A hub relays what has changed like
+// other updates.
+func (m *Mesh) handleLimits(_ context.Context, from peer.Identity, params json.RawMessage) (any, error) {
+	var report limitsReport
+	if err := json.Unmarshal(params, &report); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "malformed report of limits")
+	}
+	now := m.options.Clock()
+	observed := make(map[types.UpstreamID]permit.Observation, len(report.Limits))
+	for _, limit := range report.Limits {
+		observed[limit.Upstream] = limit.observation(now)
+	}
+	changed := m.options.State.HandleLimits(from.Instance, observed)
+	if len(changed) == 0 {
+		return struct{}{}, nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch m.relation(report.From) {
+	case meshPeer:
+	case spoke:
+		m.queueLimits(report.From, changed, func(to relation) bool { return to == spoke || to == otherHub })
+	default:
+		m.queueLimits(report.From, changed, func(to relation) bool { return to == spoke })
+	}
+	return struct{}{}, nil
+}
+
+// RequestPermit asks the issuer of the upstream's permits for one.
+func (m *Mesh) RequestPermit(ctx context.Context, request permit.Request, limit permit.Observation) (permit.Reply, error) {
+	request.From = m.options.Self.ID
+	address := m.issuer(request.Upstream, m.options.State.Serving())
+	if address == m.options.Self.PeerAddress {
+		return m.options.State.IssuePermit(request, m.limitShare()), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var reply permit.Reply
+	err := m.options.Caller.Call(ctx, address, permitMethod, permitRequest{request, newLimitReport(m.options.Clock(), request.Upstream, limit)}, &reply)
+	return reply, err
+}
+
+// handlePermit decides on a peer's request for a permit.
+func (m *Mesh) handlePermit(_ context.Context, from peer.Identity, params json.RawMessage) (any, error) {
+	var request permitRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "malformed request for a permit")
+	}
+	if m.issuer(request.Upstream, m.options.State.Serving()) != m.options.Self.PeerAddress {
+		return nil, fault.New(fault.PeerRejected, "this instance does not issue the upstream's permits")
+	}
+	m.options.State.HandleLimits(from.Instance, map[types.UpstreamID]permit.Observation{request.Upstream: request.Limit.observation(m.options.Clock())})
+	request.From = from.Instance
+	return m.options.State.IssuePermit(request.Request, m.limitShare()), nil
+}
+
+// issuer returns the peer address of the instance that issues the permits of an upstream:
+// the first in rendezvous order among the hubs that are up, or among all instances of a
+// fleet without hubs. Instances that callers are not sent to, such as those that are
+// stopping, come only after all others; serving says this for this instance.
+func (m *Mesh) issuer(upstream types.UpstreamID, serving bool) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.options.Self
+	self.Serving = serving
+	var serves, others []InstanceInfo
+	consider := func(info InstanceInfo) {
+		if !m.topology.isHub(info.PeerAddress) {
+			return
+		}
+		if info.Serving {
+			serves = append(serves, info)
+		} else {
+			others = append(others, info)
+		}
+	}
+	consider(self)
+	for _, member := range m.members {
+		if !member.down {
+			consider(member.info)
+		}
+	}
+	if len(serves) == 0 {
+		serves = others
+	}
+	if len(serves) == 0 {
+		return self.PeerAddress
+	}
+	first, _ := rendezvous.FirstOf(string(upstream), serves, func(info InstanceInfo) types.InstanceID { return info.ID }, nil)
+	return first.PeerAddress
+}
+
+// retainPermits makes the state drop the upstreams whose permits this instance no longer
+// issues.
+func (m *Mesh) retainPermits() {
+	serving := m.options.State.Serving()
+	m.options.State.RetainPermits(func(upstream types.UpstreamID) bool {
+		return m.issuer(upstream, serving) == m.options.Self.PeerAddress
+	})
+}
+
+// limitShare returns the part of a limit that this instance may issue permits for.
+func (m *Mesh) limitShare() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now, known := m.options.Clock(), 1
+	for _, member := range m.members {
+		if member.info.ID != "" && now-member.lastHeard <= removeAfter {
+			known++
+		}
+	}
+	return permit.Share(m.size(), known)
+}
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -8,6 +8,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -18,6 +19,7 @@
 	quarantined    []quarantine.Entry
 	entries        []GossipEntry
 	streams        []origin.Stream
+	limits         map[types.UpstreamID]permit.Observation
 }
 
 // queueUpdates queues updates for the live peers whose relation is included,
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -53,6 +53,9 @@
 		if err == nil && relation != distant {
 			err = m.sendStreams(ctx, address, to, full)
 		}
+		if err == nil && relation != distant {
+			err = m.sendLimits(ctx, address, to, full)
+		}
 		shortest := sched.minInterval
 		if err != nil {
 			shortest = max(downRetryInterval, shortest)
@@ -184,7 +187,7 @@
 	heartbeat.CachedSegments = to.pending.cachedSegments
 	heartbeat.QuarantineEntries = append(heartbeat.QuarantineEntries, to.pending.quarantined...)
 	heartbeat.Gossip = to.pending.entries
-	to.pending = pending{streams: to.pending.streams}
+	to.pending = pending{streams: to.pending.streams, limits: to.pending.limits}
 	if full {
 		heartbeat.Gossip = m.gossipEntries()
 	}
--- a/pkg/permit/limit.go
+++ b/pkg/permit/limit.go
@@ -1,5 +1,12 @@
-// Package permit keeps the limits that upstreams name for the request rate of the whole
-// fleet. It is pure: the caller passes in the time.
+// Package permit decides which requests may be sent to an upstream that limits the
+// request rate of the whole fleet. It is pure: the caller passes in the time, and moves
+// the requests for permits and their replies between the instances.
+//
+// Each limited upstream has one issuer among the instances. An instance sends a request
+// to the upstream only with a permit of the issuer, so the sum over the fleet does not
+// depend on its size. The load that this answers is an upstream in need whose limit is a
+// few requests a second, before a fleet of 8 to 350 instances, each of which gets less
+// than one request a second of it.
 package permit
 
 import (
