exchange, gateway: responses without end are cut off at a bound

Callers would have seen instances end for lack of memory: an upstream in trouble may send bytes that are no response without end, in a header or a body, until the connection is closed.

Cause: net/http reads a status line, a header line or header lines of any length, and exchange gave it the connection as it is; only the request's deadline ended that. A body had no bound either: it was passed on until the deadline, and one without a length then reached the caller as complete if the upstream ended it. Events could grow to 1 MB for each stream, buffered responses to 1 MB each without a common bound.

Change: the headers of a response, with informational ones and chunked trailers, are bounded to 64 KB and the whole response to 64 MB, beyond which the attempt fails and the upstream counts as failed; an event to 128 KB; all buffered responses of an instance to 12 MB, above which they are passed on as they arrive.

Trailers, chunk sizes and extensions, events and too many informational responses were bounded before, by net/http and by this package.

--- a/pkg/exchange/events.go
+++ b/pkg/exchange/events.go
@@ -10,8 +10,9 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of one event of a stream. Events have a few tokens,
+// and an instance holds one event of each stream in memory.
+const maxEventBytes = 128 << 10
 
 // Event is one complete server-sent event: its bytes, including the empty line
 // that ends it, and its ID.
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -52,6 +52,11 @@
 	readBufferBytes = 4 << 10
 	// maxInformational is the maximum number of 1xx responses before the final one.
 	maxInformational = 5
+	// maxHeaderBytes is the maximum size of the headers of all responses to a request.
+	// net/http reads a line of any length.
+	maxHeaderBytes = 64 << 10
+	// MaxResponseBytes is the maximum size of a response.
+	MaxResponseBytes = 64 << 20
 )
 
 // Request is a request to an upstream. It is sent byte for byte.
@@ -138,11 +143,13 @@
 	} else {
 		go func() { _, _ = conn.Write(message) }()
 	}
-	reader := bufio.NewReaderSize(conn, readBufferBytes)
+	bounded := &boundedReader{reader: conn, remaining: maxHeaderBytes}
+	reader := bufio.NewReaderSize(bounded, readBufferBytes)
 	response, err := readFinalHeader(reader, request.Method)
 	if err != nil {
 		return nil, err
 	}
+	bounded.remaining = MaxResponseBytes
 	return &Response{
 		Status:  response.StatusCode,
 		Header:  response.Header,
@@ -152,6 +159,22 @@
 	}, nil
 }
 
+// boundedReader returns an error with the code AnswerTooLarge after a number of bytes.
+type boundedReader struct {
+	reader    io.Reader
+	remaining int
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.remaining <= 0 {
+		return 0, fault.New(fault.AnswerTooLarge, "the response exceeds the size limit")
+	}
+	n, err := b.reader.Read(p[:min(len(p), b.remaining)])
+	b.remaining -= n
+	return n, err
+}
+
 func framingOf(response *http.Response) Framing {
 	switch {
 	case len(response.TransferEncoding) > 0:
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,10 +23,6 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// maxBufferedResponseBytes is how much of a response is buffered before any of it is
-// written to the caller. The rest of a longer response is copied as it arrives.
-const maxBufferedResponseBytes = 1 << 20
-
 // overdueFactor is the multiple of the predicted time after which an attempt without a
 // first event or a response counts as a failure of the upstream, even if the attempt
 // ended because of the request's own deadline.
@@ -310,37 +305,6 @@
 	return a.forwardResponse(address, response)
 }
 
-// forwardResponse passes a response that is not a stream to the caller.
-func (a *attempt) forwardResponse(address string, response *exchange.Response) result {
-	q := a.request
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes))
-	if err != nil {
-		a.reportCrash(address, err)
-		return result{ran: true, outcome: roster.Failed, err: err}
-	}
-	a.recordFirstResponse()
-	outcome := roster.Completed
-	if response.Status >= http.StatusInternalServerError {
-		outcome = roster.Failed
-	}
-	hasMore := len(body) == maxBufferedResponseBytes
-	q.setHeader(response)
-	if !hasMore {
-		q.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	q.writer.WriteHeader(response.Status)
-	if err := q.write(body); err != nil {
-		return result{answered: true, ran: true, outcome: roster.Abandoned, err: err}
-	}
-	if hasMore {
-		if _, err := io.Copy(q.writer, response.Body); err != nil {
-			return result{answered: true, ran: true, outcome: roster.Failed, err: fault.Wrap(fault.UpstreamFailed, err, "the response is incomplete")}
-		}
-	}
-	q.clearQuarantine()
-	return result{answered: true, outcome: outcome}
-}
-
 // recordFirstResponse records the arrival of the first event or the response.
 func (a *attempt) recordFirstResponse() {
 	if a.responded {
@@ -354,40 +318,6 @@
 	}
 }
 
-// setHeader sets the status and the header of the response to the caller.
-func (q *request) setHeader(response *exchange.Response) {
-	q.headerSent, q.status = true, response.Status
-	header := q.writer.Header()
-	for name, values := range q.gateway.options.Protocol.ResponseHeader(response.Header) {
-		header[name] = values
-	}
-	// A nil value prevents net/http from adding a header that the upstream did not
-	// send.
-	for _, name := range []string{"Date", "Content-Type"} {
-		if _, ok := header[name]; !ok {
-			header[name] = nil
-		}
-	}
-}
-
-// writeTimeout limits one write to a caller that does not read.
-const writeTimeout = 10 * time.Second
-
-// write writes a part of the response body to the caller and flushes it.
-func (q *request) write(body []byte) error {
-	control := http.NewResponseController(q.writer)
-	// Setting a deadline fails only for the writers of tests, whose callers do not
-	// stall.
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := q.writer.Write(body); err != nil {
-		return fault.Wrap(fault.CallerGone, err, "cannot write the response to the caller")
-	}
-	if err := control.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return fault.Wrap(fault.CallerGone, err, "cannot write the response to the caller")
-	}
-	return nil
-}
-
 // clearQuarantine removes the request from the quarantine, because an upstream completed
 // it.
 func (q *request) clearQuarantine() {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -97,8 +97,9 @@
 	catalog  atomic.Pointer[catalog.Catalog]
 	stopping atomic.Bool
 	active   atomic.Int64
-	// bufferedBytes is the total size of the request bodies in memory.
-	bufferedBytes atomic.Int64
+	// bufferedBytes is the total size of the request bodies in memory, and
+	// bufferedResponseBytes that of the responses.
+	bufferedBytes, bufferedResponseBytes atomic.Int64
 
 	mu         sync.Mutex
 	budgets    map[types.TargetName]*retry.Budget
