exchange, gateway: keep-alives do not count as events of a stream

Callers saw a stream that stood still until they gave up: a stalled upstream that sends a comment or an empty line now and then kept its stream, although another upstream could have continued it.

An endless run of empty lines was passed on line by line, with a write to the caller for each.

Change: an event with neither data nor an ID is passed on but counts for nothing, and empty lines are passed on with the event that follows them, within its bound.

A slow stream whose events have data is not affected.

--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -178,3 +178,30 @@
 		}
 	})
 }
+
+// TestEmptyEvents checks comments and blank lines between events: all bytes are passed on,
+// blank lines with the event after them.
+func TestEmptyEvents(t *testing.T) {
+	const event, comment = "id: 1\ndata: x\n\n", ": wait\n\n"
+	for name, c := range map[string]struct {
+		stream string
+		want   []string
+		empty  []bool
+	}{
+		"comment":              {comment + event, []string{comment, event}, []bool{true, false}},
+		"blank lines before":   {"\n\r\n" + event, []string{"\n\r\n" + event}, []bool{false}},
+		"blank lines at end":   {event + "\n\n", []string{event, "\n\n"}, []bool{false, true}},
+		"data only":            {"data: x\n\n", []string{"data: x\n\n"}, []bool{false}},
+		"data without a colon": {"data\n\n", []string{"data\n\n"}, []bool{false}},
+	} {
+		events := NewEventReader(strings.NewReader(c.stream))
+		for i, want := range c.want {
+			if got, err := events.Next(); err != nil || string(got.Bytes) != want || got.Empty != c.empty[i] {
+				t.Errorf("%s: event %d is %q, empty %v, %v", name, i, got.Bytes, got.Empty, err)
+			}
+		}
+		if _, err := events.Next(); !errors.Is(err, io.EOF) {
+			t.Errorf("%s: %v after the last event", name, err)
+		}
+	}
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -50,13 +50,9 @@
 // forwardEvent writes one event to the caller.
 func (a *attempt) forwardEvent(response *exchange.Response, event exchange.Event) error {
 	q := a.request
-	if !a.responded {
-		a.recordBeginning()
-		a.updateReplacements()
+	if !event.Empty {
+		a.recordProgress()
 	}
-	a.recordFirstResponse()
-	a.rosterAttempt.RecordEvent(q.gateway.options.Clock(), q.tokensPerEvent)
-	a.resetIdleTimer()
 	if !q.headerSent {
 		q.setHeader(response)
 		q.writer.WriteHeader(response.Status)
@@ -64,6 +60,9 @@
 	if err := q.write(event.Bytes); err != nil {
 		return err
 	}
+	if event.Empty {
+		return nil
+	}
 	now := q.gateway.options.Clock()
 	if q.progress.events > 0 {
 		q.longestGap = max(q.longestGap, now-q.lastEventAt)
@@ -76,6 +75,18 @@
 	return nil
 }
 
+// recordProgress records an event that is not empty. Empty ones keep a connection open,
+// also that of a stream that is stalled.
+func (a *attempt) recordProgress() {
+	if !a.responded {
+		a.recordBeginning()
+		a.updateReplacements()
+	}
+	a.recordFirstResponse()
+	a.rosterAttempt.RecordEvent(a.gateway.options.Clock(), a.tokensPerEvent)
+	a.resetIdleTimer()
+}
+
 // resetIdleTimer restarts the timer that cancels the attempt after
 // streamIdleTimeout. It stops the timer if the stream cannot be resumed at another
 // upstream.
--- a/test/httpfakes/endless.go
+++ b/test/httpfakes/endless.go
@@ -41,6 +41,7 @@
 		{"event", true, events + "\r\ndata: x\n", strings.Repeat("data: x\n", 128)},
 		{"event in chunks", true, events + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("data: x\n", 128) + "\r\n"},
 		{"line of an event", true, events + "\r\ndata: ", many},
+		{"blank lines", true, events + "\r\n", strings.Repeat("\n", 1024)},
 		{"comment lines", true, events + "\r\n", strings.Repeat(": x\n", 256)},
 	}
 }
