entry, upstream: answers without end are cut off at a bound in serve too

Change: at most 64 KB without a payload, 64 MB for the stream of an attempt, and the size limit of an answer for the text of a stream; buffered answers share the memory that request bodies have.

Before: TestEndlessResponseIsCutOff failed for blank and comment lines (256 MB written, where the test ends them), TestEndlessAnswerTextIsCutOff until the test's end (256 MB, the caller got 498 MB over two attempts), TestAnswersShareBufferMemory answered 2 MB with a memory of 1 MB. After: they pass.

--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -10,6 +10,9 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -31,7 +34,7 @@
 	newCall func(config.Upstream) (upstream.Call, error)
 	// fromEngine is set if the upstream is a model engine.
 	fromEngine bool
-	limit      int64
+	memory     *answerMemory
 	answer     *answer
 	tokens     int
 }
@@ -39,7 +42,7 @@
 func (x *bufferedExchange) call(to config.Upstream) (upstream.Call, error) { return x.newCall(to) }
 
 func (x *bufferedExchange) receive(response *http.Response, _ dispatch.Grant, _ context.CancelCauseFunc) error {
-	body, err := readAnswer(response, x.limit)
+	body, err := x.memory.readAnswer(response)
 	if err != nil {
 		return err
 	}
@@ -58,14 +61,49 @@
 func (x *bufferedExchange) version() *types.SoftwareVersion { return nil }
 func (x *bufferedExchange) generated() int                  { return 0 }
 
-// readAnswer returns the complete body of the response. An answer above the limit
-// is an error with the run state Ran.
-func readAnswer(response *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+// answerMemory accounts for the answers of one request that are in memory.
+type answerMemory struct {
+	// shared is the memory for the bodies of all requests and answers.
+	shared *semaphore.Weighted
+	limit  int64
+	used   int64
+}
+
+func (e *Entry) newAnswerMemory() *answerMemory {
+	return &answerMemory{shared: e.memory, limit: e.settings.MaxAnswerBytes}
+}
+
+// release returns the memory when the request has ended.
+func (m *answerMemory) release() { m.shared.Release(m.used) }
+
+// accountedReader acquires the memory for what it reads.
+type accountedReader struct {
+	reader io.Reader
+	memory *answerMemory
+}
+
+// Read implements io.Reader.
+func (r accountedReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if !r.memory.shared.TryAcquire(int64(n)) {
+		return 0, fault.New(fault.AnswerTooLarge, "the bodies of other requests and answers use all buffer memory")
+	}
+	r.memory.used += int64(n)
+	return n, err
+}
+
+// readAnswer returns the complete body of the response. An answer above the limit, or
+// above the memory that other requests leave, is an error with the run state Ran.
+func (m *answerMemory) readAnswer(response *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(accountedReader{response.Body, m}, m.limit+1))
+	var failure *fault.Error
+	if errors.As(err, &failure) {
+		return nil, failure
+	}
 	if err != nil {
 		return nil, fault.Wrap(fault.UpstreamFailed, err, "cannot read the answer")
 	}
-	if int64(len(body)) > limit {
+	if int64(len(body)) > m.limit {
 		return nil, fault.New(fault.AnswerTooLarge, "the answer exceeds the size limit")
 	}
 	if unframed(response) {
@@ -135,6 +173,7 @@
 
 // answerBuffered runs the exchange and writes its answer.
 func (e *Entry) answerBuffered(w http.ResponseWriter, in inboundRequest, req *request, x *bufferedExchange) error {
+	defer x.memory.release()
 	failure := e.runAttempts(in.httpRequest.Context(), req, x)
 	req.setHeaders(w.Header())
 	e.recordOutcome(req, failure, x.tokens)
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -64,7 +64,7 @@
 			return chatCall(chat, req, nil, to)
 		},
 		fromEngine: true,
-		limit:      e.settings.MaxAnswerBytes,
+		memory:     e.newAnswerMemory(),
 	})
 }
 
--- a/pkg/entry/idempotency.go
+++ b/pkg/entry/idempotency.go
@@ -106,7 +106,9 @@
 		return unknownOutcome(err, "the call to the executor of the idempotency key failed")
 	}
 	defer response.Body.Close()
-	body, err := readAnswer(response, e.settings.MaxAnswerBytes)
+	memory := e.newAnswerMemory()
+	defer memory.release()
+	body, err := memory.readAnswer(response)
 	if err != nil {
 		return unknownOutcome(err, "reading the answer of the executor failed")
 	}
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -79,7 +79,7 @@
 		newCall: func(to config.Upstream) (upstream.Call, error) {
 			return serviceCall(in.httpRequest, req.id, in.body, to), nil
 		},
-		limit: e.settings.MaxAnswerBytes,
+		memory: e.newAnswerMemory(),
 	})
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -15,8 +15,13 @@
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
 
-// tokensPerProgress is the number of tokens between two progress reports.
-const tokensPerProgress = 8
+const (
+	// tokensPerProgress is the number of tokens between two progress reports.
+	tokensPerProgress = 8
+	// maxStreamBytes is the maximum size of the stream of one attempt: some 200,000
+	// chunks.
+	maxStreamBytes = 64 << 20
+)
 
 // streamExchange relays a stream of chunks to the caller. If an engine fails, the
 // next attempt continues the same stream on another engine.
@@ -24,7 +29,7 @@
 	chat   *upstream.ChatRequest
 	req    *request
 	header http.Header
-	limit  int64
+	memory *answerMemory
 	// idleTimeout is the maximum time between two events after the first token.
 	idleTimeout time.Duration
 	// out buffers the events for the caller.
@@ -57,7 +62,7 @@
 	idleTimer := time.AfterFunc(x.idleTimeout, func() { cancel(errStreamIdle) })
 	idleTimer.Stop()
 	defer idleTimer.Stop()
-	return x.relay(upstream.NewEventReader(response.Body), grant, idleTimer)
+	return x.relay(upstream.NewEventReader(http.MaxBytesReader(nil, response.Body, maxStreamBytes)), grant, idleTimer)
 }
 
 // storeNonStream stores a response that is not a stream, such as an engine's error
@@ -66,7 +71,7 @@
 	if !x.transcript.empty() {
 		return fault.New(fault.UpstreamFailed, "the engine did not resume the answer")
 	}
-	body, err := readAnswer(response, x.limit)
+	body, err := x.memory.readAnswer(response)
 	if err != nil {
 		return err
 	}
@@ -128,6 +133,9 @@
 	if err != nil {
 		return err
 	}
+	if x.transcript.text.Len()+len(chunk.Text()) > int(x.memory.limit) {
+		return fault.New(fault.AnswerTooLarge, "the answer exceeds the size limit")
+	}
 	forwarded, err := x.transcript.add(payload, chunk)
 	if err != nil || forwarded == nil {
 		return err
@@ -192,12 +200,13 @@
 	ctx, cancel := context.WithCancel(in.httpRequest.Context())
 	defer cancel()
 	out := newStreamBuffer(w, e.settings.StreamBufferBytes, e.settings.WriteTimeout)
-	x := &streamExchange{chat: chat, req: req, header: w.Header(), limit: e.settings.MaxAnswerBytes, idleTimeout: e.settings.StreamIdleTimeout, out: out}
+	x := &streamExchange{chat: chat, req: req, header: w.Header(), memory: e.newAnswerMemory(), idleTimeout: e.settings.StreamIdleTimeout, out: out}
 	writerDone := make(chan struct{})
 	go func() {
 		defer close(writerDone)
 		out.writeLoop(cancel)
 	}()
+	defer x.memory.release()
 	failure := e.runAttempts(ctx, req, x)
 	begun := !x.transcript.empty()
 	if failure != nil && begun {
--- a/pkg/upstream/sse.go
+++ b/pkg/upstream/sse.go
@@ -11,6 +11,10 @@
 // maxLineBytes is the maximum length of a line of an event stream.
 const maxLineBytes = 1 << 20
 
+// maxSkippedBytes is the maximum size of what a stream has between two payloads:
+// comments, empty lines and other fields.
+const maxSkippedBytes = 64 << 10
+
 // initialBufferBytes is the initial buffer size of a reader.
 const initialBufferBytes = 4 << 10
 
@@ -34,13 +38,17 @@
 
 // Next returns the next payload, which is valid until the next call. It returns
 // io.EOF at the end of the stream, and an error with the code UpstreamFailed if
-// reading fails.
+// reading fails or the stream goes on without a payload.
 func (r *EventReader) Next() ([]byte, error) {
+	skipped := 0
 	for r.scanner.Scan() {
 		line := r.scanner.Bytes()
 		if bytes.HasPrefix(line, dataPrefix) {
 			return bytes.TrimSpace(line[len(dataPrefix):]), nil
 		}
+		if skipped += len(line) + 1; skipped > maxSkippedBytes {
+			return nil, fault.New(fault.UpstreamFailed, "the event stream has no data")
+		}
 	}
 	if err := r.scanner.Err(); err != nil {
 		return nil, fault.Wrap(fault.UpstreamFailed, err, "cannot read the event stream")
