peer, mesh: one message or one error of the listener does not end a process

An instance with all its requests would have ended where one message between instances made its handler panic, or where the listener for peers failed once, for example for lack of file descriptors. Neither has been seen; both were looked for after reports from operators of similar systems.

Cause: jsonrpc2 runs handlers on goroutines without recover, and an error of Accept ended the server of peers, and with it the group of tasks of the instance. join and serve use the same server.

Change: a panic is logged with its stack and returned as an error of the call; after an error other than its closing the listener tries again every 50 ms. Reports of limits with a time in the future, which could not be replaced any more, count as of now.

Before: TestPanicOfHandlerDoesNotEndProcess ended its process with "assignment to entry in nil map"; TestLackOfDescriptorsDoesNotEndServer was not reached. After: both pass.

--- a/pkg/mesh/permits.go
+++ b/pkg/mesh/permits.go
@@ -49,8 +49,10 @@
 	return limitReport{Upstream: id, Limit: o.Limit, SentAgo: now - o.SentAt, ReceivedAgo: now - o.ReceivedAt}
 }
 
+// observation returns the report as an observation of this instance. Times after now are
+// invalid: an observation from the future could not be replaced by a later one.
 func (r limitReport) observation(now time.Duration) permit.Observation {
-	return permit.Observation{Limit: r.Limit, SentAt: now - r.SentAgo, ReceivedAt: now - r.ReceivedAgo}
+	return permit.Observation{Limit: r.Limit, SentAt: now - max(r.SentAgo, 0), ReceivedAt: now - max(r.ReceivedAgo, 0)}
 }
 
 // ReportLimit reports to the peers that the limit of an upstream has changed.
--- /dev/null
+++ b/pkg/peer/failure_test.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+)
+
+// TestPanicOfHandlerDoesNotEndProcess calls and notifies handlers that panic, then one
+// that does not.
+func TestPanicOfHandlerDoesNotEndProcess(t *testing.T) {
+	address := start(t, func(r Registrar) {
+		r.Handle("panic", func(context.Context, Identity, json.RawMessage) (any, error) {
+			var missing map[string]int
+			missing["x"]++
+			return nil, nil
+		})
+		r.Handle("echo", func(_ context.Context, _ Identity, params json.RawMessage) (any, error) { return params, nil })
+	})
+	d := dialer(t, Options{Secret: testSecret})
+	if err := d.Notify(t.Context(), address, "panic", 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Call(t.Context(), address, "panic", 1, nil); err == nil || fault.From(err).Code != fault.Internal {
+		t.Errorf("the call returned %v, want an internal error", err)
+	}
+	var got int
+	if err := d.Call(t.Context(), address, "echo", 7, &got); err != nil || got != 7 {
+		t.Errorf("the next call returned %d, %v", got, err)
+	}
+}
+
+// failingListener fails a number of times before it accepts connections.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestLackOfDescriptorsDoesNotEndServer checks that the server outlives errors of its
+// listener.
+func TestLackOfDescriptorsDoesNotEndServer(t *testing.T) {
+	server := NewServer(Options{Identity: identity("server"), Secret: testSecret, Address: "127.0.0.1:0"})
+	server.Handle("echo", func(_ context.Context, _ Identity, params json.RawMessage) (any, error) { return params, nil })
+	if err := server.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	failing := &failingListener{Listener: server.listener}
+	failing.failures.Store(3)
+	server.listener = failing
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx) }()
+	d := dialer(t, Options{Secret: testSecret})
+	var got int
+	if err := d.Call(t.Context(), server.Address(), "echo", 7, &got); err != nil || got != 7 {
+		t.Errorf("a call after the errors returned %d, %v", got, err)
+	}
+	cancel()
+	if err := <-served; err != nil {
+		t.Errorf("Serve: %v", err)
+	}
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -5,12 +5,16 @@
 	"crypto/tls"
 	"encoding/json"
 	"net"
+	"runtime/debug"
 	"sync"
+	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 const (
@@ -98,13 +102,22 @@
 	return err
 }
 
-// accept accepts connections until the listener fails or is closed. Connections above
+// acceptRetryDelay is the delay after an error of the listener, such as a lack of file
+// descriptors.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// accept accepts connections until the listener is closed. Connections above
 // MaxConnections are closed immediately.
 func (s *Server) accept(ctx context.Context) error {
 	for {
 		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return fault.Wrap(fault.Internal, err, "the peer listener was closed")
+		}
 		if err != nil {
-			return fault.Wrap(fault.Internal, err, "the peer listener failed")
+			s.options.Logger.Error().Err(err).Dur("retry_ms", acceptRetryDelay).Msg("cannot accept peer connection")
+			wait.For(ctx, acceptRetryDelay)
+			continue
 		}
 		select {
 		case s.connSlots <- struct{}{}:
@@ -207,7 +220,7 @@
 		return
 	}
 	if request.Notif {
-		if _, err := handler(ctx, c.from, params); err != nil {
+		if _, err := c.invoke(ctx, handler, c.from, request.Method, params); err != nil {
 			c.server.options.Logger.Debug().Err(err).Str("method", request.Method).Msg("notification handler failed")
 		}
 		return
@@ -216,11 +229,23 @@
 	from := c.from
 	c.startCall(func() {
 		defer func() { <-c.callSlots }()
-		result, err := handler(ctx, from, params)
+		result, err := c.invoke(ctx, handler, from, request.Method, params)
 		c.reply(ctx, rpc, request.ID, result, err)
 	})
 }
 
+// invoke calls a handler. A panic is logged and returned as an error, so that one message
+// cannot end the process.
+func (c *serverConn) invoke(ctx context.Context, handler Handler, from Identity, method string, params json.RawMessage) (result any, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			c.server.options.Logger.Error().Str("method", method).Str("peer", string(from.Instance)).Interface("panic", value).Bytes("stack", debug.Stack()).Msg("handler panicked")
+			result, err = nil, fault.New(fault.Internal, "the handler of the message failed")
+		}
+	}()
+	return handler(ctx, from, params)
+}
+
 // hello stores the identity of the peer and replies with that of this instance.
 func (c *serverConn) hello(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request, params json.RawMessage) {
 	var from Identity
