simulate: engines that limit the request rate of all entries

The simulated deployments had no limits of engines, so neither the bound nor the use of a limit, nor what moves to the other engines, could be seen at a fleet's size.

--- a/pkg/simulate/metrics.go
+++ b/pkg/simulate/metrics.go
@@ -43,6 +43,8 @@
 	// Utilization estimates the share of the day in which the engines were busy,
 	// from the prefilled tokens and the base time of the steps.
 	Utilization float64 `json:"busy"`
+	// Limits tells how the limits of the engines were kept and used.
+	Limits LimitUse `json:"limits"`
 }
 
 const (
@@ -78,6 +80,7 @@
 	result.Preempted = counters.Preemptions
 	result.RepeatedPrefillTokens = max(counters.PrefillTokens-sim.minimumPrefillTokens(), 0)
 	stepSeconds := float64(counters.PrefillTokens)*sim.site.Engine.StepPerPrefillToken.Seconds() + float64(counters.Steps)*sim.site.Engine.StepBase.Seconds()
+	result.Limits = sim.limitUse()
 	result.Utilization = stepSeconds / (float64(sim.site.Engines) * sim.day.Length.Seconds())
 	return result
 }
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -102,6 +102,7 @@
 	// kind, in tokens.
 	roots    map[string][]int
 	sessions map[string][]int
+	limits   *limitState
 }
 
 // engineSlot holds an engine and its state across restarts.
@@ -131,6 +132,7 @@
 		arrivals: rand.New(rand.NewPCG(seed, 7)), random: rand.New(rand.NewPCG(seed, 8)),
 		engines: make(map[engineID]*engineSlot), running: make(map[types.RequestID]*request),
 		roots: make(map[string][]int), sessions: make(map[string][]int),
+		limits: newLimitState(site),
 	}
 	for i := range site.Engines {
 		id := engineID(fmt.Sprintf("e%02d", i))
@@ -154,6 +156,7 @@
 	sim.publishEngines()
 	for sim.now = 0; sim.now < day.Length+drainTime; sim.now += tick {
 		sim.applyFaults()
+		sim.updateLimits()
 		sim.generateArrivals()
 		sim.resumeWaiting()
 		sim.stepEngines()
@@ -305,12 +308,13 @@
 func (sim *simulation) place(r *request) {
 	r.remaining = r.arrivedAt + r.kind.Deadline - sim.now
 	r.work.Timing = sim.rosters[r.entry].Timing(target).Bounded(sim.site.strictestInterToken())
+	permitsRefused := 0
 	for len(r.tried) < maxEngineAttempts {
 		fleetSize := sim.site.Entries
 		if sim.site.IgnoreFleetSize {
 			fleetSize = 1
 		}
-		decision := decide(sim.policy, fleetSize, sim.random, r, sim.candidates(r))
+		decision := decide(sim.policy, fleetSize, sim.random, r, sim.withoutBlocked(r, permitsRefused, sim.candidates(r)))
 		if decision.wait {
 			sim.queued = append(sim.queued, r)
 			return
@@ -319,6 +323,10 @@
 			sim.refuse(r, decision.retryAfter)
 			return
 		}
+		if !sim.obtainPermit(r, decision.choice.ID, sim.random) {
+			permitsRefused++
+			continue
+		}
 		if sim.send(r, decision.choice) {
 			return
 		}
--- a/pkg/simulate/site.go
+++ b/pkg/simulate/site.go
@@ -73,7 +73,9 @@
 	ReportInterval time.Duration
 	// IgnoreFleetSize makes each entry place requests as if it were the only one.
 	IgnoreFleetSize bool
-	Kinds           []Kind
+	// IgnoreLimits makes the entries ignore the limits of engines.
+	IgnoreLimits bool
+	Kinds        []Kind
 }
 
 // strictestInterToken returns the shortest inter-token objective of all kinds.
@@ -121,6 +123,7 @@
 	HotSessions []HotSession
 	Outages     []Outage
 	Slowdowns   []Slowdown
+	Limits      []EngineLimit
 }
 
 // dayLength is the length of the reference days before their planned maintenance.
