pool, dispatch: serve keeps the request rate that an upstream names

The same cause as in in the other request path: an upstream of serve could not say that it accepts fewer requests, and its dispatcher granted it whatever its slots and its batch allowed.

Change: the load report may have max_requests_per_second, for all entries together. The dispatcher, which alone grants the upstream, uses the token bucket of pkg/permit, empty at first like that of an issuer. An upstream without a permit counts as full: it gets no grants and no request is preempted for it. The wait and the time to return of a request follow from the limits if all upstreams have one. A value that is no rate is logged and changes nothing.

Before: no such field.

--- a/pkg/dispatch/loads.go
+++ b/pkg/dispatch/loads.go
@@ -12,6 +12,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 )
 
 // LoadReader reads the load reports of upstreams. Implementations are safe for
@@ -33,6 +34,27 @@
 	Leaving bool `json:"leaving"`
 	// AgeMilliseconds is the age of the report.
 	AgeMilliseconds int64 `json:"age_ms"`
+	// MaxRequestsPerSecond is the request rate that the upstream accepts from all
+	// entries together. A report without it ends an earlier limit.
+	MaxRequestsPerSecond json.RawMessage `json:"max_requests_per_second,omitempty"`
+}
+
+// maxReportedLimit is the highest request rate, per second, that counts as a limit.
+const maxReportedLimit = 1e6
+
+// limit returns the limit in the report, or an error if it is not a request rate.
+func (r LoadReport) limit() (permit.Limit, error) {
+	if r.MaxRequestsPerSecond == nil {
+		return permit.Limit{}, nil
+	}
+	var perSecond float64
+	if err := json.Unmarshal(r.MaxRequestsPerSecond, &perSecond); err != nil {
+		return permit.Limit{}, fault.Wrap(fault.UpstreamFailed, err, "the limit in the load report is not a number")
+	}
+	if perSecond < 0 || perSecond > maxReportedLimit {
+		return permit.Limit{}, fault.New(fault.UpstreamFailed, "the limit in the load report is not between 0 and 1000000 requests per second")
+	}
+	return permit.Limit{PerSecond: perSecond, Limited: true}, nil
 }
 
 // age returns the age of the report.
--- a/pkg/dispatch/poller.go
+++ b/pkg/dispatch/poller.go
@@ -98,6 +98,7 @@
 			Waiting:  report.Waiting,
 			KVUsed:   report.KVUsed,
 			Age:      report.age(),
+			Limit:    status.updateLimit(p.dispatch.options.Logger, report),
 		}})
 	}
 }
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/statechart"
 )
 
@@ -32,6 +35,8 @@
 	// recoveryMargin is how much newer than the last indication of leaving a
 	// load report must be to show that the upstream is back.
 	recoveryMargin = 2 * time.Second
+	// maxLoggedLimit is the number of bytes of an invalid limit that are logged.
+	maxLoggedLimit = 64
 )
 
 // upstreamStatus is the status of one upstream at a dispatcher. It is guarded
@@ -46,8 +51,10 @@
 	announced bool
 	leavingAt time.Time
 	failures  int
-	wake      chan struct{}
-	stop      context.CancelFunc
+	// limit is the request rate that the upstream accepts.
+	limit permit.Limit
+	wake  chan struct{}
+	stop  context.CancelFunc
 }
 
 // available reports whether the upstream may receive new requests.
@@ -58,6 +65,22 @@
 func (u *upstreamStatus) down() bool    { return u.lifecycle.State() == stateDown }
 func (u *upstreamStatus) leaving() bool { return u.lifecycle.State() == stateLeaving }
 
+// updateLimit returns the limit in force after a report, and logs its changes. An invalid
+// limit changes nothing.
+func (u *upstreamStatus) updateLimit(logger zerolog.Logger, report LoadReport) permit.Limit {
+	limit, err := report.limit()
+	if err != nil {
+		logger.Warn().Err(err).Str("upstream", string(u.config.ID)).Bytes("limit", report.MaxRequestsPerSecond[:min(len(report.MaxRequestsPerSecond), maxLoggedLimit)]).Msg("upstream names an invalid limit")
+		return u.limit
+	}
+	if limit != u.limit {
+		logger.Info().Str("upstream", string(u.config.ID)).Bool("limited", limit.Limited).Float64("per_second", limit.PerSecond).
+			Bool("limited_before", u.limit.Limited).Float64("per_second_before", u.limit.PerSecond).Int64("age_ms", report.AgeMilliseconds).Msg("upstream limit changed")
+		u.limit = limit
+	}
+	return limit
+}
+
 // fire takes the transition for the event, if the current state has one.
 // Repeated events have none in most states.
 func (u *upstreamStatus) fire(event statechart.Event) {
--- a/pkg/permit/issuer.go
+++ b/pkg/permit/issuer.go
@@ -8,15 +8,6 @@
 )
 
 const (
-	// minRate is the lowest rate at which permits are issued, in requests per second.
-	// Only a response tells that a limit has ended, so an upstream that accepts fewer
-	// requests, or none, still gets one every four seconds.
-	minRate = 0.25
-	// minBurst and burstTime are the number of unused permits that accumulate, and the
-	// time for which more of them do. They cover the time until an instance asks again
-	// after a refusal.
-	minBurst  = 1.5
-	burstTime = 500 * time.Millisecond
 	// requestsPerPermit is the number of requests that the issuer aims to get for each
 	// permit. It spreads the instances that it refuses so that their requests do not
 	// grow with the fleet.
@@ -77,11 +68,9 @@
 // NewIssuer returns an Issuer that is not responsible for any upstream.
 func NewIssuer() *Issuer { return &Issuer{buckets: make(map[types.UpstreamID]*bucket)} }
 
-// bucket is a token bucket. It begins empty, because the issuer before may have just used
-// up its own.
+// bucket has the permits of one upstream and who asked for them.
 type bucket struct {
-	tokens     float64
-	refilledAt time.Duration
+	Bucket
 	// askers are the instances that share the limit, with their latest request.
 	askers map[types.InstanceID]time.Duration
 	// refusedAt and grantedAt are the times of the latest refusal and permit of each
@@ -94,30 +83,26 @@
 func (i *Issuer) Issue(now time.Duration, request Request, limit Limit, share float64) Reply {
 	b, ok := i.buckets[request.Upstream]
 	if !ok {
-		b = &bucket{refilledAt: now, askers: make(map[types.InstanceID]time.Duration), refusedAt: make(map[int]time.Duration), grantedAt: make(map[int]time.Duration)}
+		b = &bucket{Bucket: NewBucket(now), askers: make(map[types.InstanceID]time.Duration), refusedAt: make(map[int]time.Duration), grantedAt: make(map[int]time.Duration)}
 		i.buckets[request.Upstream] = b
 	}
-	rate := max(limit.PerSecond, minRate) * share
-	capacity := minBurst + rate*burstTime.Seconds()
-	b.tokens = min(b.tokens+(now-b.refilledAt).Seconds()*rate, capacity)
-	b.refilledAt = now
+	b.Refill(now, limit, share)
 	b.askers[request.From] = now
 	if _, known := b.grantedAt[request.Priority]; !known {
 		b.grantedAt[request.Priority] = now
 	}
 	needed := 1.0
 	if b.yields(now, request.Priority) {
-		needed = capacity
+		needed = b.capacity()
 	}
-	// The tolerance covers rounding, so that a full bucket counts as full.
-	if b.tokens+1e-9 >= needed {
-		b.tokens--
+	if b.Tokens() >= needed {
+		b.Take()
 		b.grantedAt[request.Priority] = now
 		return Reply{Granted: true}
 	}
 	b.refusedAt[request.Priority] = now
-	untilToken := time.Duration((needed - b.tokens) / rate * float64(time.Second))
-	return Reply{RetryAfter: b.retryAfter(now, rate, untilToken, request.Jitter)}
+	untilToken := time.Duration((needed - b.Tokens()) / b.Rate() * float64(time.Second))
+	return Reply{RetryAfter: b.retryAfter(now, untilToken, request.Jitter)}
 }
 
 // yields reports whether requests of the priority leave permits to others that were
@@ -140,9 +125,9 @@
 
 // retryAfter returns when a refused instance may ask again: not before there is a permit,
 // and so late that all instances together send requestsPerPermit requests for each.
-func (b *bucket) retryAfter(now time.Duration, rate float64, untilToken time.Duration, jitter float64) time.Duration {
+func (b *bucket) retryAfter(now time.Duration, untilToken time.Duration, jitter float64) time.Duration {
 	maps.DeleteFunc(b.askers, func(_ types.InstanceID, at time.Duration) bool { return now-at > askerTTL })
-	spread := time.Duration(float64(len(b.askers)) / (requestsPerPermit * rate) * float64(time.Second))
+	spread := time.Duration(float64(len(b.askers)) / (requestsPerPermit * b.Rate()) * float64(time.Second))
 	after := min(max(untilToken, spread, minRetry), maxRetry)
 	return after + time.Duration(jitter*float64(min(after, spread)))
 }
--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -173,6 +173,9 @@
 // predictedWait returns the expected time until the waiting job gets a slot.
 func (p *Pool) predictedWait(j *job) time.Duration {
 	ahead := p.queue.jobsAhead(j)
+	if wait := p.permitWait(j, ahead+1); wait > 0 {
+		return wait
+	}
 	if ahead < p.totalFreeSlots(p.share(j))-p.floorReserve {
 		return 0
 	}
@@ -209,6 +212,7 @@
 // retry: when the requests queued ahead of it have started, within the
 // configured bounds.
 func (p *Pool) retryAfter(j *job) time.Duration {
-	wait := p.drainTime(p.queue.waitingAtOrAbove(j.req.Tier)+1, j)
+	waiting := p.queue.waitingAtOrAbove(j.req.Tier) + 1
+	wait := max(p.drainTime(waiting, j), p.permitWait(j, waiting))
 	return min(max(wait, p.settings.MinRetryAfter), p.settings.MaxRetryAfter)
 }
--- a/pkg/pool/capacity.go
+++ b/pkg/pool/capacity.go
@@ -56,7 +56,7 @@
 	if !e.available(p.now) || e.speed.ejected {
 		return 0
 	}
-	return max(p.slots(e, share)-e.batchSize(p.now), 0)
+	return min(max(p.slots(e, share)-e.batchSize(p.now), 0), e.permitsLeft(p.now))
 }
 
 // expectedKVTokens returns the size that the job's key-value cache is expected
@@ -104,7 +104,7 @@
 
 // accepts reports whether the engine may be given the job now.
 func (p *Pool) accepts(e *engine, j *job, floor bool) bool {
-	if !e.available(p.now) || !j.allows(e) || !p.fits(e, j, floor) {
+	if !e.available(p.now) || !j.allows(e) || e.permitsLeft(p.now) == 0 || !p.fits(e, j, floor) {
 		return false
 	}
 	if j.req.Crashes > 0 && e.suspects > 0 {
--- a/pkg/pool/engine.go
+++ b/pkg/pool/engine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -27,6 +28,10 @@
 	// removed is set if the configuration no longer lists the upstream.
 	removed bool
 	leaving bool
+	// limit is the request rate that the upstream accepts, and permits what is left of
+	// it.
+	limit   permit.Limit
+	permits permit.Bucket
 }
 
 func newEngine(u config.Upstream) *engine {
--- a/pkg/pool/events.go
+++ b/pkg/pool/events.go
@@ -135,6 +135,7 @@
 func (p *Pool) load(l Load) {
 	e := p.ensureEngine(l.Upstream)
 	e.external.recordReport(p.now, l.Age, l.Running+l.Waiting, len(e.running))
+	e.setLimit(p.now, l.Limit)
 }
 
 func (p *Pool) upstream(u Upstream) {
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -181,6 +181,7 @@
 	p.queue.charge(j)
 	p.queue.tier(j.req.Tier).recentStarts.add(p.now, 1, rateWindow)
 	p.assign(j, e)
+	e.takePermit()
 	j.class.lastStart = p.now
 	j.class.hasStarted = true
 	p.actions = append(p.actions, Action{Grant: &Grant{
--- a/pkg/pool/preemption.go
+++ b/pkg/pool/preemption.go
@@ -84,7 +84,7 @@
 	var best *job
 	bestFits := false
 	for _, r := range p.runningList {
-		if r.req.Tier >= j.req.Tier || !r.preemptible() || !j.allows(r.engine) {
+		if r.req.Tier >= j.req.Tier || !r.preemptible() || !j.allows(r.engine) || r.engine.permitsLeft(p.now) == 0 {
 			continue
 		}
 		fits := p.fitsAfter(r, j)
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -10,6 +10,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -144,6 +145,8 @@
 	KVUsed   int              `json:"kv_used"`
 	// Age is how old the report is.
 	Age time.Duration `json:"age"`
+	// Limit is the request rate that the upstream accepts.
+	Limit permit.Limit `json:"limit"`
 }
 
 // Upstream updates the availability of an upstream.
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -29,6 +29,12 @@
 	if change.LoadLagMilliseconds != nil {
 		e.faults.LoadLag = time.Duration(*change.LoadLagMilliseconds) * time.Millisecond
 	}
+	if limit := change.MaxRequestsPerSecond; limit != nil {
+		e.faults.MaxRequestsPerSecond = limit
+		if *limit < 0 {
+			e.faults.MaxRequestsPerSecond = nil
+		}
+	}
 	if change.PoisonMarker != nil {
 		e.faults.PoisonMarker = *change.PoisonMarker
 	}
--- a/pkg/standin/engine/load.go
+++ b/pkg/standin/engine/load.go
@@ -70,6 +70,8 @@
 		KVUsed:          s.load.KVUsed,
 		Leaving:         s.leaving,
 		AgeMilliseconds: e.faults.LoadLag.Milliseconds(),
+
+		MaxRequestsPerSecond: e.faults.MaxRequestsPerSecond,
 	}
 }
 
--- a/pkg/standin/engine/protocol.go
+++ b/pkg/standin/engine/protocol.go
@@ -109,6 +109,9 @@
 	Leaving bool `json:"leaving"`
 	// AgeMilliseconds is the age of the report.
 	AgeMilliseconds int64 `json:"age_ms"`
+	// MaxRequestsPerSecond is the request rate that the engine accepts. It is absent
+	// if there is no limit.
+	MaxRequestsPerSecond *float64 `json:"max_requests_per_second,omitempty"`
 }
 
 // FaultsChange is the JSON body of PUT /faults. Absent fields leave their fault
@@ -117,8 +120,10 @@
 	Leaving  *bool    `json:"leaving,omitempty"`
 	Straggle *float64 `json:"straggle,omitempty"`
 	// LoadLagMilliseconds is the age of the load reports.
-	LoadLagMilliseconds *int64  `json:"load_lag_ms,omitempty"`
-	PoisonMarker        *string `json:"poison_marker,omitempty"`
+	LoadLagMilliseconds *int64 `json:"load_lag_ms,omitempty"`
+	// MaxRequestsPerSecond is the limit to report. A negative one ends the limit.
+	MaxRequestsPerSecond *float64 `json:"max_requests_per_second,omitempty"`
+	PoisonMarker         *string  `json:"poison_marker,omitempty"`
 	// BreakNext is the number of upcoming requests whose connection is closed
 	// before the answer is complete.
 	BreakNext *int `json:"break_next,omitempty"`
--- a/pkg/standin/engine/settings.go
+++ b/pkg/standin/engine/settings.go
@@ -45,6 +45,8 @@
 	Straggle float64
 	// LoadLag is the age of the load reports.
 	LoadLag time.Duration
+	// MaxRequestsPerSecond is the limit in the load reports, or nil if there is none.
+	MaxRequestsPerSecond *float64
 	// PoisonMarker crashes the engine when it processes a prompt that contains the
 	// marker. An empty marker disables the fault.
 	PoisonMarker string
