entry: the burst of the retry budget is divided among the entries

The same class as the limits of upstreams: a figure that is meant for the fleet was applied by each entry alone. The burst of 256 retries in 10 s protects a target from retries, but each of n entries had all of it.

The ratio to first attempts needs no division.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -120,6 +120,17 @@
 	}
 }
 
+// spendRetry counts a retry, or returns false if the budget allows no more. The burst is
+// meant for the whole fleet and divided among the instances that are up.
+func (e *Entry) spendRetry() bool {
+	instances := 1
+	if e.options.View != nil {
+		instances = max(len(e.options.View.Live()), 1)
+	}
+	e.budget.SetBurst(e.settings.Retry.Burst / float64(instances))
+	return e.budget.Spend()
+}
+
 // sendCall sends the call and receives the response.
 func (e *Entry) sendCall(ctx context.Context, cancel context.CancelCauseFunc, req *request, x exchange,
 	grant dispatch.Grant, lifecycle *statechart.Machine) error {
@@ -234,10 +245,10 @@
 	case pool.FinishExpired:
 		return true
 	case pool.FinishCancelled:
-		return result.err.Code == fault.Preempted || result.err == errStreamIdle && e.budget.Spend()
+		return result.err.Code == fault.Preempted || result.err == errStreamIdle && e.spendRetry()
 	case pool.FinishRejected:
-		return e.budget.Spend() && wait.For(ctx, rejectedRetryDelay)
+		return e.spendRetry() && wait.For(ctx, rejectedRetryDelay)
 	default:
-		return e.budget.Spend()
+		return e.spendRetry()
 	}
 }
