gateway, permit: small changes of a limit do not cancel refusals

Found on reading the change again. Each change of a limit let all instances that had been refused a permit ask again at once. An upstream that names a slightly different limit in each response would have had the whole fleet ask after each of them.

Change: only the end of a limit, or one of more than twice the rate, does. The test of panics in handlers panics directly, for the linter.

Before: TestSmallChangesOfLimitKeepRefusals asked six times. After: three times, at 2, after 0 and at 7 a second.

--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -43,11 +43,12 @@
 }
 
 // observe adds an observation. It returns the limit before, and whether it has changed.
+// Refusals under a limit that has ended or is much higher now count no longer.
 func (p *permits) observe(id types.UpstreamID, o permit.Observation) (before permit.Limit, changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before, changed = p.limits.Observe(id, o)
-	if changed {
+	if changed && o.MuchLooser(before) {
 		p.blocks.Clear(id)
 	}
 	return before, changed
--- a/pkg/gateway/permits_test.go
+++ b/pkg/gateway/permits_test.go
@@ -314,3 +314,24 @@
 	g.ServeHTTP(recorder, request)
 	return recorder
 }
+
+// TestSmallChangesOfLimitKeepRefusals checks an upstream that names another limit in each
+// response: instances that were refused a permit do not ask again at once.
+func TestSmallChangesOfLimitKeepRefusals(t *testing.T) {
+	env := newTestEnv(t, testRoutes, respondWith(""), 1)
+	log := &permitLog{reply: permit.Reply{RetryAfter: time.Minute}}
+	env.fleet.issue = log.issue
+	name := func(limit permit.Limit) {
+		now := clock.Boot()
+		env.gateway.MergeLimits("peer", map[types.UpstreamID]permit.Observation{"u0": {Limit: limit, SentAt: now, ReceivedAt: now}})
+		env.call("POST", "/once/", "")
+	}
+	for _, c := range []struct {
+		perSecond float64
+		asked     int
+	}{{2, 1}, {2.1, 1}, {1.9, 1}, {0, 1}, {3, 2}, {7, 3}} {
+		if name(permit.Limit{PerSecond: c.perSecond, Limited: true}); log.count() != c.asked {
+			t.Errorf("limit %g: %d permits asked for, want %d", c.perSecond, log.count(), c.asked)
+		}
+	}
+}
--- a/pkg/peer/failure_test.go
+++ b/pkg/peer/failure_test.go
@@ -16,9 +16,7 @@
 func TestPanicOfHandlerDoesNotEndProcess(t *testing.T) {
 	address := start(t, func(r Registrar) {
 		r.Handle("panic", func(context.Context, Identity, json.RawMessage) (any, error) {
-			var missing map[string]int
-			missing["x"]++
-			return nil, nil
+			panic("unexpected message")
 		})
 		r.Handle("echo", func(_ context.Context, _ Identity, params json.RawMessage) (any, error) { return params, nil })
 	})
--- a/pkg/permit/limit.go
+++ b/pkg/permit/limit.go
@@ -27,6 +27,15 @@
 	return l.Limited && (!other.Limited || l.PerSecond < other.PerSecond)
 }
 
+// muchLooserFactor is the ratio of two limits from which refusals under the lower one say
+// nothing of the higher one. Upstreams may name a slightly different limit each time.
+const muchLooserFactor = 2
+
+// MuchLooser reports whether the limit allows much more than the one before.
+func (l Limit) MuchLooser(before Limit) bool {
+	return !l.Limited || before.Limited && l.PerSecond > muchLooserFactor*before.PerSecond
+}
+
 // Observation is a limit as an upstream stated it in a response.
 type Observation struct {
 	Limit
