--- a/pkg/gateway/permits_test.go
+++ b/pkg/gateway/permits_test.go
@@ -288,14 +288,7 @@
 		}
 	}
 	for upstream, times := range arrived {
-		first, most := 0, 0
-		for i := range times {
-			for times[i]-times[first] > 4*time.Second {
-				first++
-			}
-			most = max(most, i-first+1)
-		}
-		if most > allowed || len(times) < 15 {
+		if most := permit.MostInWindow(times, 4*time.Second); most > allowed || len(times) < 15 {
 			t.Errorf("%s: %d requests within 4 s, %d are allowed; %d of about 19 in all", upstream, most, allowed, len(times))
 		}
 	}
--- a/pkg/mesh/permits_test.go
+++ b/pkg/mesh/permits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -24,7 +23,7 @@
 // demand sends requests to the limited upstream from all instances of a fleet.
 type demand struct {
 	mu   sync.Mutex
-	sent []time.Time
+	sent []time.Duration
 	// stopped are instances that no longer send.
 	stopped map[int]bool
 	asked   int
@@ -57,7 +56,7 @@
 		d.mu.Lock()
 		d.asked++
 		if err == nil && reply.Granted && !d.stopped[i] {
-			d.sent = append(d.sent, time.Now())
+			d.sent = append(d.sent, time.Since(f.started))
 		}
 		d.mu.Unlock()
 		if err != nil {
@@ -83,19 +82,6 @@
 	f.meshes[i].ReportLimit(limitedUpstream, o)
 }
 
-// most returns the largest number of requests in a window.
-func most(sent []time.Time, window time.Duration) int {
-	slices.SortFunc(sent, time.Time.Compare)
-	largest, first := 0, 0
-	for i := range sent {
-		for sent[i].Sub(sent[first]) > window {
-			first++
-		}
-		largest = max(largest, i-first+1)
-	}
-	return largest
-}
-
 // TestFleetKeepsUpstreamLimit lets all instances of a fleet press on an upstream with a
 // limit while the fleet changes, and counts all requests, also those of instances that
 // are disconnected.
@@ -155,7 +141,7 @@
 				}
 				running.Wait()
 				allowed := int(boundFactor*c.perSecond*boundWindow.Seconds()) + boundSlack
-				got := most(d.sent, boundWindow)
+				got := permit.MostInWindow(d.sent, boundWindow)
 				used := float64(len(d.sent)) / max(c.perSecond*length.Seconds(), 1)
 				t.Logf("%d requests within %v, %d allowed; %.2f of the limit used, %.1f permits asked for a second", got, boundWindow, allowed, used, float64(d.asked)/length.Seconds())
 				if got > allowed {
--- a/pkg/permit/issuer_test.go
+++ b/pkg/permit/issuer_test.go
@@ -22,17 +22,6 @@
 	return int(boundFactor*perSecond*boundWindow.Seconds()) + boundSlack
 }
 
-func mostWithin(sent []time.Duration, window time.Duration) int {
-	largest, first := 0, 0
-	for i := range sent {
-		for sent[i]-sent[first] > window {
-			first++
-		}
-		largest = max(largest, i-first+1)
-	}
-	return largest
-}
-
 func ask(issuer *Issuer, now time.Duration, perSecond float64, priority int, from string) Reply {
 	return issuer.Issue(now, Request{Upstream: "u", Priority: priority, From: types.InstanceID(from)}, Limit{perSecond, true}, 1)
 }
@@ -58,7 +47,7 @@
 				granted = append(granted, ms(now))
 			}
 		}
-		if got := mostWithin(granted, boundWindow); got > allowed(perSecond) {
+		if got := MostInWindow(granted, boundWindow); got > allowed(perSecond) {
 			t.Fatalf("%d permits within %v at a limit of %g, %d are allowed", got, boundWindow, perSecond, allowed(perSecond))
 		}
 	})
@@ -82,7 +71,7 @@
 						}
 					}
 				}
-				if got := mostWithin(granted, boundWindow); got > allowed(perSecond) {
+				if got := MostInWindow(granted, boundWindow); got > allowed(perSecond) {
 					t.Errorf("parts of %d and %d instances: %d permits within %v at a limit of %g, %d are allowed", part, instances-part, got, boundWindow, perSecond, allowed(perSecond))
 				}
 			}
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -46,24 +46,13 @@
 	return run
 }
 
-func mostWithin(times []time.Duration, window time.Duration) int {
-	first, largest := 0, 0
-	for i := range times {
-		for times[i]-times[first] > window {
-			first++
-		}
-		largest = max(largest, i-first+1)
-	}
-	return largest
-}
-
 // TestUpstreamLimitHoldsForAllEntries presses on engines that all have a limit.
 func TestUpstreamLimitHoldsForAllEntries(t *testing.T) {
 	for _, perSecond := range []float64{0, 0.5, 2.2, 8} {
 		run := runWithLimits(New(DefaultSettings()), 50*time.Millisecond, permit.Limit{PerSecond: perSecond, Limited: true}, permit.Limit{PerSecond: perSecond, Limited: true})
 		allowed := int(1.5*perSecond*4) + 5
 		for id, times := range run.granted {
-			if got := mostWithin(times, 4*second); got > allowed {
+			if got := permit.MostInWindow(times, 4*second); got > allowed {
 				t.Errorf("limit %g: %s got %d requests in 4 s, %d are allowed", perSecond, id, got, allowed)
 			}
 			if used := float64(len(times)) / 20; used < 0.8*perSecond {
@@ -87,7 +76,7 @@
 	if len(run.refused) > 0 {
 		t.Errorf("%d requests were refused", len(run.refused))
 	}
-	if got := mostWithin(run.granted["u0"], 4*second); got > 17 || len(run.granted["u0"]) < 20 {
+	if got := permit.MostInWindow(run.granted["u0"], 4*second); got > 17 || len(run.granted["u0"]) < 20 {
 		t.Errorf("the engine with a limit of 2 a second got %d requests in 4 s, %d in 20 s", got, len(run.granted["u0"]))
 	}
 }
--- a/pkg/simulate/limits.go
+++ b/pkg/simulate/limits.go
@@ -110,13 +110,7 @@
 	total := 0
 	for _, times := range sim.limits.arrivals {
 		total += len(times)
-		first := 0
-		for i := range times {
-			for times[i]-times[first] > limitWindow {
-				first++
-			}
-			use.Most = max(use.Most, i-first+1)
-		}
+		use.Most = max(use.Most, permit.MostInWindow(times, limitWindow))
 	}
 	if allowed > 0 {
 		use.Used = float64(total) / allowed
