mesh: a request for a permit that times out still establishes its connection

Found on reading the change again. An instance of a large fleet asks issuers to which it has no connection yet, and gives them 100 ms. Where the TLS handshake takes longer on a small share of a core, each request for a permit would have ended its own handshake, and the upstream would have stayed unused by that instance.

Change: the call goes on for up to 700 ms while the caller's request goes elsewhere after 100 ms; a permit that arrives late is not used. TestRequestForPermitDoesNotWaitForLostIssuer checks the time with an issuer that does not respond, and that the next one takes over.

--- a/pkg/mesh/permits.go
+++ b/pkg/mesh/permits.go
@@ -136,9 +136,36 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	var reply permit.Reply
-	err := m.options.Caller.Call(ctx, address, permitMethod, permitRequest{request, newLimitReport(m.options.Clock(), request.Upstream, limit)}, &reply)
-	return reply, err
+	type result struct {
+		reply permit.Reply
+		err   error
+	}
+	results := make(chan result, 1)
+	go func() {
+		// The call outlives permitTimeout, so that a connection that is established
+		// meanwhile serves the next request.
+		callCtx, cancel := context.WithTimeout(m.lifetime(), callTimeout)
+		defer cancel()
+		var r result
+		r.err = m.options.Caller.Call(callCtx, address, permitMethod, permitRequest{request, newLimitReport(m.options.Clock(), request.Upstream, limit)}, &r.reply)
+		results <- r
+	}()
+	select {
+	case r := <-results:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return permit.Reply{}, fault.Wrap(fault.PeerUnavailable, ctx.Err(), "the issuer of the permits did not reply in time")
+	}
+}
+
+// lifetime returns a context that ends with Run.
+func (m *Mesh) lifetime() context.Context {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ctx == nil {
+		return context.Background()
+	}
+	return m.ctx
 }
 
 // handlePermit decides on a peer's request for a permit.
--- a/pkg/mesh/permits_test.go
+++ b/pkg/mesh/permits_test.go
@@ -205,3 +205,25 @@
 		})
 	}
 }
+
+// TestRequestForPermitDoesNotWaitForLostIssuer asks an issuer that does not respond.
+func TestRequestForPermitDoesNotWaitForLostIssuer(t *testing.T) {
+	runFleet(t, 9, func(t *testing.T, f *fleet) {
+		time.Sleep(5 * time.Second)
+		f.observeLimit(0, permit.Limit{PerSecond: 2, Limited: true})
+		time.Sleep(time.Second)
+		issuer := f.issuerIndex(&demand{})
+		asker := (issuer + 1) % len(f.meshes)
+		f.network.Partition([]string{address(issuer)})
+		limit, _ := f.limitAt(asker)
+		before := time.Now()
+		_, err := f.meshes[asker].RequestPermit(f.ctx, permit.Request{Upstream: limitedUpstream}, limit)
+		if took := time.Since(before); err == nil || took > permitTimeout {
+			t.Errorf("%v after %v, want an error within %v", err, took, permitTimeout)
+		}
+		time.Sleep(downAfter + 2*maxHeartbeatInterval)
+		if _, err := f.meshes[asker].RequestPermit(f.ctx, permit.Request{Upstream: limitedUpstream}, limit); err != nil {
+			t.Errorf("after the loss was noticed: %v", err)
+		}
+	})
+}
