gateway: a short response does not take a block of 32 KB

The buffer of the response now grows as needed, as before that change, from 512 bytes. The tests of its bounds are unchanged and pass.

--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,7 +22,8 @@
 	// size, no response is buffered further, so that endless ones cannot exhaust the
 	// memory of a small instance.
 	maxTotalResponseBytes = 12 << 20
-	// responseBlockBytes is how much of a response is read, and written, at once.
+	// minReadBytes and responseBlockBytes bound how much of a response is read at once.
+	minReadBytes       = 512
 	responseBlockBytes = 32 << 10
 )
 
@@ -60,10 +62,10 @@
 // in memory reach maxTotalResponseBytes, and counts what it has read in
 // bufferedResponseBytes. HasMore reports whether the response may go on.
 func (g *Gateway) bufferResponse(reader io.Reader) (body []byte, hasMore bool, err error) {
-	block := make([]byte, responseBlockBytes)
 	for len(body) < maxBufferedResponseBytes && (len(body) == 0 || g.bufferedResponseBytes.Load() < maxTotalResponseBytes) {
-		n, err := reader.Read(block[:min(len(block), maxBufferedResponseBytes-len(body))])
-		body = append(body, block[:n]...)
+		body = slices.Grow(body, minReadBytes)
+		n, err := reader.Read(body[len(body):min(cap(body), len(body)+responseBlockBytes, maxBufferedResponseBytes)])
+		body = body[:len(body)+n]
 		g.bufferedResponseBytes.Add(int64(n))
 		if errors.Is(err, io.EOF) {
 			return body, false, nil
