--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -43,7 +43,8 @@
 	// replacements selects the upstreams that may run the request instead, or is nil if
 	// none may.
 	replacements atomic.Pointer[roster.Selection]
-	sentAt       time.Duration
+	// sentAt is when the attempt began.
+	sentAt time.Duration
 	// responded reports whether the first event or the response has arrived.
 	responded bool
 }
@@ -191,7 +192,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	now := g.options.Clock()
-	a := &attempt{request: q, sentAt: now, ctx: ctx, choice: choice, cancel: cancel, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
+	a := &attempt{request: q, ctx: ctx, choice: choice, cancel: cancel, sentAt: now, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
 	if segments := roster.SharedSegments(&q.work); len(segments) > 0 {
 		g.options.Fleet.ReportCachedSegments(mesh.CachedSegments{Upstream: choice.ID, Segments: segments})
 	} else {
--- a/pkg/permit/bucket.go
+++ b/pkg/permit/bucket.go
@@ -34,8 +34,8 @@
 
 func (b *Bucket) capacity() float64 { return minBurst + b.rate*burstTime.Seconds() }
 
-// Tokens returns the number of permits that are left. A full bucket has at least that many
-// as its capacity in spite of rounding.
+// Tokens returns the number of permits that are left. It is rounded up slightly, so that a
+// full bucket is not below its capacity.
 func (b *Bucket) Tokens() float64 { return b.tokens + 1e-9 }
 
 // Rate returns the number of permits per second.
