gateway: log that an overdue attempt is ended

Before, only an overdue attempt that goes on had a line; one that was ended showed as "use of closed network connection", which is also what a caller that leaves causes.

--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -144,6 +144,8 @@
 	q, g := a.request, a.gateway
 	selection := a.replacements.Load()
 	if selection != nil && g.hasUnlimited(g.options.Roster.Candidates(g.options.Clock(), *selection, &q.work)) {
+		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(a.choice.ID)).Dur("predicted_ms", a.choice.FirstResponse).
+			Dur("elapsed_ms", q.elapsed()).Msg("overdue attempt ended, because another upstream may run the request")
 		a.cancel()
 		return
 	}
