--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -146,7 +146,9 @@
 		if routes[i].Timeout == 0 {
 			routes[i].Timeout = 10 * time.Second
 		}
-		routes[i].Objective = 5 * time.Second
+		if routes[i].Objective == 0 {
+			routes[i].Objective = 5 * time.Second
+		}
 	}
 	env.gateway.Apply(catalog.New(catalog.Contents{Routes: routes, Services: []catalog.Service{{Name: "s"}}, RequireKey: true,
 		Limits: catalog.Limits{BodyBytes: 1000, HeaderBytes: headerLimit}, Keys: map[string]catalog.Account{"k": {ID: "acc"}}}))
