gateway: an overdue attempt goes on until another upstream has accepted the request

Callers saw streams cut after 1.0 s and failures after 0.12 to 0.17 s while the upstream of their request was only silent for a while and would have gone on.

Cause: a timer ended the attempt when the roster had any other candidate, and only then was it decided whether the request might be sent again: by the retry budget, permits, the number of attempts, and the other upstream itself. Class: something in progress is ended before its replacement is secured.

Change: an overdue attempt gets a hedge, a second attempt beside it. The first one ends only when the second upstream has begun a valid response, or has kept a stream for 200 ms without rejecting it; otherwise the first goes on. The goroutine that reads from the upstream is interrupted by an alarm (a read deadline), so that both attempts are decided upon by one goroutine, and bytes that have arrived while the process did not run count before the alarm. TestOverdueAttemptIsCancelledOnlyIfAnotherUpstreamMayRunIt tested the removed timer; TestOverdueAttemptIsHedgedOnlyWhereAnotherUpstreamMayRunIt asks the same three questions of the choice of the second upstream, and also which one it is.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -70,6 +70,8 @@
 	Body   []byte
 	// DialTimeout bounds connecting to the upstream. Zero means DefaultDialTimeout.
 	DialTimeout time.Duration
+	// Alarm, if set, rings while the upstream is silent.
+	Alarm *Alarm
 }
 
 // Framing is how the end of a response body is marked.
@@ -119,7 +121,7 @@
 		return nil, &Error{Stage: Unsent, cause: errors.WithStack(err)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	response, err := roundTrip(conn, request)
+	response, err := roundTrip(request.Alarm.watch(conn), request)
 	if err != nil {
 		stop()
 		_ = conn.Close()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -6,12 +6,10 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/umbercrank/umbercrank/pkg/admission"
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -35,18 +33,23 @@
 	// the deadline.
 	ctx           context.Context
 	choice        placement.Choice
+	address       string
 	rosterAttempt *roster.Attempt
-	cancel        context.CancelFunc
-	// timer cancels the attempt when no event or response arrives in time. If it is
-	// nil, only the deadline applies.
-	timer *time.Timer
-	// replacements selects the upstreams that may run the request instead, or is nil if
-	// none may.
-	replacements atomic.Pointer[roster.Selection]
+	// exchangeCtx is the context of the exchange with the upstream, and cancel ends it.
+	exchangeCtx context.Context
+	cancel      context.CancelFunc
+	// alarm rings when the attempt is overdue. hedge is the attempt at another upstream
+	// that was started then, or nil.
+	alarm *exchange.Alarm
+	hedge *hedge
+	// overdueLogged reports whether it has been logged that the attempt is overdue and
+	// has no hedge.
+	overdueLogged bool
 	// sentAt is when the attempt began.
 	sentAt time.Duration
-	// responded reports whether the first event or the response has arrived.
-	responded bool
+	// counted reports whether the attempt is in progress.runs, responded whether the
+	// first event or the response has arrived.
+	counted, responded bool
 }
 
 // result is the result of an attempt.
@@ -59,6 +62,8 @@
 	// outcome is recorded for the upstream.
 	outcome roster.Outcome
 	err     error
+	// successor is the attempt that goes on in place of this one, or nil.
+	successor *hedge
 }
 
 // run sends the request to upstreams until it is answered or no further attempt is
@@ -81,6 +86,9 @@
 		}
 		q.retryPaid = false
 		result := q.tryUpstream(ctx, choice)
+		for result.successor != nil {
+			result = result.successor.follow()
+		}
 		if result.answered {
 			return result.err
 		}
@@ -95,8 +103,7 @@
 func (q *request) chooseUpstream() (placement.Choice, error) {
 	g := q.gateway
 	now := g.options.Clock()
-	remaining := q.remaining()
-	if remaining <= 0 {
+	if q.remaining() <= 0 {
 		return placement.Choice{}, q.deadlineError()
 	}
 	selection, failure := q.selection()
@@ -107,9 +114,7 @@
 	if len(candidates) == 0 && len(blocked) > 0 {
 		return placement.Choice{}, q.refuseLimited(blocked)
 	}
-	admissionRequest := admission.Request{Objective: q.route.Objective, Remaining: remaining, Jitter: rand.Float64()}
-	entry := placement.Entry{DataCentre: g.options.DataCentre, FleetSize: g.options.Fleet.Size()}
-	choice, decision, ok := admission.Place(admissionRequest, &q.work, entry, string(q.call.ID), candidates)
+	choice, decision, ok := q.place(candidates)
 	if !ok && q.began != nil {
 		return choice, q.cannotResume("no upstream of the version that began the stream is available")
 	}
@@ -183,52 +188,69 @@
 
 // tryUpstream makes one attempt at the chosen upstream and records its outcome.
 func (q *request) tryUpstream(ctx context.Context, choice placement.Choice) result {
+	a, ok := q.begin(ctx, choice)
+	if !ok {
+		return result{outcome: roster.Abandoned, err: fault.New(fault.UpstreamLeaving, "the upstream is leaving")}
+	}
+	if wait := attemptTimeout(q.route, choice.FirstResponse, &q.progress); wait > 0 {
+		a.alarm.Set(time.Now().Add(wait))
+	}
+	response, err := exchange.Do(a.exchangeCtx, a.exchangeRequest())
+	return a.end(a.receive(response, err))
+}
+
+// begin starts an attempt, or returns false if the upstream accepts no new requests.
+func (q *request) begin(ctx context.Context, choice placement.Choice) (*attempt, bool) {
 	g := q.gateway
 	q.tried[choice.ID] = true
 	address, ok := g.options.Roster.Address(choice.ID)
 	if !ok {
-		return result{outcome: roster.Abandoned, err: fault.New(fault.UpstreamLeaving, "the upstream is leaving")}
+		return nil, false
 	}
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	now := g.options.Clock()
-	a := &attempt{request: q, ctx: ctx, choice: choice, cancel: cancel, sentAt: now, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
+	a := &attempt{request: q, ctx: ctx, choice: choice, address: address, sentAt: now, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
+	a.exchangeCtx, a.cancel = context.WithCancel(ctx)
+	a.alarm = exchange.NewAlarm(a.handleSilence)
 	if segments := roster.SharedSegments(&q.work); len(segments) > 0 {
 		g.options.Fleet.ReportCachedSegments(mesh.CachedSegments{Upstream: choice.ID, Segments: segments})
 	} else {
 		g.options.Fleet.ReportChange()
 	}
 	q.progress.sends++
-	outcome := a.exchange(attemptCtx, address)
-	if outcome.outcome == roster.Failed && !a.isUpstreamFault(g.options.Clock()-now) {
+	return a, true
+}
+
+// end records the outcome of the attempt and releases it.
+func (a *attempt) end(outcome result) result {
+	a.cancel()
+	outcome = a.settleHedge(outcome)
+	q, g := a.request, a.gateway
+	took := g.options.Clock() - a.sentAt
+	if outcome.outcome == roster.Failed && !a.isUpstreamFault(took) {
 		outcome.outcome = roster.Abandoned
 	}
 	a.rosterAttempt.End(g.options.Clock(), outcome.outcome)
 	g.options.Fleet.ReportChange()
 	if outcome.err != nil {
 		version, _ := a.rosterAttempt.Version()
-		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).Str("version", string(version)).
-			Dur("predicted_ms", choice.FirstResponse).Dur("took_ms", g.options.Clock()-now).Bool("ran", outcome.ran).
+		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(a.choice.ID)).Str("version", string(version)).
+			Dur("predicted_ms", a.choice.FirstResponse).Dur("took_ms", took).Bool("ran", outcome.ran).
 			Int("held_events", q.progress.events).Err(outcome.err).Msg("attempt failed")
 	}
 	return outcome
 }
 
-// exchange sends the request and handles the response.
-func (a *attempt) exchange(ctx context.Context, address string) result {
+// exchangeRequest returns the request to the upstream.
+func (a *attempt) exchangeRequest() *exchange.Request {
 	q := a.request
-	if wait := attemptTimeout(q.route, a.choice.FirstResponse, &q.progress); wait > 0 {
-		a.updateReplacements()
-		a.timer = time.AfterFunc(wait, a.cancelIfReplaceable)
-	}
-	defer a.stopTimer()
-	response, err := exchange.Do(ctx, &exchange.Request{
-		Address:     address,
+	return &exchange.Request{
+		Address:     a.address,
 		Method:      q.incoming.Method,
 		Target:      q.incoming.RequestURI,
 		Host:        q.incoming.Host,
 		Body:        q.body,
 		DialTimeout: q.gateway.options.DialTimeout,
+		Alarm:       a.alarm,
 		Header: q.gateway.options.Protocol.RequestHeader(q.incoming.Header, ForwardOptions{
 			Upstream:  a.choice.ID,
 			Account:   q.account.ID,
@@ -236,15 +258,26 @@
 			Remaining: q.remaining(),
 			LastEvent: q.progress.lastEvent,
 		}),
-	})
+	}
+}
+
+// receive passes the response to the caller if it is valid.
+func (a *attempt) receive(response *exchange.Response, err error) result {
 	if err != nil {
-		return a.handleError(address, err)
+		return a.handleError(err)
 	}
 	defer response.Close()
+	q := a.request
 	q.lastUpstream = a.choice.ID
 	q.lastVersion, _ = a.rosterAttempt.Version()
 	q.framing, q.partialEventBytes = response.Framing, 0
-	return a.handleResponse(address, response)
+	if invalid := a.checkResponse(response, a.hasAlternative()); invalid != nil {
+		return *invalid
+	}
+	if q.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices && isEventStream(response.Header) {
+		return a.forwardStream(response)
+	}
+	return a.forwardResponse(response)
 }
 
 // isUpstreamFault reports whether a failure after the given time counts against the
@@ -257,28 +290,30 @@
 	return a.ctx.Err() == nil || a.progress.events == 0 && took > overdueFactor*a.choice.FirstResponse
 }
 
-func (a *attempt) stopTimer() {
-	if a.timer != nil {
-		a.timer.Stop()
+// countRun counts the attempt as one that may have run the request.
+func (a *attempt) countRun() {
+	if !a.counted {
+		a.counted = true
+		a.progress.runs++
 	}
 }
 
 // handleError returns the result of an exchange that failed.
-func (a *attempt) handleError(address string, err error) result {
-	var failure *exchange.Error
-	if errors.As(err, &failure) && failure.Stage == exchange.Unsent {
+func (a *attempt) handleError(err error) result {
+	if isUnsent(err) {
 		return result{outcome: roster.Unreachable, err: err}
 	}
 	a.lastUpstream = a.choice.ID
 	a.lastVersion, _ = a.rosterAttempt.Version()
-	a.progress.runs++
-	a.reportCrash(address, err)
+	a.countRun()
+	a.reportCrash(err)
 	return result{ran: true, outcome: roster.Failed, err: err}
 }
 
-// handleResponse forwards a valid response. For others it returns whether the upstream
-// ran the request.
-func (a *attempt) handleResponse(address string, response *exchange.Response) result {
+// checkResponse returns the result of the attempt if the response must not be passed to
+// the caller, or nil if it may be. With an alternative, an upstream's own failure is not
+// passed on.
+func (a *attempt) checkResponse(response *exchange.Response, alternative bool) *result {
 	q := a.request
 	info := q.gateway.options.Protocol.ParseResponse(response.Status, response.Header)
 	if info.ID == q.call.ID && response.Status != http.StatusMisdirectedRequest {
@@ -286,24 +321,24 @@
 	}
 	if info.NotRun {
 		if response.Status == http.StatusMisdirectedRequest {
-			return result{outcome: roster.Misdirected, err: fault.New(fault.NoUpstream, "the address belongs to another upstream")}
+			return &result{outcome: roster.Misdirected, err: fault.New(fault.NoUpstream, "the address belongs to another upstream")}
 		}
-		return result{outcome: roster.Rejected, err: fault.New(fault.NoUpstream, "the upstream rejected the request: status "+strconv.Itoa(response.Status))}
+		return &result{outcome: roster.Rejected, err: fault.New(fault.NoUpstream, "the upstream rejected the request: status "+strconv.Itoa(response.Status))}
+	}
+	a.countRun()
+	failed := func(message string) *result {
+		return &result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, message)}
 	}
-	q.progress.runs++
 	if info.ID != q.call.ID || info.Encoded || !info.Sealed && response.Status < http.StatusMultipleChoices {
-		return result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, "the response does not belong to the request")}
+		return failed("the response does not belong to the request")
 	}
 	if q.headerSent && response.Status >= http.StatusMultipleChoices {
-		return result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, "the stream cannot be resumed: status "+strconv.Itoa(response.Status))}
+		return failed("the stream cannot be resumed: status " + strconv.Itoa(response.Status))
 	}
-	if response.Status >= http.StatusInternalServerError && q.progress.mayRepeat(q.route, q.remaining()) {
-		return result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, "the upstream failed: status "+strconv.Itoa(response.Status))}
+	if response.Status >= http.StatusInternalServerError && alternative {
+		return failed("the upstream failed: status " + strconv.Itoa(response.Status))
 	}
-	if q.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices && isEventStream(response.Header) {
-		return a.forwardStream(address, response)
-	}
-	return a.forwardResponse(address, response)
+	return nil
 }
 
 // recordFirstResponse records the arrival of the first event or the response.
@@ -334,17 +369,17 @@
 // reportCrash records, in the background, that an upstream crashed while it ran the
 // request. It counts as a crash only if the upstream is down now; a lost response alone
 // does not.
-func (a *attempt) reportCrash(address string, cause error) {
+func (a *attempt) reportCrash(cause error) {
 	q := a.request
 	if q.incoming.Context().Err() != nil || q.remaining() <= 0 || isLocalClose(cause) {
 		return
 	}
-	go q.gateway.recordCrash(q.call.ID, q.fingerprint, a.choice.ID, address, q.elapsed())
+	go q.gateway.recordCrash(q.call.ID, q.fingerprint, a.choice.ID, a.address, q.elapsed())
 }
 
 // isLocalClose reports whether this instance itself ended the exchange.
 func isLocalClose(cause error) bool {
-	return errors.Is(cause, context.Canceled) || errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, net.ErrClosed)
+	return errors.Is(cause, errHandedOver) || errors.Is(cause, context.Canceled) || errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, net.ErrClosed)
 }
 
 // recordCrash counts a crash against the request if the upstream does not accept
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -23,6 +23,8 @@
 	outcomes    *expvar.Map
 	connections *expvar.Map
 	origins     *expvar.Map
+	// hedges counts attempts at a second upstream beside an overdue one, by outcome.
+	hedges *expvar.Map
 	// limits counts permits by outcome, refused requests, and limits in force.
 	limits *expvar.Map
 
@@ -32,7 +34,7 @@
 
 // NewMetrics returns unpublished metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish publishes the metrics with expvar under the name. It must be called only
@@ -42,6 +44,7 @@
 	all.Set("outcomes", m.outcomes)
 	all.Set("connections", m.connections)
 	all.Set("resumed_stream_origins", m.origins)
+	all.Set("hedges", m.hedges)
 	all.Set("upstream_limits", m.limits)
 	all.Set("first_ms", expvar.Func(m.latencySummaries))
 }
@@ -69,6 +72,13 @@
 	}
 }
 
+// countHedge adds to a count of hedges.
+func (m *Metrics) countHedge(outcome string) {
+	if m != nil {
+		m.hedges.Add(outcome, 1)
+	}
+}
+
 // countLimit adds to a count of what the limits of upstreams caused.
 func (m *Metrics) countLimit(name string) {
 	if m != nil {
--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -141,11 +141,11 @@
 		Str("source", source).Str("from", from).Dur("age_ms", g.options.Clock()-o.ReceivedAt).Msg("upstream limit changed")
 }
 
-// hasUnlimited reports whether one of the candidates has no limit.
-func (g *Gateway) hasUnlimited(candidates []placement.Candidate) bool {
-	return slices.ContainsFunc(candidates, func(c placement.Candidate) bool {
+// withoutLimited returns the candidates that have no limit.
+func (g *Gateway) withoutLimited(candidates []placement.Candidate) []placement.Candidate {
+	return slices.DeleteFunc(candidates, func(c placement.Candidate) bool {
 		_, limited := g.permits.inForce(c.ID)
-		return !limited
+		return limited
 	})
 }
 
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -28,14 +28,16 @@
 )
 
 // forwardResponse passes a response that is not a stream to the caller.
-func (a *attempt) forwardResponse(address string, response *exchange.Response) result {
+func (a *attempt) forwardResponse(response *exchange.Response) result {
 	q := a.request
 	body, hasMore, err := q.gateway.bufferResponse(response.Body)
 	defer q.gateway.bufferedResponseBytes.Add(-int64(len(body)))
 	if err != nil {
-		a.reportCrash(address, err)
+		a.reportCrash(err)
 		return result{ran: true, outcome: roster.Failed, err: err}
 	}
+	a.alarm.Set(time.Time{})
+	a.dropHedge()
 	a.recordFirstResponse()
 	outcome := roster.Completed
 	if response.Status >= http.StatusInternalServerError {
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -126,33 +125,6 @@
 	return fault.New(fault.CannotResume, message).WithRetryAfter(jitteredRetryAfter())
 }
 
-// updateReplacements determines which upstreams may run the request instead of this one.
-func (a *attempt) updateReplacements() {
-	selection, err := a.selection()
-	if err != nil {
-		a.replacements.Store(nil)
-		return
-	}
-	selection.Except = maps.Clone(selection.Except)
-	a.replacements.Store(&selection)
-}
-
-// cancelIfReplaceable cancels the attempt if another upstream may run the request. One
-// with a limit does not count, because it may be refused. It is called by timers, while
-// the attempt runs.
-func (a *attempt) cancelIfReplaceable() {
-	q, g := a.request, a.gateway
-	selection := a.replacements.Load()
-	if selection != nil && g.hasUnlimited(g.options.Roster.Candidates(g.options.Clock(), *selection, &q.work)) {
-		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(a.choice.ID)).Dur("predicted_ms", a.choice.FirstResponse).
-			Dur("elapsed_ms", q.elapsed()).Msg("overdue attempt ended, because another upstream may run the request")
-		a.cancel()
-		return
-	}
-	g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(a.choice.ID)).Dur("elapsed_ms", q.elapsed()).
-		Msg("overdue attempt continues, because no other upstream may run the request")
-}
-
 func (g *Gateway) recordOrigin(stream origin.Stream) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
+	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/roster"
@@ -191,31 +192,21 @@
 	wantRefused(t, env, "the route no longer leads to the service", "r1")
 }
 
-func TestOverdueAttemptIsCancelledOnlyIfAnotherUpstreamMayRunIt(t *testing.T) {
+func TestOverdueAttemptIsHedgedOnlyWhereAnotherUpstreamMayRunIt(t *testing.T) {
 	env := newListedEnv(t, "v1", "v2")
 	for _, c := range []struct {
-		began     *origin.Origin
-		tried     types.UpstreamID
-		cancelled bool
+		began  *origin.Origin
+		tried  types.UpstreamID
+		hedged bool
 	}{
 		{nil, "other-v1", true},
 		{&origin.Origin{Target: "s", Version: "v1"}, "", true},
 		{&origin.Origin{Target: "s", Version: "v1"}, "other-v1", false},
 	} {
-		cancelled := false
-		q := &request{gateway: env.gateway, target: "s", began: c.began, tried: map[types.UpstreamID]bool{c.tried: true}}
-		a := &attempt{request: q, cancel: func() { cancelled = true }}
-		a.updateReplacements()
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			a.cancelIfReplaceable()
-		}()
-		// The request goes on while the timer runs.
-		q.tried["another"], q.began, q.streaming = true, nil, true
-		<-done
-		if cancelled != c.cancelled {
-			t.Errorf("began %v, tried %q: cancelled is %v", c.began, c.tried, cancelled)
+		q := &request{gateway: env.gateway, route: &testRoutes[3], startedAt: clock.Boot(), timeout: time.Minute, target: "s", began: c.began, tried: map[types.UpstreamID]bool{c.tried: true}}
+		choice, reason := (&attempt{request: q}).placeHedge()
+		if hedged := reason == ""; hedged != c.hedged || hedged && (choice.ID == c.tried || c.began != nil && choice.ID != "other-v1") {
+			t.Errorf("began %v, tried %q: chose %q, %s", c.began, c.tried, choice.ID, reason)
 		}
 	}
 }
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -134,7 +134,7 @@
 // TestOneOfTwoAttemptsAnswers checks that a caller gets each event once whichever of the
 // two upstreams goes on first.
 func TestOneOfTwoAttemptsAnswers(t *testing.T) {
-	for _, delay := range []time.Duration{0, 200 * time.Millisecond, 290 * time.Millisecond, 310 * time.Millisecond, 500 * time.Millisecond} {
+	for _, delay := range []time.Duration{0, handoverTime - 10*time.Millisecond, handoverTime + 10*time.Millisecond, 290 * time.Millisecond, 310 * time.Millisecond} {
 		t.Run(fmt.Sprint(delay), func(t *testing.T) {
 			t.Parallel()
 			var second atomic.Int64
@@ -153,3 +153,20 @@
 		})
 	}
 }
+
+func TestHedgeOfAStreamMayBeHedgedToo(t *testing.T) {
+	routes := silentRoutes()
+	for i := range routes {
+		routes[i].MaxAttempts = 3
+	}
+	env := newTestEnv(t, routes, func(conn net.Conn, _ *http.Request, n int) {
+		if n < 3 {
+			time.Sleep(2 * silence)
+		}
+		_, _ = io.WriteString(conn, streamHead+chunkedEvents(1, 1)+streamEnd)
+	}, 3)
+	if got := env.call("POST", "/resume/", ""); got.err != nil || got.body != plainEvent(1) {
+		t.Errorf("the caller received %q, %v", got.body, got.err)
+	}
+	env.checkRequestCount(3)
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -4,7 +4,6 @@
 	"io"
 	"mime"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -28,7 +27,7 @@
 // forwardStream passes the events of a response to the caller as they arrive. It writes
 // only complete events, so that another upstream can resume the stream after the last
 // one.
-func (a *attempt) forwardStream(address string, response *exchange.Response) result {
+func (a *attempt) forwardStream(response *exchange.Response) result {
 	events := exchange.NewEventReader(response.Body)
 	for {
 		event, err := events.Next()
@@ -36,7 +35,7 @@
 			a.partialEventBytes = len(event.Bytes)
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
-			return a.handleBrokenStream(address, err)
+			return a.handleBrokenStream(err)
 		}
 		if errors.Is(err, io.EOF) {
 			return a.finishStream(response)
@@ -78,27 +77,13 @@
 // recordProgress records an event that is not empty. Empty ones keep a connection open,
 // also that of a stream that is stalled.
 func (a *attempt) recordProgress() {
+	a.dropHedge()
 	if !a.responded {
 		a.recordBeginning()
-		a.updateReplacements()
 	}
 	a.recordFirstResponse()
 	a.rosterAttempt.RecordEvent(a.gateway.options.Clock(), a.tokensPerEvent)
-	a.resetIdleTimer()
-}
-
-// resetIdleTimer restarts the timer that cancels the attempt after
-// streamIdleTimeout. It stops the timer if the stream cannot be resumed at another
-// upstream.
-func (a *attempt) resetIdleTimer() {
-	switch {
-	case !a.progress.mayRepeat(a.route, a.remaining()):
-		a.stopTimer()
-	case a.timer == nil:
-		a.timer = time.AfterFunc(streamIdleTimeout, a.cancelIfReplaceable)
-	default:
-		a.timer.Reset(streamIdleTimeout)
-	}
+	a.setAlarm(streamIdleTimeout)
 }
 
 // finishStream ends the response after the last event.
@@ -114,13 +99,13 @@
 }
 
 // handleBrokenStream returns the result of a stream that ended early.
-func (a *attempt) handleBrokenStream(address string, cause error) result {
+func (a *attempt) handleBrokenStream(cause error) result {
 	q := a.request
 	if q.headerSent && a.ctx.Err() != nil {
 		return result{answered: true, ran: true, outcome: roster.Abandoned, err: q.contextError()}
 	}
-	a.reportCrash(address, cause)
-	if !q.headerSent || q.progress.mayRepeat(q.route, q.remaining()) {
+	a.reportCrash(cause)
+	if !q.headerSent || a.hasAlternative() {
 		return result{ran: true, outcome: roster.Failed, err: cause}
 	}
 	return result{answered: true, ran: true, outcome: roster.Failed, err: fault.Wrap(fault.UpstreamFailed, cause, "the stream is incomplete")}
