gateway: log the parts of the prompt of a request whose upstream crashed

The line of a crash has the fingerprint of the whole request, so the log could not show whether the requests that crash upstreams share a part of their prompts. It now has the IDs of the parts that other requests may share (all but the last), and how long the attempt took.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -211,7 +211,7 @@
 	a := &attempt{request: q, ctx: ctx, choice: choice, address: address, sentAt: now, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
 	a.exchangeCtx, a.cancel = context.WithCancel(ctx)
 	a.alarm = exchange.NewAlarm(a.handleSilence)
-	if segments := roster.SharedSegments(&q.work); len(segments) > 0 {
+	if segments := roster.SharedSegments(q.work.Segments); len(segments) > 0 {
 		g.options.Fleet.ReportCachedSegments(mesh.CachedSegments{Upstream: choice.ID, Segments: segments})
 	} else {
 		g.options.Fleet.ReportChange()
@@ -374,7 +374,7 @@
 	if q.incoming.Context().Err() != nil || q.remaining() <= 0 || isLocalClose(cause) {
 		return
 	}
-	go q.gateway.recordCrash(q.call.ID, q.fingerprint, a.choice.ID, a.address, q.elapsed())
+	go q.gateway.recordCrash(q.call, q.fingerprint, a.choice.ID, a.address, q.elapsed())
 }
 
 // isLocalClose reports whether this instance itself ended the exchange.
@@ -384,7 +384,7 @@
 
 // recordCrash counts a crash against the request if the upstream does not accept
 // connections.
-func (g *Gateway) recordCrash(id types.RequestID, fingerprint quarantine.Fingerprint, upstream types.UpstreamID, address string, took time.Duration) {
+func (g *Gateway) recordCrash(call RequestInfo, fingerprint quarantine.Fingerprint, upstream types.UpstreamID, address string, took time.Duration) {
 	conn, err := netconn.Dialer(probeTimeout).Dial("tcp", address)
 	if err == nil {
 		_ = conn.Close()
@@ -395,7 +395,8 @@
 	before := g.quarantine.Lookup(now, fingerprint)
 	verdict := g.quarantine.RecordCrash(now, fingerprint, quarantine.CrashedAttempt{Upstream: upstream, Duration: took, OnlySuspect: true})
 	g.mu.Unlock()
-	g.options.Logger.Warn().Str("request", string(id)).Str("upstream", string(upstream)).Hex("fingerprint", fingerprint[:]).
+	g.options.Logger.Warn().Str("request", string(call.ID)).Str("upstream", string(upstream)).Hex("fingerprint", fingerprint[:]).
+		Strs("parts", call.sharedParts()).Dur("took_ms", took).
 		Int("crashes", verdict.Crashes).Bool("condemned", verdict.Condemned).Msg("upstream crashed while it ran the request")
 	if verdict.Crashes > before.Crashes {
 		g.options.Fleet.ReportCrash(quarantine.Entry{
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -10,6 +10,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
+	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -31,6 +32,12 @@
 	OutputTokens int
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests may share:
+// all but the last.
+func (i *RequestInfo) sharedParts() []string {
+	return roster.SharedSegments(i.Segments)
+}
+
 // ForwardOptions is the information that an upstream receives in addition to the
 // caller's headers.
 type ForwardOptions struct {
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -53,17 +53,17 @@
 		sensitive:      work.LatencySensitive(),
 	}
 	upstream.attempts[a] = struct{}{}
-	upstream.markCached(now, SharedSegments(work))
+	upstream.markCached(now, SharedSegments(work.Segments))
 	return a
 }
 
 // SharedSegments returns the IDs of the prompt segments that other requests may share.
-func SharedSegments(work *placement.Work) []string {
-	var segments []string
-	for i := 0; i+1 < len(work.Segments); i++ {
-		segments = append(segments, work.Segments[i].ID)
+func SharedSegments(segments []placement.PromptSegment) []string {
+	var shared []string
+	for i := 0; i+1 < len(segments); i++ {
+		shared = append(shared, segments[i].ID)
 	}
-	return segments
+	return shared
 }
 
 func (a *Attempt) load(now time.Duration) placement.Load {
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -374,7 +374,7 @@
 	r.executions++
 	sim.running[r.id] = r
 	sim.runningOrder = append(sim.runningOrder, r)
-	sim.unreportedSegments = append(sim.unreportedSegments, segmentsReport{r.entry, choice.ID, roster.SharedSegments(&r.work)})
+	sim.unreportedSegments = append(sim.unreportedSegments, segmentsReport{r.entry, choice.ID, roster.SharedSegments(r.work.Segments)})
 	slot.engine.Submit(sim.now, model.Request{ID: r.id, PromptTokens: r.work.Tokens + r.generatedTokens, OutputTokens: r.outputTokens - r.generatedTokens, Priority: r.kind.Priority, Segments: r.segments})
 	return true
 }
