--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/permit"
+	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/roster"
@@ -33,7 +34,11 @@
 
 func (testProtocol) ParseRequest(r *http.Request) (RequestInfo, error) {
 	wait, _ := strconv.Atoi(r.Header.Get("Wait"))
-	return RequestInfo{ID: types.RequestID(r.Header.Get("Id")), Key: r.Header.Get("Key"), Timeout: time.Duration(wait) * time.Millisecond,
+	var segments []placement.PromptSegment
+	for part := range strings.SplitSeq(r.Header.Get("Parts"), ",") {
+		segments = append(segments, placement.PromptSegment{ID: part, Tokens: 1})
+	}
+	return RequestInfo{ID: types.RequestID(r.Header.Get("Id")), Segments: segments, Key: r.Header.Get("Key"), Timeout: time.Duration(wait) * time.Millisecond,
 		LastEvent: r.Header.Get("Last-Event-Id"), Resumes: types.RequestID(r.Header.Get("Resumes"))}, nil
 }
 
