gateway: an overdue attempt ends with the second upstream's first event or whole response

An attempt is hedged only when it is overdue now; - the header of the second response ended the first attempt, whatever followed. The hedge now reads the first event, or a plain response as far as it is buffered, first; - the worker's own failure of the last allowed attempt became a 502; - crashes inside an event were no longer counted, since errors of this project are equal if their codes are; - a hedge that had begun its response got no hedge itself, and one that was rejected counted as a run. The 200 ms of a hedge no longer count a pause of the process, and the line of a request names the upstream that answered it.

--- a/pkg/exchange/alarm_test.go
+++ b/pkg/exchange/alarm_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,18 +60,30 @@
 	}
 }
 
-// TestAlarmDoesNotRingIfBytesHaveArrived plays a process that reads late.
+// arrivedConn is a connection whose bytes have arrived, but whose reads time out once the
+// deadline has passed, as those of net.TCPConn do.
+type arrivedConn struct {
+	net.Conn
+	reader   io.Reader
+	deadline time.Time
+}
+
+func (c *arrivedConn) SetReadDeadline(deadline time.Time) error {
+	c.deadline = deadline
+	return nil
+}
+
+func (c *arrivedConn) Read(b []byte) (int, error) {
+	if !c.deadline.IsZero() && time.Now().After(c.deadline) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.reader.Read(b)
+}
+
 func TestAlarmDoesNotRingIfBytesHaveArrived(t *testing.T) {
-	near, far := net.Pipe()
-	defer near.Close()
 	rang := false
 	alarm := NewAlarm(func() error { rang = true; return io.ErrUnexpectedEOF })
-	conn := alarm.watch(near)
-	go func() {
-		_, _ = io.WriteString(far, "ab")
-		_ = far.Close()
-	}()
-	time.Sleep(20 * time.Millisecond)
+	conn := alarm.watch(&arrivedConn{reader: strings.NewReader("ab")})
 	alarm.Set(time.Now().Add(-time.Second))
 	if body, err := io.ReadAll(conn); err != nil || string(body) != "ab" || rang {
 		t.Errorf("got %q, %v, rang: %v", body, err, rang)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -10,7 +10,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
@@ -38,13 +37,16 @@
 	// exchangeCtx is the context of the exchange with the upstream, and cancel ends it.
 	exchangeCtx context.Context
 	cancel      context.CancelFunc
-	// alarm rings when the attempt is overdue. hedge is the attempt at another upstream
-	// that was started then, or nil.
-	alarm *exchange.Alarm
-	hedge *hedge
+	// alarm rings when the attempt is overdue, at overdueAt if that is not zero. hedge is
+	// the attempt at another upstream that was started then, or nil.
+	alarm     *exchange.Alarm
+	overdueAt time.Time
+	hedge     *hedge
 	// overdueLogged reports whether it has been logged that the attempt is overdue and
-	// has no hedge.
-	overdueLogged bool
+	// has no hedge, handedOver whether it has ended because its hedge goes on.
+	overdueLogged, handedOver bool
+	// prefetched is the beginning of the response, if it has been read.
+	prefetched *prefetched
 	// sentAt is when the attempt began.
 	sentAt time.Duration
 	// counted reports whether the attempt is in progress.runs, responded whether the
@@ -192,9 +194,7 @@
 	if !ok {
 		return result{outcome: roster.Abandoned, err: fault.New(fault.UpstreamLeaving, "the upstream is leaving")}
 	}
-	if wait := attemptTimeout(q.route, choice.FirstResponse, &q.progress); wait > 0 {
-		a.alarm.Set(time.Now().Add(wait))
-	}
+	a.setAlarm(overdueAfter(q.route, choice.FirstResponse))
 	response, err := exchange.Do(a.exchangeCtx, a.exchangeRequest())
 	return a.end(a.receive(response, err))
 }
@@ -263,18 +263,20 @@
 
 // receive passes the response to the caller if it is valid.
 func (a *attempt) receive(response *exchange.Response, err error) result {
+	q := a.request
+	if !isUnsent(err) {
+		q.lastUpstream = a.choice.ID
+		q.lastVersion, _ = a.rosterAttempt.Version()
+	}
 	if err != nil {
 		return a.handleError(err)
 	}
 	defer response.Close()
-	q := a.request
-	q.lastUpstream = a.choice.ID
-	q.lastVersion, _ = a.rosterAttempt.Version()
 	q.framing, q.partialEventBytes = response.Framing, 0
-	if invalid := a.checkResponse(response, a.hasAlternative()); invalid != nil {
+	if invalid := a.checkResponse(response, a.hasAlternative); invalid != nil {
 		return *invalid
 	}
-	if q.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices && isEventStream(response.Header) {
+	if a.isStream(response) {
 		return a.forwardStream(response)
 	}
 	return a.forwardResponse(response)
@@ -303,17 +305,15 @@
 	if isUnsent(err) {
 		return result{outcome: roster.Unreachable, err: err}
 	}
-	a.lastUpstream = a.choice.ID
-	a.lastVersion, _ = a.rosterAttempt.Version()
 	a.countRun()
 	a.reportCrash(err)
 	return result{ran: true, outcome: roster.Failed, err: err}
 }
 
 // checkResponse returns the result of the attempt if the response must not be passed to
-// the caller, or nil if it may be. With an alternative, an upstream's own failure is not
-// passed on.
-func (a *attempt) checkResponse(response *exchange.Response, alternative bool) *result {
+// the caller, or nil if it may be. An upstream's own failure is passed on only if there is
+// no alternative.
+func (a *attempt) checkResponse(response *exchange.Response, hasAlternative func() bool) *result {
 	q := a.request
 	info := q.gateway.options.Protocol.ParseResponse(response.Status, response.Header)
 	if info.ID == q.call.ID && response.Status != http.StatusMisdirectedRequest {
@@ -335,7 +335,7 @@
 	if q.headerSent && response.Status >= http.StatusMultipleChoices {
 		return failed("the stream cannot be resumed: status " + strconv.Itoa(response.Status))
 	}
-	if response.Status >= http.StatusInternalServerError && alternative {
+	if response.Status >= http.StatusInternalServerError && hasAlternative() {
 		return failed("the upstream failed: status " + strconv.Itoa(response.Status))
 	}
 	return nil
@@ -371,7 +371,7 @@
 // does not.
 func (a *attempt) reportCrash(cause error) {
 	q := a.request
-	if q.incoming.Context().Err() != nil || q.remaining() <= 0 || isLocalClose(cause) {
+	if q.incoming.Context().Err() != nil || q.remaining() <= 0 || a.handedOver || isLocalClose(cause) {
 		return
 	}
 	go q.gateway.recordCrash(q.call, q.fingerprint, a.choice.ID, a.address, q.elapsed())
@@ -379,7 +379,7 @@
 
 // isLocalClose reports whether this instance itself ended the exchange.
 func isLocalClose(cause error) bool {
-	return errors.Is(cause, errHandedOver) || errors.Is(cause, context.Canceled) || errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, net.ErrClosed)
+	return errors.Is(cause, context.Canceled) || errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, net.ErrClosed)
 }
 
 // recordCrash counts a crash against the request if the upstream does not accept
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,34 +29,57 @@
 var (
 	// errHandedOver ends an attempt whose hedge goes on.
 	errHandedOver = fault.New(fault.UpstreamFailed, "the overdue attempt was handed over to another upstream")
-	// errSuperseded ends a hedge whose first attempt goes on.
-	errSuperseded = fault.New(fault.UpstreamFailed, "the upstream of the first attempt has responded")
+	// errSuperseded ends a hedge whose first attempt goes on, and errRequestEnded one whose
+	// request has ended.
+	errSuperseded   = fault.New(fault.UpstreamFailed, "the upstream of the first attempt has responded")
+	errRequestEnded = fault.New(fault.CallerGone, "the request has ended")
 )
 
 // hedge is an attempt at a second upstream beside an overdue one. The first attempt ends
-// only once the second upstream has accepted the request; if that fails, or if the first
-// upstream responds before, the first attempt goes on.
+// only once the second upstream has responded or has kept a stream for handoverTime; if the
+// hedge fails, or if the first upstream responds before, the first attempt goes on.
 type hedge struct {
 	*attempt
-	// done is closed when the exchange has set response or err.
+	startedAt time.Time
+	// done is closed when the exchange has set response or err, and prefetched if the
+	// response is successful.
 	done     chan struct{}
 	response *exchange.Response
 	err      error
 }
 
+// prefetched is the beginning of a successful response: of a stream the first event that
+// is not empty, of another response what is buffered of it.
+type prefetched struct {
+	events *exchange.EventReader
+	event  exchange.Event
+
+	body    []byte
+	hasMore bool
+
+	err error
+}
+
 // handleSilence is called while the attempt waits for its upstream, when the attempt is
 // overdue or something about its hedge has changed. An error ends the attempt.
 func (a *attempt) handleSilence() error {
-	if a.hedge == nil {
+	switch {
+	case a.hedge != nil:
+		return a.checkHedge()
+	case a.overdueAt.IsZero():
+	case time.Now().Before(a.overdueAt):
+		a.alarm.Set(a.overdueAt)
+	default:
 		a.startHedge()
-		return nil
 	}
-	return a.checkHedge()
+	return nil
 }
 
 // mayHedge reports whether another upstream may run the request in addition to this one.
+// One more is left for the time after a failure.
 func (a *attempt) mayHedge() bool {
 	progress := a.progress
+	progress.sends++
 	if !a.counted {
 		progress.runs++
 	}
@@ -70,10 +95,16 @@
 // setAlarm sets the time after which the attempt is overdue, if it may have a hedge then.
 func (a *attempt) setAlarm(wait time.Duration) {
 	if !a.mayHedge() {
-		a.alarm.Set(time.Time{})
+		a.clearAlarm()
 		return
 	}
-	a.alarm.Set(time.Now().Add(wait))
+	a.overdueAt = time.Now().Add(wait)
+	a.alarm.Set(a.overdueAt)
+}
+
+func (a *attempt) clearAlarm() {
+	a.overdueAt = time.Time{}
+	a.alarm.Set(a.overdueAt)
 }
 
 // startHedge sends the request to a second upstream if one may certainly run it.
@@ -91,7 +122,7 @@
 		a.declineHedge("the other upstream is leaving")
 		return
 	}
-	h := &hedge{attempt: next, done: make(chan struct{})}
+	h := &hedge{attempt: next, startedAt: time.Now(), done: make(chan struct{})}
 	a.hedge = h
 	go h.send(next.exchangeRequest(), a.alarm.Wake)
 	if a.route.Kind == catalog.Stream {
@@ -114,6 +145,9 @@
 	if !ok {
 		return choice, "no other upstream may run the request"
 	}
+	if _, ok := g.options.Roster.Address(choice.ID); !ok {
+		return choice, "the other upstream is leaving"
+	}
 	if !g.budget(q.target).Spend() {
 		return choice, "the retry budget is exhausted"
 	}
@@ -130,7 +164,7 @@
 
 // declineHedge lets the attempt go on alone, and tries again later.
 func (a *attempt) declineHedge(reason string) {
-	a.alarm.Set(time.Now().Add(hedgeRetryInterval))
+	a.setAlarm(hedgeRetryInterval)
 	if a.overdueLogged {
 		return
 	}
@@ -151,11 +185,52 @@
 	return event
 }
 
-// send sends the request and wakes the first attempt.
+// send sends the request, reads the beginning of the response and wakes the first attempt.
 func (h *hedge) send(request *exchange.Request, wake func()) {
+	defer wake()
+	defer close(h.done)
 	h.response, h.err = exchange.Do(h.exchangeCtx, request)
-	close(h.done)
-	wake()
+	if h.err == nil && h.response.Status < http.StatusMultipleChoices {
+		h.prefetched = h.prefetch()
+	}
+}
+
+func (h *hedge) prefetch() *prefetched {
+	p := &prefetched{}
+	if !h.isStream(h.response) {
+		p.body, p.hasMore, p.err = h.gateway.bufferResponse(h.response.Body)
+		return p
+	}
+	p.events = exchange.NewEventReader(h.response.Body)
+	for {
+		if p.event, p.err = p.events.Next(); p.err != nil || !p.event.Empty {
+			return p
+		}
+	}
+}
+
+// eventsOf returns a function that returns the next event of the response.
+func (a *attempt) eventsOf(response *exchange.Response) func() (exchange.Event, error) {
+	first := a.prefetched
+	if first == nil {
+		return exchange.NewEventReader(response.Body).Next
+	}
+	return func() (exchange.Event, error) {
+		if p := a.prefetched; p != nil {
+			a.prefetched = nil
+			return p.event, p.err
+		}
+		return first.events.Next()
+	}
+}
+
+// bufferedBody returns the response as far as it is buffered.
+func (a *attempt) bufferedBody(response *exchange.Response) (body []byte, hasMore bool, err error) {
+	if p := a.prefetched; p != nil {
+		a.prefetched = nil
+		return p.body, p.hasMore, p.err
+	}
+	return a.gateway.bufferResponse(response.Body)
 }
 
 func (h *hedge) finished() bool {
@@ -178,15 +253,20 @@
 			a.setAlarm(hedgeRetryInterval)
 			return nil
 		}
-		return errHandedOver
+		return a.handOver()
 	}
 	if a.route.Kind != catalog.Stream {
 		return nil
 	}
-	if remaining := handoverTime - (a.gateway.options.Clock() - h.sentAt); remaining > 0 {
+	if remaining := handoverTime - time.Since(h.startedAt); remaining > 0 {
 		a.alarm.Set(time.Now().Add(remaining))
 		return nil
 	}
+	return a.handOver()
+}
+
+func (a *attempt) handOver() error {
+	a.handedOver = true
 	return errHandedOver
 }
 
@@ -197,31 +277,38 @@
 		failure := h.handleError(h.err)
 		return &failure
 	}
-	return h.checkResponse(h.response, true)
+	if failure := h.checkResponse(h.response, func() bool { return true }); failure != nil {
+		return failure
+	}
+	if p := h.prefetched; p != nil && p.err != nil && !errors.Is(p.err, io.EOF) {
+		h.reportCrash(p.err)
+		return &result{ran: true, outcome: roster.Failed, err: p.err}
+	}
+	return nil
 }
 
-// dropHedge ends the hedge, because the attempt goes on.
-func (a *attempt) dropHedge() {
+// dropHedge ends the hedge, because the attempt goes on or the request has ended.
+func (a *attempt) dropHedge(cause *fault.Error) {
 	h := a.hedge
 	if h == nil {
 		return
 	}
 	a.hedge = nil
-	outcome := result{ran: true, outcome: roster.Abandoned, err: errSuperseded}
-	if h.finished() {
-		if failure := h.inspect(); failure != nil {
-			outcome = *failure
-		}
-	}
 	h.cancel()
 	<-h.done
-	if isUnsent(h.err) {
-		outcome.ran = false
-	} else {
-		h.countRun()
+	outcome := result{ran: true, outcome: roster.Abandoned, err: cause}
+	switch failure := h.inspect(); {
+	case failure != nil && !isLocalClose(failure.err):
+		outcome = *failure
+	case failure != nil:
+		outcome.ran = failure.ran
 	}
 	h.close(outcome)
-	a.gateway.options.Metrics.countHedge("superseded")
+	label := "abandoned"
+	if cause == errSuperseded {
+		label = "superseded"
+	}
+	a.gateway.options.Metrics.countHedge(label)
 }
 
 // close ends a hedge that does not go on.
@@ -229,29 +316,31 @@
 	if h.response != nil {
 		h.response.Close()
 	}
+	if h.prefetched != nil {
+		h.gateway.bufferedResponseBytes.Add(-int64(len(h.prefetched.body)))
+	}
 	h.end(outcome)
 }
 
 // settleHedge makes the hedge the successor of an attempt that has ended without an
 // answer, or else drops it.
 func (a *attempt) settleHedge(outcome result) result {
-	if a.hedge == nil {
-		return outcome
-	}
-	if outcome.answered || a.ctx.Err() != nil {
-		a.dropHedge()
-		return outcome
+	switch {
+	case a.hedge == nil:
+	case outcome.answered && outcome.err == nil:
+		a.dropHedge(errSuperseded)
+	case outcome.answered || a.ctx.Err() != nil:
+		a.dropHedge(errRequestEnded)
+	default:
+		outcome.successor, a.hedge = a.hedge, nil
 	}
-	outcome.successor, a.hedge = a.hedge, nil
 	return outcome
 }
 
 // follow goes on with a hedge whose first attempt has ended.
 func (h *hedge) follow() result {
 	h.gateway.options.Metrics.countHedge("won")
-	if wait := attemptTimeout(h.route, h.choice.FirstResponse, &h.progress); wait > 0 {
-		h.setAlarm(wait)
-	}
+	h.setAlarm(overdueAfter(h.route, h.choice.FirstResponse))
 	<-h.done
 	return h.end(h.receive(h.response, h.err))
 }
--- a/pkg/gateway/policy.go
+++ b/pkg/gateway/policy.go
@@ -59,13 +59,9 @@
 	return p.sends < maxSends && remaining > minRetryTime
 }
 
-// attemptTimeout returns how long an attempt may wait for its first event or its
-// response before the request is sent to another upstream. Zero means that only the
-// deadline applies.
-func attemptTimeout(route *catalog.Route, predicted time.Duration, p *progress) time.Duration {
-	if !route.Repeatable() || p.runs+1 >= max(route.MaxAttempts, 1) {
-		return 0
-	}
+// overdueAfter returns how long an attempt may wait for its first event or its response
+// before it is overdue.
+func overdueAfter(route *catalog.Route, predicted time.Duration) time.Duration {
 	if route.Kind == catalog.Stream {
 		return max(firstEventFactor*predicted, time.Duration(firstEventShare*float64(route.Objective)))
 	}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -30,14 +30,14 @@
 // forwardResponse passes a response that is not a stream to the caller.
 func (a *attempt) forwardResponse(response *exchange.Response) result {
 	q := a.request
-	body, hasMore, err := q.gateway.bufferResponse(response.Body)
+	body, hasMore, err := a.bufferedBody(response)
 	defer q.gateway.bufferedResponseBytes.Add(-int64(len(body)))
 	if err != nil {
 		a.reportCrash(err)
 		return result{ran: true, outcome: roster.Failed, err: err}
 	}
-	a.alarm.Set(time.Time{})
-	a.dropHedge()
+	a.clearAlarm()
+	a.dropHedge(errSuperseded)
 	a.recordFirstResponse()
 	outcome := roster.Completed
 	if response.Status >= http.StatusInternalServerError {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/roster"
@@ -24,13 +25,18 @@
 	return media == "text/event-stream"
 }
 
+// isStream reports whether the response is a stream of events.
+func (a *attempt) isStream(response *exchange.Response) bool {
+	return a.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices && isEventStream(response.Header)
+}
+
 // forwardStream passes the events of a response to the caller as they arrive. It writes
 // only complete events, so that another upstream can resume the stream after the last
 // one.
 func (a *attempt) forwardStream(response *exchange.Response) result {
-	events := exchange.NewEventReader(response.Body)
+	next := a.eventsOf(response)
 	for {
-		event, err := events.Next()
+		event, err := next()
 		if err != nil {
 			a.partialEventBytes = len(event.Bytes)
 		}
@@ -77,7 +83,8 @@
 // recordProgress records an event that is not empty. Empty ones keep a connection open,
 // also that of a stream that is stalled.
 func (a *attempt) recordProgress() {
-	a.dropHedge()
+	a.dropHedge(errSuperseded)
+	a.overdueLogged = false
 	if !a.responded {
 		a.recordBeginning()
 	}
