gateway: decide to close a connection while no byte is received

Cause: closeOverdue read the phase of a connection, released the locks and closed it afterwards. A request that arrived in between was read, passed on to an upstream, and its connection closed without an answer. The line of the request said caller_gone, and connections that were closed as idle had no line at all, so the two could not be told apart. A document that shortens the idle limit makes this most likely, since it applies to all open connections at once.

Change: the phase changes to closing under the lock that receiving bytes takes. From then on, a read of the connection returns the error of a closed one, which makes net/http end without a response, and a request that is already buffered is not served. A connection that has received a byte of a request is not idle. Each closed connection has a line with the reason, the age, the limit and the version of the configuration; this replaces the line that counted header timeouts.

TestClosingIsDecidedOnCurrentPhase compares the phases with a model in random orders of reads, requests and checks. TestConnectionTimeouts compares the list that closeOverdue returns now instead of two counts; it is as strict.

--- a/pkg/gateway/ending_test.go
+++ b/pkg/gateway/ending_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 )
 
@@ -150,3 +152,53 @@
 		})
 	}
 }
+
+// TestClosingIsDecidedOnCurrentPhase reads bytes, serves requests and enforces a limit in
+// random order.
+func TestClosingIsDecidedOnCurrentPhase(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var now, since time.Duration
+		h := headerTracker{now: func() time.Duration { return now }}
+		limits := map[phase]time.Duration{phaseIdle: 15 * time.Second, phaseHeader: 3 * time.Second}
+		expected := phaseIdle
+		enter := func(next phase) { expected, since = next, now }
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second
+			},
+			"read": func(t *rapid.T) {
+				bytes := rapid.SampledFrom([]string{"GET", "\r\n\r\n"}).Draw(t, "bytes")
+				if passed := h.add([]byte(bytes)); passed != (expected != phaseClosing) {
+					t.Fatalf("phase %v: bytes passed on: %v", expected, passed)
+				}
+				switch {
+				case expected == phaseIdle && bytes == "GET":
+					enter(phaseHeader)
+				case expected == phaseIdle || expected == phaseHeader && bytes != "GET":
+					enter(phaseServing)
+				}
+			},
+			"serve": func(t *rapid.T) {
+				if _, ok := h.startServing(); ok != (expected != phaseClosing) {
+					t.Fatalf("phase %v: served: %v", expected, ok)
+				} else if ok {
+					h.reset()
+					enter(phaseIdle)
+				}
+			},
+			"enforce": func(t *rapid.T) {
+				limit, limited := limits[expected]
+				closed, ok := h.closeIfOverdue(now, func(p phase, _ time.Duration) time.Duration { return limits[p] })
+				if ok != (limited && now-since > limit) {
+					t.Fatalf("phase %v for %v: closed: %v", expected, now-since, ok)
+				}
+				if ok && (closed.phase != expected || closed.age != now-since || closed.limit != limit) {
+					t.Fatalf("phase %v for %v: %+v", expected, now-since, closed)
+				}
+				if ok {
+					enter(phaseClosing)
+				}
+			},
+		})
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -396,7 +396,10 @@
 // handle checks the header of a request before the body is read, then serves it.
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request) {
 	if header, ok := r.Context().Value(headerTrackerKey{}).(*headerTracker); ok {
-		length := header.startServing()
+		length, ok := header.startServing()
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
 		defer header.reset()
 		if failure := g.checkHeader(r, header, length); failure != nil {
 			g.options.Metrics.countRefused(failure.Code)
--- a/pkg/gateway/header_tracker.go
+++ b/pkg/gateway/header_tracker.go
@@ -18,8 +18,19 @@
 	phaseHeader
 	// phaseServing: a request is being served.
 	phaseServing
+	// phaseClosing: the connection is being closed and passes on no further byte. It is
+	// the last phase.
+	phaseClosing
 )
 
+// reason says why a connection in the phase is closed because of a time limit.
+func (p phase) reason() string {
+	if p == phaseIdle {
+		return "idle"
+	}
+	return "header_timeout"
+}
+
 // headerTracker records the raw header of the current request of a connection.
 type headerTracker struct {
 	now clock.Clock
@@ -34,12 +45,16 @@
 var headerEnd = []byte("\r\n\r\n")
 
 // add records bytes that were read. Of a header that is too long, only the beginning
-// is kept.
-func (h *headerTracker) add(b []byte) {
+// is kept. It returns false if the connection is being closed, and the bytes must not be
+// passed on.
+func (h *headerTracker) add(b []byte) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.phase == phaseClosing {
+		return false
+	}
 	if h.phase == phaseServing || len(b) == 0 {
-		return
+		return true
 	}
 	if h.phase == phaseIdle {
 		h.enter(phaseHeader)
@@ -49,19 +64,23 @@
 		h.bytes = h.bytes[:end+2]
 		h.enter(phaseServing)
 	}
+	return true
 }
 
 // enter changes the phase. h.mu must be held.
 func (h *headerTracker) enter(next phase) { h.phase, h.since = next, h.now() }
 
-// startServing enters phaseServing and returns the length of the header. The phase
-// is set also if the header was received together with the previous request, when
-// add did not see it as a header.
-func (h *headerTracker) startServing() int {
+// startServing enters phaseServing and returns the length of the header, or false if the
+// connection is being closed. The phase is set also if the header was received together
+// with the previous request, when add did not see it as a header.
+func (h *headerTracker) startServing() (length int, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.phase == phaseClosing {
+		return 0, false
+	}
 	h.enter(phaseServing)
-	return len(h.bytes)
+	return len(h.bytes), true
 }
 
 // hasConflictingLengths reports whether the header has both a Content-Length and a
@@ -81,9 +100,25 @@
 	h.enter(phaseIdle)
 }
 
-// state returns the phase of the connection and when it was entered.
-func (h *headerTracker) state() (phase, time.Duration) {
+// isBusy reports whether a request is being received or served.
+func (h *headerTracker) isBusy() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.phase, h.since
+	return h.phase == phaseHeader || h.phase == phaseServing
+}
+
+// closeIfOverdue enters phaseClosing if the connection has been in its phase for longer
+// than the limit. It returns that phase and the time.
+func (h *headerTracker) closeIfOverdue(now time.Duration, limitOf func(phase phase, since time.Duration) time.Duration) (overdue closing, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.phase != phaseIdle && h.phase != phaseHeader {
+		return closing{}, false
+	}
+	overdue = closing{phase: h.phase, age: now - h.since, limit: limitOf(h.phase, h.since)}
+	if overdue.age <= overdue.limit {
+		return closing{}, false
+	}
+	h.enter(phaseClosing)
+	return overdue, true
 }
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -45,16 +45,23 @@
 // configuration applies to open connections too.
 func (g *Gateway) Enforce(ctx context.Context, callers *Listener) {
 	for wait.For(ctx, enforceInterval) {
-		limits := g.limits()
-		headers, idle := callers.closeOverdue(limits)
-		if headers > 0 {
-			g.options.Logger.Info().Int("connections", headers).Dur("limit_ms", limits.HeaderTimeout).
-				Msg("closed connections whose request header timed out")
+		for _, closed := range callers.closeOverdue(g.limits()) {
+			g.recordClosing(closed)
 		}
-		g.options.Metrics.countClosed(headers, idle)
 	}
 }
 
+// recordClosing logs and counts a connection that was closed because of a time limit.
+func (g *Gateway) recordClosing(closed closing) {
+	version := ""
+	if current := g.Catalog(); current != nil {
+		version = current.Version
+	}
+	g.options.Metrics.countClosed(closed.phase)
+	g.options.Logger.Info().Str("caller", closed.caller).Str("reason", closed.phase.reason()).Dur("age_ms", closed.age).
+		Dur("limit_ms", closed.limit).Str("version", version).Msg("connection closed")
+}
+
 // Listener accepts the connections of callers and records the raw headers of their
 // requests. net/http silently drops a Content-Length next to a chunked
 // Transfer-Encoding, and such a request can smuggle a second one.
@@ -84,28 +91,39 @@
 	return conn, nil
 }
 
-// closeOverdue closes the connections that exceed a time limit. It returns how many
-// exceeded the header timeout and how many the idle timeout.
-func (l *Listener) closeOverdue(limits catalog.Limits) (headers, idle int) {
+// closing describes a connection that is closed because of a time limit: the phase, how
+// long the connection was in it, and its limit.
+type closing struct {
+	caller     string
+	phase      phase
+	age, limit time.Duration
+}
+
+// closeOverdue closes the connections that exceed a time limit and returns them. It
+// decides while no byte is received: a connection that has begun to receive a request is
+// not closed as idle, and one that is being closed passes on no byte of a request.
+func (l *Listener) closeOverdue(limits catalog.Limits) []closing {
+	limitOf := func(phase phase, _ time.Duration) time.Duration {
+		if phase == phaseIdle {
+			return limits.IdleTimeout
+		}
+		return limits.HeaderTimeout
+	}
 	now := l.now()
 	l.mu.Lock()
+	var closed []closing
 	var overdue []*callerConn
 	for conn := range l.open {
-		switch phase, since := conn.header.state(); {
-		case phase == phaseHeader && now-since > limits.HeaderTimeout:
-			headers++
-		case phase == phaseIdle && now-since > limits.IdleTimeout:
-			idle++
-		default:
-			continue
+		if c, ok := conn.header.closeIfOverdue(now, limitOf); ok {
+			c.caller = conn.RemoteAddr().String()
+			closed, overdue = append(closed, c), append(overdue, conn)
 		}
-		overdue = append(overdue, conn)
 	}
 	l.mu.Unlock()
 	for _, conn := range overdue {
 		_ = conn.Close()
 	}
-	return headers, idle
+	return closed
 }
 
 // Busy returns the number of connections on which a request is being received or served.
@@ -114,7 +132,7 @@
 	defer l.mu.Unlock()
 	busy := 0
 	for conn := range l.open {
-		if phase, _ := conn.header.state(); phase != phaseIdle {
+		if conn.header.isBusy() {
 			busy++
 		}
 	}
@@ -142,10 +160,13 @@
 	header   headerTracker
 }
 
-// Read implements net.Conn and records the request header.
+// Read implements net.Conn and records the request header. While the connection is being
+// closed, it returns the error of a closed one, to which net/http writes no response.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.header.add(b[:n])
+	if !c.header.add(b[:n]) {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+	}
 	return n, err
 }
 
--- a/pkg/gateway/limits_test.go
+++ b/pkg/gateway/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/clock"
 )
@@ -109,13 +112,24 @@
 				}
 			}
 			now.Store(int64(c.wait))
-			if headers, idle := listener.closeOverdue(limits); (headers+idle == 0) != c.open {
-				t.Errorf("closed %d after the header timeout, %d after the idle timeout", headers, idle)
+			if closed := listener.closeOverdue(limits); (len(closed) == 0) != c.open {
+				t.Errorf("closed: %+v", closed)
 			}
 		})
 	}
 }
 
+func TestClosedConnectionIsLogged(t *testing.T) {
+	var log bytes.Buffer
+	g := New(Options{Clock: clock.Boot, Logger: zerolog.New(&log), Metrics: NewMetrics()})
+	g.Apply(catalog.New(catalog.Contents{Version: "v7"}))
+	g.recordClosing(closing{caller: "a:1", phase: phaseIdle, age: 16 * time.Second, limit: 15 * time.Second})
+	const want = `{"level":"info","caller":"a:1","reason":"idle","age_ms":16000,"limit_ms":15000,"version":"v7","message":"connection closed"}`
+	if got := strings.TrimSpace(log.String()); got != want {
+		t.Errorf("logged %s, want %s", got, want)
+	}
+}
+
 // TestLimitsFollowConfiguration checks that a new configuration replaces the default
 // limits, and so applies to connections that are already open.
 func TestLimitsFollowConfiguration(t *testing.T) {
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -56,12 +56,11 @@
 	}
 }
 
-// countClosed counts connections that were closed because of the header timeout or
-// the idle timeout.
-func (m *Metrics) countClosed(headers, idle int) {
+// countClosed counts a connection that was closed because it exceeded the time limit of
+// the phase.
+func (m *Metrics) countClosed(in phase) {
 	if m != nil {
-		m.connections.Add("closed_header_timeout", int64(headers))
-		m.connections.Add("closed_idle", int64(idle))
+		m.connections.Add("closed_"+in.reason(), 1)
 	}
 }
 
