gateway: open connections keep the time limits under which they began

Cause: a document that shortens a time limit applied to all open connections at the next check. Callers reuse connections up to four fifths of the limit that they know, so at that moment a caller with a longer limit may be about to use a connection that is closed. The new limit gains nothing from being applied at once: it bounds what idle connections hold.

Change: a phase of a connection keeps the longest limit that was in force since it began, or up to 5 s before, because a caller may learn of the document later than the instance. So a connection that became idle under 30 s stays open for 30 s, and the next idle time has the new limit. A longer limit applies immediately, as before. Replaced limits are dropped when they have ended for every connection that keeps them. The delay of 5 s is an assumption: nothing says when callers learn of a document; a longer one costs only open connections.

--- a/pkg/gateway/ending_test.go
+++ b/pkg/gateway/ending_test.go
@@ -202,3 +202,35 @@
 		})
 	})
 }
+
+// TestLimitIsLongestOfThoseInForce compares the limits of a phase with all limits that were
+// in force during it, or shortly before.
+func TestLimitIsLongestOfThoseInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h limitHistory
+		type change struct {
+			at   time.Duration
+			idle time.Duration
+		}
+		var changes []change
+		var now time.Duration
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			limits := catalog.Limits{HeaderTimeout: time.Second, IdleTimeout: time.Duration(rapid.IntRange(1, 20).Draw(t, "idle")) * time.Second}
+			h.update(now, limits)
+			changes = append(changes, change{now, limits.IdleTimeout})
+			now += time.Duration(rapid.IntRange(0, 30_000).Draw(t, "ms")) * time.Millisecond
+		}
+		h.update(now, catalog.Limits{HeaderTimeout: time.Second, IdleTimeout: changes[len(changes)-1].idle})
+		near := rapid.SampledFrom(changes).Draw(t, "near").at
+		since := min(near+time.Duration(rapid.IntRange(0, 6_000).Draw(t, "later"))*time.Millisecond, now)
+		want := changes[len(changes)-1].idle
+		for i := 1; i < len(changes); i++ {
+			if since < changes[i].at+limitChangeDelay {
+				want = max(want, changes[i-1].idle)
+			}
+		}
+		if overdue := now-since > h.of(phaseIdle, since); overdue != (now-since > want) {
+			t.Fatalf("at %v, idle since %v: limit %v, want %v, changes %v", now, since, h.of(phaseIdle, since), want, changes)
+		}
+	})
+}
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -41,8 +41,8 @@
 	return limits
 }
 
-// Enforce closes the connections that exceed a time limit, until ctx is done. A new
-// configuration applies to open connections too.
+// Enforce closes the connections that exceed a time limit, until ctx is done. Shorter
+// limits of a new configuration do not apply to what began before, see limitHistory.
 func (g *Gateway) Enforce(ctx context.Context, callers *Listener) {
 	for wait.For(ctx, enforceInterval) {
 		for _, closed := range callers.closeOverdue(g.limits()) {
@@ -69,8 +69,9 @@
 	net.Listener
 	now clock.Clock
 
-	mu   sync.Mutex
-	open map[*callerConn]struct{}
+	mu     sync.Mutex
+	open   map[*callerConn]struct{}
+	limits limitHistory
 }
 
 // NewListener wraps inner for the server of a Gateway.
@@ -99,22 +100,18 @@
 	age, limit time.Duration
 }
 
-// closeOverdue closes the connections that exceed a time limit and returns them. It
+// closeOverdue puts the limits into force, closes the connections that exceed their time
+// limit, and returns these connections. It
 // decides while no byte is received: a connection that has begun to receive a request is
 // not closed as idle, and one that is being closed passes on no byte of a request.
 func (l *Listener) closeOverdue(limits catalog.Limits) []closing {
-	limitOf := func(phase phase, _ time.Duration) time.Duration {
-		if phase == phaseIdle {
-			return limits.IdleTimeout
-		}
-		return limits.HeaderTimeout
-	}
 	now := l.now()
 	l.mu.Lock()
+	l.limits.update(now, limits)
 	var closed []closing
 	var overdue []*callerConn
 	for conn := range l.open {
-		if c, ok := conn.header.closeIfOverdue(now, limitOf); ok {
+		if c, ok := conn.header.closeIfOverdue(now, l.limits.of); ok {
 			c.caller = conn.RemoteAddr().String()
 			closed, overdue = append(closed, c), append(overdue, conn)
 		}
