gateway: tests of changes while a request is in progress

They put a document into force that no longer allows the request, or change the entry of its upstream, while the body is partly received, while it waits for the origin of its stream or for a permit, while it runs, and while its response is partly sent.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -86,6 +86,8 @@
 	inconclusive bool
 	// issue decides on requests for permits; nil grants all.
 	issue func(permit.Request) (permit.Reply, error)
+	// searching is called when the origin of a stream is searched for, unless it is nil.
+	searching func()
 
 	mu       sync.Mutex
 	crashes  []quarantine.Entry
@@ -97,6 +99,9 @@
 func (*recordingFleet) ReportCachedSegments(mesh.CachedSegments) {}
 func (*recordingFleet) ReportStream(origin.Stream)               {}
 func (f *recordingFleet) FindStream(_ context.Context, key origin.Key) (origin.Origin, bool, bool) {
+	if f.searching != nil {
+		f.searching()
+	}
 	found, ok := f.streams[key]
 	return found, ok, !f.inconclusive
 }
@@ -224,6 +229,11 @@
 	if _, err := io.WriteString(conn, text); err != nil {
 		env.t.Fatal(err)
 	}
+	return readResponse(conn)
+}
+
+// readResponse reads a whole response.
+func readResponse(conn net.Conn) callerResponse {
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return callerResponse{err: err}
