gateway: bound a body by the document that routed its request

Cause: the route came from the document in force when the header was parsed, the body limit from the one in force when the body was read. A document in between could refuse a request that the first one allows, with 413, after which callers do not retry.

Change: both come from the same document.

Before: TestConfigurationChangeSparesRequestsInProgress failed with "status 413, code body_too_large" for a body partly received. After: it passes.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -322,7 +322,7 @@
 // readBody reads the whole body, so that no part of a malformed request is sent to
 // an upstream.
 func (q *request) readBody() error {
-	limit := q.gateway.limits().BodyBytes
+	limit := q.catalog.Limits.BodyBytes
 	if limit > 0 && q.incoming.ContentLength > limit {
 		q.bodyAbandoned = true
 		return fault.New(fault.BodyTooLarge, "the request body exceeds the size limit")
