roster: failing test of an entry that returns unchanged

An entry that lapsed while the store was away, or in a listing without it, is listed again when its upstream writes it. The version of attempts that began before is unknown from then on.

--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -175,6 +175,20 @@
 	}
 }
 
+// TestVersionIsKnownWhenEntryReturns guards against streams that cannot be resumed because
+// the entry of their upstream was removed for a while.
+func TestVersionIsKnownWhenEntryReturns(t *testing.T) {
+	listed := Upstream{ID: "a", Target: pool, Address: "a:1", Slots: 4, Ready: true, Version: "v1", StartedUnixMilli: 1}
+	r := New()
+	r.Update([]Upstream{listed})
+	attempt := r.Begin(0, prompt(0), placement.Choice{ID: "a"})
+	r.Update(nil)
+	r.Update([]Upstream{listed})
+	if version, ok := attempt.Version(); version != "v1" || !ok {
+		t.Errorf("after the entry returned unchanged: %q, %v", version, ok)
+	}
+}
+
 func TestSelectionByVersion(t *testing.T) {
 	r := New()
 	r.Update([]Upstream{{ID: "a", Target: pool, Ready: true, Version: "v1"}, {ID: "b", Target: pool, Ready: true, Version: "v2"}, {ID: "c", Target: "other", Ready: true, Version: "v1"}})
