roster: know the version of an attempt after its entry returned unchanged

Cause: the version of an attempt counted as unknown when the entry of its upstream had been replaced, which was decided by the identity of the state in memory. An entry that is removed for a while and listed again unchanged has a new state. A stream whose first event arrives after that is not recorded, and neither the instance nor its caller can resume it.

Change: entries are compared by what identifies the process: start, address and version.

Before: TestVersionIsKnownWhenEntryReturns failed: `after the entry returned unchanged: "", false`. After: it passes, as do the tests of replaced entries.

--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -129,7 +129,7 @@
 	if a.upstream == nil {
 		return "", false
 	}
-	if current, ok := a.roster.upstreams[a.upstream.ID]; ok && current != a.upstream {
+	if current, ok := a.roster.upstreams[a.upstream.ID]; ok && !current.isProcessOf(a.upstream.Upstream) {
 		return "", false
 	}
 	return a.upstream.Version, true
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -54,6 +54,11 @@
 	StartedUnixMilli int64
 }
 
+// isProcessOf reports whether two entries with the same ID describe the same process.
+func (u Upstream) isProcessOf(other Upstream) bool {
+	return u.StartedUnixMilli == other.StartedUnixMilli && u.Address == other.Address && u.Version == other.Version
+}
+
 // Outcome is the result of an attempt with regard to the upstream's health.
 type Outcome int
 
@@ -121,7 +126,7 @@
 	upstreams := make(map[types.UpstreamID]*upstreamState, len(list))
 	for _, upstream := range list {
 		known, ok := r.upstreams[upstream.ID]
-		if !ok || known.StartedUnixMilli != upstream.StartedUnixMilli || known.Address != upstream.Address || known.Version != upstream.Version {
+		if !ok || !known.isProcessOf(upstream) {
 			known = &upstreamState{
 				attempts:       make(map[*Attempt]struct{}),
 				cachedSegments: make(map[string]time.Duration),
