entry: tests for streams that fall silent and go on

An engine that sends no event for the idle timeout and then goes on loses its stream whenever the attempt that should replace it is not allowed or fails: no retries left, attempts used up, not resumable, may run only once, no engine or none of the version, the dispatcher refuses or does not answer, the next engine is full, leaving, unreachable, breaks off or is silent too.

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -60,6 +60,12 @@
 }
 
 func newFixture(t testing.TB, upstreams ...*httpfakes.Upstream) *fixture {
+	t.Helper()
+	return newFixtureWith(t, func(*Options) {}, upstreams...)
+}
+
+// newFixtureWith is newFixture with adjusted options.
+func newFixtureWith(t testing.TB, adjust func(*Options), upstreams ...*httpfakes.Upstream) *fixture {
 	t.Helper()
 	network := httpfakes.NewNetwork()
 	t.Cleanup(network.Close)
@@ -67,7 +73,7 @@
 		u.ServeOn(network)
 	}
 	granter := httpfakes.NewGranter(upstreams...)
-	e, err := New(Options{
+	options := Options{
 		Self:          types.Instance{ID: "e1"},
 		Incarnation:   "01ARZ3NDEKTSV4RRFFQ69G5FAV",
 		Store:         newStore(t),
@@ -79,7 +85,9 @@
 		OnceTransport: network.Transport("e1", "e1", true),
 		Addresses:     func() any { return map[string]int{"lifetime_seconds": 5} },
 		Settings:      DefaultSettings(),
-	})
+	}
+	adjust(&options)
+	e, err := New(options)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/test/httpfakes/engine.go
+++ b/test/httpfakes/engine.go
@@ -82,11 +82,14 @@
 	return strings.Count(last.Content, " ")
 }
 
-// waitForToken waits until the next token is due. It aborts the response if the
-// engine crashes or the request is cancelled.
-func (g *generation) waitForToken() {
+// waitForToken waits until the next token is due.
+func (g *generation) waitForToken() { g.waitFor(g.upstream.TokenInterval) }
+
+// waitFor waits for the duration. It aborts the response if the engine crashes or the
+// request is cancelled.
+func (g *generation) waitFor(duration time.Duration) {
 	select {
-	case <-time.After(g.upstream.TokenInterval):
+	case <-time.After(duration):
 	case <-g.crashed:
 		panic(http.ErrAbortHandler)
 	case <-g.request.Context().Done():
@@ -120,7 +123,7 @@
 func (g *generation) breakToken(first int) int {
 	remaining := max(1, g.upstream.Tokens-first)
 	switch {
-	case g.fault != CrashMidStream && g.fault != Hang:
+	case g.fault != CrashMidStream && g.fault != Hang && g.fault != Pause:
 		return -1
 	case g.upstream.Plan == nil:
 		return first + remaining/2
@@ -129,9 +132,13 @@
 	}
 }
 
-// breakStream aborts the stream. For the fault Hang, it first waits until the engine
-// crashes or the request is cancelled.
+// breakStream aborts the stream, or pauses it for the fault Pause. For the fault Hang,
+// it first waits until the engine crashes or the request is cancelled.
 func (g *generation) breakStream() {
+	if g.fault == Pause {
+		g.waitFor(g.upstream.Pause)
+		return
+	}
 	if g.fault == Hang {
 		select {
 		case <-g.crashed:
--- a/test/httpfakes/fault.go
+++ b/test/httpfakes/fault.go
@@ -36,6 +36,9 @@
 	// Hang stops sending in the middle of a stream and keeps the connection open.
 	Hang
 	faultCount
+	// Pause stops sending in the middle of a stream for the time Upstream.Pause and
+	// then goes on. Plans do not draw it.
+	Pause
 )
 
 // Plan draws faults from a seeded generator. It is safe for concurrent use.
--- a/test/httpfakes/upstream.go
+++ b/test/httpfakes/upstream.go
@@ -39,6 +39,8 @@
 	// TokenInterval is the time between two tokens, and the time that a service call
 	// takes.
 	TokenInterval time.Duration
+	// Pause is how long the fault Pause interrupts a stream.
+	Pause time.Duration
 
 	mu           sync.Mutex
 	executions   []Execution
