entry: a silent engine goes on until its successor sends a token

Cause: the idle timer of a stream cancelled the attempt first. Only then did the entry ask for attempts, budget, resumability and a grant, and call the next engine. Each of these can fail, and a stream that had begun was cut although its engine would have gone on.

Change: an overdue attempt goes on. Beside it a successor is opened: the cheap checks first (attempts, repeatable, resumable, no suspect), then the retry is paid, then the grant is acquired and its version checked, then the call is made and read up to the first content. The first of the two that sends content continues the stream under one lock, and the other is cancelled at once.

Chosen and ruled out: - cheaper checks before the cancellation: the grant and the next engine can still fail; - the grant before the cancellation: the next engine can still be full, leave or crash, and the silent one may go on meanwhile; - exchanging the grant at the dispatcher: its tables and the pool are keyed by the ID of the request and end the old grant when the request waits again. The successor therefore has an ID of its own, the request's with the number of the attempt; the time line shows the request's. - paying after the grant: a grant may preempt other work for a retry that the budget then refuses. The retry is paid first and returned if no call is made.

A request that may run only once, a suspect and a stream that cannot be resumed get no successor. The timer runs again after a refusal or failure. If the overdue attempt fails meanwhile, the successor is its retry.

--- a/pkg/dispatch/entryside.go
+++ b/pkg/dispatch/entryside.go
@@ -292,7 +292,7 @@
 func (e *entrySide) record(kind timeline.Kind, s *stream, t *ticket, upstream types.UpstreamID) {
 	e.dispatch.record(timeline.Event{
 		Kind:     kind,
-		Request:  t.request.ID,
+		Request:  t.request.ID.Request(),
 		Pool:     s.pool.String(),
 		Upstream: upstream,
 		Class:    t.request.Class,
--- a/pkg/dispatch/failure_test.go
+++ b/pkg/dispatch/failure_test.go
@@ -296,3 +296,45 @@
 		}
 	})
 }
+
+// TestTwoAttemptsOfARequestKeepTheirGrants holds the grants of an attempt and of its
+// successor while the dispatcher is replaced.
+func TestTwoAttemptsOfARequestKeepTheirGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, document(4, "lac"))
+		defer c.stop()
+		entry := c.others(c.dispatcher(testPool))[0]
+		var grants []Grant
+		for _, id := range []types.RequestID{"a", types.RequestID("a").Attempt(2)} {
+			grant, err := entry.dispatch.Acquire(t.Context(), testTarget, request(string(id)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			grants = append(grants, grant)
+		}
+		c.kill(c.dispatcher(testPool))
+		time.Sleep(5 * time.Second)
+		next := c.others(c.dispatcher(testPool))
+		running := func() (n int) {
+			for _, m := range next {
+				for _, p := range m.dispatch.pools.all() {
+					n += p.summary().Running
+				}
+			}
+			return n
+		}
+		if n := running(); n != 2 {
+			t.Fatalf("%d attempts run at the next dispatcher", n)
+		}
+		grants[0].Finish(pool.Finish{Reason: pool.FinishCancelled})
+		time.Sleep(time.Second)
+		if n := running(); n != 1 {
+			t.Fatalf("%d attempts run after the first has ended", n)
+		}
+		grants[1].Finish(pool.Finish{Reason: pool.FinishComplete})
+		time.Sleep(time.Second)
+		if n := running(); n != 0 {
+			t.Fatalf("%d attempts run after both have ended", n)
+		}
+	})
+}
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -23,9 +23,13 @@
 type exchange interface {
 	// call returns the HTTP call of the next attempt.
 	call(upstream config.Upstream) (upstream.Call, error)
-	// receive reads the response and returns nil when the answer is complete. It
-	// may cancel the attempt.
-	receive(response *http.Response, grant dispatch.Grant, cancel context.CancelCauseFunc) error
+	// receive reads the response of the attempt and returns nil when the answer is
+	// complete. ctx is the context of the request.
+	receive(ctx context.Context, a *attempt) error
+	// takeSuccessor returns the attempt that runs beside the one that has ended, once
+	// it sends content, or nil if there is none or it fails. If keep is false, it
+	// cancels that attempt.
+	takeSuccessor(keep bool) *attempt
 	// resumable reports whether another attempt can deliver the rest of the answer.
 	resumable() bool
 	// stats returns the measurements of the current attempt so far.
@@ -47,13 +51,42 @@
 // errPreempted is the cancellation cause of a preempted attempt.
 var errPreempted = fault.New(fault.Preempted, "the attempt was preempted by a higher tier")
 
-// errStreamIdle is the cancellation cause of an attempt without progress. The engine
-// may only have paused the request, so the attempt does not count as a crash.
+// errStreamIdle is the cancellation cause of an attempt that was silent until its
+// successor went on. The engine may only have paused the request, so the attempt does not
+// count as a crash.
 var errStreamIdle = fault.New(fault.UpstreamFailed, "the stream of the engine exceeded the idle timeout")
 
 // rejectedRetryDelay is the delay before a retry after an upstream was full.
 const rejectedRetryDelay = 10 * time.Millisecond
 
+// attempt is one call under one grant.
+type attempt struct {
+	// id is the ID of the request for the grant.
+	id        types.RequestID
+	grant     dispatch.Grant
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	started   time.Time
+	lifecycle *statechart.Machine
+	suspect   *suspectRun
+	// sent is set once bytes of the call may have been sent.
+	sent bool
+
+	// response is the response of the upstream, received at respondedAt.
+	response    *http.Response
+	respondedAt time.Time
+	events      *upstream.EventReader
+	// first is an event that was read from events already, or nil.
+	first []byte
+}
+
+// event returns a time line event about the attempt.
+func (a *attempt) event(req *request, kind timeline.Kind) timeline.Event {
+	event := req.event(kind)
+	event.Upstream = a.grant.Upstream().ID
+	return event
+}
+
 // runAttempts makes attempts until the answer is complete. If none succeeds, it
 // returns the failure for the caller.
 func (e *Entry) runAttempts(ctx context.Context, req *request, x exchange) *fault.Error {
@@ -61,19 +94,22 @@
 	defer cancel()
 	e.budget.RecordFirst()
 	e.fire(req.lifecycle, eventEnqueue)
+	var next *attempt
 	for {
-		if condemned := e.checkQuarantine(req); condemned != nil {
-			return condemned
-		}
-		e.options.Recorder.Record(req.event(timeline.RequestEnqueued))
-		poolRequest := req.poolRequest(e.options.Incarnation, deadline, x.generated())
-		poolRequest.Version = x.version()
-		grant, err := e.options.Granter.Acquire(limited, req.decision.Target.Name, poolRequest)
-		if err != nil {
-			return req.finalFailure(limited, err)
+		if next == nil {
+			acquired, err := e.acquireAttempt(limited, req, x, deadline)
+			if err != nil {
+				return err
+			}
+			next = acquired
 		}
 		e.fire(req.lifecycle, eventGrant)
-		result := e.runAttempt(limited, req, x, grant)
+		result := e.runAttempt(limited, req, x, next)
+		if next = x.takeSuccessor(e.mayFollow(limited, result)); next != nil {
+			e.fire(req.lifecycle, eventRetry, req.trueGuards()...)
+			tokenCounts.Add("resumed", int64(x.generated()))
+			continue
+		}
 		if result.err == nil {
 			return nil
 		}
@@ -85,31 +121,64 @@
 	}
 }
 
+// mayFollow reports whether the successor of an attempt with the result is needed.
+func (e *Entry) mayFollow(ctx context.Context, result attemptResult) bool {
+	return result.err != nil && result.err.Code != fault.Quarantined && result.err.Code != fault.CallerGone && ctx.Err() == nil
+}
+
+// acquireAttempt waits for the grant of the next attempt and begins the attempt.
+func (e *Entry) acquireAttempt(ctx context.Context, req *request, x exchange, deadline time.Time) (*attempt, *fault.Error) {
+	if condemned := e.checkQuarantine(req); condemned != nil {
+		return nil, condemned
+	}
+	e.options.Recorder.Record(req.event(timeline.RequestEnqueued))
+	poolRequest := req.poolRequest(e.options.Incarnation, deadline, x.generated())
+	poolRequest.Version = x.version()
+	grant, err := e.options.Granter.Acquire(ctx, req.decision.Target.Name, poolRequest)
+	if err != nil {
+		return nil, req.finalFailure(ctx, err)
+	}
+	return e.beginAttempt(ctx, req, poolRequest.ID, grant), nil
+}
+
+// beginAttempt returns an attempt under the grant that has not been sent.
+func (e *Entry) beginAttempt(ctx context.Context, req *request, id types.RequestID, grant dispatch.Grant) *attempt {
+	req.attempts++
+	a := &attempt{id: id, grant: grant, started: time.Now(), lifecycle: e.charts.attempt.Start()}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.suspect = e.trackSuspect(req, grant.Upstream().ID)
+	e.options.Recorder.Record(a.event(req, timeline.RequestGranted))
+	go cancelOnPreemption(a.ctx, a.cancel, grant)
+	return a
+}
+
 // attemptResult is the outcome of an attempt. err is nil if the answer is complete.
 type attemptResult struct {
 	reason pool.FinishReason
 	err    *fault.Error
 }
 
-// runAttempt makes one call under the grant and finishes the grant.
-func (e *Entry) runAttempt(ctx context.Context, req *request, x exchange, grant dispatch.Grant) attemptResult {
-	req.attempts++
-	req.upstream = grant.Upstream().ID
+// runAttempt makes the call of the attempt, if it has not been made, receives the answer
+// and ends the attempt.
+func (e *Entry) runAttempt(ctx context.Context, req *request, x exchange, a *attempt) attemptResult {
+	req.upstream = a.grant.Upstream().ID
 	e.registry.put(req.status(nil))
-	e.options.Recorder.Record(req.event(timeline.RequestGranted))
-	running, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go cancelOnPreemption(running, cancel, grant)
-
-	started := time.Now()
-	lifecycle := e.charts.attempt.Start()
-	suspectAttempt := e.trackSuspect(req)
-	result := classify(running, e.sendCall(running, cancel, req, x, grant, lifecycle))
-	e.endAttempt(lifecycle, result)
-	took := time.Since(started)
-	result = e.updateQuarantine(req, suspectAttempt, result, took)
-	e.finishAttempt(req, x, grant, result, took)
-	return result
+	err := e.exchangeCall(ctx, req, x, a)
+	req.sent = req.sent || a.sent
+	return e.endAttempt(req, a, classify(a.ctx, err), x.stats())
+}
+
+func (e *Entry) exchangeCall(ctx context.Context, req *request, x exchange, a *attempt) error {
+	if a.response == nil {
+		call, err := x.call(a.grant.Upstream())
+		if err != nil {
+			return err
+		}
+		if err := e.send(req, a, call); err != nil {
+			return err
+		}
+	}
+	return x.receive(ctx, a)
 }
 
 func cancelOnPreemption(ctx context.Context, cancel context.CancelCauseFunc, grant dispatch.Grant) {
@@ -131,30 +200,26 @@
 	return e.budget.Spend()
 }
 
-// sendCall sends the call and receives the response.
-func (e *Entry) sendCall(ctx context.Context, cancel context.CancelCauseFunc, req *request, x exchange,
-	grant dispatch.Grant, lifecycle *statechart.Machine) error {
-	call, err := x.call(grant.Upstream())
-	if err != nil {
-		return err
-	}
-	call.Guard = e.guard(lifecycle, func() bool {
-		return !grant.Expired() && (req.mayExecute == nil || req.mayExecute())
+// send sends the call of the attempt. It returns an error if the upstream does not answer
+// or its response is a refusal.
+func (e *Entry) send(req *request, a *attempt, call upstream.Call) error {
+	call.Guard = e.guard(a.lifecycle, func() bool {
+		return !a.grant.Expired() && (req.mayExecute == nil || req.mayExecute())
 	})
 	call.AtMostOnce = !req.attributes.Repeatable
-	e.options.Recorder.Record(req.event(timeline.AttemptStarted))
-	response, err := upstream.Do(ctx, e.transport(call.AtMostOnce), call)
+	e.options.Recorder.Record(a.event(req, timeline.AttemptStarted))
+	response, err := upstream.Do(a.ctx, e.transport(call.AtMostOnce), call)
 	if err != nil {
-		req.sent = req.sent || fault.From(err).RunState != types.NotRun
+		a.sent = fault.From(err).RunState != types.NotRun
 		return err
 	}
-	req.sent = true
-	defer response.Body.Close()
+	a.sent = true
+	a.response, a.respondedAt = response, time.Now()
 	if err := upstreamFailure(response, req.attributes.Kind == kindChat); err != nil {
 		return err
 	}
-	e.fire(lifecycle, eventRespond)
-	return x.receive(response, grant, cancel)
+	e.fire(a.lifecycle, eventRespond)
+	return nil
 }
 
 func (e *Entry) transport(atMostOnce bool) http.RoundTripper {
@@ -203,19 +268,27 @@
 	}
 }
 
-// finishAttempt finishes the grant and records the end of the attempt.
-func (e *Entry) finishAttempt(req *request, x exchange, grant dispatch.Grant, result attemptResult, took time.Duration) {
+// endAttempt ends the attempt: it releases the connection, reports the result to the
+// quarantine, finishes the grant and records the end. It returns the result, whose failure
+// is Quarantined if the result condemned the request.
+func (e *Entry) endAttempt(req *request, a *attempt, result attemptResult, stats attemptStats) attemptResult {
+	a.cancel(nil)
+	if a.response != nil {
+		_ = a.response.Body.Close()
+	}
+	e.endLifecycle(a.lifecycle, result)
+	took := time.Since(a.started)
+	result = e.updateQuarantine(req, a, result, took)
 	attemptCounts.Add(string(result.reason), 1)
-	stats := x.stats()
-	grant.Finish(pool.Finish{
-		ID:                req.id,
-		Upstream:          req.upstream,
+	a.grant.Finish(pool.Finish{
+		ID:                a.id,
+		Upstream:          a.grant.Upstream().ID,
 		Reason:            result.reason,
 		Tokens:            stats.tokens,
 		FirstToken:        stats.firstToken,
 		InterTokenLatency: stats.interTokenLatency,
 	})
-	event := req.event(timeline.AttemptEnded)
+	event := a.event(req, timeline.AttemptEnded)
 	event.Detail = string(result.reason)
 	event.Took = took
 	if result.err != nil {
@@ -223,6 +296,7 @@
 		event.RunState = result.err.RunState
 	}
 	e.options.Recorder.Record(event)
+	return result
 }
 
 // mayRetry reports whether another attempt is allowed after the result. A request
@@ -245,7 +319,7 @@
 	case pool.FinishExpired:
 		return true
 	case pool.FinishCancelled:
-		return result.err.Code == fault.Preempted || result.err == errStreamIdle && e.spendRetry()
+		return result.err.Code == fault.Preempted
 	case pool.FinishRejected:
 		return e.spendRetry() && wait.For(ctx, rejectedRetryDelay)
 	default:
--- a/pkg/entry/bench_test.go
+++ b/pkg/entry/bench_test.go
@@ -65,7 +65,7 @@
 	defer out.close()
 	x := &streamExchange{out: out}
 	x.transcript.beginAttempt()
-	x.clock.begin()
+	x.clock = attemptClock{started: time.Now()}
 	grant := &httpfakes.Grant{}
 	payload := []byte(`{"id":"chatcmpl-1","object":"chat.completion.chunk","created":1,"model":"m","choices":[{"index":0,"delta":{"content":" token"},"finish_reason":null}]}`)
 	b.ReportAllocs()
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -14,7 +14,6 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
-	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
@@ -41,7 +40,8 @@
 
 func (x *bufferedExchange) call(to config.Upstream) (upstream.Call, error) { return x.newCall(to) }
 
-func (x *bufferedExchange) receive(response *http.Response, _ dispatch.Grant, _ context.CancelCauseFunc) error {
+func (x *bufferedExchange) receive(_ context.Context, a *attempt) error {
+	response := a.response
 	body, err := x.memory.readAnswer(response)
 	if err != nil {
 		return err
@@ -56,6 +56,7 @@
 	return nil
 }
 
+func (x *bufferedExchange) takeSuccessor(bool) *attempt     { return nil }
 func (x *bufferedExchange) resumable() bool                 { return x.answer == nil }
 func (x *bufferedExchange) stats() attemptStats             { return attemptStats{tokens: x.tokens} }
 func (x *bufferedExchange) version() *types.SoftwareVersion { return nil }
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -24,10 +24,16 @@
 
 // newStore returns a store with one API key ("good"), one model and one service.
 func newStore(t testing.TB) *config.Store {
+	t.Helper()
+	return newStoreWithDeadline(t, 30_000)
+}
+
+// newStoreWithDeadline is newStore with the deadline of the class in milliseconds.
+func newStoreWithDeadline(t testing.TB, deadline config.Milliseconds) *config.Store {
 	t.Helper()
 	sum := sha256.Sum256([]byte("good"))
 	snapshot, err := config.Compile(1, &config.Document{
-		Classes: []config.Class{{Name: "live", Tier: 2, Deadline: 30000, Preemptible: true, Floor: config.Floor{Starts: 1, Interval: 1000}}},
+		Classes: []config.Class{{Name: "live", Tier: 2, Deadline: deadline, Preemptible: true, Floor: config.Floor{Starts: 1, Interval: 1000}}},
 		Rules: []config.Rule{
 			{Name: "chats", When: `kind == "chat"`, Class: "live", Target: "engines"},
 			{Name: "calls", When: `kind == "service"`, Class: "live", Target: "queue"},
--- a/pkg/entry/lifecycle.go
+++ b/pkg/entry/lifecycle.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// endAttempt fires the event of the result in the attempt's state machine.
-func (e *Entry) endAttempt(lifecycle *statechart.Machine, result attemptResult) {
+// endLifecycle fires the event of the result in the attempt's state machine.
+func (e *Entry) endLifecycle(lifecycle *statechart.Machine, result attemptResult) {
 	if lifecycle.Final() {
 		return
 	}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -12,6 +12,8 @@
 	requestCounts = expvar.NewMap("umbercrank_requests")
 	// attemptCounts counts attempts by finish reason.
 	attemptCounts = expvar.NewMap("umbercrank_attempts")
+	// overdueCounts counts the decisions on attempts whose engine was silent.
+	overdueCounts = expvar.NewMap("umbercrank_overdue")
 	// tokenCounts counts the tokens sent to callers: "answered" and "failed" by
 	// the outcome of the request, and "resumed" for the tokens that the caller
 	// already had when a request was retried.
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -68,12 +68,11 @@
 	if len(r.body) == 0 {
 		return quarantine.Fingerprint{}, false
 	}
-	if r.fingerprint == nil {
+	r.fingerprintOnce.Do(func() {
 		path := r.attributes.Service + r.attributes.Path
-		fp := quarantine.FingerprintOf(r.account.ID, r.attributes.Method, path, r.body)
-		r.fingerprint = &fp
-	}
-	return *r.fingerprint, true
+		r.fingerprint = quarantine.FingerprintOf(r.account.ID, r.attributes.Method, path, r.body)
+	})
+	return r.fingerprint, true
 }
 
 // checkQuarantine returns the failure for a condemned request. Otherwise it records
@@ -101,18 +100,19 @@
 
 // trackSuspect adds the attempt to the running suspects. It returns nil if the
 // request is not a suspect.
-func (e *Entry) trackSuspect(req *request) *suspectRun {
+func (e *Entry) trackSuspect(req *request, to types.UpstreamID) *suspectRun {
 	if req.crashes == 0 {
 		return nil
 	}
-	return e.suspects.add(req.upstream)
+	return e.suspects.add(to)
 }
 
 // updateQuarantine reports the result of an attempt to the quarantine. If this
 // condemns the request, the returned result has the failure Quarantined.
-func (e *Entry) updateQuarantine(req *request, run *suspectRun, result attemptResult, took time.Duration) attemptResult {
-	onlySuspect := run != nil && e.suspects.remove(req.upstream, run)
-	fp, ok := req.quarantineFingerprint(run, result)
+func (e *Entry) updateQuarantine(req *request, a *attempt, result attemptResult, took time.Duration) attemptResult {
+	upstream := a.grant.Upstream().ID
+	onlySuspect := a.suspect != nil && e.suspects.remove(upstream, a.suspect)
+	fp, ok := req.quarantineFingerprint(a.suspect, result)
 	if !ok {
 		return result
 	}
@@ -120,11 +120,11 @@
 		e.quarantine.RecordCompletion(fp)
 		return result
 	}
-	verdict := e.quarantine.RecordCrash(fp, quarantine.CrashedAttempt{Upstream: req.upstream, Duration: took, OnlySuspect: onlySuspect})
+	verdict := e.quarantine.RecordCrash(fp, quarantine.CrashedAttempt{Upstream: upstream, Duration: took, OnlySuspect: onlySuspect})
 	if !verdict.Condemned {
 		return result
 	}
-	event := req.event(timeline.Quarantined)
+	event := a.event(req, timeline.Quarantined)
 	event.Code = string(fault.Quarantined)
 	e.options.Recorder.Record(event)
 	result.err = quarantinedFailure()
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
@@ -21,7 +22,7 @@
 const headerRepeatable = "X-Umbercrank-Repeatable"
 
 // request is an admitted request of a caller. Only the goroutine that serves it may
-// use it.
+// use it; while that waits for a silent engine, the successor's may too.
 type request struct {
 	id         types.RequestID
 	account    config.Account
@@ -29,7 +30,8 @@
 	body       []byte
 	// fingerprint identifies the request in the quarantine. It is computed on
 	// first use.
-	fingerprint *quarantine.Fingerprint
+	fingerprint     quarantine.Fingerprint
+	fingerprintOnce sync.Once
 	// crashes is 1 if the request was part of a crash before this attempt.
 	crashes  int
 	decision config.Decision
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/retry"
+	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
@@ -201,3 +207,193 @@
 		})
 	}
 }
+
+func TestSuccessorThatGoesOnFirstReplacesTheSilentEngineAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u2 := httpfakes.NewUpstream("u2")
+		u2.TokenInterval = time.Second
+		f := newFixture(t, pausingEngine("u1"), u2)
+		f.requireWholeStream(t, "")
+		ends := f.granter.Finished()
+		if len(ends) != 2 || ends[0].Upstream != "u1" || ends[0].Reason != pool.FinishCancelled || ends[1].Reason != pool.FinishComplete || ends[1].Tokens != 3 {
+			t.Fatalf("ends %+v", ends)
+		}
+		if requests := f.granter.Requests(); requests[1].ID != requests[0].ID.Attempt(2) || requests[1].Generated != 2 {
+			t.Fatalf("requests %+v", requests)
+		}
+	})
+}
+
+func TestSilentEngineThatGoesOnFirstEndsItsSuccessorAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u2 := httpfakes.NewUpstream("u2")
+		u2.TokenInterval = time.Minute
+		f := newFixture(t, pausingEngine("u1"), u2)
+		f.requireWholeStream(t, "")
+		ends := f.granter.Finished()
+		if len(ends) != 2 || ends[0].Upstream != "u2" || ends[0].Reason != pool.FinishCancelled || ends[1].Reason != pool.FinishComplete {
+			t.Fatalf("ends %+v", ends)
+		}
+	})
+}
+
+// TestTieOfSilentEngineAndSuccessorRepeatsNoToken lets both send their token at the same
+// time.
+func TestTieOfSilentEngineAndSuccessorRepeatsNoToken(t *testing.T) {
+	for range 100 {
+		synctest.Test(t, func(t *testing.T) {
+			u1, u2 := pausingEngine("u1"), httpfakes.NewUpstream("u2")
+			u2.TokenInterval = u1.Pause + u1.TokenInterval - DefaultSettings().StreamIdleTimeout
+			f := newFixture(t, u1, u2)
+			f.requireWholeStream(t, "")
+			if ends := f.granter.Finished(); len(ends) != 2 || ends[0].Reason != pool.FinishCancelled || ends[1].Reason != pool.FinishComplete {
+				t.Fatalf("ends %+v", ends)
+			}
+		})
+	}
+}
+
+func TestEngineThatCrashesWhileSilentIsFollowedByItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u1, u2 := pausingEngine("u1"), httpfakes.NewUpstream("u2")
+		u2.TokenInterval = 2 * time.Second
+		f := newFixture(t, u1, u2)
+		time.AfterFunc(DefaultSettings().StreamIdleTimeout+time.Second, u1.Crash)
+		f.requireWholeStream(t, "")
+		ends := f.granter.Finished()
+		if len(ends) != 2 || ends[0].Reason != pool.FinishCrashed || ends[1].Reason != pool.FinishComplete {
+			t.Fatalf("ends %+v", ends)
+		}
+	})
+}
+
+func TestSuspectDoesNotRunOnTwoEnginesAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u1, u2 := httpfakes.NewUpstream("u1"), httpfakes.NewUpstream("u2")
+		u1.Pause = silence()
+		u1.QueueFaults(httpfakes.CrashAfterExecute, httpfakes.Pause)
+		f := newFixture(t, u1, u2)
+		f.granter.Pick = func(int) int { return 0 }
+		f.requireWholeStream(t, "")
+		if ends := f.granter.Finished(); len(ends) != 2 || len(u1.Executions()) != 2 {
+			t.Fatalf("ends %+v", ends)
+		}
+	})
+}
+
+// TestRefusedSuccessorKeepsItsRetry gives the budget one retry, which a refused successor
+// must leave for a crash.
+func TestRefusedSuccessorKeepsItsRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u1 := pausingEngine("u1")
+		f := newFixtureWith(t, func(o *Options) { o.Settings.Retry = retry.Settings{Burst: 1, Window: time.Minute} }, u1)
+		f.granter.Refuse = refuseRest(fault.Overloaded)
+		f.requireWholeStream(t, "")
+		f.granter.Refuse = nil
+		u1.QueueFaults(httpfakes.CrashAfterExecute)
+		f.requireWholeStream(t, "")
+	})
+}
+
+// recordedEvents collects the events of one kind.
+type recordedEvents struct {
+	kind   timeline.Kind
+	mu     sync.Mutex
+	events []timeline.Event
+}
+
+func (r *recordedEvents) Record(event timeline.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if event.Kind == r.kind {
+		r.events = append(r.events, event)
+	}
+}
+
+func TestOverdueAttemptIsOnTheTimeLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		overdue := &recordedEvents{kind: timeline.AttemptOverdue}
+		f := newFixtureWith(t, func(o *Options) { o.Recorder = overdue }, pausingEngine("u1"))
+		f.granter.Refuse = refuseRest(fault.Overloaded)
+		f.requireWholeStream(t, "")
+		if len(overdue.events) != 1 {
+			t.Fatalf("events %+v", overdue.events)
+		}
+		got := overdue.events[0]
+		if got.Upstream != "u1" || got.Took != DefaultSettings().StreamIdleTimeout || got.Detail != string(decisionRefused) || got.Code != string(fault.Overloaded) {
+			t.Fatalf("event %+v", got)
+		}
+	})
+}
+
+// silencePlan is a random course of a stream whose first engine falls silent.
+type silencePlan struct {
+	pause, interval [3]time.Duration
+	faults          [3]httpfakes.Fault
+	grantDelay      time.Duration
+	retries         float64
+	attempts        int
+}
+
+func drawSilencePlan(t *rapid.T) silencePlan {
+	second := rapid.IntRange(0, 40)
+	plan := silencePlan{
+		grantDelay: time.Duration(second.Draw(t, "grant delay")) * time.Second,
+		retries:    float64(rapid.IntRange(0, 4).Draw(t, "retries")),
+		attempts:   rapid.IntRange(1, 4).Draw(t, "attempts"),
+	}
+	faults := []httpfakes.Fault{httpfakes.None, httpfakes.Pause, httpfakes.Overloaded, httpfakes.Leaving, httpfakes.ResetBeforeRead, httpfakes.CrashAfterExecute}
+	for i := range plan.pause {
+		plan.pause[i] = time.Duration(second.Draw(t, "pause")) * time.Second
+		plan.interval[i] = time.Duration(rapid.IntRange(1, 3000).Draw(t, "interval")) * time.Millisecond
+		plan.faults[i] = rapid.SampledFrom(faults).Draw(t, "fault")
+	}
+	plan.faults[0] = httpfakes.Pause
+	return plan
+}
+
+// delayedGranter delays the grants for the rest of a stream.
+type delayedGranter struct {
+	dispatch.Granter
+	delay time.Duration
+}
+
+func (g delayedGranter) Acquire(ctx context.Context, target types.TargetName, request pool.Request) (dispatch.Grant, error) {
+	if request.Generated > 0 && !wait.For(ctx, g.delay) {
+		return nil, fault.Wrap(fault.CallerGone, ctx.Err(), "withdrawn").WithRunState(types.NotRun)
+	}
+	return g.Granter.Acquire(ctx, target, request)
+}
+
+// TestSilentStreamIsWholeWhateverItsSuccessorsDo draws the silences, the faults of the
+// successors and the limits. The first engine goes on in the end, and a successor that has
+// sent a token completes the answer, so the caller must get each token once.
+func TestSilentStreamIsWholeWhateverItsSuccessorsDo(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		plan := drawSilencePlan(r)
+		synctest.Test(t, func(t *testing.T) { playSilence(t, plan) })
+		if t.Failed() {
+			r.Fatalf("%+v", plan)
+		}
+	})
+}
+
+func playSilence(t *testing.T, plan silencePlan) {
+	var upstreams []*httpfakes.Upstream
+	for i, fault := range plan.faults {
+		u := httpfakes.NewUpstream(fmt.Sprint("u", i+1))
+		u.Pause, u.TokenInterval = plan.pause[i], plan.interval[i]
+		u.QueueFaults(fault)
+		upstreams = append(upstreams, u)
+	}
+	f := newFixtureWith(t, func(o *Options) {
+		o.Store = newStoreWithDeadline(t, 600_000)
+		o.Granter = delayedGranter{o.Granter, plan.grantDelay}
+		o.Settings.Retry = retry.Settings{Burst: plan.retries, Window: time.Hour}
+		o.Settings.MaxAttempts = plan.attempts
+	}, upstreams...)
+	f.requireWholeStream(t, "")
+	if ends := f.granter.Finished(); len(ends) > plan.attempts {
+		t.Fatalf("ends %+v", ends)
+	}
+}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
@@ -24,13 +25,16 @@
 )
 
 // streamExchange relays a stream of chunks to the caller. If an engine fails, the
-// next attempt continues the same stream on another engine.
+// next attempt continues the same stream on another engine. If it is silent, a successor
+// is opened beside it, and the first of the two that sends content goes on.
 type streamExchange struct {
+	entry  *Entry
 	chat   *upstream.ChatRequest
 	req    *request
 	header http.Header
 	memory *answerMemory
-	// idleTimeout is the maximum time between two events after the first token.
+	// idleTimeout is the time without an event after the first token from which an
+	// attempt is overdue.
 	idleTimeout time.Duration
 	// out buffers the events for the caller.
 	out *streamBuffer
@@ -41,28 +45,47 @@
 	// began is the software version of the engine that sent the first chunk.
 	began types.SoftwareVersion
 	clock attemptClock
+
+	// mu guards the fields below. The transcript changes only while waitingSince is
+	// zero.
+	mu sync.Mutex
+	// waitingSince is when relay began to wait for the engine, if an attempt that waits
+	// too long is overdue.
+	waitingSince time.Time
+	// overdue is the timer of the current attempt.
+	overdue *time.Timer
+	// next is the successor of the overdue attempt, or nil.
+	next *successor
 }
 
 func (x *streamExchange) call(to config.Upstream) (upstream.Call, error) {
 	return chatCall(x.chat, x.req, x.transcript.partial(), to)
 }
 
-func (x *streamExchange) receive(response *http.Response, grant dispatch.Grant, cancel context.CancelCauseFunc) error {
-	if response.StatusCode != http.StatusOK {
-		return x.storeNonStream(response)
+func (x *streamExchange) receive(ctx context.Context, a *attempt) error {
+	if a.response.StatusCode != http.StatusOK {
+		return x.storeNonStream(a.response)
 	}
 	x.transcript.beginAttempt()
-	x.clock.begin()
+	x.clock = attemptClock{started: a.respondedAt}
 	if x.transcript.empty() {
 		x.req.setHeaders(x.header)
 		x.header.Set("Content-Type", "text/event-stream")
 		x.header.Set("Cache-Control", "no-cache")
-		x.began = grant.Upstream().Version
+		x.began = a.grant.Upstream().Version
+	}
+	overdue := time.AfterFunc(x.idleTimeout, func() { x.findSuccessor(ctx, a) })
+	defer overdue.Stop()
+	x.setTimer(overdue)
+	return x.relay(a)
+}
+
+// eventReader returns the reader of the attempt's stream.
+func (a *attempt) eventReader() *upstream.EventReader {
+	if a.events == nil {
+		a.events = upstream.NewEventReader(http.MaxBytesReader(nil, a.response.Body, maxStreamBytes))
 	}
-	idleTimer := time.AfterFunc(x.idleTimeout, func() { cancel(errStreamIdle) })
-	idleTimer.Stop()
-	defer idleTimer.Stop()
-	return x.relay(upstream.NewEventReader(http.MaxBytesReader(nil, response.Body, maxStreamBytes)), grant, idleTimer)
+	return a.events
 }
 
 // storeNonStream stores a response that is not a stream, such as an engine's error
@@ -79,27 +102,43 @@
 	return nil
 }
 
-// relay forwards events until the stream ends or fails. The idle timer runs while
-// relay waits for the engine, but not while it waits for the caller.
-func (x *streamExchange) relay(events *upstream.EventReader, grant dispatch.Grant, idleTimer *time.Timer) error {
+// relay forwards events until the stream ends or fails or the successor goes on first.
+// The timer runs while relay waits for the engine, but not while it waits for the caller.
+func (x *streamExchange) relay(a *attempt) error {
 	for {
-		payload, err := events.Next()
-		idleTimer.Stop()
+		payload, err := x.nextEvent(a)
+		if err == errStreamIdle {
+			return err
+		}
 		if err == io.EOF || err == nil && bytes.Equal(payload, upstream.DonePayload) {
 			return x.finishStream(fault.New(fault.UpstreamFailed, "the stream ended before the answer was complete"))
 		}
 		if err != nil {
 			return x.finishStream(err)
 		}
-		if err := x.relayChunk(payload, grant); err != nil {
+		if err := x.relayChunk(payload, a.grant); err != nil {
 			return x.finishStream(err)
 		}
-		if x.clock.tokens > 0 {
-			idleTimer.Reset(x.idleTimeout)
-		}
 	}
 }
 
+// nextEvent returns the next event of the attempt, or errStreamIdle if the successor went
+// on first.
+func (x *streamExchange) nextEvent(a *attempt) ([]byte, error) {
+	if first := a.first; first != nil {
+		a.first = nil
+		return first, nil
+	}
+	if x.clock.tokens > 0 {
+		x.listen()
+	}
+	payload, err := a.eventReader().Next()
+	if !x.heard(a, err) {
+		return nil, errStreamIdle
+	}
+	return payload, err
+}
+
 // finishStream ends the caller's stream if the answer is complete, even if the
 // engine's stream ended with a failure. Otherwise it returns the failure. If the
 // engine failed after the last allowed token, only the finish reason is missing and
@@ -174,8 +213,6 @@
 	tokens  int
 }
 
-func (c *attemptClock) begin() { *c = attemptClock{started: time.Now()} }
-
 // countToken counts one token and reports whether a progress report is due.
 func (c *attemptClock) countToken() bool {
 	c.last = time.Since(c.started)
@@ -200,7 +237,7 @@
 	ctx, cancel := context.WithCancel(in.httpRequest.Context())
 	defer cancel()
 	out := newStreamBuffer(w, e.settings.StreamBufferBytes, e.settings.WriteTimeout)
-	x := &streamExchange{chat: chat, req: req, header: w.Header(), memory: e.newAnswerMemory(), idleTimeout: e.settings.StreamIdleTimeout, out: out}
+	x := &streamExchange{entry: e, chat: chat, req: req, header: w.Header(), memory: e.newAnswerMemory(), idleTimeout: e.settings.StreamIdleTimeout, out: out}
 	writerDone := make(chan struct{})
 	go func() {
 		defer close(writerDone)
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -83,6 +83,23 @@
 	return true
 }
 
+// Refund takes back the latest retry of the window, which was counted but not made.
+func (b *Budget) Refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.slot(b.clock())
+	var latest *slot
+	for i := range b.slots {
+		s := &b.slots[i]
+		if s.retries > 0 && current.number-s.number <= slotsPerWindow && (latest == nil || s.number > latest.number) {
+			latest = s
+		}
+	}
+	if latest != nil {
+		latest.retries--
+	}
+}
+
 // slot returns the slot of a time, emptied if it was used for an earlier one.
 // b.mu must be held.
 func (b *Budget) slot(now time.Duration) *slot {
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -110,3 +110,17 @@
 		}
 	})
 }
+
+func TestRefundReturnsARetryOfItsWindow(t *testing.T) {
+	b := newTestBudget(Settings{Burst: 2, Window: 10 * time.Second})
+	b.Spend()
+	b.Refund()
+	if got := b.spendAll(time.Second); got != 2 {
+		t.Errorf("after a refund a burst of 2 gave %d retries", got)
+	}
+	b.now = 30 * time.Second
+	b.Refund()
+	if got := b.spendAll(30 * time.Second); got != 2 {
+		t.Errorf("a refund after the window raised a burst of 2 to %d retries", got)
+	}
+}
--- a/pkg/timeline/event.go
+++ b/pkg/timeline/event.go
@@ -27,6 +27,7 @@
 	RequestPreempted  Kind = "request_preempted"
 	AttemptStarted    Kind = "attempt_started"
 	AttemptEnded      Kind = "attempt_ended"
+	AttemptOverdue    Kind = "attempt_overdue"
 	RequestAnswered   Kind = "request_answered"
 	RequestFailed     Kind = "request_failed"
 	UpstreamState     Kind = "upstream_state"
--- a/pkg/types/types.go
+++ b/pkg/types/types.go
@@ -2,6 +2,11 @@
 // of the router share. It has no dependencies.
 package types
 
+import (
+	"strconv"
+	"strings"
+)
+
 // InstanceID identifies an instance in the published instance list. A replacement
 // of an instance may reuse the ID, but has a different Incarnation.
 type InstanceID string
@@ -35,6 +40,22 @@
 // RequestID identifies a caller's request across all instances.
 type RequestID string
 
+// attemptSeparator separates a request ID from the number of an attempt.
+const attemptSeparator = "/"
+
+// Attempt returns the ID of an attempt that waits and runs beside an earlier one of the
+// same request.
+func (id RequestID) Attempt(number int) RequestID {
+	return id + attemptSeparator + RequestID(strconv.Itoa(number))
+}
+
+// Request returns the ID of the request to which the attempt belongs. The ID of a request
+// is returned unchanged.
+func (id RequestID) Request() RequestID {
+	request, _, _ := strings.Cut(string(id), attemptSeparator)
+	return RequestID(request)
+}
+
 // Tier is the priority of a request. A larger number is a higher tier.
 type Tier int
 
