entry: do not preempt an attempt that nothing may follow

Cause: whether an attempt may be preempted was a property of the class and the method. The last attempt of a request and a stream that cannot be resumed (several choices, a message to continue that is not plain text) were preempted too, and their answers were lost. The overdue attempt of a stream could also lose its last attempt to a successor that ended first.

Change: the request for a grant is preemptible only if another attempt is left after it and the stream can be resumed at any point; the dispatcher then picks other work, so no order of tiers is broken. A successor leaves one attempt for an overdue attempt that is preemptible. Ruled out: ignoring a preemption at the entry, which would make the higher tier wait for a slot that is not freed. A stream that has begun a tool call is still preemptible, since the dispatcher cannot be told.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -32,6 +32,9 @@
 	takeSuccessor(keep bool) *attempt
 	// resumable reports whether another attempt can deliver the rest of the answer.
 	resumable() bool
+	// restartable reports whether the next attempt, if it is stopped at any point, can
+	// be followed by another.
+	restartable() bool
 	// stats returns the measurements of the current attempt so far.
 	stats() attemptStats
 	// version returns the software version that began the stream that the next attempt
@@ -69,6 +72,8 @@
 	started   time.Time
 	lifecycle *statechart.Machine
 	suspect   *suspectRun
+	// preemptible is set if a dispatcher may preempt the attempt.
+	preemptible bool
 	// sent is set once bytes of the call may have been sent.
 	sent bool
 
@@ -134,17 +139,24 @@
 	e.options.Recorder.Record(req.event(timeline.RequestEnqueued))
 	poolRequest := req.poolRequest(e.options.Incarnation, deadline, x.generated())
 	poolRequest.Version = x.version()
+	poolRequest.Preemptible = poolRequest.Preemptible && e.mayBeStopped(req, x.restartable())
 	grant, err := e.options.Granter.Acquire(ctx, req.decision.Target.Name, poolRequest)
 	if err != nil {
 		return nil, req.finalFailure(ctx, err)
 	}
-	return e.beginAttempt(ctx, req, poolRequest.ID, grant), nil
+	return e.beginAttempt(ctx, req, poolRequest, grant), nil
+}
+
+// mayBeStopped reports whether another attempt is left after the next one. An attempt that
+// nothing may follow must not be preempted.
+func (e *Entry) mayBeStopped(req *request, restartable bool) bool {
+	return restartable && req.attempts+1 < e.settings.MaxAttempts
 }
 
 // beginAttempt returns an attempt under the grant that has not been sent.
-func (e *Entry) beginAttempt(ctx context.Context, req *request, id types.RequestID, grant dispatch.Grant) *attempt {
+func (e *Entry) beginAttempt(ctx context.Context, req *request, granted pool.Request, grant dispatch.Grant) *attempt {
 	req.attempts++
-	a := &attempt{id: id, grant: grant, started: time.Now(), lifecycle: e.charts.attempt.Start()}
+	a := &attempt{id: granted.ID, grant: grant, preemptible: granted.Preemptible, started: time.Now(), lifecycle: e.charts.attempt.Start()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.suspect = e.trackSuspect(req, grant.Upstream().ID)
 	e.options.Recorder.Record(a.event(req, timeline.RequestGranted))
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -58,6 +58,7 @@
 
 func (x *bufferedExchange) takeSuccessor(bool) *attempt     { return nil }
 func (x *bufferedExchange) resumable() bool                 { return x.answer == nil }
+func (x *bufferedExchange) restartable() bool               { return true }
 func (x *bufferedExchange) stats() attemptStats             { return attemptStats{tokens: x.tokens} }
 func (x *bufferedExchange) version() *types.SoftwareVersion { return nil }
 func (x *bufferedExchange) generated() int                  { return 0 }
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -281,6 +281,18 @@
 	})
 }
 
+// TestSuccessorLeavesAnAttemptForPreemption preempts an attempt after its successor has
+// ended.
+func TestSuccessorLeavesAnAttemptForPreemption(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u1, u2 := pausingEngine("u1"), httpfakes.NewUpstream("u2")
+		u1.TokenInterval, u2.TokenInterval = time.Second, 5*time.Second
+		f := newFixtureWith(t, func(o *Options) { o.Settings.MaxAttempts = 2 }, u1, u2)
+		f.granter.PreemptAfter = func() time.Duration { return u1.Pause + 4*u1.TokenInterval - time.Millisecond }
+		f.requireWholeStream(t, "")
+	})
+}
+
 // TestRefusedSuccessorKeepsItsRetry gives the budget one retry, which a refused successor
 // must leave for a crash.
 func TestRefusedSuccessorKeepsItsRetry(t *testing.T) {
@@ -331,8 +343,11 @@
 	pause, interval [3]time.Duration
 	faults          [3]httpfakes.Fault
 	grantDelay      time.Duration
-	retries         float64
-	attempts        int
+	// preemptAfter is when each preemptible attempt is preempted; zero means never. The
+	// engines then have no fault that needs a further attempt.
+	preemptAfter time.Duration
+	retries      float64
+	attempts     int
 }
 
 func drawSilencePlan(t *rapid.T) silencePlan {
@@ -342,7 +357,13 @@
 		retries:    float64(rapid.IntRange(0, 4).Draw(t, "retries")),
 		attempts:   rapid.IntRange(1, 4).Draw(t, "attempts"),
 	}
+	if rapid.Bool().Draw(t, "preempt") {
+		plan.preemptAfter = time.Duration(1+second.Draw(t, "preempt after")) * time.Second
+	}
 	faults := []httpfakes.Fault{httpfakes.None, httpfakes.Pause, httpfakes.Overloaded, httpfakes.Leaving, httpfakes.ResetBeforeRead, httpfakes.CrashAfterExecute}
+	if plan.preemptAfter > 0 {
+		faults = faults[:2]
+	}
 	for i := range plan.pause {
 		plan.pause[i] = time.Duration(second.Draw(t, "pause")) * time.Second
 		plan.interval[i] = time.Duration(rapid.IntRange(1, 3000).Draw(t, "interval")) * time.Millisecond
@@ -392,6 +413,7 @@
 		o.Settings.Retry = retry.Settings{Burst: plan.retries, Window: time.Hour}
 		o.Settings.MaxAttempts = plan.attempts
 	}, upstreams...)
+	f.granter.PreemptAfter = func() time.Duration { return plan.preemptAfter }
 	f.requireWholeStream(t, "")
 	if ends := f.granter.Finished(); len(ends) > plan.attempts {
 		t.Fatalf("ends %+v", ends)
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -192,6 +192,8 @@
 	return x.transcript.empty() || x.transcript.resumable(x.chat)
 }
 
+func (x *streamExchange) restartable() bool { return x.transcript.resumable(x.chat) }
+
 func (x *streamExchange) stats() attemptStats {
 	return attemptStats{tokens: x.clock.tokens, firstToken: x.clock.first, interTokenLatency: x.clock.interTokenLatency()}
 }
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -59,6 +59,35 @@
 	})
 }
 
+func TestStreamIsNotPreemptedWhenItsAttemptsAreUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureWith(t, func(o *Options) { o.Settings.MaxAttempts = 2 }, httpfakes.NewUpstream("u1"), httpfakes.NewUpstream("u2"))
+		f.granter.PreemptAfter = func() time.Duration { return 25 * time.Millisecond }
+		f.requireWholeStream(t, "")
+		if ends := f.granter.Finished(); len(ends) != 2 {
+			t.Fatalf("ends %+v", ends)
+		}
+	})
+}
+
+func TestStreamIsNotPreemptedWhenItCannotBeResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, httpfakes.NewUpstream("u1"), httpfakes.NewUpstream("u2"))
+		f.granter.PreemptAfter = func() time.Duration { return 25 * time.Millisecond }
+		f.requireWholeStream(t, `,"n":2`)
+	})
+}
+
+func TestBufferedAnswerIsNotPreemptedWhenItsAttemptsAreUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureWith(t, func(o *Options) { o.Settings.MaxAttempts = 2 }, httpfakes.NewUpstream("u1"), httpfakes.NewUpstream("u2"))
+		f.granter.PreemptAfter = func() time.Duration { return 25 * time.Millisecond }
+		if w := f.send("POST", chatURL, chatJSON("a", "")); w.Code != 200 || !strings.Contains(w.Body.String(), httpfakes.Answer("a", 5)) {
+			t.Fatalf("%d %s", w.Code, w.Body)
+		}
+	})
+}
+
 func TestIdleStreamResumesOnAnotherEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		u1, u2 := httpfakes.NewUpstream("u1"), httpfakes.NewUpstream("u2")
--- a/pkg/entry/successor.go
+++ b/pkg/entry/successor.go
@@ -121,7 +121,7 @@
 	x.next = next
 	x.mu.Unlock()
 
-	opened, decision, err := x.entry.openSuccessor(ctx, x, rest)
+	opened, decision, err := x.entry.openSuccessor(ctx, x, a, rest)
 	defer close(next.done)
 	if opened != nil && !x.claim(a, next) {
 		x.entry.abandon(x.req, opened)
@@ -196,8 +196,8 @@
 
 // openSuccessor returns an attempt that has sent the first content of the rest of the
 // stream, or the reason why there is none.
-func (e *Entry) openSuccessor(ctx context.Context, x *streamExchange, rest restOfStream) (*attempt, overdueDecision, error) {
-	if decision, allowed := e.maySucceed(x.req, rest); !allowed {
+func (e *Entry) openSuccessor(ctx context.Context, x *streamExchange, overdue *attempt, rest restOfStream) (*attempt, overdueDecision, error) {
+	if decision, allowed := e.maySucceed(x.req, overdue, rest); !allowed {
 		return nil, decision, nil
 	}
 	if !e.spendRetry() {
@@ -215,11 +215,16 @@
 	return opened, decisionReplaced, nil
 }
 
-// maySucceed reports whether a successor is allowed beside the running attempt, before its
-// retry is paid. A suspect must not run on two engines at a time.
-func (e *Entry) maySucceed(req *request, rest restOfStream) (overdueDecision, bool) {
+// maySucceed reports whether a successor is allowed beside the overdue attempt, before its
+// retry is paid. One attempt is left for the case that the overdue one is preempted. A
+// suspect must not run on two engines at a time.
+func (e *Entry) maySucceed(req *request, overdue *attempt, rest restOfStream) (overdueDecision, bool) {
+	left := e.settings.MaxAttempts - req.attempts
+	if overdue.preemptible {
+		left--
+	}
 	switch {
-	case req.attempts >= e.settings.MaxAttempts:
+	case left <= 0:
 		return decisionAttemptsUsed, false
 	case !req.attributes.Repeatable || !req.lifecycle.Can(eventRetry, req.trueGuards()...):
 		return decisionRunsOnce, false
@@ -237,6 +242,7 @@
 	request := req.poolRequest(e.options.Incarnation, req.deadline(e.settings.DefaultDeadline), rest.generated)
 	request.ID = req.id.Attempt(req.attempts + 1)
 	request.Version = rest.version
+	request.Preemptible = request.Preemptible && e.mayBeStopped(req, rest.resumable)
 	grant, err := e.options.Granter.Acquire(ctx, req.decision.Target.Name, request)
 	if err != nil {
 		return nil, decisionRefused, err
@@ -245,7 +251,7 @@
 		grant.Finish(pool.Finish{ID: request.ID, Upstream: grant.Upstream().ID, Reason: pool.FinishCancelled})
 		return nil, decisionOtherVersion, nil
 	}
-	return e.beginAttempt(ctx, req, request.ID, grant), "", nil
+	return e.beginAttempt(ctx, req, request, grant), "", nil
 }
 
 // continues reports whether the engine of the grant may continue a stream that the version
