dispatch: drop the preemption of a silent entry's work when it is pointless

Cause: a preemption that an entry has not carried out is sent again when the entry reopens its stream, whatever became of the request for which it was. An entry that was silent for 1 to 3 s had running work stopped for a request that had been refused or served elsewhere meanwhile.

Change: when the entry lists the work as running, the dispatcher checks whether the other request still waits. If not, the work is registered anew, which also makes it count as running without a preemption in the policy. Ruled out: ending and registering it, since the policy would grant the slot in between.

Before: TestWorkOfASilentEntryIsNotPreemptedForARequestThatIsGone failed for a silence of 1.2 s and of 2.5 s. After: go test -race ./pkg/dispatch passes.

--- a/pkg/dispatch/requesttable.go
+++ b/pkg/dispatch/requesttable.go
@@ -208,20 +208,31 @@
 }
 
 // reconcileRegister converts the registration of a request that already runs
-// here to a progress event.
+// here to a progress event. A request whose preemption has become pointless is registered
+// anew, so that it goes on.
 func (t *requestTable) reconcileRegister(entry types.Incarnation, event pool.Event) []pool.Event {
 	id := event.Register.Request.ID
 	tracked, ok := t.byID[id]
-	if ok && tracked.upstream == event.Register.Upstream {
+	known := ok && tracked.upstream == event.Register.Upstream
+	if known && !t.preemptedInVain(tracked) {
 		return []pool.Event{{Progress: &pool.Progress{ID: id, Tokens: event.Register.Tokens}}}
 	}
 	t.recordEvent(entry, event)
-	if !ok {
+	if !ok || known {
 		return []pool.Event{event}
 	}
 	return []pool.Event{endEvent(tracked, pool.FinishCancelled), event}
 }
 
+// preemptedInVain reports whether the request was preempted for one that no longer waits.
+func (t *requestTable) preemptedInVain(tracked *trackedRequest) bool {
+	if tracked.preempt == nil {
+		return false
+	}
+	other, ok := t.byID[tracked.preempt.For]
+	return !ok || other.upstream != ""
+}
+
 // pendingPreemptions returns the preemptions that the entry has not carried
 // out.
 func (t *requestTable) pendingPreemptions(entry types.Incarnation) []pool.Preempt {
