dispatch: a paused dispatcher reads what has ended before it preempts

Cause: after a pause the first event made the policy decide with the state from before it. Work that had ended meanwhile still held its slots, waiting requests had little time left, and running work of lower tiers was preempted for slots that were free.

Ruled out: reading all events before deciding, since the dispatcher cannot know which ones are still to come.

After: go test -race ./pkg/dispatch ./pkg/pool ./pkg/bench passes.

--- a/pkg/dispatch/pooldispatcher.go
+++ b/pkg/dispatch/pooldispatcher.go
@@ -25,6 +25,8 @@
 	revision   types.Revision
 	lastTickAt time.Time
 	startedAt  time.Time
+	// lastHandledAt is when the policy last ran.
+	lastHandledAt time.Time
 	// lastAvailableAt is when an upstream was last available.
 	lastAvailableAt time.Time
 	// lastUsedAt is when the last stream closed.
@@ -55,6 +57,7 @@
 		startedAt:    now,
 		lastUsedAt:   now,
 
+		lastHandledAt:   now,
 		lastAvailableAt: now,
 
 		shortInterval: true,
@@ -124,6 +127,24 @@
 // handle passes one event to the policy and queues the resulting actions. p.mu
 // must be held.
 func (p *poolDispatcher) handle(event pool.Event) {
+	p.noticePause(time.Now())
+	p.decide(event)
+}
+
+// noticePause informs the policy if it has not run for a while, because what has ended
+// meanwhile may still have to be read. p.mu must be held.
+func (p *poolDispatcher) noticePause(now time.Time) {
+	late := now.Sub(p.lastHandledAt)
+	p.lastHandledAt = now
+	if late <= p.dispatch.options.Settings.pauseThreshold() {
+		return
+	}
+	p.dispatch.options.Logger.Info().Str("pool", p.pool.String()).Dur("late", late).Msg("dispatcher resumed after a pause, preemption delayed")
+	p.decide(pool.Event{Resumed: &pool.Resumed{}})
+}
+
+// decide passes one event to the policy. p.mu must be held.
+func (p *poolDispatcher) decide(event pool.Event) {
 	now := time.Since(p.dispatch.start)
 	for _, action := range p.policy.Handle(now, event) {
 		p.queue(p.requestTable.recordAction(action), action)
--- a/pkg/dispatch/silence_test.go
+++ b/pkg/dispatch/silence_test.go
@@ -145,3 +145,40 @@
 		})
 	}
 }
+
+// pausePool makes the dispatcher of the pool see that the process did not run for the
+// duration.
+func (m *member) pausePool(duration time.Duration) {
+	p := m.dispatch.pools.all()[0]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.dispatch.start = m.dispatch.start.Add(-duration)
+	p.lastTickAt = p.lastTickAt.Add(-duration)
+	p.lastHandledAt = p.lastHandledAt.Add(-duration)
+}
+
+// TestNoWorkIsPreemptedBeforeAPausedDispatcherHasReadWhatHasEnded pauses the dispatcher
+// until an urgent request has hardly any time left. What has ended during the pause is read
+// after it.
+func TestNoWorkIsPreemptedBeforeAPausedDispatcherHasReadWhatHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTieredCluster(t, 3, 2)
+		defer c.stop()
+		dispatcher := c.dispatcher(testPool)
+		others := c.others(dispatcher)
+		held := holdPreemptible(t, others[0], 2)
+		time.Sleep(time.Second)
+		time.AfterFunc(100*time.Millisecond, func() { dispatcher.pausePool(2 * time.Second) })
+		time.AfterFunc(120*time.Millisecond, func() { held[0].Finish(pool.Finish{Reason: pool.FinishComplete}) })
+		r := urgentRequest("urgent")
+		r.FirstTokenIn = 2300 * time.Millisecond
+		urgent, err := others[1].dispatch.Acquire(t.Context(), testTarget, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		requireNotPreempted(t, held)
+		urgent.Finish(pool.Finish{Reason: pool.FinishComplete})
+		held[1].Finish(pool.Finish{Reason: pool.FinishComplete})
+	})
+}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -53,6 +53,8 @@
 	floorJobsRunning int
 	// preempting counts the running jobs that were requested to stop.
 	preempting int
+	// preemptFrom is the time from which running jobs may be preempted.
+	preemptFrom time.Duration
 	// releaseRate is the expected number of running jobs that end per second.
 	releaseRate        float64
 	nextCapacityUpdate time.Duration
@@ -115,6 +117,8 @@
 		p.upstream(*event.Upstream)
 	case event.EntryLost != nil:
 		p.entryLost(*event.EntryLost)
+	case event.Resumed != nil:
+		p.resumed()
 	}
 }
 
--- a/pkg/pool/preemption.go
+++ b/pkg/pool/preemption.go
@@ -9,10 +9,20 @@
 // preemptionDelay is the time from a preemption to the release of the slot.
 const preemptionDelay = 60 * time.Millisecond
 
+// catchUpTime is the time after a pause in which the events sent meanwhile arrive.
+const catchUpTime = 100 * time.Millisecond
+
+// resumed delays preemption after a pause. Until the events sent meanwhile have been
+// handled, jobs that have ended seem to hold their slots.
+func (p *Pool) resumed() { p.preemptFrom = p.now + catchUpTime }
+
 // preemptForBlocked preempts lower-tier jobs for waiting jobs that would
 // otherwise start too late. Each slot that is already being freed counts for one
 // job, by tier and due time.
 func (p *Pool) preemptForBlocked() {
+	if p.now < p.preemptFrom {
+		return
+	}
 	first := p.queue.first()
 	if first == nil || p.preempting >= p.queue.len() || !p.hasPreemptibleBelow(first.req.Tier) {
 		return
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -34,6 +34,7 @@
 	Load      *Load      `json:"load,omitempty"`
 	Upstream  *Upstream  `json:"upstream,omitempty"`
 	EntryLost *EntryLost `json:"entry_lost,omitempty"`
+	Resumed   *Resumed   `json:"resumed,omitempty"`
 }
 
 // Configure replaces the classes and upstreams of the pool.
@@ -161,6 +162,10 @@
 	Entry types.Incarnation `json:"entry"`
 }
 
+// Resumed states that the dispatcher was paused, so that events of the time since the last
+// one may still have to be read.
+type Resumed struct{}
+
 // Action is one output of a Policy. Exactly one field is set.
 type Action struct {
 	Grant   *Grant   `json:"grant,omitempty"`
