pool: a pause of the dispatcher does not eject engines

Cause: an engine without a report for 3 s is ejected. After a pause of its own the dispatcher took the time for silence of the engines and ejected up to a third of them, which also makes lower tiers be preempted for the lost slots.

Change: after a pause the time without a report starts again.

Before: TestPauseOfTheDispatcherEjectsNoEngine failed (one engine of three was ejected). After: go test -race ./pkg/pool ./pkg/dispatch passes.

--- a/pkg/pool/decisions_test.go
+++ b/pkg/pool/decisions_test.go
@@ -248,3 +248,33 @@
 		t.Fatalf("granted %v", got)
 	}
 }
+
+// TestPauseOfTheDispatcherEjectsNoEngine lets the reports of all engines be older than the
+// stall timeout because the dispatcher was paused.
+func TestPauseOfTheDispatcherEjectsNoEngine(t *testing.T) {
+	ejected := func(p *Pool) (n int) {
+		for _, e := range p.engines {
+			if e.speed.ejected {
+				n++
+			}
+		}
+		return n
+	}
+	p := New(DefaultSettings())
+	p.Handle(0, configured(3, 1))
+	for i := range 3 {
+		id := fmt.Sprintf("r%d", i)
+		p.Handle(0, Event{Enqueue: request(id, 1)})
+		p.Handle(second, Event{Progress: &Progress{ID: types.RequestID(id), Tokens: 10, InterTokenLatency: second / 10}})
+	}
+	paused := second + stallTimeout + second
+	p.Handle(paused, Event{Resumed: &Resumed{}})
+	p.Handle(paused+second/2, Event{})
+	if n := ejected(p); n > 0 {
+		t.Fatalf("%d engines were ejected after a pause of the dispatcher", n)
+	}
+	p.Handle(paused+stallTimeout, Event{})
+	if n := ejected(p); n != 1 {
+		t.Fatalf("%d engines were ejected after they had stalled, want 1", n)
+	}
+}
--- a/pkg/pool/preemption.go
+++ b/pkg/pool/preemption.go
@@ -12,9 +12,17 @@
 // catchUpTime is the time after a pause in which the events sent meanwhile arrive.
 const catchUpTime = 100 * time.Millisecond
 
-// resumed delays preemption after a pause. Until the events sent meanwhile have been
-// handled, jobs that have ended seem to hold their slots.
-func (p *Pool) resumed() { p.preemptFrom = p.now + catchUpTime }
+// resumed delays preemption after a pause and restarts the time without a report after
+// which an engine has stalled. Until the events sent meanwhile have been handled, jobs that
+// have ended seem to hold their slots, and engines seem to be silent.
+func (p *Pool) resumed() {
+	p.preemptFrom = p.now + catchUpTime
+	for _, e := range p.engines {
+		if e.speed.lastReport != 0 {
+			e.speed.lastReport = p.now
+		}
+	}
+}
 
 // preemptForBlocked preempts lower-tier jobs for waiting jobs that would
 // otherwise start too late. Each slot that is already being freed counts for one
