dispatch: a dropped entry is granted nothing; proof of silent instances

Cause: when a dispatcher dropped an entry, it ended the entry's requests in the order of their IDs. The end of a running one gave its slot to a waiting one of the same entry, whose cancellation came too late. The dispatcher counted it as running for good, in the load that it reports to the entries.

Change: the waiting requests are cancelled first.

Found by the new property TestSilentInstanceEndsNoWork: instances, the dispatcher among them, are silent for 1 to 3 s at random times, and every request must start exactly once, end, and be forgotten.

--- a/pkg/dispatch/requesttable.go
+++ b/pkg/dispatch/requesttable.go
@@ -135,17 +135,23 @@
 }
 
 // endWhere removes the matching requests of the entry and returns the events
-// that end them, ordered by ID.
+// that end them: first the waiting ones, so that none of them gets the slot of a running
+// one, and then by ID.
 func (t *requestTable) endWhere(entry types.Incarnation, match func(*trackedRequest) bool) []pool.Event {
-	var events []pool.Event
+	var waiting, running []pool.Event
 	for _, tracked := range t.ofEntry(entry) {
 		if !match(tracked) {
 			continue
 		}
 		t.remove(tracked.id)
-		events = append(events, endEvent(tracked, pool.FinishCancelled))
+		event := endEvent(tracked, pool.FinishCancelled)
+		if tracked.upstream == "" {
+			waiting = append(waiting, event)
+		} else {
+			running = append(running, event)
+		}
 	}
-	return events
+	return append(waiting, running...)
 }
 
 // ofEntry returns the requests of an entry, ordered by ID.
--- a/pkg/dispatch/silence_test.go
+++ b/pkg/dispatch/silence_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -182,3 +185,84 @@
 		held[1].Finish(pool.Finish{Reason: pool.FinishComplete})
 	})
 }
+
+// silenceOf is a time in which a member neither receives nor sends messages.
+type silenceOf struct {
+	member    int
+	at, lasts time.Duration
+}
+
+// TestSilentInstanceEndsNoWork lets instances be silent for 1 to 3 s at random times, one
+// at a time, the dispatcher among them. Every request must start exactly once, run to its
+// end, and be forgotten by the dispatchers.
+func TestSilentInstanceEndsNoWork(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var plan []silenceOf
+		at := time.Duration(0)
+		for range rapid.IntRange(1, 3).Draw(r, "silences") {
+			at += time.Duration(rapid.IntRange(0, 2000).Draw(r, "after")) * time.Millisecond
+			s := silenceOf{rapid.IntRange(0, 3).Draw(r, "member"), at, time.Duration(rapid.IntRange(1000, 3000).Draw(r, "lasts")) * time.Millisecond}
+			plan = append(plan, s)
+			at += s.lasts
+		}
+		hold := time.Duration(rapid.IntRange(100, 4000).Draw(r, "hold")) * time.Millisecond
+		synctest.Test(t, func(t *testing.T) { playSilences(t, plan, hold) })
+	})
+}
+
+func playSilences(t *testing.T, plan []silenceOf, hold time.Duration) {
+	defer func() {
+		if t.Failed() {
+			t.Logf("hold %v, silences %+v", hold, plan)
+		}
+	}()
+	c := newTieredCluster(t, 4, 4)
+	defer c.stop()
+	for _, s := range plan {
+		time.AfterFunc(s.at, func() { c.network.Partition([]string{c.members[s.member].row.PeerAddress}) })
+		time.AfterFunc(s.at+s.lasts, c.network.Heal)
+	}
+	counter := &attempts{starts: map[types.RequestID]int{}}
+	var group sync.WaitGroup
+	for i := range 16 {
+		m := c.members[i%len(c.members)]
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 300 * time.Millisecond)
+			if err := counter.run(m, fmt.Sprint("r", i), hold); err != nil {
+				t.Errorf("r%d: %v", i, err)
+			}
+		})
+	}
+	group.Wait()
+	for id, n := range counter.starts {
+		if n != 1 {
+			t.Errorf("%s started %d times", id, n)
+		}
+	}
+	time.Sleep(30 * time.Second)
+	for _, m := range c.members {
+		for _, p := range m.dispatch.pools.all() {
+			if s := p.summary(); s.Running+s.Waiting > 0 {
+				t.Errorf("a dispatcher still has %+v", s)
+			}
+		}
+	}
+}
+
+// TestDroppedEntryIsGrantedNothing drops an entry with a running and a waiting request.
+func TestDroppedEntryIsGrantedNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTieredCluster(t, 2, 1)
+		defer c.stop()
+		dispatcher := c.dispatcher(testPool)
+		entry := c.others(dispatcher)[0]
+		holdPreemptible(t, entry, 1)
+		go func() { _ = run(entry, "waiting", 0) }()
+		time.Sleep(time.Second)
+		c.kill(entry)
+		time.Sleep(2 * DefaultEntryTimeout)
+		if s := dispatcher.dispatch.pools.all()[0].summary(); s.Running+s.Waiting > 0 {
+			t.Errorf("the dispatcher still has %+v", s)
+		}
+	})
+}
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -393,13 +393,15 @@
 	rapid.Check(t, func(r *rapid.T) {
 		plan := drawSilencePlan(r)
 		synctest.Test(t, func(t *testing.T) { playSilence(t, plan) })
-		if t.Failed() {
-			r.Fatalf("%+v", plan)
-		}
 	})
 }
 
 func playSilence(t *testing.T, plan silencePlan) {
+	defer func() {
+		if t.Failed() {
+			t.Logf("%+v", plan)
+		}
+	}()
 	var upstreams []*httpfakes.Upstream
 	for i, fault := range plan.faults {
 		u := httpfakes.NewUpstream(fmt.Sprint("u", i+1))
