pool: do not preempt work on an engine that takes nothing new

Cause: the victim of a preemption could run on an engine that was down, for example because its load report was silent, leaving, backing off or ejected. The waiting request cannot start there, so running work was stopped for nothing.

Change: the engine of a victim must be one that serves the waiting request. The condition is shared with the choice of an engine.

Before: TestNoWorkIsPreemptedOnAnEngineThatAcceptsNone failed for all four states. After: it passes, and go test -race ./pkg/pool ./pkg/dispatch ./pkg/bench ./pkg/simulate ./test/prove passes. That a silent load report ends no running work is now tested too (TestSilentLoadReportEndsNoWork); it passed before.

--- a/pkg/dispatch/cluster_test.go
+++ b/pkg/dispatch/cluster_test.go
@@ -98,6 +98,13 @@
 	return LoadReport{Leaving: u.leaving[upstream.ID]}, nil
 }
 
+// setDown sets whether the upstream refuses connections.
+func (u *fakeLoads) setDown(id types.UpstreamID, down bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.down[id] = down
+}
+
 // member is one instance of a cluster.
 type member struct {
 	dispatch *Dispatch
--- a/pkg/dispatch/silence_test.go
+++ b/pkg/dispatch/silence_test.go
@@ -266,3 +266,45 @@
 		}
 	})
 }
+
+// TestSilentLoadReportEndsNoWork lets the upstream refuse its load report for 3 s, in
+// which it counts as down.
+func TestSilentLoadReportEndsNoWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTieredCluster(t, 2, 2)
+		defer c.stop()
+		dispatcher := c.dispatcher(testPool)
+		held := holdPreemptible(t, c.others(dispatcher)[0], 2)
+		c.loads.setDown("engine-0", true)
+		time.Sleep(3 * time.Second)
+		if s := dispatcher.dispatch.pools.all()[0].summary(); s.Running != 2 || s.Capacity != 0 {
+			t.Errorf("while the report is silent: %+v", s)
+		}
+		c.loads.setDown("engine-0", false)
+		time.Sleep(3 * time.Second)
+		requireNotPreempted(t, held)
+		for _, grant := range held {
+			grant.Finish(pool.Finish{Reason: pool.FinishComplete})
+		}
+		if err := run(c.members[0], "after", 0); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestNoWorkIsPreemptedOnAnUpstreamWhoseLoadReportIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTieredCluster(t, 2, 2)
+		defer c.stop()
+		held := holdPreemptible(t, c.members[0], 2)
+		c.loads.setDown("engine-0", true)
+		time.Sleep(2 * time.Second)
+		if _, err := c.members[1].dispatch.Acquire(t.Context(), testTarget, urgentRequest("urgent")); err == nil {
+			t.Error("the urgent request was granted")
+		}
+		requireNotPreempted(t, held)
+		for _, grant := range held {
+			grant.Finish(pool.Finish{Reason: pool.FinishComplete})
+		}
+	})
+}
--- a/pkg/pool/decisions_test.go
+++ b/pkg/pool/decisions_test.go
@@ -278,3 +278,34 @@
 		t.Fatalf("%d engines were ejected after they had stalled, want 1", n)
 	}
 }
+
+// TestNoWorkIsPreemptedOnAnEngineThatAcceptsNone lets an urgent request wait while the only
+// preemptible work runs on an engine that is down, leaving, backing off or ejected.
+func TestNoWorkIsPreemptedOnAnEngineThatAcceptsNone(t *testing.T) {
+	for name, closed := range map[string]func(*Pool){
+		"down":    func(p *Pool) { p.Handle(0, Event{Upstream: &Upstream{ID: "u0", Down: true}}) },
+		"leaving": func(p *Pool) { p.Handle(0, Event{Upstream: &Upstream{ID: "u0", Leaving: true}}) },
+		"backoff": func(p *Pool) { p.engines[0].health.recordFailure(0, time.Minute) },
+		"ejected": func(p *Pool) { p.engines[0].speed.ejected, p.engines[0].speed.probeAt = true, time.Minute },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := New(DefaultSettings())
+			p.Handle(0, configured(2, 1, config.Class{Name: "c5", Tier: 5, FirstToken: 500, Deadline: 60_000}))
+			low := request("low", 1)
+			low.Preemptible = true
+			p.Handle(0, Event{Register: &Running{Request: *low, Upstream: "u0"}})
+			p.Handle(0, Event{Register: &Running{Request: *request("high", 5), Upstream: "u1"}})
+			closed(p)
+			urgent := request("urgent", 5)
+			urgent.FirstTokenIn, urgent.LastPool = 500*time.Millisecond, true
+			var got []string
+			got = append(got, preemptions(p.Handle(0, Event{Enqueue: urgent}))...)
+			for now := time.Duration(0); now < second; now += second / 50 {
+				got = append(got, preemptions(p.Handle(now, Event{}))...)
+			}
+			if len(got) > 0 {
+				t.Fatalf("preempted %v", got)
+			}
+		})
+	}
+}
--- a/pkg/pool/preemption.go
+++ b/pkg/pool/preemption.go
@@ -95,14 +95,14 @@
 	return true
 }
 
-// victimFor returns the running job to preempt for j, or nil. It prefers jobs
-// whose engine then has capacity for j, then the lowest tier, then the least lost
-// work.
+// victimFor returns the running job to preempt for j, or nil. Its engine must be one that
+// serves j. It prefers jobs whose engine then has capacity for j, then the lowest tier, then
+// the least lost work.
 func (p *Pool) victimFor(j *job) *job {
 	var best *job
 	bestFits := false
 	for _, r := range p.runningList {
-		if r.req.Tier >= j.req.Tier || !r.preemptible() || !j.allows(r.engine) || r.engine.permitsLeft(p.now) == 0 {
+		if r.req.Tier >= j.req.Tier || !r.preemptible() || !p.serves(r.engine, j) || r.engine.permitsLeft(p.now) == 0 {
 			continue
 		}
 		fits := p.fitsAfter(r, j)
