quarantine: judge the parts of prompts that crash upstreams

Cause: only whole requests are quarantined. When one part of a prompt crashes each upstream, no two requests with it are alike, and all of them reach upstreams.

Change: Table also holds evidence for and against parts. Entries of parts travel with those of requests.

--- /dev/null
+++ b/pkg/quarantine/explain.go
@@ -0,0 +1,80 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// explanation is how well something outside a request explains the crashes of one of its
+// convicted parts.
+type explanation int
+
+const (
+	// unexplained means that the part is refused.
+	unexplained explanation = iota
+	// limited means that single requests are let through to settle which one is guilty.
+	limited
+	// free means that the part needs no limit.
+	free
+)
+
+// explainingRounds is the number of rounds from which on a part can explain the crashes
+// of another.
+const explainingRounds = 2
+
+// toleratedRounds is the number of rounds before the conviction that need no explanation,
+// because unrelated crashes may be among them.
+const toleratedRounds = 1
+
+// explanation returns how well the parts outside the request, or condemned requests,
+// explain the crashes of a convicted part.
+func (t *Table) explanation(now time.Duration, convicted *partState, request []Fingerprint) explanation {
+	best := unexplained
+	for fp, other := range t.parts.states {
+		if best == free {
+			return free
+		}
+		if !slices.Contains(request, fp) && !other.expired(now) {
+			best = max(best, convicted.explainedBy(other, maxPartCrashes))
+		}
+	}
+	for _, known := range t.entries {
+		if known.condemned && now < known.lastCrash()+t.settings.TTL {
+			best = max(best, convicted.explainedBy(&partState{crashes: known.crashes, convicted: true}, t.settings.MaxCrashes))
+		}
+	}
+	return best
+}
+
+// explainedBy returns how well another part explains the crashes of this one. capacity is
+// the maximum number of crashes kept for the other.
+func (s *partState) explainedBy(other *partState, capacity int) explanation {
+	if rounds(other.crashes) < explainingRounds {
+		return unexplained
+	}
+	full := len(other.crashes) >= capacity
+	var missing []crash
+	for _, c := range s.crashes {
+		if !other.covers(c, full) {
+			missing = append(missing, c)
+		}
+	}
+	if len(missing) == 0 {
+		if other.convicted && slices.ContainsFunc(other.crashes, func(c crash) bool { return !s.covers(c, false) }) {
+			return free
+		}
+		return limited
+	}
+	if rounds(missing) > toleratedRounds || missing[len(missing)-1].at > s.since+roundSpacing {
+		return unexplained
+	}
+	return limited
+}
+
+// covers reports whether the crash is one of this part. Of a full list, crashes may have
+// been dropped that lie close to those kept or before them.
+func (s *partState) covers(c crash, full bool) bool {
+	return slices.ContainsFunc(s.crashes, func(own crash) bool {
+		return own.matchesPart(c) || full && (own.at-c.at).Abs() < roundSpacing
+	}) || full && c.at < s.crashes[0].at
+}
--- /dev/null
+++ b/pkg/quarantine/parts.go
@@ -0,0 +1,325 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+const (
+	// maxParts is the maximum number of suspected and convicted parts.
+	maxParts = 1024
+	// maxConvictedParts is the maximum number of convicted parts. The rest of maxParts
+	// is left for suspects, so that new parts can still be convicted.
+	maxConvictedParts = maxParts * 3 / 4
+	// maxReportedParts is the maximum number of entries that one crash adds to the
+	// reports to peers.
+	maxReportedParts = 64
+	// trialInterval is the minimum time between two requests that are let through to
+	// settle whether a convicted part is guilty.
+	trialInterval = time.Second
+	// clearingSpread is the longest delay before a part is cleared again. Instances
+	// differ in it, so that most hear the clearing of another and stay silent.
+	clearingSpread = 500 * time.Millisecond
+	// clearingRounds is the number of rounds against a part known to be sound from
+	// which on peers are told that it is sound.
+	clearingRounds = 2
+)
+
+// PartVerdict explains why a request is refused.
+type PartVerdict struct {
+	Part Fingerprint
+	// Crashes are those of the part, oldest first.
+	Crashes []CrashReport
+	// Rounds is the number of crashes that count as separate evidence.
+	Rounds int
+	// ConvictedFor is the time since the conviction.
+	ConvictedFor time.Duration
+	// OnTrial is set if the sentence has ended and another request is on trial now.
+	OnTrial bool
+	// TrialIn is the time until the part may be tried again.
+	TrialIn time.Duration
+}
+
+// partTable is the part of a Table that holds parts of prompts.
+type partTable struct {
+	states map[Fingerprint]*partState
+	sound  soundMemory
+	// clearings holds when a part must be cleared again.
+	clearings map[Fingerprint]time.Duration
+}
+
+func newPartTable() partTable {
+	return partTable{
+		states:    make(map[Fingerprint]*partState),
+		sound:     newSoundMemory(),
+		clearings: make(map[Fingerprint]time.Duration),
+	}
+}
+
+// RefusedPart returns the verdict on a request that must not run because of one of its
+// parts, and false if the request may run. It lets through single requests that settle
+// whether a part is guilty, so callers ask once for each attempt, right before they
+// send it.
+func (t *Table) RefusedPart(now time.Duration, parts []Fingerprint) (PartVerdict, bool) {
+	if len(t.parts.states) == 0 {
+		return PartVerdict{}, false
+	}
+	var tried []*partState
+	for _, fp := range parts {
+		state, ok := t.parts.states[fp]
+		if !ok || !state.convicted || state.expired(now) {
+			continue
+		}
+		onTrial := now >= t.trialAt(state)
+		found := limited
+		if !onTrial {
+			found = t.explanation(now, state, parts)
+		}
+		if found == free {
+			continue
+		}
+		if found == unexplained || state.wasTried && now-state.passed < trialInterval {
+			return t.partVerdict(now, fp, state, onTrial), true
+		}
+		tried = append(tried, state)
+	}
+	for _, state := range tried {
+		state.passed, state.wasTried = now, true
+	}
+	return PartVerdict{}, false
+}
+
+// trialAt returns when the sentence of a convicted part ends at this instance.
+func (t *Table) trialAt(state *partState) time.Duration {
+	length := state.sentence()
+	return state.lastCrash() + length + time.Duration(t.settings.TrialJitter*float64(length))
+}
+
+func (t *Table) partVerdict(now time.Duration, fp Fingerprint, state *partState, onTrial bool) PartVerdict {
+	trial := t.trialAt(state)
+	if onTrial {
+		trial = state.passed + trialInterval
+	}
+	return PartVerdict{
+		Part:         fp,
+		Crashes:      reports(now, state.crashes),
+		Rounds:       rounds(state.crashes),
+		ConvictedFor: now - state.since,
+		OnTrial:      onTrial,
+		TrialIn:      max(trial-now, 0),
+	}
+}
+
+// RecordPartCrash counts the crash of an upstream against the parts that it had begun,
+// or was about to answer, and returns the entries to report to peers.
+func (t *Table) RecordPartCrash(now time.Duration, parts []Fingerprint, upstream types.UpstreamID) []Entry {
+	var changed, doubted []Entry
+	for _, fp := range parts {
+		_, isSound := t.parts.sound.get(now, fp)
+		state := t.partEvidence(now, fp)
+		if !state.add(crash{upstream: upstream, at: now}) {
+			continue
+		}
+		state.judge(now, requiredRounds(isSound))
+		t.putPart(now, fp, state)
+		if isSound && !state.convicted {
+			doubted = append(doubted, newestCrash(now, fp, state))
+		} else {
+			changed = append(changed, partReport(now, fp, state))
+		}
+	}
+	changed = append(changed, doubted...)
+	return changed[:min(len(changed), maxReportedParts)]
+}
+
+func requiredRounds(isSound bool) int {
+	if isSound {
+		return doubtRounds
+	}
+	return convictionRounds
+}
+
+// partEvidence returns the state of a part without what has expired.
+func (t *Table) partEvidence(now time.Duration, fp Fingerprint) *partState {
+	state, ok := t.parts.states[fp]
+	if !ok || state.expired(now) {
+		return &partState{}
+	}
+	if !state.convicted {
+		state.dropBefore(now - suspicionTTL)
+	}
+	return state
+}
+
+// partReport returns what peers are told of a crash: everything if the part is
+// convicted, so that they can judge it too.
+func partReport(now time.Duration, fp Fingerprint, state *partState) Entry {
+	if state.convicted {
+		return partEntry(now, fp, state)
+	}
+	return newestCrash(now, fp, state)
+}
+
+func newestCrash(now time.Duration, fp Fingerprint, state *partState) Entry {
+	return Entry{Fingerprint: fp, Crashes: reports(now, state.crashes[len(state.crashes)-1:])}
+}
+
+func partEntry(now time.Duration, fp Fingerprint, state *partState) Entry {
+	return Entry{Fingerprint: fp, Crashes: reports(now, state.crashes), Condemned: state.convicted}
+}
+
+// RecordPartsSound records a complete answer to a request with these parts. It clears
+// them and returns the clearings to report to peers.
+func (t *Table) RecordPartsSound(now time.Duration, parts []Fingerprint) []Entry {
+	var cleared []Entry
+	for _, fp := range parts {
+		known, isSound := t.parts.sound.get(now, fp)
+		if !isSound || !known.own || now-known.at >= soundRefresh || known.clearings > 0 {
+			t.parts.sound.put(fp, soundness{at: now, own: true})
+		}
+		state, ok := t.parts.states[fp]
+		if !ok {
+			continue
+		}
+		t.deletePart(fp)
+		if !isSound || state.convicted || rounds(state.crashes) >= clearingRounds {
+			cleared = append(cleared, Entry{Fingerprint: fp})
+		}
+	}
+	return cleared
+}
+
+// mergePart adds the entry of a part from another instance and reports whether it
+// changed the table.
+func (t *Table) mergePart(now time.Duration, entry Entry) bool {
+	if len(entry.Crashes) == 0 {
+		return t.mergeClearing(now, entry.Fingerprint)
+	}
+	known, isSound := t.parts.sound.get(now, entry.Fingerprint)
+	state := t.partEvidence(now, entry.Fingerprint)
+	changed := false
+	for _, report := range entry.Crashes {
+		c := crash{upstream: report.Upstream, at: now - time.Duration(report.AgeMilliseconds)*time.Millisecond}
+		if now-c.at >= suspicionTTL && !entry.Condemned || isSound && c.at <= known.at {
+			continue
+		}
+		changed = state.add(c) || changed
+	}
+	if entry.Condemned && !isSound && len(state.crashes) > 0 && !state.convicted {
+		state.convicted, state.since = true, now
+		changed = true
+	}
+	changed = state.judge(now, requiredRounds(isSound)) || changed
+	if len(state.crashes) > 0 && changed && !state.expired(now) {
+		t.putPart(now, entry.Fingerprint, state)
+	}
+	t.contradict(now, entry, known, isSound, state)
+	return changed
+}
+
+// mergeClearing clears a part that another instance found to be sound.
+func (t *Table) mergeClearing(now time.Duration, fp Fingerprint) bool {
+	known, isSound := t.parts.sound.get(now, fp)
+	known.at = now
+	known.clearings++
+	t.parts.sound.put(fp, known)
+	_, suspected := t.parts.states[fp]
+	t.deletePart(fp)
+	return suspected || !isSound
+}
+
+// contradict schedules a clearing if a peer suspects a part that this instance knows to
+// be sound.
+func (t *Table) contradict(now time.Duration, entry Entry, known soundness, isSound bool, state *partState) {
+	if !isSound || !known.own || known.clearings >= maxClearings || state.convicted {
+		return
+	}
+	if !entry.Condemned && rounds(state.crashes) < clearingRounds {
+		return
+	}
+	if _, ok := t.parts.clearings[entry.Fingerprint]; !ok {
+		t.parts.clearings[entry.Fingerprint] = now + time.Duration(t.settings.TrialJitter*float64(clearingSpread))
+	}
+}
+
+// Clearings returns the entries that tell peers that parts which they suspect are sound.
+// Callers ask after Merge and at regular intervals.
+func (t *Table) Clearings(now time.Duration) []Entry {
+	var due []Entry
+	for fp, at := range t.parts.clearings {
+		if now < at {
+			continue
+		}
+		delete(t.parts.clearings, fp)
+		known, isSound := t.parts.sound.get(now, fp)
+		if !isSound {
+			continue
+		}
+		known.clearings++
+		t.parts.sound.put(fp, known)
+		t.deletePart(fp)
+		due = append(due, Entry{Fingerprint: fp})
+	}
+	slices.SortFunc(due, compareEntries)
+	return due
+}
+
+// PartCounts returns the number of parts that are suspected and convicted.
+func (t *Table) PartCounts() (suspected, convicted int) {
+	for _, state := range t.parts.states {
+		if state.convicted {
+			convicted++
+		}
+	}
+	return len(t.parts.states) - convicted, convicted
+}
+
+// putPart stores the state of a part. If there are too many, it evicts one first.
+func (t *Table) putPart(now time.Duration, fp Fingerprint, state *partState) {
+	_, known := t.parts.states[fp]
+	if !known && len(t.parts.states) >= maxParts {
+		t.evictPart(now, func(*partState) bool { return true })
+	}
+	t.parts.states[fp] = state
+	if !state.convicted {
+		return
+	}
+	t.parts.sound.forget(fp)
+	if _, convicted := t.PartCounts(); convicted > maxConvictedParts {
+		t.evictPart(now, func(s *partState) bool { return s.convicted })
+	}
+}
+
+func (t *Table) deletePart(fp Fingerprint) {
+	delete(t.parts.states, fp)
+	delete(t.parts.clearings, fp)
+}
+
+// evictPart deletes the expired parts. If there are none, it deletes the part with the
+// oldest last crash among those that match, suspects before convicted ones.
+func (t *Table) evictPart(now time.Duration, match func(*partState) bool) {
+	before := len(t.parts.states)
+	var victim Fingerprint
+	var victimState *partState
+	for fp, state := range t.parts.states {
+		if state.expired(now) {
+			t.deletePart(fp)
+			continue
+		}
+		if match(state) && (victimState == nil || evictsPartBefore(state, victimState)) {
+			victim, victimState = fp, state
+		}
+	}
+	if len(t.parts.states) == before && victimState != nil {
+		t.deletePart(victim)
+	}
+}
+
+func evictsPartBefore(a, b *partState) bool {
+	if a.convicted != b.convicted {
+		return b.convicted
+	}
+	return a.lastCrash() < b.lastCrash()
+}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -23,6 +23,10 @@
 	// MaxCrashes is the number of crashes after which a request is condemned even
 	// if it was never the only suspect.
 	MaxCrashes int
+	// TrialJitter is between 0 and 1 and should differ between instances. It delays the
+	// trial of a convicted part by up to the length of its sentence, so that the
+	// instances do not try it at the same time.
+	TrialJitter float64
 }
 
 // DefaultSettings returns settings with a TTL of one hour.
@@ -79,20 +83,21 @@
 	return slices.ContainsFunc(s.crashes, c.matches)
 }
 
-// Table holds suspected and condemned requests. It reads no clock: callers pass
+// Table holds suspected and condemned requests and parts of prompts. It reads no clock: callers pass
 // the current time as a monotonic duration. It is not safe for concurrent use.
 type Table struct {
 	settings Settings
 	entries  map[Fingerprint]fingerprintState
+	parts    partTable
 }
 
 // NewTable returns an empty table.
 func NewTable(settings Settings) *Table {
-	return &Table{settings: settings, entries: make(map[Fingerprint]fingerprintState)}
+	return &Table{settings: settings, entries: make(map[Fingerprint]fingerprintState), parts: newPartTable()}
 }
 
-// Len returns the number of fingerprints in the table.
-func (t *Table) Len() int { return len(t.entries) }
+// Len returns the number of fingerprints in the table, those of parts included.
+func (t *Table) Len() int { return len(t.entries) + len(t.parts.states) }
 
 // Verdict is the state of a request before it runs.
 type Verdict struct {
@@ -192,7 +197,7 @@
 func (t *Table) Merge(now time.Duration, entries []Entry) []Entry {
 	var changed []Entry
 	for _, entry := range entries {
-		if t.mergeEntry(now, entry) {
+		if entry.Fingerprint.IsPart() && t.mergePart(now, entry) || !entry.Fingerprint.IsPart() && t.mergeEntry(now, entry) {
 			changed = append(changed, entry)
 		}
 	}
@@ -228,18 +233,41 @@
 }
 
 // List returns up to limit unexpired entries: condemned ones first, then those
-// with the most recent crash.
+// with the most recent crash. Requests and parts alternate.
 func (t *Table) List(now time.Duration, limit int) []Entry {
-	list := make([]Entry, 0, len(t.entries))
+	requests := make([]Entry, 0, len(t.entries))
 	for fp := range t.entries {
 		if entry, ok := t.entry(now, fp); ok {
-			list = append(list, entry)
+			requests = append(requests, entry)
 		}
 	}
-	slices.SortFunc(list, compareEntries)
+	parts := make([]Entry, 0, len(t.parts.states))
+	for fp, state := range t.parts.states {
+		if !state.expired(now) {
+			parts = append(parts, partEntry(now, fp, state))
+		}
+	}
+	list := alternate(requests, parts)
 	return list[:min(limit, len(list))]
 }
 
+// alternate sorts both lists and takes their entries in turn, the condemned ones of both
+// before the others.
+func alternate(a, b []Entry) []Entry {
+	slices.SortFunc(a, compareEntries)
+	slices.SortFunc(b, compareEntries)
+	merged := make([]Entry, 0, len(a)+len(b))
+	for len(a) > 0 && len(b) > 0 {
+		if a[0].Condemned || !b[0].Condemned {
+			merged, a = append(merged, a[0]), a[1:]
+		}
+		if len(a) == 0 || b[0].Condemned || !a[0].Condemned {
+			merged, b = append(merged, b[0]), b[1:]
+		}
+	}
+	return append(append(merged, a...), b...)
+}
+
 // entry returns the entry of a fingerprint, and false if it has no unexpired state.
 func (t *Table) entry(now time.Duration, fp Fingerprint) (Entry, bool) {
 	known := t.unexpired(now, fp)
