quarantine: count an attempt after a crash as new evidence against a part

Cause: with crashes less than 250 ms apart counted once, a part that crashes all upstreams in a burst, by retries, is convicted only when they are back, and each instance that holds back a verdict pays for it again.

Change: RecordPartCrash takes the duration of the attempt; one that began after the crash before it is a round of its own. A conviction is firm from four rounds, or a weight of five; before that the part is tried after some seconds, the instances spread over 20 s. A part known to be sound explains nothing. Corrections replace the clearings: they also tell an uninformed peer of a conviction.

--- a/pkg/quarantine/explain.go
+++ b/pkg/quarantine/explain.go
@@ -24,7 +24,7 @@
 
 // toleratedRounds is the number of rounds before the conviction that need no explanation,
 // because unrelated crashes may be among them.
-const toleratedRounds = 1
+const toleratedRounds = 2
 
 // explanation returns how well the parts outside the request, or condemned requests,
 // explain the crashes of a convicted part.
@@ -34,18 +34,37 @@
 		if best == free {
 			return free
 		}
-		if !slices.Contains(request, fp) && !other.expired(now) {
+		if !slices.Contains(request, fp) && t.mayBeGuilty(now, fp, other) {
 			best = max(best, convicted.explainedBy(other, maxPartCrashes))
 		}
 	}
 	for _, known := range t.entries {
 		if known.condemned && now < known.lastCrash()+t.settings.TTL {
-			best = max(best, convicted.explainedBy(&partState{crashes: known.crashes, convicted: true}, t.settings.MaxCrashes))
+			best = max(best, convicted.explainedBy(known.asPart(), t.settings.MaxCrashes))
 		}
 	}
 	return best
 }
 
+// asPart returns the state of a condemned request in the form of a convicted part.
+func (s fingerprintState) asPart() *partState {
+	state := &partState{convicted: true}
+	for _, c := range s.crashes {
+		state.crashes = append(state.crashes, partCrash{crash: c})
+	}
+	return state
+}
+
+// mayBeGuilty reports whether a part can explain the crashes of others: it is convicted, or
+// suspected and not known to be sound.
+func (t *Table) mayBeGuilty(now time.Duration, fp Fingerprint, state *partState) bool {
+	if state.expired(now) {
+		return false
+	}
+	_, isSound := t.parts.sound.get(now, fp)
+	return state.convicted || !isSound
+}
+
 // explainedBy returns how well another part explains the crashes of this one. capacity is
 // the maximum number of crashes kept for the other.
 func (s *partState) explainedBy(other *partState, capacity int) explanation {
@@ -53,14 +72,14 @@
 		return unexplained
 	}
 	full := len(other.crashes) >= capacity
-	var missing []crash
+	var missing []partCrash
 	for _, c := range s.crashes {
 		if !other.covers(c, full) {
 			missing = append(missing, c)
 		}
 	}
 	if len(missing) == 0 {
-		if other.convicted && slices.ContainsFunc(other.crashes, func(c crash) bool { return !s.covers(c, false) }) {
+		if other.convicted && slices.ContainsFunc(other.crashes, func(c partCrash) bool { return !s.covers(c, false) }) {
 			return free
 		}
 		return limited
@@ -73,8 +92,8 @@
 
 // covers reports whether the crash is one of this part. Of a full list, crashes may have
 // been dropped that lie close to those kept or before them.
-func (s *partState) covers(c crash, full bool) bool {
-	return slices.ContainsFunc(s.crashes, func(own crash) bool {
+func (s *partState) covers(c partCrash, full bool) bool {
+	return slices.ContainsFunc(s.crashes, func(own partCrash) bool {
 		return own.matchesPart(c) || full && (own.at-c.at).Abs() < roundSpacing
 	}) || full && c.at < s.crashes[0].at
 }
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -17,7 +17,7 @@
 	// roundSpacing is the minimum time between two crashes that count as separate
 	// evidence. Crashes that lie closer together may have one cause outside the
 	// requests, and reports of them arrive up to two spacings apart.
-	roundSpacing = 300 * time.Millisecond
+	roundSpacing = 250 * time.Millisecond
 	// convictionRounds is the number of rounds that convict a part.
 	convictionRounds = 3
 	// doubtRounds is the number of rounds that convict a part that was known to be
@@ -27,13 +27,21 @@
 	suspicionTTL = 10 * time.Minute
 	// convictionTTL is how long a convicted part is remembered after its last crash.
 	convictionTTL = 4 * time.Hour
-	// shortSentence is the time from the last crash to the first trial of a part that
-	// was convicted on the minimum of evidence.
+	// firmRounds and firmWeight are the rounds, or the weight of evidence, from which a
+	// conviction is firm.
+	firmRounds = 4
+	firmWeight = 5
+	// maxRoundWeight is the number of crashes of one round that add to the weight.
+	maxRoundWeight = 2
+	// shortSentence is the time from the last crash to the trial of a part whose
+	// conviction is not firm.
 	shortSentence = 4 * time.Second
-	// sentence is the time from the last crash to the trial of a part with more
-	// evidence. It doubles with each further round.
-	sentence = 10 * time.Minute
-	// maxSentence limits sentence.
+	// minTrialSpread is the minimum range over which the instances spread a trial.
+	minTrialSpread = 20 * time.Second
+	// firmSentence is the time from the last crash to the trial of a part whose
+	// conviction is firm. It doubles with each round beyond firmRounds.
+	firmSentence = 10 * time.Minute
+	// maxSentence limits the doubling.
 	maxSentence = time.Hour
 )
 
@@ -53,13 +61,31 @@
 // request.
 func (f Fingerprint) IsPart() bool { return bytes.HasPrefix(f[:], partPrefix) }
 
+// partCrash is a crash and what is known of the attempt that it ended.
+type partCrash struct {
+	crash
+	// began is when the attempt of this instance began; it is meaningless for a crash
+	// that was only reported.
+	began time.Duration
+	own   bool
+}
+
+// startsRound reports whether the crash is evidence that is independent of the round
+// before it: it came later, or its attempt began after that.
+func (c partCrash) startsRound(begin, last time.Duration) bool {
+	return c.at-begin >= roundSpacing || c.own && c.began >= last
+}
+
 // partState is the evidence against one part since its last sound answer.
 type partState struct {
 	// crashes is ordered by time.
-	crashes   []crash
+	crashes   []partCrash
 	convicted bool
 	// since is when the part was convicted.
 	since time.Duration
+	// minRounds and minWeight are what the conviction rests on at least. A peer that
+	// convicted the part may have seen more than this instance.
+	minRounds, minWeight int
 	// passed is when the last request with the convicted part was let through, if any.
 	passed   time.Duration
 	wasTried bool
@@ -83,14 +109,17 @@
 
 // add adds a crash and reports whether it is new. Reports only ever arrive late, so
 // the earliest time of a known crash is kept.
-func (s *partState) add(c crash) bool {
+func (s *partState) add(c partCrash) bool {
 	known := slices.IndexFunc(s.crashes, c.matchesPart)
+	if s.convicted && known < 0 && c.at-s.lastCrash() >= roundSpacing {
+		s.minRounds++
+	}
 	if known >= 0 {
 		s.crashes[known].at = min(s.crashes[known].at, c.at)
 	} else {
 		s.crashes = append(s.crashes, c)
 	}
-	slices.SortStableFunc(s.crashes, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
+	slices.SortStableFunc(s.crashes, func(a, b partCrash) int { return cmp.Compare(a.at, b.at) })
 	if len(s.crashes) > maxPartCrashes {
 		s.dropOne()
 	}
@@ -99,33 +128,49 @@
 
 // dropOne removes the oldest crash that does not begin a round, or else the oldest.
 func (s *partState) dropOne() {
-	begin := s.crashes[0].at
-	for i, c := range s.crashes[1:] {
-		if c.at-begin < roundSpacing {
-			s.crashes = slices.Delete(s.crashes, i+1, i+2)
+	sizes := roundSizes(s.crashes)
+	index := 0
+	for _, size := range sizes {
+		if size > 1 {
+			s.crashes = slices.Delete(s.crashes, index+1, index+2)
 			return
 		}
-		begin = c.at
+		index += size
 	}
 	s.crashes = slices.Delete(s.crashes, 0, 1)
 }
 
 // dropBefore removes the crashes before a time.
 func (s *partState) dropBefore(limit time.Duration) {
-	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return c.at < limit })
+	s.crashes = slices.DeleteFunc(s.crashes, func(c partCrash) bool { return c.at < limit })
 }
 
-// rounds returns the number of rounds in crashes that are ordered by time.
-func rounds(crashes []crash) int {
-	count := 0
-	var begin time.Duration
+// roundSizes returns the number of crashes in each round of crashes that are ordered by
+// time.
+func roundSizes(crashes []partCrash) []int {
+	var sizes []int
+	var begin, last time.Duration
 	for _, c := range crashes {
-		if count == 0 || c.at-begin >= roundSpacing {
-			count++
+		if len(sizes) == 0 || c.startsRound(begin, last) {
+			sizes = append(sizes, 0)
 			begin = c.at
 		}
+		sizes[len(sizes)-1]++
+		last = c.at
 	}
-	return count
+	return sizes
+}
+
+// rounds returns the number of rounds.
+func rounds(crashes []partCrash) int { return len(roundSizes(crashes)) }
+
+// weight returns the number of crashes, of each round at most maxRoundWeight.
+func weight(crashes []partCrash) int {
+	total := 0
+	for _, size := range roundSizes(crashes) {
+		total += min(size, maxRoundWeight)
+	}
+	return total
 }
 
 // judge convicts the part if its rounds reach the limit, and reports whether that is
@@ -135,32 +180,44 @@
 		return false
 	}
 	s.convicted, s.since = true, now
+	s.minRounds = max(s.minRounds, rounds(s.crashes))
 	return true
 }
 
 // sentence returns the time from the last crash to the trial.
 func (s *partState) sentence() time.Duration {
-	extra := rounds(s.crashes) - convictionRounds - 1
-	if extra < 0 {
+	seen := max(rounds(s.crashes), s.minRounds)
+	if seen < firmRounds && max(weight(s.crashes), s.minWeight) < firmWeight {
 		return shortSentence
 	}
-	length := sentence
-	for range extra {
+	length := firmSentence
+	for range seen - firmRounds {
 		length = min(2*length, maxSentence)
 	}
 	return length
 }
 
 // matchesPart reports whether both are reports of the same crash.
-func (c crash) matchesPart(other crash) bool {
+func (c partCrash) matchesPart(other partCrash) bool {
 	return c.upstream == other.upstream && (c.at-other.at).Abs() <= partCrashMatchWindow
 }
 
 // reports returns the crashes with their ages.
-func reports(now time.Duration, crashes []crash) []CrashReport {
+func reports(now time.Duration, crashes []partCrash) []CrashReport {
 	list := make([]CrashReport, 0, len(crashes))
 	for _, c := range crashes {
 		list = append(list, CrashReport{Upstream: c.upstream, AgeMilliseconds: (now - c.at).Milliseconds()})
 	}
 	return list
 }
+
+// crashes returns the crashes of an entry on the local clock, ordered by time.
+func (e Entry) crashes(now time.Duration) []partCrash {
+	list := make([]partCrash, 0, len(e.Crashes))
+	for _, report := range e.Crashes {
+		at := now - time.Duration(report.AgeMilliseconds)*time.Millisecond
+		list = append(list, partCrash{crash: crash{upstream: report.Upstream, at: at}})
+	}
+	slices.SortStableFunc(list, func(a, b partCrash) int { return cmp.Compare(a.at, b.at) })
+	return list
+}
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -19,9 +19,12 @@
 	// trialInterval is the minimum time between two requests that are let through to
 	// settle whether a convicted part is guilty.
 	trialInterval = time.Second
-	// clearingSpread is the longest delay before a part is cleared again. Instances
-	// differ in it, so that most hear the clearing of another and stay silent.
-	clearingSpread = 500 * time.Millisecond
+	// settleSpread is the range over which the instances spread the first of these
+	// requests after a crash.
+	settleSpread = 2 * time.Second
+	// correctionSpread is the longest delay before peers are corrected. Instances differ
+	// in it, so that most hear the correction of another and stay silent.
+	correctionSpread = 200 * time.Millisecond
 	// clearingRounds is the number of rounds against a part known to be sound from
 	// which on peers are told that it is sound.
 	clearingRounds = 2
@@ -46,15 +49,15 @@
 type partTable struct {
 	states map[Fingerprint]*partState
 	sound  soundMemory
-	// clearings holds when a part must be cleared again.
-	clearings map[Fingerprint]time.Duration
+	// corrections holds when peers must be told the state of a part.
+	corrections map[Fingerprint]time.Duration
 }
 
 func newPartTable() partTable {
 	return partTable{
-		states:    make(map[Fingerprint]*partState),
-		sound:     newSoundMemory(),
-		clearings: make(map[Fingerprint]time.Duration),
+		states:      make(map[Fingerprint]*partState),
+		sound:       newSoundMemory(),
+		corrections: make(map[Fingerprint]time.Duration),
 	}
 }
 
@@ -80,7 +83,7 @@
 		if found == free {
 			continue
 		}
-		if found == unexplained || state.wasTried && now-state.passed < trialInterval {
+		if found == unexplained || !t.mayTry(now, state) {
 			return t.partVerdict(now, fp, state, onTrial), true
 		}
 		tried = append(tried, state)
@@ -91,10 +94,19 @@
 	return PartVerdict{}, false
 }
 
+// mayTry reports whether this instance may let a request through that settles whether a
+// part is guilty.
+func (t *Table) mayTry(now time.Duration, state *partState) bool {
+	if state.wasTried && now-state.passed < trialInterval {
+		return false
+	}
+	return now-state.lastCrash() >= time.Duration(t.settings.TrialJitter*float64(settleSpread))
+}
+
 // trialAt returns when the sentence of a convicted part ends at this instance.
 func (t *Table) trialAt(state *partState) time.Duration {
 	length := state.sentence()
-	return state.lastCrash() + length + time.Duration(t.settings.TrialJitter*float64(length))
+	return state.lastCrash() + length + time.Duration(t.settings.TrialJitter*float64(max(length, minTrialSpread)))
 }
 
 func (t *Table) partVerdict(now time.Duration, fp Fingerprint, state *partState, onTrial bool) PartVerdict {
@@ -112,14 +124,16 @@
 	}
 }
 
-// RecordPartCrash counts the crash of an upstream against the parts that it had begun,
-// or was about to answer, and returns the entries to report to peers.
-func (t *Table) RecordPartCrash(now time.Duration, parts []Fingerprint, upstream types.UpstreamID) []Entry {
+// RecordPartCrash counts the crash of an upstream against the parts of an attempt that the
+// upstream had begun, or was about to answer, and returns the entries to report to peers.
+// The duration is the time from the begin of the attempt to this call.
+func (t *Table) RecordPartCrash(now time.Duration, parts []Fingerprint, upstream types.UpstreamID, duration time.Duration) []Entry {
+	current := partCrash{crash: crash{upstream: upstream, at: now}, began: now - duration, own: true}
 	var changed, doubted []Entry
 	for _, fp := range parts {
 		_, isSound := t.parts.sound.get(now, fp)
 		state := t.partEvidence(now, fp)
-		if !state.add(crash{upstream: upstream, at: now}) {
+		if !state.add(current) {
 			continue
 		}
 		state.judge(now, requiredRounds(isSound))
@@ -200,22 +214,23 @@
 	known, isSound := t.parts.sound.get(now, entry.Fingerprint)
 	state := t.partEvidence(now, entry.Fingerprint)
 	changed := false
-	for _, report := range entry.Crashes {
-		c := crash{upstream: report.Upstream, at: now - time.Duration(report.AgeMilliseconds)*time.Millisecond}
+	told := entry.crashes(now)
+	for _, c := range told {
 		if now-c.at >= suspicionTTL && !entry.Condemned || isSound && c.at <= known.at {
 			continue
 		}
 		changed = state.add(c) || changed
 	}
-	if entry.Condemned && !isSound && len(state.crashes) > 0 && !state.convicted {
-		state.convicted, state.since = true, now
-		changed = true
+	if entry.Condemned && !isSound && len(state.crashes) > 0 {
+		state.minRounds = max(state.minRounds, rounds(told), convictionRounds)
+		state.minWeight = max(state.minWeight, weight(told))
+		changed = state.judge(now, 0) || changed
 	}
 	changed = state.judge(now, requiredRounds(isSound)) || changed
 	if len(state.crashes) > 0 && changed && !state.expired(now) {
 		t.putPart(now, entry.Fingerprint, state)
 	}
-	t.contradict(now, entry, known, isSound, state)
+	t.planCorrection(now, entry, known, isSound, state)
 	return changed
 }
 
@@ -230,42 +245,55 @@
 	return suspected || !isSound
 }
 
-// contradict schedules a clearing if a peer suspects a part that this instance knows to
-// be sound.
-func (t *Table) contradict(now time.Duration, entry Entry, known soundness, isSound bool, state *partState) {
-	if !isSound || !known.own || known.clearings >= maxClearings || state.convicted {
-		return
-	}
-	if !entry.Condemned && rounds(state.crashes) < clearingRounds {
+// planCorrection schedules a correction if a peer suspects a part that this instance
+// knows to be sound or has convicted. The conviction by a peer replaces a correction.
+func (t *Table) planCorrection(now time.Duration, entry Entry, known soundness, isSound bool, state *partState) {
+	if state.convicted {
+		if entry.Condemned {
+			delete(t.parts.corrections, entry.Fingerprint)
+			return
+		}
+	} else if !isSound || !known.own || known.clearings >= maxClearings ||
+		!entry.Condemned && rounds(state.crashes) < clearingRounds {
 		return
 	}
-	if _, ok := t.parts.clearings[entry.Fingerprint]; !ok {
-		t.parts.clearings[entry.Fingerprint] = now + time.Duration(t.settings.TrialJitter*float64(clearingSpread))
+	if _, ok := t.parts.corrections[entry.Fingerprint]; !ok {
+		t.parts.corrections[entry.Fingerprint] = now + time.Duration(t.settings.TrialJitter*float64(correctionSpread))
 	}
 }
 
-// Clearings returns the entries that tell peers that parts which they suspect are sound.
-// Callers ask after Merge and at regular intervals.
-func (t *Table) Clearings(now time.Duration) []Entry {
+// Corrections returns the entries that correct peers: those that suspect a part that is
+// known to be sound, and those that have not heard of a conviction. Callers ask after
+// Merge and at regular intervals.
+func (t *Table) Corrections(now time.Duration) []Entry {
 	var due []Entry
-	for fp, at := range t.parts.clearings {
+	for fp, at := range t.parts.corrections {
 		if now < at {
 			continue
 		}
-		delete(t.parts.clearings, fp)
-		known, isSound := t.parts.sound.get(now, fp)
-		if !isSound {
-			continue
+		delete(t.parts.corrections, fp)
+		if entry, ok := t.correction(now, fp); ok {
+			due = append(due, entry)
 		}
-		known.clearings++
-		t.parts.sound.put(fp, known)
-		t.deletePart(fp)
-		due = append(due, Entry{Fingerprint: fp})
 	}
 	slices.SortFunc(due, compareEntries)
 	return due
 }
 
+func (t *Table) correction(now time.Duration, fp Fingerprint) (Entry, bool) {
+	if state, ok := t.parts.states[fp]; ok && state.convicted {
+		return partEntry(now, fp, state), !state.expired(now)
+	}
+	known, isSound := t.parts.sound.get(now, fp)
+	if !isSound {
+		return Entry{}, false
+	}
+	known.clearings++
+	t.parts.sound.put(fp, known)
+	t.deletePart(fp)
+	return Entry{Fingerprint: fp}, true
+}
+
 // PartCounts returns the number of parts that are suspected and convicted.
 func (t *Table) PartCounts() (suspected, convicted int) {
 	for _, state := range t.parts.states {
@@ -294,7 +322,7 @@
 
 func (t *Table) deletePart(fp Fingerprint) {
 	delete(t.parts.states, fp)
-	delete(t.parts.clearings, fp)
+	delete(t.parts.corrections, fp)
 }
 
 // evictPart deletes the expired parts. If there are none, it deletes the part with the
