quarantine: prove the decision on parts in unit tests and random histories

The histories play a fleet in virtual time: delayed and lost reports, batches, shared parts, a guilty part or none, single, simultaneous and rolling crashes, restarts without state, a partition, floods of parts. Wrong verdicts are counted both ways, and the checker is shown to flag decisions that refuse nothing, everything or a whole route.

Without the decision the histories are flagged.

--- a/pkg/quarantine/explain.go
+++ b/pkg/quarantine/explain.go
@@ -22,9 +22,14 @@
 // of another.
 const explainingRounds = 2
 
-// toleratedRounds is the number of rounds before the conviction that need no explanation,
-// because unrelated crashes may be among them.
-const toleratedRounds = 2
+// toleratedRounds is the number of rounds that need no explanation, because unrelated
+// crashes may be among them: they would not convict the part by themselves.
+const toleratedRounds = convictionRounds - 1
+
+// widerRounds is the number of rounds without this part that the other must have, so that
+// crashes after the conviction are tolerated too. Otherwise one of these settles that this
+// part is guilty.
+const widerRounds = 2
 
 // explanation returns how well the parts outside the request, or condemned requests,
 // explain the crashes of a convicted part.
@@ -71,23 +76,32 @@
 	if rounds(other.crashes) < explainingRounds {
 		return unexplained
 	}
-	full := len(other.crashes) >= capacity
+	missing := s.missingFrom(other, len(other.crashes) >= capacity)
+	if rounds(missing) > toleratedRounds {
+		return unexplained
+	}
+	wider := 0
+	if other.convicted {
+		wider = rounds(other.missingFrom(s, false))
+	}
+	switch {
+	case len(missing) == 0 && wider > 0:
+		return free
+	case len(missing) == 0 || wider >= widerRounds || missing[len(missing)-1].at <= s.since+roundSpacing:
+		return limited
+	}
+	return unexplained
+}
+
+// missingFrom returns the crashes that are not among those of another part.
+func (s *partState) missingFrom(other *partState, full bool) []partCrash {
 	var missing []partCrash
 	for _, c := range s.crashes {
 		if !other.covers(c, full) {
 			missing = append(missing, c)
 		}
 	}
-	if len(missing) == 0 {
-		if other.convicted && slices.ContainsFunc(other.crashes, func(c partCrash) bool { return !s.covers(c, false) }) {
-			return free
-		}
-		return limited
-	}
-	if rounds(missing) > toleratedRounds || missing[len(missing)-1].at > s.since+roundSpacing {
-		return unexplained
-	}
-	return limited
+	return missing
 }
 
 // covers reports whether the crash is one of this part. Of a full list, crashes may have
--- /dev/null
+++ b/pkg/quarantine/parts_history_test.go
@@ -0,0 +1,163 @@
+package quarantine
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// variants are the histories with a guilty part at eight instances.
+var variants = map[string]func(*scenario){
+	"sound answers before":        func(*scenario) {},
+	"no sound answer before":      func(s *scenario) { s.begin = 0 },
+	"parts seen mostly together":  func(s *scenario) { s.begin = 0; s.together = 0.9 },
+	"one middle part":             func(s *scenario) { s.begin = 0; s.middles = 1 },
+	"a third of the reports lost": func(s *scenario) { s.loss = 0.3 },
+	"upstreams back after 4 s":    func(s *scenario) { s.downtime = 4 * time.Second },
+	"unrelated crashes":           func(s *scenario) { s.kills = killPlan{single: 10, massive: 2} },
+	"unrelated crashes at begin":  func(s *scenario) { s.begin = 0; s.kills = killPlan{single: 10, massive: 2} },
+	"rolling crashes":             func(s *scenario) { s.kills = killPlan{rolling: 2 * time.Second} },
+	"restarts without state":      func(s *scenario) { s.restarts = 20 },
+	"a flood of parts":            func(s *scenario) { s.unique = 8 },
+	"two minutes":                 func(s *scenario) { s.length = 2 * time.Minute },
+	"slow answers":                func(s *scenario) { s.answer = 3 * time.Second },
+}
+
+const variantSeeds = 15
+
+func TestGuiltyPartIsStoppedAndSoundRequestsPass(t *testing.T) {
+	for name, change := range variants {
+		t.Run(name, func(t *testing.T) {
+			checkHistories(t, variantSeeds, stated, func(seed uint64) scenario {
+				s := calm(seed, 8)
+				change(&s)
+				return s
+			})
+		})
+	}
+}
+
+func TestGuiltyPartIsStoppedInLargeFleets(t *testing.T) {
+	for instances, seeds := range map[int]uint64{61: 8, 350: 1} {
+		checkHistories(t, seeds, stated, func(seed uint64) scenario { return calm(seed, instances) })
+	}
+}
+
+// TestManyCrashesBeforeTheFirstAnswer checks a guilty part beside one unrelated crash each
+// second, at a service whose answers take up to three seconds and that has given none yet.
+func TestManyCrashesBeforeTheFirstAnswer(t *testing.T) {
+	of := func(seed uint64) scenario {
+		s := calm(seed, 8)
+		s.begin, s.answer, s.kills.rolling = 0, 3*time.Second, time.Second
+		return s
+	}
+	checkHistories(t, variantSeeds, limits{lateGuilty: 3, refusedShare: 0.5}.withReports(of(0)), of)
+}
+
+// checkHistories plays a scenario with several seeds and reports each violation.
+func checkHistories(t *testing.T, seeds uint64, bounds limits, of func(seed uint64) scenario) {
+	var total outcome
+	for seed := range seeds {
+		out := play(of(seed))
+		for _, violation := range out.violations(bounds) {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		total.add(out)
+	}
+	t.Logf("%d histories: %+v", seeds, total)
+}
+
+func TestCrashesWithoutGuiltyPartRefuseNoOne(t *testing.T) {
+	for name, kills := range map[string]killPlan{
+		"single": {single: 40}, "massive": {massive: 8}, "rolling": {rolling: time.Second},
+		"all": {single: 20, massive: 4, rolling: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkHistories(t, variantSeeds, stated, func(seed uint64) scenario {
+				s := calm(seed, 8)
+				s.guiltyShare, s.kills = 0, kills
+				return s
+			})
+		})
+	}
+}
+
+// TestPartitionedInstancesAgreeAfterwards checks that each group learns by itself and that
+// nothing is learnt again after the partition.
+func TestPartitionedInstancesAgreeAfterwards(t *testing.T) {
+	for seed := range uint64(variantSeeds) {
+		s := calm(seed, 8)
+		s.partition = 10 * time.Second
+		healed := s.begin + s.partition + time.Second
+		passed := 0
+		s.decide = func(table *Table, now time.Duration, parts []Fingerprint) bool {
+			refused := refuses(table, now, parts)
+			if now > healed && !refused && slices.Contains(parts, guiltyPart) {
+				passed++
+			}
+			return refused
+		}
+		out := play(s)
+		if passed > 3 || out.lateRefused*20 > out.lateSound {
+			t.Errorf("seed %d: %d guilty requests after the partition, %+v", seed, passed, out)
+		}
+	}
+}
+
+// drawScenario draws a history from the ranges in which the bounds hold.
+func drawScenario(t *rapid.T) scenario {
+	s := calm(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 16).Draw(t, "instances"))
+	s.upstreams = rapid.IntRange(4, 24).Draw(t, "upstreams")
+	s.middles = rapid.IntRange(1, 8).Draw(t, "middles")
+	s.together = rapid.Float64Range(0, 1).Draw(t, "together")
+	s.begin = time.Duration(rapid.IntRange(0, 6).Draw(t, "begin")) * time.Second
+	s.perSecond = rapid.IntRange(20, 60).Draw(t, "rate")
+	s.loss = rapid.SampledFrom([]float64{0, 0, 0.1, 0.3}).Draw(t, "loss")
+	s.unique = rapid.IntRange(0, 4).Draw(t, "unique")
+	s.kills.single = rapid.IntRange(0, 8).Draw(t, "kills")
+	s.kills.massive = rapid.IntRange(0, 2).Draw(t, "massive")
+	s.restarts = rapid.IntRange(0, 4).Draw(t, "restarts")
+	return s
+}
+
+func TestPropertyGuiltyPartIsStopped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawScenario(t)
+		out := play(s)
+		if violations := out.violations(stated.withReports(s)); len(violations) > 0 {
+			t.Fatalf("%v: %+v", violations, out)
+		}
+	})
+}
+
+func TestPropertyCrashesWithoutGuiltyPartRefuseNoOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawScenario(t)
+		s.guiltyShare = 0
+		out := play(s)
+		if violations := out.violations(stated.withReports(s)); len(violations) > 0 {
+			t.Fatalf("%v: %+v", violations, out)
+		}
+	})
+}
+
+func TestCheckerFlagsBadHistories(t *testing.T) {
+	always := calm(1, 8)
+	always.decide = func(*Table, time.Duration, []Fingerprint) bool { return true }
+	always.begin = time.Hour
+	never := calm(1, 8)
+	never.decide = func(*Table, time.Duration, []Fingerprint) bool { return false }
+	wholeRoute := calm(1, 8)
+	wholeRoute.decide = func(table *Table, now time.Duration, parts []Fingerprint) bool {
+		_, convicted := table.PartCounts()
+		return convicted > 0
+	}
+	for name, s := range map[string]scenario{"refuses all": always, "refuses nothing": never, "refuses the route": wholeRoute} {
+		out := play(s)
+		if violations := out.violations(stated); len(violations) == 0 {
+			t.Errorf("%s: not flagged: %+v", name, out)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/quarantine/parts_test.go
@@ -0,0 +1,439 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// longRun is the duration of an attempt that began before all crashes of a test.
+const longRun = time.Hour
+
+func partsOf(ids ...string) []Fingerprint {
+	var list []Fingerprint
+	for _, id := range ids {
+		list = append(list, FingerprintOfPart(id))
+	}
+	return list
+}
+
+func upstreamID(n int) types.UpstreamID { return types.UpstreamID(fmt.Sprintf("u%d", n)) }
+
+func jittered(jitter float64) *Table {
+	settings := DefaultSettings()
+	settings.TrialJitter = jitter
+	return NewTable(settings)
+}
+
+// crashRounds records crashes of different upstreams, one second apart, and returns the
+// time of the last.
+func crashRounds(table *Table, from time.Duration, count int, parts []Fingerprint) time.Duration {
+	now := from
+	for n := range count {
+		now = from + time.Duration(n)*time.Second
+		table.RecordPartCrash(now, parts, upstreamID(int(now/time.Second)), longRun)
+	}
+	return now
+}
+
+func isRefused(table *Table, now time.Duration, ids ...string) bool {
+	_, refused := table.RefusedPart(now, partsOf(ids...))
+	return refused
+}
+
+func TestFingerprintsOfPartsAndRequestsDiffer(t *testing.T) {
+	if !FingerprintOfPart("a").IsPart() || FingerprintOfPart("a") == FingerprintOfPart("b") || testFingerprint(1).IsPart() {
+		t.Fatal(FingerprintOfPart("a"), testFingerprint(1))
+	}
+}
+
+func TestThreeRoundsConvict(t *testing.T) {
+	table := jittered(0)
+	last := crashRounds(table, 0, 2, partsOf("g"))
+	if isRefused(table, last, "g") {
+		t.Fatal("refused after two rounds")
+	}
+	last = crashRounds(table, last+time.Second, 1, partsOf("g"))
+	verdict, refused := table.RefusedPart(last, partsOf("other", "g"))
+	if !refused || verdict.Part != FingerprintOfPart("g") || verdict.Rounds != 3 || len(verdict.Crashes) != 3 || verdict.TrialIn != shortSentence {
+		t.Fatalf("%v %+v", refused, verdict)
+	}
+	if suspected, convicted := table.PartCounts(); suspected != 0 || convicted != 1 {
+		t.Fatal(suspected, convicted)
+	}
+}
+
+func TestUpstreamsLostAtOneMomentCountOnce(t *testing.T) {
+	table := jittered(0)
+	for n := range 30 {
+		at := time.Duration(n) * roundSpacing / 30
+		table.RecordPartCrash(at, partsOf("g"), upstreamID(n), longRun)
+	}
+	if got := rounds(table.parts.states[FingerprintOfPart("g")].crashes); got != 1 {
+		t.Fatalf("%d rounds", got)
+	}
+}
+
+func TestAttemptAfterACrashIsNewEvidence(t *testing.T) {
+	table := jittered(0)
+	for n := range 3 {
+		table.RecordPartCrash(time.Duration(n)*20*time.Millisecond, partsOf("g"), upstreamID(n), 10*time.Millisecond)
+	}
+	if !isRefused(table, 50*time.Millisecond, "g") {
+		t.Fatal("three crashes one after the other did not convict")
+	}
+}
+
+func TestReportsOfOneCrashCountOnce(t *testing.T) {
+	table := jittered(0)
+	parts := partsOf("g")
+	if entries := table.RecordPartCrash(time.Second, parts, "u1", longRun); len(entries) != 1 {
+		t.Fatal(entries)
+	}
+	if entries := table.RecordPartCrash(time.Second+partCrashMatchWindow, parts, "u1", longRun); len(entries) != 0 {
+		t.Fatal(entries)
+	}
+	report := Entry{Fingerprint: parts[0], Crashes: []CrashReport{{Upstream: "u1", AgeMilliseconds: 1000}}}
+	if changed := table.Merge(1500*time.Millisecond, []Entry{report}); len(changed) != 0 {
+		t.Fatal(changed)
+	}
+	if got := table.parts.states[parts[0]].crashes; len(got) != 1 || got[0].at != 500*time.Millisecond {
+		t.Fatalf("not the earliest report of the crash: %v", got)
+	}
+	if entries := table.RecordPartCrash(10*time.Second, parts, "u1", longRun); len(entries) != 1 {
+		t.Fatalf("the next crash of the same upstream: %v", entries)
+	}
+}
+
+func TestAnswerBetweenCrashesClears(t *testing.T) {
+	table := jittered(0)
+	last := crashRounds(table, 0, 2, partsOf("p"))
+	if cleared := table.RecordPartsSound(last, partsOf("p")); len(cleared) != 1 || len(cleared[0].Crashes) != 0 {
+		t.Fatal(cleared)
+	}
+	last = crashRounds(table, last+time.Second, 3, partsOf("p"))
+	if isRefused(table, last, "p") {
+		t.Fatal("a part known to be sound was convicted by three rounds")
+	}
+	if cleared := table.RecordPartsSound(last, partsOf("p")); len(cleared) != 1 {
+		t.Fatal(cleared)
+	}
+}
+
+func TestSingleCrashOfASoundPartIsClearedSilently(t *testing.T) {
+	table := jittered(0)
+	table.RecordPartsSound(0, partsOf("p"))
+	crashRounds(table, time.Second, 1, partsOf("p"))
+	if cleared := table.RecordPartsSound(2*time.Second, partsOf("p")); len(cleared) != 0 {
+		t.Fatal(cleared)
+	}
+}
+
+func TestPartThatTurnsGuiltyIsConvicted(t *testing.T) {
+	table := jittered(0)
+	table.RecordPartsSound(0, partsOf("g"))
+	last := crashRounds(table, time.Second, doubtRounds-1, partsOf("g"))
+	if isRefused(table, last, "g") {
+		t.Fatal("convicted too early")
+	}
+	last = crashRounds(table, last+time.Second, 1, partsOf("g"))
+	if !isRefused(table, last, "g") {
+		t.Fatal("not convicted")
+	}
+}
+
+func TestSoundAnswerLiftsTheConvictionAtPeers(t *testing.T) {
+	here, there := jittered(0), jittered(0)
+	last := crashRounds(here, 0, 3, partsOf("p"))
+	there.Merge(last, here.List(last, 8))
+	if !isRefused(there, last, "p") {
+		t.Fatal("the peer did not adopt the conviction")
+	}
+	there.Merge(last, here.RecordPartsSound(last, partsOf("p")))
+	if isRefused(there, last, "p") || isRefused(here, last, "p") {
+		t.Fatal("still refused")
+	}
+}
+
+func TestPeersAreToldAgainThatAPartIsSound(t *testing.T) {
+	knows, suspects := jittered(0.5), jittered(0)
+	knows.RecordPartsSound(0, partsOf("p"))
+	now := crashRounds(suspects, time.Second, 3, partsOf("p"))
+	told := 0
+	for range 2 * maxClearings {
+		knows.Merge(now, suspects.List(now, 8))
+		if len(knows.Corrections(now)) != 0 {
+			t.Fatal("corrected without the delay of this instance")
+		}
+		now += correctionSpread
+		corrections := knows.Corrections(now)
+		told += len(corrections)
+		if told == 1 && len(corrections) == 1 {
+			suspects.Merge(now, corrections)
+			if isRefused(suspects, now, "p") {
+				t.Fatal("still refused after the correction")
+			}
+		}
+		now = crashRounds(suspects, now+time.Second, 6, partsOf("p"))
+	}
+	if told == 0 || told > maxClearings {
+		t.Fatalf("%d corrections on the same answer", told)
+	}
+}
+
+func TestHearsayIsNotPassedOnAsACorrection(t *testing.T) {
+	heard, suspects := jittered(0), jittered(0)
+	heard.Merge(0, []Entry{{Fingerprint: FingerprintOfPart("p")}})
+	now := crashRounds(suspects, time.Second, 3, partsOf("p"))
+	heard.Merge(now, suspects.List(now, 8))
+	if corrections := heard.Corrections(now + time.Second); len(corrections) != 0 {
+		t.Fatal(corrections)
+	}
+	if isRefused(heard, now, "p") {
+		t.Fatal("a part that a peer found to be sound is refused")
+	}
+}
+
+func TestUninformedPeerIsToldOfAConviction(t *testing.T) {
+	knows, fresh := jittered(0), jittered(0)
+	now := crashRounds(knows, 0, 5, partsOf("g"))
+	now += 10 * time.Second
+	knows.Merge(now, fresh.RecordPartCrash(now, partsOf("g"), "u9", longRun))
+	fresh.Merge(now, knows.Corrections(now))
+	if !isRefused(fresh, now, "g") {
+		t.Fatal("the peer still lets the part through")
+	}
+}
+
+func TestNeighboursOfAGuiltyPartAreServed(t *testing.T) {
+	table := jittered(0)
+	now := time.Duration(0)
+	for n := range 6 {
+		table.RecordPartsSound(now, partsOf("first"))
+		now += time.Second
+		table.RecordPartCrash(now, partsOf("first", "g", fmt.Sprint("m", n)), upstreamID(n), longRun)
+		if n >= 3 {
+			table.RecordPartCrash(now, partsOf("first", "m"), upstreamID(n), longRun)
+		}
+	}
+	if !isRefused(table, now, "other", "g") || !isRefused(table, now, "first", "g") {
+		t.Error("the guilty part is let through")
+	}
+	if isRefused(table, now, "other", "m") {
+		t.Error("a neighbour whose crashes are all those of the guilty part is refused")
+	}
+}
+
+func TestPartsSeenOnlyTogetherAreSettledByOneRequest(t *testing.T) {
+	table := jittered(0)
+	now := crashRounds(table, 0, 5, partsOf("a", "b"))
+	if !isRefused(table, now, "a", "b") {
+		t.Fatal("both parts together are let through")
+	}
+	if isRefused(table, now, "a", "c") {
+		t.Fatal("no request with only one of them is let through")
+	}
+	if !isRefused(table, now, "a", "d") {
+		t.Fatal("a second request is let through before the first has settled it")
+	}
+	now += 100 * time.Millisecond
+	table.RecordPartCrash(now, partsOf("a", "c"), "u9", 50*time.Millisecond)
+	now += settleSpread
+	if !isRefused(table, now, "a", "d") {
+		t.Error("the part that crashed alone is let through")
+	}
+	if isRefused(table, now, "b", "d") {
+		t.Error("the other part is refused")
+	}
+}
+
+func TestUnrelatedCrashDoesNotCondemnANeighbour(t *testing.T) {
+	table := jittered(0)
+	table.RecordPartCrash(0, partsOf("first"), "u0", longRun)
+	now := crashRounds(table, time.Second, 4, partsOf("first", "g"))
+	if isRefused(table, now, "first", "m") {
+		t.Fatal("the part that all requests share is refused")
+	}
+	table.RecordPartsSound(now, partsOf("first", "m"))
+	if isRefused(table, now, "first", "x") || !isRefused(table, now, "first", "g") {
+		t.Fatal("after the answer")
+	}
+}
+
+func TestCondemnedRequestExplainsItsParts(t *testing.T) {
+	table := jittered(0)
+	for n := range 3 {
+		now := time.Duration(n) * time.Second
+		table.RecordPartCrash(now, partsOf("first"), upstreamID(n), longRun)
+		table.RecordCrash(now, testFingerprint(1), CrashedAttempt{upstreamID(n), time.Millisecond, true})
+	}
+	if !table.Lookup(2*time.Second, testFingerprint(1)).Condemned || isRefused(table, 2*time.Second, "first") {
+		t.Fatal("the part of the condemned request is refused")
+	}
+}
+
+func TestTrialAfterTheSentence(t *testing.T) {
+	table := jittered(0.5)
+	now := crashRounds(table, 0, 5, partsOf("g"))
+	state := table.parts.states[FingerprintOfPart("g")]
+	length := state.sentence()
+	if length != 2*firmSentence {
+		t.Fatal(length)
+	}
+	trial := now + length + length/2
+	if !isRefused(table, trial-1, "g") {
+		t.Fatal("tried before the end")
+	}
+	if isRefused(table, trial, "g") || !isRefused(table, trial, "g") {
+		t.Fatal("not exactly one request on trial")
+	}
+	verdict, _ := table.RefusedPart(trial, partsOf("g"))
+	if !verdict.OnTrial || verdict.TrialIn > trialInterval {
+		t.Fatalf("%+v", verdict)
+	}
+	now = crashRounds(table, trial+time.Second, 1, partsOf("g"))
+	if !isRefused(table, now+trialInterval, "g") || state.sentence() != 2*length {
+		t.Fatal("one crash on trial did not convict again")
+	}
+	crashRounds(table, now+time.Second, 6, partsOf("g"))
+	if state.sentence() != maxSentence {
+		t.Fatal(state.sentence())
+	}
+}
+
+func TestAnswerOnTrialClears(t *testing.T) {
+	table := jittered(0)
+	now := crashRounds(table, 0, 5, partsOf("p")) + 2*firmSentence
+	if isRefused(table, now, "p") {
+		t.Fatal("not tried")
+	}
+	table.RecordPartsSound(now, partsOf("p"))
+	if isRefused(table, now, "p") {
+		t.Fatal("not cleared")
+	}
+}
+
+func TestInstancesTryOneAfterTheOther(t *testing.T) {
+	first, second := jittered(0), jittered(0.1)
+	now := crashRounds(first, 0, 5, partsOf("g"))
+	second.Merge(now, first.List(now, 8))
+	if a, b := first.trialAt(first.parts.states[FingerprintOfPart("g")]), second.trialAt(second.parts.states[FingerprintOfPart("g")]); b-a < firmSentence/10 {
+		t.Fatal(a, b)
+	}
+}
+
+func TestEvidenceExpires(t *testing.T) {
+	table := jittered(0)
+	last := crashRounds(table, 0, 2, partsOf("p"))
+	last = crashRounds(table, last+suspicionTTL, 2, partsOf("p"))
+	if isRefused(table, last, "p") {
+		t.Error("crashes longer ago than suspicionTTL count")
+	}
+	last = crashRounds(table, last+time.Second, 1, partsOf("p")) + convictionTTL
+	if isRefused(table, last, "p") {
+		t.Error("the conviction did not expire")
+	}
+	table.RecordPartsSound(0, partsOf("q"))
+	if _, ok := table.parts.sound.get(soundTTL, FingerprintOfPart("q")); ok {
+		t.Error("the answer did not expire")
+	}
+}
+
+func TestFloodOfPartsKeepsConvictions(t *testing.T) {
+	table := jittered(0)
+	now := crashRounds(table, 0, 3, partsOf("g"))
+	for n := range 5 * maxParts {
+		table.RecordPartCrash(now+time.Duration(n)*time.Millisecond, partsOf(fmt.Sprint("x", n)), upstreamID(n), longRun)
+	}
+	if suspected, convicted := table.PartCounts(); suspected+convicted != maxParts || convicted != 1 || !isRefused(table, now, "g") {
+		t.Fatal(suspected, convicted)
+	}
+}
+
+func TestTableFullOfConvictionsStillConvicts(t *testing.T) {
+	table := jittered(0)
+	for n := range 2 * maxParts {
+		crashRounds(table, time.Duration(n)*time.Second, 3, partsOf(fmt.Sprint("x", n)))
+	}
+	last := time.Duration(2*maxParts+2) * time.Second
+	if _, convicted := table.PartCounts(); convicted != maxConvictedParts {
+		t.Fatal(convicted)
+	}
+	last = crashRounds(table, last, 3, partsOf("g"))
+	if !isRefused(table, last, "g") {
+		t.Fatal("a new part cannot be convicted")
+	}
+}
+
+func TestSoundMemoryIsBounded(t *testing.T) {
+	table := jittered(0)
+	for n := range 3 * maxSoundParts {
+		table.RecordPartsSound(time.Duration(n)*time.Millisecond, partsOf("kept", fmt.Sprint("x", n)))
+	}
+	if size := len(table.parts.sound.recent) + len(table.parts.sound.older); size > maxSoundParts {
+		t.Fatal(size)
+	}
+	if _, ok := table.parts.sound.get(3*maxSoundParts*time.Millisecond, FingerprintOfPart("kept")); !ok {
+		t.Fatal("a part that is answered all the time was forgotten")
+	}
+}
+
+func TestCrashesOfAPartAreBounded(t *testing.T) {
+	table := jittered(0)
+	now := crashRounds(table, 0, 3, partsOf("g"))
+	for n := range 100 {
+		table.RecordPartCrash(now+time.Minute, partsOf("g"), upstreamID(100+n), longRun)
+	}
+	state := table.parts.states[FingerprintOfPart("g")]
+	if len(state.crashes) != maxPartCrashes || rounds(state.crashes) != 4 {
+		t.Fatalf("%d crashes, %d rounds", len(state.crashes), rounds(state.crashes))
+	}
+}
+
+func TestListTakesBothKindsInTurn(t *testing.T) {
+	table := jittered(0)
+	for n := range 6 {
+		crashRounds(table, 0, 3, partsOf(fmt.Sprint("g", n)))
+		table.RecordPartCrash(0, partsOf(fmt.Sprint("s", n)), "u1", longRun)
+		for u := range 3 {
+			table.RecordCrash(time.Duration(u)*time.Minute, testFingerprint(n), CrashedAttempt{upstreamID(10*n + u), time.Second, true})
+		}
+	}
+	list := table.List(2*time.Minute, 8)
+	parts := len(list) - len(slices.DeleteFunc(slices.Clone(list), func(e Entry) bool { return e.Fingerprint.IsPart() }))
+	if len(list) != 8 || parts != 4 || slices.ContainsFunc(list, func(e Entry) bool { return !e.Condemned }) {
+		t.Fatalf("%d of %d are parts: %+v", parts, len(list), list)
+	}
+}
+
+// TestEntriesOfPartsChangeNothingForRequests checks what an instance that knows no parts
+// does with their entries.
+func TestEntriesOfPartsChangeNothingForRequests(t *testing.T) {
+	table := jittered(0)
+	if table.mergeEntry(0, Entry{Fingerprint: FingerprintOfPart("p")}) {
+		t.Error("a clearing changed the table")
+	}
+	convicted := Entry{Fingerprint: FingerprintOfPart("g"), Crashes: []CrashReport{{Upstream: "u1"}}, Condemned: true}
+	table.mergeEntry(time.Second, convicted)
+	if table.Lookup(time.Second, testFingerprint(1)).Condemned {
+		t.Error("a request is condemned")
+	}
+}
+
+func TestAnswersAllocateNothing(t *testing.T) {
+	table := jittered(0)
+	parts := partsOf("a", "b", "c")
+	table.RecordPartsSound(0, parts)
+	now := time.Duration(0)
+	allocations := testing.AllocsPerRun(100, func() {
+		now += time.Second
+		table.RecordPartsSound(now, parts)
+		table.RefusedPart(now, parts)
+	})
+	if allocations != 0 {
+		t.Fatalf("%v allocations", allocations)
+	}
+}
