test/prove: a message that crashes upstreams in any request

Cause: a caller's requests share a message, such as a document, that crashes each engine. No two requests are alike, so none is condemned before it has crashed several.

Fake upstreams refuse connections for a time after a crash, and a fake network tells a refused connection from an unreachable host.

--- a/test/httpfakes/engine.go
+++ b/test/httpfakes/engine.go
@@ -23,6 +23,16 @@
 	} `json:"messages"`
 }
 
+// poisoned reports whether a message contains PoisonMarker.
+func (c chatBody) poisoned() bool {
+	for _, message := range c.Messages {
+		if strings.Contains(message.Content, PoisonMarker) {
+			return true
+		}
+	}
+	return false
+}
+
 // Answer returns the complete answer to the prompt. Each token consists of the
 // prompt and the number of the token.
 func Answer(prompt string, tokens int) string {
@@ -44,8 +54,8 @@
 		return
 	}
 	prompt := chat.Messages[0].Content
-	_, crashed := u.execute(prompt)
-	if strings.Contains(prompt, PoisonMarker) {
+	_, crashed := u.execute(prompt, chat.poisoned())
+	if chat.poisoned() {
 		time.Sleep(u.TokenInterval)
 		u.Crash()
 		panic(http.ErrAbortHandler)
--- a/test/httpfakes/network.go
+++ b/test/httpfakes/network.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
@@ -116,7 +117,7 @@
 	}
 	l := n.route(from, process, host)
 	if l == nil {
-		return nil, refused(address)
+		return nil, unreachable(address)
 	}
 	conn, err := l.connect(ctx)
 	if err != nil {
@@ -126,7 +127,7 @@
 	defer n.mu.Unlock()
 	if n.killed[process] {
 		_ = conn.Close()
-		return nil, refused(address)
+		return nil, unreachable(address)
 	}
 	n.conns = append(n.conns, clientConn{process, conn})
 	return conn, nil
@@ -144,7 +145,11 @@
 }
 
 func refused(address string) error {
-	return &net.OpError{Op: "dial", Net: "pipe", Addr: pipeAddress(address), Err: io.ErrClosedPipe}
+	return &net.OpError{Op: "dial", Net: "pipe", Addr: pipeAddress(address), Err: syscall.ECONNREFUSED}
+}
+
+func unreachable(address string) error {
+	return &net.OpError{Op: "dial", Net: "pipe", Addr: pipeAddress(address), Err: syscall.EHOSTUNREACH}
 }
 
 // listener creates a pipe for each dial and accepts its server end.
--- a/test/httpfakes/upstream.go
+++ b/test/httpfakes/upstream.go
@@ -14,7 +14,7 @@
 // MarkerHeader is the header that identifies a call to a fake service.
 const MarkerHeader = "X-Marker"
 
-// PoisonMarker crashes the engine that executes a prompt containing it.
+// PoisonMarker crashes the engine that executes a prompt with a message containing it.
 const PoisonMarker = "poison"
 
 // Execution is one run of a request.
@@ -24,6 +24,8 @@
 	At     time.Time
 	// Result is different for each execution.
 	Result string
+	// Poisoned is set if the prompt contains PoisonMarker.
+	Poisoned bool
 }
 
 // Upstream is a fake that serves as model engine and as plain service. It records
@@ -41,11 +43,14 @@
 	TokenInterval time.Duration
 	// Pause is how long the fault Pause interrupts a stream.
 	Pause time.Duration
+	// Downtime is the time after a crash for which connections are refused.
+	Downtime time.Duration
 
 	mu           sync.Mutex
 	executions   []Execution
 	crashes      int
 	crashed      chan struct{}
+	downUntil    time.Time
 	queuedFaults []Fault
 }
 
@@ -94,6 +99,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.crashes++
+	u.downUntil = time.Now().Add(u.Downtime)
 	close(u.crashed)
 	u.crashed = make(chan struct{})
 }
@@ -108,6 +114,9 @@
 // drawDialFault draws the fault of the next call at its dial. A fault that takes
 // effect after the dial is queued for the call.
 func (u *Upstream) drawDialFault() Fault {
+	if u.isDown() {
+		return DialFailure
+	}
 	if u.Plan == nil {
 		return None
 	}
@@ -121,6 +130,12 @@
 	return None
 }
 
+func (u *Upstream) isDown() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Now().Before(u.downUntil)
+}
+
 // nextFault returns the next queued fault. If there is none, as for a call on a
 // reused connection, it draws one.
 func (u *Upstream) nextFault() Fault {
@@ -139,10 +154,10 @@
 
 // execute records an execution and returns it with a channel that is closed when
 // the upstream crashes.
-func (u *Upstream) execute(marker string) (Execution, <-chan struct{}) {
+func (u *Upstream) execute(marker string, poisoned bool) (Execution, <-chan struct{}) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	run := Execution{Marker: marker, At: time.Now(), Result: fmt.Sprintf("%s/%d", u.Host, len(u.executions))}
+	run := Execution{Marker: marker, At: time.Now(), Result: fmt.Sprintf("%s/%d", u.Host, len(u.executions)), Poisoned: poisoned}
 	u.executions = append(u.executions, run)
 	return run, u.crashed
 }
@@ -223,7 +238,7 @@
 }
 
 func (u *Upstream) serveService(w http.ResponseWriter, r *http.Request, body []byte, fault Fault) {
-	run, _ := u.execute(r.Header.Get(MarkerHeader))
+	run, _ := u.execute(r.Header.Get(MarkerHeader), false)
 	if fault == CrashAfterExecute {
 		panic(http.ErrAbortHandler)
 	}
