entry: refuse requests with a message that crashes upstreams

Cause: serve quarantined whole requests only, so each new request with a message that crashes upstreams reached one.

Change: the messages of a chat but the last are its parts. An attempt that breaks off before its first token, or within 500 ms of it, counts against them if the upstream refuses connections; a complete answer with tokens clears them. A request with a convicted part is refused before it queues and again before it is sent, since the conviction may fall while it waits: quarantined, not run, with the time until the part is tried. The time line and the log name the part and its crashes. Instances exchange the evidence with that on requests. The test of it also checks runs with fewer than five crashes, and that late requests with the message are refused.

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -69,6 +69,7 @@
 		attributes: in.attributes,
 		arrival:    time.Now(),
 		body:       in.body,
+		parts:      in.parts,
 		mayExecute: in.mayExecute,
 		lifecycle:  e.charts.request.Start(),
 	}
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -49,6 +49,9 @@
 	tokens            int
 	firstToken        time.Duration
 	interTokenLatency time.Duration
+	// firstTokenAt is the time of the first token, or zero if there is none or it is
+	// unknown.
+	firstTokenAt time.Time
 }
 
 // errPreempted is the cancellation cause of a preempted attempt.
@@ -215,6 +218,9 @@
 // send sends the call of the attempt. It returns an error if the upstream does not answer
 // or its response is a refusal.
 func (e *Entry) send(req *request, a *attempt, call upstream.Call) error {
+	if refusal := e.refusePart(req); refusal != nil {
+		return refusal
+	}
 	call.Guard = e.guard(a.lifecycle, func() bool {
 		return !a.grant.Expired() && (req.mayExecute == nil || req.mayExecute())
 	})
@@ -291,6 +297,7 @@
 	e.endLifecycle(a.lifecycle, result)
 	took := time.Since(a.started)
 	result = e.updateQuarantine(req, a, result, took)
+	e.judgeParts(req, a.grant.Upstream(), stats, result, a.started)
 	attemptCounts.Add(string(result.reason), 1)
 	a.grant.Finish(pool.Finish{
 		ID:                a.id,
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return e.withKeyRunState(in, err)
 	}
+	in.parts = promptParts(chat)
 	in.attributes = chatAttributes(chat, account, r, repeatable)
 	in.answer = func(w http.ResponseWriter, in inboundRequest, req *request) error {
 		return e.answerChat(w, in, req, chat)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -41,6 +42,9 @@
 	// OnceTransport is used for calls that are not repeatable. It opens a new
 	// connection for each call.
 	OnceTransport http.RoundTripper
+	// Dial opens a connection to find out whether an upstream that broke off an answer
+	// is down. If nil, crashes are not counted against parts of prompts.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Addresses returns the value that GET /v1/addresses sends as JSON.
 	Addresses func() any
 	// Caller sends messages to other instances. If nil, the quarantine is not
--- a/pkg/entry/inbound.go
+++ b/pkg/entry/inbound.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/rules"
 )
 
@@ -14,6 +15,8 @@
 	snapshot    *config.Snapshot
 	attributes  rules.Attributes
 	body        []byte
+	// parts are the fingerprints of the messages that other requests may share.
+	parts []quarantine.Fingerprint
 	// mayExecute, if set, is checked right before the first byte is sent to an
 	// upstream. If it returns false, nothing is sent.
 	mayExecute func() bool
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -23,6 +23,10 @@
 	keyCounts = expvar.NewMap("umbercrank_keys")
 )
 
+// partCounts counts what the quarantine did because of a part of a prompt: "crashes",
+// "lost" for attempts that broke off at an upstream that is up, and "refused".
+var partCounts = expvar.NewMap("umbercrank_prompt_parts")
+
 // countOutcome counts the outcome of a request and the tokens that the caller
 // received.
 func countOutcome(failure *fault.Error, tokens int) {
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -86,6 +86,9 @@
 	if !ok {
 		return nil
 	}
+	if verdict, refused := e.quarantine.PeekPart(req.parts); refused {
+		return e.partFailure(req, verdict)
+	}
 	verdict := e.quarantine.Lookup(fp)
 	if verdict.Condemned {
 		return quarantinedFailure()
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -32,6 +32,8 @@
 	// first use.
 	fingerprint     quarantine.Fingerprint
 	fingerprintOnce sync.Once
+	// parts are the fingerprints of the messages that other requests may share.
+	parts []quarantine.Fingerprint
 	// crashes is 1 if the request was part of a crash before this attempt.
 	crashes  int
 	decision config.Decision
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -195,7 +195,11 @@
 func (x *streamExchange) restartable() bool { return x.transcript.resumable(x.chat) }
 
 func (x *streamExchange) stats() attemptStats {
-	return attemptStats{tokens: x.clock.tokens, firstToken: x.clock.first, interTokenLatency: x.clock.interTokenLatency()}
+	stats := attemptStats{tokens: x.clock.tokens, firstToken: x.clock.first, interTokenLatency: x.clock.interTokenLatency()}
+	if x.clock.tokens > 0 {
+		stats.firstTokenAt = x.clock.started.Add(x.clock.first)
+	}
+	return stats
 }
 
 func (x *streamExchange) version() *types.SoftwareVersion {
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -13,11 +13,13 @@
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/entry"
 	"github.com/umbercrank/umbercrank/pkg/membership"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/relay"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/pkg/upstream"
 	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
@@ -138,6 +140,7 @@
 		Logger:        r.logger,
 		Transport:     dependencies.Transport,
 		OnceTransport: dependencies.OnceTransport,
+		Dial:          netconn.Dialer(upstream.DefaultTransportSettings().DialTimeout).DialContext,
 		Addresses:     func() any { return r.directory.Answer() },
 		Settings:      settings,
 	})
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -4,8 +4,12 @@
 	"bytes"
 	"cmp"
 	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
 	"slices"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 const (
@@ -57,6 +61,29 @@
 	return fp
 }
 
+// FingerprintOfMessage returns the fingerprint of a message of a chat as a part of its
+// prompt. It depends on the role and the content only.
+func FingerprintOfMessage(message json.RawMessage) Fingerprint {
+	var fields struct {
+		Role    string `json:"role"`
+		Content any    `json:"content"`
+	}
+	if json.Unmarshal(message, &fields) != nil {
+		return FingerprintOfPart(string(message))
+	}
+	encoded, err := json.Marshal(fields)
+	if err != nil {
+		return FingerprintOfPart(string(message))
+	}
+	return FingerprintOfPart(string(encoded))
+}
+
+// TrialJitter returns the TrialJitter of an instance, which depends on its ID only.
+func TrialJitter(instance types.InstanceID) float64 {
+	digest := sha256.Sum256([]byte(instance))
+	return float64(binary.BigEndian.Uint32(digest[:])) / (1 << 32)
+}
+
 // IsPart reports whether the fingerprint belongs to a part of a prompt, not to a whole
 // request.
 func (f Fingerprint) IsPart() bool { return bytes.HasPrefix(f[:], partPrefix) }
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -66,10 +66,26 @@
 // whether a part is guilty, so callers ask once for each attempt, right before they
 // send it.
 func (t *Table) RefusedPart(now time.Duration, parts []Fingerprint) (PartVerdict, bool) {
+	verdict, tried, refused := t.refusedPart(now, parts)
+	for _, state := range tried {
+		state.passed, state.wasTried = now, true
+	}
+	return verdict, refused
+}
+
+// PeekPart returns the verdict that RefusedPart would return, for a request that is not
+// sent yet.
+func (t *Table) PeekPart(now time.Duration, parts []Fingerprint) (PartVerdict, bool) {
+	verdict, _, refused := t.refusedPart(now, parts)
+	return verdict, refused
+}
+
+// refusedPart returns the verdict or, for a request that may run, the convicted parts that
+// it puts on trial.
+func (t *Table) refusedPart(now time.Duration, parts []Fingerprint) (verdict PartVerdict, tried []*partState, refused bool) {
 	if len(t.parts.states) == 0 {
-		return PartVerdict{}, false
+		return PartVerdict{}, nil, false
 	}
-	var tried []*partState
 	for _, fp := range parts {
 		state, ok := t.parts.states[fp]
 		if !ok || !state.convicted || state.expired(now) {
@@ -84,14 +100,11 @@
 			continue
 		}
 		if found == unexplained || !t.mayTry(now, state) {
-			return t.partVerdict(now, fp, state, onTrial), true
+			return t.partVerdict(now, fp, state, onTrial), nil, true
 		}
 		tried = append(tried, state)
 	}
-	for _, state := range tried {
-		state.passed, state.wasTried = now, true
-	}
-	return PartVerdict{}, false
+	return PartVerdict{}, tried, false
 }
 
 // mayTry reports whether this instance may let a request through that settles whether a
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	// exchangeInterval is the time between two periodic exchanges. Each one sends
 	// the current entries to one random instance.
 	exchangeInterval = 5 * time.Second
+	// correctionInterval is the time between two looks for due corrections.
+	correctionInterval = 100 * time.Millisecond
 	// maxExchanged is the maximum number of entries in one message.
 	maxExchanged = 64
 	// sendTimeout is the timeout for sending one message.
@@ -32,6 +35,12 @@
 	updateQueueLength = 64
 )
 
+// The parts of prompts that this instance suspects and has convicted.
+var (
+	suspectedParts = expvar.NewInt("umbercrank_suspected_parts")
+	convictedParts = expvar.NewInt("umbercrank_convicted_parts")
+)
+
 // Exchange is the body of a MethodExchange notification.
 type Exchange struct {
 	Entries []Entry `json:"entries"`
@@ -58,8 +67,11 @@
 	table *Table
 }
 
-// New returns an empty Quarantine.
+// New returns an empty Quarantine. The trial jitter is that of this instance.
 func New(options Options) *Quarantine {
+	if options.View != nil {
+		options.Settings.TrialJitter = TrialJitter(options.View.Self().ID)
+	}
 	return &Quarantine{
 		options: options,
 		started: time.Now(),
@@ -109,6 +121,57 @@
 	q.table.RecordCompletion(fp)
 }
 
+// PeekPart returns the verdict on a request that is not sent yet; see Table.PeekPart.
+func (q *Quarantine) PeekPart(parts []Fingerprint) (PartVerdict, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.PeekPart(q.now(), parts)
+}
+
+// RefusedPart returns the verdict on a request before it is sent; see
+// Table.RefusedPart.
+func (q *Quarantine) RefusedPart(parts []Fingerprint) (PartVerdict, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.RefusedPart(q.now(), parts)
+}
+
+// RecordPartCrash counts a crash against the parts of an attempt and tells other
+// instances; see Table.RecordPartCrash.
+func (q *Quarantine) RecordPartCrash(parts []Fingerprint, upstream types.UpstreamID, duration time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	entries := q.table.RecordPartCrash(q.now(), parts, upstream, duration)
+	q.logConvictions(entries, "this instance")
+	if len(entries) > 0 {
+		q.enqueue(entries)
+	}
+}
+
+// RecordPartsSound records a complete answer and tells other instances of the parts that it
+// clears; see Table.RecordPartsSound.
+func (q *Quarantine) RecordPartsSound(parts []Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	cleared := q.table.RecordPartsSound(q.now(), parts)
+	for _, entry := range cleared {
+		q.options.Logger.Info().Hex("part", entry.Fingerprint[:]).Msg("part of prompts cleared by an answer")
+	}
+	if len(cleared) > 0 {
+		q.enqueue(cleared)
+	}
+}
+
+// logConvictions logs each convicted part among the entries.
+func (q *Quarantine) logConvictions(entries []Entry, from string) {
+	for _, entry := range entries {
+		if entry.Condemned && entry.Fingerprint.IsPart() {
+			q.options.Logger.Warn().Hex("part", entry.Fingerprint[:]).Str("from", from).
+				Interface("crashes", entry.Crashes).Msg("part of prompts convicted of crashing upstreams")
+		}
+	}
+}
+
 // enqueue queues an update for Run. If the queue is full, the update is dropped
 // and the periodic exchange delivers the entries later.
 func (q *Quarantine) enqueue(entries []Entry) {
@@ -125,7 +188,7 @@
 
 // receive merges the entries of another instance and forwards those that changed
 // the table.
-func (q *Quarantine) receive(_ context.Context, _ peer.Identity, params json.RawMessage) (any, error) {
+func (q *Quarantine) receive(_ context.Context, from peer.Identity, params json.RawMessage) (any, error) {
 	var message Exchange
 	if err := json.Unmarshal(params, &message); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "malformed exchange request")
@@ -136,12 +199,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if updates := q.table.Merge(q.now(), message.Entries); len(updates) > 0 {
+		q.logConvictions(updates, string(from.Instance))
 		q.enqueue(updates)
 	}
 	return nil, nil
 }
 
-// Run sends queued updates to fanOut random instances and, every
+// Run sends queued updates and due corrections to fanOut random instances and, every
 // exchangeInterval, the current entries to one random instance. It returns when
 // ctx is done.
 func (q *Quarantine) Run(ctx context.Context) error {
@@ -151,18 +215,33 @@
 	}
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
+	corrections := time.NewTicker(correctionInterval)
+	defer corrections.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case entries := <-q.updates:
 			q.send(ctx, entries, fanOut)
+		case <-corrections.C:
+			q.send(ctx, q.dueCorrections(), fanOut)
 		case <-ticker.C:
 			q.send(ctx, q.exchangeEntries(), 1)
 		}
 	}
 }
 
+// dueCorrections returns the corrections to send and updates the metrics.
+func (q *Quarantine) dueCorrections() []Entry {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	suspected, convicted := q.table.PartCounts()
+	suspectedParts.Set(int64(suspected))
+	convictedParts.Set(int64(convicted))
+	due := q.table.Corrections(q.now())
+	return due[:min(len(due), maxExchanged)]
+}
+
 // exchangeEntries returns the entries for a periodic exchange, at most
 // maxExchanged.
 func (q *Quarantine) exchangeEntries() []Entry {
--- a/pkg/upstream/chat.go
+++ b/pkg/upstream/chat.go
@@ -86,6 +86,10 @@
 	return request
 }
 
+// SharedMessages returns the messages of the prompt but the last, which is the request's
+// own.
+func (r *ChatRequest) SharedMessages() []json.RawMessage { return r.messages[:len(r.messages)-1] }
+
 // EnginePriority returns the engine priority of a tier. Engines serve lower numbers
 // first.
 func EnginePriority(tier types.Tier) int {
--- a/test/prove/poisonpart_test.go
+++ b/test/prove/poisonpart_test.go
@@ -113,21 +113,24 @@
 func (r *poisonPartRun) check(seed uint64) result {
 	runs := r.poisonedRuns()
 	total := result{runs: 1, faults: len(runs), checked: len(r.replies)}
-	if len(runs) < settledCrash {
+	if len(runs) == 0 {
+		r.t.Errorf("seed %d: no request with the poisoned message ran", seed)
 		return total
 	}
-	fifth := runs[settledCrash-1]
+	fifth := runs[min(len(runs), settledCrash)-1]
 	late := 0
 	for _, at := range runs {
-		if at > fifth+poisonPartSettled {
+		if len(runs) > settledCrash && at > fifth+poisonPartSettled {
 			late++
 		}
 	}
-	sound, answered, refused := 0, 0, 0
+	sound, answered, refused, unrefused := 0, 0, 0, 0
 	for _, got := range r.replies {
 		switch {
 		case got.poisoned && got.code == fault.Quarantined && got.call > fifth+poisonPartRecovered && got.runState != types.NotRun:
 			total.violations++
+		case got.poisoned && got.code != fault.Quarantined && got.call > fifth+poisonPartRecovered:
+			unrefused++
 		case !got.poisoned && got.code == fault.Quarantined:
 			refused++
 		case !got.poisoned && got.call > fifth+poisonPartRecovered:
@@ -137,8 +140,8 @@
 			}
 		}
 	}
-	if late > maxLatePoison {
-		r.t.Logf("seed %d: %d requests with the poisoned message reached upstreams late", seed, late)
+	if late > maxLatePoison || unrefused > maxLatePoison {
+		r.t.Logf("seed %d: %d requests with the poisoned message reached upstreams late, %d were not refused", seed, late, unrefused)
 		total.violations++
 	}
 	if 2*answered < sound || refused > sound/20 {
