entry: an attempt that fails before its response has no tokens

Cause: the measurements of a stream were reset when a response arrived. An attempt that failed before that reported those of the attempt before it to the dispatcher, and its crash did not count against the parts of the prompt.

Change: they are reset at each call.

Before: TestAttemptThatFailsBeforeItsResponseHasNoTokens fails with 1 token. After: it passes.

--- a/pkg/entry/parts_test.go
+++ b/pkg/entry/parts_test.go
@@ -176,3 +176,15 @@
 		t.Error("a malformed address is down")
 	}
 }
+
+func TestAttemptThatFailsBeforeItsResponseHasNoTokens(t *testing.T) {
+	x := &streamExchange{chat: &upstream.ChatRequest{}, req: &request{}}
+	x.clock = attemptClock{started: time.Now()}
+	x.clock.countToken()
+	if _, err := x.call(config.Upstream{URL: "http://u1"}); err != nil {
+		t.Fatal(err)
+	}
+	if stats := x.stats(); stats.tokens != 0 || !stats.mayHaveCrashed(time.Now().Add(time.Hour)) {
+		t.Errorf("measurements of the attempt before: %+v", stats)
+	}
+}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -59,6 +59,7 @@
 }
 
 func (x *streamExchange) call(to config.Upstream) (upstream.Call, error) {
+	x.clock = attemptClock{}
 	return chatCall(x.chat, x.req, x.transcript.partial(), to)
 }
 
