quarantine: keep what explains a convicted part until the evidence changes

Cause: each refusal compared the convicted part with the whole table, under the lock of the instance, however often the request was repeated.

Change: the explanations are kept per part until the table changes, at most 1 s. A test counts the crashes of trials.

--- a/pkg/quarantine/explain.go
+++ b/pkg/quarantine/explain.go
@@ -31,24 +31,52 @@
 // part is guilty.
 const widerRounds = 2
 
+// explainersAge is how long the explainers of a part are used while the table does not
+// change. Evidence only expires meanwhile.
+const explainersAge = time.Second
+
+// explainer is a part or a condemned request that explains the crashes of a part.
+type explainer struct {
+	fingerprint Fingerprint
+	how         explanation
+}
+
 // explanation returns how well the parts outside the request, or condemned requests,
 // explain the crashes of a convicted part.
 func (t *Table) explanation(now time.Duration, convicted *partState, request []Fingerprint) explanation {
+	if convicted.explainedFor != t.version || now-convicted.explainedAt >= explainersAge {
+		convicted.explainers = t.explainersOf(now, convicted)
+		convicted.explainedFor, convicted.explainedAt = t.version, now
+	}
 	best := unexplained
+	for _, other := range convicted.explainers {
+		if !slices.Contains(request, other.fingerprint) {
+			best = max(best, other.how)
+		}
+	}
+	return best
+}
+
+// explainersOf returns what explains the crashes of a convicted part.
+func (t *Table) explainersOf(now time.Duration, convicted *partState) []explainer {
+	var list []explainer
 	for fp, other := range t.parts.states {
-		if best == free {
-			return free
+		if other == convicted || len(other.crashes) < explainingRounds || !t.mayBeGuilty(now, fp, other) {
+			continue
 		}
-		if !slices.Contains(request, fp) && t.mayBeGuilty(now, fp, other) {
-			best = max(best, convicted.explainedBy(other, maxPartCrashes))
+		if how := convicted.explainedBy(other, maxPartCrashes); how != unexplained {
+			list = append(list, explainer{fingerprint: fp, how: how})
 		}
 	}
-	for _, known := range t.entries {
-		if known.condemned && now < known.lastCrash()+t.settings.TTL {
-			best = max(best, convicted.explainedBy(known.asPart(), t.settings.MaxCrashes))
+	for fp, known := range t.entries {
+		if !known.condemned || now >= known.lastCrash()+t.settings.TTL {
+			continue
+		}
+		if how := convicted.explainedBy(known.asPart(), t.settings.MaxCrashes); how != unexplained {
+			list = append(list, explainer{fingerprint: fp, how: how})
 		}
 	}
-	return best
+	return list
 }
 
 // asPart returns the state of a condemned request in the form of a convicted part.
--- a/pkg/quarantine/history_test.go
+++ b/pkg/quarantine/history_test.go
@@ -48,7 +48,9 @@
 	unique int
 	// answer is the longest time that an answer takes.
 	answer time.Duration
-	decide func(*Table, time.Duration, []Fingerprint) bool
+	// immediate leaves out the periodic exchanges.
+	immediate bool
+	decide    func(*Table, time.Duration, []Fingerprint) bool
 }
 
 // killPlan describes crashes without a guilty part.
@@ -236,6 +238,9 @@
 		w.after(at, w.arrive)
 	}
 	for i := range w.tables {
+		if w.immediate {
+			break
+		}
 		w.after(w.uniform(0, time.Second), func() { w.exchange(i) })
 		w.after(w.uniform(0, clearingPoll), func() { w.poll(i) })
 	}
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -116,6 +116,11 @@
 	// passed is when the last request with the convicted part was let through, if any.
 	passed   time.Duration
 	wasTried bool
+	// explainers are the parts and requests that may explain the crashes, as of a
+	// version of the table and a time.
+	explainers   []explainer
+	explainedFor uint64
+	explainedAt  time.Duration
 }
 
 // lastCrash returns the time of the last crash.
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -319,6 +319,7 @@
 
 // putPart stores the state of a part. If there are too many, it evicts one first.
 func (t *Table) putPart(now time.Duration, fp Fingerprint, state *partState) {
+	t.version++
 	_, known := t.parts.states[fp]
 	if !known && len(t.parts.states) >= maxParts {
 		t.evictPart(now, func(*partState) bool { return true })
@@ -334,6 +335,7 @@
 }
 
 func (t *Table) deletePart(fp Fingerprint) {
+	t.version++
 	delete(t.parts.states, fp)
 	delete(t.parts.corrections, fp)
 }
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -437,3 +437,25 @@
 		t.Fatalf("%v allocations", allocations)
 	}
 }
+
+func BenchmarkRefusalAtAFullTable(b *testing.B) {
+	table := jittered(0)
+	for n := range maxParts {
+		crashRounds(table, time.Duration(n)*time.Second, 2+n%2, partsOf("g", fmt.Sprint("x", n)))
+	}
+	parts := partsOf("first", "g")
+	now := time.Duration(maxParts+2) * time.Second
+	for b.Loop() {
+		table.RefusedPart(now, parts)
+	}
+}
+
+func BenchmarkAnswer(b *testing.B) {
+	table := jittered(0)
+	parts := partsOf("a", "b", "c")
+	now := time.Duration(0)
+	for b.Loop() {
+		now += time.Millisecond
+		table.RecordPartsSound(now, parts)
+	}
+}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -89,6 +89,8 @@
 	settings Settings
 	entries  map[Fingerprint]fingerprintState
 	parts    partTable
+	// version changes with the evidence.
+	version uint64
 }
 
 // NewTable returns an empty table.
@@ -303,6 +305,7 @@
 // put stores the state of a fingerprint. If the table is full, it evicts an entry
 // first.
 func (t *Table) put(now time.Duration, fp Fingerprint, state fingerprintState) {
+	t.version++
 	if _, ok := t.entries[fp]; !ok && len(t.entries) >= t.settings.MaxEntries {
 		t.evict(now)
 	}
