gateway: requests with a part of a prompt that crashes upstreams are refused

Cause: a request was suspected as a whole.

Change: the gateway reports crashes and complete responses as evidence on the parts of the prompts to pkg/quarantine, spreads what changes with the heartbeats, and refuses requests with a condemned part before each attempt, hedges included. The crash of an attempt is examined before the request is sent again. What concerns the quarantine is in a file of its own.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -147,6 +147,7 @@
 	e.mesh.Register(e.peers)
 	e.followers = []*follow.Follower{e.follower(configuration, deps.Configuration), e.follower(upstreams, deps.Upstreams)}
 	e.gateway = gateway.New(gateway.Options{
+		Instance:   settings.Instance,
 		DataCentre: settings.DataCentre,
 		Protocol:   deps.Protocol,
 		Roster:     e.roster,
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -157,7 +157,8 @@
 	}
 }
 
-// expireLoop drops lapsed upstreams after the grace period.
+// expireLoop drops lapsed upstreams after the grace period, and reports what differs
+// from what peers suspect of parts of prompts.
 func (e *Edge) expireLoop(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
@@ -167,6 +168,7 @@
 			return
 		case <-ticker.C:
 			e.expire()
+			e.gateway.ReportCorrections()
 		}
 	}
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -3,21 +3,15 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
-	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/placement"
-	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/roster"
-	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // overdueFactor is the multiple of the predicted time after which an attempt without a
@@ -50,8 +44,9 @@
 	// sentAt is when the attempt began.
 	sentAt time.Duration
 	// counted reports whether the attempt is in progress.runs, responded whether the
-	// first event or the response has arrived.
+	// first event or the response has arrived, which was at respondedAt.
 	counted, responded bool
+	respondedAt        time.Duration
 }
 
 // result is the result of an attempt.
@@ -73,6 +68,10 @@
 func (q *request) run(ctx context.Context) error {
 	q.gateway.budget(q.target).RecordFirst()
 	for {
+		q.awaitCrashReport(ctx)
+		if failure := q.checkParts(); failure != nil {
+			return failure
+		}
 		choice, failure := q.chooseUpstream()
 		if failure != nil {
 			return failure
@@ -346,63 +345,10 @@
 	if a.responded {
 		return
 	}
-	a.responded = true
-	a.rosterAttempt.RecordFirstResponse(a.gateway.options.Clock())
+	a.responded, a.respondedAt = true, a.gateway.options.Clock()
+	a.rosterAttempt.RecordFirstResponse(a.respondedAt)
 	a.gateway.options.Fleet.ReportChange()
 	if a.timeToFirstResponse == 0 {
 		a.timeToFirstResponse = a.elapsed()
 	}
 }
-
-// clearQuarantine removes the request from the quarantine, because an upstream completed
-// it.
-func (q *request) clearQuarantine() {
-	q.gateway.mu.Lock()
-	defer q.gateway.mu.Unlock()
-	q.gateway.quarantine.RecordCompletion(q.fingerprint)
-}
-
-// probeTimeout limits the connection attempt that distinguishes a crashed upstream from
-// a lost response.
-const probeTimeout = 100 * time.Millisecond
-
-// reportCrash records, in the background, that an upstream crashed while it ran the
-// request. It counts as a crash only if the upstream is down now; a lost response alone
-// does not.
-func (a *attempt) reportCrash(cause error) {
-	q := a.request
-	if q.incoming.Context().Err() != nil || q.remaining() <= 0 || a.handedOver || isLocalClose(cause) {
-		return
-	}
-	go q.gateway.recordCrash(q.call, q.fingerprint, a.choice.ID, a.address, q.elapsed())
-}
-
-// isLocalClose reports whether this instance itself ended the exchange.
-func isLocalClose(cause error) bool {
-	return errors.Is(cause, context.Canceled) || errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, net.ErrClosed)
-}
-
-// recordCrash counts a crash against the request if the upstream does not accept
-// connections.
-func (g *Gateway) recordCrash(call RequestInfo, fingerprint quarantine.Fingerprint, upstream types.UpstreamID, address string, took time.Duration) {
-	conn, err := netconn.Dialer(probeTimeout).Dial("tcp", address)
-	if err == nil {
-		_ = conn.Close()
-		return
-	}
-	now := g.options.Clock()
-	g.mu.Lock()
-	before := g.quarantine.Lookup(now, fingerprint)
-	verdict := g.quarantine.RecordCrash(now, fingerprint, quarantine.CrashedAttempt{Upstream: upstream, Duration: took, OnlySuspect: true})
-	g.mu.Unlock()
-	g.options.Logger.Warn().Str("request", string(call.ID)).Str("upstream", string(upstream)).Hex("fingerprint", fingerprint[:]).
-		Strs("parts", call.sharedParts()).Dur("took_ms", took).
-		Int("crashes", verdict.Crashes).Bool("condemned", verdict.Condemned).Msg("upstream crashed while it ran the request")
-	if verdict.Crashes > before.Crashes {
-		g.options.Fleet.ReportCrash(quarantine.Entry{
-			Fingerprint: fingerprint,
-			Crashes:     []quarantine.CrashReport{{Upstream: upstream}},
-			Condemned:   verdict.Condemned,
-		})
-	}
-}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -39,9 +39,6 @@
 	// noUpstreamRetryAfter is the retry delay, before jitter, when no upstream is
 	// available.
 	noUpstreamRetryAfter = 400 * time.Millisecond
-	// quarantineRetryAfter is the retry delay for a request that crashes upstreams.
-	// It is much longer than an upstream takes to restart.
-	quarantineRetryAfter = time.Minute
 	// minBudgetShares is the smallest number of shares that a retry budget is
 	// divided into. A network partition may hide instances, so the number of known
 	// ones may be too low.
@@ -70,12 +67,14 @@
 	ReportLimit(types.UpstreamID, permit.Observation)
 	// RequestPermit asks for permission to send one request to an upstream with a limit.
 	RequestPermit(ctx context.Context, request permit.Request, limit permit.Observation) (permit.Reply, error)
-	// ReportCrash is called when an upstream crashed while it ran a request.
-	ReportCrash(quarantine.Entry)
+	// ReportCrashes is called when an upstream crashed while it ran a request, and when
+	// what was suspected of a crash is cleared.
+	ReportCrashes([]quarantine.Entry)
 }
 
 // Options configures a Gateway.
 type Options struct {
+	Instance   types.InstanceID
 	DataCentre types.DataCentre
 	Protocol   Protocol
 	Roster     *roster.Roster
@@ -113,7 +112,7 @@
 	return &Gateway{
 		options:    options,
 		budgets:    make(map[types.TargetName]*retry.Budget),
-		quarantine: quarantine.NewTable(quarantine.DefaultSettings()),
+		quarantine: quarantine.NewTable(quarantineSettings(options.Instance)),
 		origins:    origin.NewTable(options.Clock()),
 		permits:    newPermits(),
 	}
@@ -146,31 +145,6 @@
 	return b
 }
 
-// QuarantineEntries returns the known requests that crashed upstreams.
-func (g *Gateway) QuarantineEntries() []quarantine.Entry {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.quarantine.List(g.options.Clock(), maxQuarantineEntries)
-}
-
-// maxQuarantineEntries is the maximum number of entries that QuarantineEntries
-// returns, because one message carries them.
-const maxQuarantineEntries = 32
-
-// MergeQuarantineEntries adds the quarantine entries of a peer.
-func (g *Gateway) MergeQuarantineEntries(entries []quarantine.Entry) {
-	if len(entries) == 0 {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, entry := range g.quarantine.Merge(g.options.Clock(), entries) {
-		if entry.Condemned {
-			g.options.Logger.Info().Hex("fingerprint", entry.Fingerprint[:]).Int("strikes", len(entry.Crashes)).Msg("request condemned by a peer")
-		}
-	}
-}
-
 // request is the state of one caller's request.
 type request struct {
 	gateway *Gateway
@@ -191,8 +165,14 @@
 	writer         http.ResponseWriter
 	body           []byte
 	fingerprint    quarantine.Fingerprint
-	startedAt      time.Duration
-	timeout        time.Duration
+	// parts are the fingerprints of the parts of the prompt that other requests may
+	// share.
+	parts []quarantine.Fingerprint
+	// crashReport is closed when the last failure of an upstream has been examined. It
+	// is nil if there was none.
+	crashReport chan struct{}
+	startedAt   time.Duration
+	timeout     time.Duration
 	// headerSent reports whether the response header was passed to the caller.
 	headerSent bool
 	// bodyRead reports whether the whole body was read, bodyAbandoned whether its
@@ -370,18 +350,6 @@
 	return body, err
 }
 
-// checkQuarantine refuses a request that is known to crash upstreams.
-func (q *request) checkQuarantine() error {
-	g := q.gateway
-	q.fingerprint = quarantine.FingerprintOf(q.account.ID, q.incoming.Method, q.incoming.RequestURI, q.body)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if verdict := g.quarantine.Lookup(g.options.Clock(), q.fingerprint); verdict.Condemned {
-		return fault.New(fault.Quarantined, "upstreams crashed while they ran this request; it is quarantined").WithRunState(types.NotRun).WithRetryAfter(quarantineRetryAfter)
-	}
-	return nil
-}
-
 // Server returns the HTTP server of the gateway. It must serve a Listener; Enforce
 // applies the limits to its connections.
 func (g *Gateway) Server() *http.Server {
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -148,6 +148,9 @@
 	if _, ok := g.options.Roster.Address(choice.ID); !ok {
 		return choice, "the other upstream is leaving"
 	}
+	if refused := q.checkParts(); refused != nil {
+		return choice, refused.Error()
+	}
 	if !g.budget(q.target).Spend() {
 		return choice, "the retry budget is exhausted"
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -25,6 +25,9 @@
 	origins     *expvar.Map
 	// hedges counts attempts at a second upstream beside an overdue one, by outcome.
 	hedges *expvar.Map
+	// parts has the numbers of suspected and condemned parts of prompts, and counts the
+	// requests refused for one.
+	parts *expvar.Map
 	// limits counts permits by outcome, refused requests, and limits in force.
 	limits *expvar.Map
 
@@ -34,7 +37,7 @@
 
 // NewMetrics returns unpublished metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish publishes the metrics with expvar under the name. It must be called only
@@ -45,6 +48,7 @@
 	all.Set("connections", m.connections)
 	all.Set("resumed_stream_origins", m.origins)
 	all.Set("hedges", m.hedges)
+	all.Set("prompt_parts", m.parts)
 	all.Set("upstream_limits", m.limits)
 	all.Set("first_ms", expvar.Func(m.latencySummaries))
 }
@@ -88,12 +92,31 @@
 // setLimitsInForce sets the number of upstreams with a limit.
 func (m *Metrics) setLimitsInForce(count int) {
 	if m != nil {
-		inForce := new(expvar.Int)
-		inForce.Set(int64(count))
-		m.limits.Set("in_force", inForce)
+		setInt(m.limits, "in_force", count)
 	}
 }
 
+// setParts sets the numbers of suspected and condemned parts of prompts.
+func (m *Metrics) setParts(suspected, condemned int) {
+	if m != nil {
+		setInt(m.parts, "suspected", suspected)
+		setInt(m.parts, "condemned", condemned)
+	}
+}
+
+// countPartRefusal counts a request that was refused for a part of its prompt.
+func (m *Metrics) countPartRefusal() {
+	if m != nil {
+		m.parts.Add("requests_refused", 1)
+	}
+}
+
+func setInt(values *expvar.Map, name string, value int) {
+	number := new(expvar.Int)
+	number.Set(int64(value))
+	values.Set(name, number)
+}
+
 // countRequest counts a request by its outcome and records its latency if it was
 // answered.
 func (m *Metrics) countRequest(q *request, failure *fault.Error, elapsed time.Duration) {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -10,6 +10,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -38,6 +39,16 @@
 	return roster.SharedSegments(i.Segments)
 }
 
+// partID returns the ID of the shared part with the fingerprint, or "" if there is none.
+func (i *RequestInfo) partID(fingerprint quarantine.Fingerprint) string {
+	for _, id := range i.sharedParts() {
+		if quarantine.FingerprintOfPart(id) == fingerprint {
+			return id
+		}
+	}
+	return ""
+}
+
 // ForwardOptions is the information that an upstream receives in addition to the
 // caller's headers.
 type ForwardOptions struct {
--- /dev/null
+++ b/pkg/gateway/quarantine.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
+	"github.com/umbercrank/umbercrank/pkg/quarantine"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+const (
+	// quarantineRetryAfter is the retry delay for a request that crashes upstreams.
+	// It is much longer than an upstream takes to restart.
+	quarantineRetryAfter = time.Minute
+	// minPartRetryAfter is the shortest retry delay for a request with a part that
+	// crashes upstreams.
+	minPartRetryAfter = time.Second
+	// maxQuarantineEntries is the maximum number of entries that QuarantineEntries
+	// returns, because one message carries them.
+	maxQuarantineEntries = 32
+	// probeTimeout limits the connection attempt that distinguishes a crashed upstream from
+	// a lost response.
+	probeTimeout = 100 * time.Millisecond
+	// beginningTime is how long after its first event a response may still have caused the
+	// crash of its upstream.
+	beginningTime = 500 * time.Millisecond
+)
+
+// quarantineSettings returns the settings of an instance.
+func quarantineSettings(instance types.InstanceID) quarantine.Settings {
+	settings := quarantine.DefaultSettings()
+	settings.TrialJitter = quarantine.TrialJitter(instance)
+	return settings
+}
+
+// QuarantineEntries returns the known requests and parts of prompts that crashed
+// upstreams.
+func (g *Gateway) QuarantineEntries() []quarantine.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.List(g.options.Clock(), maxQuarantineEntries)
+}
+
+// MergeQuarantineEntries adds the quarantine entries of a peer.
+func (g *Gateway) MergeQuarantineEntries(entries []quarantine.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	now := g.options.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, entry := range g.quarantine.Merge(now, entries) {
+		switch {
+		case entry.Fingerprint.IsPart():
+			g.logPart(entry, "", "peer")
+		case entry.Condemned:
+			g.options.Logger.Info().Hex("fingerprint", entry.Fingerprint[:]).Int("strikes", len(entry.Crashes)).Msg("request condemned by a peer")
+		}
+	}
+}
+
+// ReportCorrections tells the peers of parts of prompts on which their reports differ from
+// what is known here. It must be called regularly.
+func (g *Gateway) ReportCorrections() {
+	g.mu.Lock()
+	corrections := g.quarantine.Corrections(g.options.Clock())
+	suspected, convicted := g.quarantine.PartCounts()
+	g.mu.Unlock()
+	g.options.Metrics.setParts(suspected, convicted)
+	if len(corrections) > 0 {
+		g.options.Fleet.ReportCrashes(corrections)
+	}
+}
+
+// logPart logs a change of what is known of a part of prompts. ID is empty if only its
+// fingerprint is known.
+func (g *Gateway) logPart(entry quarantine.Entry, id, source string) {
+	outcome := "suspected"
+	switch {
+	case entry.Condemned:
+		outcome = "condemned"
+	case len(entry.Crashes) == 0:
+		outcome = "cleared"
+	}
+	upstreams := make([]string, len(entry.Crashes))
+	for i, report := range entry.Crashes {
+		upstreams[i] = string(report.Upstream)
+	}
+	event := g.options.Logger.Info().Hex("fingerprint", entry.Fingerprint[:]).Strs("upstreams", upstreams).Str("source", source)
+	if id != "" {
+		event = event.Str("part", id)
+	}
+	event.Str("outcome", outcome).Msg("prompt part")
+}
+
+// checkQuarantine refuses a request that is known to crash upstreams.
+func (q *request) checkQuarantine() error {
+	g := q.gateway
+	q.fingerprint = quarantine.FingerprintOf(q.account.ID, q.incoming.Method, q.incoming.RequestURI, q.body)
+	for _, id := range q.call.sharedParts() {
+		q.parts = append(q.parts, quarantine.FingerprintOfPart(id))
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if verdict := g.quarantine.Lookup(g.options.Clock(), q.fingerprint); verdict.Condemned {
+		return fault.New(fault.Quarantined, "upstreams crashed while they ran this request; it is quarantined").WithRunState(q.progress.runState()).WithRetryAfter(quarantineRetryAfter)
+	}
+	return nil
+}
+
+// checkParts refuses an attempt of a request with a part that crashes upstreams. It must
+// be called once for each attempt, right before it.
+func (q *request) checkParts() error {
+	g := q.gateway
+	g.mu.Lock()
+	verdict, refused := g.quarantine.RefusedPart(g.options.Clock(), q.parts)
+	g.mu.Unlock()
+	if !refused {
+		return nil
+	}
+	retryAfter := max(verdict.TrialIn, minPartRetryAfter)
+	upstreams := make([]string, len(verdict.Crashes))
+	for i, report := range verdict.Crashes {
+		upstreams[i] = string(report.Upstream)
+	}
+	g.options.Metrics.countPartRefusal()
+	g.options.Logger.Info().Str("request", string(q.call.ID)).Str("part", q.call.partID(verdict.Part)).Hex("fingerprint", verdict.Part[:]).
+		Strs("upstreams", upstreams).Int("rounds", verdict.Rounds).Dur("condemned_for_ms", verdict.ConvictedFor).Bool("on_trial", verdict.OnTrial).
+		Dur("return_ms", retryAfter).Msg("refused for a part of its prompt")
+	failure := fault.New(fault.Quarantined, "upstreams crashed while they ran requests with a part of this prompt; requests with it are quarantined").WithRunState(q.progress.runState())
+	if q.progress.runs > 0 {
+		return failure
+	}
+	return failure.WithRetryAfter(retryAfter)
+}
+
+// clearQuarantine removes the request from the quarantine, because an upstream completed
+// it. After a successful response the parts of its prompt count as sound too.
+func (q *request) clearQuarantine(successful bool) {
+	g := q.gateway
+	g.mu.Lock()
+	g.quarantine.RecordCompletion(q.fingerprint)
+	var cleared []quarantine.Entry
+	if successful {
+		cleared = g.quarantine.RecordPartsSound(g.options.Clock(), q.parts)
+	}
+	g.mu.Unlock()
+	for _, entry := range cleared {
+		g.logPart(entry, q.call.partID(entry.Fingerprint), string(q.call.ID))
+	}
+	if len(cleared) > 0 {
+		g.options.Fleet.ReportCrashes(cleared)
+	}
+}
+
+// reportCrash records, in the background, that an upstream crashed while it ran the
+// request. It counts as a crash only if the upstream is down now; a lost response alone
+// does not.
+func (a *attempt) reportCrash(cause error) {
+	q := a.request
+	if q.incoming.Context().Err() != nil || q.remaining() <= 0 || a.handedOver || isLocalClose(cause) {
+		return
+	}
+	report := make(chan struct{})
+	q.crashReport = report
+	now := q.gateway.options.Clock()
+	suspect := crashSuspect{call: q.call, fingerprint: q.fingerprint, took: q.elapsed()}
+	if !a.responded || now-a.respondedAt < beginningTime {
+		suspect.parts = q.parts
+	}
+	go func() {
+		defer close(report)
+		q.gateway.recordCrash(suspect, a)
+	}()
+}
+
+// awaitCrashReport waits until it is known whether the last failure was a crash, so that
+// it counts before the request is sent again.
+func (q *request) awaitCrashReport(ctx context.Context) {
+	if q.crashReport == nil {
+		return
+	}
+	select {
+	case <-q.crashReport:
+	case <-ctx.Done():
+	}
+}
+
+// isLocalClose reports whether this instance itself ended the exchange.
+func isLocalClose(cause error) bool {
+	return errors.Is(cause, context.Canceled) || errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, net.ErrClosed)
+}
+
+// crashSuspect is a request that an upstream ran when it failed.
+type crashSuspect struct {
+	call        RequestInfo
+	fingerprint quarantine.Fingerprint
+	// parts are those of the prompt that may have caused the crash.
+	parts []quarantine.Fingerprint
+	// took is the age of the request.
+	took time.Duration
+}
+
+// recordCrash counts a crash against the request if the upstream does not accept
+// connections, and against the parts of its prompt if nothing listens at its address any
+// more. An upstream that cannot be reached may only be cut off.
+func (g *Gateway) recordCrash(suspect crashSuspect, a *attempt) {
+	conn, err := netconn.Dialer(probeTimeout).Dial("tcp", a.address)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	upstream := a.choice.ID
+	now := g.options.Clock()
+	var reports, parts []quarantine.Entry
+	g.mu.Lock()
+	before := g.quarantine.Lookup(now, suspect.fingerprint)
+	verdict := g.quarantine.RecordCrash(now, suspect.fingerprint, quarantine.CrashedAttempt{Upstream: upstream, Duration: suspect.took, OnlySuspect: true})
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		parts = g.quarantine.RecordPartCrash(now, suspect.parts, upstream, now-a.sentAt)
+	}
+	g.mu.Unlock()
+	g.options.Logger.Warn().Str("request", string(suspect.call.ID)).Str("upstream", string(upstream)).Hex("fingerprint", suspect.fingerprint[:]).
+		Strs("parts", suspect.call.sharedParts()).Bool("beginning", len(suspect.parts) > 0).Dur("took_ms", suspect.took).AnErr("probe", err).
+		Int("crashes", verdict.Crashes).Bool("condemned", verdict.Condemned).Msg("upstream crashed while it ran the request")
+	if verdict.Crashes > before.Crashes {
+		reports = append(reports, quarantine.Entry{
+			Fingerprint: suspect.fingerprint,
+			Crashes:     []quarantine.CrashReport{{Upstream: upstream}},
+			Condemned:   verdict.Condemned,
+		})
+	}
+	for _, entry := range parts {
+		if entry.Condemned {
+			g.logPart(entry, suspect.call.partID(entry.Fingerprint), string(suspect.call.ID))
+		}
+	}
+	if reports = append(reports, parts...); len(reports) > 0 {
+		g.options.Fleet.ReportCrashes(reports)
+	}
+}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -252,12 +252,12 @@
 	m.wakeSenders()
 }
 
-// ReportCrash reports to the peers that a request was running on an upstream when
-// it crashed.
-func (m *Mesh) ReportCrash(entry quarantine.Entry) {
+// ReportCrashes reports to the peers what was running on an upstream when it crashed, or
+// what is no longer suspected of that.
+func (m *Mesh) ReportCrashes(entries []quarantine.Entry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.queueUpdates("", pending{quarantined: []quarantine.Entry{entry}}, func(to relation) bool { return to != distant })
+	m.queueUpdates("", pending{quarantined: entries}, func(to relation) bool { return to != distant })
 	m.wakeSenders()
 }
 
