mesh, follow, edge: failing tests of the handover between readers of the store

In a fleet with hubs, an instance reads the store itself only while its hub does not. The tests show four gaps: a spoke relies on a silent hub, or on one that does not send to it yet; an instance says that it reads before it has read; a stopping one still says so; and after a pause, an outage of 0.5 s is reported with the length of the pause.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -151,6 +151,20 @@
 	}
 }
 
+// TestStoppingInstanceReadsOnlyForItself guards against peers that learn of the end of their
+// reader only from its silence.
+func TestStoppingInstanceReadsOnlyForItself(t *testing.T) {
+	e, _ := newTestEdge()
+	e.followers = nil
+	if !(state{e}).StoreReachable() {
+		t.Error("an instance that reads the store does not say so")
+	}
+	e.stopping.Store(true)
+	if (state{e}).StoreReachable() {
+		t.Error("a stopping instance still says that it reads for others")
+	}
+}
+
 func TestPeerLoadIsCounted(t *testing.T) {
 	e, _ := newTestEdge()
 	sink{e, upstreams}.Replace([]replica.Item{entry("a", "", 1)}, 1, follow.Outage{})
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -203,3 +204,45 @@
 		})
 	})
 }
+
+// TestPauseIsNotReportedAsOutage guards against a long outage being reported after a short
+// one, because a peer read the collection before.
+func TestPauseIsNotReportedAsOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		started := time.Now()
+		s, c := &fakeStore{}, &recordingSink{set: replica.New()}
+		var peerReads atomic.Bool
+		peerReads.Store(true)
+		f := &Follower{Name: "test", Source: s, Sink: c, Logger: zerolog.Nop(), Clock: func() time.Duration { return time.Since(started) }, PeerIsReading: peerReads.Load}
+		ended := make(chan struct{})
+		go func() { _ = f.Run(ctx); close(ended) }()
+		time.Sleep(time.Minute)
+		s.update(func(s *fakeStore) { s.down = true })
+		peerReads.Store(false)
+		time.Sleep(500 * time.Millisecond)
+		s.update(func(s *fakeStore) { s.down = false })
+		time.Sleep(2 * time.Second)
+		cancel()
+		<-ended
+		if len(c.outages) != 2 || c.outages[1] <= 0 || c.outages[1] > 2*time.Second {
+			t.Errorf("reported outages: %v", c.outages)
+		}
+	})
+}
+
+// TestStoreIsUnavailableUntilFirstListing guards against peers that rely on an instance to
+// read for them before it has read anything.
+func TestStoreIsUnavailableUntilFirstListing(t *testing.T) {
+	f := &Follower{Name: "test", Source: &fakeStore{}, Sink: &recordingSink{set: replica.New()}, Logger: zerolog.Nop(), Clock: func() time.Duration { return 0 }}
+	if !f.StoreUnavailable() {
+		t.Error("the store counts as available before it was read")
+	}
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	f.recordSuccess()
+	if f.StoreUnavailable() {
+		t.Error("the store counts as unavailable after it was read")
+	}
+}
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -373,6 +373,46 @@
 	})
 }
 
+// TestSpokesReadWhenTheirHubIsSilent guards against instances that read neither by themselves
+// nor through a hub for longer than a configuration may take to reach them.
+func TestSpokesReadWhenTheirHubIsSilent(t *testing.T) {
+	const allowed = 1200 * time.Millisecond
+	runLargeFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(10 * time.Second)
+		var spokes []int
+		for i, m := range f.meshes {
+			if i >= 8 && !m.HubIsReading() {
+				t.Errorf("instance %d has no hub that reads", i)
+			}
+			m.mu.Lock()
+			if m.relation(address(0)) == hub {
+				spokes = append(spokes, i)
+			}
+			m.mu.Unlock()
+		}
+		if len(spokes) == 0 {
+			t.Fatal("the hub has no spokes")
+		}
+		f.network.Partition([]string{address(0)})
+		for i := 1; i < 8; i++ {
+			f.states[i].withLock(func(s *fakeState) { s.set.Merge([]replica.Item{{Key: "k", Revision: 7}}) })
+			f.meshes[i].ReportChange()
+		}
+		time.Sleep(allowed)
+		for after := allowed; after < 4*time.Second && len(spokes) > 0; after += 10 * time.Millisecond {
+			spokes = slices.DeleteFunc(spokes, func(i int) bool {
+				informed := f.states[i].Revisions()["c"] == 7
+				if !informed && f.meshes[i].HubIsReading() {
+					t.Errorf("instance %d relies on a hub, and lacks a change %v after the loss of its hub", i, after)
+					return true
+				}
+				return informed
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
 func TestLargeFleetPartitionHeals(t *testing.T) {
 	runLargeFleet(t, func(t *testing.T, f *fleet) {
 		time.Sleep(10 * time.Second)
