follow: an instance reads for others only once it has read

Cause: the store counted as unavailable only after a failed call. A starting instance told its peers at once that it can read, so spokes of a new hub gave up their own reading, and readers theirs, for one whose first calls may yet fail.

Change: the store counts as unavailable until the collection was listed once.

Before: TestStoreIsUnavailableUntilFirstListing failed: "the store counts as available before it was read". After: it passes.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -94,14 +94,14 @@
 	backoff      time.Duration
 	lastAnswer   time.Duration
 	lastFailure  time.Duration
-	// unavailable is set by a failed call and cleared by the next listing. Other
-	// goroutines read it.
-	unavailable atomic.Bool
+	// unavailable is set by a failed call and cleared by the next listing. everListed is
+	// set by the first one. Other goroutines read both.
+	unavailable, everListed atomic.Bool
 }
 
-// StoreUnavailable reports whether the store has failed and the collection has
-// not been listed since.
-func (f *Follower) StoreUnavailable() bool { return f.unavailable.Load() }
+// StoreUnavailable reports whether the collection has not been listed yet, or not since
+// the store has failed.
+func (f *Follower) StoreUnavailable() bool { return f.unavailable.Load() || !f.everListed.Load() }
 
 // Run follows the collection until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
@@ -180,6 +180,7 @@
 	}
 	f.Sink.Replace(items, at, outage)
 	f.after, f.idleRevision, f.listed = at, 0, true
+	f.everListed.Store(true)
 	return nil
 }
 
