follow: do not count a pause in which a peer reads as an outage

Cause: the length of an outage was taken from the last answer of the store to this instance. An instance whose hub reads makes no calls, so after the loss of the hub one failed call counted as an outage since the last own call. The entries that were missing then stayed in use for the grace period of 2 s, also those of upstreams that had left.

Change: the time while a peer reads counts as time with the store.

Before: TestPauseIsNotReportedAsOutage failed: "reported outages: [0s 1m0.541570017s]" for an outage of 0.5 s. After: it passes.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -42,7 +42,7 @@
 
 // Outage is a time in which the store was unavailable to this instance.
 type Outage struct {
-	// Length is the time since the last successful call.
+	// Length is the time since the last successful call, or since a peer last read.
 	Length time.Duration
 	// RecoveredWithin is the time since the last failed call. The store recovered at
 	// some point in it.
@@ -92,8 +92,9 @@
 	idleSince    time.Duration
 	listed       bool
 	backoff      time.Duration
-	lastAnswer   time.Duration
-	lastFailure  time.Duration
+	// lastAnswer is when the store last answered, or a peer was last known to read.
+	lastAnswer  time.Duration
+	lastFailure time.Duration
 	// unavailable is set by a failed call and cleared by the next listing. everListed is
 	// set by the first one. Other goroutines read both.
 	unavailable, everListed atomic.Bool
@@ -108,6 +109,7 @@
 	f.lastAnswer = f.Clock()
 	for ctx.Err() == nil {
 		if f.listed && f.PeerIsReading != nil && f.PeerIsReading() {
+			f.lastAnswer = f.Clock()
 			wait.For(ctx, peerReadingCheckInterval)
 			continue
 		}
