edge: a stopping instance gives up reading for others before it ends

Cause: an instance that stops said until its end that it can read the store. The instances that rely on it noticed its end only by its silence, and a configuration that was written around the end of a planned stop reached them late.

Change: it says at the start of the stop that it no longer reads for others. It goes on reading, and the others begin during the rest of the grace period.

Before: TestStoppingInstanceReadsOnlyForItself failed: "a stopping instance still says that it reads for others". After: it passes.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -192,8 +192,9 @@
 // Serving implements mesh.State.
 func (s state) Serving() bool { return s.edge.serving() }
 
-// StoreReachable implements mesh.State.
-func (s state) StoreReachable() bool { return s.edge.storeReachable() }
+// StoreReachable implements mesh.State. A stopping instance gives up reading for others
+// while it still reads, so that they begin before it ends.
+func (s state) StoreReachable() bool { return s.edge.storeReachable() && !s.edge.stopping.Load() }
 
 // Loads implements mesh.State.
 func (s state) Loads(peers map[types.InstanceID]bool) map[types.UpstreamID]placement.Load {
