--- /dev/null
+++ b/cmd/umbercrank/main_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// runMainVariable makes the test binary run main.
+const runMainVariable = "UMBERCRANK_TEST_RUN_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runMainVariable) != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// freePorts returns ports of the loopback interface that were free.
+func freePorts(t *testing.T, n int) []int {
+	t.Helper()
+	var ports []int
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+	}
+	return ports
+}
+
+// TestLostLogReaderDoesNotEndTheProcess closes the read end of the standard output, then
+// stops the process gracefully, which writes all waiting lines.
+func TestLostLogReaderDoesNotEndTheProcess(t *testing.T) {
+	ports := freePorts(t, 6)
+	settings := filepath.Join(t.TempDir(), "settings")
+	text := fmt.Sprintf(`NodeName=n
+Zone=z
+IpAddress=127.0.0.1
+Listen.Front=127.0.0.1:%d
+Listen.Ready=127.0.0.1:%d
+Listen.Directory=127.0.0.1:%d
+InternalPorts=%d,%d
+Platform.Address=127.0.0.1:%d
+Limits.MemoryMb=284
+Limits.CpuShare=1
+Bounds.GraceS=1
+Bounds.RetryBudgetRatio=0.2
+Bounds.BudgetSlack=56
+Bounds.BudgetWindowS=10
+`, ports[0], ports[1], ports[2], ports[3], ports[4], ports[5])
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := reader.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var stderr strings.Builder
+	command := exec.CommandContext(t.Context(), os.Args[0], "join")
+	command.Env = append(os.Environ(), runMainVariable+"=1", "UMBERCRANK_CONFIG="+settings, "UMBERCRANK_PEER_SECRET=x")
+	command.Stdout, command.Stderr = writer, &stderr
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- command.Wait() }()
+	for serving := false; !serving; {
+		select {
+		case err := <-ended:
+			t.Fatalf("the process ended: %v\n%s", err, stderr.String())
+		default:
+		}
+		if response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/readiness", ports[1])); err == nil {
+			response.Body.Close()
+			serving = true
+		}
+	}
+	if err := command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("the process ended: %v\n%s", err, stderr.String())
+	}
+}
