quarantine: an unanswered service is tried again soon

Change: the long sentence needs an answer to any request since the conviction; before that it is 4 s, the first two times. Reports of a suspect with two rounds name all its crashes, so that it can explain those of others although earlier reports were lost. Corrections about a part are at least 2 s apart.

--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -38,8 +38,11 @@
 	// maxRoundWeight is the number of crashes of one round that add to the weight.
 	maxRoundWeight = 2
 	// shortSentence is the time from the last crash to the trial of a part whose
-	// conviction is not firm.
+	// conviction is not firm, or at an instance that has seen no answer since. It grows
+	// by shortGrowth with each round after the conviction but the first shortTrials.
 	shortSentence = 4 * time.Second
+	shortTrials   = 2
+	shortGrowth   = 4
 	// minTrialSpread is the minimum range over which the instances spread a trial.
 	minTrialSpread = 20 * time.Second
 	// firmSentence is the time from the last crash to the trial of a part whose
@@ -216,19 +219,36 @@
 	return true
 }
 
-// sentence returns the time from the last crash to the trial.
-func (s *partState) sentence() time.Duration {
-	seen := max(rounds(s.crashes), s.minRounds)
-	if seen < firmRounds && max(weight(s.crashes), s.minWeight) < firmWeight {
-		return shortSentence
-	}
+// firm reports whether the evidence suffices for a long sentence.
+func (s *partState) firm() bool {
+	return s.rounds() >= firmRounds || max(weight(s.crashes), s.minWeight) >= firmWeight
+}
+
+// rounds returns the number of rounds that the conviction rests on.
+func (s *partState) rounds() int { return max(rounds(s.crashes), s.minRounds) }
+
+// longSentence returns the time from the last crash to the trial of a firm conviction.
+func (s *partState) longSentence() time.Duration {
 	length := firmSentence
-	for range seen - firmRounds {
+	for range s.rounds() - firmRounds {
 		length = min(2*length, maxSentence)
 	}
 	return length
 }
 
+// shortSentence returns that of another conviction.
+func (s *partState) shortSentence() time.Duration {
+	length := shortSentence
+	after := slices.IndexFunc(s.crashes, func(c partCrash) bool { return c.at > s.since+trialInterval })
+	if after < 0 {
+		return length
+	}
+	for range rounds(s.crashes[after:]) - shortTrials {
+		length = min(shortGrowth*length, maxSentence)
+	}
+	return length
+}
+
 // matchesPart reports whether both are reports of the same crash.
 func (c partCrash) matchesPart(other partCrash) bool {
 	return c.upstream == other.upstream && (c.at-other.at).Abs() <= partCrashMatchWindow
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -25,6 +25,9 @@
 	// correctionSpread is the longest delay before peers are corrected. Instances differ
 	// in it, so that most hear the correction of another and stay silent.
 	correctionSpread = 200 * time.Millisecond
+	// correctionPause is the minimum time between two corrections about a part, those of
+	// other instances included.
+	correctionPause = 2 * time.Second
 	// clearingRounds is the number of rounds against a part known to be sound from
 	// which on peers are told that it is sound.
 	clearingRounds = 2
@@ -49,8 +52,12 @@
 type partTable struct {
 	states map[Fingerprint]*partState
 	sound  soundMemory
+	// answered is the time of the last evidence that any part is sound.
+	answered time.Duration
 	// corrections holds when peers must be told the state of a part.
 	corrections map[Fingerprint]time.Duration
+	// corrected holds when a part was last the subject of a correction.
+	corrected map[Fingerprint]time.Duration
 }
 
 func newPartTable() partTable {
@@ -58,6 +65,7 @@
 		states:      make(map[Fingerprint]*partState),
 		sound:       newSoundMemory(),
 		corrections: make(map[Fingerprint]time.Duration),
+		corrected:   make(map[Fingerprint]time.Duration),
 	}
 }
 
@@ -116,9 +124,19 @@
 	return now-state.lastCrash() >= time.Duration(t.settings.TrialJitter*float64(settleSpread))
 }
 
+// sentence returns the time from the last crash to the trial of a convicted part. It is
+// short while nothing has been answered since the conviction: then no answer tells the part
+// from those that all requests share.
+func (t *Table) sentence(state *partState) time.Duration {
+	if state.firm() && t.parts.answered > state.since {
+		return state.longSentence()
+	}
+	return state.shortSentence()
+}
+
 // trialAt returns when the sentence of a convicted part ends at this instance.
 func (t *Table) trialAt(state *partState) time.Duration {
-	length := state.sentence()
+	length := t.sentence(state)
 	return state.lastCrash() + length + time.Duration(t.settings.TrialJitter*float64(max(length, minTrialSpread)))
 }
 
@@ -180,10 +198,11 @@
 	return state
 }
 
-// partReport returns what peers are told of a crash: everything if the part is
-// convicted, so that they can judge it too.
+// partReport returns what peers are told of a crash. If the part is convicted or may
+// explain the crashes of one that is, it is everything, in case that earlier reports were
+// lost.
 func partReport(now time.Duration, fp Fingerprint, state *partState) Entry {
-	if state.convicted {
+	if state.convicted || rounds(state.crashes) >= explainingRounds {
 		return partEntry(now, fp, state)
 	}
 	return newestCrash(now, fp, state)
@@ -200,6 +219,7 @@
 // RecordPartsSound records a complete answer to a request with these parts. It clears
 // them and returns the clearings to report to peers.
 func (t *Table) RecordPartsSound(now time.Duration, parts []Fingerprint) []Entry {
+	t.parts.answered = now
 	var cleared []Entry
 	for _, fp := range parts {
 		known, isSound := t.parts.sound.get(now, fp)
@@ -250,6 +270,8 @@
 // mergeClearing clears a part that another instance found to be sound.
 func (t *Table) mergeClearing(now time.Duration, fp Fingerprint) bool {
 	known, isSound := t.parts.sound.get(now, fp)
+	t.noteCorrection(now, fp)
+	t.parts.answered = now
 	known.at = now
 	known.clearings++
 	t.parts.sound.put(fp, known)
@@ -263,18 +285,36 @@
 func (t *Table) planCorrection(now time.Duration, entry Entry, known soundness, isSound bool, state *partState) {
 	if state.convicted {
 		if entry.Condemned {
-			delete(t.parts.corrections, entry.Fingerprint)
+			t.noteCorrection(now, entry.Fingerprint)
 			return
 		}
 	} else if !isSound || !known.own || known.clearings >= maxClearings ||
 		!entry.Condemned && rounds(state.crashes) < clearingRounds {
 		return
 	}
+	if last, ok := t.parts.corrected[entry.Fingerprint]; ok && now-last < correctionPause {
+		return
+	}
 	if _, ok := t.parts.corrections[entry.Fingerprint]; !ok {
 		t.parts.corrections[entry.Fingerprint] = now + time.Duration(t.settings.TrialJitter*float64(correctionSpread))
 	}
 }
 
+// noteCorrection records that peers are being told the state of a part.
+func (t *Table) noteCorrection(now time.Duration, fp Fingerprint) {
+	delete(t.parts.corrections, fp)
+	if len(t.parts.corrected) >= maxParts {
+		for old, at := range t.parts.corrected {
+			if now-at >= correctionPause {
+				delete(t.parts.corrected, old)
+			}
+		}
+	}
+	if len(t.parts.corrected) < maxParts {
+		t.parts.corrected[fp] = now
+	}
+}
+
 // Corrections returns the entries that correct peers: those that suspect a part that is
 // known to be sound, and those that have not heard of a conviction. Callers ask after
 // Merge and at regular intervals.
@@ -284,7 +324,7 @@
 		if now < at {
 			continue
 		}
-		delete(t.parts.corrections, fp)
+		t.noteCorrection(now, fp)
 		if entry, ok := t.correction(now, fp); ok {
 			due = append(due, entry)
 		}
