mesh: failing test of instances that change their hub

In the simulated fleet of 40, a larger instance starts and takes the place of a hub. The former hub counts three of its spokes as lost.

--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -151,14 +151,19 @@
 
 // start starts instance i, replacing an earlier one at the same address.
 func (f *fleet) start(i int) {
-	id := types.InstanceID(fmt.Sprint("n", i))
-	caller, registrar := f.network.AddNode(address(i), peer.Identity{Instance: id})
-	state := &fakeState{storeReachable: true, serving: true, set: replica.New(), heartbeats: map[types.InstanceID]Heartbeat{}, origins: map[origin.Key]origin.Origin{},
-		limits: permit.NewTable(), issuer: permit.NewIssuer(), clock: func() time.Duration { return time.Since(f.started) }}
 	capacity := 20
 	if i < 8 {
 		capacity = 80
 	}
+	f.startWith(i, capacity)
+}
+
+// startWith starts instance i with a capacity.
+func (f *fleet) startWith(i, capacity int) {
+	id := types.InstanceID(fmt.Sprint("n", i))
+	caller, registrar := f.network.AddNode(address(i), peer.Identity{Instance: id})
+	state := &fakeState{storeReachable: true, serving: true, set: replica.New(), heartbeats: map[types.InstanceID]Heartbeat{}, origins: map[origin.Key]origin.Origin{},
+		limits: permit.NewTable(), issuer: permit.NewIssuer(), clock: func() time.Duration { return time.Since(f.started) }}
 	m := New(Options{
 		Self:   InstanceInfo{ID: id, PeerAddress: address(i), CallerAddress: fmt.Sprint("front", i), Capacity: capacity, DataCentre: types.DataCentre(fmt.Sprint("dc", i%4))},
 		Seeds:  func() []string { return []string{address(0)} },
@@ -408,6 +413,24 @@
 	})
 }
 
+// TestInstancesThatChangeTheirHubAreNotLost guards against a former hub that takes the end of
+// the heartbeats of its spokes for their loss.
+func TestInstancesThatChangeTheirHubAreNotLost(t *testing.T) {
+	runLargeFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(10 * time.Second)
+		f.startWith(largeFleet, 200)
+		time.Sleep(6 * time.Second)
+		for i, state := range f.states {
+			state.withLock(func(s *fakeState) {
+				if len(s.lost) > 0 {
+					t.Errorf("instance %d lost %v, which were up", i, s.lost)
+				}
+			})
+		}
+		f.wantCallerAddresses(t, largeFleet+1, "6 s after a larger instance became a hub")
+	})
+}
+
 func TestLargeFleetPartitionHeals(t *testing.T) {
 	runLargeFleet(t, func(t *testing.T, f *fleet) {
 		time.Sleep(10 * time.Second)
