mesh: tell a former hub that an instance has left it

Cause: an instance that got another hub ended its heartbeats to the former one without a word. The former hub still counted it as its own, waited for heartbeats, and after 1.5 s counted it as lost: its load was dropped, and its address no longer given to callers, until another hub reported it again.

Change: an instance sends one last heartbeat to its former hub, which says that it is not its hub. From then on the former hub learns of the instance through the other hubs.

Before: TestInstancesThatChangeTheirHubAreNotLost failed: "instance 4 lost [n12 n8 n24], which were up"; the former hub gave 38 of 41 addresses. After: it passes, three times in a row with the race detector.

--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -34,6 +34,9 @@
 	previous := meshPeer
 	for ctx.Err() == nil && m.isMember(address, to) {
 		relation, wanted := m.shouldSend(address, to)
+		// The last heartbeat to a former hub tells it that this instance has left it, not
+		// that it has become silent.
+		wanted = wanted || previous == hub && relation == distant
 		if relation != previous {
 			previous, lastGossip = relation, 0
 		}
