pool: a request is not shed while a lower tier runs on an engine that is down

Change: only engines that are down, leaving, or backing off for longer than the request can wait have no victims, and only for late requests. Shedding still preempts on them.

--- a/pkg/pool/capacity.go
+++ b/pkg/pool/capacity.go
@@ -104,15 +104,10 @@
 
 // accepts reports whether the engine may be given the job now.
 func (p *Pool) accepts(e *engine, j *job, floor bool) bool {
-	if !p.serves(e, j) || e.permitsLeft(p.now) == 0 || !p.fits(e, j, floor) {
+	if !e.available(p.now) || !j.allows(e) || e.permitsLeft(p.now) == 0 || !p.fits(e, j, floor) {
 		return false
 	}
-	return j.req.Crashes == 0 || e.suspects == 0
-}
-
-// serves reports whether the engine may be given the job if it has a free slot.
-func (p *Pool) serves(e *engine, j *job) bool {
-	if !e.available(p.now) || !j.allows(e) {
+	if j.req.Crashes > 0 && e.suspects > 0 {
 		return false
 	}
 	if !e.speed.ejected {
--- a/pkg/pool/preemption.go
+++ b/pkg/pool/preemption.go
@@ -50,7 +50,7 @@
 			}
 		}
 		if p.wouldStartLate(j, index) {
-			p.preempt(j)
+			p.preempt(j, p.mayServe)
 		}
 	}
 }
@@ -79,9 +79,9 @@
 }
 
 // preempt requests the entry of the cheapest victim below the job's tier to stop
-// it. It reports whether it found one.
-func (p *Pool) preempt(j *job) bool {
-	victim := p.victimFor(j)
+// it. It reports whether it found one. Only engines for which on returns true have victims.
+func (p *Pool) preempt(j *job, on func(*engine, *job) bool) bool {
+	victim := p.victimFor(j, on)
 	if victim == nil {
 		return false
 	}
@@ -95,14 +95,14 @@
 	return true
 }
 
-// victimFor returns the running job to preempt for j, or nil. Its engine must be one that
-// serves j. It prefers jobs whose engine then has capacity for j, then the lowest tier, then
-// the least lost work.
-func (p *Pool) victimFor(j *job) *job {
+// victimFor returns the running job to preempt for j, or nil. It prefers jobs
+// whose engine then has capacity for j, then the lowest tier, then the least lost
+// work.
+func (p *Pool) victimFor(j *job, on func(*engine, *job) bool) *job {
 	var best *job
 	bestFits := false
 	for _, r := range p.runningList {
-		if r.req.Tier >= j.req.Tier || !r.preemptible() || !p.serves(r.engine, j) || r.engine.permitsLeft(p.now) == 0 {
+		if r.req.Tier >= j.req.Tier || !r.preemptible() || !on(r.engine, j) || r.engine.permitsLeft(p.now) == 0 {
 			continue
 		}
 		fits := p.fitsAfter(r, j)
@@ -129,6 +129,12 @@
 	return e.bookedKV-victim.bookedKV+p.expectedKVTokens(j) <= p.kvTokenLimit(e, p.share(j))
 }
 
+// mayServe reports whether the engine can be given the job before it is late, once it has a
+// free slot.
+func (p *Pool) mayServe(e *engine, j *job) bool {
+	return !e.removed && !e.leaving && !e.health.down && e.health.retryAt <= p.latestStart(j) && j.allows(e)
+}
+
 // cheaperVictim reports whether a is a better victim than b: the lower tier,
 // then the least lost work, then the later arrival.
 func cheaperVictim(a, b *job) bool {
--- a/pkg/pool/shedding.go
+++ b/pkg/pool/shedding.go
@@ -12,7 +12,9 @@
 		if victim == nil {
 			return
 		}
-		if !p.preempt(victim) {
+		// An engine that serves nothing new has victims too: a request is not shed while
+		// a lower tier runs.
+		if !p.preempt(victim, allowed) {
 			p.refuse(victim, fault.Overloaded)
 		}
 	}
