--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -171,7 +171,7 @@
 	if e.settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(e.settings.MemoryLimit)))
 	}
-	listener, err := listen(ctx, e.settings.CallerAddress)
+	listener, err := e.listen(ctx, e.settings.CallerAddress)
 	if err != nil {
 		return err
 	}
@@ -228,7 +228,7 @@
 		if address == "" {
 			continue
 		}
-		listener, err := listen(ctx, address)
+		listener, err := e.listen(ctx, address)
 		if err != nil {
 			return err
 		}
@@ -247,7 +247,7 @@
 	idleTimeout = 30 * time.Second
 )
 
-func listen(ctx context.Context, address string) (net.Listener, error) {
+func (e *Edge) listen(ctx context.Context, address string) (net.Listener, error) {
 	listener, err := netconn.ListenConfig().Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+address)
