netconn, edge, peer: go on accepting after any error

Cause: net/http ends a server whose listener returns an error that it does not know as temporary. The instance then ended at once, with all requests in progress. On Linux, accept returns pending network errors of the new connection as its own (accept(2)), and a lack of buffers; neither is temporary to net/http.

Change: the retry that connections between instances had is now netconn.Accept, which the listeners for callers, readiness, directory and metrics use too. Only a closed listener ends them.

Before: TestFailedAcceptDoesNotEndTheInstance failed: "the server ended: accept tcp 127.0.0.1:37877: accept4: invalid argument". After: it passes, ten times in a row with the race detector. The test asks the kernel for the port, which changes when the socket listens again; its first form, which failed earlier, used the one of before.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -252,9 +252,18 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+address)
 	}
-	return listener, nil
+	return &retryingListener{listener, e.logger}, nil
 }
 
+// retryingListener goes on accepting after errors, so that none ends the instance.
+type retryingListener struct {
+	net.Listener
+	logger zerolog.Logger
+}
+
+// Accept implements net.Listener.
+func (l *retryingListener) Accept() (net.Conn, error) { return netconn.Accept(l.Listener, l.logger) }
+
 // ignoreClosed drops the error of a server that was closed.
 func ignoreClosed(err error) error {
 	if err == http.ErrServerClosed {
--- a/pkg/edge/listen_test.go
+++ b/pkg/edge/listen_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
 	"syscall"
 	"testing"
@@ -34,7 +35,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	go func() { served <- server.Serve(listener) }()
 	defer server.Close()
-	raw, err := listener.(syscall.Conn).SyscallConn()
+	raw, err := listener.(*retryingListener).Listener.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,8 +52,19 @@
 		t.Fatalf("the server ended: %v", err)
 	case <-logged:
 	}
-	control(func(fd int) error { return unix.Listen(fd, 16) })
-	response, err := http.Get("http://" + listener.Addr().String())
+	// The kernel has released the port and assigns another.
+	var port int
+	control(func(fd int) error {
+		if err := unix.Listen(fd, 16); err != nil {
+			return err
+		}
+		address, err := unix.Getsockname(fd)
+		if v4, ok := address.(*unix.SockaddrInet4); ok {
+			port = v4.Port
+		}
+		return err
+	})
+	response, err := http.Get(fmt.Sprint("http://127.0.0.1:", port))
 	if err != nil {
 		t.Fatalf("a later request failed: %v", err)
 	}
--- a/pkg/netconn/netconn.go
+++ b/pkg/netconn/netconn.go
@@ -4,10 +4,12 @@
 package netconn
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 )
 
@@ -41,6 +43,23 @@
 	}
 }
 
+// acceptRetryDelay is the delay after an error of a listener.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Accept accepts a connection. It retries after all errors except that of a closed listener:
+// descriptors may run out for a while, and on Linux the network errors of a connection that
+// failed before it was accepted are errors of the listener.
+func Accept(listener net.Listener, logger zerolog.Logger) (net.Conn, error) {
+	for {
+		conn, err := listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return conn, err
+		}
+		logger.Error().Err(err).Str("address", listener.Addr().String()).Dur("retry_ms", acceptRetryDelay).Msg("cannot accept a connection")
+		time.Sleep(acceptRetryDelay)
+	}
+}
+
 func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
 }
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -7,14 +7,12 @@
 	"net"
 	"runtime/debug"
 	"sync"
-	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/wait"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 )
 
 const (
@@ -102,22 +100,13 @@
 	return err
 }
 
-// acceptRetryDelay is the delay after an error of the listener, such as a lack of file
-// descriptors.
-const acceptRetryDelay = 50 * time.Millisecond
-
 // accept accepts connections until the listener is closed. Connections above
 // MaxConnections are closed immediately.
 func (s *Server) accept(ctx context.Context) error {
 	for {
-		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return fault.Wrap(fault.Internal, err, "the peer listener was closed")
-		}
+		conn, err := netconn.Accept(s.listener, s.options.Logger)
 		if err != nil {
-			s.options.Logger.Error().Err(err).Dur("retry_ms", acceptRetryDelay).Msg("cannot accept peer connection")
-			wait.For(ctx, acceptRetryDelay)
-			continue
+			return fault.Wrap(fault.Internal, err, "the peer listener was closed")
 		}
 		select {
 		case s.connSlots <- struct{}{}:
