gateway: a trial of a part begins when a request is sent; prefetched responses are released

A request that was let through to find out whether a part still crashes upstreams, and was then refused for another reason, used up the trial of its instance. The early check only looks now; the one right before an attempt decides.

A hedge that took the place of the first attempt and had prefetched a response to another request kept its bytes counted as buffered, of which an instance may hold 12 MB. Before: TestUnusedResponseOfAHedgeIsReleased failed with 2 bytes. After: it passes.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -97,6 +97,9 @@
 		if !q.obtainPermit(ctx, choice) {
 			continue
 		}
+		if failure := q.checkPartsBeforeSending(); failure != nil {
+			return failure
+		}
 		q.retryPaid = false
 		result := q.tryUpstream(ctx, choice)
 		for result.successor != nil {
@@ -234,6 +237,7 @@
 // end records the outcome of the attempt and releases it.
 func (a *attempt) end(outcome result) result {
 	a.cancel()
+	a.dropPrefetched()
 	outcome = a.settleHedge(outcome)
 	q, g := a.request, a.gateway
 	took := g.options.Clock() - a.sentAt
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -48,18 +48,6 @@
 	err      error
 }
 
-// prefetched is the beginning of a successful response: of a stream the first event that
-// is not empty, of another response what is buffered of it.
-type prefetched struct {
-	events *exchange.EventReader
-	event  exchange.Event
-
-	body    []byte
-	hasMore bool
-
-	err error
-}
-
 // handleSilence is called while the attempt waits for its upstream, when the attempt is
 // overdue or something about its hedge has changed. An error ends the attempt.
 func (a *attempt) handleSilence() error {
@@ -148,7 +136,7 @@
 	if _, ok := g.options.Roster.Address(choice.ID); !ok {
 		return choice, "the other upstream is leaving"
 	}
-	if refused := q.checkParts(); refused != nil {
+	if refused := q.checkPartsBeforeSending(); refused != nil {
 		return choice, refused.Error()
 	}
 	if !g.budget(q.target).Spend() {
@@ -198,44 +186,6 @@
 	}
 }
 
-func (h *hedge) prefetch() *prefetched {
-	p := &prefetched{}
-	if !h.isStream(h.response) {
-		p.body, p.hasMore, p.err = h.gateway.bufferResponse(h.response.Body)
-		return p
-	}
-	p.events = exchange.NewEventReader(h.response.Body)
-	for {
-		if p.event, p.err = p.events.Next(); p.err != nil || !p.event.Empty {
-			return p
-		}
-	}
-}
-
-// eventsOf returns a function that returns the next event of the response.
-func (a *attempt) eventsOf(response *exchange.Response) func() (exchange.Event, error) {
-	first := a.prefetched
-	if first == nil {
-		return exchange.NewEventReader(response.Body).Next
-	}
-	return func() (exchange.Event, error) {
-		if p := a.prefetched; p != nil {
-			a.prefetched = nil
-			return p.event, p.err
-		}
-		return first.events.Next()
-	}
-}
-
-// bufferedBody returns the response as far as it is buffered.
-func (a *attempt) bufferedBody(response *exchange.Response) (body []byte, hasMore bool, err error) {
-	if p := a.prefetched; p != nil {
-		a.prefetched = nil
-		return p.body, p.hasMore, p.err
-	}
-	return a.gateway.bufferResponse(response.Body)
-}
-
 func (h *hedge) finished() bool {
 	select {
 	case <-h.done:
@@ -319,9 +269,6 @@
 	if h.response != nil {
 		h.response.Close()
 	}
-	if h.prefetched != nil {
-		h.gateway.bufferedResponseBytes.Add(-int64(len(h.prefetched.body)))
-	}
 	h.end(outcome)
 }
 
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -114,12 +114,22 @@
 	return nil
 }
 
-// checkParts refuses an attempt of a request with a part that crashes upstreams. It must
-// be called once for each attempt, right before it.
+// checkParts refuses a request with a part that crashes upstreams, before an upstream is
+// chosen.
 func (q *request) checkParts() error {
+	return q.refusePart(q.gateway.quarantine.PeekPart)
+}
+
+// checkPartsBeforeSending does the same right before an attempt. The attempt may be one that
+// finds out whether the part still crashes upstreams.
+func (q *request) checkPartsBeforeSending() error {
+	return q.refusePart(q.gateway.quarantine.RefusedPart)
+}
+
+func (q *request) refusePart(judge func(time.Duration, []quarantine.Fingerprint) (quarantine.PartVerdict, bool)) error {
 	g := q.gateway
 	g.mu.Lock()
-	verdict, refused := g.quarantine.RefusedPart(g.options.Clock(), q.parts)
+	verdict, refused := judge(g.options.Clock(), q.parts)
 	g.mu.Unlock()
 	if !refused {
 		return nil
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -254,6 +254,24 @@
 	}
 }
 
+// TestUnusedResponseOfAHedgeIsReleased plays a first upstream that breaks off while the second
+// one prepares the response to another request.
+func TestUnusedResponseOfAHedgeIsReleased(t *testing.T) {
+	env := newHedgingEnv(t, 2, pause(300*time.Millisecond), func(conn net.Conn, _ *http.Request, _ int) {
+		time.Sleep(300 * time.Millisecond)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nId: other\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno")
+	})
+	if got := env.call("POST", "/safe/", ""); got.status != 502 {
+		t.Errorf("the caller received %d %q", got.status, got.body)
+	}
+	for env.gateway.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if held := env.gateway.bufferedResponseBytes.Load(); held != 0 {
+		t.Errorf("%d bytes still count as buffered", held)
+	}
+}
+
 func TestRejectedHedgeIsNotARun(t *testing.T) {
 	routes := silentRoutes()
 	env := newTestEnv(t, routes, respondWith("HTTP/1.1 503 X\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), 2)
