--- a/pkg/exchange/alarm_test.go
+++ b/pkg/exchange/alarm_test.go
@@ -31,8 +31,7 @@
 
 func TestAlarmRingsWhileUpstreamIsSilent(t *testing.T) {
 	rung := make(chan struct{}, 2)
-	var alarm *Alarm
-	alarm = NewAlarm(func() error {
+	alarm := NewAlarm(func() error {
 		rung <- struct{}{}
 		return nil
 	})
