quarantine, gateway, mesh: two instances try a convicted part for the fleet

Cause: each instance lets single requests through that settle whether a convicted part is guilty.

Change: only the first two instances in rendezvous order of the part try it, of those that callers are sent to.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -67,6 +67,9 @@
 	ReportLimit(types.UpstreamID, permit.Observation)
 	// RequestPermit asks for permission to send one request to an upstream with a limit.
 	RequestPermit(ctx context.Context, request permit.Request, limit permit.Observation) (permit.Reply, error)
+	// AmongFirst reports whether this instance is among the first ones, in rendezvous order
+	// of the key, of those that callers are sent to.
+	AmongFirst(key string, count int) bool
 	// ReportCrashes is called when an upstream crashed while it ran a request, and when
 	// what was suspected of a crash is cleared.
 	ReportCrashes([]quarantine.Entry)
@@ -112,7 +115,7 @@
 	return &Gateway{
 		options:    options,
 		budgets:    make(map[types.TargetName]*retry.Budget),
-		quarantine: quarantine.NewTable(quarantineSettings(options.Instance)),
+		quarantine: quarantine.NewTable(quarantineSettings(options)),
 		origins:    origin.NewTable(options.Clock()),
 		permits:    newPermits(),
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -98,6 +98,7 @@
 func (*recordingFleet) ReportChange()                            {}
 func (*recordingFleet) ReportCachedSegments(mesh.CachedSegments) {}
 func (*recordingFleet) ReportStream(origin.Stream)               {}
+func (*recordingFleet) AmongFirst(string, int) bool              { return true }
 func (f *recordingFleet) FindStream(_ context.Context, key origin.Key) (origin.Origin, bool, bool) {
 	if f.searching != nil {
 		f.searching()
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -11,7 +11,6 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
-	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 const (
@@ -33,9 +32,12 @@
 )
 
 // quarantineSettings returns the settings of an instance.
-func quarantineSettings(instance types.InstanceID) quarantine.Settings {
+func quarantineSettings(options Options) quarantine.Settings {
 	settings := quarantine.DefaultSettings()
-	settings.TrialJitter = quarantine.TrialJitter(instance)
+	settings.TrialJitter = quarantine.TrialJitter(options.Instance)
+	settings.MayTry = func(part quarantine.Fingerprint) bool {
+		return options.Fleet.AmongFirst(part.String(), quarantine.TrialInstances)
+	}
 	return settings
 }
 
--- a/pkg/mesh/permits.go
+++ b/pkg/mesh/permits.go
@@ -218,6 +218,20 @@
 	return first.PeerAddress
 }
 
+// AmongFirst reports whether this instance is among the first ones, in rendezvous order of
+// the key, of those that callers are sent to.
+func (m *Mesh) AmongFirst(key string, count int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return rendezvous.AmongFirst(key, m.options.Self.ID, func(yield func(types.InstanceID) bool) {
+		for _, member := range m.members {
+			if !member.down && member.info.Serving && !yield(member.info.ID) {
+				return
+			}
+		}
+	}, count)
+}
+
 // retainPermits makes the state drop the upstreams whose permits this instance no longer
 // issues.
 func (m *Mesh) retainPermits() {
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -21,9 +21,12 @@
 // Fingerprint identifies a request by its account and content.
 type Fingerprint [fingerprintBytes]byte
 
+// String returns the fingerprint in hexadecimal digits.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
 // MarshalText implements encoding.TextMarshaler.
 func (f Fingerprint) MarshalText() ([]byte, error) {
-	return []byte(hex.EncodeToString(f[:])), nil
+	return []byte(f.String()), nil
 }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -107,7 +107,7 @@
 		if found == free {
 			continue
 		}
-		if found == unexplained || !t.mayTry(now, state) {
+		if found == unexplained || !t.mayTry(now, fp, state) {
 			return t.partVerdict(now, fp, state, onTrial), nil, true
 		}
 		tried = append(tried, state)
@@ -117,10 +117,13 @@
 
 // mayTry reports whether this instance may let a request through that settles whether a
 // part is guilty.
-func (t *Table) mayTry(now time.Duration, state *partState) bool {
+func (t *Table) mayTry(now time.Duration, fp Fingerprint, state *partState) bool {
 	if state.wasTried && now-state.passed < trialInterval {
 		return false
 	}
+	if t.settings.MayTry != nil && !t.settings.MayTry(fp) {
+		return false
+	}
 	return now-state.lastCrash() >= time.Duration(t.settings.TrialJitter*float64(settleSpread))
 }
 
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"iter"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/rendezvous"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -71,6 +73,9 @@
 func New(options Options) *Quarantine {
 	if options.View != nil {
 		options.Settings.TrialJitter = TrialJitter(options.View.Self().ID)
+		options.Settings.MayTry = func(part Fingerprint) bool {
+			return rendezvous.AmongFirst(part.String(), options.View.Self().ID, instanceIDs(options.View.Live()), TrialInstances)
+		}
 	}
 	return &Quarantine{
 		options: options,
@@ -80,6 +85,17 @@
 	}
 }
 
+// instanceIDs yields the IDs of the instances.
+func instanceIDs(instances []types.Instance) iter.Seq[types.InstanceID] {
+	return func(yield func(types.InstanceID) bool) {
+		for _, instance := range instances {
+			if !yield(instance.ID) {
+				return
+			}
+		}
+	}
+}
+
 func (q *Quarantine) now() time.Duration { return time.Since(q.started) }
 
 // Empty reports whether the table has no entries, in which case no lookup is
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -27,6 +27,9 @@
 	// trial of a convicted part by up to the length of its sentence, so that the
 	// instances do not try it at the same time.
 	TrialJitter float64
+	// MayTry reports whether this instance is one of the TrialInstances that try a convicted
+	// part on behalf of the fleet. Nil means that it is.
+	MayTry func(part Fingerprint) bool
 }
 
 // DefaultSettings returns settings with a TTL of one hour.
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,6 +66,19 @@
 	return best.item, found
 }
 
+// AmongFirst reports whether self is among the first count instances for the key. It counts
+// as one of the instances in any case.
+func AmongFirst(key string, self types.InstanceID, instances iter.Seq[types.InstanceID], count int) bool {
+	same := func(id types.InstanceID) types.InstanceID { return id }
+	own := weigh(key, self, same)
+	for id := range instances {
+		if id != self && compare(weigh(key, id, same), own) < 0 {
+			count--
+		}
+	}
+	return count > 0
+}
+
 func instanceID(instance types.Instance) types.InstanceID { return instance.ID }
 
 // weightedItem is an item with its weight for a key.
