simulate: a part of prompts that crashes engines

Cause: no play had crashes that depend on the request, and none judged what entries refuse because of them.

Change: a share of the requests holds a part that crashes each engine that begins an answer on it. Entries judge parts with quarantine.Table and report to each other as the mesh does: directly up to 16 entries, through hubs above; reports can be lost or cut off by a partition, and entries restart. Kinds can bound the engines of one attempt and let callers resend. An outage stops its engines at one moment before their requests are placed again, or one after the other over a time; until now a request could be placed on an engine that ended in the same millisecond.

--- a/pkg/simulate/metrics.go
+++ b/pkg/simulate/metrics.go
@@ -45,6 +45,8 @@
 	Utilization float64 `json:"busy"`
 	// Limits tells how the limits of the engines were kept and used.
 	Limits LimitUse `json:"limits"`
+	// Parts tells what crashes did to the engines and to the requests.
+	Parts PartUse `json:"parts"`
 }
 
 const (
@@ -80,7 +82,7 @@
 	result.Preempted = counters.Preemptions
 	result.RepeatedPrefillTokens = max(counters.PrefillTokens-sim.minimumPrefillTokens(), 0)
 	stepSeconds := float64(counters.PrefillTokens)*sim.site.Engine.StepPerPrefillToken.Seconds() + float64(counters.Steps)*sim.site.Engine.StepBase.Seconds()
-	result.Limits = sim.limitUse()
+	result.Limits, result.Parts = sim.limitUse(), sim.partUse()
 	result.Utilization = stepSeconds / (float64(sim.site.Engines) * sim.day.Length.Seconds())
 	return result
 }
--- a/pkg/simulate/simulate_test.go
+++ b/pkg/simulate/simulate_test.go
@@ -101,10 +101,14 @@
 func shortDay() Day {
 	return Day{
 		Name: "brief", Length: seconds(4),
-		Bursts:      []Burst{{LongPrompts, 0, seconds(2), 4}, {ShortPrompts, seconds(1), seconds(2), 3}},
-		HotSessions: []HotSession{{LongPrompts, seconds(1), seconds(2), 0.5}},
-		Outages:     []Outage{{seconds(1), seconds(2), 0.3}},
-		Slowdowns:   []Slowdown{{seconds(2), seconds(1), 0.2, 3}},
+		Bursts:        []Burst{{LongPrompts, 0, seconds(2), 4}, {ShortPrompts, seconds(1), seconds(2), 3}},
+		HotSessions:   []HotSession{{LongPrompts, seconds(1), seconds(2), 0.5}},
+		Outages:       []Outage{{Start: seconds(1), Duration: seconds(2), Share: 0.3}},
+		Slowdowns:     []Slowdown{{seconds(2), seconds(1), 0.2, 3}},
+		CrashingPart:  &CrashingPart{Start: seconds(0.5), Share: 0.1, Together: 0.5, RestartAfter: seconds(1)},
+		EntryRestarts: []EntryRestart{{seconds(2), seconds(1)}},
+		Partitions:    []Partition{{seconds(1), seconds(1)}},
+		ReportLoss:    0.1,
 	}
 }
 
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -26,6 +26,8 @@
 	unlistTimeout = 3600 * time.Millisecond
 	// maxEngineAttempts bounds the engines that one attempt of a caller tries.
 	maxEngineAttempts = 4
+	// resendDelay is the time after which a caller resends a failed request.
+	resendDelay = 400 * time.Millisecond
 	// drainTime is the time that the simulation continues after the last arrival,
 	// so that requests in flight can end.
 	drainTime = 16 * time.Second
@@ -45,12 +47,14 @@
 	arrivedAt    time.Duration
 	entry        int
 	// callerAttempts counts the attempts of the caller, executions the engines that
-	// accepted the request.
+	// accepted the request in the current one.
 	callerAttempts, executions int
 	remaining                  time.Duration
 	// retryAt is the time at which a refused caller retries.
 	retryAt time.Duration
 	tried   map[engineID]bool
+	// parts holds what the play of crashing parts knows of the request.
+	parts requestParts
 
 	engine            engineID
 	attempt           *roster.Attempt
@@ -103,6 +107,7 @@
 	roots    map[string][]int
 	sessions map[string][]int
 	limits   *limitState
+	parts    *partState
 }
 
 // engineSlot holds an engine and its state across restarts.
@@ -111,6 +116,8 @@
 	settings model.Settings
 	down     bool
 	starts   int64
+	// restartAt is the time at which a crashed engine restarts.
+	restartAt time.Duration
 	// unlistAt is the time at which a crashed engine is removed from the list.
 	unlistAt time.Duration
 	// pastCounters sums the counters before the last crash.
@@ -144,6 +151,7 @@
 	for range site.Entries {
 		sim.rosters = append(sim.rosters, roster.New())
 	}
+	sim.parts = newPartState(site, policy, seed)
 	for i := range site.Kinds {
 		kind := &site.Kinds[i]
 		for range kind.Roots {
@@ -154,7 +162,7 @@
 		}
 	}
 	sim.publishEngines()
-	for sim.now = 0; sim.now < day.Length+drainTime; sim.now += tick {
+	for sim.now = 0; sim.now < day.Length || sim.now < day.Length+drainTime && !sim.idle(); sim.now += tick {
 		sim.applyFaults()
 		sim.updateLimits()
 		sim.generateArrivals()
@@ -168,9 +176,22 @@
 	return sim
 }
 
+// idle reports whether no request is in flight or waits.
+func (sim *simulation) idle() bool {
+	return len(sim.running)+len(sim.retrying)+len(sim.queued) == 0
+}
+
 // publishEngines updates the list of engines at all entries. A crashed engine
 // stays listed until unlistTimeout has passed.
 func (sim *simulation) publishEngines() {
+	list := sim.listedEngines()
+	for _, r := range sim.rosters {
+		r.Update(list)
+	}
+}
+
+// listedEngines returns the published list of engines.
+func (sim *simulation) listedEngines() []roster.Upstream {
 	var list []roster.Upstream
 	for _, id := range sim.engineIDs {
 		slot := sim.engines[id]
@@ -179,9 +200,7 @@
 		}
 		list = append(list, roster.Upstream{ID: id, Target: target, Address: string(id), Slots: slot.settings.MaxBatch, Ready: true, StartedUnixMilli: slot.starts})
 	}
-	for _, r := range sim.rosters {
-		r.Update(list)
-	}
+	return list
 }
 
 // selectEngines returns a share of the engines, at least one. The selection
@@ -192,24 +211,13 @@
 	return append(slices.Clone(sim.engineIDs[first:]), sim.engineIDs[:first]...)[:count]
 }
 
-// applyFaults starts and ends outages and slowdowns.
+// applyFaults starts and ends outages, slowdowns and restarts of entries.
 func (sim *simulation) applyFaults() {
 	for _, outage := range sim.day.Outages {
-		if sim.now == outage.Start {
-			for _, id := range sim.selectEngines(outage.Share, outage.Start) {
-				sim.crash(id)
-			}
-		}
-		if sim.now == outage.Start+unlistTimeout {
-			sim.publishEngines()
-		}
-		if sim.now == outage.Start+outage.Duration {
-			for _, id := range sim.selectEngines(outage.Share, outage.Start) {
-				sim.restart(id)
-			}
-			sim.publishEngines()
-		}
+		sim.kill(sim.dueKills(outage), outage.Duration)
 	}
+	sim.restartEngines()
+	sim.restartEntries()
 	for _, slowdown := range sim.day.Slowdowns {
 		for _, id := range sim.selectEngines(slowdown.Share, slowdown.Start) {
 			if sim.now == slowdown.Start {
@@ -222,26 +230,108 @@
 	}
 }
 
-// crash stops an engine. Its resumable requests are placed again; the others fail.
-func (sim *simulation) crash(id engineID) {
-	slot := sim.engines[id]
-	if slot.down {
-		return
+// dueKills returns the engines that an outage kills in this tick.
+func (sim *simulation) dueKills(outage Outage) []engineID {
+	if sim.now < outage.Start || sim.now > outage.Start+outage.Spread {
+		return nil
 	}
-	slot.down, slot.unlistAt = true, sim.now+unlistTimeout
-	slot.pastCounters.Add(slot.engine.Counters())
-	for _, r := range slices.Clone(sim.runningOrder) {
-		if r.engine != id || sim.running[r.id] != r {
-			continue
+	engines := sim.selectEngines(outage.Share, outage.Start)
+	var due []engineID
+	for i, id := range engines {
+		if delay := outage.Spread * time.Duration(i) / time.Duration(len(engines)); sim.now == outage.Start+delay.Truncate(tick) {
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
+// crash stops engines at one moment for a time. Their requests are placed again or fail.
+func (sim *simulation) crash(ids []engineID, duration time.Duration) {
+	var stopped []engineID
+	for _, id := range ids {
+		if !sim.engines[id].down {
+			sim.stop(id, duration)
+			stopped = append(stopped, id)
 		}
+	}
+	for _, id := range stopped {
+		sim.interrupt(id)
+	}
+}
+
+// stop stops an engine for a time.
+func (sim *simulation) stop(id engineID, duration time.Duration) {
+	slot := sim.engines[id]
+	slot.down, slot.unlistAt, slot.restartAt = true, sim.now+unlistTimeout, sim.now+duration
+	slot.pastCounters.Add(slot.engine.Counters())
+}
+
+// interrupt ends the requests on a stopped engine. They are placed again or fail.
+func (sim *simulation) interrupt(id engineID) {
+	interrupted := sim.runningOn(id)
+	sim.recordPartCrash(id, interrupted)
+	for _, r := range interrupted {
 		delete(sim.running, r.id)
 		r.attempt.End(sim.now, roster.Failed)
 		r.engine = ""
-		if !r.kind.Resumable {
-			r.outcome = Failed
+		if r.mayRunAgain() {
+			sim.place(r)
 			continue
 		}
-		sim.place(r)
+		sim.fail(r)
+	}
+}
+
+// runningOn returns the requests that an engine runs or queues.
+func (sim *simulation) runningOn(id engineID) []*request {
+	var requests []*request
+	seen := make(map[*request]bool)
+	for _, r := range sim.runningOrder {
+		// A request that was placed again may be listed twice.
+		if r.engine == id && sim.running[r.id] == r && !seen[r] {
+			seen[r] = true
+			requests = append(requests, r)
+		}
+	}
+	return requests
+}
+
+// mayRunAgain reports whether the entry may send an interrupted request to another
+// engine.
+func (r *request) mayRunAgain() bool {
+	if r.kind.MaxExecutions > 0 && r.executions >= r.kind.MaxExecutions {
+		return false
+	}
+	return r.kind.Resumable || r.kind.Repeatable && r.generatedTokens == 0
+}
+
+// fail ends a request. Its caller may resend it if no event has arrived.
+func (sim *simulation) fail(r *request) {
+	r.outcome = Failed
+	if !r.kind.Resent || r.callerAttempts > 1 || r.firstEventAt > 0 {
+		return
+	}
+	r.retryAt = sim.now + resendDelay
+	sim.retrying = append(sim.retrying, r)
+}
+
+// restartEngines restarts the engines whose time has come, and publishes changes of the
+// list.
+func (sim *simulation) restartEngines() {
+	changed := false
+	for _, id := range sim.engineIDs {
+		slot := sim.engines[id]
+		if !slot.down {
+			continue
+		}
+		changed = changed || sim.now == slot.unlistAt
+		if sim.now >= slot.restartAt {
+			sim.restart(id)
+			changed = true
+		}
+	}
+	if changed {
+		sim.publishEngines()
 	}
 }
 
@@ -285,13 +375,14 @@
 		id: types.RequestID(fmt.Sprint("r", len(sim.requests))), kind: kind, arrivedAt: sim.now, entry: sim.arrivals.IntN(sim.site.Entries),
 		uniqueTokens: kind.UniqueTokens.draw(sim.arrivals), outputTokens: kind.Events.draw(sim.arrivals) * sim.site.TokensPerEvent,
 	}
-	rootName, sessionName := fmt.Sprint(kind.Name, "-root", root), fmt.Sprint(kind.Name, "-session", session)
+	rootName, ownSession := fmt.Sprint(kind.Name, "-root", root), sessionName(kind, session)
 	rootTokens, sessionTokens := sim.roots[kind.Name][root], sim.sessions[kind.Name][session]
-	r.segments = []model.PromptSegment{{ID: xxhash.Sum64String(rootName), Tokens: rootTokens}, {ID: xxhash.Sum64String(sessionName), Tokens: sessionTokens}}
+	r.segments = []model.PromptSegment{{ID: xxhash.Sum64String(rootName), Tokens: rootTokens}, {ID: xxhash.Sum64String(ownSession), Tokens: sessionTokens}}
 	r.work = placement.Work{
 		Engine: true, Priority: kind.Priority, Objective: kind.Objective, Tokens: rootTokens + sessionTokens + r.uniqueTokens, InterTokenObjective: kind.InterEventObjective / time.Duration(sim.site.TokensPerEvent),
-		Segments: []placement.PromptSegment{{ID: rootName, Tokens: rootTokens}, {ID: sessionName, Tokens: sessionTokens}, {ID: string(r.id), Tokens: r.uniqueTokens}},
+		Segments: []placement.PromptSegment{{ID: rootName, Tokens: rootTokens}, {ID: ownSession, Tokens: sessionTokens}, {ID: string(r.id), Tokens: r.uniqueTokens}},
 	}
+	sim.addParts(r, rootName, ownSession)
 	sim.requests = append(sim.requests, r)
 	sim.startAttempt(r)
 }
@@ -299,6 +390,7 @@
 // startAttempt starts an attempt of the caller.
 func (sim *simulation) startAttempt(r *request) {
 	r.callerAttempts++
+	r.executions = 0
 	r.tried = make(map[engineID]bool)
 	sim.place(r)
 }
@@ -308,7 +400,7 @@
 func (sim *simulation) place(r *request) {
 	r.remaining = r.arrivedAt + r.kind.Deadline - sim.now
 	r.work.Timing = sim.rosters[r.entry].Timing(target).Bounded(sim.site.strictestInterToken())
-	permitsRefused := 0
+	permitsRefused, judged := 0, false
 	for len(r.tried) < maxEngineAttempts {
 		fleetSize := sim.site.Entries
 		if sim.site.IgnoreFleetSize {
@@ -327,6 +419,11 @@
 			permitsRefused++
 			continue
 		}
+		if !judged && sim.refusesParts(r) {
+			sim.refuse(r, resendDelay)
+			return
+		}
+		judged = true
 		if sim.send(r, decision.choice) {
 			return
 		}
@@ -372,6 +469,7 @@
 	}
 	r.engine, r.attempt = choice.ID, attempt
 	r.executions++
+	sim.recordPartExecution(r)
 	sim.running[r.id] = r
 	sim.runningOrder = append(sim.runningOrder, r)
 	sim.unreportedSegments = append(sim.unreportedSegments, segmentsReport{r.entry, choice.ID, roster.SharedSegments(r.work.Segments)})
@@ -383,7 +481,7 @@
 // engine had accepted before fails instead.
 func (sim *simulation) refuse(r *request, after time.Duration) {
 	if r.executions > 0 {
-		r.outcome = Failed
+		sim.fail(r)
 		return
 	}
 	r.outcome = Refused
@@ -433,9 +531,15 @@
 				break
 			}
 			for _, event := range slot.engine.Step(next) {
-				if r, ok := sim.running[event.ID]; ok {
-					sim.recordToken(r, next, event.Done)
+				r, ok := sim.running[event.ID]
+				if !ok {
+					continue
+				}
+				if r.parts.crashes {
+					sim.crashByPart(id)
+					break
 				}
+				sim.recordToken(r, next, event.Done)
 			}
 		}
 	}
@@ -448,6 +552,7 @@
 	if r.generatedTokens%sim.site.TokensPerEvent == 0 || done {
 		if r.firstEventAt == 0 {
 			r.firstEventAt = at
+			r.parts.beganAtFirstAttempt = r.callerAttempts == 1
 		} else {
 			r.longestInterEvent = max(r.longestInterEvent, at-r.lastEventAt)
 		}
@@ -458,6 +563,7 @@
 	if done {
 		delete(sim.running, r.id)
 		r.attempt.End(at, roster.Completed)
+		sim.recordPartsSound(r)
 		r.outcome = Late
 		if r.firstEventAt-r.arrivedAt <= r.kind.Objective && r.longestInterEvent <= r.kind.InterEventObjective {
 			r.outcome = InTime
@@ -507,6 +613,7 @@
 		}
 	}
 	sim.unreportedSegments = nil
+	sim.exchangeCrashReports()
 }
 
 // exchangeHubReports delivers the sum of all loads to each entry.
--- a/pkg/simulate/site.go
+++ b/pkg/simulate/site.go
@@ -44,6 +44,15 @@
 	Objective, InterEventObjective, Deadline time.Duration
 	// Resumable is true if another engine may resume an interrupted stream.
 	Resumable bool
+	// Repeatable is true if another engine may run a request whose answer has not
+	// begun.
+	Repeatable bool
+	// MaxExecutions bounds the engines that run one attempt of the caller; zero means
+	// no bound.
+	MaxExecutions int
+	// Resent is true if callers resend once a request that failed before its first
+	// event.
+	Resent bool
 	// Worth is the value of an answer of mean size in time, LateWorth that of a late
 	// one.
 	Worth, LateWorth float64
@@ -75,7 +84,10 @@
 	IgnoreFleetSize bool
 	// IgnoreLimits makes the entries ignore the limits of engines.
 	IgnoreLimits bool
-	Kinds        []Kind
+	// IgnoreCrashingParts makes the entries ignore crashes that a part of a prompt
+	// may have caused.
+	IgnoreCrashingParts bool
+	Kinds               []Kind
 }
 
 // strictestInterToken returns the shortest inter-token objective of all kinds.
@@ -105,6 +117,8 @@
 type Outage struct {
 	Start, Duration time.Duration
 	Share           float64
+	// Spread is the time over which they crash, one after the other.
+	Spread time.Duration
 }
 
 // Slowdown multiplies the step time of a share of the engines.
@@ -124,6 +138,13 @@
 	Outages     []Outage
 	Slowdowns   []Slowdown
 	Limits      []EngineLimit
+	// CrashingPart is nil if no part of a prompt crashes engines.
+	CrashingPart *CrashingPart
+	// EntryRestarts and Partitions disturb the entries, and ReportLoss is the share of
+	// their reports on crashes that are lost.
+	EntryRestarts []EntryRestart
+	Partitions    []Partition
+	ReportLoss    float64
 }
 
 // dayLength is the length of the reference days before their planned maintenance.
@@ -279,9 +300,9 @@
 		{Name: "waves", Length: dayLength, Bursts: waves},
 		{Name: "crashes", Length: dayLength, Bursts: append(waves[:3:3], Burst{LongPrompts, seconds(17.5), seconds(2), 1.8}, Burst{ShortPrompts, seconds(10.7), seconds(4.3), 1.4}),
 			HotSessions: []HotSession{{LongPrompts, seconds(7.5), seconds(4.9), 0.27}},
-			Outages:     []Outage{{seconds(6.5), seconds(5.1), 0.1}, {seconds(9.5), seconds(2), 0.25}}},
+			Outages:     []Outage{{Start: seconds(6.5), Duration: seconds(5.1), Share: 0.1}, {Start: seconds(9.5), Duration: seconds(2), Share: 0.25}}},
 		{Name: "crash-in-burst", Length: dayLength, Bursts: append(waves[:3:3], Burst{LongPrompts, seconds(17.5), seconds(4.5), 2.3}),
-			Outages: []Outage{{seconds(17.5), seconds(2), 0.25}}},
+			Outages: []Outage{{Start: seconds(17.5), Duration: seconds(2), Share: 0.25}}},
 		{Name: "slow-engines", Length: dayLength, Bursts: waves, Slowdowns: []Slowdown{{seconds(4), seconds(12), 0.2, 2.6}}},
 	}
 }
