quarantine: one copy of the times by which a crash is judged, and of the list of upstreams

The time after its first event for which a response may have caused a crash, and the limit of the probe, stood in pkg/gateway and in pkg/entry; both are of pkg/quarantine now. No change of behaviour; the test of the limit compares with the same value.

--- a/pkg/entry/parts.go
+++ b/pkg/entry/parts.go
@@ -24,12 +24,6 @@
 	// maxPromptParts is the maximum number of messages of a prompt that the quarantine
 	// distinguishes.
 	maxPromptParts = 32
-	// implicatedAge is the age of the first token up to which a crash implicates the
-	// parts of the prompt.
-	implicatedAge = 500 * time.Millisecond
-	// probeTimeout limits the connection attempt that distinguishes a crashed upstream
-	// from a lost connection.
-	probeTimeout = 100 * time.Millisecond
 )
 
 // promptParts returns the fingerprints of the first messages of the prompt, without its
@@ -95,7 +89,7 @@
 
 // mayHaveCrashed reports whether the upstream had only begun to answer.
 func (s attemptStats) mayHaveCrashed(now time.Time) bool {
-	return s.firstTokenAt.IsZero() || now.Sub(s.firstTokenAt) < implicatedAge
+	return s.firstTokenAt.IsZero() || now.Sub(s.firstTokenAt) < quarantine.BeginningTime
 }
 
 // recordPartCrash counts a crash against the parts if the upstream refuses connections.
@@ -117,7 +111,7 @@
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), quarantine.ProbeTimeout)
 	defer cancel()
 	conn, err := e.options.Dial(ctx, "tcp", address)
 	if err == nil {
--- a/pkg/entry/parts_test.go
+++ b/pkg/entry/parts_test.go
@@ -147,7 +147,7 @@
 
 func TestOldAnswersAreNotImplicated(t *testing.T) {
 	now := time.Now()
-	for age, want := range map[time.Duration]bool{implicatedAge / 2: true, implicatedAge: false} {
+	for age, want := range map[time.Duration]bool{quarantine.BeginningTime / 2: true, quarantine.BeginningTime: false} {
 		if got := (attemptStats{tokens: 1, firstTokenAt: now.Add(-age)}).mayHaveCrashed(now); got != want {
 			t.Errorf("age %v: %v", age, got)
 		}
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -23,12 +23,6 @@
 	// maxQuarantineEntries is the maximum number of entries that QuarantineEntries
 	// returns, because one message carries them.
 	maxQuarantineEntries = 32
-	// probeTimeout limits the connection attempt that distinguishes a crashed upstream from
-	// a lost response.
-	probeTimeout = 100 * time.Millisecond
-	// beginningTime is how long after its first event a response may still have caused the
-	// crash of its upstream.
-	beginningTime = 500 * time.Millisecond
 )
 
 // quarantineSettings returns the settings of an instance.
@@ -90,17 +84,22 @@
 	case len(entry.Crashes) == 0:
 		outcome = "cleared"
 	}
-	upstreams := make([]string, len(entry.Crashes))
-	for i, report := range entry.Crashes {
-		upstreams[i] = string(report.Upstream)
-	}
-	event := g.options.Logger.Info().Hex("fingerprint", entry.Fingerprint[:]).Strs("upstreams", upstreams).Str("source", source)
+	event := g.options.Logger.Info().Hex("fingerprint", entry.Fingerprint[:]).Strs("upstreams", crashedUpstreams(entry.Crashes)).Str("source", source)
 	if id != "" {
 		event = event.Str("part", id)
 	}
 	event.Str("outcome", outcome).Msg("prompt part")
 }
 
+// crashedUpstreams returns the IDs of the upstreams that crashed.
+func crashedUpstreams(crashes []quarantine.CrashReport) []string {
+	upstreams := make([]string, len(crashes))
+	for i, report := range crashes {
+		upstreams[i] = string(report.Upstream)
+	}
+	return upstreams
+}
+
 // checkQuarantine refuses a request that is known to crash upstreams.
 func (q *request) checkQuarantine() error {
 	g := q.gateway
@@ -137,13 +136,9 @@
 		return nil
 	}
 	retryAfter := max(verdict.TrialIn, minPartRetryAfter)
-	upstreams := make([]string, len(verdict.Crashes))
-	for i, report := range verdict.Crashes {
-		upstreams[i] = string(report.Upstream)
-	}
 	g.options.Metrics.countPartRefusal()
 	g.options.Logger.Info().Str("request", string(q.call.ID)).Str("part", q.call.partID(verdict.Part)).Hex("fingerprint", verdict.Part[:]).
-		Strs("upstreams", upstreams).Int("rounds", verdict.Rounds).Dur("condemned_for_ms", verdict.ConvictedFor).Bool("on_trial", verdict.OnTrial).
+		Strs("upstreams", crashedUpstreams(verdict.Crashes)).Int("rounds", verdict.Rounds).Dur("condemned_for_ms", verdict.ConvictedFor).Bool("on_trial", verdict.OnTrial).
 		Dur("return_ms", retryAfter).Msg("refused for a part of its prompt")
 	failure := fault.New(fault.Quarantined, "upstreams crashed while they ran requests with a part of this prompt; requests with it are quarantined").WithRunState(q.progress.runState())
 	if q.progress.runs > 0 {
@@ -183,7 +178,7 @@
 	q.crashReport = report
 	now := q.gateway.options.Clock()
 	suspect := crashSuspect{call: q.call, fingerprint: q.fingerprint, took: q.elapsed()}
-	if !a.responded || now-a.respondedAt < beginningTime {
+	if !a.responded || now-a.respondedAt < quarantine.BeginningTime {
 		suspect.parts = q.parts
 	}
 	go func() {
@@ -223,7 +218,7 @@
 // connections, and against the parts of its prompt if nothing listens at its address any
 // more. An upstream that cannot be reached may only be cut off.
 func (g *Gateway) recordCrash(suspect crashSuspect, a *attempt) {
-	conn, err := netconn.Dialer(probeTimeout).Dial("tcp", a.address)
+	conn, err := netconn.Dialer(quarantine.ProbeTimeout).Dial("tcp", a.address)
 	if err == nil {
 		_ = conn.Close()
 		return
--- a/pkg/netconn/netconn.go
+++ b/pkg/netconn/netconn.go
@@ -4,11 +4,11 @@
 package netconn
 
 import (
-	"errors"
 	"net"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 )
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -55,6 +55,15 @@
 	maxSentence = time.Hour
 )
 
+const (
+	// ProbeTimeout limits the connection attempt that distinguishes a crashed upstream from
+	// a lost response.
+	ProbeTimeout = 100 * time.Millisecond
+	// BeginningTime is how long after its first event a response may still have caused the
+	// crash of its upstream.
+	BeginningTime = 500 * time.Millisecond
+)
+
 // partPrefix begins the fingerprint of each part.
 var partPrefix = []byte("part")
 
