roster, gateway: log when an upstream is ejected, and on whose word

Cause: in the record of the instances without a path to any upstream, the logs do not tell whether the others avoided upstreams because of their own failures or because of what the five reported (hypotheses 1 and 3 of docs/incidents/partitioned-instances.md). Change: one line "upstream ejected" for each ejection that begins, with the request or the peer that it is from. Before: no line.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -263,7 +263,9 @@
 	for id, remaining := range heartbeat.Ejected {
 		ejected[id] = time.Duration(remaining) * time.Millisecond
 	}
-	s.edge.roster.ApplyPeerReport(now, heartbeat.ID, heartbeat.Loads, ejected)
+	for id, remaining := range s.edge.roster.ApplyPeerReport(now, heartbeat.ID, heartbeat.Loads, ejected) {
+		s.edge.gateway.LogEjection(id, remaining, "peer", string(heartbeat.ID))
+	}
 	for _, cached := range heartbeat.CachedSegments {
 		s.edge.roster.AddCachedSegments(now, cached.Upstream, cached.Segments)
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/roster"
+	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // overdueFactor is the multiple of the predicted time after which an attempt without a
@@ -244,7 +245,9 @@
 	if outcome.outcome == roster.Failed && !a.isUpstreamFault(took) {
 		outcome.outcome = roster.Abandoned
 	}
-	a.rosterAttempt.End(g.options.Clock(), outcome.outcome)
+	if ejected := a.rosterAttempt.End(g.options.Clock(), outcome.outcome); ejected > 0 {
+		g.LogEjection(a.choice.ID, ejected, "attempt", string(q.call.ID))
+	}
 	g.options.Fleet.ReportChange()
 	if outcome.err != nil {
 		version, _ := a.rosterAttempt.Version()
@@ -255,6 +258,12 @@
 	return outcome
 }
 
+// LogEjection logs that an upstream gets no work for a while, with the source of the belief
+// and the request or the peer that it is from.
+func (g *Gateway) LogEjection(id types.UpstreamID, ejected time.Duration, source, from string) {
+	g.options.Logger.Info().Str("upstream", string(id)).Dur("ejected_ms", ejected).Str("source", source).Str("from", from).Msg("upstream ejected")
+}
+
 // exchangeRequest returns the request to the upstream.
 func (a *attempt) exchangeRequest() *exchange.Request {
 	q := a.request
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -97,13 +97,14 @@
 }
 
 // End removes the attempt from the upstream's load and updates the upstream's
-// health from the outcome.
-func (a *Attempt) End(now time.Duration, outcome Outcome) {
+// health from the outcome. It returns for how long this ejects an upstream that was not
+// ejected, or zero.
+func (a *Attempt) End(now time.Duration, outcome Outcome) (ejected time.Duration) {
 	a.roster.mu.Lock()
 	defer a.roster.mu.Unlock()
 	upstream := a.upstream
 	if upstream == nil {
-		return
+		return 0
 	}
 	delete(upstream.attempts, a)
 	failureRate := upstream.decayedFailureRate(now)
@@ -114,10 +115,14 @@
 		upstream.failureRate, upstream.failureRateAt = failureRate+failureWeight*(1-failureRate), now
 	case Unreachable, Misdirected:
 		upstream.ejection = min(max(2*upstream.ejection, minEjection), maxEjection)
+		if now >= upstream.ejectedUntil {
+			ejected = upstream.ejection
+		}
 		upstream.ejectedUntil = now + upstream.ejection
 		clear(upstream.cachedSegments)
 	case Abandoned:
 	}
+	return ejected
 }
 
 // Version returns the software version of the upstream, or false if it is unknown: the
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -294,8 +294,10 @@
 }
 
 // ApplyPeerReport stores the load that a peer reports and ejects the upstreams that
-// the peer has ejected, if they have no attempts of this instance.
-func (r *Roster) ApplyPeerReport(now time.Duration, peer types.InstanceID, loads map[types.UpstreamID]placement.Load, ejected map[types.UpstreamID]time.Duration) {
+// the peer has ejected, if they have no attempts of this instance. It returns the
+// upstreams that this ejects, with the time.
+func (r *Roster) ApplyPeerReport(now time.Duration, peer types.InstanceID, loads map[types.UpstreamID]placement.Load, ejected map[types.UpstreamID]time.Duration) map[types.UpstreamID]time.Duration {
+	var applied map[types.UpstreamID]time.Duration
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peers[peer] = peerReport{at: now, loads: loads}
@@ -303,9 +305,14 @@
 		// An ejection by a peer counts for minEjection at most, because the fault may
 		// be on the peer's network path only.
 		if upstream, ok := r.upstreams[id]; ok && now >= upstream.ejectedUntil && len(upstream.attempts) == 0 {
-			upstream.ejectedUntil = now + min(remaining, minEjection)
+			if applied == nil {
+				applied = make(map[types.UpstreamID]time.Duration)
+			}
+			applied[id] = min(remaining, minEjection)
+			upstream.ejectedUntil = now + applied[id]
 		}
 	}
+	return applied
 }
 
 // RemovePeer drops a peer's report.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -197,3 +197,23 @@
 		t.Errorf("candidates of v1: %+v", list)
 	}
 }
+
+// TestEjectionIsReturnedOnce guards against a log line for each failure of an upstream that
+// is ejected already.
+func TestEjectionIsReturnedOnce(t *testing.T) {
+	r := New()
+	r.Update([]Upstream{{ID: "a", Target: "s", Ready: true}, {ID: "b", Target: "s", Ready: true}})
+	fail := func(now time.Duration) time.Duration {
+		return r.Begin(now, &placement.Work{}, placement.Choice{ID: "a"}).End(now, Unreachable)
+	}
+	if got := fail(0); got != minEjection {
+		t.Errorf("the first failure ejects for %v, want %v", got, minEjection)
+	}
+	if got := fail(minEjection / 2); got != 0 {
+		t.Errorf("a failure of an ejected upstream ejects for %v", got)
+	}
+	peer := map[types.UpstreamID]time.Duration{"a": time.Second, "b": time.Second}
+	if got := r.ApplyPeerReport(minEjection/2, "p", nil, peer); len(got) != 1 || got["b"] != minEjection {
+		t.Errorf("a peer's report ejects %v, want b for %v", got, minEjection)
+	}
+}
