transit, reach: a request goes through a peer while the path to its upstreams is lost

What callers saw: at instances that were partitioned from all upstreams, every request was refused as no_upstream (0 of 226 first tries served, 279 of 287 at the others), although every other instance could have carried it.

Cause: what an instance reaches was taken for the state of the upstream. Each of them counted as unreachable by itself; nothing knew that the failures had one cause, the instance's own path, and there was no other way to an upstream.

Change: pkg/reach decides from an instance's own failures whether its path to a target is lost, and which peer carries a request then; pkg/transit connects directly or through that peer. A peer copies bytes over a stream of HTTP/2 on the port of the messages between instances, and connects directly only, so nothing is passed on twice. Since a connection is carried, not a request, all decisions on retries, permits, quarantine and "not run" stay at one instance.

Ruled out: leaving the directory (callers keep addresses, and the rest would get all requests); passing on requests (two instances would decide on each).

--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -19,8 +19,8 @@
 
 // drain stops the instance gracefully: it removes the instance from the directory
 // and notifies its peers, still accepts requests for acceptShare of the grace
-// period, and then waits for the running ones and for those that are being received, at
-// most until endShare.
+// period, and then waits for the running ones, also those of peers, and for those that are
+// being received, at most until endShare.
 func (e *Edge) drain(callers *gateway.Listener) {
 	e.stopping.Store(true)
 	e.mesh.ReportChange()
@@ -32,7 +32,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	e.gateway.Stop()
-	for (e.gateway.Active() > 0 || callers.Busy() > 0) && e.now()-started < end {
+	for (e.gateway.Active() > 0 || e.gateway.Carried() > 0 || callers.Busy() > 0) && e.now()-started < end {
 		time.Sleep(drainPollInterval)
 	}
 	e.logger.Info().Int64("active", e.gateway.Active()).Msg("stopped serving")
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -146,17 +146,25 @@
 	})
 	e.mesh.Register(e.peers)
 	e.followers = []*follow.Follower{e.follower(configuration, deps.Configuration), e.follower(upstreams, deps.Upstreams)}
+	var transport http.RoundTripper
+	if streams, err := e.dialer.StreamTransport(); err == nil {
+		transport = streams
+	} else {
+		logger.Error().Err(err).Msg("no request can be sent through a peer")
+	}
 	e.gateway = gateway.New(gateway.Options{
-		Instance:   settings.Instance,
-		DataCentre: settings.DataCentre,
-		Protocol:   deps.Protocol,
-		Roster:     e.roster,
-		Fleet:      e.mesh,
-		Clock:      clock.Boot,
-		Logger:     logger,
-		Metrics:    e.metrics,
-		Retries:    retry.Settings{Ratio: retryBudgetShare * settings.RetryRatio, Burst: retryBudgetShare * settings.RetryBurst, Window: settings.RetryWindow},
+		PeerTransport: transport,
+		Instance:      settings.Instance,
+		DataCentre:    settings.DataCentre,
+		Protocol:      deps.Protocol,
+		Roster:        e.roster,
+		Fleet:         e.mesh,
+		Clock:         clock.Boot,
+		Logger:        logger,
+		Metrics:       e.metrics,
+		Retries:       retry.Settings{Ratio: retryBudgetShare * settings.RetryRatio, Burst: retryBudgetShare * settings.RetryBurst, Window: settings.RetryWindow},
 	})
+	e.peers.HandleStreams(e.gateway.PeerHandler())
 	return e
 }
 
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -68,7 +68,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// DialTimeout bounds connecting to the upstream. Zero means DefaultDialTimeout.
+	// Dial connects to the upstream. If it is nil, Address is dialed, and DialTimeout bounds
+	// that. Zero means DefaultDialTimeout.
+	Dial        func(ctx context.Context) (net.Conn, error)
 	DialTimeout time.Duration
 	// Alarm, if set, rings while the upstream is silent.
 	Alarm *Alarm
@@ -112,7 +114,7 @@
 // connection is closed, also while the body is being read. All errors are of type
 // *Error.
 func Do(ctx context.Context, request *Request) (*Response, error) {
-	conn, err := netconn.Dialer(cmp.Or(request.DialTimeout, DefaultDialTimeout)).DialContext(ctx, "tcp", request.Address)
+	conn, err := request.dial(ctx)
 	if err != nil {
 		return nil, &Error{Stage: Unsent, cause: errors.WithStack(err)}
 	}
@@ -134,6 +136,13 @@
 	return response, nil
 }
 
+func (r *Request) dial(ctx context.Context) (net.Conn, error) {
+	if r.Dial != nil {
+		return r.Dial(ctx)
+	}
+	return netconn.Dialer(cmp.Or(r.DialTimeout, DefaultDialTimeout)).DialContext(ctx, "tcp", r.Address)
+}
+
 // roundTrip writes the request and reads the header of the final response. Large
 // requests are written concurrently, because an upstream may respond before it has
 // read the body.
--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -35,6 +35,9 @@
 	DeadlineExceeded Code = "deadline_exceeded"
 	// NoUpstream: no upstream of the target is available.
 	NoUpstream Code = "no_upstream"
+	// PathLost: neither this instance nor a peer that it asked reaches the upstreams of the
+	// target.
+	PathLost Code = "path_lost"
 	// UpstreamLimited: the upstreams that may run the request limit their request rate,
 	// and the limits are used up.
 	UpstreamLimited Code = "upstream_limited"
@@ -123,6 +126,7 @@
 	DeadlineUnreachable:  {http.StatusServiceUnavailable, types.NotRun},
 	DeadlineExceeded:     {http.StatusGatewayTimeout, types.MayHaveRun},
 	NoUpstream:           {http.StatusServiceUnavailable, types.NotRun},
+	PathLost:             {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamLimited:      {http.StatusServiceUnavailable, types.NotRun},
 	CannotResume:         {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamFailed:       {http.StatusBadGateway, types.MayHaveRun},
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -7,11 +7,14 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/roster"
+	"github.com/umbercrank/umbercrank/pkg/transit"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -27,11 +30,13 @@
 	// the deadline.
 	ctx           context.Context
 	choice        placement.Choice
-	address       string
+	to            transit.Destination
 	rosterAttempt *roster.Attempt
 	// exchangeCtx is the context of the exchange with the upstream, and cancel ends it.
 	exchangeCtx context.Context
 	cancel      context.CancelFunc
+	// conn is the connection to the upstream, or nil before it is established.
+	conn *transit.Conn
 	// alarm rings when the attempt is overdue, at overdueAt if that is not zero. hedge is
 	// the attempt at another upstream that was started then, or nil.
 	alarm     *exchange.Alarm
@@ -194,6 +199,9 @@
 	if ctx.Err() != nil || q.remaining() <= 0 {
 		return q.contextError()
 	}
+	if errors.Is(result.err, errPathLost) && q.progress.runs == 0 {
+		return fault.Wrap(fault.PathLost, result.err, "no upstream can be reached").WithRetryAfter(jitteredRetryAfter())
+	}
 	if result.ran && !q.progress.mayRepeat(q.route, q.remaining()) {
 		return q.giveUp("the upstream failed", result.err)
 	}
@@ -218,12 +226,12 @@
 func (q *request) begin(ctx context.Context, choice placement.Choice) (*attempt, bool) {
 	g := q.gateway
 	q.tried[choice.ID] = true
-	address, ok := g.options.Roster.Address(choice.ID)
+	to, ok := destinations{g.options.Roster}.Upstream(choice.ID)
 	if !ok {
 		return nil, false
 	}
 	now := g.options.Clock()
-	a := &attempt{request: q, ctx: ctx, choice: choice, address: address, sentAt: now, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
+	a := &attempt{request: q, ctx: ctx, choice: choice, to: to, sentAt: now, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
 	a.exchangeCtx, a.cancel = context.WithCancel(ctx)
 	a.alarm = exchange.NewAlarm(a.handleSilence)
 	if segments := roster.SharedSegments(q.work.Segments); len(segments) > 0 {
@@ -268,13 +276,12 @@
 func (a *attempt) exchangeRequest() *exchange.Request {
 	q := a.request
 	return &exchange.Request{
-		Address:     a.address,
-		Method:      q.incoming.Method,
-		Target:      q.incoming.RequestURI,
-		Host:        q.incoming.Host,
-		Body:        q.body,
-		DialTimeout: q.gateway.options.DialTimeout,
-		Alarm:       a.alarm,
+		Dial:   a.dial,
+		Method: q.incoming.Method,
+		Target: q.incoming.RequestURI,
+		Host:   q.incoming.Host,
+		Body:   q.body,
+		Alarm:  a.alarm,
 		Header: q.gateway.options.Protocol.RequestHeader(q.incoming.Header, ForwardOptions{
 			Upstream:  a.choice.ID,
 			Account:   q.account.ID,
@@ -296,6 +303,7 @@
 		return a.handleError(err)
 	}
 	defer response.Close()
+	a.conn.RecordResponse()
 	q.framing, q.partialEventBytes = response.Framing, 0
 	if invalid := a.checkResponse(response, a.hasAlternative); invalid != nil {
 		if invalid.ownFailure {
@@ -330,9 +338,12 @@
 // handleError returns the result of an exchange that failed.
 func (a *attempt) handleError(err error) result {
 	if isUnsent(err) {
-		return result{outcome: roster.Unreachable, err: err}
+		return result{outcome: unsentOutcome(err), err: err}
 	}
 	a.countRun()
+	if !a.handedOver && !errors.Is(err, context.Canceled) && a.isUpstreamFault(a.gateway.options.Clock()-a.sentAt) {
+		a.recordNoResponse()
+	}
 	a.reportCrash(err)
 	return result{ran: true, outcome: roster.Failed, err: err}
 }
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -99,8 +99,8 @@
 func (env *crashEnv) crashed(total int) int {
 	crashed := 0
 	for i := range total {
-		address, ok := env.roster.Address(types.UpstreamID(fmt.Sprint("u", i)))
-		if conn, err := net.Dial("tcp", address); ok && err != nil {
+		found, ok := env.roster.Find(types.UpstreamID(fmt.Sprint("u", i)))
+		if conn, err := net.Dial("tcp", found.Address); ok && err != nil {
 			crashed++
 		} else if err == nil {
 			_ = conn.Close()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -24,8 +24,10 @@
 	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
+	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/roster"
+	"github.com/umbercrank/umbercrank/pkg/transit"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -67,6 +69,8 @@
 	ReportLimit(types.UpstreamID, permit.Observation)
 	// RequestPermit asks for permission to send one request to an upstream with a limit.
 	RequestPermit(ctx context.Context, request permit.Request, limit permit.Observation) (permit.Reply, error)
+	// Peers returns the instances that may carry requests of this one.
+	Peers() []reach.Peer
 	// AmongFirst reports whether this instance is among the first ones, in rendezvous order
 	// of the key, of those that callers are sent to.
 	AmongFirst(key string, count int) bool
@@ -91,6 +95,8 @@
 	// DialTimeout bounds connecting to an upstream. Zero means the default of
 	// package exchange.
 	DialTimeout time.Duration
+	// PeerTransport opens streams to peers. If it is nil, no request is sent through one.
+	PeerTransport http.RoundTripper
 }
 
 // Gateway forwards requests of callers to upstreams. It is safe for concurrent use.
@@ -108,6 +114,7 @@
 	quarantine *quarantine.Table
 	origins    *origin.Table
 	permits    *permits
+	transit    *transit.Transit
 }
 
 // New returns a Gateway that refuses all requests until Apply is called.
@@ -118,6 +125,7 @@
 		quarantine: quarantine.NewTable(quarantineSettings(options)),
 		origins:    origin.NewTable(options.Clock()),
 		permits:    newPermits(),
+		transit:    newTransit(options),
 	}
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
+	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -98,6 +99,7 @@
 func (*recordingFleet) ReportChange()                            {}
 func (*recordingFleet) ReportCachedSegments(mesh.CachedSegments) {}
 func (*recordingFleet) ReportStream(origin.Stream)               {}
+func (*recordingFleet) Peers() []reach.Peer                      { return nil }
 func (*recordingFleet) AmongFirst(string, int) bool              { return true }
 func (f *recordingFleet) FindStream(_ context.Context, key origin.Key) (origin.Origin, bool, bool) {
 	if f.searching != nil {
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -30,6 +30,9 @@
 	parts *expvar.Map
 	// limits counts permits by outcome, refused requests, and limits in force.
 	limits *expvar.Map
+	// paths counts the changes of the paths to targets, and the requests that went through a
+	// peer or were carried for one, by outcome.
+	paths *expvar.Map
 
 	mu        sync.Mutex
 	latencies map[catalog.Kind]*hdrhistogram.Histogram
@@ -37,7 +40,7 @@
 
 // NewMetrics returns unpublished metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish publishes the metrics with expvar under the name. It must be called only
@@ -50,9 +53,17 @@
 	all.Set("hedges", m.hedges)
 	all.Set("prompt_parts", m.parts)
 	all.Set("upstream_limits", m.limits)
+	all.Set("paths", m.paths)
 	all.Set("first_ms", expvar.Func(m.latencySummaries))
 }
 
+// countPath counts an event of package transit.
+func (m *Metrics) countPath(outcome string) {
+	if m != nil {
+		m.paths.Add(outcome, 1)
+	}
+}
+
 // countRefused counts a request that was refused because of its header.
 func (m *Metrics) countRefused(code fault.Code) {
 	if m != nil {
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -218,7 +218,7 @@
 // connections, and against the parts of its prompt if nothing listens at its address any
 // more. An upstream that cannot be reached may only be cut off.
 func (g *Gateway) recordCrash(suspect crashSuspect, a *attempt) {
-	conn, err := netconn.Dialer(quarantine.ProbeTimeout).Dial("tcp", a.address)
+	conn, err := netconn.Dialer(quarantine.ProbeTimeout).Dial("tcp", a.to.Address)
 	if err == nil {
 		_ = conn.Close()
 		return
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -167,9 +167,12 @@
 // UpdateUpstreams replaces the published list of upstreams.
 func (g *Gateway) UpdateUpstreams(list []roster.Upstream) {
 	listed := make([]origin.Origin, len(list))
+	targets := make(map[types.TargetName]bool)
 	for i, upstream := range list {
 		listed[i] = origin.Origin{Target: upstream.Target, Version: upstream.Version}
+		targets[upstream.Target] = true
 	}
+	g.transit.Retain(func(target types.TargetName) bool { return targets[target] })
 	g.mu.Lock()
 	g.origins.Observe(g.options.Clock(), listed)
 	g.mu.Unlock()
--- /dev/null
+++ b/pkg/gateway/transit.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/umbercrank/umbercrank/pkg/exchange"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/reach"
+	"github.com/umbercrank/umbercrank/pkg/roster"
+	"github.com/umbercrank/umbercrank/pkg/transit"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// minSilence is the shortest time without a response after which an attempt counts as evidence
+// that the path to its upstream is lost. A sound upstream may be silent for a second.
+const minSilence = time.Second
+
+// errPathLost matches the error of an attempt for which no instance reaches the target.
+var errPathLost = fault.New(fault.PathLost, "")
+
+// newTransit returns the connections of the gateway to upstreams.
+func newTransit(options Options) *transit.Transit {
+	return transit.New(transit.Options{
+		Instance:    options.Instance,
+		DataCentre:  options.DataCentre,
+		Upstreams:   destinations{options.Roster},
+		Peers:       func() []reach.Peer { return options.Fleet.Peers() },
+		Transport:   options.PeerTransport,
+		DialTimeout: cmp.Or(options.DialTimeout, exchange.DefaultDialTimeout),
+		Clock:       options.Clock,
+		Logger:      options.Logger,
+		Count:       options.Metrics.countPath,
+	})
+}
+
+// PeerHandler returns the handler of the connections that peers make through this instance.
+func (g *Gateway) PeerHandler() http.Handler {
+	return g.transit.Handler(func() bool { return !g.stopping.Load() })
+}
+
+// Carried returns the number of connections that this instance carries for peers.
+func (g *Gateway) Carried() int { return g.transit.Carried() }
+
+// destinations are the upstreams of a roster that accept requests.
+type destinations struct{ roster *roster.Roster }
+
+func destinationOf(upstream roster.Upstream) transit.Destination {
+	return transit.Destination{Target: upstream.Target, Upstream: upstream.ID, Address: upstream.Address}
+}
+
+// Upstreams implements transit.Upstreams.
+func (d destinations) Upstreams(target types.TargetName) []transit.Destination {
+	var list []transit.Destination
+	for _, upstream := range d.roster.Ready(target) {
+		list = append(list, destinationOf(upstream))
+	}
+	return list
+}
+
+// Upstream implements transit.Upstreams.
+func (d destinations) Upstream(id types.UpstreamID) (transit.Destination, bool) {
+	upstream, ok := d.roster.Find(id)
+	return destinationOf(upstream), ok
+}
+
+// dial connects to the upstream of the attempt.
+func (a *attempt) dial(ctx context.Context) (net.Conn, error) {
+	conn, err := a.gateway.transit.Dial(ctx, a.to, transit.Request{
+		ID:         a.call.ID,
+		Repeatable: a.route.Repeatable(),
+		Silence:    max(minSilence, overdueAfter(a.route, a.choice.FirstResponse)),
+	})
+	if err != nil {
+		return nil, err
+	}
+	a.conn = conn
+	return conn, nil
+}
+
+// recordNoResponse records that the connection broke before the upstream has responded.
+func (a *attempt) recordNoResponse() {
+	if a.conn != nil && !a.responded {
+		a.conn.RecordNoResponse()
+	}
+}
+
+// unsentOutcome returns the outcome of an attempt that sent nothing, with regard to the
+// upstream's health.
+func unsentOutcome(err error) roster.Outcome {
+	if errors.Is(err, errPathLost) || errors.Is(err, fault.New(fault.UpstreamLeaving, "")) {
+		return roster.Abandoned
+	}
+	return roster.Unreachable
+}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
+	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -307,6 +308,21 @@
 	return addresses
 }
 
+// Peers returns the instances that are up and that callers may be sent to, other than this
+// one.
+func (m *Mesh) Peers() []reach.Peer {
+	now := m.options.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var peers []reach.Peer
+	for address, member := range m.members {
+		if !member.down && member.info.Serving && now-member.lastHeard <= m.downTimeout(address) {
+			peers = append(peers, reach.Peer{ID: member.info.ID, Address: address, DataCentre: member.info.DataCentre})
+		}
+	}
+	return peers
+}
+
 // Size returns the number of instances that are up, including this one.
 func (m *Mesh) Size() int {
 	m.mu.Lock()
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"net"
+	"net/http"
 	"runtime/debug"
 	"sync"
 
@@ -27,6 +28,10 @@
 type Server struct {
 	options  Options
 	handlers map[string]Handler
+	// streams handles byte streams, unless it is nil. handover is the listener of their
+	// connections while the server runs.
+	streams  http.Handler
+	handover *handoverListener
 
 	mu        sync.Mutex
 	listener  net.Listener
@@ -70,6 +75,10 @@
 		return fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+s.options.Address)
 	}
 	s.listener, s.tls = listener, credentials.serverConfig()
+	if s.streams != nil {
+		s.tls.NextProtos = []string{streamProtocol}
+		s.handover = newHandoverListener(listener.Addr())
+	}
 	return nil
 }
 
@@ -91,6 +100,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
 	defer stop()
+	if s.handover != nil {
+		s.active.Go(func() { s.serveStreams(ctx, s.handover) })
+	}
 	err := s.accept(ctx)
 	s.closeConnections()
 	s.active.Wait()
@@ -124,7 +136,8 @@
 
 // serveConn authenticates one connection and serves it until it is closed.
 func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
-	conn := tls.Server(&meteredConn{raw, s.options.Meter}, s.tls)
+	notifying := &notifyingConn{Conn: &meteredConn{raw, s.options.Meter}, closed: make(chan struct{})}
+	conn := tls.Server(notifying, s.tls)
 	defer conn.Close()
 	handshake, cancel := context.WithTimeout(ctx, s.options.DialTimeout)
 	err := conn.HandshakeContext(handshake)
@@ -133,6 +146,10 @@
 		s.options.Logger.Debug().Err(err).Msg("TLS handshake with peer failed")
 		return
 	}
+	if conn.ConnectionState().NegotiatedProtocol == streamProtocol {
+		s.handover.serve(conn, notifying.closed)
+		return
+	}
 	serving := &serverConn{server: s, callSlots: make(chan struct{}, maxConcurrentCalls)}
 	rpc := jsonrpc2.NewConn(ctx, newStream(conn, s.options), serving, withDebugLogger(s.options.Logger))
 	s.track(rpc, true)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -249,15 +249,28 @@
 	return tokens
 }
 
-// Address returns the upstream's address, and false if it accepts no new work.
-func (r *Roster) Address(id types.UpstreamID) (string, bool) {
+// Find returns the upstream's entry, and false if it accepts no new work.
+func (r *Roster) Find(id types.UpstreamID) (Upstream, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	upstream, ok := r.upstreams[id]
 	if !ok || !upstream.Ready {
-		return "", false
+		return Upstream{}, false
 	}
-	return upstream.Address, true
+	return upstream.Upstream, true
+}
+
+// Ready returns the entries of the target's upstreams that accept work.
+func (r *Roster) Ready(target types.TargetName) []Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ready []Upstream
+	for _, upstream := range r.upstreams {
+		if upstream.Ready && upstream.Target == target {
+			ready = append(ready, upstream.Upstream)
+		}
+	}
+	return ready
 }
 
 // Loads returns the load from this instance and the given peers at each upstream
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -76,7 +76,7 @@
 	if list := r.Candidates(0, Selection{Target: pool}, prompt(0)); len(list) != 1 || list[0].ID != "b" {
 		t.Errorf("candidates are %v", list)
 	}
-	if _, ok := r.Address("a"); ok {
+	if _, ok := r.Find("a"); ok {
 		t.Error("a leaving upstream still has an address for new work")
 	}
 }
--- a/pkg/statechart/load.go
+++ b/pkg/statechart/load.go
@@ -45,6 +45,16 @@
 	return chart, nil
 }
 
+// MustLoad returns the embedded chart with the given name. It panics if there is no such
+// chart or it is invalid, which the tests of this package rule out.
+func MustLoad(name string) *Chart {
+	chart, err := Load(name)
+	if err != nil {
+		panic(err)
+	}
+	return chart
+}
+
 // Names returns the names of the embedded charts in alphabetical order.
 func Names() []string {
 	entries, err := files.ReadDir(chartDirectory)
--- a/pkg/statechart/statechart_test.go
+++ b/pkg/statechart/statechart_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestEmbeddedChartsLoad(t *testing.T) {
-	want := []string{"attempt", "configuration", "instance", "request", "upstream"}
+	want := []string{"attempt", "configuration", "instance", "path", "request", "upstream"}
 	if got := Names(); !slices.Equal(got, want) {
 		t.Fatalf("charts %v, want %v", got, want)
 	}
--- /dev/null
+++ b/pkg/transit/transit.go
@@ -0,0 +1,343 @@
+// Package transit connects an instance to upstreams: over its own network path, or through
+// a peer while that path is lost. A connection through a peer carries the same bytes as a
+// direct one. All decisions on a request, such as its retries, its permits and what it may
+// be told of its execution, are made by the instance that the caller sent it to.
+package transit
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
+	"github.com/umbercrank/umbercrank/pkg/reach"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// maxPeersAsked bounds the peers that are asked to carry one request. The ones that cannot
+// are known to the next request.
+const maxPeersAsked = 3
+
+// What a peer says of the upstream, rather than of itself.
+var (
+	errUpstreamLeaving   = fault.New(fault.UpstreamLeaving, "")
+	errUpstreamUnreached = fault.New(fault.NoUpstream, "")
+)
+
+// Destination is an upstream.
+type Destination struct {
+	Target   types.TargetName
+	Upstream types.UpstreamID
+	Address  string
+}
+
+// Upstreams is the list of upstreams that accept requests.
+type Upstreams interface {
+	// Upstreams returns the upstreams of a target.
+	Upstreams(target types.TargetName) []Destination
+	// Upstream returns an upstream, or false if it accepts no requests.
+	Upstream(id types.UpstreamID) (Destination, bool)
+}
+
+// Options configures a Transit.
+type Options struct {
+	Instance   types.InstanceID
+	DataCentre types.DataCentre
+	Upstreams  Upstreams
+	// Peers returns the instances that may carry requests.
+	Peers func() []reach.Peer
+	// Transport opens streams to peers. If it is nil, no peer is asked.
+	Transport http.RoundTripper
+	// DialTimeout bounds connecting to an upstream.
+	DialTimeout time.Duration
+	Clock       clock.Clock
+	Logger      zerolog.Logger
+	// Count counts what becomes of requests, by outcome. It may be nil.
+	Count func(outcome string)
+}
+
+// Transit opens connections to upstreams. It is safe for concurrent use.
+type Transit struct {
+	options     Options
+	openTimeout time.Duration
+
+	mu    sync.Mutex
+	paths *reach.Paths
+	peers *reach.Peers
+	// carried is the number of connections that this instance carries for peers.
+	carried int
+}
+
+// New returns a Transit for which all upstreams can be reached directly.
+func New(options Options) *Transit {
+	return &Transit{options: options, openTimeout: openTimeout, paths: reach.NewPaths(), peers: reach.NewPeers()}
+}
+
+// Request is what a connection is opened for.
+type Request struct {
+	ID types.RequestID
+	// Repeatable reports whether the request may run more than once.
+	Repeatable bool
+	// Silence is the time without a response after which the upstream counts as not reached.
+	Silence time.Duration
+}
+
+// Dial connects to an upstream. No byte of the request has been sent if it fails. The error
+// has the code PathLost if neither this instance nor a peer that was asked reaches the target.
+func (t *Transit) Dial(ctx context.Context, to Destination, request Request) (*Conn, error) {
+	now := t.options.Clock()
+	t.mu.Lock()
+	way, probe := t.paths.Choose(now, to.Target, request.Repeatable)
+	t.mu.Unlock()
+	if probe {
+		go t.probe(to.Target)
+	}
+	if way == reach.ThroughPeer && !t.hasPeers() {
+		way = reach.Directly
+	}
+	if way != reach.ThroughPeer {
+		conn, err := t.dialDirectly(ctx, to, request.Silence, way == reach.OnTrial)
+		if err == nil || ctx.Err() != nil || t.reaches(to.Target) || !t.hasPeers() {
+			return conn, err
+		}
+	}
+	return t.dialThroughPeer(ctx, to, request)
+}
+
+// reaches reports whether the path to a target is not lost.
+func (t *Transit) reaches(target types.TargetName) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.paths.State(target) != reach.Lost
+}
+
+// dialDirectly connects over the instance's own path and records the result.
+func (t *Transit) dialDirectly(ctx context.Context, to Destination, silence time.Duration, onTrial bool) (*Conn, error) {
+	began := t.options.Clock()
+	raw, err := netconn.Dialer(t.options.DialTimeout).DialContext(ctx, "tcp", to.Address)
+	now := t.options.Clock()
+	if err == nil {
+		t.mu.Lock()
+		t.paths.RecordConnection(now, to.Target)
+		t.mu.Unlock()
+		return t.newConn(&Conn{Conn: raw, to: to, connectedAt: now, onTrial: onTrial}, silence), nil
+	}
+	if ctx.Err() == nil {
+		t.recordFailure(now, reach.Attempt{Target: to.Target, Upstream: to.Upstream, Kind: reach.NotConnected, Since: began})
+	}
+	if onTrial {
+		t.endTrial(to.Target)
+	}
+	return nil, errors.WithStack(err)
+}
+
+func (t *Transit) recordFailure(now time.Duration, attempt reach.Attempt) {
+	count := len(t.options.Upstreams.Upstreams(attempt.Target))
+	t.mu.Lock()
+	change, changed := t.paths.RecordFailure(now, attempt, count)
+	t.mu.Unlock()
+	t.logChange(now, change, changed)
+}
+
+func (t *Transit) endTrial(target types.TargetName) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.paths.EndTrial(target)
+}
+
+// probe tries to connect to one upstream of a target.
+func (t *Transit) probe(target types.TargetName) {
+	connected := false
+	if upstreams := t.options.Upstreams.Upstreams(target); len(upstreams) > 0 {
+		conn, err := netconn.Dialer(t.options.DialTimeout).Dial("tcp", upstreams[rand.IntN(len(upstreams))].Address)
+		if connected = err == nil; connected {
+			_ = conn.Close()
+		}
+	}
+	now := t.options.Clock()
+	t.mu.Lock()
+	change, changed := t.paths.RecordProbe(now, target, connected)
+	t.mu.Unlock()
+	t.logChange(now, change, changed)
+}
+
+// dialThroughPeer connects through a peer that reaches the target.
+func (t *Transit) dialThroughPeer(ctx context.Context, to Destination, request Request) (*Conn, error) {
+	asked := make(map[types.InstanceID]bool)
+	failure := fault.New(fault.PathLost, "neither this instance nor a peer that was asked reaches the upstreams")
+	for len(asked) < maxPeersAsked {
+		peer, ok := t.choosePeer(to.Target, asked)
+		if !ok {
+			break
+		}
+		asked[peer.ID] = true
+		began := t.options.Clock()
+		conn, err := t.open(ctx, peer, to, request)
+		now := t.options.Clock()
+		outcome := "connected"
+		if err != nil {
+			outcome = string(fault.From(err).Code)
+		}
+		t.options.Logger.Info().Str("request", string(request.ID)).Str("upstream", string(to.Upstream)).Str("peer", string(peer.ID)).
+			Int("asked", len(asked)).Dur("took_ms", now-began).AnErr("error", err).Str("outcome", outcome).Msg("through a peer")
+		switch {
+		case err == nil:
+			t.count("through_peer")
+			return conn, nil
+		case ctx.Err() != nil:
+			return nil, errors.WithStack(ctx.Err())
+		case errors.Is(err, errUpstreamLeaving):
+			return nil, err
+		case errors.Is(err, errUpstreamUnreached):
+			// The cause may be the upstream, or that the peer has just lost its own path.
+			failure = fault.From(err)
+			continue
+		}
+		t.mu.Lock()
+		t.peers.RecordUnreached(now, peer.ID, to.Target)
+		t.mu.Unlock()
+	}
+	t.count("refused")
+	return nil, failure
+}
+
+// hasPeers reports whether there is any instance that may carry requests.
+func (t *Transit) hasPeers() bool { return t.options.Transport != nil && len(t.options.Peers()) > 0 }
+
+// choosePeer returns the next peer to ask.
+func (t *Transit) choosePeer(target types.TargetName, asked map[types.InstanceID]bool) (reach.Peer, bool) {
+	peers := t.options.Peers()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peers.Choose(t.options.Clock(), target, t.options.DataCentre, peers, asked, rand.IntN)
+}
+
+// Retain forgets the targets that are not listed any more, and the peers that are gone.
+func (t *Transit) Retain(listed func(types.TargetName) bool) {
+	present := make(map[types.InstanceID]bool)
+	for _, peer := range t.options.Peers() {
+		present[peer.ID] = true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.paths.Retain(listed)
+	t.peers.Retain(func(id types.InstanceID) bool { return present[id] }, listed)
+}
+
+// Carried returns the number of connections that this instance carries for peers.
+func (t *Transit) Carried() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.carried
+}
+
+// Lost returns the targets that this instance does not reach itself.
+func (t *Transit) Lost() []types.TargetName {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.paths.Lost()
+}
+
+func (t *Transit) count(outcome string) {
+	if t.options.Count != nil {
+		t.options.Count(outcome)
+	}
+}
+
+// logChange logs a change of a path.
+func (t *Transit) logChange(now time.Duration, change reach.Change, changed bool) {
+	if !changed {
+		return
+	}
+	failed := make([]string, len(change.Failed))
+	for i, id := range change.Failed {
+		failed[i] = string(id)
+	}
+	t.count("path_" + string(change.State))
+	t.options.Logger.Warn().Str("target", string(change.Target)).Str("state", string(change.State)).Strs("failed", failed).
+		Int("upstreams", change.Upstreams).Dur("since_ms", now-change.Since).Msg("path to upstreams changed")
+}
+
+// Conn is a connection to an upstream.
+type Conn struct {
+	net.Conn
+	transit     *Transit
+	to          Destination
+	connectedAt time.Duration
+	onTrial     bool
+	// silence is the timer that records that there is no response.
+	silence *time.Timer
+	// peer is the instance that carries the connection, or "".
+	peer types.InstanceID
+	once sync.Once
+}
+
+// newConn begins to wait for a response over the connection.
+func (t *Transit) newConn(conn *Conn, silence time.Duration) *Conn {
+	conn.transit = t
+	// The timer must be set before it can end.
+	conn.silence = time.AfterFunc(math.MaxInt64, conn.RecordNoResponse)
+	conn.silence.Reset(silence)
+	return conn
+}
+
+// Peer returns the instance that carries the connection, or "" if it is direct.
+func (c *Conn) Peer() types.InstanceID { return c.peer }
+
+// RecordResponse records that the upstream has begun to respond.
+func (c *Conn) RecordResponse() {
+	c.silence.Stop()
+	t := c.transit
+	now := t.options.Clock()
+	t.mu.Lock()
+	if c.peer != "" {
+		t.peers.RecordReached(now, c.peer, c.to.Target)
+		t.mu.Unlock()
+		return
+	}
+	change, changed := t.paths.RecordResponse(now, c.to.Target, c.connectedAt)
+	t.mu.Unlock()
+	t.logChange(now, change, changed)
+}
+
+// RecordNoResponse records that the connection broke, or has been silent for too long,
+// before the upstream has responded.
+func (c *Conn) RecordNoResponse() {
+	c.silence.Stop()
+	t := c.transit
+	now := t.options.Clock()
+	if c.peer != "" {
+		t.mu.Lock()
+		t.peers.RecordUnreached(now, c.peer, c.to.Target)
+		t.mu.Unlock()
+		return
+	}
+	t.recordFailure(now, reach.Attempt{Target: c.to.Target, Upstream: c.to.Upstream, Kind: reach.NoResponse, Since: c.connectedAt})
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.silence.Stop()
+	c.once.Do(func() {
+		t := c.transit
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if c.onTrial {
+			t.paths.EndTrial(c.to.Target)
+		}
+		if c.peer != "" {
+			t.peers.End(c.peer)
+		}
+	})
+	return err
+}
