gateway, transit: an upstream that a peer reaches has not crashed

A crash report is believed by the whole fleet.

It has not crashed if the peer can. Without a peer, the own failure counts as before.

After: it passes, and its second half shows that a crash that the peer confirms still counts.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -87,6 +87,7 @@
 	inconclusive bool
 	// issue decides on requests for permits; nil grants all.
 	issue func(permit.Request) (permit.Reply, error)
+	peers []reach.Peer
 	// searching is called when the origin of a stream is searched for, unless it is nil.
 	searching func()
 
@@ -99,7 +100,7 @@
 func (*recordingFleet) ReportChange()                            {}
 func (*recordingFleet) ReportCachedSegments(mesh.CachedSegments) {}
 func (*recordingFleet) ReportStream(origin.Stream)               {}
-func (*recordingFleet) Peers() []reach.Peer                      { return nil }
+func (f *recordingFleet) Peers() []reach.Peer                    { return f.peers }
 func (*recordingFleet) AmongFirst(string, int) bool              { return true }
 func (f *recordingFleet) FindStream(_ context.Context, key origin.Key) (origin.Origin, bool, bool) {
 	if f.searching != nil {
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 )
 
@@ -215,12 +214,11 @@
 }
 
 // recordCrash counts a crash against the request if the upstream does not accept
-// connections, and against the parts of its prompt if nothing listens at its address any
+// connections, neither of this instance nor of a peer, and against the parts of its prompt if nothing listens at its address any
 // more. An upstream that cannot be reached may only be cut off.
 func (g *Gateway) recordCrash(suspect crashSuspect, a *attempt) {
-	conn, err := netconn.Dialer(quarantine.ProbeTimeout).Dial("tcp", a.to.Address)
+	err := g.transit.Probe(a.to, suspect.call.ID, quarantine.ProbeTimeout)
 	if err == nil {
-		_ = conn.Close()
 		return
 	}
 	upstream := a.choice.ID
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -170,6 +170,30 @@
 	t.logChange(now, change, changed)
 }
 
+// Probe returns nil if this instance or a peer can connect to the upstream, and otherwise why
+// this instance cannot. One instance alone cannot tell a crashed upstream from a lost path.
+func (t *Transit) Probe(to Destination, request types.RequestID, timeout time.Duration) error {
+	conn, err := netconn.Dialer(timeout).Dial("tcp", to.Address)
+	if err == nil {
+		_ = conn.Close()
+		return nil
+	}
+	peer, ok := t.choosePeer(to.Target, nil)
+	if !ok {
+		return errors.WithStack(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	carried, peerErr := t.open(ctx, peer, to, Request{ID: request, Silence: timeout})
+	t.options.Logger.Info().Str("request", string(request)).Str("upstream", string(to.Upstream)).Str("peer", string(peer.ID)).
+		Bool("connected", peerErr == nil).AnErr("error", peerErr).Msg("peer asked for an upstream that may have crashed")
+	if peerErr != nil {
+		return errors.WithStack(err)
+	}
+	_ = carried.Close()
+	return nil
+}
+
 // dialThroughPeer connects through a peer that reaches the target.
 func (t *Transit) dialThroughPeer(ctx context.Context, to Destination, request Request) (*Conn, error) {
 	asked := make(map[types.InstanceID]bool)
