--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -67,6 +67,8 @@
 	err     error
 	// ownFailure reports whether the response is a valid failure of the upstream itself.
 	ownFailure bool
+	// pause is the time for which the upstream wants no requests.
+	pause time.Duration
 	// successor is the attempt that goes on in place of this one, or nil.
 	successor *hedge
 }
@@ -261,7 +263,7 @@
 		version, _ := a.rosterAttempt.Version()
 		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(a.choice.ID)).Str("version", string(version)).
 			Dur("predicted_ms", a.choice.FirstResponse).Dur("took_ms", took).Bool("ran", outcome.ran).
-			Int("held_events", q.progress.events).Err(outcome.err).Msg("attempt failed")
+			Int("held_events", q.progress.events).Dur("pause_ms", outcome.pause).Err(outcome.err).Msg("attempt failed")
 	}
 	return outcome
 }
@@ -357,11 +359,14 @@
 	if info.ID == q.call.ID && response.Status != http.StatusMisdirectedRequest {
 		a.observeLimit(info)
 	}
+	if info.InvalidPause != "" {
+		q.gateway.options.Logger.Warn().Str("request", string(q.call.ID)).Str("upstream", string(a.choice.ID)).Str("pause", info.InvalidPause).Msg("upstream names an invalid pause")
+	}
 	if info.NotRun {
 		if response.Status == http.StatusMisdirectedRequest {
 			return &result{outcome: roster.Misdirected, err: fault.New(fault.NoUpstream, "the address belongs to another upstream")}
 		}
-		return &result{outcome: roster.Rejected, err: fault.New(fault.NoUpstream, "the upstream rejected the request: status "+strconv.Itoa(response.Status))}
+		return &result{outcome: roster.Rejected, pause: info.Pause, err: fault.New(fault.NoUpstream, "the upstream rejected the request: status "+strconv.Itoa(response.Status))}
 	}
 	a.countRun()
 	failed := func(message string) *result {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -68,6 +68,10 @@
 	Sealed bool
 	// NotRun reports whether the upstream declared that it did not run the request.
 	NotRun bool
+	// Pause is the time for which an upstream that turned the request away wants none from
+	// this instance, or zero. InvalidPause is the text of a time that cannot be used.
+	Pause        time.Duration
+	InvalidPause string
 	// Encoded reports whether the body has a content coding, so that it is not as the
 	// upstream produced it.
 	Encoded bool
