roster, gateway: an upstream gets nothing from an instance that it asked for a pause

What callers saw: little, since another upstream took each request.

A rejection only raised the failure rate of the upstream, a preference that halves every 2 s; what the upstream itself says is a condition, not a preference. The class: a peer's explicit word is reduced to a statistic of its failures.

Change: the roster keeps the latest end that an upstream asked for, with the process that asked. It is no candidate until then, at any place that chooses, and this is checked again right before sending. A peer that carried the request is told, since the upstream saw that instance. If all upstreams pause, the request is refused as not run (upstream_paused) with the time when the first of them is back, spread by half.

--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -38,6 +38,9 @@
 	// PathLost: neither this instance nor a peer that it asked reaches the upstreams of the
 	// target.
 	PathLost Code = "path_lost"
+	// UpstreamPaused: the upstreams that may run the request have asked this instance to send
+	// nothing for a while.
+	UpstreamPaused Code = "upstream_paused"
 	// UpstreamLimited: the upstreams that may run the request limit their request rate,
 	// and the limits are used up.
 	UpstreamLimited Code = "upstream_limited"
@@ -127,6 +130,7 @@
 	DeadlineExceeded:     {http.StatusGatewayTimeout, types.MayHaveRun},
 	NoUpstream:           {http.StatusServiceUnavailable, types.NotRun},
 	PathLost:             {http.StatusServiceUnavailable, types.NotRun},
+	UpstreamPaused:       {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamLimited:      {http.StatusServiceUnavailable, types.NotRun},
 	CannotResume:         {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamFailed:       {http.StatusBadGateway, types.MayHaveRun},
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -135,8 +135,11 @@
 		return placement.Choice{}, failure
 	}
 	candidates, blocked := q.withoutBlocked(now, g.options.Roster.Candidates(now, selection, &q.work))
-	if len(candidates) == 0 && len(blocked) > 0 {
-		return placement.Choice{}, q.refuseLimited(blocked)
+	if len(candidates) == 0 {
+		selection.Except = nil
+		if refused := q.refusePaused(g.options.Roster.Paused(now, selection), blocked); refused != nil {
+			return placement.Choice{}, refused
+		}
 	}
 	choice, decision, ok := q.place(candidates)
 	if !ok && q.began != nil {
@@ -217,7 +220,7 @@
 func (q *request) tryUpstream(ctx context.Context, choice placement.Choice) result {
 	a, ok := q.begin(ctx, choice)
 	if !ok {
-		return result{outcome: roster.Abandoned, err: fault.New(fault.UpstreamLeaving, "the upstream is leaving")}
+		return result{outcome: roster.Abandoned, err: fault.New(fault.UpstreamLeaving, "the upstream accepts no new requests any more")}
 	}
 	a.setAlarm(overdueAfter(q.route, choice.FirstResponse))
 	response, err := exchange.Do(a.exchangeCtx, a.exchangeRequest())
@@ -228,7 +231,7 @@
 func (q *request) begin(ctx context.Context, choice placement.Choice) (*attempt, bool) {
 	g := q.gateway
 	q.tried[choice.ID] = true
-	to, ok := destinations{g.options.Roster}.Upstream(choice.ID)
+	to, ok := destinations{g.options.Roster, g.options.Clock}.Upstream(choice.ID)
 	if !ok {
 		return nil, false
 	}
@@ -255,6 +258,7 @@
 	if outcome.outcome == roster.Failed && !a.isUpstreamFault(took) {
 		outcome.outcome = roster.Abandoned
 	}
+	a.recordPause(outcome.pause)
 	if ejected := a.rosterAttempt.End(g.options.Clock(), outcome.outcome); ejected > 0 {
 		g.LogEjection(a.choice.ID, ejected, "attempt", string(q.call.ID))
 	}
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -99,7 +99,7 @@
 func (env *crashEnv) crashed(total int) int {
 	crashed := 0
 	for i := range total {
-		found, ok := env.roster.Find(types.UpstreamID(fmt.Sprint("u", i)))
+		found, ok := env.roster.Find(clock.Boot(), types.UpstreamID(fmt.Sprint("u", i)))
 		if conn, err := net.Dial("tcp", found.Address); ok && err != nil {
 			crashed++
 		} else if err == nil {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -57,6 +57,9 @@
 
 func (testProtocol) ParseResponse(_ int, upstream http.Header) ResponseInfo {
 	info := ResponseInfo{ID: types.RequestID(upstream.Get("Id")), Sealed: upstream.Get("Seal") != "", NotRun: upstream.Get("Not-Run") != ""}
+	if seconds, err := strconv.ParseFloat(upstream.Get("Pause"), 64); err == nil {
+		info.Pause = time.Duration(seconds * float64(time.Second))
+	}
 	if text := upstream.Get("Limit"); text != "" {
 		if perSecond, err := strconv.ParseFloat(text, 64); err == nil {
 			info.Limit = &permit.Limit{PerSecond: perSecond, Limited: true}
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -133,7 +133,7 @@
 	if !ok {
 		return choice, "no other upstream may run the request"
 	}
-	if _, ok := g.options.Roster.Find(choice.ID); !ok {
+	if _, ok := g.options.Roster.Find(g.options.Clock(), choice.ID); !ok {
 		return choice, "the other upstream is leaving"
 	}
 	if refused := q.checkPartsBeforeSending(); refused != nil {
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -30,6 +30,8 @@
 	parts *expvar.Map
 	// limits counts permits by outcome, refused requests, and limits in force.
 	limits *expvar.Map
+	// pauses counts the pauses that upstreams asked for, and the requests refused for them.
+	pauses *expvar.Map
 	// paths counts the changes of the paths to targets, and the requests that went through a
 	// peer or were carried for one, by outcome.
 	paths *expvar.Map
@@ -40,7 +42,7 @@
 
 // NewMetrics returns unpublished metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), pauses: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish publishes the metrics with expvar under the name. It must be called only
@@ -54,9 +56,17 @@
 	all.Set("prompt_parts", m.parts)
 	all.Set("upstream_limits", m.limits)
 	all.Set("paths", m.paths)
+	all.Set("upstream_pauses", m.pauses)
 	all.Set("first_ms", expvar.Func(m.latencySummaries))
 }
 
+// countPause counts a pause or what becomes of a request because of one.
+func (m *Metrics) countPause(outcome string) {
+	if m != nil {
+		m.pauses.Add(outcome, 1)
+	}
+}
+
 // countPath counts an event of package transit.
 func (m *Metrics) countPath(outcome string) {
 	if m != nil {
--- a/pkg/gateway/permits_test.go
+++ b/pkg/gateway/permits_test.go
@@ -212,7 +212,7 @@
 // again under its ID without a limit.
 func TestLimitOfRestartedUpstreamIsConfirmedByItsFirstResponse(t *testing.T) {
 	env := newTestEnv(t, testRoutes, respondWith(rawResponse(200, "fine")), 1)
-	u0, _ := env.roster.Find("u0")
+	u0, _ := env.roster.Find(clock.Boot(), "u0")
 	now := clock.Boot()
 	env.gateway.MergeLimits("peer", map[types.UpstreamID]permit.Observation{"u0": {Limit: permit.Limit{PerSecond: 3, Limited: true}, SentAt: now, ReceivedAt: now}})
 	env.gateway.UpdateUpstreams([]roster.Upstream{{ID: "u0", Target: "s", Address: u0.Address, Slots: 4, Ready: true, StartedUnixMilli: 9}})
@@ -263,7 +263,7 @@
 	var list []roster.Upstream
 	for i := range 3 {
 		id := types.UpstreamID(fmt.Sprint("u", i))
-		found, _ := env.roster.Find(id)
+		found, _ := env.roster.Find(clock.Boot(), id)
 		list = append(list, roster.Upstream{ID: id, Target: "s", Address: found.Address, Slots: 4, Ready: true})
 	}
 	for range gateways {
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/reach"
@@ -29,13 +30,17 @@
 	return transit.New(transit.Options{
 		Instance:    options.Instance,
 		DataCentre:  options.DataCentre,
-		Upstreams:   destinations{options.Roster},
+		Upstreams:   destinations{options.Roster, options.Clock},
 		Peers:       func() []reach.Peer { return options.Fleet.Peers() },
 		Transport:   options.PeerTransport,
 		DialTimeout: cmp.Or(options.DialTimeout, exchange.DefaultDialTimeout),
 		Clock:       options.Clock,
 		Logger:      options.Logger,
 		Count:       options.Metrics.countPath,
+		HandlePause: func(upstream types.UpstreamID, pause time.Duration, peer types.InstanceID) {
+			options.Roster.Pause(options.Clock(), upstream, pause)
+			logPause(options.Logger, upstream, pause, "peer", string(peer))
+		},
 	})
 }
 
@@ -48,7 +53,10 @@
 func (g *Gateway) Carried() int { return g.transit.Carried() }
 
 // destinations are the upstreams of a roster that accept requests.
-type destinations struct{ roster *roster.Roster }
+type destinations struct {
+	roster *roster.Roster
+	clock  clock.Clock
+}
 
 func destinationOf(upstream roster.Upstream) transit.Destination {
 	return transit.Destination{Target: upstream.Target, Upstream: upstream.ID, Address: upstream.Address}
@@ -65,7 +73,7 @@
 
 // Upstream implements transit.Upstreams.
 func (d destinations) Upstream(id types.UpstreamID) (transit.Destination, bool) {
-	upstream, ok := d.roster.Find(id)
+	upstream, ok := d.roster.Find(d.clock(), id)
 	return destinationOf(upstream), ok
 }
 
--- a/pkg/gateway/transit_test.go
+++ b/pkg/gateway/transit_test.go
@@ -11,18 +11,16 @@
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/roster"
-	"github.com/umbercrank/umbercrank/pkg/transit"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // addPeer adds a peer to the fleet of the gateway that reaches the upstreams at the addresses
-// of a list of its own.
-func (env *testEnv) addPeer(upstreams []roster.Upstream) {
+// of a list of its own. It returns the roster of the peer.
+func (env *testEnv) addPeer(upstreams []roster.Upstream) *roster.Roster {
 	env.t.Helper()
 	reachable := roster.New()
 	reachable.Update(upstreams)
-	carrier := transit.New(transit.Options{Instance: "peer", Upstreams: destinations{reachable}, Peers: func() []reach.Peer { return nil },
-		DialTimeout: busyDialTimeout, Clock: clock.Boot, Logger: zerolog.Nop()})
+	carrier := newTransit(Options{Instance: "peer", Roster: reachable, Fleet: &recordingFleet{}, DialTimeout: busyDialTimeout, Clock: clock.Boot, Logger: zerolog.Nop()})
 	server := httptest.NewUnstartedServer(carrier.Handler(func() bool { return true }))
 	server.EnableHTTP2 = true
 	server.StartTLS()
@@ -32,6 +30,18 @@
 	options.PeerTransport = server.Client().Transport
 	env.gateway.options = options
 	env.gateway.transit = newTransit(options)
+	return reachable
+}
+
+// refusing returns an address at which nothing listens.
+func refusing(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	return listener.Addr().String()
 }
 
 // crashOnce returns the address of an upstream that breaks off its first request and refuses
@@ -64,7 +74,7 @@
 			env := newTestEnv(t, testRoutes, respondWith(rawResponse(200, "fine")), 2)
 			var here, there []roster.Upstream
 			for _, id := range []types.UpstreamID{"u0", "u1"} {
-				sound, _ := env.roster.Find(id)
+				sound, _ := env.roster.Find(clock.Boot(), id)
 				broken := sound
 				broken.Address = crashOnce(t)
 				here = append(here, broken)
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -125,6 +125,16 @@
 	return ejected
 }
 
+// Pause records that the upstream wants no requests for a time, unless another process has
+// taken its place since the attempt began.
+func (a *Attempt) Pause(now, pause time.Duration) {
+	a.roster.mu.Lock()
+	defer a.roster.mu.Unlock()
+	if a.upstream != nil {
+		a.upstream.pausedUntil = max(a.upstream.pausedUntil, now+pause)
+	}
+}
+
 // Version returns the software version of the upstream, or false if it is unknown: the
 // upstream was not listed at Begin, or its entry has been replaced since by that of
 // another process.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -92,6 +92,8 @@
 	stepTime     *estimate.Quantile
 	ejection     time.Duration
 	ejectedUntil time.Duration
+	// pausedUntil is the end of the longest pause that the upstream has asked for.
+	pausedUntil time.Duration
 }
 
 // peerReport is the latest load report of a peer.
@@ -164,14 +166,14 @@
 	return upstream.Target == s.Target && upstream.Ready && !s.Except[upstream.ID] && (s.Version == nil || upstream.Version == *s.Version)
 }
 
-// Candidates returns the selected upstreams that may run the work. Ejected upstreams
-// are left out unless there is no other.
+// Candidates returns the selected upstreams that may run the work, without those that have
+// asked for a pause. Ejected upstreams are left out unless there is no other.
 func (r *Roster) Candidates(now time.Duration, selection Selection, work *placement.Work) []placement.Candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var candidates, ejected []placement.Candidate
 	for _, upstream := range r.upstreams {
-		if !selection.includes(upstream) {
+		if !selection.includes(upstream) || now < upstream.pausedUntil {
 			continue
 		}
 		candidate := placement.Candidate{
@@ -196,6 +198,28 @@
 	return candidates
 }
 
+// Paused returns the selected upstreams that have asked for a pause, with the remaining time.
+func (r *Roster) Paused(now time.Duration, selection Selection) map[types.UpstreamID]time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	paused := make(map[types.UpstreamID]time.Duration)
+	for id, upstream := range r.upstreams {
+		if selection.includes(upstream) && now < upstream.pausedUntil {
+			paused[id] = upstream.pausedUntil - now
+		}
+	}
+	return paused
+}
+
+// Pause records that the upstream wants no requests from this instance for a time.
+func (r *Roster) Pause(now time.Duration, id types.UpstreamID, pause time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if upstream, ok := r.upstreams[id]; ok {
+		upstream.pausedUntil = max(upstream.pausedUntil, now+pause)
+	}
+}
+
 // load returns the load from this instance and its peers at the upstream.
 func (r *Roster) load(now time.Duration, upstream *upstreamState) placement.Load {
 	load := upstream.localLoad(now)
@@ -249,12 +273,12 @@
 	return tokens
 }
 
-// Find returns the upstream's entry, and false if it accepts no new work.
-func (r *Roster) Find(id types.UpstreamID) (Upstream, bool) {
+// Find returns the upstream's entry, and false if it accepts no new work from this instance.
+func (r *Roster) Find(now time.Duration, id types.UpstreamID) (Upstream, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	upstream, ok := r.upstreams[id]
-	if !ok || !upstream.Ready {
+	if !ok || !upstream.Ready || now < upstream.pausedUntil {
 		return Upstream{}, false
 	}
 	return upstream.Upstream, true
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -76,7 +77,7 @@
 	if list := r.Candidates(0, Selection{Target: pool}, prompt(0)); len(list) != 1 || list[0].ID != "b" {
 		t.Errorf("candidates are %v", list)
 	}
-	if _, ok := r.Find("a"); ok {
+	if _, ok := r.Find(0, "a"); ok {
 		t.Error("a leaving upstream still has an address for new work")
 	}
 }
@@ -217,3 +218,41 @@
 		t.Errorf("a peer's report ejects %v, want b for %v", got, minEjection)
 	}
 }
+
+// TestPausedUpstreamGetsNoWork checks the pauses that an upstream asks this instance for.
+func TestPausedUpstreamGetsNoWork(t *testing.T) {
+	r := New()
+	list := []Upstream{{ID: "a", Target: "s", Ready: true, StartedUnixMilli: 1}, {ID: "b", Target: "s", Ready: true}}
+	r.Update(list)
+	offered := func(now time.Duration, want ...types.UpstreamID) {
+		t.Helper()
+		var got []types.UpstreamID
+		for _, c := range r.Candidates(now, Selection{Target: "s"}, &placement.Work{}) {
+			got = append(got, c.ID)
+		}
+		slices.Sort(got)
+		if !slices.Equal(got, want) {
+			t.Errorf("at %v the candidates are %v, want %v", now, got, want)
+		}
+		if _, ok := r.Find(now, "a"); ok != slices.Contains(want, "a") {
+			t.Errorf("at %v the upstream accepts work: %v", now, ok)
+		}
+	}
+	attempt := r.Begin(0, &placement.Work{}, placement.Choice{ID: "a"})
+	attempt.Pause(0, 3*time.Second)
+	offered(0, "b")
+	attempt.Pause(time.Second, time.Second)
+	offered(3*time.Second-1, "b")
+	if got := r.Paused(time.Second, Selection{Target: "s"}); len(got) != 1 || got["a"] != 2*time.Second {
+		t.Errorf("paused are %v, want a for 2 s", got)
+	}
+	offered(3*time.Second, "a", "b")
+	r.Pause(3*time.Second, "a", time.Minute)
+	r.Update(list)
+	offered(4*time.Second, "b")
+	list[0].StartedUnixMilli = 2
+	r.Update(list)
+	offered(4*time.Second, "a", "b")
+	attempt.Pause(4*time.Second, time.Minute)
+	offered(4*time.Second, "a", "b")
+}
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,16 @@
 			panic(http.ErrAbortHandler)
 		}
 	})
+	mux.HandleFunc("POST "+pausePath+"{upstream}", func(w http.ResponseWriter, r *http.Request) {
+		milliseconds, err := strconv.ParseInt(r.Header.Get(headerPause), 10, 32)
+		if err != nil || milliseconds < 0 {
+			_ = fault.New(fault.BadRequest, "malformed pause").WriteTo(w)
+			return
+		}
+		if t.options.HandlePause != nil {
+			t.options.HandlePause(types.UpstreamID(r.PathValue("upstream")), time.Duration(milliseconds)*time.Millisecond, types.InstanceID(r.Header.Get(headerInstance)))
+		}
+	})
 	return mux
 }
 
--- a/pkg/transit/stream.go
+++ b/pkg/transit/stream.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 // Path and headers of the request that opens a stream.
 const (
 	streamPath      = "/upstreams/"
+	pausePath       = "/pauses/"
+	headerPause     = "Pause-Ms"
 	headerRequestID = "Request-Id"
 	headerInstance  = "Instance"
 )
@@ -67,7 +70,32 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.peers.Begin(peer.ID)
-	return t.newConn(&Conn{Conn: stream, to: to, connectedAt: t.options.Clock(), peer: peer.ID}, request.Silence), nil
+	return t.newConn(&Conn{Conn: stream, to: to, connectedAt: t.options.Clock(), peer: peer.ID, peerAddress: peer.Address}, request.Silence), nil
+}
+
+// ReportPause tells the peer that carries the connection that the upstream wants no requests
+// from it for a time.
+func (c *Conn) ReportPause(pause time.Duration) {
+	if c.peer == "" {
+		return
+	}
+	t := c.transit
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), t.openTimeout)
+		defer cancel()
+		call, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+c.peerAddress+pausePath+url.PathEscape(string(c.to.Upstream)), nil)
+		if err == nil {
+			call.Header.Set(headerPause, strconv.FormatInt(pause.Milliseconds(), 10))
+			call.Header.Set(headerInstance, string(t.options.Instance))
+			var response *http.Response
+			if response, err = t.options.Transport.RoundTrip(call); err == nil {
+				_ = response.Body.Close()
+			}
+		}
+		if err != nil {
+			t.options.Logger.Warn().Err(err).Str("peer", string(c.peer)).Str("upstream", string(c.to.Upstream)).Msg("cannot report a pause to a peer")
+		}
+	}()
 }
 
 // refusalOf returns the error with which a peer refused to connect.
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -63,6 +63,9 @@
 	Logger      zerolog.Logger
 	// Count counts what becomes of requests, by outcome. It may be nil.
 	Count func(outcome string)
+	// HandlePause is called when an upstream that this instance reached for a peer wants no
+	// requests for a time. It may be nil.
+	HandlePause func(upstream types.UpstreamID, pause time.Duration, peer types.InstanceID)
 }
 
 // Transit opens connections to upstreams. It is safe for concurrent use.
@@ -300,9 +303,10 @@
 	onTrial     bool
 	// silence is the timer that records that there is no response.
 	silence *time.Timer
-	// peer is the instance that carries the connection, or "".
-	peer types.InstanceID
-	once sync.Once
+	// peer is the instance that carries the connection, or "", and peerAddress its address.
+	peer        types.InstanceID
+	peerAddress string
+	once        sync.Once
 }
 
 // newConn begins to wait for a response over the connection.
