pool, entry: serve starts nothing at an upstream that asked for a pause

The entry read Retry-After of a rejection only for its caller; the dispatcher backed off for 100 ms whatever the upstream had said. Change: the entry reports the time with the end of the attempt, the pool starts nothing there until then, a shorter one later does not end it. Before: TestPausedUpstreamGetsNoStarts, "granted [c] at a paused upstream"; TestUpstreamResponses/full_engine, "wants no requests for 0s, want 3s". After: both pass.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -299,14 +299,18 @@
 	result = e.updateQuarantine(req, a, result, took)
 	e.judgeParts(req, a.grant.Upstream(), stats, result, a.started)
 	attemptCounts.Add(string(result.reason), 1)
-	a.grant.Finish(pool.Finish{
+	finish := pool.Finish{
 		ID:                a.id,
 		Upstream:          a.grant.Upstream().ID,
 		Reason:            result.reason,
 		Tokens:            stats.tokens,
 		FirstToken:        stats.firstToken,
 		InterTokenLatency: stats.interTokenLatency,
-	})
+	}
+	if result.reason == pool.FinishRejected && result.err.Code == fault.Overloaded {
+		finish.Pause = result.err.RetryAfter
+	}
+	a.grant.Finish(finish)
 	event := a.event(req, timeline.AttemptEnded)
 	event.Detail = string(result.reason)
 	event.Took = took
--- a/pkg/entry/upstream_error.go
+++ b/pkg/entry/upstream_error.go
@@ -5,9 +5,9 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/headervalue"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -35,12 +35,8 @@
 	if errorCode(response.Body) == errorCodeLeaving {
 		return fault.New(fault.UpstreamLeaving, "the upstream is leaving")
 	}
-	failure := fault.New(fault.Overloaded, "the upstream is full")
-	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
-	if err != nil {
-		return failure
-	}
-	return failure.WithRetryAfter(time.Duration(seconds) * time.Second)
+	pause, _ := headervalue.Pause(response.Header["Retry-After"])
+	return fault.New(fault.Overloaded, "the upstream is full").WithRetryAfter(pause)
 }
 
 // errorCode returns the error code of a body in the OpenAI format, or "".
--- a/pkg/entry/upstream_response_test.go
+++ b/pkg/entry/upstream_response_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -59,9 +60,17 @@
 			if w.Code != test.status || !strings.Contains(w.Body.String(), test.want) {
 				t.Fatalf("%d %.200s", w.Code, w.Body)
 			}
-			if ends := f.granter.Finished(); ends[0].Reason != test.reason {
+			ends := f.granter.Finished()
+			if ends[0].Reason != test.reason {
 				t.Fatalf("ended %s", ends[0].Reason)
 			}
+			var pause time.Duration
+			if test.response.status == http.StatusTooManyRequests {
+				pause = 3 * time.Second
+			}
+			if ends[0].Pause != pause {
+				t.Errorf("the upstream wants no requests for %v, want %v", ends[0].Pause, pause)
+			}
 		})
 	}
 }
--- a/pkg/pool/decisions_test.go
+++ b/pkg/pool/decisions_test.go
@@ -309,3 +309,23 @@
 		})
 	}
 }
+
+// TestPausedUpstreamGetsNoStarts guards against attempts at an upstream that asked for a pause
+// when it rejected one.
+func TestPausedUpstreamGetsNoStarts(t *testing.T) {
+	p := New(DefaultSettings())
+	p.Handle(0, configured(1, 4))
+	startAll(t, p, request("a", 1), request("b", 1))
+	p.Handle(0, Event{Finish: &Finish{ID: "a", Upstream: "u0", Reason: FinishRejected, Pause: 3 * second}})
+	p.Handle(0, Event{Finish: &Finish{ID: "b", Upstream: "u0", Reason: FinishRejected, Pause: second}})
+	for i, id := range []string{"c", "d"} {
+		r := request(id, 1)
+		r.LastPool = true
+		if got := grants(p.Handle(time.Duration(1+i)*second+second/2, Event{Enqueue: r})); len(got) != 0 {
+			t.Errorf("granted %v at a paused upstream", got)
+		}
+	}
+	if got := grants(p.Handle(3*second, Event{})); len(got) != 2 {
+		t.Errorf("granted %v after the pause, want both that wait", got)
+	}
+}
--- a/pkg/pool/events.go
+++ b/pkg/pool/events.go
@@ -8,7 +8,7 @@
 )
 
 // rejectedBackoff is how long an upstream gets no new requests after it rejected
-// one as full.
+// one as full, unless it asked for a longer pause.
 const rejectedBackoff = 100 * time.Millisecond
 
 func (p *Pool) configure(c Configure) {
@@ -108,7 +108,7 @@
 	case FinishLeaving:
 		e.leaving = true
 	case FinishRejected:
-		e.health.retryAt = max(e.health.retryAt, p.now+rejectedBackoff)
+		e.health.retryAt = max(e.health.retryAt, p.now+max(rejectedBackoff, f.Pause))
 	}
 	p.release(j)
 }
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -131,6 +131,8 @@
 	FirstToken time.Duration `json:"first_token,omitempty"`
 	// InterTokenLatency is the mean time between tokens.
 	InterTokenLatency time.Duration `json:"gap,omitempty"`
+	// Pause is the time for which an upstream that rejected the attempt wants no others.
+	Pause time.Duration `json:"pause,omitempty"`
 }
 
 // Cancel withdraws a waiting request.
