node: serve reaches upstreams through a peer while its own path is lost

Change: calls of upstreams, load reports and the probes after a crash use pkg/transit, as in join, over the port of the messages between instances. The stream to the peer no longer inherits the values of the caller's context: its hooks took the stream's connection for that of the request and closed it.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -67,7 +67,7 @@
 func New(o Options) *Dispatch {
 	o.Settings = o.Settings.withDefaults()
 	if o.Loads == nil {
-		o.Loads = newHTTPLoadReader()
+		o.Loads = NewHTTPLoadReader(nil)
 	}
 	d := &Dispatch{options: o, start: time.Now()}
 	d.upstreamChart, d.chartErr = statechart.Load(chartUpstream)
--- a/pkg/dispatch/loads.go
+++ b/pkg/dispatch/loads.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -68,8 +69,10 @@
 // httpLoadReader reads load reports over HTTP.
 type httpLoadReader struct{ client *http.Client }
 
-func newHTTPLoadReader() *httpLoadReader {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1}
+// NewHTTPLoadReader returns a LoadReader that connects to upstreams with dial, or directly if
+// that is nil.
+func NewHTTPLoadReader(dial func(ctx context.Context, network, address string) (net.Conn, error)) LoadReader {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, DialContext: dial}
 	return &httpLoadReader{client: &http.Client{Transport: transport}}
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -42,9 +41,9 @@
 	// OnceTransport is used for calls that are not repeatable. It opens a new
 	// connection for each call.
 	OnceTransport http.RoundTripper
-	// Dial opens a connection to find out whether an upstream that broke off an answer
-	// is down. If nil, crashes are not counted against parts of prompts.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Probe returns why no instance can connect to an upstream that broke off an answer,
+	// or nil if one can. If it is not set, crashes are not counted against parts of prompts.
+	Probe func(ctx context.Context, address string) error
 	// Addresses returns the value that GET /v1/addresses sends as JSON.
 	Addresses func() any
 	// Caller sends messages to other instances. If nil, the quarantine is not
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -89,7 +89,7 @@
 		Logger:        zerolog.Nop(),
 		Transport:     network.Transport("e1", "e1", false),
 		OnceTransport: network.Transport("e1", "e1", true),
-		Dial:          network.Transport("e1", "e1", true).DialContext,
+		Probe:         network.Probe("e1", "e1"),
 		Addresses:     func() any { return map[string]int{"lifetime_seconds": 5} },
 		Settings:      DefaultSettings(),
 	}
--- a/pkg/entry/parts.go
+++ b/pkg/entry/parts.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/url"
 	"strings"
 	"syscall"
 	"time"
@@ -82,7 +80,7 @@
 	case len(req.parts) == 0:
 	case result.reason == pool.FinishComplete && stats.tokens > 0:
 		e.quarantine.RecordPartsSound(req.parts)
-	case result.reason == pool.FinishCrashed && e.options.Dial != nil && stats.mayHaveCrashed(time.Now()):
+	case result.reason == pool.FinishCrashed && e.options.Probe != nil && stats.mayHaveCrashed(time.Now()):
 		go e.recordPartCrash(req.id, req.parts, to, started)
 	}
 }
@@ -107,30 +105,11 @@
 
 // isDown reports whether the upstream refuses connections.
 func (e *Entry) isDown(to config.Upstream) bool {
-	address, err := dialAddress(to.URL)
+	address, err := to.Address()
 	if err != nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), quarantine.ProbeTimeout)
 	defer cancel()
-	conn, err := e.options.Dial(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
-// dialAddress returns the host and port of a URL.
-func dialAddress(text string) (string, error) {
-	parsed, err := url.Parse(text)
-	if err != nil {
-		return "", fault.Wrap(fault.Internal, err, "malformed address of an upstream")
-	}
-	if parsed.Port() != "" {
-		return parsed.Host, nil
-	}
-	if parsed.Scheme == "https" {
-		return net.JoinHostPort(parsed.Hostname(), "443"), nil
-	}
-	return net.JoinHostPort(parsed.Hostname(), "80"), nil
+	return errors.Is(e.options.Probe(ctx, address), syscall.ECONNREFUSED)
 }
--- a/pkg/entry/parts_test.go
+++ b/pkg/entry/parts_test.go
@@ -165,13 +165,8 @@
 	}
 }
 
-func TestDialAddress(t *testing.T) {
-	for url, want := range map[string]string{"http://a": "a:80", "https://a/x": "a:443", "http://a:8000/v1": "a:8000"} {
-		if got, err := dialAddress(url); err != nil || got != want {
-			t.Errorf("%s: %q, %v", url, got, err)
-		}
-	}
-	e := &Entry{options: Options{Dial: nil}}
+func TestUpstreamWithMalformedAddressIsNotDown(t *testing.T) {
+	e := &Entry{}
 	if e.isDown(config.Upstream{URL: "http://%"}) {
 		t.Error("a malformed address is down")
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -17,7 +17,6 @@
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/timeline/causal"
 	"github.com/umbercrank/umbercrank/pkg/types"
-	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
 
 // Timeouts of the HTTP servers.
@@ -90,6 +89,8 @@
 	n.settings.CallerAddress = n.listeners.callers.Addr().String()
 	n.settings.AdminAddress = n.listeners.admin.Addr().String()
 	n.peerServer = peer.NewServer(n.peerOptions(n.settings.PeerAddress))
+	// The roles are created before the server serves.
+	n.peerServer.HandleStreams(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.roles.StreamHandler().ServeHTTP(w, r) }))
 	if err := n.peerServer.Listen(); err != nil {
 		return fault.Wrap(fault.InvalidSetting, err, "cannot listen on peer-address "+n.settings.PeerAddress)
 	}
@@ -123,13 +124,15 @@
 // buildRoles creates the roles with network connections.
 func (n *Node) buildRoles() error {
 	n.dialer = peer.NewDialer(n.peerOptions(n.settings.PeerAddress))
-	transport := upstream.DefaultTransportSettings()
+	streams, err := n.dialer.StreamTransport()
+	if err != nil {
+		return err
+	}
 	roles, err := NewRoles(n.settings, n.incarnation, Dependencies{
-		Source:        configservice.NewClient(n.settings.PlatformURL, &http.Client{}),
-		Caller:        causal.NewCaller(n.dialer, n.ring),
-		Registrar:     causal.NewRegistrar(n.peerServer, n.ring),
-		Transport:     upstream.NewTransport(transport),
-		OnceTransport: upstream.NewOnceTransport(transport),
+		Source:    configservice.NewClient(n.settings.PlatformURL, &http.Client{}),
+		Caller:    causal.NewCaller(n.dialer, n.ring),
+		Registrar: causal.NewRegistrar(n.peerServer, n.ring),
+		Streams:   streams,
 	}, n.ring, n.logger)
 	n.roles = roles
 	return err
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -13,7 +14,6 @@
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/entry"
 	"github.com/umbercrank/umbercrank/pkg/membership"
-	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/relay"
@@ -32,10 +32,14 @@
 	Caller peer.Caller
 	// Registrar registers the methods that other instances call.
 	Registrar peer.Registrar
-	// Transport is used for upstream calls that are repeatable.
+	// Transport is used for upstream calls that are repeatable. If it is nil, the calls are
+	// made over HTTP, directly or through a peer, and OnceTransport and Loads are not used.
 	Transport http.RoundTripper
 	// OnceTransport is used for upstream calls that are not repeatable.
 	OnceTransport http.RoundTripper
+	// Streams opens streams to other instances, which carry calls of upstreams that this one
+	// does not reach. If it is nil, upstreams are reached directly only.
+	Streams http.RoundTripper
 	// Loads reads the load reports of upstreams. If nil, they are read over HTTP.
 	Loads dispatch.LoadReader
 }
@@ -53,6 +57,7 @@
 	dispatch    *dispatch.Dispatch
 	entry       *entry.Entry
 	directory   *directory.Directory
+	paths       *paths
 }
 
 // NewRoles creates the roles of one incarnation and registers their peer methods.
@@ -67,6 +72,7 @@
 		store:       config.NewStore(),
 	}
 	r.buildMembershipAndRelay(dependencies)
+	r.buildPaths(&dependencies)
 	r.buildDispatch(dependencies)
 	if err := r.buildEntry(dependencies); err != nil {
 		return nil, err
@@ -96,6 +102,26 @@
 	})
 }
 
+// buildPaths creates the connections to upstreams, and the transports that use them unless
+// others are given.
+func (r *Roles) buildPaths(dependencies *Dependencies) {
+	r.paths = newPaths(r.settings.Self(), r.store, r.members.Live, dependencies.Streams, r.logger)
+	if dependencies.Transport != nil {
+		return
+	}
+	settings := upstream.DefaultTransportSettings()
+	settings.DialContext = r.paths.dialer(true)
+	dependencies.Transport = upstream.NewTransport(settings)
+	dependencies.Loads = dispatch.NewHTTPLoadReader(settings.DialContext)
+	settings.DialContext = r.paths.dialer(false)
+	dependencies.OnceTransport = upstream.NewOnceTransport(settings)
+}
+
+// StreamHandler returns the handler of the calls that this instance carries for peers.
+func (r *Roles) StreamHandler() http.Handler {
+	return r.paths.transit.Handler(func() bool { return r.members.Self().State != types.InstanceLeaving })
+}
+
 // buildDispatch creates the dispatch role: the entry side and the dispatcher side.
 func (r *Roles) buildDispatch(dependencies Dependencies) {
 	r.dispatch = dispatch.New(dispatch.Options{
@@ -140,7 +166,7 @@
 		Logger:        r.logger,
 		Transport:     dependencies.Transport,
 		OnceTransport: dependencies.OnceTransport,
-		Dial:          netconn.Dialer(upstream.DefaultTransportSettings().DialTimeout).DialContext,
+		Probe:         r.paths.probe,
 		Addresses:     func() any { return r.directory.Answer() },
 		Settings:      settings,
 	})
@@ -168,6 +194,9 @@
 	return group.Wait()
 }
 
+// drainPollInterval is the time between two checks of the calls carried for peers.
+const drainPollInterval = 20 * time.Millisecond
+
 // Leave stops serving callers without interrupting requests. It informs the other
 // instances and hands over the pools, keeps serving callers that still use this
 // address for AddressLifetime plus DirectoryOverlap, and then waits for the
@@ -181,6 +210,8 @@
 	if err := r.entry.Drain(ctx); err != nil {
 		r.logger.Warn().Err(err).Msg("requests in flight did not end in time")
 	}
+	for r.paths.transit.Carried() > 0 && wait.For(ctx, drainPollInterval) {
+	}
 }
 
 // Handler returns the HTTP handler of the caller API.
--- a/pkg/transit/stream.go
+++ b/pkg/transit/stream.go
@@ -37,8 +37,9 @@
 // open connects to an upstream through a peer.
 func (t *Transit) open(ctx context.Context, peer reach.Peer, to Destination, request Request) (*Conn, error) {
 	near, far := net.Pipe()
-	// The stream lives until the connection is closed.
-	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	// The stream lives until the connection is closed, and the values of ctx, such as hooks
+	// that trace the sending of a request, are not for it.
+	streamCtx, cancel := context.WithCancel(context.Background())
 	fail := func(err error) (*Conn, error) {
 		cancel()
 		_ = near.Close()
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -10,7 +10,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -369,3 +371,24 @@
 	})
 	return err
 }
+
+// recordingConn records by itself whether the upstream responds.
+type recordingConn struct {
+	*Conn
+	recorded atomic.Bool
+}
+
+// Recording returns the connection with reads that record whether the upstream responds.
+func Recording(conn *Conn) net.Conn { return &recordingConn{Conn: conn} }
+
+// Read implements net.Conn.
+func (c *recordingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	switch {
+	case n > 0 && c.recorded.CompareAndSwap(false, true):
+		c.RecordResponse()
+	case n == 0 && err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) && c.recorded.CompareAndSwap(false, true):
+		c.RecordNoResponse()
+	}
+	return n, err
+}
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -10,6 +11,8 @@
 type TransportSettings struct {
 	// DialTimeout is the timeout for establishing a connection.
 	DialTimeout time.Duration
+	// DialContext establishes connections. If it is nil, they are direct.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// ConnsPerUpstream is the maximum number of connections to one upstream.
 	ConnsPerUpstream int
 	// MaxHeaderBytes is the maximum size of the response headers.
@@ -29,11 +32,14 @@
 // opens a new connection for every call. On a reused connection, a late duplicate of
 // an earlier answer would be mistaken for the answer to the next call.
 func NewTransport(settings TransportSettings) *http.Transport {
-	dialer := &net.Dialer{Timeout: settings.DialTimeout}
+	dial := settings.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: settings.DialTimeout}).DialContext
+	}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
--- a/test/httpfakes/network.go
+++ b/test/httpfakes/network.go
@@ -97,6 +97,19 @@
 	return transport
 }
 
+// Probe returns a function that reports why a process on the host cannot connect to an
+// address, or nil if it can.
+func (n *Network) Probe(host, process string) func(ctx context.Context, address string) error {
+	dial := n.Transport(host, process, true).DialContext
+	return func(ctx context.Context, address string) error {
+		conn, err := dial(ctx, "tcp", address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	}
+}
+
 // Close closes all servers with their connections, and the idle connections of all
 // transports.
 func (n *Network) Close() {
--- a/test/prove/entryharness_test.go
+++ b/test/prove/entryharness_test.go
@@ -128,7 +128,7 @@
 		Logger:        zerolog.New(io.Discard).Hook(failOnError{h.t}),
 		Transport:     h.network.Transport(host, string(incarnation), false),
 		OnceTransport: h.network.Transport(host, string(incarnation), true),
-		Dial:          h.network.Transport(host, string(incarnation), true).DialContext,
+		Probe:         h.network.Probe(host, string(incarnation)),
 		Addresses:     func() any { return nil },
 		Caller:        caller,
 		Settings:      entrySettings(),
