transit: a closed connection through a peer reports net.ErrClosed

Cause: reads after Close returned the error of the pipe in between, so a hedge that had been cancelled counted as failed at its upstream, and the peer could take the end of a request that was given up for a missing response. The tests share one listener and one refusing address (test/httpfakes/listen.go). Before: TestClosingEndsConnectionOfPeer, extended, failed with "io: read/write on closed pipe". After: it passes.

--- a/pkg/gateway/pause_test.go
+++ b/pkg/gateway/pause_test.go
@@ -12,6 +12,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
 // askForPause is the response of an upstream that turns a request away.
@@ -90,7 +91,7 @@
 	var here, there []roster.Upstream
 	for _, upstream := range env.roster.Ready("s") {
 		there = append(there, upstream)
-		upstream.Address = refusing(t)
+		upstream.Address = httpfakes.RefusingAddress(t)
 		here = append(here, upstream)
 	}
 	carrier := env.addPeer(there)
--- a/pkg/gateway/transit_test.go
+++ b/pkg/gateway/transit_test.go
@@ -33,17 +33,6 @@
 	return reachable
 }
 
-// refusing returns an address at which nothing listens.
-func refusing(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = listener.Close()
-	return listener.Addr().String()
-}
-
 // crashOnce returns the address of an upstream that breaks off its first request and refuses
 // connections from then on.
 func crashOnce(t *testing.T) string {
--- a/pkg/transit/stream.go
+++ b/pkg/transit/stream.go
@@ -136,10 +136,25 @@
 // connection.
 func (c *streamConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if failure := c.failure.Load(); err != nil && errors.Is(err, io.EOF) && failure != nil {
+	if failure := c.failure.Load(); errors.Is(err, io.EOF) && failure != nil {
 		return n, *failure
 	}
-	return n, err
+	return n, closedError(err)
+}
+
+// Write implements net.Conn.
+func (c *streamConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	return n, closedError(err)
+}
+
+// closedError returns the error that connections of package net return after Close in place
+// of that of a pipe.
+func closedError(err error) error {
+	if errors.Is(err, io.ErrClosedPipe) {
+		return net.ErrClosed
+	}
+	return err
 }
 
 // Close implements net.Conn. The peer then closes its connection to the upstream.
--- a/pkg/transit/transit_test.go
+++ b/pkg/transit/transit_test.go
@@ -19,6 +19,7 @@
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
 // busyTimeout is long enough on a machine that runs much else.
@@ -106,44 +107,25 @@
 	return &fleet{t: t, cancel: make(map[types.InstanceID]context.CancelFunc)}
 }
 
-// refusing returns upstreams at whose addresses nothing listens.
-func refusing(t testing.TB) list {
-	t.Helper()
+// upstreamsAt returns upstreams of one target at the addresses.
+func upstreamsAt(address func() string) list {
 	var upstreams list
 	for i := range 4 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = listener.Close()
-		upstreams = append(upstreams, Destination{Target: "s", Upstream: types.UpstreamID(fmt.Sprint("u", i)), Address: listener.Addr().String()})
+		upstreams = append(upstreams, Destination{Target: "s", Upstream: types.UpstreamID(fmt.Sprint("u", i)), Address: address()})
 	}
 	return upstreams
 }
 
+// refusing returns upstreams at whose addresses nothing listens.
+func refusing(t testing.TB) list {
+	return upstreamsAt(func() string { return httpfakes.RefusingAddress(t) })
+}
+
 // serving returns the same upstreams at an address at which each connection is passed to
 // serve.
 func serving(t testing.TB, serve func(conn *net.TCPConn)) list {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn.(*net.TCPConn))
-		}
-	}()
-	var upstreams list
-	for i := range 4 {
-		upstreams = append(upstreams, Destination{Target: "s", Upstream: types.UpstreamID(fmt.Sprint("u", i)), Address: listener.Addr().String()})
-	}
-	return upstreams
+	address := httpfakes.Listen(t, serve)
+	return upstreamsAt(func() string { return address })
 }
 
 // connect dials until the path is lost, here or everywhere, or a connection through a peer is returned.
@@ -239,6 +221,9 @@
 		t.Fatal(err)
 	}
 	_ = conn.Close()
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("reading a closed connection ends with %v, want %v", err, net.ErrClosed)
+	}
 	<-closed
 	for helper.Carried() > 0 {
 		time.Sleep(time.Millisecond)
--- a/test/httpfakes/raw.go
+++ b/test/httpfakes/raw.go
@@ -13,28 +13,14 @@
 // which writes the response to the connection. It listens until the test ends.
 func ListenRaw(t testing.TB, serve func(conn net.Conn, request *http.Request, body []byte)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				// A truncated body is passed to serve as far as it was received.
-				body, _ := io.ReadAll(request.Body)
-				serve(conn, request, body)
-			}()
+	return Listen(t, func(conn *net.TCPConn) {
+		defer conn.Close()
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+		// A truncated body is passed to serve as far as it was received.
+		body, _ := io.ReadAll(request.Body)
+		serve(conn, request, body)
+	})
 }
