reach: only the first peer asked for a request is in the same data centre

Cause: with a whole data centre cut, the peers in it were asked again whenever their avoidance ended, three for one attempt, and avoidance of up to 8 s kept requests from peers whose path was back. Change: after one peer that does not reach the target, all others are candidates; a peer is avoided for 2 s at most.

--- a/pkg/reach/peers.go
+++ b/pkg/reach/peers.go
@@ -10,7 +10,7 @@
 	// minAvoidance and maxAvoidance bound the exponentially growing time for which a peer
 	// is not asked that does not reach a target either.
 	minAvoidance = 500 * time.Millisecond
-	maxAvoidance = 8 * time.Second
+	maxAvoidance = 2 * time.Second
 	// reachedTTL is how long a peer that reached a target is preferred to one that was not
 	// asked.
 	reachedTTL = 5 * time.Second
@@ -47,15 +47,15 @@
 	return &Peers{known: make(map[peerTarget]*peerState), carrying: make(map[types.InstanceID]int)}
 }
 
-// Choose returns the peer that is to carry a request to a target: one in the same data
-// centre if there is any, and of two chosen at random the one that carries less. Peers that
-// recently did not reach the target are left out, and the given ones. Random returns a
-// number below its argument.
-func (p *Peers) Choose(now time.Duration, target types.TargetName, own types.DataCentre, peers []Peer, except map[types.InstanceID]bool, random func(int) int) (Peer, bool) {
+// Choose returns the peer that is to carry a request to a target: of two chosen at random the
+// one that reached the target lately or carries less. The first peer asked for a request is in
+// the same data centre if there is any. Peers that recently did not reach the target are left
+// out, and those asked before. Random returns a number below its argument.
+func (p *Peers) Choose(now time.Duration, target types.TargetName, own types.DataCentre, peers []Peer, asked map[types.InstanceID]bool, random func(int) int) (Peer, bool) {
 	var near, far []Peer
 	for _, peer := range peers {
 		switch {
-		case except[peer.ID] || p.avoided(now, peer.ID, target):
+		case asked[peer.ID] || p.avoided(now, peer.ID, target):
 		case peer.DataCentre == own:
 			near = append(near, peer)
 		default:
@@ -63,8 +63,8 @@
 		}
 	}
 	choices := near
-	if len(near) == 0 {
-		choices = far
+	if len(near) == 0 || len(asked) > 0 {
+		choices = append(near, far...)
 	}
 	if len(choices) == 0 {
 		return Peer{}, false
