transit: an instance without a stream transport asks no peer

Cause: a probe after a crash chose a peer even where no streams can be opened. Before: TestInstanceWithoutTransportAsksNoPeer panicked (nil pointer). After: it passes. Two unused functions are gone.

--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -141,18 +141,6 @@
 	return Direct
 }
 
-// Lost returns the targets whose upstreams this instance does not reach itself.
-func (p *Paths) Lost() []types.TargetName {
-	var lost []types.TargetName
-	for target, found := range p.targets {
-		if found.machine.State() == Lost {
-			lost = append(lost, target)
-		}
-	}
-	slices.Sort(lost)
-	return lost
-}
-
 // Choose returns how the next request is to be sent. Repeatable says whether it may run
 // more than once. Probe reports whether the caller must try to connect to an upstream and
 // record the result.
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -244,6 +244,9 @@
 
 // choosePeer returns the next peer to ask.
 func (t *Transit) choosePeer(target types.TargetName, asked map[types.InstanceID]bool) (reach.Peer, bool) {
+	if t.options.Transport == nil {
+		return reach.Peer{}, false
+	}
 	peers := t.options.Peers()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -269,13 +272,6 @@
 	return t.carried
 }
 
-// Lost returns the targets that this instance does not reach itself.
-func (t *Transit) Lost() []types.TargetName {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.paths.Lost()
-}
-
 func (t *Transit) count(outcome string) {
 	if t.options.Count != nil {
 		t.options.Count(outcome)
--- a/pkg/transit/transit_test.go
+++ b/pkg/transit/transit_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -316,3 +317,20 @@
 		t.Errorf("the upstream wrote %d bytes to a reader that does not read", got)
 	}
 }
+
+// TestInstanceWithoutTransportAsksNoPeer checks an instance that knows peers but cannot open
+// streams to them.
+func TestInstanceWithoutTransportAsksNoPeer(t *testing.T) {
+	upstreams := refusing(t)
+	alone := New(Options{Upstreams: upstreams, DialTimeout: busyTimeout, Clock: clock.Boot, Logger: zerolog.Nop(),
+		Peers: func() []reach.Peer { return []reach.Peer{{ID: "peer", Address: "127.0.0.1:1"}} }})
+	for i := range 8 {
+		to := upstreams[i%len(upstreams)]
+		if _, err := alone.Dial(t.Context(), to, Request{Silence: busyTimeout}); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("dial %d ended with %v", i, err)
+		}
+		if err := alone.Probe(to, "r", busyTimeout); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("probe %d ended with %v", i, err)
+		}
+	}
+}
