gateway: a pause counts whatever else the 503 says

Cause: the pause was taken only from responses that say that the request was not run; a 503 that is passed on, or retried as a failure, may ask for one as well. Change: the attempt keeps the pause from the header of the response and records it when it ends, also that of a hedge. Before: TestPauseOfFailureThatIsPassedOn, "2 requests reached the upstream". TestPausedWorkersGetNoRequests again: no pause violated.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -53,6 +53,8 @@
 	// first event or the response has arrived, which was at respondedAt.
 	counted, responded bool
 	respondedAt        time.Duration
+	// pause is the time for which the upstream wants no requests.
+	pause time.Duration
 }
 
 // result is the result of an attempt.
@@ -67,8 +69,6 @@
 	err     error
 	// ownFailure reports whether the response is a valid failure of the upstream itself.
 	ownFailure bool
-	// pause is the time for which the upstream wants no requests.
-	pause time.Duration
 	// successor is the attempt that goes on in place of this one, or nil.
 	successor *hedge
 }
@@ -258,7 +258,7 @@
 	if outcome.outcome == roster.Failed && !a.isUpstreamFault(took) {
 		outcome.outcome = roster.Abandoned
 	}
-	a.recordPause(outcome.pause)
+	a.recordPause()
 	if ejected := a.rosterAttempt.End(g.options.Clock(), outcome.outcome); ejected > 0 {
 		g.LogEjection(a.choice.ID, ejected, "attempt", string(q.call.ID))
 	}
@@ -267,7 +267,7 @@
 		version, _ := a.rosterAttempt.Version()
 		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(a.choice.ID)).Str("version", string(version)).
 			Dur("predicted_ms", a.choice.FirstResponse).Dur("took_ms", took).Bool("ran", outcome.ran).
-			Int("held_events", q.progress.events).Dur("pause_ms", outcome.pause).Err(outcome.err).Msg("attempt failed")
+			Int("held_events", q.progress.events).Dur("pause_ms", a.pause).Err(outcome.err).Msg("attempt failed")
 	}
 	return outcome
 }
@@ -363,6 +363,7 @@
 	if info.ID == q.call.ID && response.Status != http.StatusMisdirectedRequest {
 		a.observeLimit(info)
 	}
+	a.pause = info.Pause
 	if info.InvalidPause != "" {
 		q.gateway.options.Logger.Warn().Str("request", string(q.call.ID)).Str("upstream", string(a.choice.ID)).Str("pause", info.InvalidPause).Msg("upstream names an invalid pause")
 	}
@@ -370,7 +371,7 @@
 		if response.Status == http.StatusMisdirectedRequest {
 			return &result{outcome: roster.Misdirected, err: fault.New(fault.NoUpstream, "the address belongs to another upstream")}
 		}
-		return &result{outcome: roster.Rejected, pause: info.Pause, err: fault.New(fault.NoUpstream, "the upstream rejected the request: status "+strconv.Itoa(response.Status))}
+		return &result{outcome: roster.Rejected, err: fault.New(fault.NoUpstream, "the upstream rejected the request: status "+strconv.Itoa(response.Status))}
 	}
 	a.countRun()
 	failed := func(message string) *result {
--- a/pkg/gateway/pause.go
+++ b/pkg/gateway/pause.go
@@ -16,17 +16,15 @@
 
 // recordPause records that the upstream of an attempt wants no requests for a while. It has
 // asked the instance that the connection came from.
-func (a *attempt) recordPause(pause time.Duration) {
-	if pause <= 0 {
+func (a *attempt) recordPause() {
+	if a.pause <= 0 {
 		return
 	}
 	g := a.gateway
-	a.rosterAttempt.Pause(g.options.Clock(), pause)
+	a.rosterAttempt.Pause(g.options.Clock(), a.pause)
 	g.options.Metrics.countPause("asked")
-	logPause(g.options.Logger, a.choice.ID, pause, "response", string(a.call.ID))
-	if a.conn != nil {
-		a.conn.ReportPause(pause)
-	}
+	logPause(g.options.Logger, a.choice.ID, a.pause, "response", string(a.call.ID))
+	a.conn.ReportPause(a.pause)
 }
 
 // logPause logs a pause with its source: the request whose response asked for it, or the peer
--- a/pkg/gateway/pause_test.go
+++ b/pkg/gateway/pause_test.go
@@ -104,3 +104,13 @@
 		t.Errorf("the peer knows of %d pauses, want 3", paused())
 	}
 }
+
+// TestPauseOfFailureThatIsPassedOn checks an upstream that does not say that it did not run the
+// request.
+func TestPauseOfFailureThatIsPassedOn(t *testing.T) {
+	env := newTestEnv(t, testRoutes, respondWith("HTTP/1.1 503 Service Unavailable\r\nId: r1\r\nSeal: s\r\nPause: 60\r\nContent-Length: 0\r\n\r\n"), 1)
+	env.call(http.MethodPost, "/once/", "")
+	if response := env.call(http.MethodPost, "/once/", ""); response.header.Get("Code") != string(fault.UpstreamPaused) || len(env.requests()) != 1 {
+		t.Errorf("the second request ended as %q, %d requests reached the upstream", response.header.Get("Code"), len(env.requests()))
+	}
+}
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -214,8 +214,9 @@
 }
 
 // recordCrash counts a crash against the request if the upstream does not accept
-// connections, neither of this instance nor of a peer, and against the parts of its prompt if nothing listens at its address any
-// more. An upstream that cannot be reached may only be cut off.
+// connections, neither of this instance nor of a peer, and against the parts of its prompt if
+// nothing listens at its address any more. An upstream that cannot be reached may only be
+// cut off.
 func (g *Gateway) recordCrash(suspect crashSuspect, a *attempt) {
 	err := g.transit.Probe(a.to, suspect.call.ID, quarantine.ProbeTimeout)
 	if err == nil {
