transit: the question to a peer after a crash has the usual time to open a stream

Cause: 100 ms, meant for the own connection, also bounded the peer's, so a busy peer that answered later made a lost path count as a crash, and the tests of it depended on how busy the machine was. Change: a peer has 400 ms, as for requests (transit.DefaultOpenTimeout, an option); the examination of a crash may take that much longer if the peer hangs. Before and after: the tests of pkg/transit, pkg/node and pkg/gateway pass with the race detector; a late peer was not seen to fail them.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -92,8 +92,8 @@
 	// Retries limits the retries of the whole fleet to each service. The burst is
 	// divided among the instances.
 	Retries retry.Settings
-	// DialTimeout bounds connecting to an upstream. Zero means the default of
-	// package exchange.
+	// DialTimeout bounds connecting to an upstream, also through a peer. Zero means the
+	// defaults of packages exchange and transit.
 	DialTimeout time.Duration
 	// PeerTransport opens streams to peers. If it is nil, no request is sent through one.
 	PeerTransport http.RoundTripper
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -34,6 +34,7 @@
 		Peers:       func() []reach.Peer { return options.Fleet.Peers() },
 		Transport:   options.PeerTransport,
 		DialTimeout: cmp.Or(options.DialTimeout, exchange.DefaultDialTimeout),
+		OpenTimeout: options.DialTimeout,
 		Clock:       options.Clock,
 		Logger:      options.Logger,
 		Count:       options.Metrics.countPath,
--- a/pkg/transit/stream.go
+++ b/pkg/transit/stream.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// openTimeout bounds the time until a peer has connected to an upstream: its own dial
-	// timeout, a TLS handshake and some round trips.
-	openTimeout = 400 * time.Millisecond
+	// DefaultOpenTimeout covers the dial timeout of the peer, a TLS handshake and some round
+	// trips.
+	DefaultOpenTimeout = 400 * time.Millisecond
 	// maxErrorBytes bounds the body of a refusal.
 	maxErrorBytes = 4 << 10
 )
@@ -51,7 +51,7 @@
 	}
 	call.Header.Set(headerRequestID, string(request.ID))
 	call.Header.Set(headerInstance, string(t.options.Instance))
-	stopTimer := time.AfterFunc(t.openTimeout, cancel).Stop
+	stopTimer := time.AfterFunc(t.options.OpenTimeout, cancel).Stop
 	stopWatching := context.AfterFunc(ctx, cancel)
 	response, err := t.options.Transport.RoundTrip(call)
 	stopWatching()
@@ -82,7 +82,7 @@
 	}
 	t := c.transit
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), t.openTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), t.options.OpenTimeout)
 		defer cancel()
 		call, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+c.peerAddress+pausePath+url.PathEscape(string(c.to.Upstream)), nil)
 		if err == nil {
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -5,6 +5,7 @@
 package transit
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -61,6 +62,9 @@
 	Transport http.RoundTripper
 	// DialTimeout bounds connecting to an upstream.
 	DialTimeout time.Duration
+	// OpenTimeout bounds the time until a peer has connected to an upstream. Zero means
+	// DefaultOpenTimeout.
+	OpenTimeout time.Duration
 	Clock       clock.Clock
 	Logger      zerolog.Logger
 	// Count counts what becomes of requests, by outcome. It may be nil.
@@ -72,8 +76,7 @@
 
 // Transit opens connections to upstreams. It is safe for concurrent use.
 type Transit struct {
-	options     Options
-	openTimeout time.Duration
+	options Options
 
 	mu    sync.Mutex
 	paths *reach.Paths
@@ -84,7 +87,8 @@
 
 // New returns a Transit for which all upstreams can be reached directly.
 func New(options Options) *Transit {
-	return &Transit{options: options, openTimeout: openTimeout, paths: reach.NewPaths(), peers: reach.NewPeers()}
+	options.OpenTimeout = cmp.Or(options.OpenTimeout, DefaultOpenTimeout)
+	return &Transit{options: options, paths: reach.NewPaths(), peers: reach.NewPeers()}
 }
 
 // Request is what a connection is opened for.
@@ -175,8 +179,9 @@
 	t.logChange(now, change, changed)
 }
 
-// Probe returns nil if this instance or a peer can connect to the upstream, and otherwise why
-// this instance cannot. One instance alone cannot tell a crashed upstream from a lost path.
+// Probe returns nil if this instance, within the timeout, or a peer can connect to the upstream,
+// and otherwise why this instance cannot. One instance alone cannot tell a crashed upstream from
+// a lost path.
 func (t *Transit) Probe(to Destination, request types.RequestID, timeout time.Duration) error {
 	conn, err := netconn.Dialer(timeout).Dial("tcp", to.Address)
 	if err == nil {
@@ -187,9 +192,7 @@
 	if !ok {
 		return errors.WithStack(err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	carried, peerErr := t.open(ctx, peer, to, Request{ID: request, Silence: timeout})
+	carried, peerErr := t.open(context.Background(), peer, to, Request{ID: request, Silence: timeout})
 	t.options.Logger.Info().Str("request", string(request)).Str("upstream", string(to.Upstream)).Str("peer", string(peer.ID)).
 		Bool("connected", peerErr == nil).AnErr("error", peerErr).Msg("peer asked for an upstream that may have crashed")
 	if peerErr != nil {
