--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -94,8 +94,10 @@
 	// unreportedSegments are the cached prompt segments that are not yet reported to
 	// the other entries.
 	unreportedSegments []segmentsReport
-	requests           []*request
-	running            map[types.RequestID]*request
+	// delayedReports holds the sums of loads that have not reached the entries yet.
+	delayedReports []hubReport
+	requests       []*request
+	running        map[types.RequestID]*request
 	// runningOrder holds the running requests in the order of their start. It may
 	// also hold requests that have ended since the last call of abandonLate.
 	runningOrder []*request
@@ -132,6 +134,12 @@
 	segments []string
 }
 
+// hubReport is the load of the whole fleet, which the entries know from a time on.
+type hubReport struct {
+	knownAt time.Duration
+	loads   map[engineID]placement.Load
+}
+
 // simulate runs a day and the drain time after it.
 func simulate(site Site, day Day, load float64, policy PolicyName, seed uint64) *simulation {
 	sim := &simulation{
@@ -172,6 +180,7 @@
 			sim.abandonLate()
 			sim.exchangeReports()
 		}
+		sim.deliverHubReports()
 	}
 	return sim
 }
@@ -616,7 +625,7 @@
 	sim.exchangeCrashReports()
 }
 
-// exchangeHubReports delivers the sum of all loads to each entry.
+// exchangeHubReports sums up the loads of all entries.
 func (sim *simulation) exchangeHubReports() {
 	loads := make(map[engineID]placement.Load)
 	for _, r := range sim.rosters {
@@ -626,7 +635,15 @@
 			loads[id] = sum
 		}
 	}
-	for _, r := range sim.rosters {
-		r.ApplyPeerReport(sim.now, "hub", loads, nil)
+	sim.delayedReports = append(sim.delayedReports, hubReport{sim.now + sim.site.ReportDelay, loads})
+}
+
+// deliverHubReports delivers the sums that are due to each entry.
+func (sim *simulation) deliverHubReports() {
+	for len(sim.delayedReports) > 0 && sim.delayedReports[0].knownAt <= sim.now {
+		for _, r := range sim.rosters {
+			r.ApplyPeerReport(sim.now, "hub", sim.delayedReports[0].loads, nil)
+		}
+		sim.delayedReports = sim.delayedReports[1:]
 	}
 }
--- a/pkg/simulate/site.go
+++ b/pkg/simulate/site.go
@@ -80,6 +80,8 @@
 	// up the loads.
 	Entries        int
 	ReportInterval time.Duration
+	// ReportDelay is the time from the snapshot of the loads until the entries know it.
+	ReportDelay time.Duration
 	// IgnoreFleetSize makes each entry place requests as if it were the only one.
 	IgnoreFleetSize bool
 	// IgnoreLimits makes the entries ignore the limits of engines.
@@ -171,6 +173,9 @@
 const (
 	directReportInterval = 40 * time.Millisecond
 	hubReportInterval    = 200 * time.Millisecond
+	// hubReportDelay is the rest of the way of a report over two hubs, each of which waits
+	// for its next heartbeat.
+	hubReportDelay = 150 * time.Millisecond
 )
 
 // The names of the kinds of request.
@@ -212,6 +217,7 @@
 		grownCallbacks(),
 		grownBookings(),
 		grownVouchers(),
+		largeCallbacks(),
 	}
 }
 
@@ -271,6 +277,19 @@
 	return s
 }
 
+// largeCallbacks returns the callbacks site with 195 entries, each of which sees two or
+// three requests a second. Its engines run few requests at once, so that a burst of long
+// prompts uses all their prefill.
+func largeCallbacks() Site {
+	s := Site{Name: "callbacks-large", Engines: 78, QueueLimit: 50, TokensPerEvent: 4, Entries: 195, ReportInterval: hubReportInterval, ReportDelay: hubReportDelay, Engine: engineSettings(5050*time.Microsecond, 40.8, 330_751),
+		Kinds: []Kind{longPrompts(228, 1157, 3.4, 1), shortPrompts(126, 78, 826, 1.2, 0.1)}}
+	s.Engine.MaxBatch = 24
+	long, short := &s.Kinds[0], &s.Kinds[1]
+	long.InterEventObjective, long.Deadline = 200*time.Millisecond, 5*time.Second
+	short.InterEventObjective = 120 * time.Millisecond
+	return s
+}
+
 // grownBookings returns the bookings site with several times as many engines and
 // entries. Its engines run fewer requests at once.
 func grownBookings() Site {
@@ -303,6 +322,8 @@
 			Outages:     []Outage{{Start: seconds(6.5), Duration: seconds(5.1), Share: 0.1}, {Start: seconds(9.5), Duration: seconds(2), Share: 0.25}}},
 		{Name: "crash-in-burst", Length: dayLength, Bursts: append(waves[:3:3], Burst{LongPrompts, seconds(17.5), seconds(4.5), 2.3}),
 			Outages: []Outage{{Start: seconds(17.5), Duration: seconds(2), Share: 0.25}}},
+		{Name: "crash-in-first-burst", Length: dayLength, Bursts: []Burst{waves[0], {LongPrompts, seconds(8.7), seconds(3.1), 1.5}, waves[1], waves[3]},
+			Outages: []Outage{{Start: seconds(5.5), Duration: seconds(2), Share: 0.25}}},
 		{Name: "slow-engines", Length: dayLength, Bursts: waves, Slowdowns: []Slowdown{{seconds(4), seconds(12), 0.2, 2.6}}},
 	}
 }
