reservation, mesh, gateway: the keeper of an engine knows of long prompts at once

Cause: in a fleet with hubs an instance learns of the others' prompts 150 to 350 ms late.

Change: the hub that is responsible for an engine also keeps its reservations (pkg/reservation): before a long prompt is placed, the instance asks the keepers of the two to five engines that it considers for their current load, for 30 ms at most; it tells the chosen engine's keeper when it sends the prompt and when the answer begins. The keeper corrects the load report by what has changed within the age of the report. Without a reply the report counts as before, also beside instances of the release before. Messages for each long prompt do not grow with the fleet. Placement considers at most two engines that have all segments cached, so that the number of questions is bounded.

Fleets of up to sixteen instances are not affected.

--- a/pkg/ctl/bench.go
+++ b/pkg/ctl/bench.go
@@ -81,8 +81,8 @@
 	flags.Uint64Var(&options.FirstSeed, "seed", options.FirstSeed, "first seed")
 	flags.IntVar(&options.Seeds, "seeds", options.Seeds, "number of seeds")
 	flags.Float64SliceVar(&options.Loads, "loads", options.Loads, "loads as multiples of the rates of the sites")
-	flags.StringSliceVar(&options.Sites, "sites", nil, "sites: callbacks, bookings, callbacks-grown, bookings-grown (all)")
-	flags.StringSliceVar(&options.Days, "days", nil, "days: steady, waves, crashes, crash-in-burst, slow-engines (all)")
+	flags.StringSliceVar(&options.Sites, "sites", nil, "sites: callbacks, bookings, vouchers, callbacks-grown, bookings-grown, vouchers-grown, callbacks-large (all)")
+	flags.StringSliceVar(&options.Days, "days", nil, "days: steady, waves, crashes, crash-in-burst, crash-in-first-burst, slow-engines (all)")
 	flags.IntVar(&options.Parallel, "parallel", options.Parallel, "number of runs in parallel")
 	flags.StringVar(&out, "out", out, "directory for entries.json and entries.html")
 	return command
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -11,6 +11,7 @@
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/replica"
+	"github.com/umbercrank/umbercrank/pkg/reservation"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -256,6 +257,21 @@
 	s.edge.gateway.RetainPermits(issues)
 }
 
+// CorrectedLoads implements mesh.State.
+func (s state) CorrectedLoads(upstreams []types.UpstreamID) map[types.UpstreamID]placement.Load {
+	return s.edge.gateway.CorrectedLoads(upstreams)
+}
+
+// HandleReservation implements mesh.State.
+func (s state) HandleReservation(from types.InstanceID, change reservation.Change) {
+	s.edge.gateway.ApplyReservation(from, change)
+}
+
+// RetainReservations implements mesh.State.
+func (s state) RetainReservations(keeps func(types.UpstreamID) bool) {
+	s.edge.gateway.RetainReservations(keeps)
+}
+
 // HandleHeartbeat implements mesh.State.
 func (s state) HandleHeartbeat(heartbeat mesh.Heartbeat) {
 	now := s.edge.now()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -55,6 +55,8 @@
 	respondedAt        time.Duration
 	// pause is the time for which the upstream wants no requests.
 	pause time.Duration
+	// reservation is the number of the reservation in force, or zero.
+	reservation uint64
 }
 
 // result is the result of an attempt.
@@ -92,7 +94,7 @@
 		if failure := q.checkParts(); failure != nil {
 			return failure
 		}
-		choice, failure := q.chooseUpstream()
+		choice, failure := q.chooseUpstream(ctx)
 		if failure != nil {
 			return failure
 		}
@@ -124,7 +126,7 @@
 
 // chooseUpstream places the request at an upstream, or returns an error if there is
 // none or the request is not admitted.
-func (q *request) chooseUpstream() (placement.Choice, error) {
+func (q *request) chooseUpstream(ctx context.Context) (placement.Choice, error) {
 	g := q.gateway
 	now := g.options.Clock()
 	if q.remaining() <= 0 {
@@ -141,6 +143,7 @@
 			return placement.Choice{}, refused
 		}
 	}
+	q.updateLoads(ctx, candidates)
 	choice, decision, ok := q.place(candidates)
 	if !ok && q.began != nil {
 		return choice, q.cannotResume("no upstream of the version that began the stream is available")
@@ -244,6 +247,7 @@
 	} else {
 		g.options.Fleet.ReportChange()
 	}
+	a.reserve()
 	q.progress.sends++
 	return a, true
 }
@@ -259,6 +263,7 @@
 		outcome.outcome = roster.Abandoned
 	}
 	a.recordPause()
+	a.endReservation()
 	if ejected := a.rosterAttempt.End(g.options.Clock(), outcome.outcome); ejected > 0 {
 		g.LogEjection(a.choice.ID, ejected, "attempt", string(q.call.ID))
 	}
@@ -398,6 +403,7 @@
 	}
 	a.responded, a.respondedAt = true, a.gateway.options.Clock()
 	a.rosterAttempt.RecordFirstResponse(a.respondedAt)
+	a.endReservation()
 	a.gateway.options.Fleet.ReportChange()
 	if a.timeToFirstResponse == 0 {
 		a.timeToFirstResponse = a.elapsed()
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -94,6 +94,9 @@
 		event = event.Int("priority", q.work.Priority).Int("prompt_tokens", q.work.Tokens).Dur("beside_prefill_ms", q.work.PrefillInterToken).
 			Bool("latency_sensitive", q.work.LatencySensitive()).Dur("longest_gap_ms", q.longestGap)
 	}
+	if q.loadsAsked > 0 {
+		event = event.Int("loads_asked", q.loadsAsked).Int("loads_known", q.loadsKnown).Dur("loads_wait_ms", q.keeperWait)
+	}
 	if q.call.resumes() {
 		event = event.Str("resumes", string(q.call.Resumes)).Str("last_event", q.call.LastEvent)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/reach"
+	"github.com/umbercrank/umbercrank/pkg/reservation"
 	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/transit"
@@ -69,6 +70,12 @@
 	ReportLimit(types.UpstreamID, permit.Observation)
 	// RequestPermit asks for permission to send one request to an upstream with a limit.
 	RequestPermit(ctx context.Context, request permit.Request, limit permit.Observation) (permit.Reply, error)
+	// QueryLoads asks the other instances for the current loads of upstreams. Those that no
+	// instance tells in time are missing.
+	QueryLoads(ctx context.Context, upstreams []types.UpstreamID) map[types.UpstreamID]placement.Load
+	// ReportReservation is called when a long prompt is sent to an upstream, and when the
+	// upstream answers, if the loads were queried.
+	ReportReservation(reservation.Change)
 	// Peers returns the instances that may carry requests of this one.
 	Peers() []reach.Peer
 	// AmongFirst reports whether this instance is among the first ones, in rendezvous order
@@ -115,17 +122,21 @@
 	origins    *origin.Table
 	permits    *permits
 	transit    *transit.Transit
+	// reservationCount numbers the reservations that this instance reports.
+	reservationCount atomic.Uint64
+	reservations     *reservations
 }
 
 // New returns a Gateway that refuses all requests until Apply is called.
 func New(options Options) *Gateway {
 	return &Gateway{
-		options:    options,
-		budgets:    make(map[types.TargetName]*retry.Budget),
-		quarantine: quarantine.NewTable(quarantineSettings(options)),
-		origins:    origin.NewTable(options.Clock()),
-		permits:    newPermits(),
-		transit:    newTransit(options),
+		options:      options,
+		budgets:      make(map[types.TargetName]*retry.Budget),
+		quarantine:   quarantine.NewTable(quarantineSettings(options)),
+		origins:      origin.NewTable(options.Clock()),
+		permits:      newPermits(),
+		transit:      newTransit(options),
+		reservations: newReservations(),
 	}
 }
 
@@ -196,8 +207,14 @@
 	// permitsRefused counts the permits that were refused.
 	retryPaid      bool
 	permitsRefused int
-	tried          map[types.UpstreamID]bool
-	lastUpstream   types.UpstreamID
+	// reserves reports whether the next attempt is reported as a reservation. keeperWait is
+	// how long the request has waited for current loads, of which loadsAsked were asked for
+	// and loadsKnown received.
+	reserves               bool
+	keeperWait             time.Duration
+	loadsAsked, loadsKnown int
+	tried                  map[types.UpstreamID]bool
+	lastUpstream           types.UpstreamID
 	// lastVersion is the software version of lastUpstream.
 	lastVersion types.SoftwareVersion
 	status      int
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,6 +25,7 @@
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/reach"
+	"github.com/umbercrank/umbercrank/pkg/reservation"
 	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -93,13 +95,19 @@
 	peers []reach.Peer
 	// searching is called when the origin of a stream is searched for, unless it is nil.
 	searching func()
+	// size is the number of instances; zero means minBudgetShares.
+	size int
+	// currentLoads are what the keepers of the upstreams' reservations tell.
+	currentLoads map[types.UpstreamID]placement.Load
 
-	mu       sync.Mutex
-	crashes  []quarantine.Entry
-	reported chan struct{}
+	mu      sync.Mutex
+	crashes []quarantine.Entry
+	// reservations are the changes that were reported.
+	reservations []reservation.Change
+	reported     chan struct{}
 }
 
-func (*recordingFleet) Size() int                                { return minBudgetShares }
+func (f *recordingFleet) Size() int                              { return cmp.Or(f.size, minBudgetShares) }
 func (*recordingFleet) ReportChange()                            {}
 func (*recordingFleet) ReportCachedSegments(mesh.CachedSegments) {}
 func (*recordingFleet) ReportStream(origin.Stream)               {}
@@ -119,6 +127,14 @@
 	}
 	return f.issue(request)
 }
+func (f *recordingFleet) QueryLoads(context.Context, []types.UpstreamID) map[types.UpstreamID]placement.Load {
+	return f.currentLoads
+}
+func (f *recordingFleet) ReportReservation(change reservation.Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reservations = append(f.reservations, change)
+}
 func (f *recordingFleet) ReportCrashes(entries []quarantine.Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -147,10 +147,14 @@
 
 // place chooses among the candidates.
 func (q *request) place(candidates []placement.Candidate) (placement.Choice, admission.Decision, bool) {
-	g := q.gateway
 	request := admission.Request{Objective: q.route.Objective, Remaining: q.remaining(), Jitter: rand.Float64()}
-	entry := placement.Entry{DataCentre: g.options.DataCentre, FleetSize: g.options.Fleet.Size()}
-	return admission.Place(request, &q.work, entry, string(q.call.ID), candidates)
+	return admission.Place(request, &q.work, q.entry(), string(q.call.ID), candidates)
+}
+
+// entry describes this instance to the placement.
+func (q *request) entry() placement.Entry {
+	g := q.gateway
+	return placement.Entry{DataCentre: g.options.DataCentre, FleetSize: g.options.Fleet.Size()}
 }
 
 // declineHedge lets the attempt go on alone, and tries again later.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -35,6 +35,8 @@
 	// paths counts the changes of the paths to targets, and the requests that went through a
 	// peer or were carried for one, by outcome.
 	paths *expvar.Map
+	// reservations counts the loads that were asked for, and the reservations reported.
+	reservations *expvar.Map
 
 	mu        sync.Mutex
 	latencies map[catalog.Kind]*hdrhistogram.Histogram
@@ -42,7 +44,7 @@
 
 // NewMetrics returns unpublished metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), pauses: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), pauses: new(expvar.Map).Init(), reservations: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish publishes the metrics with expvar under the name. It must be called only
@@ -57,6 +59,7 @@
 	all.Set("upstream_limits", m.limits)
 	all.Set("paths", m.paths)
 	all.Set("upstream_pauses", m.pauses)
+	all.Set("reservations", m.reservations)
 	all.Set("first_ms", expvar.Func(m.latencySummaries))
 }
 
@@ -67,6 +70,13 @@
 	}
 }
 
+// countReservation counts loads or reservations.
+func (m *Metrics) countReservation(what string, count int) {
+	if m != nil && count > 0 {
+		m.reservations.Add(what, int64(count))
+	}
+}
+
 // countPath counts an event of package transit.
 func (m *Metrics) countPath(outcome string) {
 	if m != nil {
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -18,6 +18,7 @@
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/replica"
+	"github.com/umbercrank/umbercrank/pkg/reservation"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -57,6 +58,14 @@
 	IssuePermit(request permit.Request, share float64) permit.Reply
 	// RetainPermits is called with the upstreams whose permits this instance issues.
 	RetainPermits(issues func(types.UpstreamID) bool)
+	// CorrectedLoads returns the current load of the upstreams, as far as this instance knows
+	// it: the reports with the reservations that it keeps.
+	CorrectedLoads(upstreams []types.UpstreamID) map[types.UpstreamID]placement.Load
+	// HandleReservation records that an instance sends a long prompt to an upstream, or that
+	// the upstream answers.
+	HandleReservation(from types.InstanceID, change reservation.Change)
+	// RetainReservations is called with the upstreams whose reservations this instance keeps.
+	RetainReservations(keeps func(types.UpstreamID) bool)
 	// HandleHeartbeat processes a peer's heartbeat.
 	HandleHeartbeat(heartbeat Heartbeat)
 	// HandleFetched merges items fetched from a peer.
@@ -124,6 +133,8 @@
 	r.Handle(findStreamMethod, m.handleFindStream)
 	r.Handle(limitsMethod, m.handleLimits)
 	r.Handle(permitMethod, m.handlePermit)
+	r.Handle(loadsMethod, m.handleLoads)
+	r.Handle(reservationMethod, m.handleReservation)
 }
 
 // Run sends heartbeats and maintains the membership until ctx is done.
@@ -142,7 +153,7 @@
 		}
 		m.expire()
 		m.updateTopology()
-		m.retainPermits()
+		m.retainKept()
 		select {
 		case <-ctx.Done():
 			m.workers.Wait()
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -19,6 +19,7 @@
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/replica"
+	"github.com/umbercrank/umbercrank/pkg/reservation"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/test/fakes"
 )
@@ -37,6 +38,7 @@
 	origins        map[origin.Key]origin.Origin
 	limits         *permit.Table
 	issuer         *permit.Issuer
+	reservations   *reservation.Table
 	clock          func() time.Duration
 }
 
@@ -114,6 +116,21 @@
 func (s *fakeState) RetainPermits(issues func(types.UpstreamID) bool) {
 	s.withLock(func(s *fakeState) { s.issuer.Retain(issues) })
 }
+func (s *fakeState) CorrectedLoads(upstreams []types.UpstreamID) map[types.UpstreamID]placement.Load {
+	loads := make(map[types.UpstreamID]placement.Load)
+	s.withLock(func(s *fakeState) {
+		for _, id := range upstreams {
+			loads[id] = s.reservations.Correct(s.clock(), id, s.loads[id])
+		}
+	})
+	return loads
+}
+func (s *fakeState) HandleReservation(from types.InstanceID, change reservation.Change) {
+	s.withLock(func(s *fakeState) { s.reservations.Apply(s.clock(), from, change) })
+}
+func (s *fakeState) RetainReservations(keeps func(types.UpstreamID) bool) {
+	s.withLock(func(s *fakeState) { s.reservations.Retain(keeps) })
+}
 func (s *fakeState) HandleFetched(_ string, items []replica.Item) {
 	s.withLock(func(s *fakeState) { s.set.Merge(items) })
 }
@@ -163,7 +180,7 @@
 	id := types.InstanceID(fmt.Sprint("n", i))
 	caller, registrar := f.network.AddNode(address(i), peer.Identity{Instance: id})
 	state := &fakeState{storeReachable: true, serving: true, set: replica.New(), heartbeats: map[types.InstanceID]Heartbeat{}, origins: map[origin.Key]origin.Origin{},
-		limits: permit.NewTable(), issuer: permit.NewIssuer(), clock: func() time.Duration { return time.Since(f.started) }}
+		limits: permit.NewTable(), issuer: permit.NewIssuer(), reservations: reservation.NewTable(KeeperReportAge), clock: func() time.Duration { return time.Since(f.started) }}
 	m := New(Options{
 		Self:   InstanceInfo{ID: id, PeerAddress: address(i), CallerAddress: fmt.Sprint("front", i), Capacity: capacity, DataCentre: types.DataCentre(fmt.Sprint("dc", i%4))},
 		Seeds:  func() []string { return []string{address(0)} },
--- a/pkg/mesh/permits.go
+++ b/pkg/mesh/permits.go
@@ -130,7 +130,7 @@
 // RequestPermit asks the issuer of the upstream's permits for one.
 func (m *Mesh) RequestPermit(ctx context.Context, request permit.Request, limit permit.Observation) (permit.Reply, error) {
 	request.From = m.options.Self.ID
-	address := m.issuer(request.Upstream, m.options.State.Serving())
+	address := m.hubFor(request.Upstream, m.options.State.Serving())
 	if address == m.options.Self.PeerAddress {
 		return m.options.State.IssuePermit(request, m.limitShare()), nil
 	}
@@ -174,7 +174,7 @@
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "malformed request for a permit")
 	}
-	if m.issuer(request.Upstream, m.options.State.Serving()) != m.options.Self.PeerAddress {
+	if m.hubFor(request.Upstream, m.options.State.Serving()) != m.options.Self.PeerAddress {
 		return nil, fault.New(fault.PeerRejected, "this instance does not issue the upstream's permits")
 	}
 	m.options.State.HandleLimits(from.Instance, map[types.UpstreamID]permit.Observation{request.Upstream: request.Limit.observation(m.options.Clock())})
@@ -182,11 +182,12 @@
 	return m.options.State.IssuePermit(request.Request, m.limitShare()), nil
 }
 
-// issuer returns the peer address of the instance that issues the permits of an upstream:
-// the first in rendezvous order among the hubs that are up, or among all instances of a
-// fleet without hubs. Instances that callers are not sent to, such as those that are
-// stopping, come only after all others; serving says this for this instance.
-func (m *Mesh) issuer(upstream types.UpstreamID, serving bool) string {
+// hubFor returns the peer address of the instance that is responsible for an upstream: it
+// issues the upstream's permits and keeps its reservations. It is the first in rendezvous
+// order among the hubs that are up, or among all instances of a fleet without hubs. Instances
+// that callers are not sent to, such as those that are stopping, come only after all others;
+// serving says this for this instance.
+func (m *Mesh) hubFor(upstream types.UpstreamID, serving bool) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	self := m.options.Self
@@ -232,13 +233,15 @@
 	}, count)
 }
 
-// retainPermits makes the state drop the upstreams whose permits this instance no longer
-// issues.
-func (m *Mesh) retainPermits() {
+// retainKept makes the state drop the permits and reservations of upstreams that this
+// instance is no longer responsible for.
+func (m *Mesh) retainKept() {
 	serving := m.options.State.Serving()
-	m.options.State.RetainPermits(func(upstream types.UpstreamID) bool {
-		return m.issuer(upstream, serving) == m.options.Self.PeerAddress
-	})
+	responsible := func(upstream types.UpstreamID) bool {
+		return m.hubFor(upstream, serving) == m.options.Self.PeerAddress
+	}
+	m.options.State.RetainPermits(responsible)
+	m.options.State.RetainReservations(responsible)
 }
 
 // limitShare returns the part of a limit that this instance may issue permits for.
--- a/pkg/mesh/permits_test.go
+++ b/pkg/mesh/permits_test.go
@@ -171,7 +171,7 @@
 		if d.isStopped(i) {
 			continue
 		}
-		found := m.issuer(limitedUpstream, true)
+		found := m.hubFor(limitedUpstream, true)
 		for j := range f.meshes {
 			if address(j) == found {
 				return j
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -32,6 +32,9 @@
 	// segments cached. Two choices spread the load almost evenly, however old the load
 	// reports are.
 	sampleSize = 2
+	// maxCachedShortlisted is the number of engines that a large fleet considers for a long
+	// prompt because they have its shared segments cached, besides the preferred one.
+	maxCachedShortlisted = 2
 	// LongPromptTokens is the prompt length from which prefill takes several full
 	// steps, which delay the tokens of all streams in the same batch.
 	LongPromptTokens = 2 * prefillChunkTokens
@@ -170,6 +173,18 @@
 	}
 }
 
+// Remove subtracts the load of requests of one priority, as far as it is there.
+func (l *Load) Remove(priority int, load PriorityLoad) {
+	held, ok := l.ByPriority[priority]
+	if !ok {
+		return
+	}
+	held.PrefillTokens = max(held.PrefillTokens-load.PrefillTokens, 0)
+	held.Waiting = max(held.Waiting-load.Waiting, 0)
+	held.Running = max(held.Running-load.Running, 0)
+	l.ByPriority[priority] = held
+}
+
 // Empty reports whether there is no load.
 func (l Load) Empty() bool { return len(l.ByPriority) == 0 && l.Overdue == 0 }
 
@@ -224,6 +239,15 @@
 	StepTime time.Duration
 }
 
+// UpdateLoads replaces the requests that run or wait at the candidates by fresher figures.
+func UpdateLoads(candidates []Candidate, loads map[types.UpstreamID]Load) {
+	for i := range candidates {
+		if load, ok := loads[candidates[i].ID]; ok {
+			candidates[i].Load.ByPriority = load.ByPriority
+		}
+	}
+}
+
 // Choice is a placement.
 type Choice struct {
 	ID types.UpstreamID
@@ -255,13 +279,13 @@
 	reserved := reservedEngines(candidates)
 	key := cmp.Or(work.affinityKey(), request)
 	preferred := preferredEngine(work, key, candidates, reserved)
-	sampled := sampleEngines(work, entry, request, candidates)
+	shortlisted := shortlist(work, entry, request, key, preferred, candidates)
 	var best Choice
 	var bestWeight uint64
 	found := false
 	for i := range candidates {
 		candidate := &candidates[i]
-		if sampled != nil && !sampled[candidate.ID] && candidate.ID != preferred && (candidate.CachedTokens == 0 || candidate.CachedTokens < work.sharedTokens()) {
+		if shortlisted != nil && !slices.Contains(shortlisted, candidate.ID) {
 			continue
 		}
 		choice := predict(work, candidate)
@@ -295,18 +319,35 @@
 	return idle
 }
 
-// sampleEngines returns the engines to consider in addition to the preferred one
-// and those that have the shared segments cached; nil means all. Latency-sensitive
-// streams consider all: their prefill is short and they need the reserved engines.
-func sampleEngines(work *Work, entry Entry, request string, candidates []Candidate) map[types.UpstreamID]bool {
+// Shortlist returns the upstreams among which Choose decides, or nil if these are all
+// candidates: an instance of a large fleet considers only a few engines for a long prompt.
+// It does not depend on the requests that run or wait at the candidates.
+func Shortlist(work *Work, entry Entry, request string, candidates []Candidate) []types.UpstreamID {
+	key := cmp.Or(work.affinityKey(), request)
+	return shortlist(work, entry, request, key, preferredEngine(work, key, candidates, reservedEngines(candidates)), candidates)
+}
+
+// shortlist implements Shortlist: the preferred engine, those drawn for the request, and the
+// first ones in rendezvous order of those that have all shared segments cached.
+// Latency-sensitive streams consider all engines: their prefill is short and they need the
+// reserved ones.
+func shortlist(work *Work, entry Entry, request, key string, preferred types.UpstreamID, candidates []Candidate) []types.UpstreamID {
 	if entry.FleetSize <= smallFleetSize || !work.Engine || work.LatencySensitive() || len(candidates) <= sampleSize {
 		return nil
 	}
-	sampled := make(map[types.UpstreamID]bool, sampleSize)
+	list := []types.UpstreamID{preferred}
 	for _, candidate := range rendezvous.OrderOf(request, candidates, candidateID)[:sampleSize] {
-		sampled[candidate.ID] = true
+		if candidate.ID != preferred {
+			list = append(list, candidate.ID)
+		}
+	}
+	cached := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
+		return c.CachedTokens == 0 || c.CachedTokens < work.sharedTokens() || slices.Contains(list, c.ID)
+	})
+	for _, candidate := range rendezvous.OrderOf(key, cached, candidateID)[:min(maxCachedShortlisted, len(cached))] {
+		list = append(list, candidate.ID)
 	}
-	return sampled
+	return list
 }
 
 // preferredEngine returns the engine that caches the shared segments of a session:
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -82,6 +82,9 @@
 	return load
 }
 
+// PrefillTokens returns the number of prompt tokens that the upstream probably prefills.
+func (a *Attempt) PrefillTokens() int { return a.prefillTokens }
+
 // RecordFirstResponse records that the first event or the response has arrived.
 func (a *Attempt) RecordFirstResponse(now time.Duration) {
 	a.roster.mu.Lock()
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -229,6 +229,18 @@
 	return load
 }
 
+// Load returns the load from this instance and its peers at an upstream, and false if the
+// upstream is not listed.
+func (r *Roster) Load(now time.Duration, id types.UpstreamID) (placement.Load, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	upstream, ok := r.upstreams[id]
+	if !ok {
+		return placement.Load{}, false
+	}
+	return r.load(now, upstream), true
+}
+
 // peerLoads yields the loads that peers reported for an upstream and that have not
 // expired. r.mu must be held.
 func (r *Roster) peerLoads(now time.Duration, id types.UpstreamID) iter.Seq[placement.Load] {
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/umbercrank/umbercrank/pkg/placement"
+	"github.com/umbercrank/umbercrank/pkg/reservation"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/standin/engine/model"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -53,6 +54,10 @@
 	// retryAt is the time at which a refused caller retries.
 	retryAt time.Duration
 	tried   map[engineID]bool
+	// reserves reports whether the entry of the request reports its attempts to the
+	// keepers of the engines. Reservation numbers the attempt in progress.
+	reserves    bool
+	reservation uint64
 	// parts holds what the play of crashing parts knows of the request.
 	parts requestParts
 
@@ -110,6 +115,9 @@
 	sessions map[string][]int
 	limits   *limitState
 	parts    *partState
+	// reservations are those of all keepers.
+	reservations     *reservation.Table
+	reservationCount uint64
 }
 
 // engineSlot holds an engine and its state across restarts.
@@ -147,7 +155,8 @@
 		arrivals: rand.New(rand.NewPCG(seed, 7)), random: rand.New(rand.NewPCG(seed, 8)),
 		engines: make(map[engineID]*engineSlot), running: make(map[types.RequestID]*request),
 		roots: make(map[string][]int), sessions: make(map[string][]int),
-		limits: newLimitState(site),
+		limits:       newLimitState(site),
+		reservations: reservation.NewTable(site.ReportDelay + site.ReportInterval/2),
 	}
 	for i := range site.Engines {
 		id := engineID(fmt.Sprintf("e%02d", i))
@@ -281,6 +290,7 @@
 	sim.recordPartCrash(id, interrupted)
 	for _, r := range interrupted {
 		delete(sim.running, r.id)
+		sim.endReservation(r)
 		r.attempt.End(sim.now, roster.Failed)
 		r.engine = ""
 		if r.mayRunAgain() {
@@ -445,6 +455,9 @@
 func (sim *simulation) candidates(r *request) []placement.Candidate {
 	candidates := sim.rosters[r.entry].Candidates(sim.now, roster.Selection{Target: target, Except: r.tried}, &r.work)
 	slices.SortFunc(candidates, func(a, b placement.Candidate) int { return compareEngineIDs(a.ID, b.ID) })
+	if sim.policy == Product {
+		sim.correctLoads(r, candidates)
+	}
 	if sim.policy != FIFO {
 		return candidates
 	}
@@ -477,6 +490,7 @@
 		return false
 	}
 	r.engine, r.attempt = choice.ID, attempt
+	sim.reserve(r)
 	r.executions++
 	sim.recordPartExecution(r)
 	sim.running[r.id] = r
@@ -561,6 +575,7 @@
 	if r.generatedTokens%sim.site.TokensPerEvent == 0 || done {
 		if r.firstEventAt == 0 {
 			r.firstEventAt = at
+			sim.endReservation(r)
 			r.parts.beganAtFirstAttempt = r.callerAttempts == 1
 		} else {
 			r.longestInterEvent = max(r.longestInterEvent, at-r.lastEventAt)
@@ -592,6 +607,7 @@
 			continue
 		}
 		sim.engines[r.engine].engine.Cancel(sim.now, r.id)
+		sim.endReservation(r)
 		r.attempt.End(sim.now, roster.Abandoned)
 		r.outcome = Abandoned
 		delete(sim.running, r.id)
