follow: a series of changes is read in few calls

Cause: every instance watches the store until it knows its hub, and each hub always. A watch returns at the first change, so when a fleet and its upstreams start together, each instance makes a call for each upstream that registers.

Change: a pause after a watch that returned changes, 100 ms after a quiet time, doubled up to 400 ms (readers) or 800 ms (others) while changes follow each other.

A change after a quiet time is known at once, as before.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -63,6 +63,16 @@
 	// others. It bounds the time until a watch that the store has silently dropped
 	// is noticed.
 	readerWatchTimeout = 700 * time.Millisecond
+	// minPause and the two maxima bound the exponentially growing pause after a watch that
+	// returned changes, so that a series of them is read in few calls: when a fleet and its
+	// upstreams start together, each of hundreds of instances would make a call for each
+	// upstream that registers. The instances that read on behalf of the others pause for
+	// less, so that all instances have a change well within 2 s.
+	minPause       = 100 * time.Millisecond
+	maxReaderPause = 400 * time.Millisecond
+	maxPause       = 800 * time.Millisecond
+	// quietTime is the length of a watch after which a change begins a new series.
+	quietTime = 500 * time.Millisecond
 	// peerReadingCheckInterval is the time between two checks of whether a peer
 	// still reads.
 	peerReadingCheckInterval = 300 * time.Millisecond
@@ -92,6 +102,8 @@
 	idleSince    time.Duration
 	listed       bool
 	backoff      time.Duration
+	// pause is the time before the next watch.
+	pause time.Duration
 	// lastAnswer is when the store last answered, or a peer was last known to read.
 	lastAnswer  time.Duration
 	lastFailure time.Duration
@@ -116,6 +128,7 @@
 		err := f.step(ctx)
 		if err == nil {
 			f.recordSuccess()
+			wait.For(ctx, f.pause)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -134,6 +147,7 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
+	began := f.Clock()
 	items, next, err := f.Source.Watch(ctx, f.after, f.watchWait())
 	if errors.Is(err, ErrCompacted) {
 		f.Logger.Info().Str("collection", f.Name).Uint64("after", uint64(f.after)).Msg("history has a gap, reading the collection again")
@@ -145,12 +159,32 @@
 	}
 	f.Sink.Merge(items)
 	f.advance(len(items) > 0, next)
+	f.setPause(len(items) > 0, f.Clock()-began)
 	return nil
 }
 
+// setPause sets the pause after a watch.
+func (f *Follower) setPause(changes bool, took time.Duration) {
+	longest := maxPause
+	if f.reads() {
+		longest = maxReaderPause
+	}
+	switch {
+	case !changes:
+		f.pause = 0
+	case took >= quietTime:
+		f.pause = minPause
+	default:
+		f.pause = min(max(minPause, 2*f.pause), longest)
+	}
+}
+
+// reads reports whether this instance reads on behalf of the others.
+func (f *Follower) reads() bool { return f.IsReader != nil && f.IsReader() }
+
 // watchWait returns how long a watch may wait for changes.
 func (f *Follower) watchWait() time.Duration {
-	if f.IsReader != nil && f.IsReader() {
+	if f.reads() {
 		return readerWatchTimeout
 	}
 	return watchTimeout
@@ -200,7 +234,7 @@
 
 func (f *Follower) recordFailure(err error) {
 	// Entries may have expired without an event while the store was unavailable.
-	f.listed = false
+	f.listed, f.pause = false, 0
 	f.lastFailure = f.Clock()
 	f.backoff = min(max(minBackoff, f.backoff*2), maxBackoff)
 	if !f.unavailable.Load() {
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -246,3 +246,47 @@
 		t.Error("the store counts as unavailable after it was read")
 	}
 }
+
+// TestSeriesOfChangesTakesFewCalls registers 80 upstreams within 2.4 s, as when a platform
+// starts, and changes one of them after a quiet time. Each instance of a fleet of hundreds
+// makes these calls, and a reader must have every change within a second.
+func TestSeriesOfChangesTakesFewCalls(t *testing.T) {
+	for name, reader := range map[string]bool{"reader": true, "other": false} {
+		t.Run(name, func(t *testing.T) {
+			runFollower(t, reader, func(t *testing.T, s *fakeStore, c *recordingSink, _ *Follower) {
+				time.Sleep(time.Second)
+				const upstreams, interval = 80, 30 * time.Millisecond
+				before := s.callCount()
+				for i := range upstreams {
+					s.put(replica.Item{Key: string(rune('A' + i)), Value: []byte{1}})
+					time.Sleep(interval)
+				}
+				const maxCalls = 12
+				if calls := s.callCount() - before; calls > maxCalls {
+					t.Errorf("%d calls for %d changes in %v, at most %d are allowed", calls, upstreams, upstreams*interval, maxCalls)
+				}
+				time.Sleep(time.Second)
+				if got := c.latest(); got != upstreams {
+					t.Errorf("revision %d is known a second after the last change, want %d", got, upstreams)
+				}
+				time.Sleep(3 * time.Second)
+				s.put(replica.Item{Key: "A", Value: []byte{2}})
+				time.Sleep(50 * time.Millisecond)
+				if got := c.latest(); got != upstreams+1 {
+					t.Errorf("a change after a quiet time is not known after 50 ms")
+				}
+			})
+		})
+	}
+}
+
+func (s *fakeStore) callCount() (calls int) {
+	s.update(func(s *fakeStore) { calls = s.calls })
+	return calls
+}
+
+func (c *recordingSink) latest() types.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.set.LatestRevision()
+}
