roster, gateway, mesh: an upstream that says it leaves gets no new requests

Cause: nothing read the statement; only the published list said who leaves. It is late, and says nothing while the store is away.

Change: what an upstream says of itself stands in one place (pkg/roster/statement.go): that it leaves, and the pauses that it asks for, each of one process of the upstream. It outlives a lapse of the entry and ends with the process. Placement, retries, hedges, resumed streams and carried connections all ask the roster, and again right before a request is sent. The first response that says so is logged and reported to the peers (mesh.leaving, relayed by hubs, repeated with each full heartbeat); a release before ignores the message. Values other than 1 are logged and change nothing. If all upstreams leave, callers get a refusal with a time to return. The relation of an update's sender to those it is relayed to stood twice in the mesh; it is one function now.

Before, after: with eight processes and a leaving worker in each of two services, 119 and 72 requests reached them more than 3 s after their process was told; none (TestLeavingWorkersGetNoRequests, failed first).

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -257,6 +257,14 @@
 	s.edge.gateway.RetainPermits(issues)
 }
 
+// Leaving implements mesh.State.
+func (s state) Leaving() []roster.Process { return s.edge.roster.Leaving() }
+
+// HandleLeaving implements mesh.State.
+func (s state) HandleLeaving(from types.InstanceID, processes []roster.Process) []roster.Process {
+	return s.edge.gateway.MergeLeaving(from, processes)
+}
+
 // CorrectedLoads implements mesh.State.
 func (s state) CorrectedLoads(upstreams []types.UpstreamID) map[types.UpstreamID]placement.Load {
 	return s.edge.gateway.CorrectedLoads(upstreams)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -368,6 +368,9 @@
 	if info.ID == q.call.ID && response.Status != http.StatusMisdirectedRequest {
 		a.observeLimit(info)
 	}
+	if (info.ID == q.call.ID || info.ID == "") && response.Status != http.StatusMisdirectedRequest {
+		a.observeLeaving(info)
+	}
 	a.pause = info.Pause
 	if info.InvalidPause != "" {
 		q.gateway.options.Logger.Warn().Str("request", string(q.call.ID)).Str("upstream", string(a.choice.ID)).Str("pause", info.InvalidPause).Msg("upstream names an invalid pause")
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -68,6 +68,8 @@
 	FindStream(ctx context.Context, key origin.Key) (found origin.Origin, ok, conclusive bool)
 	// ReportLimit is called when the limit of an upstream has changed.
 	ReportLimit(types.UpstreamID, permit.Observation)
+	// ReportLeaving is called when a process of an upstream has said that it leaves.
+	ReportLeaving(roster.Process)
 	// RequestPermit asks for permission to send one request to an upstream with a limit.
 	RequestPermit(ctx context.Context, request permit.Request, limit permit.Observation) (permit.Reply, error)
 	// QueryLoads asks the other instances for the current loads of upstreams. Those that no
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -62,6 +62,7 @@
 	if seconds, err := strconv.ParseFloat(upstream.Get("Pause"), 64); err == nil {
 		info.Pause = time.Duration(seconds * float64(time.Second))
 	}
+	info.Leaving = upstream.Get("Leaving") != ""
 	if text := upstream.Get("Limit"); text != "" {
 		if perSecond, err := strconv.ParseFloat(text, 64); err == nil {
 			info.Limit = &permit.Limit{PerSecond: perSecond, Limited: true}
@@ -104,6 +105,7 @@
 	crashes []quarantine.Entry
 	// reservations are the changes that were reported.
 	reservations []reservation.Change
+	leaving      []roster.Process
 	reported     chan struct{}
 }
 
@@ -127,6 +129,11 @@
 	}
 	return f.issue(request)
 }
+func (f *recordingFleet) ReportLeaving(process roster.Process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = append(f.leaving, process)
+}
 func (f *recordingFleet) QueryLoads(context.Context, []types.UpstreamID) map[types.UpstreamID]placement.Load {
 	return f.currentLoads
 }
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -35,6 +35,8 @@
 	// paths counts the changes of the paths to targets, and the requests that went through a
 	// peer or were carried for one, by outcome.
 	paths *expvar.Map
+	// leaving counts the upstreams that said that they leave, by the source.
+	leaving *expvar.Map
 	// reservations counts the loads that were asked for, and the reservations reported.
 	reservations *expvar.Map
 
@@ -44,7 +46,7 @@
 
 // NewMetrics returns unpublished metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), pauses: new(expvar.Map).Init(), reservations: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), pauses: new(expvar.Map).Init(), reservations: new(expvar.Map).Init(), leaving: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish publishes the metrics with expvar under the name. It must be called only
@@ -60,6 +62,7 @@
 	all.Set("paths", m.paths)
 	all.Set("upstream_pauses", m.pauses)
 	all.Set("reservations", m.reservations)
+	all.Set("leaving_upstreams", m.leaving)
 	all.Set("first_ms", expvar.Func(m.latencySummaries))
 }
 
@@ -70,6 +73,13 @@
 	}
 }
 
+// countLeaving counts a statement of an upstream that it leaves.
+func (m *Metrics) countLeaving(source string) {
+	if m != nil {
+		m.leaving.Add(source, 1)
+	}
+}
+
 // countReservation counts loads or reservations.
 func (m *Metrics) countReservation(what string, count int) {
 	if m != nil && count > 0 {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -72,6 +72,10 @@
 	// this instance, or zero. InvalidPause is the text of a time that cannot be used.
 	Pause        time.Duration
 	InvalidPause string
+	// Leaving reports whether the upstream says that it leaves. InvalidLeaving is the text of
+	// such a statement that cannot be used.
+	Leaving        bool
+	InvalidLeaving string
 	// Encoded reports whether the body has a content coding, so that it is not as the
 	// upstream produced it.
 	Encoded bool
--- a/pkg/headervalue/headervalue.go
+++ b/pkg/headervalue/headervalue.go
@@ -43,6 +43,20 @@
 	return time.Duration(seconds * float64(time.Second)), ""
 }
 
+// Flag parses a statement that is made by the value 1. It returns the text for the log if
+// there is another value.
+func Flag(values []string) (set bool, invalid string) {
+	if len(values) == 0 {
+		return false, ""
+	}
+	for _, value := range values {
+		if strings.TrimSpace(value) != "1" {
+			return false, Quote(values)
+		}
+	}
+	return true, ""
+}
+
 // Quote returns the beginning of the values for the log.
 func Quote(values []string) string {
 	text := joined(values)
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -19,6 +19,7 @@
 	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/reservation"
+	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -58,6 +59,11 @@
 	IssuePermit(request permit.Request, share float64) permit.Reply
 	// RetainPermits is called with the upstreams whose permits this instance issues.
 	RetainPermits(issues func(types.UpstreamID) bool)
+	// Leaving returns the processes of upstreams that have said that they leave.
+	Leaving() []roster.Process
+	// HandleLeaving adds the processes that leave according to a peer, and returns those of
+	// which this is new.
+	HandleLeaving(from types.InstanceID, processes []roster.Process) []roster.Process
 	// CorrectedLoads returns the current load of the upstreams, as far as this instance knows
 	// it: the reports with the reservations that it keeps.
 	CorrectedLoads(upstreams []types.UpstreamID) map[types.UpstreamID]placement.Load
@@ -133,6 +139,7 @@
 	r.Handle(findStreamMethod, m.handleFindStream)
 	r.Handle(limitsMethod, m.handleLimits)
 	r.Handle(permitMethod, m.handlePermit)
+	r.Handle(leavingMethod, m.handleLeaving)
 	r.Handle(loadsMethod, m.handleLoads)
 	r.Handle(reservationMethod, m.handleReservation)
 }
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -20,6 +20,7 @@
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/reservation"
+	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/test/fakes"
 )
@@ -39,6 +40,7 @@
 	limits         *permit.Table
 	issuer         *permit.Issuer
 	reservations   *reservation.Table
+	leaving        []roster.Process
 	clock          func() time.Duration
 }
 
@@ -116,6 +118,21 @@
 func (s *fakeState) RetainPermits(issues func(types.UpstreamID) bool) {
 	s.withLock(func(s *fakeState) { s.issuer.Retain(issues) })
 }
+func (s *fakeState) Leaving() (leaving []roster.Process) {
+	s.withLock(func(s *fakeState) { leaving = slices.Clone(s.leaving) })
+	return leaving
+}
+func (s *fakeState) HandleLeaving(_ types.InstanceID, processes []roster.Process) (news []roster.Process) {
+	s.withLock(func(s *fakeState) {
+		for _, process := range processes {
+			if !slices.Contains(s.leaving, process) {
+				news = append(news, process)
+			}
+		}
+		s.leaving = append(s.leaving, news...)
+	})
+	return news
+}
 func (s *fakeState) CorrectedLoads(upstreams []types.UpstreamID) map[types.UpstreamID]placement.Load {
 	loads := make(map[types.UpstreamID]placement.Load)
 	s.withLock(func(s *fakeState) {
--- a/pkg/mesh/permits.go
+++ b/pkg/mesh/permits.go
@@ -117,12 +117,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	switch m.relation(report.From) {
-	case meshPeer:
-	case spoke:
-		m.queueLimits(report.From, changed, func(to relation) bool { return to == spoke || to == otherHub })
-	default:
-		m.queueLimits(report.From, changed, func(to relation) bool { return to == spoke })
+	if include := m.relayScope(report.From); include != nil {
+		m.queueLimits(report.From, changed, include)
 	}
 	return struct{}{}, nil
 }
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -10,6 +10,7 @@
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
+	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -20,6 +21,7 @@
 	entries        []GossipEntry
 	streams        []origin.Stream
 	limits         map[types.UpstreamID]permit.Observation
+	leaving        []roster.Process
 }
 
 // queueUpdates queues updates for the live peers whose relation is included,
@@ -50,19 +52,29 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	switch m.relation(heartbeat.PeerAddress) {
-	case spoke:
-		m.queueUpdates(heartbeat.PeerAddress, updates, func(to relation) bool { return to == spoke || to == otherHub })
-	case meshPeer:
+	include := m.relayScope(heartbeat.PeerAddress)
+	if include == nil {
 		return
-	default:
-		m.queueUpdates(heartbeat.PeerAddress, updates, func(to relation) bool { return to == spoke })
 	}
+	m.queueUpdates(heartbeat.PeerAddress, updates, include)
 	if len(entries) > 0 {
 		m.wakeSenders()
 	}
 }
 
+// relayScope returns which peers an update from the given one is relayed to, or nil in a
+// full mesh. m.mu must be held.
+func (m *Mesh) relayScope(from string) func(to relation) bool {
+	switch m.relation(from) {
+	case meshPeer:
+		return nil
+	case spoke:
+		return func(to relation) bool { return to == spoke || to == otherHub }
+	default:
+		return func(to relation) bool { return to == spoke }
+	}
+}
+
 // handleHeartbeat processes a peer's heartbeat.
 func (m *Mesh) handleHeartbeat(_ context.Context, _ peer.Identity, params json.RawMessage) (any, error) {
 	var heartbeat Heartbeat
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -59,6 +59,9 @@
 		if err == nil && relation != distant {
 			err = m.sendLimits(ctx, address, to, full)
 		}
+		if err == nil && relation != distant {
+			err = m.sendLeaving(ctx, address, to, full)
+		}
 		shortest := sched.minInterval
 		if err != nil {
 			shortest = max(downRetryInterval, shortest)
@@ -190,7 +193,7 @@
 	heartbeat.CachedSegments = to.pending.cachedSegments
 	heartbeat.QuarantineEntries = append(heartbeat.QuarantineEntries, to.pending.quarantined...)
 	heartbeat.Gossip = to.pending.entries
-	to.pending = pending{streams: to.pending.streams, limits: to.pending.limits}
+	to.pending = pending{streams: to.pending.streams, limits: to.pending.limits, leaving: to.pending.leaving}
 	if full {
 		heartbeat.Gossip = m.gossipEntries()
 	}
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -128,16 +128,27 @@
 	return ejected
 }
 
-// Pause records that the upstream wants no requests for a time, unless another process has
-// taken its place since the attempt began.
+// Pause records that the upstream wants no requests from this instance for a time.
 func (a *Attempt) Pause(now, pause time.Duration) {
 	a.roster.mu.Lock()
 	defer a.roster.mu.Unlock()
 	if a.upstream != nil {
-		a.upstream.pausedUntil = max(a.upstream.pausedUntil, now+pause)
+		a.roster.state(a.upstream.process(), func(s *statement) { s.pausedUntil = max(s.pausedUntil, now+pause) })
 	}
 }
 
+// Leave records that the upstream has said that it leaves. It returns the process, and whether
+// that is new.
+func (a *Attempt) Leave() (Process, bool) {
+	a.roster.mu.Lock()
+	defer a.roster.mu.Unlock()
+	if a.upstream == nil {
+		return Process{}, false
+	}
+	process := a.upstream.process()
+	return process, a.roster.leave(process)
+}
+
 // Version returns the software version of the upstream, or false if it is unknown: the
 // upstream was not listed at Begin, or its entry has been replaced since by that of
 // another process.
@@ -147,7 +158,7 @@
 	if a.upstream == nil {
 		return "", false
 	}
-	if current, ok := a.roster.upstreams[a.upstream.ID]; ok && !current.isProcessOf(a.upstream.Upstream) {
+	if current, ok := a.roster.upstreams[a.upstream.ID]; ok && current.process() != a.upstream.process() {
 		return "", false
 	}
 	return a.upstream.Version, true
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -54,9 +54,9 @@
 	StartedUnixMilli int64
 }
 
-// isProcessOf reports whether two entries with the same ID describe the same process.
-func (u Upstream) isProcessOf(other Upstream) bool {
-	return u.StartedUnixMilli == other.StartedUnixMilli && u.Address == other.Address && u.Version == other.Version
+// process returns the process that the entry describes.
+func (u Upstream) process() Process {
+	return Process{Upstream: u.ID, StartedUnixMilli: u.StartedUnixMilli, Address: u.Address, Version: u.Version}
 }
 
 // Outcome is the result of an attempt with regard to the upstream's health.
@@ -92,8 +92,6 @@
 	stepTime     *estimate.Quantile
 	ejection     time.Duration
 	ejectedUntil time.Duration
-	// pausedUntil is the end of the longest pause that the upstream has asked for.
-	pausedUntil time.Duration
 }
 
 // peerReport is the latest load report of a peer.
@@ -107,6 +105,8 @@
 	mu        sync.Mutex
 	upstreams map[types.UpstreamID]*upstreamState
 	peers     map[types.InstanceID]peerReport
+	// statements has what upstreams say of themselves.
+	statements map[types.UpstreamID]statement
 	// timings has the estimates of each target with engines.
 	timings map[types.TargetName]*timing
 }
@@ -114,9 +114,10 @@
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
-		upstreams: make(map[types.UpstreamID]*upstreamState),
-		peers:     make(map[types.InstanceID]peerReport),
-		timings:   make(map[types.TargetName]*timing),
+		upstreams:  make(map[types.UpstreamID]*upstreamState),
+		peers:      make(map[types.InstanceID]peerReport),
+		statements: make(map[types.UpstreamID]statement),
+		timings:    make(map[types.TargetName]*timing),
 	}
 }
 
@@ -128,7 +129,7 @@
 	upstreams := make(map[types.UpstreamID]*upstreamState, len(list))
 	for _, upstream := range list {
 		known, ok := r.upstreams[upstream.ID]
-		if !ok || !known.isProcessOf(upstream) {
+		if !ok || known.process() != upstream.process() {
 			known = &upstreamState{
 				attempts:       make(map[*Attempt]struct{}),
 				cachedSegments: make(map[string]time.Duration),
@@ -139,6 +140,7 @@
 		upstreams[upstream.ID] = known
 	}
 	r.upstreams = upstreams
+	r.dropStatements()
 }
 
 // ReadyCount returns the number of upstreams that accept work.
@@ -147,7 +149,7 @@
 	defer r.mu.Unlock()
 	count := 0
 	for _, upstream := range r.upstreams {
-		if upstream.Ready {
+		if r.accepts(upstream) {
 			count++
 		}
 	}
@@ -163,7 +165,7 @@
 }
 
 func (s Selection) includes(upstream *upstreamState) bool {
-	return upstream.Target == s.Target && upstream.Ready && !s.Except[upstream.ID] && (s.Version == nil || upstream.Version == *s.Version)
+	return upstream.Target == s.Target && !s.Except[upstream.ID] && (s.Version == nil || upstream.Version == *s.Version)
 }
 
 // Candidates returns the selected upstreams that may run the work, without those that have
@@ -173,7 +175,7 @@
 	defer r.mu.Unlock()
 	var candidates, ejected []placement.Candidate
 	for _, upstream := range r.upstreams {
-		if !selection.includes(upstream) || now < upstream.pausedUntil {
+		if !selection.includes(upstream) || !r.accepts(upstream) || r.pauseOf(now, upstream) > 0 {
 			continue
 		}
 		candidate := placement.Candidate{
@@ -198,28 +200,6 @@
 	return candidates
 }
 
-// Paused returns the selected upstreams that have asked for a pause, with the remaining time.
-func (r *Roster) Paused(now time.Duration, selection Selection) map[types.UpstreamID]time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	paused := make(map[types.UpstreamID]time.Duration)
-	for id, upstream := range r.upstreams {
-		if selection.includes(upstream) && now < upstream.pausedUntil {
-			paused[id] = upstream.pausedUntil - now
-		}
-	}
-	return paused
-}
-
-// Pause records that the upstream wants no requests from this instance for a time.
-func (r *Roster) Pause(now time.Duration, id types.UpstreamID, pause time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if upstream, ok := r.upstreams[id]; ok {
-		upstream.pausedUntil = max(upstream.pausedUntil, now+pause)
-	}
-}
-
 // load returns the load from this instance and its peers at the upstream.
 func (r *Roster) load(now time.Duration, upstream *upstreamState) placement.Load {
 	load := upstream.localLoad(now)
@@ -290,7 +270,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	upstream, ok := r.upstreams[id]
-	if !ok || !upstream.Ready || now < upstream.pausedUntil {
+	if !ok || !r.accepts(upstream) || r.pauseOf(now, upstream) > 0 {
 		return Upstream{}, false
 	}
 	return upstream.Upstream, true
@@ -302,7 +282,7 @@
 	defer r.mu.Unlock()
 	var ready []Upstream
 	for _, upstream := range r.upstreams {
-		if upstream.Ready && upstream.Target == target {
+		if r.accepts(upstream) && upstream.Target == target {
 			ready = append(ready, upstream.Upstream)
 		}
 	}
