admission: a prompt that would be late after a long wait is refused

Cause: a request was admitted up to a wait of 0.9 of its objective, whatever its own prefill takes. In a burst that the engines cannot prefill the wait settles there, so that nearly every prompt is late by its own prefill, and more than half of the answers that callers wait for are worth less than a third.

Change: after a wait of more than half of the objective, a request is admitted only if its first event is predicted within the objective. Up to that wait its length does not count, so that the longest prompts are not the ones that are refused. A refused caller is told to return when the wait is over. Beside less urgent work nothing changes. The keeper's correction now removes only after it has added, so that it does not depend on the order of its table.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -16,6 +16,9 @@
 	// maxWaitShare is the share of the objective that a request may wait before
 	// its prefill starts. The rest is needed for the prefill.
 	maxWaitShare = 0.9
+	// shortWaitShare is the share of the objective that a request may wait however long its
+	// own prefill takes, so that the longest prompts are not always shed.
+	shortWaitShare = 0.5
 	// maxUrgentWaitShare replaces maxWaitShare while less urgent work is served:
 	// that work is shed first. Callers abandon a stream that has not started after
 	// four times its objective, or two seconds.
@@ -47,19 +50,28 @@
 	RetryAfter time.Duration
 }
 
-// Decide admits the request if its wait leaves time for the objective. The
-// length of its own prompt does not count, because otherwise long requests would
-// always be shed first.
+// Decide admits the request if its wait leaves time for the objective, also for its own
+// prefill unless the wait is short. In a burst that the engines cannot prefill in time, a
+// request that is late anyway would make those behind it late as well.
 func Decide(request Request, choice placement.Choice) Decision {
 	share := maxWaitShare
 	if choice.LessUrgentWork {
 		share = maxUrgentWaitShare
 	}
 	bound := max(time.Duration(share*float64(request.Objective)), minWaitBound)
-	if choice.Wait <= bound && choice.Wait < request.Remaining {
-		return Decision{Admit: true}
+	switch {
+	case choice.Wait > bound || choice.Wait >= request.Remaining:
+		return Decision{RetryAfter: RetryAfter(request, choice.Wait-bound/2)}
+	case !choice.LessUrgentWork && !inTime(request, choice):
+		return Decision{RetryAfter: RetryAfter(request, choice.Wait)}
 	}
-	return Decision{RetryAfter: RetryAfter(request, choice.Wait-bound/2)}
+	return Decision{Admit: true}
+}
+
+// inTime reports whether a request may be sent with regard to its own prefill.
+func inTime(request Request, choice placement.Choice) bool {
+	shortWait := max(time.Duration(shortWaitShare*float64(request.Objective)), minWaitBound)
+	return choice.Wait <= shortWait || choice.FirstResponse <= request.Objective
 }
 
 // Place chooses an upstream for the request and decides whether it is admitted.
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -25,6 +25,30 @@
 	}
 }
 
+// TestLateRequestIsShed checks the waits up to which a request is admitted that is late because
+// of its own prefill.
+func TestLateRequestIsShed(t *testing.T) {
+	const objective = 600 * time.Millisecond
+	for name, c := range map[string]struct {
+		wait, prefill  time.Duration
+		lessUrgentWork bool
+		admit          bool
+	}{
+		"in time":                         {400 * time.Millisecond, 150 * time.Millisecond, false, true},
+		"late after a wait":               {400 * time.Millisecond, 250 * time.Millisecond, false, false},
+		"late without a wait":             {0, 3 * time.Second, false, true},
+		"late after a short wait":         {150 * time.Millisecond, 3 * time.Second, false, true},
+		"late beside less urgent work":    {400 * time.Millisecond, 250 * time.Millisecond, true, true},
+		"waits for most of the objective": {560 * time.Millisecond, 10 * time.Millisecond, false, false},
+	} {
+		choice := placement.Choice{Wait: c.wait, FirstResponse: c.wait + c.prefill, LessUrgentWork: c.lessUrgentWork}
+		decision := Decide(Request{Objective: objective, Remaining: 5 * time.Second}, choice)
+		if decision.Admit != c.admit || !c.admit && decision.RetryAfter < minRetryAfter {
+			t.Errorf("%s: %+v", name, decision)
+		}
+	}
+}
+
 func TestRetryAfterIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		request := Request{
--- a/pkg/reservation/reservation.go
+++ b/pkg/reservation/reservation.go
@@ -98,15 +98,19 @@
 func (t *Table) Correct(now time.Duration, upstream types.UpstreamID, reported placement.Load) placement.Load {
 	var corrected placement.Load
 	corrected.Add(reported)
+	var answered []entry
 	for _, held := range t.upstreams[upstream] {
 		inReport := now-held.startedAt >= t.reportAge
 		switch {
 		case held.endedAt < 0 && !inReport:
 			corrected.Add(placement.Load{ByPriority: map[int]placement.PriorityLoad{held.priority: held.load}})
 		case held.endedAt >= 0 && inReport && now-held.endedAt < t.reportAge:
-			corrected.Remove(held.priority, held.load)
+			answered = append(answered, held)
 		}
 	}
+	for _, held := range answered {
+		corrected.Remove(held.priority, held.load)
+	}
 	return corrected
 }
 
--- a/pkg/simulate/reservations_test.go
+++ b/pkg/simulate/reservations_test.go
@@ -43,3 +43,35 @@
 		})
 	}
 }
+
+// TestBurstIsAnsweredInTime plays a burst of long prompts that the engines cannot prefill,
+// and the crash of a quarter of them. A late answer is worth less than a third of one in time,
+// so that most of the answers must be in time, and more requests must not be refused for it
+// than the acceptance criteria of the deployment allow, the longest ones least of all.
+func TestBurstIsAnsweredInTime(t *testing.T) {
+	const seeds, minInTime, maxUnserved, minLargestServed = 3, 0.5, 0.6, 0.5
+	for _, entries := range []int{9, 61, 195, 350} {
+		t.Run(fmt.Sprint("entries=", entries), func(t *testing.T) {
+			t.Parallel()
+			s, day := scaledLargeSite(t, entries)
+			if entries <= fullMeshLimit {
+				s.ReportInterval, s.ReportDelay = directReportInterval, 0
+			}
+			inTime, late := 0, 0
+			for seed := range uint64(seeds) {
+				got := simulate(s, day, 1, Product, seed+1).metrics().ByKind[LongPrompts]
+				t.Logf("seed %d: %+v", seed+1, got)
+				inTime, late = inTime+got.InTime, late+got.Late
+				if unservedShare(got) > maxUnserved {
+					t.Errorf("seed %d: %.2f of the long prompts get no answer, %.2f are allowed", seed+1, unservedShare(got), maxUnserved)
+				}
+				if got.LargestServedRatio < minLargestServed {
+					t.Errorf("seed %d: the longest tenth is served %.2f times as often as all; at least %.2f is required", seed+1, got.LargestServedRatio, minLargestServed)
+				}
+			}
+			if share := float64(inTime) / float64(inTime+late); share < minInTime {
+				t.Errorf("%.2f of the answers to long prompts are in time; at least %.2f is required", share, minInTime)
+			}
+		})
+	}
+}
