roster: a segment counts as cached once the engine has prefilled it

Cause: a prompt's shared segments counted as cached at an engine from the moment the first request with them was sent there. Requests of the session that the engine admits until it has prefilled them are prefilled as a whole, so the predicted wait was too short just when many of them arrive: in the first second of a burst and after the restart of an engine.

Change: they count, here and at the peers, from the first event of the answer on. The report to the peers keeps its form.

TestSegmentsAreCachedOnceAnswered failed first.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -242,11 +242,7 @@
 	a := &attempt{request: q, ctx: ctx, choice: choice, to: to, sentAt: now, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
 	a.exchangeCtx, a.cancel = context.WithCancel(ctx)
 	a.alarm = exchange.NewAlarm(a.handleSilence)
-	if segments := roster.SharedSegments(q.work.Segments); len(segments) > 0 {
-		g.options.Fleet.ReportCachedSegments(mesh.CachedSegments{Upstream: choice.ID, Segments: segments})
-	} else {
-		g.options.Fleet.ReportChange()
-	}
+	g.options.Fleet.ReportChange()
 	a.reserve()
 	q.progress.sends++
 	return a, true
@@ -407,7 +403,11 @@
 	a.responded, a.respondedAt = true, a.gateway.options.Clock()
 	a.rosterAttempt.RecordFirstResponse(a.respondedAt)
 	a.endReservation()
-	a.gateway.options.Fleet.ReportChange()
+	if segments := roster.SharedSegments(a.work.Segments); len(segments) > 0 {
+		a.gateway.options.Fleet.ReportCachedSegments(mesh.CachedSegments{Upstream: a.choice.ID, Segments: segments})
+	} else {
+		a.gateway.options.Fleet.ReportChange()
+	}
 	if a.timeToFirstResponse == 0 {
 		a.timeToFirstResponse = a.elapsed()
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -58,8 +58,8 @@
 	// ReportChange is called when the load that this instance puts on an upstream
 	// changes.
 	ReportChange()
-	// ReportCachedSegments is called instead of ReportChange when the prompt of a
-	// request has segments that other requests may share.
+	// ReportCachedSegments is called instead of ReportChange when an upstream begins to
+	// answer a request whose prompt has segments that other requests may share.
 	ReportCachedSegments(mesh.CachedSegments)
 	// ReportStream is called with the origin of a stream when its first event arrives.
 	ReportStream(origin.Stream)
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -37,8 +37,8 @@
 	AgeMilliseconds int64 `json:"age"`
 }
 
-// CachedSegments reports which segments of a prompt an upstream has started to
-// prefill and therefore caches.
+// CachedSegments reports which segments of a prompt an upstream has prefilled and
+// therefore caches.
 type CachedSegments struct {
 	Upstream types.UpstreamID `json:"u"`
 	Segments []string         `json:"p"`
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -264,8 +264,8 @@
 	}
 }
 
-// ReportCachedSegments reports to the peers that an upstream has started to
-// prefill segments of a prompt.
+// ReportCachedSegments reports to the peers that an upstream has prefilled segments of a
+// prompt.
 func (m *Mesh) ReportCachedSegments(segments CachedSegments) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -24,7 +24,10 @@
 	prefillTokens  int
 	priority       int
 	sensitive      bool
-	running        bool
+	// segments are the prompt segments that the upstream has cached once it answers. Requests
+	// that arrive before are prefilled as a whole.
+	segments []string
+	running  bool
 	// lastEventAt is the time of the last event of a stream, and besidePrefill
 	// whether the engine had a long prompt of another request to prefill then.
 	lastEventAt   time.Duration
@@ -51,9 +54,9 @@
 		prefillTokens:  max(work.Tokens-upstream.cachedTokens(now, work), 0),
 		priority:       work.Priority,
 		sensitive:      work.LatencySensitive(),
+		segments:       SharedSegments(work.Segments),
 	}
 	upstream.attempts[a] = struct{}{}
-	upstream.markCached(now, SharedSegments(work.Segments))
 	return a
 }
 
@@ -93,6 +96,7 @@
 		return
 	}
 	a.running = true
+	a.upstream.markCached(now, a.segments)
 	if a.predicted <= 0 {
 		return
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -351,7 +351,7 @@
 	delete(r.peers, peer)
 }
 
-// AddCachedSegments records that the upstream prefills the prompt segments and caches
+// AddCachedSegments records that the upstream has prefilled the prompt segments and caches
 // them.
 func (r *Roster) AddCachedSegments(now time.Duration, id types.UpstreamID, segments []string) {
 	r.mu.Lock()
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -256,3 +256,20 @@
 	attempt.Pause(4*time.Second, time.Minute)
 	offered(4*time.Second, "a", "b")
 }
+
+// TestSegmentsAreCachedOnceAnswered guards against a prediction that is too short for the
+// requests of a session that an engine gets while it prefills the first one.
+func TestSegmentsAreCachedOnceAnswered(t *testing.T) {
+	r := newRoster("a")
+	first := r.Begin(0, prompt(0), placement.Choice{ID: "a", FirstResponse: time.Second})
+	if got := candidate(t, r, 0, "a").CachedTokens; got != 0 {
+		t.Errorf("%d tokens count as cached while they are prefilled", got)
+	}
+	if got := r.Begin(0, prompt(0), placement.Choice{ID: "a"}).PrefillTokens(); got != 300 {
+		t.Errorf("a second request of the session counts as %d tokens to prefill, want all 300", got)
+	}
+	first.RecordFirstResponse(time.Second)
+	if got := candidate(t, r, time.Second, "a").CachedTokens; got != 100 {
+		t.Errorf("%d tokens are cached after the answer began, want 100", got)
+	}
+}
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -495,7 +495,6 @@
 	sim.recordPartExecution(r)
 	sim.running[r.id] = r
 	sim.runningOrder = append(sim.runningOrder, r)
-	sim.unreportedSegments = append(sim.unreportedSegments, segmentsReport{r.entry, choice.ID, roster.SharedSegments(r.work.Segments)})
 	slot.engine.Submit(sim.now, model.Request{ID: r.id, PromptTokens: r.work.Tokens + r.generatedTokens, OutputTokens: r.outputTokens - r.generatedTokens, Priority: r.kind.Priority, Segments: r.segments})
 	return true
 }
@@ -575,6 +574,7 @@
 	if r.generatedTokens%sim.site.TokensPerEvent == 0 || done {
 		if r.firstEventAt == 0 {
 			r.firstEventAt = at
+			sim.unreportedSegments = append(sim.unreportedSegments, segmentsReport{r.entry, r.engine, roster.SharedSegments(r.work.Segments)})
 			sim.endReservation(r)
 			r.parts.beganAtFirstAttempt = r.callerAttempts == 1
 		} else {
