--- a/pkg/dispatch/granter.go
+++ b/pkg/dispatch/granter.go
@@ -1,7 +1,3 @@
-// Package dispatch transports the events and actions of pools between the
-// entries, which hold the requests, and the dispatchers, which decide when they
-// start. It locates the dispatcher of a pool, fails over to another one, and
-// rebuilds the state of a new dispatcher from the entries.
 package dispatch
 
 import (
--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -94,6 +94,9 @@
 	ConflictingRevision Code = "conflicting_revision"
 	// MissingPart: a part of a document could not be fetched.
 	MissingPart Code = "missing_part"
+	// HistoryCompacted: the configuration service no longer has the changes that a watch
+	// asked for, so the collection must be read again.
+	HistoryCompacted Code = "history_compacted"
 	// PlatformUnavailable: the configuration service did not answer.
 	PlatformUnavailable Code = "platform_unavailable"
 	// PeerUnavailable: another instance did not answer.
@@ -155,6 +158,7 @@
 	StaleRevision:        {http.StatusConflict, types.NotRun},
 	ConflictingRevision:  {http.StatusConflict, types.NotRun},
 	MissingPart:          {http.StatusInternalServerError, types.NotRun},
+	HistoryCompacted:     {http.StatusGone, types.NotRun},
 	PlatformUnavailable:  {http.StatusServiceUnavailable, types.NotRun},
 	PeerUnavailable:      {http.StatusServiceUnavailable, types.MayHaveRun},
 	PeerRejected:         {http.StatusBadGateway, types.NotRun},
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -5,14 +5,15 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/wait"
@@ -20,7 +21,7 @@
 
 // ErrCompacted is returned by Watch if the store no longer has the changes after
 // the requested revision.
-var ErrCompacted = errors.New("the store has compacted the changes after this revision")
+var ErrCompacted = fault.New(fault.HistoryCompacted, "the store has compacted the changes after this revision")
 
 // Source reads one published collection.
 type Source interface {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -1,6 +1,3 @@
-// Package gateway forwards HTTP requests of callers to upstreams and passes the
-// responses back, both byte for byte. For each request it determines the route and the
-// client account, chooses an upstream and retries where the route allows it.
 package gateway
 
 import (
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -1,7 +1,3 @@
-// Package mesh connects the instances of a fleet without a static member list.
-// Each instance is given a few seeds, discovers the others by gossip, and sends
-// them heartbeats that report its own state and load. An instance whose copy of a
-// published collection is behind fetches the newer items from a peer.
 package mesh
 
 import (
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,3 +1,7 @@
+// Package quarantine stops requests that repeatedly crash upstreams. It records
+// the fingerprints of requests that were running when an upstream crashed,
+// condemns a request after enough crashes, and shares suspected and condemned
+// fingerprints with the other instances.
 package quarantine
 
 import (
