--- a/pkg/simulate/reservations.go
+++ b/pkg/simulate/reservations.go
@@ -13,7 +13,7 @@
 // correctLoads replaces the loads of the engines that the request's entry considers by what
 // their keepers know. A round trip to a keeper takes no time here.
 func (sim *simulation) correctLoads(r *request, candidates []placement.Candidate) {
-	if sim.site.IgnoreReservations || sim.site.IgnoreFleetSize {
+	if sim.site.IgnoreFleetSize {
 		return
 	}
 	shortlist := placement.Shortlist(&r.work, placement.Entry{FleetSize: sim.site.Entries}, string(r.id), candidates)
--- a/pkg/simulate/site.go
+++ b/pkg/simulate/site.go
@@ -84,8 +84,6 @@
 	ReportDelay time.Duration
 	// IgnoreFleetSize makes each entry place requests as if it were the only one.
 	IgnoreFleetSize bool
-	// IgnoreReservations makes the entries place long prompts by the load reports alone.
-	IgnoreReservations bool
 	// IgnoreLimits makes the entries ignore the limits of engines.
 	IgnoreLimits bool
 	// IgnoreCrashingParts makes the entries ignore crashes that a part of a prompt
