--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -164,7 +164,7 @@
 		}
 		m.expire()
 		m.updateTopology()
-		m.retainKept()
+		m.retainResponsible()
 		select {
 		case <-ctx.Done():
 			m.workers.Wait()
--- a/pkg/mesh/permits.go
+++ b/pkg/mesh/permits.go
@@ -229,9 +229,9 @@
 	}, count)
 }
 
-// retainKept makes the state drop the permits and reservations of upstreams that this
+// retainResponsible makes the state drop the permits and reservations of upstreams that this
 // instance is no longer responsible for.
-func (m *Mesh) retainKept() {
+func (m *Mesh) retainResponsible() {
 	serving := m.options.State.Serving()
 	responsible := func(upstream types.UpstreamID) bool {
 		return m.hubFor(upstream, serving) == m.options.Self.PeerAddress
