mesh, gateway: one loop over an update's recipients, a cheap check of what is listed

The loop that skips the sender, lost peers and other relations stood three times in the mesh (updates, limits, leaving upstreams); recipients is it now. A keeper added up the reports of all peers for each reservation, only to learn whether the upstream is listed; Roster.Listed looks it up. No behaviour changes.

--- a/pkg/gateway/reservations.go
+++ b/pkg/gateway/reservations.go
@@ -39,13 +39,12 @@
 
 // ApplyReservation records a reservation of an instance at a listed upstream.
 func (g *Gateway) ApplyReservation(from types.InstanceID, change reservation.Change) {
-	now := g.options.Clock()
-	if _, ok := g.options.Roster.Load(now, change.Upstream); !ok {
+	if !g.options.Roster.Listed(change.Upstream) {
 		return
 	}
 	g.reservations.mu.Lock()
 	defer g.reservations.mu.Unlock()
-	g.reservations.table.Apply(now, from, change)
+	g.reservations.table.Apply(g.options.Clock(), from, change)
 }
 
 // RetainReservations drops the upstreams whose reservations this instance no longer keeps.
--- a/pkg/mesh/leaving.go
+++ b/pkg/mesh/leaving.go
@@ -29,10 +29,7 @@
 // queueLeaving queues processes for the live peers whose relation is included, except for
 // the peer they came from. m.mu must be held.
 func (m *Mesh) queueLeaving(from string, processes []roster.Process, include func(to relation) bool) {
-	for address, member := range m.members {
-		if address == from || member.down || !include(m.relation(address)) {
-			continue
-		}
+	for member := range m.recipients(from, include) {
 		member.pending.leaving = appendBounded(member.pending.leaving, processes)
 		member.wakeSender()
 	}
--- a/pkg/mesh/permits.go
+++ b/pkg/mesh/permits.go
@@ -65,10 +65,7 @@
 // queueLimits queues limits for the live peers whose relation is included, except for the
 // peer they came from. m.mu must be held.
 func (m *Mesh) queueLimits(from string, limits map[types.UpstreamID]permit.Observation, include func(to relation) bool) {
-	for address, member := range m.members {
-		if address == from || member.down || !include(m.relation(address)) {
-			continue
-		}
+	for member := range m.recipients(from, include) {
 		if member.pending.limits == nil {
 			member.pending.limits = make(map[types.UpstreamID]permit.Observation)
 		}
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"iter"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -27,16 +28,25 @@
 // queueUpdates queues updates for the live peers whose relation is included,
 // except for the peer they came from. m.mu must be held.
 func (m *Mesh) queueUpdates(from string, updates pending, include func(to relation) bool) {
-	for address, member := range m.members {
-		if address == from || member.down || !include(m.relation(address)) {
-			continue
-		}
+	for member := range m.recipients(from, include) {
 		member.pending.cachedSegments = appendBounded(member.pending.cachedSegments, updates.cachedSegments)
 		member.pending.quarantined = appendBounded(member.pending.quarantined, updates.quarantined)
 		member.pending.entries = appendBounded(member.pending.entries, updates.entries)
 	}
 }
 
+// recipients yields the live peers whose relation is included, except for the peer that an
+// update came from. m.mu must be held.
+func (m *Mesh) recipients(from string, include func(to relation) bool) iter.Seq[*memberState] {
+	return func(yield func(*memberState) bool) {
+		for address, member := range m.members {
+			if address != from && !member.down && include(m.relation(address)) && !yield(member) {
+				return
+			}
+		}
+	}
+}
+
 // appendBounded appends updates up to a length of maxPending and drops the rest.
 func appendBounded[T any](list, updates []T) []T {
 	return append(list, updates[:min(max(maxPending-len(list), 0), len(updates))]...)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -209,6 +209,14 @@
 	return load
 }
 
+// Listed reports whether the upstream is in the published list.
+func (r *Roster) Listed(id types.UpstreamID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.upstreams[id]
+	return ok
+}
+
 // Load returns the load from this instance and its peers at an upstream, and false if the
 // upstream is not listed.
 func (r *Roster) Load(now time.Duration, id types.UpstreamID) (placement.Load, bool) {
