test/fixedseed: property tests use the same seed in each run

Change: a test file that uses rapid imports test/fixedseed, which sets the flag -rapid.seed unless it or RAPID_SEED is given.

Result: the same histories in each run. The history that was drawn is a test of its own.

--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/placement"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 func TestDecideIgnoresPromptLength(t *testing.T) {
--- a/pkg/catalog/priority_test.go
+++ b/pkg/catalog/priority_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // newPrioritized returns a catalog with the given routes' priorities and accounts'
--- a/pkg/config/compile_test.go
+++ b/pkg/config/compile_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // largeAccounts is the number of client accounts of the design size.
--- a/pkg/dispatch/requesttable_test.go
+++ b/pkg/dispatch/requesttable_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 const testEntry types.Incarnation = "entry"
--- a/pkg/dispatch/route_test.go
+++ b/pkg/dispatch/route_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 func pools(centres ...types.DataCentre) []types.PoolID {
--- a/pkg/dispatch/silence_test.go
+++ b/pkg/dispatch/silence_test.go
@@ -12,6 +12,7 @@
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // tieredDocument returns a configuration with a preemptible class and an urgent one, and
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -18,6 +18,7 @@
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/wait"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
--- a/pkg/estimate/quantile_test.go
+++ b/pkg/estimate/quantile_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 const windowSize = 512
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
 	"pgregory.net/rapid"
 )
--- a/pkg/gateway/ending_test.go
+++ b/pkg/gateway/ending_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // closingListener accepts connections whose first Close calls closing before it closes.
--- a/pkg/gateway/forward_test.go
+++ b/pkg/gateway/forward_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // script defines how an upstream responds to one request.
--- a/pkg/idempotency/rapid_test.go
+++ b/pkg/idempotency/rapid_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // atMostOnceModel is the reference model of a Table: each key executes at most
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 func newTestTable(now time.Time) *table {
--- a/pkg/permit/issuer_test.go
+++ b/pkg/permit/issuer_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // The bound of an upstream on the requests of the whole fleet in any window.
--- a/pkg/permit/limit_test.go
+++ b/pkg/permit/limit_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/pkg/pool/model_test.go
+++ b/pkg/pool/model_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 const (
--- a/pkg/reach/reach_test.go
+++ b/pkg/reach/reach_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 func failedAt(at time.Duration, upstream int, kind Failure) Attempt {
--- a/pkg/relay/decisions_test.go
+++ b/pkg/relay/decisions_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 func TestAdmit(t *testing.T) {
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // TestMergeIsOrderIndependent merges a history of writes and removals into two
--- a/pkg/standin/engine/answer/answer_test.go
+++ b/pkg/standin/engine/answer/answer_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 func TestMatchPrefix(t *testing.T) {
--- a/pkg/statechart/statechart_test.go
+++ b/pkg/statechart/statechart_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 func TestEmbeddedChartsLoad(t *testing.T) {
--- a/pkg/timeline/timeline_test.go
+++ b/pkg/timeline/timeline_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // manualClock returns the same time until the test changes it.
