cmd/umbercrank: SIGHUP ends no process that starts

Cause: until the Go runtime has installed its handlers, SIGHUP has its default action and ends the process; instances that were told to reload within 30 ms of their start ended.

Change: a constructor that runs before the runtime ignores SIGHUP, and the handler replaces this.

--- /dev/null
+++ b/cmd/umbercrank/hangup_nocgo.go
@@ -0,0 +1,5 @@
+//go:build !cgo
+
+package main
+
+import _ "github.com/umbercrank/umbercrank/cmd/umbercrank/internal/hangup"
--- a/cmd/umbercrank/main_test.go
+++ b/cmd/umbercrank/main_test.go
@@ -37,11 +37,12 @@
 	return ports
 }
 
-// TestLostLogReaderDoesNotEndTheProcess closes the read end of the standard output, then
-// stops the process gracefully, which writes all waiting lines.
-func TestLostLogReaderDoesNotEndTheProcess(t *testing.T) {
+// writeSettings writes a settings file whose addresses are free, and returns its path and the
+// URL at which the process answers once it is ready.
+func writeSettings(t *testing.T) (path, ready string) {
+	t.Helper()
 	ports := freePorts(t, 6)
-	settings := filepath.Join(t.TempDir(), "settings")
+	path = filepath.Join(t.TempDir(), "settings")
 	text := fmt.Sprintf(`NodeName=n
 Zone=z
 IpAddress=127.0.0.1
@@ -57,9 +58,16 @@
 Bounds.BudgetSlack=56
 Bounds.BudgetWindowS=10
 `, ports[0], ports[1], ports[2], ports[3], ports[4], ports[5])
-	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	return path, fmt.Sprintf("http://127.0.0.1:%d/readiness", ports[1])
+}
+
+// TestLostLogReaderDoesNotEndTheProcess closes the read end of the standard output, then
+// stops the process gracefully, which writes all waiting lines.
+func TestLostLogReaderDoesNotEndTheProcess(t *testing.T) {
+	settings, ready := writeSettings(t)
 	reader, writer, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
@@ -82,7 +90,7 @@
 			t.Fatalf("the process ended: %v\n%s", err, stderr.String())
 		default:
 		}
-		if response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/readiness", ports[1])); err == nil {
+		if response, err := http.Get(ready); err == nil {
 			response.Body.Close()
 			serving = true
 		}
