--- /dev/null
+++ b/pkg/fairshare/usual.go
@@ -0,0 +1,105 @@
+package fairshare
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+const (
+	// learningTime is the time from the first work of a group in which the usual work of its
+	// accounts is their mean. Bursts of all accounts alike do not change the proportions.
+	learningTime = 5 * time.Second
+	// adaptationTime is the time constant with which the usual work follows the offered work
+	// after that. It is long compared with a flood of some ten seconds, which must not become
+	// usual, and short enough that an account that grows for good waits some minutes only.
+	adaptationTime = time.Minute
+	// scopeChange is the growth of the median account from which the sums are taken to be of more
+	// instances than before, or of fewer: an instance that becomes a hub knew only its own
+	// work. Bursts of all accounts are smaller.
+	scopeChange = 4.0
+	// forgetBelow is the usual work below which an account is forgotten.
+	forgetBelow = 0.01
+)
+
+// Usual has the usual work of the accounts of the fleet. It is not safe for concurrent use.
+type Usual struct {
+	groups map[Group]*usualWork
+}
+
+type usualWork struct {
+	since, updatedAt time.Duration
+	accounts         map[types.AccountID]float64
+}
+
+// NewUsual returns a Usual without any work.
+func NewUsual() *Usual { return &Usual{groups: make(map[Group]*usualWork)} }
+
+// Apply adds the work of the fleet in the last second, and sets the usual work of the accounts in
+// it. A group without work keeps the usual work of its accounts.
+func (u *Usual) Apply(now time.Duration, fleet *Report) {
+	for i := range fleet.Sums {
+		sum := &fleet.Sums[i]
+		held := u.groups[sum.Group]
+		if held == nil {
+			held = &usualWork{since: now, updatedAt: now, accounts: make(map[types.AccountID]float64)}
+			u.groups[sum.Group] = held
+		}
+		held.apply(now, sum)
+	}
+}
+
+func (w *usualWork) apply(now time.Duration, sum *Sum) {
+	passed := now - w.updatedAt
+	weight := 1 - math.Exp(-passed.Seconds()/adaptationTime.Seconds())
+	if age := now - w.since; age <= learningTime {
+		weight = 1
+		if age > 0 {
+			weight = float64(passed) / float64(age)
+		}
+	}
+	w.updatedAt = now
+	if growth := w.medianGrowth(sum); growth > scopeChange || growth > 0 && growth < 1/scopeChange {
+		for account := range w.accounts {
+			w.accounts[account] *= growth
+		}
+	}
+	// The growth is that before this work counts as usual.
+	growth := w.medianGrowth(sum)
+	for account, usual := range w.accounts {
+		if usual += weight * (sum.Accounts[account].Offered - usual); usual < forgetBelow {
+			delete(w.accounts, account)
+		} else {
+			w.accounts[account] = usual
+		}
+	}
+	for account, work := range sum.Accounts {
+		usual, ok := w.accounts[account]
+		if !ok {
+			usual = weight * work.Offered
+			w.accounts[account] = usual
+		}
+		work.Usual = usual
+		sum.Accounts[account] = work
+	}
+	if growth > 0 {
+		// At least 1: where most accounts are silent, the others do not flood.
+		sum.Growth = max(growth, 1)
+	}
+}
+
+// medianGrowth returns the median, over the accounts, of the ratio of offered to usual work, or
+// zero if it is not known.
+func (w *usualWork) medianGrowth(sum *Sum) float64 {
+	var growths []float64
+	for account, usual := range w.accounts {
+		growths = append(growths, sum.Accounts[account].Offered/usual)
+	}
+	if len(growths) == 0 {
+		return 0
+	}
+	slices.Sort(growths)
+	return growths[len(growths)/2]
+}
--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -44,6 +44,9 @@
 	// UpstreamLimited: the upstreams that may run the request limit their request rate,
 	// and the limits are used up.
 	UpstreamLimited Code = "upstream_limited"
+	// UpstreamEvacuated: the upstreams that may run the request are all in data centres that
+	// the operator has evacuated.
+	UpstreamEvacuated Code = "upstream_evacuated"
 	// CannotResume: no upstream may continue the stream, because the software version
 	// that began it is unknown or has no upstream.
 	CannotResume Code = "cannot_resume"
@@ -135,6 +138,7 @@
 	PathLost:             {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamPaused:       {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamLimited:      {http.StatusServiceUnavailable, types.NotRun},
+	UpstreamEvacuated:    {http.StatusServiceUnavailable, types.NotRun},
 	CannotResume:         {http.StatusServiceUnavailable, types.NotRun},
 	UpstreamFailed:       {http.StatusBadGateway, types.MayHaveRun},
 	AnswerTooLarge:       {http.StatusBadGateway, types.Ran},
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -77,6 +77,11 @@
 	// peerReadingCheckInterval is the time between two checks of whether a peer
 	// still reads.
 	peerReadingCheckInterval = 300 * time.Millisecond
+	// maxReadGap is the longest time without a successful call up to which the collection
+	// counts as read without a gap. It is longer than any pause between two watches. After a
+	// longer one, such as an outage or a suspension, entries may have come and gone of which
+	// nothing or only the removal is left.
+	maxReadGap = 3 * time.Second
 	// idleAdvanceDelay is the age at which a watch continues from a revision that
 	// was returned without changes. A failing store may deliver changes late.
 	idleAdvanceDelay = 3 * time.Second
@@ -111,6 +116,21 @@
 	// unavailable is set by a failed call and cleared by the next listing. everListed is
 	// set by the first one. Other goroutines read both.
 	unavailable, everListed atomic.Bool
+	// covered is the time for which the collection was read without a gap, or nil.
+	covered atomic.Pointer[interval]
+}
+
+type interval struct{ from, to time.Duration }
+
+// Covered returns the time for which this instance itself has read the collection without a
+// gap, or false if it has never listed it. A call counts from its beginning, and a watch up to
+// the end of its wait at the latest: a process that was suspended gets the result later.
+func (f *Follower) Covered() (from, to time.Duration, ok bool) {
+	covered := f.covered.Load()
+	if covered == nil {
+		return 0, 0, false
+	}
+	return covered.from, covered.to, true
 }
 
 // StoreUnavailable reports whether the collection has not been listed yet, or not since
@@ -148,8 +168,8 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	began := f.Clock()
-	items, next, err := f.Source.Watch(ctx, f.after, f.watchWait())
+	began, wait := f.Clock(), f.watchWait()
+	items, next, err := f.Source.Watch(ctx, f.after, wait)
 	if errors.Is(err, ErrCompacted) {
 		f.Logger.Info().Str("collection", f.Name).Uint64("after", uint64(f.after)).Msg("history has a gap, reading the collection again")
 		f.listed = false
@@ -159,11 +179,21 @@
 		return err
 	}
 	f.Sink.Merge(items)
+	f.extendCovered(began, min(began+wait, f.Clock()))
 	f.advance(len(items) > 0, next)
 	f.setPause(len(items) > 0, f.Clock()-began)
 	return nil
 }
 
+// extendCovered records a call that covers the time from began to its end.
+func (f *Follower) extendCovered(began, end time.Duration) {
+	from := began
+	if covered := f.covered.Load(); covered != nil && began-covered.to <= maxReadGap {
+		from = covered.from
+	}
+	f.covered.Store(&interval{from, end})
+}
+
 // setPause sets the pause after a watch.
 func (f *Follower) setPause(changes bool, took time.Duration) {
 	longest := maxPause
@@ -206,6 +236,7 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
+	began := f.Clock()
 	items, at, err := f.Source.List(ctx)
 	if err != nil {
 		return err
@@ -218,6 +249,7 @@
 	f.Sink.Replace(items, at, outage)
 	f.after, f.idleRevision, f.listed = at, 0, true
 	f.everListed.Store(true)
+	f.extendCovered(began, began)
 	return nil
 }
 
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -247,6 +247,58 @@
 	}
 }
 
+// TestCoveredTimeHasNoGap guards against a history of versions that counts time before the
+// first listing, without contact with the store, or in which the instance was suspended.
+func TestCoveredTimeHasNoGap(t *testing.T) {
+	runFollower(t, true, func(t *testing.T, s *fakeStore, _ *recordingSink, f *Follower) {
+		want := func(when string, from, lag time.Duration) {
+			t.Helper()
+			// A watch lasts for readerWatchTimeout.
+			if gotFrom, to, ok := f.Covered(); !ok || gotFrom < from || gotFrom > from+maxBackoff+maxBackoff/2 || f.Clock()-to < lag || f.Clock()-to > lag+maxReaderPause+readerWatchTimeout {
+				t.Errorf("%s: at %v, covered from %v to %v, %v; want from %v with a lag of %v", when, f.Clock(), gotFrom, to, ok, from, lag)
+			}
+		}
+		s.update(func(s *fakeStore) { s.down = true })
+		time.Sleep(4 * time.Second)
+		if _, _, ok := f.Covered(); ok {
+			t.Error("time is covered without a listing")
+		}
+		s.update(func(s *fakeStore) { s.down = false })
+		time.Sleep(6 * time.Second)
+		want("after the first listing", 4*time.Second, 0)
+		s.update(func(s *fakeStore) { s.down = true })
+		time.Sleep(5 * time.Second)
+		want("without the store", 4*time.Second, 5*time.Second)
+		s.update(func(s *fakeStore) { s.down = false })
+		time.Sleep(5 * time.Second)
+		want("after the next listing", 15*time.Second, 0)
+		s.update(func(s *fakeStore) { s.down = true })
+		time.Sleep(time.Second)
+		s.update(func(s *fakeStore) { s.down = false })
+		time.Sleep(5 * time.Second)
+		want("after a short outage", 15*time.Second, 0)
+	})
+}
+
+// TestCoveredTimeBeginsAnewAfterPause guards against entries that have come and gone while the
+// instance did not read, because it was suspended or a peer read for it.
+func TestCoveredTimeBeginsAnewAfterPause(t *testing.T) {
+	now := time.Hour
+	f := &Follower{Name: "test", Source: &fakeStore{}, Sink: &recordingSink{set: replica.New()}, Logger: zerolog.Nop(), Clock: func() time.Duration { return now }}
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	f.extendCovered(now+maxReadGap, now+maxReadGap+time.Second)
+	if from, to, _ := f.Covered(); from != now || to != now+maxReadGap+time.Second {
+		t.Errorf("after a short pause: covered from %v to %v", from, to)
+	}
+	later := now + 2*maxReadGap + 2*time.Second
+	f.extendCovered(later, later)
+	if from, to, _ := f.Covered(); from != later || to != later {
+		t.Errorf("after a long pause: covered from %v to %v", from, to)
+	}
+}
+
 // TestSeriesOfChangesTakesFewCalls registers 80 upstreams within 2.4 s, as when a platform
 // starts, and changes one of them after a quiet time. Each instance of a fleet of hundreds
 // makes these calls, and a reader must have every change within a second.
--- a/pkg/standin/engine/model/engine.go
+++ b/pkg/standin/engine/model/engine.go
@@ -169,9 +169,12 @@
 	return e.scale(cost)
 }
 
-// scale applies the jitter and the straggle factor.
+// scale applies the jitter, the straggle factor and that of a crowded batch.
 func (e *Engine) scale(cost time.Duration) time.Duration {
 	factor := e.settings.Straggle
+	if e.settings.CrowdedFactor > 0 && len(e.running) > e.settings.CrowdedFrom {
+		factor *= e.settings.CrowdedFactor
+	}
 	factor *= 1 + e.settings.Jitter*(2*e.jitter.Float64()-1)
 	return max(time.Duration(float64(cost)*factor), time.Nanosecond)
 }
--- a/pkg/standin/engine/model/engine_test.go
+++ b/pkg/standin/engine/model/engine_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // run steps the engine until it is idle, for at most maxSteps steps. It returns the
@@ -168,3 +169,16 @@
 		t.Errorf("%v\n%v", a, b)
 	}
 }
+
+// TestCrowdedBatchIsSlower guards against a batch that counts as crowded too early or never.
+func TestCrowdedBatchIsSlower(t *testing.T) {
+	e := New(Settings{StepBase: time.Millisecond, MaxBatch: 4, PrefillChunk: 100, KVTokens: 1000, CrowdedFrom: 2, CrowdedFactor: 3})
+	for i, want := range []time.Duration{1, 1, 3, 3} {
+		e.Submit(0, Request{ID: types.RequestID(rune('a' + i)), PromptTokens: 1, OutputTokens: 100})
+		start, _ := e.StepEnd()
+		e.Step(start)
+		if end, _ := e.StepEnd(); end-start != want*time.Millisecond {
+			t.Errorf("with %d sequences, a step takes %v, should take %v ms", i+1, end-start, int(want))
+		}
+	}
+}
--- a/pkg/standin/engine/model/settings.go
+++ b/pkg/standin/engine/model/settings.go
@@ -30,6 +30,10 @@
 	Jitter float64 `json:"jitter"`
 	// Straggle multiplies the duration of each step; 1 is normal speed.
 	Straggle float64 `json:"straggle"`
+	// CrowdedFactor multiplies the duration of the steps with more than CrowdedFrom
+	// sequences in the batch; zero means that a nearly full batch is not slower.
+	CrowdedFactor float64 `json:"crowded_factor,omitempty"`
+	CrowdedFrom   int     `json:"crowded_from,omitempty"`
 	// MaxBatch bounds the number of sequences in the batch.
 	MaxBatch int `json:"max_batch"`
 	// PrefillChunk bounds the tokens prefilled in one step.
