--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -30,6 +30,12 @@
 	// maxRetryAfter bounds the delay before jitter is added. Callers honour a delay
 	// of up to a third of the time that they have.
 	maxRetryAfter = 2 * time.Second
+	// honouredShare is the share of the time that is left to which callers honour a delay.
+	honouredShare = 1.0 / 3
+	// lateMargin is the factor by which the predicted first response of late work must be
+	// shorter than the time until the caller gives it up. Requests that arrive later pass it.
+	// With 1.5, half of the late requests were abandoned in the simulation.
+	lateMargin = 3
 )
 
 // Request holds the properties of a request that the decision depends on.
@@ -39,6 +45,16 @@
 	Objective time.Duration
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
+	// Patience is the time until the caller abandons a response that has not begun. Zero means
+	// that it waits until the deadline.
+	Patience time.Duration
+	// LateWork reports whether the deployment allows late work.
+	LateWork bool
+	// OverShare reports whether the request is beyond the share of its account while capacity
+	// is short. It is treated as one that cannot be in time unless its best upstream is idle: an
+	// idle engine without the cached prompts would prefill them again, at the cost of accounts
+	// that are within their share. It has no effect while less urgent work yields to the request.
+	OverShare bool
 	// Jitter is uniform in [0, 1). It spreads the retries of shed callers.
 	Jitter float64
 }
@@ -46,6 +62,8 @@
 // Decision is the outcome of admission control.
 type Decision struct {
 	Admit bool
+	// Late reports whether the request is admitted as late work.
+	Late bool
 	// RetryAfter is the delay before a caller that is not admitted may retry.
 	RetryAfter time.Duration
 }
@@ -77,7 +95,9 @@
 // Place chooses an upstream for the request and decides whether it is admitted.
 // If the upstream with the lowest cost is too busy, which may happen to the one
 // that caches a session's prompts, an idle upstream is chosen instead: no request
-// is shed while there is one. During a burst there is none, and retrying a little
+// is shed while there is one. A request that cannot be in time is admitted as late work
+// if the deployment allows that and it is likely to be served before the caller gives it
+// up. During a burst there is none, and retrying a little
 // later at the upstream with the cached prompts serves callers better. Place
 // returns false if there is no candidate.
 func Place(request Request, work *placement.Work, entry placement.Entry, id string, candidates []placement.Candidate) (placement.Choice, Decision, bool) {
@@ -86,18 +106,54 @@
 		return choice, Decision{}, false
 	}
 	decision := Decide(request, choice)
+	// Priorities come before shares: less urgent work yields first.
+	overShare := request.OverShare && !choice.LessUrgentWork
+	if overShare && choice.Wait > 0 {
+		decision = Decision{RetryAfter: RetryAfter(request, choice.Wait)}
+	}
 	if decision.Admit {
 		return choice, decision, true
 	}
-	if other, ok := placement.Choose(work, entry, id, placement.Idle(work, entry, candidates)); ok {
-		return other, Decide(request, other), true
+	if !overShare {
+		if other, ok := placement.Choose(work, entry, id, placement.Idle(work, entry, candidates)); ok {
+			return other, Decide(request, other), true
+		}
+	}
+	// As late work the request would wait behind the less urgent work that yields to it now.
+	if choice.LessUrgentWork {
+		return choice, decision, true
+	}
+	if late, ok := placeLate(request, work, entry, id, candidates); ok {
+		return late, Decision{Admit: true, Late: true}, true
 	}
 	return choice, decision, true
 }
 
+// placeLate chooses an upstream for a request as late work. It returns false unless the first
+// response is predicted to come well before the caller gives the request up.
+func placeLate(request Request, work *placement.Work, entry placement.Entry, id string, candidates []placement.Candidate) (placement.Choice, bool) {
+	if !request.LateWork || !work.Engine {
+		return placement.Choice{}, false
+	}
+	limit := request.Remaining
+	if request.Patience > 0 {
+		limit = min(limit, request.Patience)
+	}
+	choice, ok := placement.ChooseLate(work, entry, id, candidates)
+	return choice, ok && time.Duration(lateMargin*float64(choice.FirstResponse)) <= limit
+}
+
 // RetryAfter returns the delay before a shed caller may retry: the expected time
-// until there is capacity, bounded and with jitter added.
+// until there is capacity, bounded and with jitter added. Where late work takes the capacity
+// that is free now, the delays are spread over half of the time that callers honour beyond
+// that: in a burst, capacity for those that return soon is as scarce as it was. Spread over
+// the whole, callers that return late displaced more requests in time in the simulation.
 func RetryAfter(request Request, untilCapacity time.Duration) time.Duration {
 	after := min(max(untilCapacity, minRetryAfter), maxRetryAfter)
-	return after + time.Duration(request.Jitter*float64(after)/2)
+	spread := after / 2
+	if request.LateWork {
+		longest := time.Duration(honouredShare * float64(request.Remaining))
+		spread = max((min(longest, maxRetryAfter)-after)/2, spread)
+	}
+	return after + time.Duration(request.Jitter*float64(spread))
 }
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -55,6 +55,8 @@
 	// Resumable is true if another upstream may continue an interrupted stream.
 	Resumable bool
 	Targets   []WeightedTarget
+	// AllowedRegions are the regions in which requests may run. None means all.
+	AllowedRegions []types.Region
 }
 
 // Repeatable reports whether a request may be sent again after it may have run.
@@ -67,6 +69,18 @@
 	return slices.ContainsFunc(r.Targets, func(target WeightedTarget) bool { return target.Target == name && target.Weight > 0 })
 }
 
+// AllowedTargets returns the services that the route leads to, without duplicates.
+func (r *Route) AllowedTargets() []types.TargetName {
+	var allowed []types.TargetName
+	for _, target := range r.Targets {
+		if target.Weight > 0 && !slices.Contains(allowed, target.Target) {
+			allowed = append(allowed, target.Target)
+		}
+	}
+	slices.Sort(allowed)
+	return allowed
+}
+
 // PickTarget selects a service by weight; point is uniform in [0, 1). It returns
 // "" if no service has a positive weight.
 func (r *Route) PickTarget(point float64) types.TargetName {
@@ -105,6 +119,9 @@
 	// StrictestInterEvent is the shortest InterEventObjective of the routes to the
 	// service, or zero if none has one.
 	StrictestInterEvent time.Duration
+	// ColdRequestsPerSecond is the number of requests per second that a cold upstream
+	// tolerates from all instances together. Zero means that there is no such limit.
+	ColdRequestsPerSecond float64
 }
 
 // Account is a client account.
@@ -112,6 +129,8 @@
 	ID types.AccountID
 	// Priority takes precedence over the priority of the route if it is set.
 	Priority *int
+	// AllowedRegions are the regions in which requests may run. None means all.
+	AllowedRegions []types.Region
 }
 
 // Limits bounds the size of a request, the time to receive its header and the time
@@ -190,6 +209,22 @@
 	}
 }
 
+// StreamRoutes returns the routes for streams, ordered by host and prefix.
+func (c *Catalog) StreamRoutes() []*Route {
+	var streams []*Route
+	for _, routes := range c.hosts {
+		for _, route := range routes {
+			if route.Kind == Stream {
+				streams = append(streams, route)
+			}
+		}
+	}
+	slices.SortFunc(streams, func(a, b *Route) int {
+		return cmp.Or(cmp.Compare(strings.ToLower(a.Host), strings.ToLower(b.Host)), cmp.Compare(a.Prefix, b.Prefix))
+	})
+	return streams
+}
+
 // Match returns the route of the host with the longest prefix of the path, or nil
 // if none matches. A port in the host is ignored.
 func (c *Catalog) Match(host, path string) *Route {
--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -20,7 +20,7 @@
 		Short: "Show which rule matches a request, and why earlier rules do not",
 		Long: `Classify one request with a configuration document. Prints every evaluated rule
 with the values of its conditions, then the decision of the matching rule. Exits
-with 1 if no rule matches.`,
+with 1 if no rule matches. The subcommand placement asks a running instance instead.`,
 		Example: `  umberctl explain rules.json --kind chat --model small-1 --account clinic --header x-task=summary
   umberctl explain rules.json --request '{"kind":"service","service":"queue","repeatable":false}'`,
 		Args: cobra.ExactArgs(1),
@@ -37,6 +37,7 @@
 		},
 	}
 	flags.bind(command)
+	command.AddCommand(newExplainPlacementCommand())
 	return command
 }
 
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -19,6 +19,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/explain"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/follow"
 	"github.com/umbercrank/umbercrank/pkg/gateway"
@@ -52,6 +53,19 @@
 	RetryRatio, RetryBurst float64
 	// RetryWindow is the time to which both apply.
 	RetryWindow time.Duration
+	// FollowEvacuations makes the instance exchange the keys of evacuated data centres with
+	// its peers. The source of the configuration must have them.
+	FollowEvacuations bool
+	// Regions has the region of each data centre.
+	Regions map[types.DataCentre]types.Region
+	// LearnCapacity makes the instance learn the capacity of the upstreams together with its
+	// peers, and place requests accordingly.
+	LearnCapacity bool
+	// FairShares makes each client account get a fair share of the capacity of a target while
+	// that is short.
+	FairShares bool
+	// LateWork allows requests to engines that cannot be in time to be sent as late work.
+	LateWork bool
 }
 
 const (
@@ -75,16 +89,20 @@
 	// Seeds returns the peer addresses of some instances.
 	Seeds func() []string
 	// Directory returns the handler from which callers get the addresses to connect
-	// to.
-	Directory func(callerAddresses func() []string) http.Handler
+	// to, those of a region if it is not empty.
+	Directory func(callerAddresses func(types.Region) []string) http.Handler
 	// Readiness returns the handler of readiness probes.
 	Readiness func(serving func() bool) http.Handler
 }
 
 // Decoder decodes published items.
 type Decoder interface {
-	// Catalog decodes the configuration, or returns nil if none is published.
+	// Catalog decodes the configuration among the items of the collection, or returns nil if
+	// none is published.
 	Catalog(items []replica.Item) (*catalog.Catalog, error)
+	// Evacuated returns the evacuated data centres among the items of the configuration
+	// collection, with the revisions of the items, also of tombstones.
+	Evacuated(items []replica.Item) map[types.DataCentre]types.Revision
 	// Upstream decodes one entry of the list of upstreams.
 	Upstream(item replica.Item) (roster.Upstream, error)
 }
@@ -102,13 +120,17 @@
 	peers    *peer.Server
 	dialer   *peer.Dialer
 	stopping atomic.Bool
+	// explaining is held while a request is explained.
+	explaining sync.Mutex
 	// followers read the published collections.
 	followers []*follow.Follower
 
 	mu            sync.Mutex
 	configuration *replica.Set
 	upstreams     *replica.Set
-	lapsed        lapsedUpstreams
+	// evacuated maps the evacuated data centres to the revisions of their keys.
+	evacuated map[types.DataCentre]types.Revision
+	lapsed    lapsedUpstreams
 	// undecodable maps the key of an entry to the revision at which a decoding error
 	// was last logged, so that each error is logged once.
 	undecodable map[string]types.Revision
@@ -143,9 +165,16 @@
 		State:  state{e},
 		Clock:  clock.Boot,
 		Logger: logger,
+
+		FollowEvacuations: settings.FollowEvacuations,
+		// Nil unless the capacity is learned.
+		Capacity: e.learnCapacity(),
+		// Nil unless accounts have fair shares.
+		Shares: e.shareTable(),
 	})
 	e.mesh.Register(e.peers)
-	e.followers = []*follow.Follower{e.follower(configuration, deps.Configuration), e.follower(upstreams, deps.Upstreams)}
+	list := e.follower(upstreams, deps.Upstreams)
+	e.followers = []*follow.Follower{e.follower(configuration, deps.Configuration), list}
 	var transport http.RoundTripper
 	if streams, err := e.dialer.StreamTransport(); err == nil {
 		transport = streams
@@ -153,15 +182,19 @@
 		logger.Error().Err(err).Msg("no request can be sent through a peer")
 	}
 	e.gateway = gateway.New(gateway.Options{
+		ListCovered:   list.Covered,
 		PeerTransport: transport,
 		Instance:      settings.Instance,
 		DataCentre:    settings.DataCentre,
+		Regions:       settings.Regions,
+		LateWork:      settings.LateWork,
 		Protocol:      deps.Protocol,
 		Roster:        e.roster,
 		Fleet:         e.mesh,
 		Clock:         clock.Boot,
 		Logger:        logger,
 		Metrics:       e.metrics,
+		FairShares:    settings.FairShares,
 		Retries:       retry.Settings{Ratio: retryBudgetShare * settings.RetryRatio, Burst: retryBudgetShare * settings.RetryBurst, Window: settings.RetryWindow},
 	})
 	e.peers.HandleStreams(e.gateway.PeerHandler())
@@ -196,6 +229,8 @@
 		group.Go(func() error { return follower.Run(taskCtx) })
 	}
 	group.Go(func() error { e.expireLoop(taskCtx); return nil })
+	group.Go(func() error { e.logCapacity(taskCtx); return nil })
+	group.Go(func() error { e.logShares(taskCtx); return nil })
 	if err := e.serveAuxiliary(taskCtx, group); err != nil {
 		return err
 	}
@@ -224,10 +259,11 @@
 
 // serveAuxiliary opens the directory, readiness and metrics listeners.
 func (e *Edge) serveAuxiliary(ctx context.Context, group *errgroup.Group) error {
-	directory := e.deps.Directory(e.mesh.CallerAddresses)
+	directory := e.deps.Directory(e.callerAddresses)
 	readiness := e.deps.Readiness(e.serving)
 	metrics := http.NewServeMux()
 	metrics.Handle("/debug/vars", expvar.Handler())
+	metrics.HandleFunc("POST "+explain.Path, e.explain)
 	for address, handler := range map[string]http.Handler{
 		e.settings.DirectoryAddress: directory,
 		e.settings.ReadinessAddress: readiness,
@@ -298,6 +334,10 @@
 // publishMetrics registers the metrics of the instance with expvar.
 func (e *Edge) publishMetrics() {
 	e.metrics.Publish("requests")
+	e.publishCapacity()
+	if e.settings.FairShares {
+		e.gateway.PublishShares("fair_shares")
+	}
 	expvar.Publish("instance", expvar.Func(func() any {
 		status := struct {
 			Configuration  string `json:"configuration"`
@@ -307,7 +347,9 @@
 			Active         int64  `json:"active"`
 			StoreReachable bool   `json:"reading"`
 			Serving        bool   `json:"serving"`
-		}{Upstreams: e.roster.ReadyCount(), Peers: e.mesh.Size(), Active: e.gateway.Active(), StoreReachable: e.storeReachable(), Serving: e.serving()}
+			// Evacuated has the data centres whose upstreams get no new requests.
+			Evacuated []types.DataCentre `json:"evacuated,omitempty"`
+		}{Upstreams: e.roster.ReadyCount(), Peers: e.mesh.Size(), Active: e.gateway.Active(), StoreReachable: e.storeReachable(), Serving: e.serving(), Evacuated: e.evacuatedDataCentres()}
 		if current := e.gateway.Catalog(); current != nil {
 			status.Configuration, status.Revision = current.Version, uint64(current.Revision)
 		}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -86,6 +86,9 @@
 		return
 	}
 	if name == configuration {
+		// The keys of evacuated data centres take effect before a first configuration lets
+		// the instance serve, and also if that cannot be decoded.
+		e.applyEvacuations(source, changes)
 		e.applyConfiguration(source)
 	} else {
 		e.keepLapsed(before, changes)
@@ -159,7 +162,7 @@
 }
 
 // expireLoop drops lapsed upstreams after the grace period, and reports what differs
-// from what peers suspect of parts of prompts.
+// from what peers suspect of parts of prompts, and which upstreams have become warm.
 func (e *Edge) expireLoop(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
@@ -170,6 +173,7 @@
 		case <-ticker.C:
 			e.expire()
 			e.gateway.ReportCorrections()
+			e.gateway.ReportCold()
 		}
 	}
 }
@@ -216,11 +220,15 @@
 }
 
 // Since implements mesh.State.
-func (s state) Since(collection string, after types.Revision) []replica.Item {
+func (s state) Since(collection string, after types.Revision, evacuations bool) []replica.Item {
 	e := s.edge
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.set(collection).Since(after)
+	items := e.set(collection).Since(after)
+	if collection == configuration && !evacuations {
+		return e.withoutEvacuations(items)
+	}
+	return items
 }
 
 // QuarantineEntries implements mesh.State.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -5,10 +5,12 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/umbercrank/umbercrank/pkg/admission"
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
@@ -57,6 +59,8 @@
 	pause time.Duration
 	// reservation is the number of the reservation in force, or zero.
 	reservation uint64
+	// coldPermitUntil is that of the request when the attempt began.
+	coldPermitUntil time.Duration
 }
 
 // result is the result of an attempt.
@@ -136,30 +140,69 @@
 	if failure != nil {
 		return placement.Choice{}, failure
 	}
-	candidates, blocked := q.withoutBlocked(now, g.options.Roster.Candidates(now, selection, &q.work))
+	candidates, blocked := q.withoutBlocked(now, q.candidates(now, selection))
 	if len(candidates) == 0 {
-		selection.Except = nil
-		if refused := q.refusePaused(g.options.Roster.Paused(now, selection), blocked); refused != nil {
+		if count, refused := q.refuseUnavailable(now, selection, blocked); refused != nil {
+			count()
 			return placement.Choice{}, refused
 		}
 	}
 	q.updateLoads(ctx, candidates)
-	choice, decision, ok := q.place(candidates)
-	if !ok && q.began != nil {
-		return choice, q.cannotResume("no upstream of the version that began the stream is available")
+	q.judgeShare(now)
+	choice, decision, failure := q.decide(candidates)
+	if choice.ID != "" {
+		q.recordShare(now, choice, decision)
+	}
+	g.options.Metrics.countLate(q, decision)
+	if failure != nil && decision.RetryAfter > 0 {
+		event := g.options.Logger.Info()
+		if q.sharesCapacity() {
+			account, part := q.largestShare(now)
+			event = event.Bool("over_share", q.share.overShare).Str("largest_account", string(account)).Float64("largest_part", part)
+		}
+		event.Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).Dur("wait_ms", choice.Wait).
+			Dur("objective_ms", q.route.Objective).Dur("return_ms", decision.RetryAfter).Int("candidates", len(candidates)).Msg("refused")
 	}
-	if !ok {
-		return choice, q.giveUp("no upstream is available", nil)
+	return choice, failure
+}
+
+// refuseUnavailable returns the error of a request that no upstream accepts now for a reason
+// that passes, and the function that counts it, or nil if there is another reason.
+func (q *request) refuseUnavailable(now time.Duration, selection roster.Selection, blocked map[types.UpstreamID]time.Duration) (count func(), refused error) {
+	metrics := q.gateway.options.Metrics
+	selection.Except = nil
+	if refused := q.refuseEvacuated(selection); refused != nil {
+		return func() {}, refused
 	}
-	if q.progress.runs > 0 || q.began != nil {
-		return choice, nil
+	if paused := q.gateway.options.Roster.Paused(now, selection); len(paused) > 0 {
+		return func() { metrics.countPause("requests_refused") }, q.refusePaused(paused, blocked)
 	}
-	if !decision.Admit {
-		g.options.Logger.Info().Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).Dur("wait_ms", choice.Wait).
-			Dur("objective_ms", q.route.Objective).Dur("return_ms", decision.RetryAfter).Int("candidates", len(candidates)).Msg("refused")
-		return choice, fault.New(fault.Overloaded, "the predicted wait at the best upstream is too long for the objective").WithRetryAfter(decision.RetryAfter)
+	if len(blocked) > 0 {
+		return func() { metrics.countLimit("requests_refused") }, q.refuseLimited(blocked)
+	}
+	return nil, nil
+}
+
+// decide chooses among the candidates and returns an error if there is none or if the request
+// is not admitted. Only in the latter case the decision has a retry delay.
+func (q *request) decide(candidates []placement.Candidate) (placement.Choice, admission.Decision, error) {
+	mayBeLate := q.mayBeLate()
+	if mayBeLate {
+		q.setLate(false)
+	}
+	choice, decision, ok := q.place(candidates, mayBeLate)
+	switch {
+	case !ok && q.began != nil:
+		return choice, decision, q.cannotResume("no upstream of the version that began the stream is available")
+	case !ok:
+		return choice, decision, q.giveUp(q.unavailable(), nil)
+	case q.progress.runs > 0 || q.began != nil || decision.Admit:
+		if decision.Late {
+			q.setLate(true)
+		}
+		return choice, admission.Decision{Admit: true, Late: decision.Late}, nil
 	}
-	return choice, nil
+	return choice, decision, fault.New(fault.Overloaded, "the predicted wait at the best upstream is too long for the objective").WithRetryAfter(decision.RetryAfter)
 }
 
 // deadlineError returns the error of a request whose deadline has passed.
@@ -230,16 +273,26 @@
 	return a.end(a.receive(response, err))
 }
 
-// begin starts an attempt, or returns false if the upstream accepts no new requests.
+// begin starts an attempt, or returns false if the upstream accepts no new requests or if
+// another process has taken over its ID since it was chosen, with which the stream cannot go
+// on.
 func (q *request) begin(ctx context.Context, choice placement.Choice) (*attempt, bool) {
 	g := q.gateway
 	q.tried[choice.ID] = true
-	to, ok := destinations{g.options.Roster, g.options.Clock}.Upstream(choice.ID)
-	if !ok {
+	now := g.options.Clock()
+	found, ok := g.options.Roster.Find(now, choice.ID)
+	if !ok || found.Target != q.target || !q.mayRunIn(found.DataCentre) || q.began != nil && found.Version != q.began.Version {
 		return nil, false
 	}
-	now := g.options.Clock()
-	a := &attempt{request: q, ctx: ctx, choice: choice, to: to, sentAt: now, rosterAttempt: g.options.Roster.Begin(now, &q.work, choice)}
+	rosterAttempt := g.options.Roster.Begin(now, &q.work, choice)
+	// The list may change between Find and Begin, and the version of the attempt becomes the
+	// origin of the stream.
+	if version, known := rosterAttempt.Version(); !known || version != found.Version || q.began != nil && rosterAttempt.MayBeReplaced() {
+		rosterAttempt.End(now, roster.Abandoned)
+		return nil, false
+	}
+	a := &attempt{request: q, ctx: ctx, choice: choice, to: destinationOf(found), sentAt: now, rosterAttempt: rosterAttempt}
+	a.coldPermitUntil, q.coldPermitUntil = q.coldPermitUntil, 0
 	a.exchangeCtx, a.cancel = context.WithCancel(ctx)
 	a.alarm = exchange.NewAlarm(a.handleSilence)
 	g.options.Fleet.ReportChange()
@@ -258,7 +311,6 @@
 	if outcome.outcome == roster.Failed && !a.isUpstreamFault(took) {
 		outcome.outcome = roster.Abandoned
 	}
-	a.recordPause()
 	a.endReservation()
 	if ejected := a.rosterAttempt.End(g.options.Clock(), outcome.outcome); ejected > 0 {
 		g.LogEjection(a.choice.ID, ejected, "attempt", string(q.call.ID))
@@ -326,12 +378,13 @@
 
 // isUpstreamFault reports whether a failure after the given time counts against the
 // upstream. A failure after the caller disconnected does not. A failure at the request's
-// deadline does only if no event arrived and the upstream was overdue by overdueFactor.
+// deadline does only if no event arrived and the upstream was overdue by overdueFactor. Late
+// work is overdue because of the requests that arrive after it.
 func (a *attempt) isUpstreamFault(took time.Duration) bool {
 	if a.incoming.Context().Err() != nil {
 		return false
 	}
-	return a.ctx.Err() == nil || a.progress.events == 0 && took > overdueFactor*a.choice.FirstResponse
+	return a.ctx.Err() == nil || !a.late && a.progress.events == 0 && took > overdueFactor*a.choice.FirstResponse
 }
 
 // countRun counts the attempt as one that may have run the request.
@@ -344,7 +397,13 @@
 
 // handleError returns the result of an exchange that failed.
 func (a *attempt) handleError(err error) result {
+	if errors.Is(err, errColdWithoutPermit) {
+		a.allowAgain()
+	}
 	if isUnsent(err) {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.rosterAttempt.RecordRefused(a.gateway.options.Clock())
+		}
 		return result{outcome: unsentOutcome(err), err: err}
 	}
 	a.countRun()
@@ -368,6 +427,8 @@
 		a.observeLeaving(info)
 	}
 	a.pause = info.Pause
+	// Before the response is passed on: the caller's next request must find the pause.
+	a.recordPause()
 	if info.InvalidPause != "" {
 		q.gateway.options.Logger.Warn().Str("request", string(q.call.ID)).Str("upstream", string(a.choice.ID)).Str("pause", info.InvalidPause).Msg("upstream names an invalid pause")
 	}
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -18,13 +18,14 @@
 		failure = fault.From(err)
 	}
 	g.options.Metrics.countRequest(q, failure, elapsed)
-	q.log(failure, elapsed)
 	if failure == nil {
+		q.log(failure, elapsed)
 		return
 	}
 	if q.headerSent || failure.Code == fault.CallerGone {
 		// After the header is sent, only closing the connection marks the response as
 		// incomplete. A caller that has disconnected gets no response.
+		q.log(failure, elapsed)
 		if q.headerSent && !q.incoming.ProtoAtLeast(1, 1) {
 			q.resetConnection()
 		}
@@ -35,7 +36,10 @@
 		// response, and the caller may never send the rest.
 		q.writer.Header().Set("Connection", "close")
 	}
-	g.options.Protocol.WriteError(q.writer, q.call.ID, failure)
+	g.options.Protocol.WriteError(&errorWriter{ResponseWriter: q.writer, before: func(status int) {
+		q.status = status
+		q.log(failure, elapsed)
+	}}, q.call.ID, failure)
 	if !q.bodyAbandoned && !q.bodyRead && q.incoming.ContentLength != 0 {
 		q.discardBody()
 	}
@@ -77,6 +81,17 @@
 	_ = control.SetReadDeadline(time.Time{})
 }
 
+// errorWriter calls a function with the status of an error response before it is written.
+type errorWriter struct {
+	http.ResponseWriter
+	before func(status int)
+}
+
+func (w *errorWriter) WriteHeader(status int) {
+	w.before(status)
+	w.ResponseWriter.WriteHeader(status)
+}
+
 func (q *request) log(failure *fault.Error, elapsed time.Duration) {
 	event := q.gateway.options.Logger.Info()
 	outcome := "answered"
@@ -91,12 +106,18 @@
 		event = event.Str("route", q.route.Name)
 	}
 	if q.work.Engine {
-		event = event.Int("priority", q.work.Priority).Int("prompt_tokens", q.work.Tokens).Dur("beside_prefill_ms", q.work.PrefillInterToken).
+		event = event.Int("priority", q.work.Priority).Bool("late", q.late).Int("prompt_tokens", q.work.Tokens).Dur("beside_prefill_ms", q.work.PrefillInterToken).
 			Bool("latency_sensitive", q.work.LatencySensitive()).Dur("longest_gap_ms", q.longestGap)
 	}
 	if q.loadsAsked > 0 {
 		event = event.Int("loads_asked", q.loadsAsked).Int("loads_known", q.loadsKnown).Dur("loads_wait_ms", q.keeperWait)
 	}
+	if q.dataCentres != nil {
+		event = event.Strs("allowed_data_centres", q.allowedDataCentres())
+	}
+	if q.evacuated > 0 {
+		event = event.Int("evacuated", q.evacuated)
+	}
 	if q.call.resumes() {
 		event = event.Str("resumes", string(q.call.Resumes)).Str("last_event", q.call.LastEvent)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -69,6 +69,9 @@
 	// FindStream asks the other instances for the origin of a stream. Conclusive
 	// reports whether a stream that is not found is unknown to all of them.
 	FindStream(ctx context.Context, key origin.Key) (found origin.Origin, ok, conclusive bool)
+	// QueryVersions asks the other instances what they know of the upstreams' versions, and
+	// reports whether all of them have responded.
+	QueryVersions(ctx context.Context) (conclusive bool)
 	// ReportLimit is called when the limit of an upstream has changed.
 	ReportLimit(types.UpstreamID, permit.Observation)
 	// ReportLeaving is called when a process of an upstream has said that it leaves.
@@ -107,16 +110,28 @@
 	// DialTimeout bounds connecting to an upstream, also through a peer. Zero means the
 	// defaults of packages exchange and transit.
 	DialTimeout time.Duration
+	// ListCovered returns the time for which this instance itself has read the list of
+	// upstreams without a gap, or false if there is none. It may be nil.
+	ListCovered func() (from, to time.Duration, ok bool)
+	// Regions has the region of each data centre.
+	Regions map[types.DataCentre]types.Region
+	// FairShares makes each client account get a fair share of the capacity of a target while
+	// that is short.
+	FairShares bool
+	// LateWork allows requests to engines that cannot be in time to be sent as late work.
+	LateWork bool
 	// PeerTransport opens streams to peers. If it is nil, no request is sent through one.
 	PeerTransport http.RoundTripper
 }
 
 // Gateway forwards requests of callers to upstreams. It is safe for concurrent use.
 type Gateway struct {
-	options  Options
-	catalog  atomic.Pointer[catalog.Catalog]
-	stopping atomic.Bool
-	active   atomic.Int64
+	options Options
+	catalog atomic.Pointer[catalog.Catalog]
+	// appliedAt is when the catalog was applied, in nanoseconds of the clock.
+	appliedAt atomic.Int64
+	stopping  atomic.Bool
+	active    atomic.Int64
 	// bufferedBytes is the total size of the request bodies in memory, and
 	// bufferedResponseBytes that of the responses.
 	bufferedBytes, bufferedResponseBytes atomic.Int64
@@ -125,11 +140,17 @@
 	budgets    map[types.TargetName]*retry.Budget
 	quarantine *quarantine.Table
 	origins    *origin.Table
-	permits    *permits
-	transit    *transit.Transit
+	// streamRoutes are the routes for streams with their services, and streamRoutesSince is
+	// when they last changed, or nil if they have not.
+	streamRoutes      []string
+	streamRoutesSince *time.Duration
+	permits           *permits
+	transit           *transit.Transit
 	// reservationCount numbers the reservations that this instance reports.
 	reservationCount atomic.Uint64
 	reservations     *reservations
+	cold             coldUpstreams
+	shares           *shares
 }
 
 // New returns a Gateway that refuses all requests until Apply is called.
@@ -142,11 +163,16 @@
 		permits:      newPermits(),
 		transit:      newTransit(options),
 		reservations: newReservations(),
+		shares:       newShares(),
 	}
 }
 
 // Apply replaces the catalog.
-func (g *Gateway) Apply(c *catalog.Catalog) { g.catalog.Store(c) }
+func (g *Gateway) Apply(c *catalog.Catalog) {
+	g.applyStreamRoutes(c.StreamRoutes())
+	g.appliedAt.Store(int64(g.options.Clock()))
+	g.catalog.Store(c)
+}
 
 // Catalog returns the current catalog, or nil if there is none yet.
 func (g *Gateway) Catalog() *catalog.Catalog { return g.catalog.Load() }
@@ -181,11 +207,17 @@
 	// catalog is the one that was in force when the request arrived.
 	catalog *catalog.Catalog
 	target  types.TargetName
+	// dataCentres are the only ones in which the request may run, unless the map is nil.
+	dataCentres map[types.DataCentre]bool
 	// streaming reports whether the first event of a resumable stream has arrived, and
 	// began is where the stream began, or nil if that is unknown.
 	streaming bool
 	began     *origin.Origin
 	work      placement.Work
+	share     shareState
+	// priority is the own priority of the request, and late reports whether it is late work.
+	priority int
+	late     bool
 	// tokensPerEvent is the number of tokens in one event of a stream.
 	tokensPerEvent int
 	incoming       *http.Request
@@ -212,6 +244,11 @@
 	// permitsRefused counts the permits that were refused.
 	retryPaid      bool
 	permitsRefused int
+	// coldPermitUntil is until when the next attempt may use its permit for a cold upstream,
+	// or zero if it has none.
+	coldPermitUntil time.Duration
+	// evacuated is the number of upstreams for whose evacuation the request is refused.
+	evacuated int
 	// reserves reports whether the next attempt is reported as a reservation. keeperWait is
 	// how long the request has waited for current loads, of which loadsAsked were asked for
 	// and loadsKnown received.
@@ -293,6 +330,7 @@
 		q.account = account
 	}
 	q.catalog, q.timeout = current, requestTimeout(q.route, call)
+	q.restrictRegions()
 	return q.setTarget(q.route.PickTarget(rand.Float64()))
 }
 
@@ -309,10 +347,15 @@
 
 // setWork sets what the placement needs to know about the request.
 func (q *request) setWork(service catalog.Service, priority int) {
+	q.priority = priority
 	q.work.Priority, q.work.Objective = priority, q.route.Objective
 	if service.Engine == nil {
 		return
 	}
+	if q.gateway.options.LateWork {
+		q.priority = min(priority, placement.LatePriority-1)
+		q.work.Priority, q.work.LateWork = q.priority, true
+	}
 	q.work.Engine, q.work.Segments, q.work.Tokens = true, q.call.Segments, q.call.PromptTokens
 	q.tokensPerEvent = max(service.Engine.TokensPerEvent, 1)
 	q.work.InterTokenObjective = q.route.InterEventObjective / time.Duration(q.tokensPerEvent)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -122,6 +122,12 @@
 	found, ok := f.streams[key]
 	return found, ok, !f.inconclusive
 }
+func (f *recordingFleet) QueryVersions(context.Context) bool {
+	if f.searching != nil {
+		f.searching()
+	}
+	return !f.inconclusive
+}
 func (*recordingFleet) ReportLimit(types.UpstreamID, permit.Observation) {}
 func (f *recordingFleet) RequestPermit(_ context.Context, request permit.Request, _ permit.Observation) (permit.Reply, error) {
 	if f.issue == nil {
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -121,15 +121,16 @@
 }
 
 // placeHedge chooses the second upstream and pays for the retry. Without one it returns the
-// reason. Upstreams with a limit are left out, since their permits take time.
+// reason. Upstreams with a limit and cold ones are left out, since their permits take
+// time.
 func (a *attempt) placeHedge() (choice placement.Choice, reason string) {
 	q, g := a.request, a.gateway
 	selection, failure := q.selection()
 	if failure != nil {
 		return choice, failure.Error()
 	}
-	candidates := g.withoutLimited(g.options.Roster.Candidates(g.options.Clock(), selection, &q.work))
-	choice, _, ok := q.place(candidates)
+	candidates := g.withoutLimited(q.candidates(g.options.Clock(), selection))
+	choice, _, ok := q.place(candidates, false)
 	if !ok {
 		return choice, "no other upstream may run the request"
 	}
@@ -145,9 +146,13 @@
 	return choice, ""
 }
 
-// place chooses among the candidates.
-func (q *request) place(candidates []placement.Candidate) (placement.Choice, admission.Decision, bool) {
-	request := admission.Request{Objective: q.route.Objective, Remaining: q.remaining(), Jitter: rand.Float64()}
+// place chooses among the candidates. It admits the request as late work only if mayBeLate is
+// set.
+func (q *request) place(candidates []placement.Candidate, mayBeLate bool) (placement.Choice, admission.Decision, bool) {
+	request := admission.Request{Objective: q.route.Objective, Remaining: q.remaining(), Jitter: rand.Float64(), OverShare: q.share.overShare && q.progress.runs == 0 && q.began == nil}
+	if mayBeLate {
+		q.allowLate(&request)
+	}
 	return admission.Place(request, &q.work, q.entry(), string(q.call.ID), candidates)
 }
 
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/umbercrank/umbercrank/pkg/admission"
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 )
@@ -30,6 +31,8 @@
 	parts *expvar.Map
 	// limits counts permits by outcome, refused requests, and limits in force.
 	limits *expvar.Map
+	// cold has the number of cold upstreams, and counts permits for them by outcome.
+	cold *expvar.Map
 	// pauses counts the pauses that upstreams asked for, and the requests refused for them.
 	pauses *expvar.Map
 	// paths counts the changes of the paths to targets, and the requests that went through a
@@ -39,6 +42,9 @@
 	leaving *expvar.Map
 	// reservations counts the loads that were asked for, and the reservations reported.
 	reservations *expvar.Map
+	// late counts the requests that were admitted as late work, those of them that were
+	// completed, and those that were refused although late work is allowed.
+	late *expvar.Map
 
 	mu        sync.Mutex
 	latencies map[catalog.Kind]*hdrhistogram.Histogram
@@ -46,7 +52,7 @@
 
 // NewMetrics returns unpublished metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), pauses: new(expvar.Map).Init(), reservations: new(expvar.Map).Init(), leaving: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), cold: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), pauses: new(expvar.Map).Init(), reservations: new(expvar.Map).Init(), leaving: new(expvar.Map).Init(), late: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish publishes the metrics with expvar under the name. It must be called only
@@ -59,10 +65,12 @@
 	all.Set("hedges", m.hedges)
 	all.Set("prompt_parts", m.parts)
 	all.Set("upstream_limits", m.limits)
+	all.Set("cold_upstreams", m.cold)
 	all.Set("paths", m.paths)
 	all.Set("upstream_pauses", m.pauses)
 	all.Set("reservations", m.reservations)
 	all.Set("leaving_upstreams", m.leaving)
+	all.Set("late_work", m.late)
 	all.Set("first_ms", expvar.Func(m.latencySummaries))
 }
 
@@ -87,6 +95,17 @@
 	}
 }
 
+// countLate counts the decision on a request where late work is allowed.
+func (m *Metrics) countLate(q *request, decision admission.Decision) {
+	switch {
+	case m == nil || !q.work.LateWork:
+	case decision.Late:
+		m.late.Add("admitted", 1)
+	case decision.RetryAfter > 0:
+		m.late.Add("refused", 1)
+	}
+}
+
 // countPath counts an event of package transit.
 func (m *Metrics) countPath(outcome string) {
 	if m != nil {
@@ -137,6 +156,20 @@
 	}
 }
 
+// countCold adds to a count of permits for cold upstreams.
+func (m *Metrics) countCold(name string) {
+	if m != nil {
+		m.cold.Add(name, 1)
+	}
+}
+
+// setCold sets the number of cold upstreams.
+func (m *Metrics) setCold(count int) {
+	if m != nil {
+		setInt(m.cold, "now", count)
+	}
+}
+
 // setParts sets the numbers of suspected and condemned parts of prompts.
 func (m *Metrics) setParts(suspected, condemned int) {
 	if m != nil {
@@ -169,6 +202,9 @@
 		outcome = string(failure.Code)
 	}
 	m.outcomes.Add(outcome, 1)
+	if q.late && failure == nil {
+		m.late.Add("completed", 1)
+	}
 	if failure != nil || q.route == nil {
 		return
 	}
--- a/pkg/gateway/pause.go
+++ b/pkg/gateway/pause.go
@@ -34,16 +34,9 @@
 }
 
 // refusePaused returns the error of a request whose upstreams have all asked for a pause or
-// have used up their limits, or nil if there is another reason. The caller may retry when the
-// first of them may accept a request again.
+// have used up their limits. The caller may retry when the first of them may accept a request
+// again.
 func (q *request) refusePaused(paused, blocked map[types.UpstreamID]time.Duration) error {
-	if len(paused) == 0 {
-		if len(blocked) > 0 {
-			return q.refuseLimited(blocked)
-		}
-		return nil
-	}
-	q.gateway.options.Metrics.countPause("requests_refused")
 	const message = "the upstreams have asked this instance for a pause"
 	if q.progress.runs > 0 {
 		return fault.New(fault.UpstreamFailed, message).WithRunState(q.progress.runState())
--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -62,17 +62,18 @@
 }
 
 // split separates the candidates that accept no request of the priority now. It returns
-// them with the time that remains, at least the given one for all that have a limit.
+// them with the time that remains, at least the given one for all that have a limit or are
+// cold.
 func (p *permits) split(now time.Duration, candidates []placement.Candidate, priority int, atLeast time.Duration) (open []placement.Candidate, blocked map[types.UpstreamID]time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.limits.Count() == 0 {
+	if p.limits.Count() == 0 && !slices.ContainsFunc(candidates, isCold) {
 		return candidates, nil
 	}
 	blocked = make(map[types.UpstreamID]time.Duration)
 	for i := range candidates {
 		id := candidates[i].ID
-		if _, limited := p.limits.InForce(id); limited {
+		if _, limited := p.limits.InForce(id); limited || candidates[i].Cold {
 			if remaining := max(p.blocks.Remaining(now, id, priority), atLeast); remaining > 0 {
 				blocked[id] = remaining
 				continue
@@ -89,8 +90,16 @@
 	p.blocks.Block(id, priority, until)
 }
 
-// retainListed forgets the upstreams that are no longer listed. It returns the number of
-// limits that remain in force.
+func (p *permits) clearBlock(id types.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.blocks.Clear(id)
+}
+
+func isCold(c placement.Candidate) bool { return c.Cold }
+
+// retainListed forgets the upstreams that are no longer listed, with their permits. It returns
+// the number of limits that remain in force.
 func (p *permits) retainListed(now time.Duration, list []roster.Upstream) int {
 	listed := make(map[types.UpstreamID]bool, len(list))
 	for i := range list {
@@ -101,6 +110,7 @@
 	isListed := func(id types.UpstreamID) bool { return listed[id] }
 	p.limits.Retain(now, isListed)
 	p.blocks.Retain(isListed)
+	p.issuer.Retain(isListed)
 	return p.limits.Count()
 }
 
@@ -141,11 +151,11 @@
 		Str("source", source).Str("from", from).Dur("age_ms", g.options.Clock()-o.ReceivedAt).Msg("upstream limit changed")
 }
 
-// withoutLimited returns the candidates that have no limit.
+// withoutLimited returns the candidates that have no limit and are not cold.
 func (g *Gateway) withoutLimited(candidates []placement.Candidate) []placement.Candidate {
 	return slices.DeleteFunc(candidates, func(c placement.Candidate) bool {
 		_, limited := g.permits.inForce(c.ID)
-		return limited
+		return limited || c.Cold
 	})
 }
 
@@ -172,13 +182,18 @@
 // the upstream is excluded for a while.
 func (q *request) obtainPermit(ctx context.Context, choice placement.Choice) bool {
 	g := q.gateway
-	limit, limited := g.permits.inForce(choice.ID)
-	if !limited {
+	asked := g.options.Clock()
+	limit := g.limitOf(asked, choice.ID)
+	q.coldPermitUntil = 0
+	if !limit.Limited {
 		return true
 	}
-	asked := g.options.Clock()
+	ttl, count := permitTTL, g.options.Metrics.countLimit
+	if limit.cold.Limited {
+		ttl, count = permit.ColdTTL, g.options.Metrics.countCold
+	}
 	priority := q.permitPriority()
-	reply, err := g.options.Fleet.RequestPermit(ctx, permit.Request{Upstream: choice.ID, Priority: priority, Jitter: rand.Float64()}, limit)
+	reply, err := g.options.Fleet.RequestPermit(ctx, permit.Request{Upstream: choice.ID, Priority: priority, Jitter: rand.Float64(), ColdPerSecond: limit.cold.PerSecond}, limit.named)
 	now := g.options.Clock()
 	outcome := "granted"
 	switch {
@@ -186,14 +201,24 @@
 		outcome, reply = "no_issuer", permit.Reply{RetryAfter: issuerRetryAfter}
 	case !reply.Granted:
 		outcome = "refused"
-	case now-asked > permitTTL:
+	case now-asked > ttl:
 		outcome, reply = "expired", permit.Reply{}
 	}
-	g.options.Metrics.countLimit("permits_" + outcome)
-	g.options.Logger.Info().Err(err).Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).Int("priority", priority).
-		Float64("per_second", limit.PerSecond).Dur("age_ms", now-limit.ReceivedAt).Dur("took_ms", now-asked).
+	count("permits_" + outcome)
+	event := g.options.Logger.Info().Err(err).Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).Int("priority", priority).
+		Float64("per_second", limit.PerSecond)
+	if limit.named.Limited {
+		event = event.Dur("age_ms", now-limit.named.ReceivedAt)
+	}
+	if limit.cold.Limited {
+		event = event.Bool("cold", true)
+	}
+	event.Dur("took_ms", now-asked).
 		Dur("return_ms", reply.RetryAfter).Str("outcome", outcome).Msg("permit")
 	if reply.Granted {
+		if limit.cold.Limited {
+			q.coldPermitUntil = asked + ttl
+		}
 		return true
 	}
 	q.permitsRefused++
@@ -204,7 +229,6 @@
 // refuseLimited returns the error of a request whose upstreams have all used up their
 // limits. The caller may retry when the first of them may accept a request again.
 func (q *request) refuseLimited(blocked map[types.UpstreamID]time.Duration) error {
-	q.gateway.options.Metrics.countLimit("requests_refused")
 	const message = "the upstreams have used up the request rates that they limit"
 	if q.progress.runs > 0 {
 		return fault.New(fault.UpstreamFailed, message).WithRunState(q.progress.runState())
@@ -238,16 +262,18 @@
 }
 
 // IssuePermit decides on a request for a permit of an upstream. An upstream without a
-// limit needs none.
+// limit needs none. The strictest limit applies that this instance or the asking one knows:
+// their lists of upstreams may differ.
 func (g *Gateway) IssuePermit(request permit.Request, share float64) permit.Reply {
 	now := g.options.Clock()
-	g.permits.mu.Lock()
-	defer g.permits.mu.Unlock()
-	limit, limited := g.permits.limits.InForce(request.Upstream)
-	if !limited {
+	asked := permit.Limit{PerSecond: request.ColdPerSecond, Limited: request.ColdPerSecond > 0}
+	limit := permit.Strictest(g.limitOf(now, request.Upstream).Limit, asked)
+	if !limit.Limited {
 		return permit.Reply{Granted: true}
 	}
-	return g.permits.issuer.Issue(now, request, limit.Limit, share)
+	g.permits.mu.Lock()
+	defer g.permits.mu.Unlock()
+	return g.permits.issuer.Issue(now, request, limit, share)
 }
 
 // RetainPermits drops the upstreams whose permits this instance no longer issues.
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -128,22 +128,32 @@
 
 func (q *request) refusePart(judge func(time.Duration, []quarantine.Fingerprint) (quarantine.PartVerdict, bool)) error {
 	g := q.gateway
-	g.mu.Lock()
-	verdict, refused := judge(g.options.Clock(), q.parts)
-	g.mu.Unlock()
-	if !refused {
+	verdict, failure := q.judgeParts(judge)
+	if failure == nil {
 		return nil
 	}
-	retryAfter := max(verdict.TrialIn, minPartRetryAfter)
 	g.options.Metrics.countPartRefusal()
 	g.options.Logger.Info().Str("request", string(q.call.ID)).Str("part", q.call.partID(verdict.Part)).Hex("fingerprint", verdict.Part[:]).
 		Strs("upstreams", crashedUpstreams(verdict.Crashes)).Int("rounds", verdict.Rounds).Dur("condemned_for_ms", verdict.ConvictedFor).Bool("on_trial", verdict.OnTrial).
-		Dur("return_ms", retryAfter).Msg("refused for a part of its prompt")
+		Dur("return_ms", max(verdict.TrialIn, minPartRetryAfter)).Msg("refused for a part of its prompt")
+	return failure
+}
+
+// judgeParts returns the verdict on the parts of the prompt and the error of a request that is
+// refused, or nil. It neither counts nor logs.
+func (q *request) judgeParts(judge func(time.Duration, []quarantine.Fingerprint) (quarantine.PartVerdict, bool)) (quarantine.PartVerdict, error) {
+	g := q.gateway
+	g.mu.Lock()
+	verdict, refused := judge(g.options.Clock(), q.parts)
+	g.mu.Unlock()
+	if !refused {
+		return verdict, nil
+	}
 	failure := fault.New(fault.Quarantined, "upstreams crashed while they ran requests with a part of this prompt; requests with it are quarantined").WithRunState(q.progress.runState())
 	if q.progress.runs > 0 {
-		return failure
+		return verdict, failure
 	}
-	return failure.WithRetryAfter(retryAfter)
+	return verdict, failure.WithRetryAfter(max(verdict.TrialIn, minPartRetryAfter))
 }
 
 // clearQuarantine removes the request from the quarantine, because an upstream completed
@@ -229,6 +239,7 @@
 	before := g.quarantine.Lookup(now, suspect.fingerprint)
 	verdict := g.quarantine.RecordCrash(now, suspect.fingerprint, quarantine.CrashedAttempt{Upstream: upstream, Duration: suspect.took, OnlySuspect: true})
 	if errors.Is(err, syscall.ECONNREFUSED) {
+		a.rosterAttempt.RecordRefused(now)
 		parts = g.quarantine.RecordPartCrash(now, suspect.parts, upstream, now-a.sentAt)
 	}
 	g.mu.Unlock()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -46,6 +46,9 @@
 		if errors.Is(err, io.EOF) {
 			return a.finishStream(response)
 		}
+		if !event.Empty && !a.responded && !a.continuesOrigin() {
+			return a.endAtAnotherVersion()
+		}
 		if err := a.forwardEvent(response, event); err != nil {
 			return result{answered: true, ran: true, outcome: roster.Abandoned, err: err}
 		}
@@ -93,6 +96,13 @@
 	a.setAlarm(streamIdleTimeout)
 }
 
+// endAtAnotherVersion returns the result of an attempt whose first event is not passed on because
+// another version sent it.
+func (a *attempt) endAtAnotherVersion() result {
+	err := fault.New(fault.UpstreamFailed, "the upstream has another software version than the one that began the stream")
+	return result{answered: a.headerSent && !a.hasAlternative(), ran: true, outcome: roster.Abandoned, err: err}
+}
+
 // finishStream ends the response after the last event.
 func (a *attempt) finishStream(response *exchange.Response) result {
 	q := a.request
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -60,7 +60,7 @@
 }
 
 func destinationOf(upstream roster.Upstream) transit.Destination {
-	return transit.Destination{Target: upstream.Target, Upstream: upstream.ID, Address: upstream.Address}
+	return transit.Destination{Target: upstream.Target, Upstream: upstream.ID, Address: upstream.Address, Version: upstream.Version}
 }
 
 // Upstreams implements transit.Upstreams.
@@ -84,10 +84,16 @@
 		ID:         a.call.ID,
 		Repeatable: a.route.Repeatable(),
 		Silence:    max(minSilence, overdueAfter(a.route, a.choice.FirstResponse)),
+
+		DataCentres: a.dataCentres,
 	})
 	if err != nil {
 		return nil, err
 	}
+	if err := a.checkCold(); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	a.conn = conn
 	return conn, nil
 }
@@ -102,7 +108,7 @@
 // unsentOutcome returns the outcome of an attempt that sent nothing, with regard to the
 // upstream's health.
 func unsentOutcome(err error) roster.Outcome {
-	if errors.Is(err, errPathLost) || errors.Is(err, fault.New(fault.UpstreamLeaving, "")) {
+	if errors.Is(err, errPathLost) || errors.Is(err, fault.New(fault.UpstreamLeaving, "")) || errors.Is(err, errColdWithoutPermit) {
 		return roster.Abandoned
 	}
 	return roster.Unreachable
--- a/pkg/mesh/fetch.go
+++ b/pkg/mesh/fetch.go
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var response fetchResponse
-	err := m.options.Caller.Call(ctx, heartbeat.PeerAddress, fetchMethod, fetchRequest{Collection: collection, After: after}, &response)
+	err := m.options.Caller.Call(ctx, heartbeat.PeerAddress, fetchMethod, fetchRequest{Collection: collection, After: after, Evacuations: m.options.FollowEvacuations}, &response)
 	if err != nil {
 		m.options.Logger.Warn().Err(err).Str("peer", string(heartbeat.ID)).Str("collection", collection).Msg("cannot fetch items from peer")
 		return
@@ -60,5 +60,5 @@
 	if err := json.Unmarshal(params, &req); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "malformed fetch request")
 	}
-	return fetchResponse{Items: m.options.State.Since(req.Collection, req.After)}, nil
+	return fetchResponse{Items: m.options.State.Since(req.Collection, req.After, req.Evacuations)}, nil
 }
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -70,6 +70,10 @@
 type fetchRequest struct {
 	Collection string         `json:"collection"`
 	After      types.Revision `json:"after"`
+	// Evacuations reports whether the sender follows the keys of evacuated data centres. An
+	// instance that does not, such as one of the previous release, would take keys that it
+	// got from a peer for removed ones after its next listing, and tell its peers so.
+	Evacuations bool `json:"evacuations,omitempty"`
 }
 
 // fetchResponse carries the requested items.
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/fairshare"
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/permit"
@@ -42,8 +43,9 @@
 	Ejected() map[types.UpstreamID]time.Duration
 	// Revisions returns the latest revision held of each collection.
 	Revisions() map[string]types.Revision
-	// Since returns the items of a collection that are newer than a revision.
-	Since(collection string, after types.Revision) []replica.Item
+	// Since returns the items of a collection that are newer than a revision. The keys of
+	// evacuated data centres are included only if the receiver follows them.
+	Since(collection string, after types.Revision, evacuations bool) []replica.Item
 	// QuarantineEntries returns the known requests that crashed upstreams.
 	QuarantineEntries() []quarantine.Entry
 	// FindStream returns the origin of a stream if this instance knows it.
@@ -92,6 +94,13 @@
 	State  State
 	Clock  clock.Clock
 	Logger zerolog.Logger
+	// FollowEvacuations reports whether this instance follows the keys of evacuated data
+	// centres.
+	FollowEvacuations bool
+	// Capacity is nil if the capacity of upstreams is not learned.
+	Capacity CapacityTable
+	// Shares is nil if client accounts have no fair shares.
+	Shares ShareTable
 }
 
 // memberState is what this instance knows of another one.
@@ -110,6 +119,12 @@
 	// because it knew fewer members; introductionDue requests another.
 	agesSentAt, introducedAt time.Duration
 	introductionDue          bool
+	// capacityWindowFor is the incarnation of the instance that was sent all observations.
+	capacityWindowFor types.Incarnation
+	// shares is the last report of the instance, and sharesSent reports whether the last one to
+	// it had any work.
+	shares     timedShares
+	sharesSent bool
 }
 
 // Mesh maintains the membership of the fleet and exchanges heartbeats with peers.
@@ -125,14 +140,22 @@
 	// up.
 	potentialHubs map[string]bool
 	loadsCache    map[relation]cachedLoads
-	fetching      map[string]bool
-	ctx           context.Context
-	workers       sync.WaitGroup
+	capacityShare capacityShare
+	// usualShares has the usual work of the client accounts.
+	usualShares *fairshare.Usual
+	fetching    map[string]bool
+	ctx         context.Context
+	workers     sync.WaitGroup
+	// startedAt is when Run was called.
+	startedAt time.Duration
+	// ranAt is the time of the last step of Run or message, or zero before Run. Until
+	// staleUntil, messages may have arrived during a suspension.
+	ranAt, staleUntil time.Duration
 }
 
 // New returns a Mesh that sends nothing until Run is called.
 func New(options Options) *Mesh {
-	return &Mesh{options: options, members: make(map[string]*memberState), fetching: make(map[string]bool), loadsCache: make(map[relation]cachedLoads)}
+	return &Mesh{options: options, members: make(map[string]*memberState), fetching: make(map[string]bool), loadsCache: make(map[relation]cachedLoads), usualShares: fairshare.NewUsual()}
 }
 
 // Register registers the handlers for messages from peers.
@@ -151,14 +174,23 @@
 // Run sends heartbeats and maintains the membership until ctx is done.
 func (m *Mesh) Run(ctx context.Context) error {
 	m.mu.Lock()
-	m.ctx = ctx
+	m.ctx, m.startedAt = ctx, m.options.Clock()
 	for address := range m.members {
 		m.startSender(address)
 	}
 	m.mu.Unlock()
+	if m.options.Capacity != nil {
+		m.workers.Go(func() { m.reportCapacity(ctx) })
+	}
+	if m.options.Shares != nil {
+		m.workers.Go(func() { m.reportShares(ctx) })
+	}
 	ticker := time.NewTicker(maxHeartbeatInterval)
 	defer ticker.Stop()
 	for {
+		m.mu.Lock()
+		m.noteRunning()
+		m.mu.Unlock()
 		for _, seed := range m.options.Seeds() {
 			m.addMember(InstanceInfo{PeerAddress: seed})
 		}
@@ -314,15 +346,24 @@
 // CallerAddresses returns the sorted caller addresses of all serving instances,
 // including this one while it serves.
 func (m *Mesh) CallerAddresses() []string {
+	return m.callerAddresses(func(types.DataCentre) bool { return true })
+}
+
+// CallerAddressesIn returns those of CallerAddresses that are in the given data centres.
+func (m *Mesh) CallerAddressesIn(dataCentres map[types.DataCentre]bool) []string {
+	return m.callerAddresses(func(dataCentre types.DataCentre) bool { return dataCentres[dataCentre] })
+}
+
+func (m *Mesh) callerAddresses(include func(types.DataCentre) bool) []string {
 	var addresses []string
-	if m.options.State.Serving() {
+	if include(m.options.Self.DataCentre) && m.options.State.Serving() {
 		addresses = append(addresses, m.options.Self.CallerAddress)
 	}
 	now := m.options.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for address, member := range m.members {
-		if !member.down && member.info.Serving && now-member.lastHeard <= m.downTimeout(address) {
+		if include(member.info.DataCentre) && !member.down && member.info.Serving && now-member.lastHeard <= m.downTimeout(address) {
 			addresses = append(addresses, member.info.CallerAddress)
 		}
 	}
--- a/pkg/mesh/permits.go
+++ b/pkg/mesh/permits.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -22,6 +23,10 @@
 // milliseconds; a caller's request waits for it.
 const permitTimeout = 100 * time.Millisecond
 
+// joinTime is the time after its start in which an instance issues no permits for cold
+// upstreams. Until it has heard from its peers, it takes itself for the issuer of all upstreams.
+const joinTime = 2 * time.Second
+
 // limitReport is an observed limit of an upstream. The times are relative to the sending
 // of the message, since the clocks of instances differ.
 type limitReport struct {
@@ -37,6 +42,8 @@
 	// From is the peer address of the sender.
 	From   string        `json:"from"`
 	Limits []limitReport `json:"limits"`
+	capacityReport
+	sharesReport
 }
 
 // permitRequest asks for a permit and tells the issuer of the limit.
@@ -83,11 +90,13 @@
 	if all {
 		limits = m.options.State.Limits()
 	}
-	if len(limits) == 0 {
+	observed := m.takeCapacityReport(to)
+	shares := m.takeSharesReport(to)
+	if len(limits) == 0 && observed.empty() && len(shares.Shares) == 0 {
 		return nil
 	}
 	now := m.options.Clock()
-	report := limitsReport{From: m.options.Self.PeerAddress}
+	report := limitsReport{From: m.options.Self.PeerAddress, capacityReport: observed, sharesReport: shares}
 	for id, o := range limits {
 		report.Limits = append(report.Limits, newLimitReport(now, id, o))
 	}
@@ -108,6 +117,8 @@
 	for _, limit := range report.Limits {
 		observed[limit.Upstream] = limit.observation(now)
 	}
+	m.handleCapacity(report.From, report.capacityReport)
+	m.handleShares(report.From, report.sharesReport)
 	changed := m.options.State.HandleLimits(from.Instance, observed)
 	if len(changed) == 0 {
 		return struct{}{}, nil
@@ -125,7 +136,7 @@
 	request.From = m.options.Self.ID
 	address := m.hubFor(request.Upstream, m.options.State.Serving())
 	if address == m.options.Self.PeerAddress {
-		return m.options.State.IssuePermit(request, m.limitShare()), nil
+		return m.issuePermit(request)
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
@@ -172,7 +183,7 @@
 	}
 	m.options.State.HandleLimits(from.Instance, map[types.UpstreamID]permit.Observation{request.Upstream: request.Limit.observation(m.options.Clock())})
 	request.From = from.Instance
-	return m.options.State.IssuePermit(request.Request, m.limitShare()), nil
+	return m.issuePermit(request.Request)
 }
 
 // hubFor returns the peer address of the instance that is responsible for an upstream: it
@@ -237,13 +248,34 @@
 	m.options.State.RetainReservations(responsible)
 }
 
-// limitShare returns the part of a limit that this instance may issue permits for.
-func (m *Mesh) limitShare() float64 {
+// issuePermit decides on a request for a permit of an upstream for which this instance is
+// responsible.
+func (m *Mesh) issuePermit(request permit.Request) (permit.Reply, error) {
+	cold := request.ColdPerSecond > 0
+	if cold && m.isJoining() {
+		return permit.Reply{}, fault.New(fault.PeerUnavailable, "this instance has just started and issues no permits for cold upstreams yet")
+	}
+	return m.options.State.IssuePermit(request, m.limitShare(cold)), nil
+}
+
+// isJoining reports whether this instance has started so recently that it may not have heard
+// from its peers yet.
+func (m *Mesh) isJoining() bool {
+	hasPeers := slices.ContainsFunc(m.options.Seeds(), func(seed string) bool { return seed != m.options.Self.PeerAddress })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return (hasPeers || len(m.members) > 0) && (m.ctx == nil || m.options.Clock()-m.startedAt < joinTime)
+}
+
+// limitShare returns the part of a limit that this instance may issue permits for. For a cold
+// upstream it counts the seeds that have not been heard from since the start of this instance:
+// they may be up beyond a partition.
+func (m *Mesh) limitShare(cold bool) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now, known := m.options.Clock(), 1
 	for _, member := range m.members {
-		if member.info.ID != "" && now-member.lastHeard <= removeAfter {
+		if (cold || member.info.ID != "") && now-member.lastHeard <= removeAfter {
 			known++
 		}
 	}
--- a/pkg/mesh/readers.go
+++ b/pkg/mesh/readers.go
@@ -1,5 +1,10 @@
 package mesh
 
+import (
+	"cmp"
+	"slices"
+)
+
 // hubSilenceTimeout is the time without a heartbeat of its hub after which an instance reads
 // the store by itself. It is less than downAfterLargeFleet, because reading beside the hub
 // costs only calls to the store, and a configuration must arrive within 2 s also if the hub
@@ -29,6 +34,19 @@
 	return before < readerCount
 }
 
+// readers returns the addresses of the first readerCount other instances that may read the
+// store on behalf of the others. m.mu must be held.
+func (m *Mesh) readers() []string {
+	var able []string
+	for address, member := range m.members {
+		if !member.down && member.info.StoreReachable && m.topology.isHub(address) {
+			able = append(able, address)
+		}
+	}
+	slices.SortFunc(able, func(a, b string) int { return cmp.Compare(m.members[a].info.ID, m.members[b].info.ID) })
+	return able[:min(readerCount, len(able))]
+}
+
 // HubIsReading reports whether this instance's hub can read the store on its behalf and
 // sends it heartbeats.
 func (m *Mesh) HubIsReading() bool {
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -23,6 +23,8 @@
 	streams        []origin.Stream
 	limits         map[types.UpstreamID]permit.Observation
 	leaving        []roster.Process
+	capacity       []timedSummaries
+	shares         timedShares
 }
 
 // queueUpdates queues updates for the live peers whose relation is included,
@@ -113,8 +115,9 @@
 	now := m.options.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	stale := m.readsStaleMessages()
 	member, _ := m.addLocked(heartbeat.InstanceInfo)
-	if member == nil {
+	if member == nil || stale {
 		return nil
 	}
 	changed := member.down || member.info != heartbeat.InstanceInfo
@@ -146,6 +149,9 @@
 	lastHeard := m.options.Clock() - age
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.readsStaleMessages() {
+		return false
+	}
 	member, isNew := m.addLocked(entry.InstanceInfo)
 	// A seed that has not answered has no ID, and its lastHeard is only the time
 	// when it was added.
@@ -178,6 +184,9 @@
 	now := m.options.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.readsStaleMessages() {
+		return
+	}
 	for address, member := range m.members {
 		milliseconds, ok := ages[member.info.ID]
 		lastHeard := now - time.Duration(milliseconds)*time.Millisecond
--- a/pkg/mesh/streams.go
+++ b/pkg/mesh/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -52,6 +53,9 @@
 type streamResponse struct {
 	Known  bool          `json:"known,omitempty"`
 	Origin origin.Origin `json:"origin"`
+	// Versions is what the peer knows of the upstreams' versions if it does not know the
+	// stream. Instances of earlier releases leave it out.
+	Versions *origin.History `json:"versions,omitempty"`
 }
 
 // ReportStream reports to the peers which origin a stream has that this instance has
@@ -149,6 +153,31 @@
 	}
 }
 
+// QueryVersions asks the peers what they know of the upstreams' versions: all of a full mesh,
+// or the hub and the instances that read the store for the others, because hubs that do not
+// read may know the list only as of 10 s ago. It reports whether all of them have responded.
+func (m *Mesh) QueryVersions(ctx context.Context) (conclusive bool) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	// No stream has this key.
+	key := origin.Key(rand.Uint64())
+	addresses, alone := m.versionPeers()
+	if len(addresses) == 0 {
+		return alone
+	}
+	_, _, conclusive = m.askForStream(ctx, addresses, key)
+	return conclusive
+}
+
+// versionPeers returns the addresses of the live peers to ask for the versions. Alone
+// reports whether no other instance has ever been heard from.
+func (m *Mesh) versionPeers() (addresses []string, alone bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	readers := m.readers()
+	return m.peersWith(func(address string) bool { return slices.Contains(readers, address) })
+}
+
 // hasHubs reports whether the fleet is so large that it has hubs.
 func (m *Mesh) hasHubs() bool {
 	m.mu.Lock()
@@ -156,7 +185,8 @@
 	return m.topology.hubs != nil
 }
 
-// askForStream asks the peers at the addresses for the origin of a stream.
+// askForStream asks the peers at the addresses for the origin of a stream, and hands over
+// what they know of the versions.
 func (m *Mesh) askForStream(ctx context.Context, addresses []string, key origin.Key) (found origin.Origin, ok, conclusive bool) {
 	type reply struct {
 		streamResponse
@@ -180,6 +210,9 @@
 		if r.err == nil && r.Known {
 			return r.Origin, true, true
 		}
+		if r.Versions != nil {
+			m.options.State.HandleStreams(nil, r.Versions)
+		}
 	}
 	return origin.Origin{}, false, conclusive
 }
@@ -190,13 +223,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	holders := m.holders(key)
+	return m.peersWith(func(address string) bool { return slices.Contains(holders, address) })
+}
+
+// peersWith returns the addresses of the live peers of a full mesh, or of the hub and those
+// that are included. m.mu must be held.
+func (m *Mesh) peersWith(included func(address string) bool) (addresses []string, alone bool) {
 	alone = true
 	for address, member := range m.members {
 		alone = alone && member.info.ID == ""
 		if member.down {
 			continue
 		}
-		if relation := m.relation(address); relation == meshPeer || relation == hub || slices.Contains(holders, address) {
+		if relation := m.relation(address); relation == meshPeer || relation == hub || included(address) {
 			addresses = append(addresses, address)
 		}
 	}
@@ -210,5 +249,9 @@
 		return nil, fault.Wrap(fault.BadRequest, err, "malformed request for the origin of a stream")
 	}
 	found, ok := m.options.State.FindStream(request.Key)
-	return streamResponse{Known: ok, Origin: found}, nil
+	if ok {
+		return streamResponse{Known: true, Origin: found}, nil
+	}
+	versions := m.options.State.Versions()
+	return streamResponse{Versions: &versions}, nil
 }
--- a/pkg/mesh/streams_test.go
+++ b/pkg/mesh/streams_test.go
@@ -161,6 +161,58 @@
 	})
 }
 
+// TestQueryBringsVersionsOfPeers guards against an instance that decides on a stream of
+// unknown beginning by what it was told up to 10 s ago, or by peers that do not read the store
+// themselves.
+func TestQueryBringsVersionsOfPeers(t *testing.T) {
+	// query returns the instances whose histories a query at instance i brings.
+	query := func(t *testing.T, f *fleet, i int) (from map[types.InstanceID]int) {
+		t.Helper()
+		f.states[i].withLock(func(s *fakeState) { s.histories = map[types.InstanceID]int{} })
+		asked := time.Now()
+		if !f.meshes[i].QueryVersions(f.ctx) || time.Since(asked) > findInterval {
+			t.Errorf("instance %d: the query is not conclusive, or took %v", i, time.Since(asked))
+		}
+		f.states[i].withLock(func(s *fakeState) { from = s.histories })
+		return from
+	}
+	runFleet(t, 4, func(t *testing.T, f *fleet) {
+		time.Sleep(3 * time.Second)
+		if from := query(t, f, 0); len(from) != 3 {
+			t.Errorf("the query brings histories of %v, want 3 peers", from)
+		}
+		f.network.Partition([]string{address(0)})
+		if f.meshes[0].QueryVersions(f.ctx) {
+			t.Error("the query is conclusive without a peer")
+		}
+	})
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		if !f.meshes[0].QueryVersions(f.ctx) {
+			t.Error("the query of a single instance is not conclusive")
+		}
+	})
+	runLargeFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(10 * time.Second)
+		var readers []types.InstanceID
+		for i, m := range f.meshes {
+			if m.IsReader() {
+				readers = append(readers, f.states[i].id)
+			}
+		}
+		if len(readers) != readerCount {
+			t.Fatalf("readers are %v", readers)
+		}
+		for i := range f.meshes {
+			from := query(t, f, i)
+			for _, reader := range readers {
+				if reader != f.states[i].id && from[reader] == 0 {
+					t.Errorf("instance %d: the query brings histories of %v, want the readers %v", i, from, readers)
+				}
+			}
+		}
+	})
+}
+
 func TestStreamHoldersAreSpread(t *testing.T) {
 	m := New(Options{Self: InstanceInfo{PeerAddress: "self"}})
 	m.topology = newTopology(largeFleetInfos(40)[0], largeFleetInfos(40)[1:])
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -12,10 +12,15 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// lifetime is how long an origin is kept after the first event of its stream, and how
-// long a version counts as seen after its last upstream has gone. It is twice the longest
-// time that callers wait for a stream.
-const lifetime = 30 * time.Second
+const (
+	// MinLifetime is the shortest lifetime of a Table, and the lifetime until SetLifetime is
+	// called.
+	MinLifetime = 30 * time.Second
+	// maxLag is the largest age of the last confirmation of the list at which a version may
+	// count as the only one. Instances that read the store on behalf of the others confirm it
+	// every 0.7 to 2.1 s while the store answers within its time limit.
+	maxLag = 3 * time.Second
+)
 
 // Origin is the service and the software version of the upstream that sent the first
 // event of a stream.
@@ -43,35 +48,91 @@
 	AgeMilliseconds int64  `json:"age_ms"`
 }
 
-// History is what an instance knows of the versions in use. CoverageMilliseconds is the
-// length of the time for which it is complete.
+// History is what an instance knows of the versions in use.
 type History struct {
-	Sightings            []Sighting `json:"sightings"`
-	CoverageMilliseconds int64      `json:"coverage_ms"`
+	Sightings []Sighting `json:"sightings"`
+	// CoverageMilliseconds is the length of the time up to now for which the history is
+	// complete. Only instances of earlier releases read it. What they report themselves is
+	// not used: it also covers the time before their first listing and the time without
+	// contact with the store.
+	CoverageMilliseconds int64 `json:"coverage_ms"`
+	// Complete is the time for which the history is complete, or nil if there is none. It
+	// ends when the instance last read the list itself. Confirmations by peers are not passed
+	// on, because each hop would make them newer by the delay of the message, and instances
+	// without contact with the store would confirm each other.
+	Complete *Interval `json:"complete,omitempty"`
+}
+
+// Interval is a time in the past, from the older age to the younger one.
+type Interval struct {
+	FromMilliseconds int64 `json:"from_ms"`
+	ToMilliseconds   int64 `json:"to_ms"`
+}
+
+// Span is an interval of time.
+type Span struct {
+	From, To time.Duration
+}
+
+// merge returns the union of two spans, or the newer one if they do not overlap.
+func (s Span) merge(other Span) Span {
+	switch {
+	case other.From <= s.To && s.From <= other.To:
+		return Span{min(s.From, other.From), max(s.To, other.To)}
+	case other.To > s.To:
+		return other
+	}
+	return s
 }
 
 // Table holds the origins of streams and the versions in use. It is not safe for
 // concurrent use.
 type Table struct {
+	lifetime time.Duration
 	// recent has the streams since rotatedAt, and earlier those of the lifetime before.
 	recent, earlier map[Key]Origin
 	rotatedAt       time.Duration
 	listed          map[Origin]bool
 	lastSeen        map[Origin]time.Duration
-	// completeSince is the time from which on all versions are known.
-	completeSince time.Duration
+	// complete is the time for which all versions are known, or nil if there is none, and
+	// readAt the time up to which this instance has read them itself.
+	complete *Span
+	readAt   time.Duration
 }
 
 // NewTable returns a Table that knows no stream and no version.
 func NewTable(now time.Duration) *Table {
-	return &Table{recent: make(map[Key]Origin), rotatedAt: now, lastSeen: make(map[Origin]time.Duration), completeSince: now}
+	return &Table{lifetime: MinLifetime, recent: make(map[Key]Origin), rotatedAt: now, lastSeen: make(map[Origin]time.Duration)}
+}
+
+// SetLifetime sets how long an origin is kept after it was last recorded, and how long a
+// version counts as in use after its last upstream has gone. It must be twice the longest
+// time that callers wait for a stream, because a stream may be resumed at the end of that
+// time and then takes as long again. The lifetime never becomes shorter, because streams
+// that have begun keep their time limit.
+func (t *Table) SetLifetime(now, lifetime time.Duration) {
+	if lifetime <= t.lifetime {
+		return
+	}
+	if t.complete != nil {
+		// Versions that went earlier have been forgotten.
+		t.complete.From = max(t.complete.From, now-t.lifetime)
+	}
+	t.lifetime = lifetime
 }
 
-// Record records the origin of a stream.
+// Lifetime returns the lifetime in force.
+func (t *Table) Lifetime() time.Duration { return t.lifetime }
+
+// Record records the origin of a stream. If another origin is recorded, the caller has used
+// one ID for two streams, and the origin becomes the zero value for both.
 func (t *Table) Record(now time.Duration, stream Stream) {
-	if now-t.rotatedAt >= lifetime {
+	if now-t.rotatedAt >= t.lifetime {
 		t.earlier, t.recent, t.rotatedAt = t.recent, make(map[Key]Origin), now
 	}
+	if known, ok := t.Lookup(stream.Key); ok && known != stream.Origin {
+		stream.Origin = Origin{}
+	}
 	t.recent[stream.Key] = stream.Origin
 }
 
@@ -84,6 +145,21 @@
 	return origin, ok
 }
 
+// Confirm records for which time this instance has read the list itself without a gap. The
+// time begins anew with the first complete listing after contact with the store was lost.
+func (t *Table) Confirm(read Span) {
+	t.readAt = max(t.readAt, read.To)
+	t.addComplete(read)
+}
+
+func (t *Table) addComplete(span Span) {
+	if t.complete == nil {
+		t.complete = &span
+		return
+	}
+	*t.complete = t.complete.merge(span)
+}
+
 // Observe records the versions of all listed upstreams.
 func (t *Table) Observe(now time.Duration, listed []Origin) {
 	t.markListed(now)
@@ -93,7 +169,7 @@
 	}
 	t.markListed(now)
 	for origin, at := range t.lastSeen {
-		if now-at > lifetime {
+		if now-at > t.lifetime {
 			delete(t.lastSeen, origin)
 		}
 	}
@@ -108,17 +184,29 @@
 // History returns what is known of the versions in use.
 func (t *Table) History(now time.Duration) History {
 	t.markListed(now)
-	history := History{CoverageMilliseconds: (now - t.completeSince).Milliseconds()}
+	var history History
+	if t.complete != nil && t.complete.From <= t.readAt {
+		from := max(t.complete.From, now-t.lifetime)
+		if from <= t.readAt {
+			history.Complete = &Interval{FromMilliseconds: (now - from).Milliseconds(), ToMilliseconds: ceilMilliseconds(now - t.readAt)}
+		}
+		if now-t.readAt <= maxLag {
+			history.CoverageMilliseconds = (now - from).Milliseconds()
+		}
+	}
 	for origin, at := range t.lastSeen {
 		history.Sightings = append(history.Sightings, Sighting{Origin: origin, AgeMilliseconds: (now - at).Milliseconds()})
 	}
 	return history
 }
 
+// ceilMilliseconds rounds up, so that a confirmation does not become newer.
+func ceilMilliseconds(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
 // Merge adds what a peer knows of the versions in use.
 func (t *Table) Merge(now time.Duration, history History) {
 	for _, sighting := range history.Sightings {
-		if sighting.AgeMilliseconds > lifetime.Milliseconds() {
+		if sighting.AgeMilliseconds > t.lifetime.Milliseconds() {
 			continue
 		}
 		at := now - time.Duration(sighting.AgeMilliseconds)*time.Millisecond
@@ -126,21 +214,25 @@
 			t.lastSeen[sighting.Origin] = at
 		}
 	}
-	t.completeSince = min(t.completeSince, now-time.Duration(history.CoverageMilliseconds)*time.Millisecond)
+	if c := history.Complete; c != nil && c.ToMilliseconds >= 0 && c.FromMilliseconds >= c.ToMilliseconds {
+		t.addComplete(Span{now - time.Duration(c.FromMilliseconds)*time.Millisecond, now - time.Duration(c.ToMilliseconds)*time.Millisecond})
+	}
 }
 
 // OnlyVersion returns the version of a service if only one was in use during the last
-// lifetime, as far as is known. The history is complete if it covers that time.
-func (t *Table) OnlyVersion(now time.Duration, target types.TargetName) (version types.SoftwareVersion, complete, ok bool) {
+// lifetime, as far as is known. The history is complete if it covers the age of the stream,
+// a lifetime at most, and has been confirmed lately.
+func (t *Table) OnlyVersion(now time.Duration, target types.TargetName, age time.Duration) (version types.SoftwareVersion, complete, ok bool) {
 	t.markListed(now)
 	count := 0
 	for origin, at := range t.lastSeen {
-		if origin.Target == target && now-at <= lifetime {
+		if origin.Target == target && now-at <= t.lifetime {
 			version = origin.Version
 			count++
 		}
 	}
-	return version, now-t.completeSince >= lifetime, count == 1
+	complete = t.complete != nil && now-t.complete.From >= min(age, t.lifetime) && now-t.complete.To <= maxLag
+	return version, complete, count == 1
 }
 
 // Batch holds streams of one origin.
--- a/pkg/permit/issuer.go
+++ b/pkg/permit/issuer.go
@@ -48,6 +48,9 @@
 	Priority int `json:"priority,omitempty"`
 	// From is the instance that asks.
 	From types.InstanceID `json:"from"`
+	// ColdPerSecond is the limit that the instance assumes because the upstream is cold, or
+	// zero. Older builds ignore it.
+	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
 	// Jitter is uniform in [0, 1). It spreads the times at which instances ask again.
 	Jitter float64 `json:"jitter"`
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -70,6 +70,9 @@
 	// overduePenalty is the cost of each request that has been without a response
 	// for well beyond its predicted time.
 	overduePenalty = 80 * time.Millisecond
+	// coldShare is the cost of a cold upstream, which responds slowly, as a share of the
+	// request's objective.
+	coldShare = 0.25
 )
 
 // PromptSegment is a segment of a prompt. Requests share segments by ID.
@@ -88,6 +91,8 @@
 	Tokens int
 	// Priority is the request's priority; zero is the most urgent.
 	Priority int
+	// LateWork reports whether requests of LatePriority are late work.
+	LateWork bool
 	// InterTokenObjective is the longest inter-token latency at which a stream is
 	// in time. It is zero for other requests.
 	InterTokenObjective time.Duration
@@ -237,6 +242,9 @@
 	// StepTime is the measured time between two tokens while the engine prefills no
 	// long prompt. Zero means unknown.
 	StepTime time.Duration
+	// Cold is true if the upstream has just started and responds slowly.
+	Cold bool
+	Capacity
 }
 
 // UpdateLoads replaces the requests that run or wait at the candidates by fresher figures.
@@ -273,28 +281,25 @@
 // Choose returns the placement with the lowest cost, or false if there is no
 // candidate. Ties go to the first candidate in rendezvous order.
 func Choose(work *Work, entry Entry, request string, candidates []Candidate) (Choice, bool) {
+	return choose(work, entry, request, withoutLate(work, candidates), nil)
+}
+
+// choose implements Choose among the candidates that are accepted; nil accepts all.
+func choose(work *Work, entry Entry, request string, candidates []Candidate, accepts func(c *Candidate, reserved bool) bool) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	reserved := reservedEngines(candidates)
-	key := cmp.Or(work.affinityKey(), request)
-	preferred := preferredEngine(work, key, candidates, reserved)
-	shortlisted := shortlist(work, entry, request, key, preferred, candidates)
+	r := newRater(work, entry, request, candidates)
 	var best Choice
 	var bestWeight uint64
 	found := false
 	for i := range candidates {
 		candidate := &candidates[i]
-		if shortlisted != nil && !slices.Contains(shortlisted, candidate.ID) {
+		if !r.considers(candidate) || accepts != nil && !accepts(candidate, r.reserved[candidate.ID]) {
 			continue
 		}
-		choice := predict(work, candidate)
-		choice.Cost = choice.FirstResponse + penalties(work, entry.DataCentre, candidate, reserved[candidate.ID])
-		if work.Engine && candidate.ID != preferred {
-			waiting := float64(candidate.Load.Total().Waiting)
-			choice.Cost += scale(prefillTime(work.sharedTokens()-candidate.CachedTokens), recomputeWeight+waiting)
-		}
-		weight := rendezvous.Weight(key, candidateID(*candidate))
+		choice := r.rate(candidate)
+		weight := rendezvous.Weight(r.key, candidateID(*candidate))
 		if !found || choice.Cost < best.Cost || choice.Cost == best.Cost && weight > bestWeight {
 			best, bestWeight, found = choice, weight, true
 		}
@@ -303,6 +308,66 @@
 	return best, found
 }
 
+// rater predicts the times and the cost of a request at each of its candidates.
+type rater struct {
+	work       *Work
+	dataCentre types.DataCentre
+	// key determines the rendezvous order.
+	key         string
+	reserved    map[types.UpstreamID]bool
+	preferred   types.UpstreamID
+	shortlisted []types.UpstreamID
+	// least is the factor that the learned capacity puts on the times of all candidates.
+	least float64
+}
+
+func newRater(work *Work, entry Entry, request string, candidates []Candidate) rater {
+	r := rater{work: work, dataCentre: entry.DataCentre, key: cmp.Or(work.affinityKey(), request), reserved: reservedEngines(candidates), least: leastFactor(candidates)}
+	r.preferred = preferredEngine(work, r.key, candidates, r.reserved)
+	r.shortlisted = shortlist(work, entry, request, r.key, r.preferred, candidates)
+	return r
+}
+
+// considers reports whether Choose may return the candidate.
+func (r *rater) considers(candidate *Candidate) bool {
+	return r.shortlisted == nil || slices.Contains(r.shortlisted, candidate.ID)
+}
+
+func (r *rater) rate(candidate *Candidate) Choice {
+	choice := predict(r.work, candidate, r.least)
+	choice.Cost = choice.FirstResponse + penalties(r.work, r.dataCentre, candidate, r.reserved[candidate.ID])
+	if r.work.Engine && candidate.ID != r.preferred {
+		waiting := float64(candidate.Load.Total().Waiting)
+		choice.Cost += scale(prefillTime(r.work.sharedTokens()-candidate.CachedTokens), recomputeWeight+waiting)
+	}
+	return choice
+}
+
+// Rating is what Choose compares of one candidate.
+type Rating struct {
+	Choice
+	// Considered is false for a candidate outside the shortlist.
+	Considered bool
+	// Preferred marks the engine that caches the shared segments of the session, Reserved one
+	// that is kept for latency-sensitive streams.
+	Preferred, Reserved bool
+}
+
+// Rate returns the ratings by which Choose decides, in the order of the candidates.
+func Rate(work *Work, entry Entry, request string, candidates []Candidate) []Rating {
+	if len(candidates) == 0 {
+		return nil
+	}
+	candidates = withoutLate(work, candidates)
+	r := newRater(work, entry, request, candidates)
+	ratings := make([]Rating, len(candidates))
+	for i := range candidates {
+		c := &candidates[i]
+		ratings[i] = Rating{Choice: r.rate(c), Considered: r.considers(c), Preferred: work.Engine && c.ID == r.preferred, Reserved: work.Engine && r.reserved[c.ID]}
+	}
+	return ratings
+}
+
 // Idle returns the candidates that would start the request immediately. For
 // latency-sensitive streams these are reserved engines only, for other engine
 // work the other engines only. In a large fleet Idle returns nil if few
@@ -310,8 +375,9 @@
 // to use them.
 func Idle(work *Work, entry Entry, candidates []Candidate) []Candidate {
 	reserved := reservedEngines(candidates)
-	idle := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
-		return work.Engine && reserved[c.ID] != work.LatencySensitive() || predict(work, &c).Wait > 0
+	least := leastFactor(candidates)
+	idle := slices.DeleteFunc(slices.Clone(withoutLate(work, candidates)), func(c Candidate) bool {
+		return work.Engine && reserved[c.ID] != work.LatencySensitive() || predict(work, &c, least).Wait > 0
 	})
 	if entry.FleetSize > smallFleetSize && float64(len(idle)) < minIdleShare*float64(len(candidates)) {
 		return nil
@@ -353,11 +419,18 @@
 // preferredEngine returns the engine that caches the shared segments of a session:
 // the first in rendezvous order among the reserved engines for latency-sensitive
 // streams, and among the others for other work. Instances with the same view of the
-// load agree on it, so the shared segments are prefilled at one engine only.
+// load agree on it, so the shared segments are prefilled at one engine only. An engine that
+// is known to be much slower is preferred only if there is no other: slow engines are not
+// reserved, so that they would become the preferred ones of sessions with long prompts.
 func preferredEngine(work *Work, key string, candidates []Candidate, reserved map[types.UpstreamID]bool) types.UpstreamID {
-	first, _ := rendezvous.FirstOf(key, candidates, candidateID, func(c Candidate) bool {
-		return reserved[c.ID] == work.LatencySensitive()
+	first, ok := rendezvous.FirstOf(key, candidates, candidateID, func(c Candidate) bool {
+		return reserved[c.ID] == work.LatencySensitive() && !c.muchSlower()
 	})
+	if !ok {
+		first, _ = rendezvous.FirstOf(key, candidates, candidateID, func(c Candidate) bool {
+			return reserved[c.ID] == work.LatencySensitive()
+		})
+	}
 	return first.ID
 }
 
@@ -375,9 +448,13 @@
 
 func penalties(work *Work, local types.DataCentre, candidate *Candidate, reserved bool) time.Duration {
 	cost := scale(failurePenalty, candidate.FailureRate) + time.Duration(candidate.Load.Overdue)*overduePenalty
+	cost += crowdedCost(work, candidate)
 	if candidate.DataCentre != local {
 		cost += remotePenalty
 	}
+	if candidate.Cold {
+		cost += scale(work.Objective, coldShare)
+	}
 	if !reserved && work.LatencySensitive() {
 		cost += scale(work.Objective, unreservedShare)
 	}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -246,3 +246,17 @@
 		t.Errorf("a short prefill is not kept: %v", quick.PrefillInterToken)
 	}
 }
+
+// TestColdCandidateCostsAQuarterOfTheObjective checks that a cold upstream is used only when
+// the others are worse by a quarter of the objective.
+func TestColdCandidateCostsAQuarterOfTheObjective(t *testing.T) {
+	for _, work := range []*Work{longPrompt("s"), shortPrompt(), {Objective: 200 * time.Millisecond}} {
+		warm := engines(1)
+		before := place(t, work, warm)
+		warm[0].Cold = true
+		cold := place(t, work, warm)
+		if extra := cold.Cost - before.Cost; extra != work.Objective/4 || cold.FirstResponse != before.FirstResponse || cold.Wait != before.Wait {
+			t.Errorf("warm: %+v, cold: %+v", before, cold)
+		}
+	}
+}
--- a/pkg/placement/predict.go
+++ b/pkg/placement/predict.go
@@ -24,14 +24,16 @@
 	defaultServiceTime = 40 * time.Millisecond
 )
 
-// predict returns the predicted times of the request at the candidate.
-func predict(work *Work, candidate *Candidate) Choice {
-	ratio := cmp.Or(candidate.LatencyRatio, 1)
+// predict returns the predicted times of the request at the candidate. They are relative to
+// the factor that the learned capacity puts on the times of all candidates.
+func predict(work *Work, candidate *Candidate, least float64) Choice {
 	choice := Choice{ID: candidate.ID}
+	ratio := cmp.Or(candidate.LatencyRatio, 1) * candidate.factor() / least
 	if !work.Engine {
+		serviceTime := scale(defaultServiceTime, cmp.Or(candidate.LatencyRatio, candidate.serviceRatio(), candidate.factor()/least))
 		utilization := float64(candidate.Load.Total().Waiting) / float64(max(candidate.Slots, 1))
-		choice.Wait = time.Duration(math.Max(0, utilization-0.5) * float64(defaultServiceTime) * ratio)
-		choice.FirstResponse = choice.Wait + time.Duration(float64(defaultServiceTime)*ratio*(1+utilization/4))
+		choice.Wait = time.Duration(math.Max(0, utilization-0.5) * float64(serviceTime))
+		choice.FirstResponse = choice.Wait + time.Duration(float64(serviceTime)*(1+utilization/4))
 		return choice
 	}
 	ahead := candidate.Load.ahead(work.Priority)
--- a/pkg/placement/reserve.go
+++ b/pkg/placement/reserve.go
@@ -63,12 +63,12 @@
 		}
 	}
 	if len(times) == 0 {
-		return candidates
+		times = append(times, 0)
 	}
 	slices.Sort(times)
 	var fast []Candidate
 	for i := range candidates {
-		if !Slow(candidates[i].StepTime, times[len(times)/2]) {
+		if !candidates[i].slow(times[len(times)/2]) {
 			fast = append(fast, candidates[i])
 		}
 	}
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -131,6 +131,9 @@
 	// passed is when the last request with the convicted part was let through, if any.
 	passed   time.Duration
 	wasTried bool
+	// triableSince is when the first request came that may settle before the end of the
+	// sentence whether the part is guilty, or zero if none came since the last that may not.
+	triableSince time.Duration
 	// explainers are the parts and requests that may explain the crashes, as of a
 	// version of the table and a time.
 	explainers   []explainer
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -20,7 +20,8 @@
 	// settle whether a convicted part is guilty.
 	trialInterval = time.Second
 	// settleSpread is the range over which the instances spread the first of these
-	// requests after a crash.
+	// requests after a crash, or after the first one that may settle it: otherwise all
+	// begin at once where that becomes possible long after the crash.
 	settleSpread = 2 * time.Second
 	// correctionSpread is the longest delay before peers are corrected. Instances differ
 	// in it, so that most hear the correction of another and stay silent.
@@ -107,6 +108,11 @@
 		if found == free {
 			continue
 		}
+		if onTrial || found == unexplained {
+			state.triableSince = 0
+		} else if state.triableSince == 0 {
+			state.triableSince = now
+		}
 		if found == unexplained || !t.mayTry(now, fp, state) {
 			return t.partVerdict(now, fp, state, onTrial), nil, true
 		}
@@ -124,7 +130,7 @@
 	if t.settings.MayTry != nil && !t.settings.MayTry(fp) {
 		return false
 	}
-	return now-state.lastCrash() >= time.Duration(t.settings.TrialJitter*float64(settleSpread))
+	return now-max(state.lastCrash(), state.triableSince) >= time.Duration(t.settings.TrialJitter*float64(settleSpread))
 }
 
 // sentence returns the time from the last crash to the trial of a convicted part. It is
--- a/pkg/quarantine/parts_history_test.go
+++ b/pkg/quarantine/parts_history_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // variants are the histories with a guilty part at eight instances.
@@ -135,6 +137,20 @@
 	})
 }
 
+// TestSoundPartsRecoverAfterSeparateCrashes guards against sound shared parts that are refused long
+// after the fifth crash, in one history that TestPropertyGuiltyPartIsStopped drew.
+func TestSoundPartsRecoverAfterSeparateCrashes(t *testing.T) {
+	s := calm(0x2d, 12)
+	s.upstreams, s.middles, s.together = 6, 5, 0.05430807735547205
+	s.begin, s.perSecond, s.loss, s.unique = 0, 21, 0, 3
+	s.kills = killPlan{single: 2, massive: 1}
+	s.restarts = 3
+	out := play(s)
+	for _, violation := range out.violations(s.limits()) {
+		t.Errorf("%s: %+v", violation, out)
+	}
+}
+
 func TestPropertyCrashesWithoutGuiltyPartRefuseNoOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawScenario(t)
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -250,6 +250,33 @@
 	}
 }
 
+// TestInstancesSettleOneAfterTheOther guards against one trial at each instance at the moment
+// from which a convicted part may be settled, long after its last crash: a request of another
+// account, or the conviction of another part, makes it possible everywhere at once.
+func TestInstancesSettleOneAfterTheOther(t *testing.T) {
+	first, second := jittered(0), jittered(0.5)
+	now := crashRounds(first, 0, 5, partsOf("a", "b"))
+	second.Merge(now, first.List(now, 8))
+	for _, table := range []*Table{first, second} {
+		// With an answer since the convictions, the sentence is long.
+		table.RecordPartsSound(now+time.Second, partsOf("other"))
+		if !isRefused(table, now+time.Second, "a", "b") {
+			t.Fatal("both parts together are let through")
+		}
+	}
+	now += 10 * settleSpread
+	if isRefused(first, now, "a", "c") {
+		t.Fatal("the first instance lets no request through")
+	}
+	if !isRefused(second, now, "a", "d") {
+		t.Error("the second instance does not wait for the outcome")
+	}
+	now += settleSpread / 2
+	if isRefused(second, now, "a", "d") {
+		t.Error("the second instance lets no request through although nothing was settled")
+	}
+}
+
 func TestUnrelatedCrashDoesNotCondemnANeighbour(t *testing.T) {
 	table := jittered(0)
 	table.RecordPartCrash(0, partsOf("first"), "u0", longRun)
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -65,6 +65,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.slot(b.clock())
+	if !b.allows(current) {
+		return false
+	}
+	current.retries++
+	return true
+}
+
+// Available reports whether Spend would return true. It counts nothing.
+func (b *Budget) Available() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(b.slot(b.clock()))
+}
+
+// allows reports whether the window that ends with the slot allows a further retry. b.mu must
+// be held.
+func (b *Budget) allows(current *slot) bool {
 	first, retries := 0, 0
 	for i := range b.slots {
 		age := current.number - b.slots[i].number
@@ -76,11 +93,7 @@
 			first += b.slots[i].first
 		}
 	}
-	if float64(retries+1) > b.settings.Ratio*float64(first)+b.settings.Burst {
-		return false
-	}
-	current.retries++
-	return true
+	return float64(retries+1) <= b.settings.Ratio*float64(first)+b.settings.Burst
 }
 
 // Refund takes back the latest retry of the window, which was counted but not made.
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -23,15 +23,22 @@
 	engine         bool
 	prefillTokens  int
 	priority       int
-	sensitive      bool
+	// late reports whether the attempt is late work, whose times depend on the requests that
+	// arrive after it.
+	late      bool
+	sensitive bool
 	// segments are the prompt segments that the upstream has cached once it answers. Requests
 	// that arrive before are prefilled as a whole.
 	segments []string
 	running  bool
+	// replaced reports whether another process may have been listening at Begin.
+	replaced bool
 	// lastEventAt is the time of the last event of a stream, and besidePrefill
 	// whether the engine had a long prompt of another request to prefill then.
 	lastEventAt   time.Duration
 	besidePrefill bool
+	// longestBesidePrefill is the longest inter-token latency beside such a prefill.
+	longestBesidePrefill time.Duration
 }
 
 // Begin adds an attempt to the load of the chosen upstream.
@@ -48,13 +55,15 @@
 		started:        now,
 		predicted:      choice.FirstResponse,
 		predictedDelay: work.FirstEventDelay,
-		predictedRatio: cmp.Or(upstream.latencyRatio, 1),
+		predictedRatio: cmp.Or(r.latencyRatioOf(now, upstream, work.Engine), 1),
 		immediate:      choice.Wait == 0,
 		engine:         work.Engine,
 		prefillTokens:  max(work.Tokens-upstream.cachedTokens(now, work), 0),
 		priority:       work.Priority,
+		late:           work.Late(),
 		sensitive:      work.LatencySensitive(),
 		segments:       SharedSegments(work.Segments),
+		replaced:       upstream.mayBeReplaced(now),
 	}
 	upstream.attempts[a] = struct{}{}
 	return a
@@ -74,7 +83,7 @@
 	own := placement.PriorityLoad{Running: 1}
 	if !a.running {
 		own = placement.PriorityLoad{Waiting: 1, PrefillTokens: a.prefillTokens}
-		if now-a.started > max(overdueFactor*a.predicted, minOverdueTime) {
+		if !a.late && now-a.started > max(overdueFactor*a.predicted, minOverdueTime) {
 			load.Overdue = 1
 		}
 	}
@@ -97,7 +106,10 @@
 	}
 	a.running = true
 	a.upstream.markCached(now, a.segments)
-	if a.predicted <= 0 {
+	if !a.engine {
+		a.roster.observeCapacity(now, a.upstream, false, now-a.started)
+	}
+	if a.predicted <= 0 || a.late {
 		return
 	}
 	a.measureFirstResponse(now)
@@ -114,6 +126,9 @@
 		return 0
 	}
 	delete(upstream.attempts, a)
+	if a.longestBesidePrefill > 0 {
+		a.roster.timing(upstream.Target).prefillLongestGap.Observe(a.longestBesidePrefill)
+	}
 	failureRate := upstream.decayedFailureRate(now)
 	switch outcome {
 	case Completed:
@@ -153,6 +168,20 @@
 	return process, a.roster.leave(process)
 }
 
+// RecordRefused records that the upstream has refused a connection, so the listed process has
+// ended.
+func (a *Attempt) RecordRefused(now time.Duration) {
+	a.roster.mu.Lock()
+	defer a.roster.mu.Unlock()
+	if a.upstream != nil {
+		a.upstream.replacedUntil = now + replacedTime
+	}
+}
+
+// MayBeReplaced reports whether the attempt may run at a process of another version than
+// Version returns.
+func (a *Attempt) MayBeReplaced() bool { return a.replaced }
+
 // Version returns the software version of the upstream, or false if it is unknown: the
 // upstream was not listed at Begin, or its entry has been replaced since by that of
 // another process.
@@ -168,6 +197,18 @@
 	return a.upstream.Version, true
 }
 
+// Serves reports whether the attempt runs at a process of the version: its entry named it at
+// Begin, and if that has been replaced since, the current one does as well.
+func (a *Attempt) Serves(version types.SoftwareVersion) bool {
+	a.roster.mu.Lock()
+	defer a.roster.mu.Unlock()
+	if a.upstream == nil || a.upstream.Version != version {
+		return false
+	}
+	current, listed := a.roster.upstreams[a.upstream.ID]
+	return !listed || current.Version == version
+}
+
 // Upstream returns the ID of the upstream, or "" if it was not listed at Begin.
 func (a *Attempt) Upstream() types.UpstreamID {
 	if a.upstream == nil {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/capacity"
 	"github.com/umbercrank/umbercrank/pkg/estimate"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -37,6 +38,10 @@
 	// than minOverdueTime.
 	overdueFactor  = 4
 	minOverdueTime = 250 * time.Millisecond
+	// replacedTime is how long a process that has refused a connection counts as replaced if
+	// its entry stays the same. Another process under its ID has written its own entry by
+	// then; the platform starts one within half a second, and entries are read within 2 s.
+	replacedTime = 3 * time.Second
 )
 
 // Upstream is one entry of the published list.
@@ -52,6 +57,10 @@
 	// StartedUnixMilli is the start time of the upstream process in Unix
 	// milliseconds, or zero if unknown.
 	StartedUnixMilli int64
+	// ColdFor is the time for which the upstream is slow and accepts few requests, as of
+	// when the entry was written. Revision is that of the entry.
+	ColdFor  time.Duration
+	Revision types.Revision
 }
 
 // process returns the process that the entry describes.
@@ -88,10 +97,15 @@
 	// failureRateAt is the time to which the decay of failureRate is applied.
 	failureRateAt time.Duration
 	latencyRatio  float64
+	// latencyRatioAt is the time of the last measurement in latencyRatio.
+	latencyRatioAt time.Duration
 	// stepTime estimates the time between two tokens without a prefill beside.
 	stepTime     *estimate.Quantile
 	ejection     time.Duration
 	ejectedUntil time.Duration
+	// replacedUntil is the end of the time for which the entry counts as that of a process
+	// that has ended, because it refused a connection.
+	replacedUntil time.Duration
 }
 
 // peerReport is the latest load report of a peer.
@@ -107,17 +121,24 @@
 	peers     map[types.InstanceID]peerReport
 	// statements has what upstreams say of themselves.
 	statements map[types.UpstreamID]statement
+	// coldPeriods has the latest cold period of each upstream.
+	coldPeriods map[types.UpstreamID]coldPeriod
 	// timings has the estimates of each target with engines.
 	timings map[types.TargetName]*timing
+	// evacuated has the data centres whose upstreams get no new requests.
+	evacuated map[types.DataCentre]bool
+	// capacity learns the capacity of the upstreams, unless it is nil.
+	capacity *capacity.Table
 }
 
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
-		upstreams:  make(map[types.UpstreamID]*upstreamState),
-		peers:      make(map[types.InstanceID]peerReport),
-		statements: make(map[types.UpstreamID]statement),
-		timings:    make(map[types.TargetName]*timing),
+		upstreams:   make(map[types.UpstreamID]*upstreamState),
+		peers:       make(map[types.InstanceID]peerReport),
+		statements:  make(map[types.UpstreamID]statement),
+		coldPeriods: make(map[types.UpstreamID]coldPeriod),
+		timings:     make(map[types.TargetName]*timing),
 	}
 }
 
@@ -140,10 +161,12 @@
 		upstreams[upstream.ID] = known
 	}
 	r.upstreams = upstreams
+	r.listCapacity(list)
 	r.dropStatements()
 }
 
-// ReadyCount returns the number of upstreams that accept work.
+// ReadyCount returns the number of upstreams that accept work, also in evacuated data centres: an
+// instance stays ready during an evacuation.
 func (r *Roster) ReadyCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -162,10 +185,20 @@
 	Except map[types.UpstreamID]bool
 	// Version is the only version that may run the request, unless it is nil.
 	Version *types.SoftwareVersion
+	// DataCentres are the only ones in which the request may run, unless the map is nil.
+	DataCentres map[types.DataCentre]bool
 }
 
-func (s Selection) includes(upstream *upstreamState) bool {
-	return upstream.Target == s.Target && !s.Except[upstream.ID] && (s.Version == nil || upstream.Version == *s.Version)
+func (s Selection) includes(now time.Duration, upstream *upstreamState) bool {
+	return upstream.Target == s.Target && !s.Except[upstream.ID] && (s.Version == nil || upstream.Version == *s.Version && !upstream.mayBeReplaced(now)) &&
+		(s.DataCentres == nil || s.DataCentres[upstream.DataCentre])
+}
+
+// mayBeReplaced reports whether another process, of another version, may have taken over the
+// ID and the address while the list still has the former entry. Nothing in a response names
+// the process. Where entries name no version it makes no difference.
+func (u *upstreamState) mayBeReplaced(now time.Duration) bool {
+	return u.Version != "" && now < u.replacedUntil
 }
 
 // Candidates returns the selected upstreams that may run the work, without those that have
@@ -173,31 +206,32 @@
 func (r *Roster) Candidates(now time.Duration, selection Selection, work *placement.Work) []placement.Candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var candidates, ejected []placement.Candidate
+	var found eligible
 	for _, upstream := range r.upstreams {
-		if !selection.includes(upstream) || !r.accepts(upstream) || r.pauseOf(now, upstream) > 0 {
-			continue
-		}
-		candidate := placement.Candidate{
-			ID:           upstream.ID,
-			DataCentre:   upstream.DataCentre,
-			Slots:        upstream.Slots,
-			Load:         r.load(now, upstream),
-			FailureRate:  upstream.decayedFailureRate(now),
-			LatencyRatio: upstream.latencyRatio,
-			CachedTokens: upstream.cachedTokens(now, work),
-			StepTime:     upstream.stepTime.Value(),
-		}
-		if now < upstream.ejectedUntil {
-			ejected = append(ejected, candidate)
+		state := r.standing(now, upstream)
+		if !selection.includes(now, upstream) || !state.mayGetRequest() {
 			continue
 		}
-		candidates = append(candidates, candidate)
+		found.add(state, r.candidate(now, upstream, work))
 	}
-	if len(candidates) == 0 {
-		return ejected
+	return found.candidates()
+}
+
+// candidate describes an upstream to the placement. r.mu must be held.
+func (r *Roster) candidate(now time.Duration, upstream *upstreamState, work *placement.Work) placement.Candidate {
+	candidate := placement.Candidate{
+		ID:           upstream.ID,
+		DataCentre:   upstream.DataCentre,
+		Slots:        upstream.Slots,
+		Load:         r.load(now, upstream),
+		FailureRate:  upstream.decayedFailureRate(now),
+		LatencyRatio: r.latencyRatioOf(now, upstream, work.Engine),
+		CachedTokens: upstream.cachedTokens(now, work),
+		StepTime:     upstream.stepTime.Value(),
+		Capacity:     r.capacityOf(now, upstream),
 	}
-	return candidates
+	_, candidate.Cold = r.coldState(now, upstream.ID)
+	return candidate
 }
 
 // load returns the load from this instance and its peers at the upstream.
@@ -278,19 +312,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	upstream, ok := r.upstreams[id]
-	if !ok || !r.accepts(upstream) || r.pauseOf(now, upstream) > 0 {
+	if !ok || !r.mayGetRequests(upstream) || r.pauseOf(now, upstream) > 0 {
 		return Upstream{}, false
 	}
 	return upstream.Upstream, true
 }
 
-// Ready returns the entries of the target's upstreams that accept work.
+// Ready returns the entries of the target's upstreams that may get new requests, apart from pauses.
 func (r *Roster) Ready(target types.TargetName) []Upstream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var ready []Upstream
 	for _, upstream := range r.upstreams {
-		if r.accepts(upstream) && upstream.Target == target {
+		if r.mayGetRequests(upstream) && upstream.Target == target {
 			ready = append(ready, upstream.Upstream)
 		}
 	}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -273,3 +273,29 @@
 		t.Errorf("%d tokens are cached after the answer began, want 100", got)
 	}
 }
+
+// TestSelectionOfDataCentres guards against candidates outside the data centres in which a request
+// may run.
+func TestSelectionOfDataCentres(t *testing.T) {
+	r := New()
+	r.Update([]Upstream{entryIn("a1", "a"), entryIn("a2", "a"), entryIn("b1", "b"), entryIn("c1", "")})
+	r.Pause(0, "a2", time.Minute)
+	r.Pause(0, "c1", time.Minute)
+	for name, c := range map[string]struct {
+		allowed            map[types.DataCentre]bool
+		candidates, paused int
+	}{
+		"no restriction": {nil, 2, 2},
+		"one":            {map[types.DataCentre]bool{"a": true, "b": false}, 1, 1},
+		"two":            {map[types.DataCentre]bool{"a": true, "b": true}, 2, 1},
+		"none":           {map[types.DataCentre]bool{}, 0, 0},
+	} {
+		selection := Selection{Target: pool, DataCentres: c.allowed}
+		if got := len(r.Candidates(0, selection, prompt(0))); got != c.candidates {
+			t.Errorf("%s: %d candidates, want %d", name, got, c.candidates)
+		}
+		if got := len(r.Paused(0, selection)); got != c.paused {
+			t.Errorf("%s: %d paused upstreams, want %d", name, got, c.paused)
+		}
+	}
+}
--- a/pkg/roster/timing.go
+++ b/pkg/roster/timing.go
@@ -14,6 +14,10 @@
 	// that is estimated. Steps between two chunks lower the mean, and stalls of an
 	// engine or a connection raise the maximum.
 	interTokenQuantile = 0.95
+	// longestGapQuantile is the quantile of the longest inter-token latencies of streams
+	// beside a prefill that is estimated. A stream is late as a whole if one of its gaps is
+	// too long, so more streams are late than the latencies of single events suggest.
+	longestGapQuantile = 0.95
 	// firstEventQuantile is the quantile of the delays of first events that is
 	// estimated.
 	firstEventQuantile = 0.5
@@ -36,7 +40,7 @@
 
 // timing holds the estimates for the engines of one target.
 type timing struct {
-	prefillInterToken, firstEventDelay, stepTime *estimate.Quantile
+	prefillInterToken, prefillLongestGap, firstEventDelay, stepTime *estimate.Quantile
 }
 
 // timing returns the estimates of a target. r.mu must be held.
@@ -45,6 +49,7 @@
 	if !ok {
 		t = &timing{
 			prefillInterToken: estimate.NewQuantile(interTokenQuantile, targetWindow),
+			prefillLongestGap: estimate.NewQuantile(longestGapQuantile, targetWindow),
 			firstEventDelay:   estimate.NewQuantile(firstEventQuantile, targetWindow),
 			stepTime:          estimate.NewQuantile(stepTimeQuantile, targetWindow),
 		}
@@ -58,7 +63,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.timing(target)
-	return placement.Timing{PrefillInterToken: t.prefillInterToken.Value(), FirstEventDelay: max(t.firstEventDelay.Value(), 0)}
+	return placement.Timing{PrefillInterToken: max(t.prefillInterToken.Value(), t.prefillLongestGap.Value()), FirstEventDelay: max(t.firstEventDelay.Value(), 0)}
 }
 
 // RecordEvent records an event of a stream that carries the given number of tokens.
@@ -80,8 +85,10 @@
 	case !before && !a.besidePrefill:
 		a.upstream.stepTime.Observe(interToken)
 		t.stepTime.Observe(interToken)
+		r.observeCapacity(now, a.upstream, true, interToken)
 	case before && a.besidePrefill && !placement.Slow(a.upstream.stepTime.Value(), t.stepTime.Value()):
 		t.prefillInterToken.Observe(interToken)
+		a.longestBesidePrefill = max(a.longestBesidePrefill, interToken)
 	}
 }
 
@@ -106,7 +113,7 @@
 // prediction. r.mu must be held.
 func (a *Attempt) measureFirstResponse(now time.Duration) {
 	measured, expected := now-a.started, a.predicted-a.predictedDelay
-	ratio := cmp.Or(a.upstream.latencyRatio, 1)
+	ratio := cmp.Or(a.roster.latencyRatioOf(now, a.upstream, a.engine), 1)
 	nominal := time.Duration(float64(expected) / a.predictedRatio)
 	if a.engine && a.immediate && a.prefillTokens < placement.LongPromptTokens {
 		a.roster.timing(a.upstream.Target).firstEventDelay.Observe(measured - nominal)
@@ -119,5 +126,5 @@
 		weight *= min(float64(nominal)/float64(fullWeightTime), 1)
 	}
 	observed := min(max(float64(measured-a.predictedDelay)/float64(nominal), minLatencyRatio), maxLatencyRatio)
-	a.upstream.latencyRatio = ratio + weight*(observed-ratio)
+	a.upstream.latencyRatio, a.upstream.latencyRatioAt = ratio+weight*(observed-ratio), now
 }
--- a/pkg/roster/timing_test.go
+++ b/pkg/roster/timing_test.go
@@ -59,3 +59,33 @@
 		t.Errorf("the latency ratio of an engine that takes three times as long is %.2f", got)
 	}
 }
+
+// TestOneLongGapMakesStreamsSensitive checks that streams of which each has a single long gap
+// beside a long prompt count as latency-sensitive. By the latencies of single events they
+// did not: a gap in forty events is below the 95th percentile.
+func TestOneLongGapMakesStreamsSensitive(t *testing.T) {
+	const (
+		streams, events = 40, 40
+		usual, longest  = 30 * time.Millisecond, 90 * time.Millisecond
+		objective       = 66 * time.Millisecond
+	)
+	r := newRoster("a")
+	now := time.Duration(0)
+	r.Begin(now, &placement.Work{Engine: true, Tokens: 4 * placement.LongPromptTokens}, placement.Choice{ID: "a"})
+	for range streams {
+		stream := r.Begin(now, prompt(0), placement.Choice{ID: "a"})
+		stream.RecordFirstResponse(now)
+		for event := range events {
+			if event == events/2 {
+				now += longest - usual
+			}
+			now += usual
+			stream.RecordEvent(now, 1)
+		}
+		stream.End(now, Completed)
+	}
+	work := &placement.Work{Engine: true, InterTokenObjective: objective, Timing: r.Timing(pool).Bounded(objective)}
+	if !work.LatencySensitive() {
+		t.Errorf("%d streams with a gap of %v at an objective of %v do not count as sensitive, the latency beside a prefill is estimated at %v", streams, longest, objective, work.PrefillInterToken)
+	}
+}
--- a/pkg/simulate/reservations.go
+++ b/pkg/simulate/reservations.go
@@ -39,7 +39,7 @@
 	}
 	sim.reservationCount++
 	r.reservation = sim.reservationCount
-	sim.reservations.Apply(sim.now, sim.instance(r), reservation.Change{Upstream: r.engine, Attempt: r.reservation, Priority: r.kind.Priority, PrefillTokens: r.attempt.PrefillTokens()})
+	sim.reservations.Apply(sim.now, sim.instance(r), reservation.Change{Upstream: r.engine, Attempt: r.reservation, Priority: r.work.Priority, PrefillTokens: r.attempt.PrefillTokens()})
 }
 
 // endReservation reports that the engine answers the request, or does not run it any more.
--- a/pkg/simulate/site.go
+++ b/pkg/simulate/site.go
@@ -84,12 +84,24 @@
 	ReportDelay time.Duration
 	// IgnoreFleetSize makes each entry place requests as if it were the only one.
 	IgnoreFleetSize bool
-	// IgnoreLimits makes the entries ignore the limits of engines.
+	// IgnoreLimits makes the entries ignore the limits of engines, and that some are cold.
 	IgnoreLimits bool
 	// IgnoreCrashingParts makes the entries ignore crashes that a part of a prompt
 	// may have caused.
 	IgnoreCrashingParts bool
-	Kinds               []Kind
+	// Speeds are factors of the step times of the engines, repeated for all engines. None
+	// means that all are equal.
+	Speeds []float64
+	// CrowdedShare is the share of the engines, from the last one on, that take
+	// CrowdedFactor times as long for a step beyond half of a batch.
+	CrowdedShare, CrowdedFactor float64
+	CapacitySource              CapacitySource
+	// Accounts is the number of client accounts that send the requests, or zero. FairShares
+	// gives them fair shares.
+	Accounts   int
+	FairShares bool
+	LateDesign LateDesign
+	Kinds      []Kind
 }
 
 // strictestInterToken returns the shortest inter-token objective of all kinds.
@@ -140,6 +152,9 @@
 	Outages     []Outage
 	Slowdowns   []Slowdown
 	Limits      []EngineLimit
+	ColdPeriods []ColdPeriod
+	// Floods are those of the accounts of the site.
+	Floods []Flood
 	// CrashingPart is nil if no part of a prompt crashes engines.
 	CrashingPart *CrashingPart
 	// EntryRestarts and Partitions disturb the entries, and ReportLoss is the share of
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -137,6 +137,10 @@
 	if !ok {
 		return nil, fault.New(fault.UpstreamLeaving, "this instance does not send requests to the upstream")
 	}
+	// The lists of the two instances may have different processes under the ID.
+	if version := r.Header.Get(headerVersion); version != "" && version != string(to.Version) {
+		return nil, fault.New(fault.UpstreamLeaving, "the upstream has another software version here")
+	}
 	if !t.reaches(to.Target) {
 		return nil, fault.New(fault.PathLost, "this instance does not reach the upstreams itself")
 	}
--- a/pkg/transit/stream.go
+++ b/pkg/transit/stream.go
@@ -32,6 +32,7 @@
 	headerPause     = "Pause-Ms"
 	headerRequestID = "Request-Id"
 	headerInstance  = "Instance"
+	headerVersion   = "Version"
 )
 
 // open connects to an upstream through a peer.
@@ -51,6 +52,9 @@
 	}
 	call.Header.Set(headerRequestID, string(request.ID))
 	call.Header.Set(headerInstance, string(t.options.Instance))
+	if to.Version != "" {
+		call.Header.Set(headerVersion, string(to.Version))
+	}
 	stopTimer := time.AfterFunc(t.options.OpenTimeout, cancel).Stop
 	stopWatching := context.AfterFunc(ctx, cancel)
 	response, err := t.options.Transport.RoundTrip(call)
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,7 @@
 	Target   types.TargetName
 	Upstream types.UpstreamID
 	Address  string
+	Version  types.SoftwareVersion
 }
 
 // Upstreams is the list of upstreams that accept requests.
@@ -98,6 +100,8 @@
 	Repeatable bool
 	// Silence is the time without a response after which the upstream counts as not reached.
 	Silence time.Duration
+	// DataCentres are the only ones whose peers may carry the request, unless the map is nil.
+	DataCentres map[types.DataCentre]bool
 }
 
 // Dial connects to an upstream. No byte of the request has been sent if it fails. The error
@@ -110,12 +114,12 @@
 	if probe {
 		go t.probe(to.Target)
 	}
-	if way == reach.ThroughPeer && !t.hasPeers() {
+	if way == reach.ThroughPeer && !t.hasPeers(request) {
 		way = reach.Directly
 	}
 	if way != reach.ThroughPeer {
 		conn, err := t.dialDirectly(ctx, to, request.Silence, way == reach.OnTrial)
-		if err == nil || ctx.Err() != nil || t.reaches(to.Target) || !t.hasPeers() {
+		if err == nil || ctx.Err() != nil || t.reaches(to.Target) || !t.hasPeers(request) {
 			return conn, err
 		}
 	}
@@ -188,7 +192,8 @@
 		_ = conn.Close()
 		return nil
 	}
-	peer, ok := t.choosePeer(to.Target, nil)
+	// The peer only connects, so it may be anywhere.
+	peer, ok := t.choosePeer(to.Target, Request{}, nil)
 	if !ok {
 		return errors.WithStack(err)
 	}
@@ -207,7 +212,7 @@
 	asked := make(map[types.InstanceID]bool)
 	failure := fault.New(fault.PathLost, "neither this instance nor a peer that was asked reaches the upstreams")
 	for len(asked) < maxPeersAsked {
-		peer, ok := t.choosePeer(to.Target, asked)
+		peer, ok := t.choosePeer(to.Target, request, asked)
 		if !ok {
 			break
 		}
@@ -242,15 +247,26 @@
 	return nil, failure
 }
 
-// hasPeers reports whether there is any instance that may carry requests.
-func (t *Transit) hasPeers() bool { return t.options.Transport != nil && len(t.options.Peers()) > 0 }
+// peersFor returns the instances that may carry a request.
+func (t *Transit) peersFor(request Request) []reach.Peer {
+	peers := t.options.Peers()
+	if request.DataCentres == nil {
+		return peers
+	}
+	return slices.DeleteFunc(slices.Clone(peers), func(peer reach.Peer) bool { return !request.DataCentres[peer.DataCentre] })
+}
+
+// hasPeers reports whether there is any instance that may carry a request.
+func (t *Transit) hasPeers(request Request) bool {
+	return t.options.Transport != nil && len(t.peersFor(request)) > 0
+}
 
 // choosePeer returns the next peer to ask.
-func (t *Transit) choosePeer(target types.TargetName, asked map[types.InstanceID]bool) (reach.Peer, bool) {
+func (t *Transit) choosePeer(target types.TargetName, request Request, asked map[types.InstanceID]bool) (reach.Peer, bool) {
 	if t.options.Transport == nil {
 		return reach.Peer{}, false
 	}
-	peers := t.options.Peers()
+	peers := t.peersFor(request)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.peers.Choose(t.options.Clock(), target, t.options.DataCentre, peers, asked, rand.IntN)
