peer: a call after a failed one opens a new connection

Cause: a connection between instances stayed in use until jsonrpc2 reported that it was closed. It wakes the pending calls first, so the next call could get the closed connection, and it reports nothing when a write fails: after a write timeout (2 s) every call to that peer failed until the idle timeout (30 s).

Change: the dialer drops and closes a connection whose call failed by a closed connection or a failed write.

--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -61,17 +61,31 @@
 	idleTimeout  time.Duration
 }
 
+// writeError is the error of a failed write. Part of a message may have been sent, so the
+// connection is unusable.
+type writeError struct{ err error }
+
+// Error implements error.
+func (e *writeError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *writeError) Unwrap() error { return e.err }
+
 // Write implements net.Conn with the write timeout. It extends the read deadline,
 // since a connection with outgoing traffic is not idle.
 func (c *deadlineConn) Write(b []byte) (int, error) {
 	now := time.Now()
 	if err := c.SetWriteDeadline(now.Add(c.writeTimeout)); err != nil {
-		return 0, err
+		return 0, &writeError{err}
 	}
 	if err := c.SetReadDeadline(now.Add(c.idleTimeout)); err != nil {
-		return 0, err
+		return 0, &writeError{err}
+	}
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		return n, &writeError{err}
 	}
-	return c.Conn.Write(b)
+	return n, nil
 }
 
 // Read implements net.Conn with the idle timeout.
--- a/pkg/peer/dialer.go
+++ b/pkg/peer/dialer.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	return callError(address, rpc.Call(ctx, method, data, result))
+	return d.callError(address, rpc, rpc.Call(ctx, method, data, result))
 }
 
 // Notify implements Caller.
@@ -79,14 +79,18 @@
 	if err != nil {
 		return err
 	}
-	return callError(address, rpc.Notify(ctx, method, data))
+	return d.callError(address, rpc, rpc.Notify(ctx, method, data))
 }
 
-// callError converts the error of a call to a fault.
-func callError(address string, err error) error {
+// callError converts the error of a call on a connection to a fault. If the connection has
+// failed, the next call opens another one.
+func (d *Dialer) callError(address string, rpc *jsonrpc2.Conn, err error) error {
 	if err == nil {
 		return nil
 	}
+	if connectionFailed(err) {
+		d.link(address).drop(rpc)
+	}
 	var wire *jsonrpc2.Error
 	if errors.As(err, &wire) {
 		return decodeFault(wire)
@@ -94,6 +98,12 @@
 	return fault.Wrap(fault.PeerUnavailable, err, "no response from "+address)
 }
 
+// connectionFailed reports whether the error of a call means that its connection is unusable.
+func connectionFailed(err error) bool {
+	var write *writeError
+	return errors.Is(err, jsonrpc2.ErrClosed) || errors.As(err, &write)
+}
+
 // connection returns the open connection to address, or dials one. After a failed
 // dial it returns the same error until RedialBackoff has passed.
 func (d *Dialer) connection(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
@@ -145,6 +155,18 @@
 	}
 }
 
+// drop closes a failed connection and removes it. DisconnectNotify does not suffice: it reports
+// a closed connection only after the pending calls have failed, and a failed write not at all.
+func (l *link) drop(rpc *jsonrpc2.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rpc == rpc {
+		l.rpc = nil
+	}
+	// Close may wait for the peer to read the end of the TLS connection.
+	go rpc.Close()
+}
+
 // recentDialError returns the error of the last dial if it failed less than backoff
 // ago, otherwise nil.
 func (l *link) recentDialError(backoff time.Duration) error {
--- a/pkg/peer/failure_test.go
+++ b/pkg/peer/failure_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
 )
@@ -70,3 +72,31 @@
 		t.Errorf("Serve: %v", err)
 	}
 }
+
+// TestNextCallAfterFailedWriteUsesNewConnection guards against a connection that is kept after a
+// write has timed out: all calls on it fail until its idle timeout.
+func TestNextCallAfterFailedWriteUsesNewConnection(t *testing.T) {
+	resume := make(chan struct{})
+	address := start(t, func(r Registrar) {
+		r.Handle("stall", func(context.Context, Identity, json.RawMessage) (any, error) {
+			<-resume
+			return nil, nil
+		})
+		r.Handle("echo", func(_ context.Context, _ Identity, params json.RawMessage) (any, error) { return params, nil })
+	})
+	d := dialer(t, Options{Secret: testSecret, WriteTimeout: 50 * time.Millisecond})
+	const maxMessages = 1000
+	message := strings.Repeat("x", 1<<20)
+	var err error
+	for sent := 0; err == nil && sent < maxMessages; sent++ {
+		err = d.Notify(t.Context(), address, "stall", message)
+	}
+	close(resume)
+	if fault.From(err).Code != fault.PeerUnavailable {
+		t.Fatalf("a write to a peer that does not read returned %v, want %s", err, fault.PeerUnavailable)
+	}
+	var got int
+	if err := d.Call(t.Context(), address, "echo", 7, &got); err != nil || got != 7 {
+		t.Errorf("the next call returned %d, %v", got, err)
+	}
+}
