fairshare: usual work stays finite, groups without work are forgotten

Cause: an account that offers nothing got a usual work of zero, so that the growth (offered over usual) became infinite or not a number, and with it the usual work of the others; a report with it cannot be encoded. Repeated changes of the scope multiplied usual work without a bound, and sums of valid reports exceeded the limit from which peers drop a report. Usual.groups never removed a group, and a count of accounts in a report could overflow when it was added to.

Change: only usual work of at least forgetBelow is kept, and growth, usual work, sums and counts are bounded. A group is forgotten after five time constants without work.

Result: TestUsualWorkStaysFinite, TestGroupsWithoutWorkAreForgotten and TestImplausibleReportIsInvalid (large count) failed before ("json: unsupported value: NaN" after three reports, usual work of 5e22, 11 groups of which two could matter) and pass: go test ./pkg/fairshare.

--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -39,9 +39,11 @@
 	// maxAccounts bounds the accounts of a sum, so that messages do not grow with the number of
 	// accounts. One that floods a target is among the largest.
 	maxAccounts = 64
-	// maxWork bounds the work of an account in a report. 312 upstreams process less than a
-	// thousandth of it in a second.
+	// maxWork bounds the work of an account in a report, and sums of it. 312 upstreams process
+	// less than a thousandth of it in a second.
 	maxWork = 1e12
+	// maxRestAccounts bounds the number of accounts in a report, so that sums cannot overflow.
+	maxRestAccounts = 1e9
 )
 
 // Group identifies the requests that compete: those of one target and priority.
@@ -76,10 +78,13 @@
 	return err
 }
 
+// add adds other work. Sums of valid work are valid.
 func (w *Work) add(other Work) {
-	w.Offered, w.Admitted, w.Usual = w.Offered+other.Offered, w.Admitted+other.Admitted, w.Usual+other.Usual
+	w.Offered, w.Admitted, w.Usual = addWork(w.Offered, other.Offered), addWork(w.Admitted, other.Admitted), addWork(w.Usual, other.Usual)
 }
 
+func addWork(a, b float64) float64 { return min(a+b, maxWork) }
+
 func (w Work) valid() bool {
 	return w.Offered >= 0 && w.Admitted >= 0 && w.Usual >= 0 && max(w.Offered, w.Admitted, w.Usual) <= maxWork
 }
@@ -112,12 +117,11 @@
 	}
 	s.Rest.add(other.Rest)
 	s.RestAccounts = max(s.RestAccounts, other.RestAccounts)
-	s.Refused += other.Refused
-	s.Extra += other.Extra
+	s.Refused, s.Extra = addWork(s.Refused, other.Refused), addWork(s.Extra, other.Extra)
 }
 
 func (s *Sum) valid() bool {
-	if !s.Rest.valid() || s.RestAccounts < 0 || !(s.Growth >= 0 && s.Growth <= maxWork) || !(Work{Offered: s.Refused, Admitted: s.Extra}).valid() {
+	if !s.Rest.valid() || s.RestAccounts < 0 || s.RestAccounts > maxRestAccounts || !(s.Growth >= 0 && s.Growth <= maxWork) || !(Work{Offered: s.Refused, Admitted: s.Extra}).valid() {
 		return false
 	}
 	for _, work := range s.Accounts {
@@ -297,6 +301,12 @@
 	return reportOf(sums)
 }
 
+// addRest adds the work of one more account to the rest.
+func (s *Sum) addRest(work Work) {
+	s.Rest.add(work)
+	s.RestAccounts = min(s.RestAccounts+1, maxRestAccounts)
+}
+
 // truncate keeps the accounts with the most offered work, and counts the others as the rest.
 func (s *Sum) truncate() {
 	if len(s.Accounts) <= maxAccounts {
@@ -306,8 +316,7 @@
 		return cmp.Or(cmp.Compare(s.Accounts[b].Offered, s.Accounts[a].Offered), cmp.Compare(a, b))
 	})
 	for _, account := range ordered[maxAccounts:] {
-		s.Rest.add(s.Accounts[account])
-		s.RestAccounts++
+		s.addRest(s.Accounts[account])
 		delete(s.Accounts, account)
 	}
 }
@@ -340,8 +349,7 @@
 				short.Accounts[account] = work
 				continue
 			}
-			short.Rest.add(work)
-			short.RestAccounts++
+			short.addRest(work)
 		}
 		condensed.Sums = append(condensed.Sums, short)
 	}
--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -119,6 +119,7 @@
 		"not a number": {Sums: []Sum{{Refused: math.NaN()}}},
 		"infinite":     {Sums: []Sum{{Rest: Work{Offered: math.Inf(1)}}}},
 		"count":        {Sums: []Sum{{RestAccounts: -1}}},
+		"large count":  {Sums: []Sum{{RestAccounts: math.MaxInt}}},
 		"future":       {AgeMilliseconds: -1},
 		"outdated":     {AgeMilliseconds: TTL.Milliseconds() + 1},
 	} {
--- a/pkg/fairshare/usual.go
+++ b/pkg/fairshare/usual.go
@@ -1,6 +1,7 @@
 package fairshare
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -20,8 +21,12 @@
 	// instances than before, or of fewer: an instance that becomes a hub knew only its own
 	// work. Bursts of all accounts are smaller.
 	scopeChange = 4.0
-	// forgetBelow is the usual work below which an account is forgotten.
+	// forgetBelow is the usual work below which an account is forgotten. Growth is a ratio to
+	// usual work, which therefore must not be zero.
 	forgetBelow = 0.01
+	// forgetAfter is the time without work after which a group is forgotten. The next work would
+	// count for all but 0.007 of its usual work then.
+	forgetAfter = 5 * adaptationTime
 )
 
 // Usual has the usual work of the accounts of the fleet. It is not safe for concurrent use.
@@ -38,8 +43,9 @@
 func NewUsual() *Usual { return &Usual{groups: make(map[Group]*usualWork)} }
 
 // Apply adds the work of the fleet in the last second, and sets the usual work of the accounts in
-// it. A group without work keeps the usual work of its accounts.
+// it. A group without work keeps the usual work of its accounts for forgetAfter.
 func (u *Usual) Apply(now time.Duration, fleet *Report) {
+	maps.DeleteFunc(u.groups, func(_ Group, held *usualWork) bool { return now-held.updatedAt > forgetAfter })
 	for i := range fleet.Sums {
 		sum := &fleet.Sums[i]
 		held := u.groups[sum.Group]
@@ -63,7 +69,7 @@
 	w.updatedAt = now
 	if growth := w.medianGrowth(sum); growth > scopeChange || growth > 0 && growth < 1/scopeChange {
 		for account := range w.accounts {
-			w.accounts[account] *= growth
+			w.accounts[account] = min(w.accounts[account]*growth, maxWork)
 		}
 	}
 	// The growth is that before this work counts as usual.
@@ -78,15 +84,16 @@
 	for account, work := range sum.Accounts {
 		usual, ok := w.accounts[account]
 		if !ok {
-			usual = weight * work.Offered
-			w.accounts[account] = usual
+			if usual = weight * work.Offered; usual >= forgetBelow {
+				w.accounts[account] = usual
+			}
 		}
 		work.Usual = usual
 		sum.Accounts[account] = work
 	}
 	if growth > 0 {
 		// At least 1: where most accounts are silent, the others do not flood.
-		sum.Growth = max(growth, 1)
+		sum.Growth = min(max(growth, 1), maxWork)
 	}
 }
 
--- a/pkg/fairshare/usual_test.go
+++ b/pkg/fairshare/usual_test.go
@@ -1,6 +1,7 @@
 package fairshare
 
 import (
+	"encoding/json"
 	"math"
 	"testing"
 	"time"
@@ -142,3 +143,93 @@
 		t.Errorf("%d accounts, %d with the rest, %+v", len(got.Accounts), count, total)
 	}
 }
+
+// TestUsualWorkStaysFinite guards against a report that cannot be encoded, or that peers drop:
+// accounts without usual work make the growth infinite or not a number, and repeated changes of
+// the scope multiply the usual work without a bound.
+func TestUsualWorkStaysFinite(t *testing.T) {
+	check := func(t interface{ Fatalf(string, ...any) }, usual *Usual, now time.Duration, accounts map[types.AccountID]Work) {
+		report := Report{Sums: []Sum{{Group: group, Accounts: accounts}}}
+		usual.Apply(now, &report)
+		condensed := report.Condensed()
+		if _, err := json.Marshal(report); err != nil || !report.Valid() || !condensed.Valid() {
+			t.Fatalf("at %v: %v, %+v", now, err, report)
+		}
+	}
+	t.Run("no work", func(t *testing.T) {
+		usual := NewUsual()
+		for step, offered := range []float64{0, 0, 50, 50} {
+			check(t, usual, time.Duration(step)*time.Second, map[types.AccountID]Work{"a": {Offered: offered}, "b": {Offered: 0}})
+		}
+	})
+	t.Run("first work at the time of other work", func(t *testing.T) {
+		usual := NewUsual()
+		check(t, usual, 0, map[types.AccountID]Work{"a": {Offered: 1}})
+		for range 3 {
+			check(t, usual, 10*time.Second, map[types.AccountID]Work{"a": {Offered: 1}, "b": {Offered: 1}, "c": {Offered: 1}})
+		}
+	})
+	t.Run("drawn", rapid.MakeCheck(func(t *rapid.T) {
+		usual, now := NewUsual(), time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			accounts := make(map[types.AccountID]Work)
+			for range rapid.IntRange(1, 5).Draw(t, "accounts") {
+				account := accountName(rapid.IntRange(0, 11).Draw(t, "account"))
+				accounts[account] = Work{Offered: rapid.SampledFrom([]float64{0, 1, 50, maxWork}).Draw(t, "offered")}
+			}
+			check(t, usual, now, accounts)
+			now += rapid.SampledFrom([]time.Duration{0, 500 * time.Millisecond, time.Minute}).Draw(t, "passed")
+		}
+	}))
+	// The account "large" is below the median growth, by which its usual work is multiplied, each
+	// time others offer much more than before.
+	t.Run("scope changes", func(t *testing.T) {
+		usual, now := NewUsual(), time.Duration(0)
+		offer := func(accounts map[types.AccountID]Work) {
+			check(t, usual, now, accounts)
+			now += 500 * time.Millisecond
+		}
+		offer(map[types.AccountID]Work{"large": {Offered: maxWork}})
+		for round := range 60 {
+			accounts := map[types.AccountID]Work{"large": {Offered: maxWork}}
+			for i := range 3 << min(round, 5) {
+				accounts[accountName(100*round+i)] = Work{Offered: 10}
+			}
+			offer(accounts)
+			for account := range accounts {
+				accounts[account] = Work{Offered: maxWork}
+			}
+			offer(accounts)
+		}
+	})
+}
+
+// TestGroupsWithoutWorkAreForgotten guards against memory that grows with each target and
+// priority that was ever seen, and against usual work that is lost in a pause.
+func TestGroupsWithoutWorkAreForgotten(t *testing.T) {
+	usual, now := NewUsual(), time.Duration(0)
+	apply := func(priority int) float64 {
+		report := Report{Sums: []Sum{{Group: Group{group.Target, priority}, Accounts: map[types.AccountID]Work{"a": {Offered: 100}}}}}
+		usual.Apply(now, &report)
+		return report.Sums[0].Accounts["a"].Usual
+	}
+	for now = 0; now < 10*time.Second; now += time.Second {
+		apply(0)
+	}
+	now += adaptationTime
+	usual.Apply(now, &Report{})
+	if len(usual.groups) != 1 {
+		t.Errorf("%d groups are known after a pause of a minute", len(usual.groups))
+	}
+	for priority := range 1000 {
+		now += adaptationTime
+		apply(priority)
+		if len(usual.groups) > 10 {
+			t.Fatalf("%d groups are known, one has work a minute", len(usual.groups))
+		}
+	}
+	now += time.Hour
+	if usual.Apply(now, &Report{}); len(usual.groups) > 0 {
+		t.Errorf("%d groups are known an hour after their last work", len(usual.groups))
+	}
+}
