fairshare: an urgent flood counts against the account's less urgent work

Cause: each priority of an account was judged alone. The short prompts of a flood are more urgent and hardly ever refused, so they used capacity while the long prompts of the same account kept a full share, and took each engine that looked idle to several instances at once. In seconds in which the median account sent nothing, the growth of a group counted as unknown and all its accounts were judged alike.

Change: Usual.Apply also sets the work by which an account floods more urgent priorities of the target. It reduces the account's less urgent share; while work within the shares is turned away, the account keeps only a quarter of the part of its usual work that fits, and the rest may not use idle upstreams (admission.Request.Withheld). As long as the work of all others fits, only such accounts are judged. Urgent requests are still never refused for less urgent ones. A known growth is at least 1.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -55,6 +55,9 @@
 	// idle engine without the cached prompts would prefill them again, at the cost of accounts
 	// that are within their share. It has no effect while less urgent work yields to the request.
 	OverShare bool
+	// Withheld reports whether such a request may not use an idle upstream either, because its
+	// account floods more urgent priorities.
+	Withheld bool
 	// Jitter is uniform in [0, 1). It spreads the retries of shed callers.
 	Jitter float64
 }
@@ -108,7 +111,7 @@
 	decision := Decide(request, choice)
 	// Priorities come before shares: less urgent work yields first.
 	overShare := request.OverShare && !choice.LessUrgentWork
-	if overShare && choice.Wait > 0 {
+	if overShare && (choice.Wait > 0 || request.Withheld) {
 		decision = Decision{RetryAfter: RetryAfter(request, choice.Wait)}
 	}
 	if decision.Admit {
--- a/pkg/admission/late_test.go
+++ b/pkg/admission/late_test.go
@@ -17,6 +17,7 @@
 		late               int
 		lessUrgent         bool
 		off, plain, over   bool
+		withheld           bool
 		patience, deadline time.Duration
 		want               Decision
 	}{
@@ -34,6 +35,10 @@
 		"over its share, one engine idle":     {tokens: [2]int{4000, 0}, over: true, want: Decision{Admit: true}},
 		"over its share, late work is off":    {tokens: [2]int{4000, 4000}, over: true, off: true},
 		"over its share, less urgent work":    {tokens: [2]int{4000, 4000}, over: true, lessUrgent: true, want: Decision{Admit: true}},
+		"withheld, one engine idle":           {tokens: [2]int{4000, 0}, over: true, withheld: true, off: true},
+		"withheld, both engines idle":         {over: true, withheld: true, off: true},
+		"withheld, late work":                 {over: true, withheld: true, want: Decision{Admit: true, Late: true}},
+		"withheld, less urgent work":          {tokens: [2]int{4000, 4000}, over: true, withheld: true, lessUrgent: true, want: Decision{Admit: true}},
 		"over its share, too much other load": {tokens: [2]int{60_000, 60_000}, over: true},
 	} {
 		candidates := []placement.Candidate{{ID: "a", Slots: 16}, {ID: "b", Slots: 16}}
@@ -49,7 +54,7 @@
 			}
 		}
 		work := &placement.Work{Engine: !c.plain, Priority: 1, Tokens: 1000, Objective: 600 * time.Millisecond, LateWork: !c.off}
-		request := Request{Objective: work.Objective, Remaining: 5 * time.Second, Patience: patience, LateWork: !c.off, OverShare: c.over}
+		request := Request{Objective: work.Objective, Remaining: 5 * time.Second, Patience: patience, LateWork: !c.off, OverShare: c.over, Withheld: c.withheld}
 		if c.patience > 0 {
 			request.Patience = c.patience
 		}
--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -36,6 +36,17 @@
 	// tolerance is the growth of an account, relative to the median growth of all, up to which it
 	// is not over its share. The work of an account in a second varies by about a third.
 	tolerance = 1.5
+	// urgentPart is the least work by which an account floods more urgent priorities, relative to
+	// its weight, that counts against its less urgent work. Less is within the variation of a
+	// second.
+	urgentPart = 0.25
+	// keptShare is the part of the work that fits which an account keeps whatever it sends at more
+	// urgent priorities: each account is served at least a quarter as often as all.
+	keptShare = 0.25
+	// idleRefusals is the part of the work within the shares that is turned away from which
+	// accounts that flood more urgent priorities get no more than keptShare. It is below
+	// usualRefusals: they yield before the level stops rising.
+	idleRefusals = 0.02
 	// maxAccounts bounds the accounts of a sum, so that messages do not grow with the number of
 	// accounts. One that floods a target is among the largest.
 	maxAccounts = 64
@@ -59,34 +70,38 @@
 	// Usual is the work that the account usually offers to the fleet in a second. It is set by
 	// Usual.Apply; zero means unknown.
 	Usual float64
+	// Urgent is the offered work by which the account floods more urgent priorities of the target.
+	// It is set by Usual.Apply.
+	Urgent float64
 }
 
 // MarshalJSON implements json.Marshaler. Whole numbers make short messages.
 func (w Work) MarshalJSON() ([]byte, error) {
-	numbers := []float64{math.Round(w.Offered), math.Round(w.Admitted), math.Round(w.Usual)}
-	if numbers[2] == 0 {
-		numbers = numbers[:2]
+	numbers := []float64{math.Round(w.Offered), math.Round(w.Admitted), math.Round(w.Usual), math.Round(w.Urgent)}
+	for len(numbers) > 2 && numbers[len(numbers)-1] == 0 {
+		numbers = numbers[:len(numbers)-1]
 	}
 	return json.Marshal(numbers)
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (w *Work) UnmarshalJSON(text []byte) error {
-	var numbers [3]float64
+	var numbers [4]float64
 	err := json.Unmarshal(text, &numbers)
-	w.Offered, w.Admitted, w.Usual = numbers[0], numbers[1], numbers[2]
+	w.Offered, w.Admitted, w.Usual, w.Urgent = numbers[0], numbers[1], numbers[2], numbers[3]
 	return err
 }
 
 // add adds other work. Sums of valid work are valid.
 func (w *Work) add(other Work) {
 	w.Offered, w.Admitted, w.Usual = addWork(w.Offered, other.Offered), addWork(w.Admitted, other.Admitted), addWork(w.Usual, other.Usual)
+	w.Urgent = addWork(w.Urgent, other.Urgent)
 }
 
 func addWork(a, b float64) float64 { return min(a+b, maxWork) }
 
 func (w Work) valid() bool {
-	return w.Offered >= 0 && w.Admitted >= 0 && w.Usual >= 0 && max(w.Offered, w.Admitted, w.Usual) <= maxWork
+	return w.Offered >= 0 && w.Admitted >= 0 && w.Usual >= 0 && w.Urgent >= 0 && max(w.Offered, w.Admitted, w.Usual, w.Urgent) <= maxWork
 }
 
 // Sum is the work of a group at some instances.
@@ -174,27 +189,74 @@
 	return s.Growth == 0 || s.Accounts[account].Offered > tolerance*s.Growth*s.weight(account, mean)
 }
 
+// basis is what the shares of all accounts depend on.
+type basis struct {
+	mean float64
+	// fit is the work that is taken to fit, part the part of all work that fits, and idleUse the
+	// result of Sum.idleUse.
+	fit, part, idleUse float64
+	// urgentOnly reports whether only accounts that flood more urgent priorities may be over
+	// their share, because the work of all others fits. Otherwise othersPart is the part of the
+	// work of the others that fits without them. It is zero if there are none.
+	urgentOnly bool
+	othersPart float64
+}
+
+func (s *Sum) basis() basis {
+	total, count := s.total()
+	b := basis{mean: total.Usual / float64(max(count, 1)), fit: s.fit(total), idleUse: s.idleUse(total)}
+	b.part = min(b.fit/max(total.Offered, 1), 1)
+	others, rest, found := total.Offered, b.fit, false
+	for account, work := range s.Accounts {
+		if kept := s.kept(account, b); work.Urgent > 0 && work.Offered > kept && s.floods(account, b.mean) {
+			others, rest, found = others-work.Offered, rest-kept, true
+		}
+	}
+	if b.urgentOnly = found && others <= rest; found && !b.urgentOnly {
+		b.othersPart = max(rest, 0) / max(others, 1)
+	}
+	return b
+}
+
+// kept returns the work that an account keeps although it floods more urgent priorities.
+func (s *Sum) kept(account types.AccountID, b basis) float64 {
+	return keptShare * b.part * s.weight(account, b.mean)
+}
+
+// judged reports whether the account may be over its share.
+func (s *Sum) judged(account types.AccountID, b basis) bool {
+	return s.floods(account, b.mean) && (!b.urgentOnly || s.Accounts[account].Urgent > 0)
+}
+
+// idleUse returns the probability with which requests over the share of an account that floods
+// more urgent priorities may use idle upstreams. Several instances find the same upstream idle
+// before they know of each other's requests, so it is zero while work within the shares is turned
+// away.
+func (s *Sum) idleUse(total Work) float64 {
+	within := max(total.Admitted-s.Extra, 0)
+	return max(1-s.Refused/max(s.Refused+within, 1)/idleRefusals, 0)
+}
+
 // Level returns the largest factor such that the work of the accounts adds up to what fits, if
 // that of accounts that flood counts up to this multiple of their weight. It returns false if
 // capacity is not short, or if no account may be over its share. An account that floods keeps
 // the part of its usual work that fits of all work.
 func (s *Sum) Level() (float64, bool) {
 	total, count := s.total()
-	fit := s.fit(total)
-	if total.Offered <= fit || count < 2 {
+	b := s.basis()
+	if total.Offered <= b.fit || count < 2 {
 		return 0, false
 	}
-	least := min(fit/total.Offered, 1)
-	fit -= s.Rest.Offered
+	least, fit := b.part, b.fit-s.Rest.Offered
 	type share struct{ offered, weight float64 }
 	var shares []share
-	weights, mean := 0.0, s.meanUsual()
+	weights := 0.0
 	for account, work := range s.Accounts {
-		if !s.floods(account, mean) {
+		if !s.judged(account, b) {
 			fit -= work.Offered
 			continue
 		}
-		shares = append(shares, share{work.Offered, s.weight(account, mean)})
+		shares = append(shares, share{work.Offered, s.weight(account, b.mean)})
 		weights += shares[len(shares)-1].weight
 	}
 	slices.SortFunc(shares, func(a, b share) int { return cmp.Compare(a.offered*b.weight, b.offered*a.weight) })
@@ -211,16 +273,26 @@
 	return 0, false
 }
 
-// Share returns the work of the account that is within its share at the level.
+// Share returns the work of the account that is within its share at the level. Work by which the
+// account floods more urgent priorities takes capacity of the target as well and counts against the
+// share. Such an account yields to the others, and always keeps a part of its usual work.
 func (s *Sum) Share(account types.AccountID, level float64) float64 {
-	return level * s.weight(account, s.meanUsual())
+	return s.share(account, level, s.basis())
+}
+
+func (s *Sum) share(account types.AccountID, level float64, b basis) float64 {
+	share, urgent := level*s.weight(account, b.mean), s.Accounts[account].Urgent
+	if urgent == 0 {
+		return max(share, b.othersPart*s.weight(account, b.mean))
+	}
+	return max(b.idleUse*(share-urgent), s.kept(account, b))
 }
 
 // Excess returns the part of the account's work that is beyond its share.
 func (s *Sum) Excess(account types.AccountID, level float64) float64 {
-	mean := s.meanUsual()
-	offered, share := s.Accounts[account].Offered, level*s.weight(account, mean)
-	if offered <= share || !s.floods(account, mean) {
+	b := s.basis()
+	offered, share := s.Accounts[account].Offered, s.share(account, level, b)
+	if offered <= share || !s.judged(account, b) {
 		return 0
 	}
 	return 1 - share/offered
@@ -228,9 +300,9 @@
 
 // over returns the shares of the accounts that are over theirs at the level.
 func (s *Sum) over(level float64) map[types.AccountID]float64 {
-	shares, mean := make(map[types.AccountID]float64), s.meanUsual()
+	shares, b := make(map[types.AccountID]float64), s.basis()
 	for account, work := range s.Accounts {
-		if share := level * s.weight(account, mean); work.Offered > share && s.floods(account, mean) {
+		if share := s.share(account, level, b); work.Offered > share && s.judged(account, b) {
 			shares[account] = share
 		}
 	}
@@ -303,6 +375,7 @@
 
 // addRest adds the work of one more account to the rest.
 func (s *Sum) addRest(work Work) {
+	work.Urgent = 0
 	s.Rest.add(work)
 	s.RestAccounts = min(s.RestAccounts+1, maxRestAccounts)
 }
--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -112,12 +112,41 @@
 	})
 }
 
+// TestCondensedReportKeepsUrgentFloods guards against the same for accounts that flood more urgent
+// priorities.
+func TestCondensedReportKeepsUrgentFloods(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sum := drawSum(t, "sum")
+		sum.Growth = 1
+		for account, work := range sum.Accounts {
+			work.Urgent = float64(rapid.SampledFrom([]int{0, 0, 1000, 30_000}).Draw(t, "urgent"))
+			sum.Accounts[account] = work
+		}
+		level, short := sum.Level()
+		text, err := json.Marshal((&Report{Sums: []Sum{sum}}).Condensed())
+		var received Report
+		if err != nil || json.Unmarshal(text, &received) != nil || !received.Valid() || short != (len(received.Sums) == 1) {
+			t.Fatalf("%s, %v, short is %v", text, err, short)
+		}
+		if !short {
+			return
+		}
+		got, _ := received.Sums[0].Level()
+		for account := range sum.Accounts {
+			if a, b := sum.Excess(account, level), received.Sums[0].Excess(account, got); math.Abs(a-b) > 1e-6 {
+				t.Fatalf("the excess of %s is %v, in the message %v", account, a, b)
+			}
+		}
+	})
+}
+
 // TestImplausibleReportIsInvalid guards against a report that shifts the level for all.
 func TestImplausibleReportIsInvalid(t *testing.T) {
 	for name, report := range map[string]Report{
 		"negative":     {Sums: []Sum{{Accounts: map[types.AccountID]Work{"a": {Offered: -1}}}}},
 		"not a number": {Sums: []Sum{{Refused: math.NaN()}}},
 		"infinite":     {Sums: []Sum{{Rest: Work{Offered: math.Inf(1)}}}},
+		"urgent":       {Sums: []Sum{{Accounts: map[types.AccountID]Work{"a": {Urgent: 2 * maxWork}}}}},
 		"count":        {Sums: []Sum{{RestAccounts: -1}}},
 		"large count":  {Sums: []Sum{{RestAccounts: math.MaxInt}}},
 		"future":       {AgeMilliseconds: -1},
--- a/pkg/fairshare/table.go
+++ b/pkg/fairshare/table.go
@@ -155,12 +155,39 @@
 // OverShare reports whether a request is over the share of its account. The draw is uniform in
 // [0, 1).
 func (t *Table) OverShare(now time.Duration, group Group, account types.AccountID, draw float64) bool {
+	return t.Judge(now, group, account, draw) != WithinShare
+}
+
+// Judgement is what a request may use with regard to the share of its account.
+type Judgement int
+
+const (
+	// WithinShare: the request may use any upstream.
+	WithinShare Judgement = iota
+	// NeedsIdle: the request is over the share and may use its best upstream if that is idle.
+	NeedsIdle
+	// Withheld: the request is over the share of an account that floods more urgent priorities,
+	// and is not admitted in time.
+	Withheld
+)
+
+// Judge decides on a request. The draw is uniform in [0, 1).
+func (t *Table) Judge(now time.Duration, group Group, account types.AccountID, draw float64) Judgement {
 	sum, ok := t.sum(now, group)
 	if !ok {
-		return false
+		return WithinShare
 	}
 	level, short := sum.Level()
-	return short && draw < sum.Excess(account, level)
+	if !short {
+		return WithinShare
+	}
+	switch excess := sum.Excess(account, level); {
+	case draw >= excess:
+		return WithinShare
+	case sum.Accounts[account].Urgent > 0 && draw < excess*(1-sum.basis().idleUse):
+		return Withheld
+	}
+	return NeedsIdle
 }
 
 // Largest returns the account with the largest part of the offered work of a group, and that
--- a/pkg/fairshare/usual.go
+++ b/pkg/fairshare/usual.go
@@ -55,6 +55,32 @@
 		}
 		held.apply(now, sum)
 	}
+	setUrgent(fleet.Sums)
+}
+
+// setUrgent sets, for each account, the work by which it floods more urgent priorities of the same
+// target. The sums have their usual work.
+func setUrgent(sums []Sum) {
+	for i := range sums {
+		sum := &sums[i]
+		mean := sum.meanUsual()
+		for account := range sum.Accounts {
+			if sum.Growth == 0 || !sum.floods(account, mean) {
+				continue
+			}
+			excess := sum.Accounts[account].Offered - sum.Growth*sum.weight(account, mean)
+			for j := range sums {
+				less := &sums[j]
+				if less.Target != sum.Target || less.Priority <= sum.Priority || less.Growth == 0 {
+					continue
+				}
+				if work, ok := less.Accounts[account]; ok && excess >= urgentPart*less.weight(account, less.meanUsual()) {
+					work.Urgent = addWork(work.Urgent, excess)
+					less.Accounts[account] = work
+				}
+			}
+		}
+	}
 }
 
 func (w *usualWork) apply(now time.Duration, sum *Sum) {
@@ -73,7 +99,7 @@
 		}
 	}
 	// The growth is that before this work counts as usual.
-	growth := w.medianGrowth(sum)
+	growth, known := w.medianGrowth(sum), len(w.accounts) > 0
 	for account, usual := range w.accounts {
 		if usual += weight * (sum.Accounts[account].Offered - usual); usual < forgetBelow {
 			delete(w.accounts, account)
@@ -88,10 +114,10 @@
 				w.accounts[account] = usual
 			}
 		}
-		work.Usual = usual
+		work.Usual, work.Urgent = usual, 0
 		sum.Accounts[account] = work
 	}
-	if growth > 0 {
+	if known {
 		// At least 1: where most accounts are silent, the others do not flood.
 		sum.Growth = min(max(growth, 1), maxWork)
 	}
--- a/pkg/fairshare/usual_test.go
+++ b/pkg/fairshare/usual_test.go
@@ -233,3 +233,98 @@
 		t.Errorf("%d groups are known an hour after their last work", len(usual.groups))
 	}
 }
+
+// urgentFlood returns the sums of a target after a flood of "medium" at two priorities. The part of
+// the less urgent work of the others that is admitted is given.
+func urgentFlood(admitted float64) (urgent, less Sum) {
+	usual := NewUsual()
+	var report Report
+	for now := time.Duration(0); now < 10*time.Second; now += 500 * time.Millisecond {
+		report = Report{}
+		for priority := range 2 {
+			sum := Sum{Group: Group{group.Target, priority}, Accounts: make(map[types.AccountID]Work)}
+			for account, offered := range usualOffer(1) {
+				work := Work{Offered: offered, Admitted: offered}
+				switch {
+				case now < 6*time.Second:
+				case account == "medium":
+					work = Work{Offered: 6 * offered, Admitted: 6 * offered}
+					if priority == 1 {
+						work.Admitted = 10
+					}
+				case priority == 1:
+					work.Admitted = admitted * offered
+					sum.Refused += offered - work.Admitted
+				}
+				sum.Accounts[account] = work
+			}
+			report.Sums = append(report.Sums, sum)
+		}
+		usual.Apply(now, &report)
+	}
+	return report.Sums[0], report.Sums[1]
+}
+
+// TestUrgentFloodCountsAgainstLessUrgentWork guards against an account that keeps a full share of
+// each priority although its urgent requests, which are not refused, use more than its part of the
+// target, against idle upstreams that it takes while others are turned away, and against an account
+// that is hardly served at all.
+func TestUrgentFloodCountsAgainstLessUrgentWork(t *testing.T) {
+	urgent, less := urgentFlood(0.8)
+	if _, short := urgent.Level(); short {
+		t.Errorf("the urgent work is short: %+v", urgent)
+	}
+	level, short := less.Level()
+	offered, total := less.Accounts["medium"].Offered, 0.0
+	for _, work := range less.Accounts {
+		total += work.Offered
+	}
+	all, _ := less.total()
+	part := less.fit(all) / total
+	if share := less.Share("medium", level); !short || share > 0.3*100 || share < 0.25*part*100 {
+		t.Errorf("the share is %v of %v at the level %v, %v of all work fits", share, offered, level, part)
+	}
+	table := NewTable()
+	table.SetFleet(0, (&Report{Sums: []Sum{urgent, less}}).Condensed())
+	if got := table.Judge(0, less.Group, "medium", 0.5); got != Withheld {
+		t.Errorf("a request of the account that floods is judged %v", got)
+	}
+	for _, account := range []types.AccountID{"large", "small", "other"} {
+		if got := table.Judge(0, less.Group, account, 0); got != WithinShare {
+			t.Errorf("a request of %s is judged %v", account, got)
+		}
+	}
+	if got := table.Judge(0, urgent.Group, "medium", 0); got != WithinShare {
+		t.Errorf("an urgent request is judged %v", got)
+	}
+	// While others are served, idle upstreams are used.
+	_, less = urgentFlood(1)
+	table.SetFleet(0, (&Report{Sums: []Sum{less}}).Condensed())
+	if got := table.Judge(0, less.Group, "medium", 0.5); got != NeedsIdle {
+		t.Errorf("a request is judged %v although no other is turned away", got)
+	}
+}
+
+// TestGrowthIsKnownWhileMostAccountsAreSilent guards against accounts within their usual work that
+// are judged, and against floods that do not count, because in some second the median account
+// sends nothing.
+func TestGrowthIsKnownWhileMostAccountsAreSilent(t *testing.T) {
+	usual := NewUsual()
+	offer(usual, 0, 6*time.Second, 1, usualOffer(1))
+	sum := offer(usual, 6*time.Second, 7*time.Second, 0.5, map[types.AccountID]float64{"large": 360, "small": 0, "other": 0, "medium": 0})
+	if sum.Growth != 1 {
+		t.Errorf("the growth is %v", sum.Growth)
+	}
+	if level, _ := sum.Level(); sum.Excess("large", level) > 0 {
+		t.Errorf("an account within its usual work is over its share: %+v", sum)
+	}
+}
+
+// TestReportedUrgentFloodIsReplaced guards against a peer that puts an account over its share.
+func TestReportedUrgentFloodIsReplaced(t *testing.T) {
+	report := Report{Sums: []Sum{{Group: group, Accounts: map[types.AccountID]Work{"a": {Offered: 100, Urgent: 1e6}}}}}
+	NewUsual().Apply(0, &report)
+	if got := report.Sums[0].Accounts["a"].Urgent; got != 0 {
+		t.Errorf("urgent work %v", got)
+	}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -158,7 +158,7 @@
 		event := g.options.Logger.Info()
 		if q.sharesCapacity() {
 			account, part := q.largestShare(now)
-			event = event.Bool("over_share", q.share.overShare).Str("largest_account", string(account)).Float64("largest_part", part)
+			event = event.Bool("over_share", q.share.overShare()).Str("largest_account", string(account)).Float64("largest_part", part)
 		}
 		event.Str("request", string(q.call.ID)).Str("upstream", string(choice.ID)).Dur("wait_ms", choice.Wait).
 			Dur("objective_ms", q.route.Objective).Dur("return_ms", decision.RetryAfter).Int("candidates", len(candidates)).Msg("refused")
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -12,6 +12,7 @@
 	"github.com/umbercrank/umbercrank/pkg/admission"
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/exchange"
+	"github.com/umbercrank/umbercrank/pkg/fairshare"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/roster"
@@ -149,7 +150,10 @@
 // place chooses among the candidates. It admits the request as late work only if mayBeLate is
 // set.
 func (q *request) place(candidates []placement.Candidate, mayBeLate bool) (placement.Choice, admission.Decision, bool) {
-	request := admission.Request{Objective: q.route.Objective, Remaining: q.remaining(), Jitter: rand.Float64(), OverShare: q.share.overShare && q.progress.runs == 0 && q.began == nil}
+	request := admission.Request{Objective: q.route.Objective, Remaining: q.remaining(), Jitter: rand.Float64()}
+	if q.progress.runs == 0 && q.began == nil {
+		request.OverShare, request.Withheld = q.share.overShare(), q.share.judgement == fairshare.Withheld
+	}
 	if mayBeLate {
 		q.allowLate(&request)
 	}
--- a/pkg/gateway/shares.go
+++ b/pkg/gateway/shares.go
@@ -31,11 +31,13 @@
 
 // shareState is what is known of a request with regard to the share of its account.
 type shareState struct {
-	// judged reports whether it was decided if the request is over the share, and recorded
-	// whether its work was counted.
-	judged, overShare, recorded bool
+	judgement fairshare.Judgement
+	// judged reports whether the judgement was made, and recorded whether the work was counted.
+	judged, recorded bool
 }
 
+func (s shareState) overShare() bool { return s.judgement != fairshare.WithinShare }
+
 // sharesCapacity reports whether the request counts towards the share of an account. Requests to
 // public routes have none.
 func (q *request) sharesCapacity() bool {
@@ -68,7 +70,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.share.judged = true
-	q.share.overShare = s.table.OverShare(now, q.shareGroup(), q.account.ID, rand.Float64())
+	q.share.judgement = s.table.Judge(now, q.shareGroup(), q.account.ID, rand.Float64())
 }
 
 // recordShare counts the work of the request by the first decision on it.
@@ -81,7 +83,7 @@
 	s := q.gateway.shares
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Record(now, q.shareGroup(), q.account.ID, q.shareWork(), fairshare.OutcomeOf(inTime, q.share.overShare))
+	s.table.Record(now, q.shareGroup(), q.account.ID, q.shareWork(), fairshare.OutcomeOf(inTime, q.share.overShare()))
 }
 
 // largestShare returns the account with the largest part of the work offered to the target at
--- a/pkg/gateway/shares_test.go
+++ b/pkg/gateway/shares_test.go
@@ -36,6 +36,16 @@
 	}}}}
 }
 
+// urgentFlood is certainFlood by an account that floods more urgent requests of the target, too,
+// while work of others is turned away.
+func urgentFlood() fairshare.Report {
+	report := certainFlood()
+	work := report.Sums[0].Accounts["acc"]
+	work.Urgent = 1e9
+	report.Sums[0].Accounts["acc"] = work
+	return report
+}
+
 // waitAt makes an upstream appear to have a call running in each slot, so that another one waits.
 func (env *testEnv) waitAt(upstreams ...types.UpstreamID) {
 	loads := make(map[types.UpstreamID]placement.Load)
@@ -101,6 +111,17 @@
 	}
 }
 
+// TestUrgentFloodGetsNoIdleUpstream guards against less urgent requests of an account that take the
+// upstreams which others need, while its urgent requests use more than its share of the target.
+func TestUrgentFloodGetsNoIdleUpstream(t *testing.T) {
+	env := newTestEnv(t, testRoutes, respondWith(rawResponse(200, "ok")), 1)
+	env.gateway.options.FairShares = true
+	env.gateway.SetFleetShares(env.gateway.options.Clock(), urgentFlood())
+	if got := env.call("POST", "/safe/x", ""); got.status != http.StatusServiceUnavailable || got.header.Get("Return") == "" {
+		t.Errorf("status %d, %v", got.status, got.header)
+	}
+}
+
 // TestAccountOverShareIsLoggedWithItsEnd guards against a missing line at the end, and against
 // lines about accounts of which this instance has no requests.
 func TestAccountOverShareIsLoggedWithItsEnd(t *testing.T) {
--- a/pkg/simulate/accounts.go
+++ b/pkg/simulate/accounts.go
@@ -110,7 +110,8 @@
 
 // shareState is what an entry knows of a request with regard to the share of its account.
 type shareState struct {
-	judged, overShare, recorded bool
+	judgement        fairshare.Judgement
+	judged, recorded bool
 }
 
 func (r *request) shareGroup() fairshare.Group {
@@ -124,7 +125,7 @@
 		return
 	}
 	r.share.judged = true
-	r.share.overShare = sim.accounts.tables[r.entry].OverShare(sim.now, r.shareGroup(), accountID(r.account), sim.accounts.random.Float64())
+	r.share.judgement = sim.accounts.tables[r.entry].Judge(sim.now, r.shareGroup(), accountID(r.account), sim.accounts.random.Float64())
 }
 
 // recordShare counts the work of an attempt by the first decision on it.
@@ -135,7 +136,7 @@
 	r.share.recorded = true
 	inTime := decision.choice.ID != "" && r.work.Priority != placement.LatePriority && decision.choice.Wait <= r.kind.Objective
 	work := fairshare.EngineWork(r.uniqueTokens, r.outputTokens)
-	sim.accounts.tables[r.entry].Record(sim.now, r.shareGroup(), accountID(r.account), work, fairshare.OutcomeOf(inTime, r.share.overShare))
+	sim.accounts.tables[r.entry].Record(sim.now, r.shareGroup(), accountID(r.account), work, fairshare.OutcomeOf(inTime, r.share.judgement != fairshare.WithinShare))
 }
 
 // exchangeShares delivers the work of all accounts to all entries.
--- a/pkg/simulate/late.go
+++ b/pkg/simulate/late.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/umbercrank/umbercrank/pkg/admission"
+	"github.com/umbercrank/umbercrank/pkg/fairshare"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 )
 
@@ -25,7 +26,8 @@
 func (r *request) admission(design LateDesign) admission.Request {
 	return admission.Request{
 		Objective: r.kind.Objective, Remaining: r.remaining, Patience: r.patience,
-		OverShare: r.share.overShare && r.executions == 0,
+		OverShare: r.share.judgement != fairshare.WithinShare && r.executions == 0,
+		Withheld:  r.share.judgement == fairshare.Withheld && r.executions == 0,
 		LateWork:  design != RefuseLate && r.executions == 0 && (design != ScheduledReturn || r.callerAttempts > 1),
 	}
 }
