transit: a request that no peer carries is sent directly if a probe connects

TestPoisonRequestCrashesFewEngines (test/fleet) failed: a sound stream after the poison request was refused as no_upstream or deadline_unreachable although two of five engines were sound. The time lines and logs of two failed runs (GOMAXPROCS=1, load average 17) show the cause: the three engines that the poison request crashed broke off without a response, so the path of the instance to the target counted as lost. Peers did not carry the requests: opening took longer than the 400 ms that are allowed, or the peer had lost its path in the same way, since its load reports came from crashed engines. Each attempt then ended within 1 ms as unreachable, without a connection being tried. The probe went to a random upstream, three of five times to one that had crashed.

If no peer carries a request, it now waits for the probe that it has begun, or begins one if none is under way, and is sent directly by the same rules as before if the probe connects: one request on trial at a time, and one that may run only once not within 2 s. The probe connects to the upstream that the request was to be sent to. A request that no instance can serve may wait for its probe, at most the dial timeout, before it is refused; other requests are refused at once as before.

Failing tests of test/fleet also log the logs of the instances.

--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -164,6 +164,19 @@
 	return Directly, false
 }
 
+// BeginProbe reports whether the caller must try to connect to an upstream and record the
+// result, because no peer carries its request. It does not wait for the time of the next probe:
+// the failures of several upstreams that crashed look like a lost path. There is one probe at a
+// time.
+func (p *Paths) BeginProbe(target types.TargetName) bool {
+	found, ok := p.targets[target]
+	if !ok || found.machine.State() != Lost || found.probing {
+		return false
+	}
+	found.probing = true
+	return true
+}
+
 // Attempt is a failed attempt to reach an upstream directly.
 type Attempt struct {
 	Target   types.TargetName
--- a/pkg/reach/reach_test.go
+++ b/pkg/reach/reach_test.go
@@ -132,7 +132,7 @@
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
 			before := p.State("s")
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0:
 				a := failedAt(now, rapid.IntRange(0, upstreams-1).Draw(t, "upstream"), Failure(rapid.IntRange(0, 1).Draw(t, "kind")))
 				failed[a.Upstream] = true
@@ -166,6 +166,12 @@
 			case 5:
 				p.EndTrial("s")
 				onTrial = false
+			case 6:
+				probe := p.BeginProbe("s")
+				if probe && (probing || before != Lost) {
+					t.Fatalf("another probe in state %s, one is under way: %v", before, probing)
+				}
+				probing = probing || probe
 			}
 			if after := p.State("s"); after != before {
 				probing, onTrial = false, false
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -111,8 +111,9 @@
 	t.mu.Lock()
 	way, probe := t.paths.Choose(now, to.Target, request.Repeatable)
 	t.mu.Unlock()
+	var probed <-chan struct{}
 	if probe {
-		go t.probe(to.Target)
+		probed = t.startProbe(to)
 	}
 	if way == reach.ThroughPeer && !t.hasPeers(request) {
 		way = reach.Directly
@@ -123,7 +124,56 @@
 			return conn, err
 		}
 	}
-	return t.dialThroughPeer(ctx, to, request)
+	conn, err := t.dialThroughPeer(ctx, to, request)
+	if err == nil || ctx.Err() != nil || errors.Is(err, errUpstreamLeaving) {
+		return conn, err
+	}
+	if way == reach.ThroughPeer {
+		if direct, ok := t.dialAfterProbe(ctx, to, request, probed); ok {
+			return direct, nil
+		}
+	}
+	t.count("refused")
+	return nil, err
+}
+
+// dialAfterProbe connects directly for a request that no peer carries, if a probe shows that the
+// path to the target is back or was never lost. Probed is closed at the end of the probe that the
+// request has begun, or nil if it has not. It returns false if the request may not be sent directly.
+func (t *Transit) dialAfterProbe(ctx context.Context, to Destination, request Request, probed <-chan struct{}) (*Conn, bool) {
+	if probed == nil && t.beginProbe(to.Target) {
+		probed = t.startProbe(to)
+	}
+	if probed != nil {
+		select {
+		case <-probed:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+	way := t.wayAfterProbe(to.Target, request.Repeatable)
+	if way == reach.ThroughPeer {
+		return nil, false
+	}
+	conn, err := t.dialDirectly(ctx, to, request.Silence, way == reach.OnTrial)
+	return conn, err == nil
+}
+
+func (t *Transit) beginProbe(target types.TargetName) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.paths.BeginProbe(target)
+}
+
+// wayAfterProbe returns how a request that no peer carries is to be sent, without a further probe.
+func (t *Transit) wayAfterProbe(target types.TargetName, repeatable bool) reach.Way {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.paths.State(target) == reach.Lost {
+		return reach.ThroughPeer
+	}
+	way, _ := t.paths.Choose(t.options.Clock(), target, repeatable)
+	return way
 }
 
 // reaches reports whether the path to a target is not lost.
@@ -167,18 +217,26 @@
 	t.paths.EndTrial(target)
 }
 
-// probe tries to connect to one upstream of a target.
-func (t *Transit) probe(target types.TargetName) {
-	connected := false
-	if upstreams := t.options.Upstreams.Upstreams(target); len(upstreams) > 0 {
-		conn, err := netconn.Dialer(t.options.DialTimeout).Dial("tcp", upstreams[rand.IntN(len(upstreams))].Address)
-		if connected = err == nil; connected {
-			_ = conn.Close()
-		}
+// startProbe probes the path to a target. The returned channel is closed when the result is recorded.
+func (t *Transit) startProbe(to Destination) <-chan struct{} {
+	probed := make(chan struct{})
+	go func() {
+		defer close(probed)
+		t.probe(to)
+	}()
+	return probed
+}
+
+// probe tries to connect to the upstream of a request, because the instance has chosen it as one
+// that has not crashed.
+func (t *Transit) probe(to Destination) {
+	conn, err := netconn.Dialer(t.options.DialTimeout).Dial("tcp", to.Address)
+	if err == nil {
+		_ = conn.Close()
 	}
 	now := t.options.Clock()
 	t.mu.Lock()
-	change, changed := t.paths.RecordProbe(now, target, connected)
+	change, changed := t.paths.RecordProbe(now, to.Target, err == nil)
 	t.mu.Unlock()
 	t.logChange(now, change, changed)
 }
@@ -243,7 +301,6 @@
 		t.peers.RecordUnreached(now, peer.ID, to.Target)
 		t.mu.Unlock()
 	}
-	t.count("refused")
 	return nil, failure
 }
 
--- a/pkg/transit/transit_test.go
+++ b/pkg/transit/transit_test.go
@@ -333,3 +333,67 @@
 		}
 	}
 }
+
+// TestRequestIsSentDirectlyIfNoPeerCarriesIt guards against refusals by an instance that reaches
+// its upstreams: a request that crashed three upstreams, which looks like a lost path, and peers
+// that do not carry requests, as on a busy machine.
+func TestRequestIsSentDirectlyIfNoPeerCarriesIt(t *testing.T) {
+	// The second time is after that of the next probe, so that the request begins one at once.
+	for name, sinceLoss := range map[string]time.Duration{"before the next probe": 0, "with a probe": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.add("stopping", "x", refusing(t)).serving.Store(false)
+			upstreams := serving(t, func(conn *net.TCPConn) {
+				_, _ = io.Copy(io.Discard, conn)
+				_ = conn.Close()
+			})
+			alone := f.add("alone", "x", upstreams)
+			var now atomic.Int64
+			alone.options.Clock = func() time.Duration { return time.Duration(now.Load()) }
+			alone.crash(t, upstreams[:3])
+			now.Add(int64(sinceLoss))
+			conn, err := alone.Dial(t.Context(), upstreams[3], Request{ID: "r", Repeatable: true, Silence: busyTimeout})
+			if err != nil {
+				t.Fatalf("a request that no peer carries ended with %v", err)
+			}
+			if _, err := alone.Dial(t.Context(), upstreams[3], Request{ID: "second", Repeatable: true, Silence: busyTimeout}); !errors.Is(err, fault.New(fault.PathLost, "")) {
+				t.Errorf("a second request on trial ended with %v, want %s", err, fault.PathLost)
+			}
+			conn.RecordResponse()
+			_ = conn.Close()
+			if conn.Peer() != "" || !alone.reaches("s") {
+				t.Errorf("connected through %q, the path is direct: %v", conn.Peer(), alone.reaches("s"))
+			}
+		})
+	}
+}
+
+// TestRequestThatRunsOnceIsNotSentOverLostPath guards against a request whose run state would stay
+// unknown if the path is lost although connections are accepted.
+func TestRequestThatRunsOnceIsNotSentOverLostPath(t *testing.T) {
+	f := newFleet(t)
+	f.add("stopping", "x", refusing(t)).serving.Store(false)
+	upstreams := serving(t, func(conn *net.TCPConn) { _ = conn.Close() })
+	alone := f.add("alone", "x", upstreams)
+	alone.options.Clock = func() time.Duration { return 0 }
+	alone.crash(t, upstreams[:3])
+	if _, err := alone.Dial(t.Context(), upstreams[3], Request{ID: "r", Silence: busyTimeout}); !errors.Is(err, fault.New(fault.PathLost, "")) {
+		t.Errorf("ended with %v, want %s", err, fault.PathLost)
+	}
+}
+
+// crash connects to the upstreams and records that they broke off without a response.
+func (i *instance) crash(t *testing.T, upstreams list) {
+	t.Helper()
+	for _, to := range upstreams {
+		conn, err := i.Dial(t.Context(), to, Request{ID: "poison", Repeatable: true, Silence: busyTimeout})
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.RecordNoResponse()
+		_ = conn.Close()
+	}
+	if i.reaches("s") {
+		t.Fatal("the path is not lost after three upstreams broke off")
+	}
+}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -41,6 +42,8 @@
 	admins   []string
 	engines  map[types.UpstreamID]*engine.Engine
 	services []*service.Service
+	// logs holds the log of each instance.
+	logs []*logBuffer
 	// stops holds a function for each instance that starts its graceful shutdown;
 	// stopped receives the result.
 	stops   []context.CancelFunc
@@ -73,8 +76,28 @@
 	return f
 }
 
-// logTimelines logs the recent events of all instances if the test has failed. Failures that
-// occur in few runs can be traced from them.
+// logBuffer collects the log of an instance. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// String returns the log so far.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// logTimelines logs the recent events and the logs of all instances if the test has failed.
+// Failures that occur in few runs can be traced from them.
 func (f *fleet) logTimelines(t testing.TB) {
 	if !t.Failed() {
 		return
@@ -89,6 +112,9 @@
 		response.Body.Close()
 		t.Logf("time line of instance %d (%v): %s", i, err, events)
 	}
+	for i, log := range f.logs {
+		t.Logf("log of instance %d:\n%s", i, log)
+	}
 	for id, e := range f.engines {
 		crashed := false
 		select {
@@ -191,7 +217,9 @@
 	var rows []types.Instance
 	for i := range count {
 		settings := instanceSettings(t, i, platformURL)
-		n, err := node.Provision(settings, zerolog.Nop())
+		log := &logBuffer{}
+		f.logs = append(f.logs, log)
+		n, err := node.Provision(settings, zerolog.New(log).With().Timestamp().Logger())
 		if err != nil {
 			t.Fatal(err)
 		}
