test/fleet: fleets in a synctest bubble, independent of the speed of the machine

TestPoisonRequestCrashesFewEngines, TestBrokenStreamsResumeToCompleteAnswer, TestLoadHasNoViolations and, once at a load average of 41, TestOverloadDoesNotRefuseHighestTier failed on busy machines. The time lines and logs of failed runs show refusals that are right for a machine that is too slow: load reports of sound engines took longer than the 400 ms that are allowed, so the only engine of a pool counted as down (no_upstream), and opening connections through peers took longer than what was left of the first-token target of 2 s (deadline_unreachable).

The tests of the package that depend on such times now run in a bubble of testing/synctest, with the same fleets, targets and checks: stand-ins, load reports, the configuration service, transit through peers and callers over pipes, messages between instances over the fake network. The clock advances only while all goroutines wait. For this, transit.Options, node.Dependencies and load.Options have a Dial function, and node.Dependencies a clock; without them nothing changes.

TestRefusalsHaveErrorCodes and TestRequestsThroughEveryInstance still run over TCP. The latter sends a request again that is refused as not run, and waits until each instance shows all peers; TestRequestsAreServedAtOnce is its strict version in a bubble.

--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -41,6 +41,8 @@
 	// Callers is the number of simulated client processes. Each keeps its own list
 	// of addresses.
 	Callers int
+	// Dial connects to instances, engines and services. If it is nil, they are dialed over TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Validate checks the options. Errors have the code InvalidSetting.
@@ -96,11 +98,14 @@
 }
 
 func newRunner(options Options) *runner {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := options.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	r := &runner{
 		options: options,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: maxIdleConnsPerAddress,
 		}},
 		ledger:   newKeyLedger(),
--- a/pkg/node/paths.go
+++ b/pkg/node/paths.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -28,6 +27,8 @@
 type paths struct {
 	store   *config.Store
 	transit *transit.Transit
+	// dial connects to an address that is not that of a configured upstream.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu sync.Mutex
 	// snapshot is the configuration that byAddress was built from.
@@ -35,17 +36,25 @@
 	byAddress map[string]transit.Destination
 }
 
-// newPaths returns the paths of the instance self. Streams opens streams to the live peers; if
-// it is nil, upstreams are reached directly only.
-func newPaths(self types.Instance, store *config.Store, live func() []types.Instance, streams http.RoundTripper, logger zerolog.Logger) *paths {
-	p := &paths{store: store}
+// newPaths returns the paths of the instance self over the given connections to upstreams and to
+// the live peers.
+func newPaths(self types.Instance, store *config.Store, live func() []types.Instance, dependencies Dependencies, logger zerolog.Logger) *paths {
+	p := &paths{store: store, dial: dependencies.Dial}
+	if p.dial == nil {
+		p.dial = netconn.Dialer(upstream.DefaultTransportSettings().DialTimeout).DialContext
+	}
+	now := dependencies.Clock
+	if now == nil {
+		now = clock.Boot
+	}
 	p.transit = transit.New(transit.Options{
 		Instance:    self.ID,
 		DataCentre:  self.DataCentre,
 		Upstreams:   p,
-		Transport:   streams,
+		Transport:   dependencies.Streams,
+		Dial:        dependencies.Dial,
 		DialTimeout: upstream.DefaultTransportSettings().DialTimeout,
-		Clock:       clock.Boot,
+		Clock:       now,
 		Logger:      logger,
 		Peers: func() []reach.Peer {
 			var peers []reach.Peer
@@ -121,7 +130,7 @@
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		to, ok := p.at(address)
 		if !ok {
-			return netconn.Dialer(upstream.DefaultTransportSettings().DialTimeout).DialContext(ctx, network, address)
+			return p.dial(ctx, network, address)
 		}
 		conn, err := p.transit.Dial(ctx, to, transit.Request{Repeatable: repeatable, Silence: maxSilence})
 		if err != nil {
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/directory"
@@ -42,6 +44,10 @@
 	Streams http.RoundTripper
 	// Loads reads the load reports of upstreams. If nil, they are read over HTTP.
 	Loads dispatch.LoadReader
+	// Dial connects to upstreams. If it is nil, they are dialed over TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Clock is the clock of the paths to upstreams. If it is nil, it is clock.Boot.
+	Clock clock.Clock
 }
 
 // Roles holds the roles of one instance, without its listeners. Call Leave before
@@ -105,7 +111,7 @@
 // buildPaths creates the connections to upstreams, and the transports that use them unless
 // others are given.
 func (r *Roles) buildPaths(dependencies *Dependencies) {
-	r.paths = newPaths(r.settings.Self(), r.store, r.members.Live, dependencies.Streams, r.logger)
+	r.paths = newPaths(r.settings.Self(), r.store, r.members.Live, *dependencies, r.logger)
 	if dependencies.Transport != nil {
 		return
 	}
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -62,6 +62,8 @@
 	Peers func() []reach.Peer
 	// Transport opens streams to peers. If it is nil, no peer is asked.
 	Transport http.RoundTripper
+	// Dial connects to an upstream. If it is nil, upstreams are dialed over TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// DialTimeout bounds connecting to an upstream.
 	DialTimeout time.Duration
 	// OpenTimeout bounds the time until a peer has connected to an upstream. Zero means
@@ -183,10 +185,20 @@
 	return t.paths.State(target) != reach.Lost
 }
 
+// connect opens a connection to the address over the instance's own path.
+func (t *Transit) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	if t.options.Dial == nil {
+		return netconn.Dialer(timeout).DialContext(ctx, "tcp", address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return t.options.Dial(ctx, "tcp", address)
+}
+
 // dialDirectly connects over the instance's own path and records the result.
 func (t *Transit) dialDirectly(ctx context.Context, to Destination, silence time.Duration, onTrial bool) (*Conn, error) {
 	began := t.options.Clock()
-	raw, err := netconn.Dialer(t.options.DialTimeout).DialContext(ctx, "tcp", to.Address)
+	raw, err := t.connect(ctx, to.Address, t.options.DialTimeout)
 	now := t.options.Clock()
 	if err == nil {
 		t.mu.Lock()
@@ -230,7 +242,7 @@
 // probe tries to connect to the upstream of a request, because the instance has chosen it as one
 // that has not crashed.
 func (t *Transit) probe(to Destination) {
-	conn, err := netconn.Dialer(t.options.DialTimeout).Dial("tcp", to.Address)
+	conn, err := t.connect(context.Background(), to.Address, t.options.DialTimeout)
 	if err == nil {
 		_ = conn.Close()
 	}
@@ -245,7 +257,7 @@
 // and otherwise why this instance cannot. One instance alone cannot tell a crashed upstream from
 // a lost path.
 func (t *Transit) Probe(to Destination, request types.RequestID, timeout time.Duration) error {
-	conn, err := netconn.Dialer(timeout).Dial("tcp", to.Address)
+	conn, err := t.connect(context.Background(), to.Address, timeout)
 	if err == nil {
 		_ = conn.Close()
 		return nil
--- a/test/fleet/faults_test.go
+++ b/test/fleet/faults_test.go
@@ -119,25 +119,26 @@
 // and leave, service calls are reset before and after their execution, and the
 // configuration service goes down and comes back.
 func TestLoadWithFaultsHasNoViolations(t *testing.T) {
-	t.Parallel()
-	f := start(t, size{instances: 3, engines: 3, services: 2, step: step})
-	inject := &injector{fleet: f, random: rand.New(rand.NewPCG(seed(t), 3))}
-	ctx, cancel := context.WithTimeout(t.Context(), faultDuration)
-	defer cancel()
-	var group sync.WaitGroup
-	group.Go(func() { inject.run(ctx) })
-	report := runLoad(t, f, loadDuration, seed(t))
-	group.Wait()
-	answered := 0
-	for _, class := range report.Classes {
-		answered += class.Results[load.Answered]
-		t.Logf("class %s: %d offered, %v, codes %v", class.Class, class.Offered, class.Results, class.Codes)
-	}
-	t.Logf("%d faults injected", inject.faults)
-	if report.Violations != 0 || report.Unchecked != "" {
-		t.Errorf("violations %d %q, unchecked %q", report.Violations, report.Details, report.Unchecked)
-	}
-	if answered*2 < report.Offered {
-		t.Errorf("%d of %d requests answered, want at least half", answered, report.Offered)
-	}
+	inBubble(t, func(t *testing.T) {
+		f := startInBubble(t, size{instances: 3, engines: 3, services: 2, step: step})
+		inject := &injector{fleet: f, random: rand.New(rand.NewPCG(seed(t), 3))}
+		ctx, cancel := context.WithTimeout(t.Context(), faultDuration)
+		defer cancel()
+		var group sync.WaitGroup
+		group.Go(func() { inject.run(ctx) })
+		report := runLoad(t, f, loadDuration, seed(t))
+		group.Wait()
+		answered := 0
+		for _, class := range report.Classes {
+			answered += class.Results[load.Answered]
+			t.Logf("class %s: %d offered, %v, codes %v", class.Class, class.Offered, class.Results, class.Codes)
+		}
+		t.Logf("%d faults injected", inject.faults)
+		if report.Violations != 0 || report.Unchecked != "" {
+			t.Errorf("violations %d %q, unchecked %q", report.Violations, report.Details, report.Unchecked)
+		}
+		if answered*2 < report.Offered {
+			t.Errorf("%d of %d requests answered, want at least half", answered, report.Offered)
+		}
+	})
 }
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -28,6 +28,7 @@
 	"github.com/umbercrank/umbercrank/pkg/standin/engine"
 	"github.com/umbercrank/umbercrank/pkg/standin/service"
 	"github.com/umbercrank/umbercrank/pkg/types"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
 // apiKey is the API key of the only account.
@@ -36,6 +37,10 @@
 // fleet is a set of running instances with the stand-ins that they use.
 type fleet struct {
 	platform *configuration.Service
+	// client sends the requests of callers and operators.
+	client *http.Client
+	// network connects all parts of a fleet in a bubble. It is nil for a fleet on loopback.
+	network *httpfakes.Network
 	instances,
 	engineBases,
 	serviceBases []string
@@ -61,7 +66,7 @@
 // serve.
 func start(t testing.TB, n size) *fleet {
 	t.Helper()
-	f := &fleet{platform: configuration.New(), engines: make(map[types.UpstreamID]*engine.Engine)}
+	f := &fleet{platform: configuration.New(), client: http.DefaultClient, engines: make(map[types.UpstreamID]*engine.Engine)}
 	server := httptest.NewServer(f.platform.Handler())
 	t.Cleanup(server.Close)
 	document := f.startUpstreams(t, n)
@@ -69,11 +74,17 @@
 		t.Fatal(err)
 	}
 	f.startInstances(t, n.instances, server.URL)
+	f.awaitServing(t)
+	return f
+}
+
+// awaitServing waits until all instances serve. Their time lines are logged if the test fails.
+func (f *fleet) awaitServing(t testing.TB) {
+	t.Helper()
 	t.Cleanup(func() { f.logTimelines(t) })
 	for _, address := range append(f.instances, f.admins...) {
-		waitUntilServing(t, address)
+		f.waitUntilServing(t, address)
 	}
-	return f
 }
 
 // logBuffer collects the log of an instance. It is safe for concurrent use.
@@ -103,7 +114,7 @@
 		return
 	}
 	for i, admin := range f.admins {
-		response, err := http.Get("http://" + admin + "/debug/timeline")
+		response, err := f.client.Get("http://" + admin + "/debug/timeline")
 		if err != nil {
 			t.Logf("time line of instance %d: %v", i, err)
 			continue
@@ -142,7 +153,7 @@
 		settings.Model.StepBase = n.step
 		e := engine.New(settings)
 		f.engines[types.UpstreamID(settings.Name)] = e
-		base := serve(t, e)
+		base := f.runServer(t, settings.Name, e)
 		f.engineBases = append(f.engineBases, base)
 		document.Upstreams = append(document.Upstreams, config.Upstream{
 			ID: types.UpstreamID(settings.Name), Target: "engines", DataCentre: dataCentre(i), URL: base, MaxConcurrent: 16, KVTokens: 32768,
@@ -151,10 +162,11 @@
 	for i := range n.services {
 		s := service.New(service.DefaultSettings())
 		f.services = append(f.services, s)
-		base := serve(t, s)
+		name := fmt.Sprintf("queue-%d", i)
+		base := f.runServer(t, name, s)
 		f.serviceBases = append(f.serviceBases, base)
 		document.Upstreams = append(document.Upstreams, config.Upstream{
-			ID: types.UpstreamID(fmt.Sprintf("queue-%d", i)), Target: "queue", DataCentre: dataCentre(i), URL: base, MaxConcurrent: 16,
+			ID: types.UpstreamID(name), Target: "queue", DataCentre: dataCentre(i), URL: base, MaxConcurrent: 16,
 		})
 	}
 	return document
@@ -191,13 +203,10 @@
 	Serve(ctx context.Context, listener net.Listener) error
 }
 
-// serve runs a stand-in until the test ends and returns its base URL.
-func serve(t testing.TB, s server) string {
+// runServer runs a stand-in until the test ends and returns its base URL.
+func (f *fleet) runServer(t testing.TB, name string, s server) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener, base := f.listen(t, name)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	// A stand-in whose crash was injected returns an error.
@@ -206,7 +215,20 @@
 		cancel()
 		group.Wait()
 	})
-	return "http://" + listener.Addr().String()
+	return base
+}
+
+// listen returns a listener and the base URL of its address.
+func (f *fleet) listen(t testing.TB, name string) (net.Listener, string) {
+	t.Helper()
+	if f.network != nil {
+		return f.network.Listen(name), "http://" + name
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener, "http://" + listener.Addr().String()
 }
 
 // startInstances provisions all instances, publishes the instance list and then
@@ -282,12 +304,12 @@
 
 // waitUntilServing waits until the address responds with a status other than 503.
 // An instance responds with 503 while it has no configuration.
-func waitUntilServing(t testing.TB, address string) {
+func (f *fleet) waitUntilServing(t testing.TB, address string) {
 	t.Helper()
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
 	for t.Context().Err() == nil {
-		response, err := http.Get("http://" + address + "/v1/addresses")
+		response, err := f.client.Get("http://" + address + "/v1/addresses")
 		if err == nil {
 			response.Body.Close()
 			if response.StatusCode != http.StatusServiceUnavailable {
@@ -299,7 +321,7 @@
 }
 
 // send sends one request with the API key of the account and returns the response.
-func send(t testing.TB, method, url, body string, headers map[string]string) *http.Response {
+func (f *fleet) send(t testing.TB, method, url, body string, headers map[string]string) *http.Response {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
 	if err != nil {
@@ -309,7 +331,7 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := f.client.Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -318,10 +340,10 @@
 }
 
 // addresses returns the response of an instance to /v1/addresses.
-func addresses(t *testing.T, instance string) directory.Answer {
+func (f *fleet) addresses(t *testing.T, instance string) directory.Answer {
 	t.Helper()
 	var answer directory.Answer
-	response := send(t, http.MethodGet, "http://"+instance+"/v1/addresses", "", nil)
+	response := f.send(t, http.MethodGet, "http://"+instance+"/v1/addresses", "", nil)
 	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
 		t.Fatal(err)
 	}
--- a/test/fleet/overhead_test.go
+++ b/test/fleet/overhead_test.go
@@ -18,8 +18,8 @@
 	direct := newLatency()
 	routed := newLatency()
 	for b.Loop() {
-		direct.time(b, f.engineBases[0]+"/v1/chat/completions", body)
-		routed.time(b, "http://"+f.instances[0]+"/v1/chat/completions", body)
+		direct.time(b, f, f.engineBases[0]+"/v1/chat/completions", body)
+		routed.time(b, f, "http://"+f.instances[0]+"/v1/chat/completions", body)
 	}
 	b.ReportMetric(direct.median(), "direct-p50-us")
 	b.ReportMetric(routed.median(), "routed-p50-us")
@@ -37,9 +37,9 @@
 
 // time sends one request and records the time until the complete response is
 // received.
-func (l latency) time(b *testing.B, url, body string) {
+func (l latency) time(b *testing.B, f *fleet, url, body string) {
 	started := time.Now()
-	response := send(b, http.MethodPost, url, body, nil)
+	response := f.send(b, http.MethodPost, url, body, nil)
 	_, err := io.Copy(io.Discard, response.Body)
 	response.Body.Close()
 	if err != nil || response.StatusCode != http.StatusOK {
--- a/test/fleet/poison_test.go
+++ b/test/fleet/poison_test.go
@@ -60,7 +60,7 @@
 	problems := make(chan string, concurrentStreams)
 	for i := range concurrentStreams {
 		body, want := chatBody(fmt.Sprintf("innocent %d %s", i, longPrompt(150)), true)
-		response := send(t, http.MethodPost, "http://"+f.instances[i%len(f.instances)]+"/v1/chat/completions", body, nil)
+		response := f.send(t, http.MethodPost, "http://"+f.instances[i%len(f.instances)]+"/v1/chat/completions", body, nil)
 		go func() {
 			text, done := readStream(t, response.Body, func() {})
 			if text == want && done {
@@ -73,7 +73,7 @@
 	result := poisonResult{}
 	body, _ := chatBody(poisonMarker+" pill", false)
 	for i := range sends {
-		response := send(t, http.MethodPost, "http://"+f.instances[i%len(f.instances)]+"/v1/chat/completions", body, nil)
+		response := f.send(t, http.MethodPost, "http://"+f.instances[i%len(f.instances)]+"/v1/chat/completions", body, nil)
 		var refusal fault.Response
 		if err := json.NewDecoder(response.Body).Decode(&refusal); err != nil {
 			t.Fatal(err)
@@ -97,27 +97,29 @@
 var poisonSize = size{instances: 3, engines: 5, services: 0, step: step}
 
 func TestPoisonRequestCrashesFewEngines(t *testing.T) {
-	t.Parallel()
-	f := start(t, poisonSize)
-	got := sendPoison(t, f)
-	if got.firstSendCrashes == 0 || got.firstSendCrashes > maxFirstSendCrashes {
-		t.Errorf("%d engines crashed during the first send, want 1 to %d", got.firstSendCrashes, maxFirstSendCrashes)
-	}
-	if got.crashes > maxCrashes {
-		t.Errorf("%d engines crashed, want at most %d", got.crashes, maxCrashes)
-	}
-	if got.last != fault.Quarantined {
-		t.Errorf("the last send got code %s, want %s", got.last, fault.Quarantined)
-	}
-	checkServesAfterPoison(t, f)
+	inBubble(t, func(t *testing.T) {
+		f := startInBubble(t, poisonSize)
+		got := sendPoison(t, f)
+		if got.firstSendCrashes == 0 || got.firstSendCrashes > maxFirstSendCrashes {
+			t.Errorf("%d engines crashed during the first send, want 1 to %d", got.firstSendCrashes, maxFirstSendCrashes)
+		}
+		if got.crashes > maxCrashes {
+			t.Errorf("%d engines crashed, want at most %d", got.crashes, maxCrashes)
+		}
+		if got.last != fault.Quarantined {
+			t.Errorf("the last send got code %s, want %s", got.last, fault.Quarantined)
+		}
+		checkServesAfterPoison(t, f)
+	})
 }
 
 func TestPoisonRequestLeavesOtherStreamsComplete(t *testing.T) {
-	t.Parallel()
-	f := start(t, poisonSize)
-	for _, problem := range sendPoison(t, f).incomplete {
-		t.Error(problem)
-	}
+	inBubble(t, func(t *testing.T) {
+		f := startInBubble(t, poisonSize)
+		for _, problem := range sendPoison(t, f).incomplete {
+			t.Error(problem)
+		}
+	})
 }
 
 // checkServesAfterPoison checks that the remaining engines still serve requests
@@ -126,7 +128,7 @@
 	t.Helper()
 	for i, instance := range f.instances {
 		body, want := chatBody(fmt.Sprintf("after the poison %d", i), true)
-		response := send(t, http.MethodPost, "http://"+instance+"/v1/chat/completions", body, nil)
+		response := f.send(t, http.MethodPost, "http://"+instance+"/v1/chat/completions", body, nil)
 		text, done := readStream(t, response.Body, func() {})
 		if !done || strings.TrimSpace(text) != want {
 			t.Errorf("after the poison request, through instance %d: status %s, complete %v, answer %q, want %q", i, response.Status, done, text, want)
--- a/test/fleet/requests_test.go
+++ b/test/fleet/requests_test.go
@@ -76,15 +76,59 @@
 	return text, false
 }
 
+// TestRequestsThroughEveryInstance sends over TCP. A machine that is busy may refuse a request as not
+// run, which is then sent again.
 func TestRequestsThroughEveryInstance(t *testing.T) {
 	t.Parallel()
 	f := start(t, size{instances: 3, engines: 2, services: 2, step: step})
+	f.checkChats(t, f.sendUntilRun)
+	checkClaims(t, f, f.sendUntilRun)
+	checkTimeline(t, f)
+	checkStatus(t, f)
+}
+
+// TestRequestsAreServedAtOnce checks that no instance refuses a request while its upstreams are idle.
+func TestRequestsAreServedAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := startInBubble(t, size{instances: 3, engines: 2, services: 2, step: step})
+		post := func(t *testing.T, url, body string, headers map[string]string) *http.Response {
+			return f.send(t, http.MethodPost, url, body, headers)
+		}
+		f.checkChats(t, post)
+		checkClaims(t, f, post)
+		checkTimeline(t, f)
+	})
+}
+
+// poster sends a POST request.
+type poster func(t *testing.T, url, body string, headers map[string]string) *http.Response
+
+// sendUntilRun sends a POST request again while it is refused as not run.
+func (f *fleet) sendUntilRun(t *testing.T, url, body string, headers map[string]string) *http.Response {
+	t.Helper()
+	for {
+		response := f.send(t, http.MethodPost, url, body, headers)
+		if response.StatusCode != http.StatusServiceUnavailable {
+			return response
+		}
+		var refusal fault.Response
+		if err := json.NewDecoder(response.Body).Decode(&refusal); err != nil || refusal.Error.RunState != types.NotRun {
+			t.Fatalf("refused as %+v, error %v", refusal.Error, err)
+		}
+		t.Logf("sent again after %+v", refusal.Error)
+	}
+}
+
+// checkChats sends a chat and a streamed one to each instance.
+func (f *fleet) checkChats(t *testing.T, post poster) {
+	t.Helper()
 	for _, instance := range f.instances {
 		body, want := chatBody("hello "+instance, false)
 		var completion struct {
 			Choices []struct{ Message struct{ Content string } }
 		}
-		response := send(t, http.MethodPost, "http://"+instance+"/v1/chat/completions", body, nil)
+		url := "http://" + instance + "/v1/chat/completions"
+		response := post(t, url, body, nil)
 		if err := json.NewDecoder(response.Body).Decode(&completion); err != nil || len(completion.Choices) != 1 {
 			t.Fatalf("status %s, error %v", response.Status, err)
 		}
@@ -92,39 +136,45 @@
 			t.Errorf("answer %q, want %q", completion.Choices[0].Message.Content, want)
 		}
 		body, want = chatBody("stream "+instance, true)
-		response = send(t, http.MethodPost, "http://"+instance+"/v1/chat/completions", body, nil)
+		response = post(t, url, body, nil)
 		if text, done := readStream(t, response.Body, func() {}); text != want || !done {
 			t.Errorf("stream %q, complete %v, want %q", text, done, want)
 		}
 	}
-	checkClaims(t, f)
-	checkTimeline(t, f)
-	checkStatus(t, f)
 }
 
-// checkStatus checks the status page of every instance.
+// checkStatus checks the status page of every instance. On a busy machine an instance may not
+// know for a while that the others are live.
 func checkStatus(t *testing.T, f *fleet) {
 	t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
 	for _, admin := range f.admins {
-		var status node.Status
-		response := send(t, http.MethodGet, "http://"+admin+"/debug/status", "", nil)
-		if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
-			t.Fatal(err)
-		}
-		if status.Phase != "serving" || status.Revision != 1 || len(status.Live) != len(f.admins) {
-			t.Errorf("unexpected status %+v", status)
+		for {
+			var status node.Status
+			response := f.send(t, http.MethodGet, "http://"+admin+"/debug/status", "", nil)
+			if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+				t.Fatal(err)
+			}
+			if status.Phase != "serving" || status.Revision != 1 {
+				t.Errorf("unexpected status %+v", status)
+			}
+			if len(status.Live) == len(f.admins) {
+				break
+			}
+			<-ticker.C
 		}
 	}
 }
 
 // checkClaims sends the same at-most-once call twice to every instance and checks
 // that it is executed once.
-func checkClaims(t *testing.T, f *fleet) {
+func checkClaims(t *testing.T, f *fleet, post poster) {
 	t.Helper()
-	own := addresses(t, f.instances[0])
+	own := f.addresses(t, f.instances[0])
 	key := string(own.Incarnation) + "." + own.Window + ".claim-1"
 	for _, instance := range append(f.instances, f.instances...) {
-		response := send(t, http.MethodPost, "http://"+instance+"/v1/services/queue/claims/1", "claim", map[string]string{"Idempotency-Key": key})
+		response := post(t, "http://"+instance+"/v1/services/queue/claims/1", "claim", map[string]string{"Idempotency-Key": key})
 		text, err := io.ReadAll(response.Body)
 		if err != nil {
 			t.Fatal(err)
@@ -149,7 +199,7 @@
 	var lists [][]timeline.Event
 	for _, admin := range f.admins {
 		var page timeline.Response
-		response := send(t, http.MethodGet, "http://"+admin+timeline.Path, "", nil)
+		response := f.send(t, http.MethodGet, "http://"+admin+timeline.Path, "", nil)
 		if err := json.NewDecoder(response.Body).Decode(&page); err != nil {
 			t.Fatal(err)
 		}
@@ -190,7 +240,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			response := send(t, http.MethodPost, "http://"+f.instances[0]+test.path, test.body, test.headers)
+			response := f.send(t, http.MethodPost, "http://"+f.instances[0]+test.path, test.body, test.headers)
 			var body fault.Response
 			if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
 				t.Fatal(err)
@@ -206,58 +256,61 @@
 }
 
 func TestStreamResumesAfterEngineCrash(t *testing.T) {
-	t.Parallel()
-	f := start(t, size{instances: 2, engines: 2, services: 1, step: step})
-	body, want := chatBody(longPrompt(100), true)
-	response := send(t, http.MethodPost, "http://"+f.instances[0]+"/v1/chat/completions", body, nil)
-	upstream := types.UpstreamID(response.Header.Get("X-Umbercrank-Upstream"))
-	crash := func() { f.engines[upstream].Crash() }
-	if text, done := readStream(t, response.Body, crash); text != want || !done {
-		t.Errorf("complete %v, %d bytes of %d", done, len(text), len(want))
-	}
+	inBubble(t, func(t *testing.T) {
+		f := startInBubble(t, size{instances: 2, engines: 2, services: 1, step: step})
+		body, want := chatBody(longPrompt(100), true)
+		response := f.send(t, http.MethodPost, "http://"+f.instances[0]+"/v1/chat/completions", body, nil)
+		upstream := types.UpstreamID(response.Header.Get("X-Umbercrank-Upstream"))
+		crash := func() { f.engines[upstream].Crash() }
+		if text, done := readStream(t, response.Body, crash); text != want || !done {
+			t.Errorf("complete %v, %d bytes of %d", done, len(text), len(want))
+		}
+	})
 }
 
 // TestBrokenStreamsResumeToCompleteAnswer breaks the stream after each possible
 // number of tokens, including the last. The answer must be complete and no longer
 // than the token limit of the request.
 func TestBrokenStreamsResumeToCompleteAnswer(t *testing.T) {
-	t.Parallel()
-	const limit = 4
-	f := start(t, size{instances: 1, engines: 1, services: 1, step: step})
-	one := 1
-	for sent := range limit + 1 {
-		prompt := fmt.Sprintf("break after %d %s", sent, longPrompt(10))
-		a := answer.New([]answer.Message{{Role: "user", Content: prompt}})
-		if a.Length(0) <= limit {
-			t.Fatalf("the answer to %q is too short for this test", prompt)
-		}
-		body, _ := chatBody(prompt, true)
-		body = strings.Replace(body, "{", fmt.Sprintf(`{"max_tokens":%d,`, limit), 1)
-		f.engines["engine-0"].ApplyFaults(engine.FaultsChange{BreakNext: &one, BreakAfterTokens: &sent})
-		response := send(t, http.MethodPost, "http://"+f.instances[0]+"/v1/chat/completions", body, nil)
-		text, done := readStream(t, response.Body, func() {})
-		if want := a.Text(0, limit); text != want || !done {
-			t.Errorf("broken after %d tokens: complete %v, answer %q, want %q", sent, done, text, want)
+	inBubble(t, func(t *testing.T) {
+		const limit = 4
+		f := startInBubble(t, size{instances: 1, engines: 1, services: 1, step: step})
+		one := 1
+		for sent := range limit + 1 {
+			prompt := fmt.Sprintf("break after %d %s", sent, longPrompt(10))
+			a := answer.New([]answer.Message{{Role: "user", Content: prompt}})
+			if a.Length(0) <= limit {
+				t.Fatalf("the answer to %q is too short for this test", prompt)
+			}
+			body, _ := chatBody(prompt, true)
+			body = strings.Replace(body, "{", fmt.Sprintf(`{"max_tokens":%d,`, limit), 1)
+			f.engines["engine-0"].ApplyFaults(engine.FaultsChange{BreakNext: &one, BreakAfterTokens: &sent})
+			response := f.send(t, http.MethodPost, "http://"+f.instances[0]+"/v1/chat/completions", body, nil)
+			text, done := readStream(t, response.Body, func() {})
+			if want := a.Text(0, limit); text != want || !done {
+				t.Errorf("broken after %d tokens: complete %v, answer %q, want %q", sent, done, text, want)
+			}
 		}
-	}
+	})
 }
 
 func TestGracefulStopCompletesStreams(t *testing.T) {
-	t.Parallel()
-	f := start(t, size{instances: 2, engines: 1, services: 1, step: step})
-	body, want := chatBody(longPrompt(150), true)
-	response := send(t, http.MethodPost, "http://"+f.instances[0]+"/v1/chat/completions", body, nil)
-	if text, done := readStream(t, response.Body, f.stops[0]); text != want || !done {
-		t.Errorf("complete %v, %d bytes of %d", done, len(text), len(want))
-	}
-	if err := <-f.stopped[0]; err != nil {
-		t.Errorf("the instance stopped with error: %v", err)
-	}
-	body, want = chatBody("after the stop", true)
-	response = send(t, http.MethodPost, "http://"+f.instances[1]+"/v1/chat/completions", body, nil)
-	if text, done := readStream(t, response.Body, func() {}); text != want || !done {
-		t.Errorf("after the stop: complete %v, answer %q", done, text)
-	}
+	inBubble(t, func(t *testing.T) {
+		f := startInBubble(t, size{instances: 2, engines: 1, services: 1, step: step})
+		body, want := chatBody(longPrompt(150), true)
+		response := f.send(t, http.MethodPost, "http://"+f.instances[0]+"/v1/chat/completions", body, nil)
+		if text, done := readStream(t, response.Body, f.stops[0]); text != want || !done {
+			t.Errorf("complete %v, %d bytes of %d", done, len(text), len(want))
+		}
+		if err := <-f.stopped[0]; err != nil {
+			t.Errorf("the instance stopped with error: %v", err)
+		}
+		body, want = chatBody("after the stop", true)
+		response = f.send(t, http.MethodPost, "http://"+f.instances[1]+"/v1/chat/completions", body, nil)
+		if text, done := readStream(t, response.Body, func() {}); text != want || !done {
+			t.Errorf("after the stop: complete %v, answer %q", done, text)
+		}
+	})
 }
 
 // runLoad sends chats, claims and status calls to the fleet for the duration.
@@ -276,7 +329,7 @@
 		t.Fatal(err)
 	}
 	report, err := load.Run(t.Context(), load.Options{
-		Profile: profile, Addresses: f.instances, Engines: f.engineBases, Services: f.serviceBases,
+		Profile: profile, Addresses: f.instances, Engines: f.engineBases, Services: f.serviceBases, Dial: f.dial(),
 		Duration: duration, RateFactor: 1, Seed: seed, Callers: 4,
 	})
 	if err != nil {
@@ -286,15 +339,16 @@
 }
 
 func TestLoadHasNoViolations(t *testing.T) {
-	t.Parallel()
-	f := start(t, size{instances: 3, engines: 2, services: 2, step: step})
-	report := runLoad(t, f, time.Second, 1)
-	for _, class := range report.Classes {
-		if class.Results[load.Answered] != class.Offered || class.ClassMismatches != 0 {
-			t.Errorf("class %s has requests that were not answered or got another class: %+v", class.Class, class)
+	inBubble(t, func(t *testing.T) {
+		f := startInBubble(t, size{instances: 3, engines: 2, services: 2, step: step})
+		report := runLoad(t, f, time.Second, 1)
+		for _, class := range report.Classes {
+			if class.Results[load.Answered] != class.Offered || class.ClassMismatches != 0 {
+				t.Errorf("class %s has requests that were not answered or got another class: %+v", class.Class, class)
+			}
 		}
-	}
-	if report.Violations != 0 || report.Unchecked != "" || report.Offered == 0 {
-		t.Errorf("violations %d %q, unchecked %q, offered %d", report.Violations, report.Details, report.Unchecked, report.Offered)
-	}
+		if report.Violations != 0 || report.Unchecked != "" || report.Offered == 0 {
+			t.Errorf("violations %d %q, unchecked %q, offered %d", report.Violations, report.Details, report.Unchecked, report.Offered)
+		}
+	})
 }
--- a/test/fleet/tiers_test.go
+++ b/test/fleet/tiers_test.go
@@ -22,25 +22,26 @@
 // drafts of the lowest tier. The chats alone need a small part of the engine's
 // capacity, so none of them may be refused.
 func TestOverloadDoesNotRefuseHighestTier(t *testing.T) {
-	t.Parallel()
-	f := start(t, size{instances: 3, engines: 1, services: 0, step: 5 * time.Millisecond})
-	profile, err := load.ParseProfile([]byte(overload))
-	if err != nil {
-		t.Fatal(err)
-	}
-	report, err := load.Run(t.Context(), load.Options{
-		Profile: profile, Addresses: f.instances, Duration: 2 * time.Second, RateFactor: 1, Seed: seed(t), Callers: 6,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, class := range report.Classes {
-		t.Logf("class %s: %d offered, %v, codes %v", class.Class, class.Offered, class.Results, class.Codes)
-		if class.Class == "live-chat" && class.Results[load.Answered] != class.Offered {
-			t.Errorf("live-chat: results %v, want all %d answered", class.Results, class.Offered)
+	inBubble(t, func(t *testing.T) {
+		f := startInBubble(t, size{instances: 3, engines: 1, services: 0, step: 5 * time.Millisecond})
+		profile, err := load.ParseProfile([]byte(overload))
+		if err != nil {
+			t.Fatal(err)
+		}
+		report, err := load.Run(t.Context(), load.Options{
+			Profile: profile, Addresses: f.instances, Duration: 2 * time.Second, RateFactor: 1, Seed: seed(t), Callers: 6, Dial: f.dial(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, class := range report.Classes {
+			t.Logf("class %s: %d offered, %v, codes %v", class.Class, class.Offered, class.Results, class.Codes)
+			if class.Class == "live-chat" && class.Results[load.Answered] != class.Offered {
+				t.Errorf("live-chat: results %v, want all %d answered", class.Results, class.Offered)
+			}
 		}
-	}
-	if report.Violations != 0 {
-		t.Errorf("violations %q", report.Details)
-	}
+		if report.Violations != 0 {
+			t.Errorf("violations %q", report.Details)
+		}
+	})
 }
--- a/test/httpfakes/network.go
+++ b/test/httpfakes/network.go
@@ -49,15 +49,32 @@
 // Serve serves the handler on the host until Close. If dialFault is not nil, it is
 // called at each dial and returns the fault of the new connection.
 func (n *Network) Serve(host string, handler http.Handler, dialFault func() Fault) {
-	l := &listener{host: host, conns: make(chan net.Conn), closed: make(chan struct{}), dialFault: dialFault}
+	l := n.listen(host, dialFault)
 	server := &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}
 	n.mu.Lock()
-	n.listeners[host] = l
 	n.servers[host] = server
 	n.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
 }
 
+// Listen returns a listener for the connections to the host. The caller closes it.
+func (n *Network) Listen(host string) net.Listener { return n.listen(host, nil) }
+
+func (n *Network) listen(host string, dialFault func() Fault) *listener {
+	l := &listener{host: host, conns: make(chan net.Conn), closed: make(chan struct{}), dialFault: dialFault}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[host] = l
+	return l
+}
+
+// Dialer returns a function that connects a process on the host to an address.
+func (n *Network) Dialer(host, process string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		return n.dial(ctx, host, process, address)
+	}
+}
+
 // Kill simulates the crash of a process. It closes the server of the host and all
 // connections that the process has opened, and refuses its later dials.
 func (n *Network) Kill(host, process string) {
@@ -88,9 +105,7 @@
 	if atMostOnce {
 		transport = upstream.NewOnceTransport(upstream.DefaultTransportSettings())
 	}
-	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
-		return n.dial(ctx, host, process, address)
-	}
+	transport.DialContext = n.Dialer(host, process)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.clients = append(n.clients, transport)
