origin: impossible ages in a peer's history are ignored

Cause: Table.Merge accepted any age. A negative one put a sighting into the future, so the version counted as in use for ever; a huge one overflowed when it was converted, and made a history complete or its end lie in the future.

Change: ages that are negative or above a year are dropped, with a debug log line; the rest of the message counts. History.Received ages the confirmation of a message that was sent at an unknown time.

Tests: TestImpossibleAgesAreIgnored and TestHistoryReceivedLate (go test ./pkg/origin).

--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -339,7 +339,9 @@
 		}
 	}
 	if versions != nil {
-		g.origins.Merge(now, *versions)
+		if impossible := g.origins.Merge(now, *versions); impossible > 0 {
+			g.options.Logger.Debug().Int("values", impossible).Msg("a peer reports impossible ages of versions")
+		}
 	}
 }
 
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -20,6 +20,9 @@
 	// count as the only one. Instances that read the store on behalf of the others confirm it
 	// every 0.7 to 2.1 s while the store answers within its time limit.
 	maxLag = 3 * time.Second
+	// maxReportedAge is the largest age that a peer can report. No instance runs for longer, and
+	// a larger number of milliseconds may exceed the range of time.Duration.
+	maxReportedAge = 365 * 24 * time.Hour
 )
 
 // Origin is the service and the software version of the upstream that sent the first
@@ -69,6 +72,27 @@
 	ToMilliseconds   int64 `json:"to_ms"`
 }
 
+// possible reports whether an instance can have reported the interval.
+func (i Interval) possible() bool {
+	return i.ToMilliseconds >= 0 && i.FromMilliseconds >= i.ToMilliseconds && i.FromMilliseconds <= maxReportedAge.Milliseconds()
+}
+
+// Received returns the history of a message that was sent at most the given time ago. The complete
+// time then begins as if it had been sent just now, and ends as if it had been sent at the
+// earliest possible time, so that a delay makes it shorter. It is dropped if nothing is left.
+func (h History) Received(sentWithin time.Duration) History {
+	if h.Complete == nil || !h.Complete.possible() {
+		return h
+	}
+	complete := *h.Complete
+	complete.ToMilliseconds += ceilMilliseconds(max(sentWithin, 0))
+	h.Complete = &complete
+	if complete.ToMilliseconds > complete.FromMilliseconds {
+		h.Complete = nil
+	}
+	return h
+}
+
 // Span is an interval of time.
 type Span struct {
 	From, To time.Duration
@@ -203,9 +227,14 @@
 // ceilMilliseconds rounds up, so that a confirmation does not become newer.
 func ceilMilliseconds(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
 
-// Merge adds what a peer knows of the versions in use.
-func (t *Table) Merge(now time.Duration, history History) {
+// Merge adds what a peer knows of the versions in use. It ignores impossible ages and returns
+// their number.
+func (t *Table) Merge(now time.Duration, history History) (impossible int) {
 	for _, sighting := range history.Sightings {
+		if sighting.AgeMilliseconds < 0 || sighting.AgeMilliseconds > maxReportedAge.Milliseconds() {
+			impossible++
+			continue
+		}
 		if sighting.AgeMilliseconds > t.lifetime.Milliseconds() {
 			continue
 		}
@@ -214,9 +243,12 @@
 			t.lastSeen[sighting.Origin] = at
 		}
 	}
-	if c := history.Complete; c != nil && c.ToMilliseconds >= 0 && c.FromMilliseconds >= c.ToMilliseconds {
+	if c := history.Complete; c != nil && !c.possible() {
+		impossible++
+	} else if c != nil {
 		t.addComplete(Span{now - time.Duration(c.FromMilliseconds)*time.Millisecond, now - time.Duration(c.ToMilliseconds)*time.Millisecond})
 	}
+	return impossible
 }
 
 // OnlyVersion returns the version of a service if only one was in use during the last
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -282,3 +283,48 @@
 	table.Confirm(read(0, 3*l))
 	wantOnly(t, table, 3*l, "when the longer lifetime is covered", "v2", true)
 }
+
+// TestImpossibleAgesAreIgnored guards against a peer whose report makes a version count for ever, or
+// a history complete that is not.
+func TestImpossibleAgesAreIgnored(t *testing.T) {
+	const now = 20 * time.Second
+	for _, age := range []int64{-1, -5000, math.MinInt64, math.MinInt64 / 1_000_000, math.MaxInt64, math.MaxInt64 / 1_000_000, math.MaxInt64/1_000_000 + 1, math.MaxInt64 - 1<<20} {
+		table := NewTable(0)
+		table.Observe(0, []Origin{of("s", "v1")})
+		table.Confirm(read(0, now))
+		if impossible := table.Merge(now, History{Sightings: []Sighting{{of("s", "v2"), age}, {of("other", "v3"), 1000}}, Complete: &Interval{age, 0}}); impossible != 2 {
+			t.Errorf("age %d: %d impossible values, want 2", age, impossible)
+		}
+		if impossible := table.Merge(now, History{Complete: &Interval{age, age}}); impossible != 1 {
+			t.Errorf("interval at age %d: %d impossible values, want 1", age, impossible)
+		}
+		wantOnly(t, table, now, fmt.Sprint("age ", age), "v1", false)
+		if version, _, ok := table.OnlyVersion(now, "other", 0); !ok || version != "v3" {
+			t.Errorf("age %d: the rest of the message does not count", age)
+		}
+		table.Confirm(read(0, 2*now))
+		wantOnly(t, table, 2*now, fmt.Sprint("later, age ", age), "v1", true)
+	}
+}
+
+// TestHistoryReceivedLate guards against a confirmation that looks newer than it is because its
+// message was delayed.
+func TestHistoryReceivedLate(t *testing.T) {
+	for _, c := range []struct {
+		from, to int64
+		within   time.Duration
+		want     *Interval
+	}{
+		{5000, 100, 0, &Interval{5000, 100}},
+		{5000, 100, 2*time.Second + 1, &Interval{5000, 2101}},
+		{5000, 100, 6 * time.Second, nil},
+	} {
+		given := History{Complete: &Interval{c.from, c.to}}
+		if got := given.Received(c.within).Complete; (got == nil) != (c.want == nil) || got != nil && *got != *c.want {
+			t.Errorf("received within %v: %v, want %v", c.within, got, c.want)
+		}
+		if given.Complete.ToMilliseconds != c.to {
+			t.Error("the history of the sender has changed")
+		}
+	}
+}
