mesh: late messages confirm no history of versions

Cause: an interval of known versions in a peer's report or reply counted from the time at which it was read. An instance that was suspended, or whose connection delivered the message late, took an old confirmation for a new one, so a stream of unknown origin could continue at another version.

Change: a reply confirms nothing later than the time at which the peer was asked. A report that was not asked for confirms nothing, because the time of its sending is unknown; its streams and sightings count. So that a restarted instance still learns the history of the others before they restart too, it asks a peer whose report shows a history longer by a second or more. This is one call after a start; there is none in a fleet whose instances know the same time.

Tests: TestLateMessagesConfirmNoVersions and TestRestartedInstanceAsksForLongerHistory (go test ./pkg/mesh); both fail on a scratch copy with the change removed.

--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -144,8 +144,10 @@
 	// usualShares has the usual work of the client accounts.
 	usualShares *fairshare.Usual
 	fetching    map[string]bool
-	ctx         context.Context
-	workers     sync.WaitGroup
+	// queryingHistory reports whether a peer is being asked for its history of versions.
+	queryingHistory bool
+	ctx             context.Context
+	workers         sync.WaitGroup
 	// startedAt is when Run was called.
 	startedAt time.Duration
 	// ranAt is the time of the last step of Run or message, or zero before Run. Until
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -40,8 +40,12 @@
 	origins        map[origin.Key]origin.Origin
 	// id names the instance in the history that it reports, and histories counts the
 	// reports by instance.
-	id           types.InstanceID
-	histories    map[types.InstanceID]int
+	id        types.InstanceID
+	histories map[types.InstanceID]int
+	// complete is the complete time in the history that it reports, and confirmed has those
+	// that peers have reported.
+	complete     *origin.Interval
+	confirmed    []origin.Interval
 	limits       *permit.Table
 	issuer       *permit.Issuer
 	reservations *reservation.Table
@@ -81,13 +85,18 @@
 	return found, ok
 }
 func (s *fakeState) Versions() origin.History {
-	return origin.History{Sightings: []origin.Sighting{{Origin: origin.Origin{Target: types.TargetName(s.id)}}}, CoverageMilliseconds: 1}
+	history := origin.History{Sightings: []origin.Sighting{{Origin: origin.Origin{Target: types.TargetName(s.id)}}}, CoverageMilliseconds: 1}
+	s.withLock(func(s *fakeState) { history.Complete = s.complete })
+	return history
 }
 func (s *fakeState) QuarantineEntries() []quarantine.Entry { return nil }
 func (s *fakeState) HandleStreams(batches []origin.Batch, versions *origin.History) {
 	s.withLock(func(s *fakeState) {
 		if versions != nil {
 			s.histories[types.InstanceID(versions.Sightings[0].Origin.Target)]++
+			if versions.Complete != nil {
+				s.confirmed = append(s.confirmed, *versions.Complete)
+			}
 		}
 		for _, batch := range batches {
 			for _, stream := range batch.Streams() {
--- a/pkg/mesh/streams.go
+++ b/pkg/mesh/streams.go
@@ -31,6 +31,10 @@
 	// findInterval is the time after which a fleet with hubs is searched again. The
 	// origin of a stream that has just begun takes up to two heartbeats to its holders.
 	findInterval = minHubHeartbeatInterval
+	// minLongerHistory is by how much the history of a peer must be longer for this instance to
+	// ask for it. The histories of instances that have run for long differ by the delay of
+	// messages.
+	minLongerHistory = time.Second
 )
 
 // streamsReport tells a peer of streams. It follows a heartbeat.
@@ -124,7 +128,8 @@
 	if err := json.Unmarshal(params, &report); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "malformed report of streams")
 	}
-	m.options.State.HandleStreams(report.Streams, report.Versions)
+	m.options.State.HandleStreams(report.Streams, unconfirmed(report.Versions))
+	m.queryLongerHistory(report)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.relation(report.From) == spoke {
@@ -135,6 +140,45 @@
 	return struct{}{}, nil
 }
 
+// unconfirmed returns a history that confirms nothing. It is unknown when a message was sent that
+// this instance has not asked for: it may have arrived during a suspension, or the connection may
+// have delivered it late. Its sightings only make versions look newer, which is safe.
+func unconfirmed(versions *origin.History) *origin.History {
+	if versions == nil {
+		return nil
+	}
+	sightings := *versions
+	sightings.Complete = nil
+	return &sightings
+}
+
+// queryLongerHistory asks a peer for its history if its report shows that it knows the versions
+// of a longer time than this instance, which has started later: the peer may end before a
+// resumed stream needs it. An instance that does not read the store does not ask.
+func (m *Mesh) queryLongerHistory(report streamsReport) {
+	if report.Versions == nil || report.Versions.Complete == nil {
+		return
+	}
+	own, reported := m.options.State.Versions().Complete, report.Versions.Complete
+	if own == nil || reported.FromMilliseconds-own.FromMilliseconds <= minLongerHistory.Milliseconds() || reported.ToMilliseconds > own.FromMilliseconds {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.members[report.From]; !known || m.queryingHistory || m.ctx == nil {
+		return
+	}
+	m.queryingHistory = true
+	m.workers.Go(func() {
+		ctx, cancel := context.WithTimeout(m.ctx, findTimeout)
+		defer cancel()
+		m.queryVersionsOf(ctx, []string{report.From})
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.queryingHistory = false
+	})
+}
+
 // FindStream asks the peers that may hold the origin of a stream. Conclusive reports
 // whether a stream that is not found is unknown to the fleet: all of these peers have
 // responded. In a fleet with hubs it asks again until findTimeout.
@@ -159,13 +203,17 @@
 func (m *Mesh) QueryVersions(ctx context.Context) (conclusive bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	// No stream has this key.
-	key := origin.Key(rand.Uint64())
 	addresses, alone := m.versionPeers()
 	if len(addresses) == 0 {
 		return alone
 	}
-	_, _, conclusive = m.askForStream(ctx, addresses, key)
+	return m.queryVersionsOf(ctx, addresses)
+}
+
+// queryVersionsOf asks the peers at the addresses what they know of the upstreams' versions.
+func (m *Mesh) queryVersionsOf(ctx context.Context, addresses []string) (conclusive bool) {
+	// No stream has this key.
+	_, _, conclusive = m.askForStream(ctx, addresses, origin.Key(rand.Uint64()))
 	return conclusive
 }
 
@@ -186,13 +234,15 @@
 }
 
 // askForStream asks the peers at the addresses for the origin of a stream, and hands over
-// what they know of the versions.
+// what they know of the versions. A peer has replied after it was asked, so its reply confirms
+// nothing later than that.
 func (m *Mesh) askForStream(ctx context.Context, addresses []string, key origin.Key) (found origin.Origin, ok, conclusive bool) {
 	type reply struct {
 		streamResponse
 		err error
 	}
 	replies := make(chan reply, len(addresses))
+	asked := m.options.Clock()
 	for _, address := range addresses {
 		go func() {
 			var r reply
@@ -211,7 +261,8 @@
 			return r.Origin, true, true
 		}
 		if r.Versions != nil {
-			m.options.State.HandleStreams(nil, r.Versions)
+			versions := r.Versions.Received(m.options.Clock() - asked)
+			m.options.State.HandleStreams(nil, &versions)
 		}
 	}
 	return origin.Origin{}, false, conclusive
--- a/pkg/mesh/streams_test.go
+++ b/pkg/mesh/streams_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -250,3 +251,69 @@
 		t.Errorf("packed again: %s, %v", text, err)
 	}
 }
+
+// lateCaller delays all replies.
+type lateCaller struct {
+	peer.Caller
+	receive func()
+}
+
+func (c lateCaller) Call(ctx context.Context, address, method string, params, result any) error {
+	err := c.Caller.Call(ctx, address, method, params, result)
+	c.receive()
+	return err
+}
+
+// TestLateMessagesConfirmNoVersions guards against streams that continue at another version because
+// an instance takes a message that it reads late for a current one: it was suspended, or the
+// connection delivered the message late.
+func TestLateMessagesConfirmNoVersions(t *testing.T) {
+	runFleet(t, 2, func(t *testing.T, f *fleet) {
+		time.Sleep(3 * time.Second)
+		f.states[0].withLock(func(s *fakeState) { s.complete = &origin.Interval{FromMilliseconds: 20000, ToMilliseconds: 100} })
+		f.states[1].withLock(func(s *fakeState) { s.complete = &origin.Interval{FromMilliseconds: 20000, ToMilliseconds: 100} })
+		confirmed := func() (all []origin.Interval) {
+			f.states[0].withLock(func(s *fakeState) { all, s.confirmed = s.confirmed, nil })
+			return all
+		}
+		versions := f.states[1].Versions()
+		params, err := json.Marshal(streamsReport{From: address(1), Streams: []origin.Batch{{Origin: began, Keys: []origin.Key{7}}}, Versions: &versions})
+		if err != nil {
+			t.Fatal(err)
+		}
+		confirmed()
+		if _, err := f.meshes[0].handleStreams(t.Context(), peer.Identity{}, params); err != nil {
+			t.Fatal(err)
+		}
+		if got := confirmed(); len(got) > 0 {
+			t.Errorf("a report that was sent at an unknown time confirms %v", got)
+		}
+		f.wantStream(t, 0, 7)
+		f.meshes[0].options.Caller = lateCaller{f.meshes[0].options.Caller, func() { f.jumps[0].Add(int64(5 * time.Second)) }}
+		f.meshes[0].QueryVersions(f.ctx)
+		for _, got := range confirmed() {
+			if got.ToMilliseconds < 5100 || got.FromMilliseconds != 20000 {
+				t.Errorf("a reply that was read 5 s later confirms %v", got)
+			}
+		}
+	})
+}
+
+// TestRestartedInstanceAsksForLongerHistory guards against an instance that has restarted and does
+// not know the versions of before once the instances that did have restarted as well.
+func TestRestartedInstanceAsksForLongerHistory(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		for i, from := range []int64{2000, 30000, 30000} {
+			f.states[i].withLock(func(s *fakeState) { s.complete = &origin.Interval{FromMilliseconds: from, ToMilliseconds: 100} })
+		}
+		time.Sleep(5 * time.Second)
+		for i, state := range f.states {
+			state.withLock(func(s *fakeState) {
+				asked := len(s.confirmed) > 0
+				if want := i == 0; asked != want {
+					t.Errorf("instance %d got %v", i, s.confirmed)
+				}
+			})
+		}
+	})
+}
