gateway, transit: leaving, pauses, evacuation and the document count until the first byte

Cause: the last check of the upstream was before connecting to it, which may take seconds, also through a peer. A request reached an upstream that had been evacuated, had left, had asked for a pause, was not listed any more or was another process meanwhile. A document that removed a route or a key had no effect on requests that arrived before, however slowly their body arrived.

Change: the attempt checks all of this right before it writes, where it checks cold upstreams; a peer that carries the request checks again once it has connected. Nothing is sent then, the upstream is not blamed, and the request is placed again. A request whose route or key has been removed is refused as not run with the code of a new request, from 3 s after the document on: TestConfigurationChangeSparesRequestsInProgress, which is unchanged, requires that a document spares the requests that are on their way. A request that an upstream may have run goes on.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -95,6 +95,9 @@
 func (q *request) tryUpstreams(ctx context.Context) error {
 	for {
 		q.awaitCrashReport(ctx)
+		if failure := q.checkDocument(); failure != nil {
+			return failure
+		}
 		if failure := q.checkParts(); failure != nil {
 			return failure
 		}
@@ -266,7 +269,7 @@
 func (q *request) tryUpstream(ctx context.Context, choice placement.Choice) result {
 	a, ok := q.begin(ctx, choice)
 	if !ok {
-		return result{outcome: roster.Abandoned, err: fault.New(fault.UpstreamLeaving, "the upstream accepts no new requests any more")}
+		return result{outcome: roster.Abandoned, err: errUpstreamLeft}
 	}
 	a.setAlarm(overdueAfter(q.route, choice.FirstResponse))
 	response, err := exchange.Do(a.exchangeCtx, a.exchangeRequest())
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -25,6 +25,10 @@
 // errPathLost matches the error of an attempt for which no instance reaches the target.
 var errPathLost = fault.New(fault.PathLost, "")
 
+// errUpstreamLeft ends an attempt whose upstream accepts no new requests any more. It matches the
+// error of a peer that says so.
+var errUpstreamLeft = fault.New(fault.UpstreamLeaving, "the upstream accepts no new requests any more")
+
 // newTransit returns the connections of the gateway to upstreams.
 func newTransit(options Options) *transit.Transit {
 	return transit.New(transit.Options{
@@ -90,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := a.checkCold(); err != nil {
+	if err := a.checkBeforeSending(); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
@@ -98,6 +102,34 @@
 	return conn, nil
 }
 
+// checkBeforeSending returns an error if the request may no longer be sent to the upstream of the
+// attempt. It is called right before the first byte of the request is written: connecting may have
+// taken seconds.
+func (a *attempt) checkBeforeSending() error {
+	if err := a.checkDocument(); err != nil {
+		return err
+	}
+	if err := a.checkUpstream(); err != nil {
+		return err
+	}
+	return a.checkCold()
+}
+
+// checkUpstream returns an error if the upstream of the attempt accepts no new requests any more:
+// it leaves, has asked for a pause, is evacuated or not listed. Another process may also have taken
+// over its ID.
+func (a *attempt) checkUpstream() error {
+	now := a.gateway.options.Clock()
+	found, ok := a.gateway.options.Roster.Find(now, a.choice.ID)
+	if !ok || !a.mayRunIn(found.DataCentre) {
+		return errUpstreamLeft
+	}
+	if _, known := a.rosterAttempt.Version(); !known || a.began != nil && a.rosterAttempt.MayBeReplaced() {
+		return errUpstreamLeft
+	}
+	return nil
+}
+
 // recordNoResponse records that the connection broke before the upstream has responded.
 func (a *attempt) recordNoResponse() {
 	if a.conn != nil && !a.responded {
@@ -108,7 +140,7 @@
 // unsentOutcome returns the outcome of an attempt that sent nothing, with regard to the
 // upstream's health.
 func unsentOutcome(err error) roster.Outcome {
-	if errors.Is(err, errPathLost) || errors.Is(err, fault.New(fault.UpstreamLeaving, "")) || errors.Is(err, errColdWithoutPermit) {
+	if errors.Is(err, errPathLost) || errors.Is(err, errUpstreamLeft) || errors.Is(err, errColdWithoutPermit) || isRemoved(err) {
 		return roster.Abandoned
 	}
 	return roster.Unreachable
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -147,6 +147,11 @@
 	conn, err := t.dialDirectly(r.Context(), to, carriedSilence, false)
 	switch {
 	case err == nil:
+		// Connecting may have taken long.
+		if now, ok := t.options.Upstreams.Upstream(upstream); !ok || now != to {
+			_ = conn.Close()
+			return nil, fault.New(fault.UpstreamLeaving, "this instance sends no requests to the upstream any more")
+		}
 		return conn, nil
 	case !t.reaches(to.Target):
 		return nil, fault.Wrap(fault.PathLost, err, "this instance does not reach the upstreams itself")
