capacity: drop observations of peers with impossible values

Cause: a summary counted if its sum was finite. A mean of 1e300 changed the median of the target (TestImpossibleReportsChangeNothing: a typical time of 2,562,047 h), and the sum of a few such reports can be infinite or not a number. One observation that could not be decoded (an age of 1e30) made the instance refuse the whole message, with the limits in it.

Change: the mean of a summary has to be between a nanosecond and an hour. Observations that cannot be decoded are dropped like impossible ones, with a debug line; the rest of the message counts.

Result: TestImpossibleReportsChangeNothing (pkg/capacity) and TestImpossibleObservationsAreDropped (pkg/mesh) fail before and pass now. TestFalseReportsAreBounded now also has the largest and smallest possible means, since its former values are dropped. go test ./pkg/capacity ./pkg/roster ./pkg/mesh passes (GOMAXPROCS=2, without -race).

--- a/pkg/capacity/capacity.go
+++ b/pkg/capacity/capacity.go
@@ -61,6 +61,11 @@
 	crowdedElasticity = 0.75
 )
 
+// minMean and maxMean bound the mean logarithm of observed times: a nanosecond, which is the
+// resolution of the clock, and an hour. Beyond that a report is corrupt. Without the bound, the
+// sum of a few such reports was infinite or not a number.
+var minMean, maxMean = math.Log(1e-6), math.Log(float64(time.Hour / time.Millisecond))
+
 // Process identifies a process of an upstream. Another process under the same ID starts
 // without estimates.
 type Process struct {
@@ -95,9 +100,14 @@
 	Sum   float64 `json:"l"`
 }
 
-// valid reports whether the summary may be used.
-func (s *Summary) valid() bool {
-	return s.Class >= 0 && s.Class < classes && s.Count > 0 && !math.IsNaN(s.Sum) && !math.IsInf(s.Sum, 0) && s.Ago >= 0 && s.Ago < windowBuckets*bucketTime
+// Valid reports whether the summary may be used: its values are possible and it is not too old.
+func (s *Summary) Valid() bool {
+	if s.Class < 0 || s.Class >= classes || s.Count <= 0 || s.Ago < 0 || s.Ago >= windowBuckets*bucketTime {
+		return false
+	}
+	// False if the mean is not a number.
+	mean := s.Sum / float64(s.Count)
+	return mean >= minMean && mean <= maxMean
 }
 
 // bounded returns the summary with at most maxBucketCount observations of the same mean.
@@ -320,7 +330,7 @@
 		slices.Sort(values)
 		median := values[(len(values)-1)/2]
 		s := Summary{Process: key.process, Class: key.class, Ago: ago, Count: len(values), Sum: median * float64(len(values))}
-		if s.valid() && t.add(now, s) {
+		if s.Valid() && t.add(now, s) {
 			t.processes[s.Upstream].windows[s.Class].addOwn(t.currentNumber, s.Count)
 			t.own = append(t.own[max(len(t.own)-maxOwnSummaries, 0):], ownSummary{s, t.currentNumber})
 		}
@@ -332,7 +342,7 @@
 // Merge adds the observations of a peer. Those of processes that are not listed are dropped.
 func (t *Table) Merge(now time.Duration, summaries []Summary) {
 	for _, summary := range summaries {
-		if summary.valid() {
+		if summary.Valid() {
 			t.add(now, summary)
 		}
 	}
@@ -378,7 +388,7 @@
 	var summaries []Summary
 	for _, own := range t.own {
 		own.Ago = now - time.Duration(own.number)*bucketTime
-		if own.valid() {
+		if own.Valid() {
 			summaries = append(summaries, own.Summary)
 		}
 	}
@@ -394,7 +404,7 @@
 			for _, b := range known.windows[class].buckets {
 				ago := now - time.Duration(b.number)*bucketTime
 				s := Summary{Process: known.process, Class: Class(class), Ago: ago, Count: b.count, Sum: b.sum}
-				if s.valid() {
+				if s.Valid() {
 					summaries = append(summaries, s)
 				}
 			}
--- a/pkg/capacity/capacity_test.go
+++ b/pkg/capacity/capacity_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -195,6 +196,7 @@
 			f.table.Merge(f.now, []Summary{
 				{Process: f.listed[0].Process, Count: math.MaxInt, Sum: sum}, {Process: f.listed[0].Process, Count: 1000, Sum: sum, Ago: -time.Hour},
 				{Process: f.listed[0].Process, Count: 1000, Sum: sum, Class: 77}, {Process: Process{"unlisted", 1}, Count: 1000, Sum: sum},
+				{Process: f.listed[0].Process, Count: 1000, Sum: 1000 * min(max(sum, minMean), maxMean)},
 			})
 		}
 		for i := range f.listed {
@@ -205,6 +207,58 @@
 	}
 }
 
+// TestImpossibleReportsChangeNothing guards against a report of a peer with times that nobody can
+// measure: estimates that differ because of them or are not a number, and sums that cannot be
+// encoded for other peers.
+func TestImpossibleReportsChangeNothing(t *testing.T) {
+	f, undisturbed := newFleet(9), newFleet(9)
+	sums := NewSums()
+	hour := math.Log(float64(time.Hour / time.Millisecond))
+	for range 12 {
+		f.run(500*time.Millisecond, four, slowThird)
+		undisturbed.run(500*time.Millisecond, four, slowThird)
+		for i := range f.listed {
+			valid := Summary{Process: f.listed[i].Process, Count: 100, Sum: 100}
+			for _, change := range []func(s *Summary){
+				func(s *Summary) { s.Sum = math.MaxFloat64 },
+				func(s *Summary) { s.Sum = -math.MaxFloat64 },
+				func(s *Summary) { s.Count, s.Sum = maxBucketCount, math.MaxFloat64 },
+				func(s *Summary) { s.Count, s.Sum = math.MaxInt, math.MaxFloat64 },
+				func(s *Summary) { s.Count, s.Sum = 1, hour+1 },
+				func(s *Summary) { s.Count, s.Sum = 1, -20 },
+				func(s *Summary) { s.Sum = math.NaN() },
+				func(s *Summary) { s.Sum = math.Inf(1) },
+				func(s *Summary) { s.Sum = math.Inf(-1) },
+				func(s *Summary) { s.Ago = -1 },
+				func(s *Summary) { s.Ago = math.MinInt64 },
+				func(s *Summary) { s.Ago = math.MaxInt64 },
+				func(s *Summary) { s.Count = 0 },
+				func(s *Summary) { s.Count = math.MinInt },
+				func(s *Summary) { s.Class = -1 },
+				func(s *Summary) { s.Class = math.MaxInt },
+			} {
+				impossible := valid
+				change(&impossible)
+				for range 3 {
+					f.table.Merge(f.now, []Summary{impossible})
+					sums.Add(f.now, []Summary{impossible})
+				}
+			}
+		}
+		for i := range f.listed {
+			if got, want := f.estimate(i), undisturbed.estimate(i); got != want {
+				t.Fatalf("at %v, the estimate of upstream %d is %+v with impossible reports and %+v without", f.now, i, got, want)
+			}
+		}
+		if taken := sums.Take(f.now); len(taken) != 0 {
+			t.Fatalf("at %v, the sums for other peers are %+v", f.now, taken)
+		}
+		if _, err := json.Marshal(f.table.Window(f.now)); err != nil {
+			t.Fatalf("at %v, the window for new peers: %v", f.now, err)
+		}
+	}
+}
+
 // TestManyObserversAgree lets 58 instances observe each upstream rarely. With the others'
 // summaries each of them has the estimate of an instance that sees everything.
 func TestManyObserversAgree(t *testing.T) {
--- a/pkg/capacity/sums.go
+++ b/pkg/capacity/sums.go
@@ -26,7 +26,7 @@
 // Add adds summaries whose age is as of now.
 func (s *Sums) Add(now time.Duration, summaries []Summary) {
 	for _, summary := range summaries {
-		if !summary.valid() {
+		if !summary.Valid() {
 			continue
 		}
 		key := sumKey{summary.Process, summary.Class, int64(max(now-summary.Ago, 0) / bucketTime)}
@@ -47,7 +47,7 @@
 		sum.Ago = now - time.Duration(key.bucket)*bucketTime
 		// A thousandth is well below the noise, and a short number makes a short message.
 		sum.Sum = math.Round(sum.Sum*1000) / 1000
-		if sum.valid() {
+		if sum.Valid() {
 			summaries = append(summaries, sum)
 		}
 	}
--- a/pkg/mesh/capacity.go
+++ b/pkg/mesh/capacity.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/capacity"
+	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
@@ -39,6 +42,51 @@
 
 func (r *capacityReport) empty() bool { return len(r.Observations)+len(r.Window) == 0 }
 
+// decodeLimits decodes a report of limits. Observations of the capacity that cannot be decoded become
+// invalid ones, so that the rest of the message does not depend on them.
+func decodeLimits(params json.RawMessage) (limitsReport, error) {
+	var report limitsReport
+	if json.Unmarshal(params, &report) == nil {
+		return report, nil
+	}
+	// Slower, so it is not tried first. The outer fields replace those of the report.
+	var lenient struct {
+		limitsReport
+		Observations lenientSummaries `json:"capacity"`
+		Window       lenientSummaries `json:"capacity_window"`
+	}
+	if err := json.Unmarshal(params, &lenient); err != nil {
+		return limitsReport{}, fault.Wrap(fault.BadRequest, err, "malformed report of limits")
+	}
+	report = lenient.limitsReport
+	report.capacityReport = capacityReport{Observations: lenient.Observations, Window: lenient.Window}
+	return report, nil
+}
+
+// lenientSummaries are observations of which those that cannot be decoded become invalid ones.
+type lenientSummaries []capacity.Summary
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *lenientSummaries) UnmarshalJSON(text []byte) error {
+	var each []json.RawMessage
+	if json.Unmarshal(text, &each) != nil {
+		*s = lenientSummaries{{}}
+		return nil
+	}
+	*s = make(lenientSummaries, len(each))
+	for i := range each {
+		if json.Unmarshal(each[i], &(*s)[i]) != nil {
+			(*s)[i] = capacity.Summary{}
+		}
+	}
+	return nil
+}
+
+// onlyValid returns the summaries that may be used.
+func onlyValid(all []capacity.Summary) []capacity.Summary {
+	return slices.DeleteFunc(all, func(summary capacity.Summary) bool { return !summary.Valid() })
+}
+
 // timedSummaries are observations as of a time.
 type timedSummaries struct {
 	at        time.Duration
@@ -121,6 +169,11 @@
 	if m.options.Capacity == nil || report.empty() {
 		return
 	}
+	received := len(report.Observations) + len(report.Window)
+	report.Observations, report.Window = onlyValid(report.Observations), onlyValid(report.Window)
+	if dropped := received - len(report.Observations) - len(report.Window); dropped > 0 {
+		m.options.Logger.Debug().Str("address", from).Int("dropped", dropped).Msg("implausible or outdated observations of the capacity")
+	}
 	now := m.options.Clock()
 	m.options.Capacity.SeedCapacity(now, report.Window)
 	m.options.Capacity.MergeCapacity(now, report.Observations)
--- a/pkg/mesh/capacity_test.go
+++ b/pkg/mesh/capacity_test.go
@@ -4,11 +4,16 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/umbercrank/umbercrank/pkg/capacity"
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -114,3 +119,40 @@
 		t.Errorf("merged %+v, seeded %+v", table.merged, table.seeded)
 	}
 }
+
+// TestImpossibleObservationsAreDropped guards against observations of a peer that cannot be decoded
+// or have impossible values, and against the loss of the rest of the message because of them.
+func TestImpossibleObservationsAreDropped(t *testing.T) {
+	for _, impossible := range []string{
+		`{"u":"u1","n":3,"l":1,"a":1e30}`, `{"u":"u1","n":3,"l":1e999}`, `{"u":"u1","n":1.5,"l":1}`, `{"u":"u1","n":1e30,"l":1}`,
+		`{"u":7,"n":3,"l":1}`, `{"u":"u1","n":3,"l":"NaN"}`, `{"u":"u1","s":1e30,"n":3,"l":1}`, `[]`, `"x"`, `null`,
+		`{"u":"u1","n":3,"l":1e300}`, `{"u":"u1","n":3,"l":-1e300}`, `{"u":"u1","n":3,"l":1,"a":-1}`, `{"u":"u1","n":3,"l":1,"a":9223372036854775807}`,
+		`{"u":"u1","n":-3,"l":1}`, `{"u":"u1","n":3,"l":1,"c":9}`,
+	} {
+		table, state := &capacityRecorder{}, &fakeState{limits: permit.NewTable()}
+		var log strings.Builder
+		m := New(Options{Capacity: table, State: state, Clock: func() time.Duration { return time.Minute }, Logger: zerolog.New(&log)})
+		const sound = `{"u":"u0","n":3,"l":1}`
+		message := fmt.Sprintf(`{"from":"b:1","limits":[{"upstream":"u0","limited":true,"per_second":2,"sent_ago_ns":1,"received_ago_ns":1}],"capacity":[%s,%s],"capacity_window":[%s,%s]}`, impossible, sound, sound, impossible)
+		if _, err := m.handleLimits(t.Context(), peer.Identity{Instance: "b"}, json.RawMessage(message)); err != nil {
+			t.Errorf("%s: the whole message is refused: %v", impossible, err)
+			continue
+		}
+		want := []capacity.Summary{{Process: capacity.Process{Upstream: "u0"}, Count: 3, Sum: 1}}
+		if !reflect.DeepEqual(table.merged, want) || !reflect.DeepEqual(table.seeded, want) {
+			t.Errorf("%s: merged %+v, seeded %+v", impossible, table.merged, table.seeded)
+		}
+		if limit, ok := state.limits.InForce("u0"); !ok || limit.PerSecond != 2 {
+			t.Errorf("%s: the limit in the same message is %+v", impossible, limit)
+		}
+		if !strings.Contains(log.String(), `"level":"debug","address":"b:1","dropped":2`) {
+			t.Errorf("%s: logged %s", impossible, log.String())
+		}
+	}
+	// Observations that are no list are dropped as well.
+	table := &capacityRecorder{}
+	m := New(Options{Capacity: table, State: &fakeState{limits: permit.NewTable()}, Clock: func() time.Duration { return time.Minute }})
+	if _, err := m.handleLimits(t.Context(), peer.Identity{}, json.RawMessage(`{"from":"b:1","limits":[],"capacity":{"u":1},"capacity_window":"x"}`)); err != nil || len(table.merged)+len(table.seeded) > 0 {
+		t.Errorf("%v, merged %+v, seeded %+v", err, table.merged, table.seeded)
+	}
+}
--- a/pkg/mesh/permits.go
+++ b/pkg/mesh/permits.go
@@ -108,9 +108,9 @@
 // handleLimits processes a peer's report of limits. A hub relays what has changed like
 // other updates.
 func (m *Mesh) handleLimits(_ context.Context, from peer.Identity, params json.RawMessage) (any, error) {
-	var report limitsReport
-	if err := json.Unmarshal(params, &report); err != nil {
-		return nil, fault.Wrap(fault.BadRequest, err, "malformed report of limits")
+	report, err := decodeLimits(params)
+	if err != nil {
+		return nil, err
 	}
 	now := m.options.Clock()
 	observed := make(map[types.UpstreamID]permit.Observation, len(report.Limits))
