placement: keep the bound on late work for retries and hedges

Cause: a request that an upstream may have run as late work goes on at the same priority, but was placed like ordinary work. A retry and a hedge went to engines where half as many late requests waited as they have slots, and with a long prompt to reserved engines and to those with latency-sensitive streams.

Change: Choose uses ChooseLate for late work. If no engine accepts it, a hedge is declined, and a retry ends with upstream_failed ("no upstream accepts more late work"). The search for an idle engine stays as it was.

Ruled out: an early return in admission.Place, which skips the search for an idle engine.

Result: TestRepeatedLateWorkKeepsItsBound (pkg/gateway) fails in four of six cases before and passes now. In one run of ./pkg/gateway beside other work (load average 11) TestOneOfTwoAttemptsAnswers/290ms failed ("the other upstream received 3 requests, want 1"); it is without late work and passed in 12 of 12 runs with and without this change.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -195,6 +195,8 @@
 	}
 	choice, decision, ok := q.place(candidates, mayBeLate)
 	switch {
+	case !ok && q.late && len(candidates) > 0:
+		return choice, decision, q.giveUp("no upstream accepts more late work", nil)
 	case !ok && q.began != nil:
 		return choice, decision, q.cannotResume("no upstream of the version that began the stream is available")
 	case !ok:
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -279,8 +279,12 @@
 }
 
 // Choose returns the placement with the lowest cost, or false if there is no
-// candidate. Ties go to the first candidate in rendezvous order.
+// candidate. Ties go to the first candidate in rendezvous order. A request that is late work
+// already goes on as that, so it needs a candidate that accepts another late request.
 func Choose(work *Work, entry Entry, request string, candidates []Candidate) (Choice, bool) {
+	if work.Late() {
+		return ChooseLate(work, entry, request, candidates)
+	}
 	return choose(work, entry, request, withoutLate(work, candidates), nil)
 }
 
