gateway: explain the fair share of the account

Cause: a request is judged with regard to the share of its account before it is placed, an explanation was not. So umberctl explain placement named an upstream for a request that was refused, or sent as late work.

Change: the explanation draws like a request whether it is over the share of the account, and shows this and the probability: in thousandths, found by a binary search over the decisions of fairshare.Table.OverShare. pkg/fairshare and gateway/shares.go are unchanged. The text of umberctl has a line "fair share" if the probability is not zero.

Result: TestExplainedChoiceIsThatOfTheRequest, extended by accounts over their share, fails before after 4 draws ("explained is u2, the request went to []: status 503, overloaded"). It now also requires that such requests are placed and refused. TestExplanationShowsShareOfTheAccount fails before (probability 0 instead of 0.95). TestExplanationHasNoEffect has a flood, and checks that no work is counted.

--- a/pkg/ctl/explain_placement.go
+++ b/pkg/ctl/explain_placement.go
@@ -186,6 +186,9 @@
 			late = ", as late work"
 		}
 		fmt.Fprintf(w, "admission      admitted: %t, predicted wait %s, first response %s, less urgent work: %t%s\n", a.Admitted, span(a.WaitMs), span(a.FirstResponseMs), a.LessUrgentWork, late)
+		if a.OverShareProbability > 0 {
+			fmt.Fprintf(w, "fair share     over the share of its account: %t, drawn with the probability %.3f\n", a.OverShare, a.OverShareProbability)
+		}
 	}
 	if len(e.AskedPeers) > 0 {
 		fmt.Fprintf(w, "loads          a request would ask peers for those of %v; shown are the reports\n", e.AskedPeers)
--- a/pkg/ctl/explain_placement_test.go
+++ b/pkg/ctl/explain_placement_test.go
@@ -36,7 +36,7 @@
 	t.Setenv(peerSecretVariable, "the secret")
 	cost, priority := 41.5, 2
 	address, received := startExplainer(t, explain.Explanation{Instance: "i1", Outcome: explain.Placed, Choice: "u1", Priority: &priority, Account: "acc",
-		Admission:  &explain.Admission{Admitted: true, Late: true},
+		Admission:  &explain.Admission{Admitted: true, Late: true, OverShare: true, OverShareProbability: 0.25},
 		Candidates: []explain.Candidate{{Upstream: "u1", State: explain.Available, CostMs: &cost, Compared: true, Speed: 1.3, Room: 8, BeyondRoom: true}, {Upstream: "u2", State: explain.Paused, PauseMs: 800}},
 		Retry:      &explain.Retry{NotRun: true, Budget: true, Choice: "u3"}})
 	arguments := []string{"explain", "placement", "--metrics", address, "--path", "/a?b", "-H", "Host: h", "-H", "X-List: a=1,b=2", "-H", "Authorization: Bearer api-key", "--body", "text"}
@@ -44,7 +44,7 @@
 	if status != ExitOK || strings.Contains(stdout+stderr, "api-key") {
 		t.Errorf("status %d, %s%s", status, stdout, stderr)
 	}
-	for _, want := range []string{"placed at u1", "priority 2", "as late work", "41.5ms", "speed 1.30, room 8, beyond its room", "paused for 800ms", "next: u3"} {
+	for _, want := range []string{"placed at u1", "priority 2", "as late work", "over the share of its account: true, drawn with the probability 0.250", "41.5ms", "speed 1.30, room 8, beyond its room", "paused for 800ms", "next: u3"} {
 		if !strings.Contains(stdout, want) {
 			t.Errorf("%q is missing:\n%s", want, stdout)
 		}
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -106,6 +106,11 @@
 	// Late is true if the request is admitted as late work. The wait is then that behind all
 	// load of the upstream.
 	Late bool `json:"late,omitempty"`
+	// OverShare is true if the request is over the share of its account, so that it is sent at
+	// its own priority only to an idle upstream. That is drawn anew for each request, with the
+	// probability OverShareProbability, and for each explanation.
+	OverShare            bool    `json:"over_share,omitempty"`
+	OverShareProbability float64 `json:"over_share_probability,omitempty"`
 }
 
 // Permit is the permit that the request would ask for. Whether it is granted is not known.
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"net/http"
+	"sort"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -223,9 +224,11 @@
 	}
 	// The current loads are at peers. The explanation goes by the reports that are here.
 	result.AskedPeers = placement.Shortlist(&q.work, q.entry(), string(q.call.ID), state.open)
+	q.judgeShare(state.now)
 	choice, decision, failure := q.decide(state.open)
 	if choice.ID != "" {
-		result.Admission = &explain.Admission{Admitted: decision.Admit, WaitMs: ms(choice.Wait), FirstResponseMs: ms(choice.FirstResponse), LessUrgentWork: choice.LessUrgentWork, Late: decision.Late}
+		result.Admission = &explain.Admission{Admitted: decision.Admit, WaitMs: ms(choice.Wait), FirstResponseMs: ms(choice.FirstResponse), LessUrgentWork: choice.LessUrgentWork, Late: decision.Late,
+			OverShare: q.share.overShare, OverShareProbability: q.overShareProbability(state.now)}
 	}
 	if failure != nil {
 		result.Refusal = refusal(failure)
@@ -238,6 +241,22 @@
 	result.Retry = q.explainRetry(choice.ID, state.examined)
 }
 
+// overShareProbability returns the probability, in thousandths, with which a request like this one
+// is over the share of its account. It is found from the decisions on single draws.
+func (q *request) overShareProbability(now time.Duration) float64 {
+	if !q.sharesCapacity() {
+		return 0
+	}
+	const steps = 1000
+	s := q.gateway.shares
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	within := sort.Search(steps, func(i int) bool {
+		return !s.table.OverShare(now, q.shareGroup(), q.account.ID, float64(i)/steps)
+	})
+	return float64(within) / steps
+}
+
 // explainRetry explains what would follow a failed attempt at an upstream.
 func (q *request) explainRetry(first types.UpstreamID, examined []roster.Examined) *explain.Retry {
 	again := *q
--- a/pkg/gateway/explain_test.go
+++ b/pkg/gateway/explain_test.go
@@ -120,6 +120,9 @@
 			if explained.Admission.Late {
 				outcomes["late"]++
 			}
+			if explained.Admission.OverShare {
+				outcomes["over its share and placed"]++
+			}
 			if len(received) == 0 || received[0].upstream != string(explained.Choice) {
 				t.Fatalf("explained is %s, the request went to %+v: status %d, %s", explained.Choice, received, response.Code, response.Header().Get("Code"))
 			}
@@ -127,6 +130,9 @@
 			// its route allows it.
 			checkExplainedRetry(t, explained, received)
 		case explain.Refused:
+			if explained.Admission != nil && explained.Admission.OverShare {
+				outcomes["over its share and refused"]++
+			}
 			if len(received) != 0 || response.Code != explained.Refusal.Status || response.Header().Get("Code") != explained.Refusal.Code {
 				t.Fatalf("explained is %+v, the request got %d, %s after %+v", explained.Refusal, response.Code, response.Header().Get("Code"), received)
 			}
@@ -135,8 +141,10 @@
 		}
 	})
 	t.Logf("outcomes: %v", outcomes)
-	if outcomes[string(explain.Placed)] == 0 || outcomes[string(explain.Refused)] == 0 {
-		t.Errorf("not both outcomes occurred: %v", outcomes)
+	for _, outcome := range []string{string(explain.Placed), string(explain.Refused), "over its share and placed", "over its share and refused"} {
+		if outcomes[outcome] == 0 {
+			t.Errorf("no request was %s: %v", outcome, outcomes)
+		}
 	}
 }
 
@@ -158,6 +166,11 @@
 func drawConditions(t *rapid.T, env *explainEnv) {
 	now := env.gateway.options.Clock()
 	env.gateway.options.LateWork = rapid.Bool().Draw(t, "late work")
+	env.gateway.options.FairShares = rapid.Bool().Draw(t, "fair shares")
+	if rapid.Bool().Draw(t, "flood") {
+		// With another flood, the draw would make the request differ from the explanation.
+		env.gateway.SetFleetShares(now, certainFlood())
+	}
 	loads := make(map[types.UpstreamID]placement.Load)
 	ejected := make(map[types.UpstreamID]time.Duration)
 	for i := range explainedUpstreams {
@@ -200,6 +213,42 @@
 	return w
 }
 
+// TestExplanationShowsShareOfTheAccount guards against an explanation that hides that a part of the
+// requests of an account are over its share, or in which a request is always over it. It explains
+// until both have been drawn.
+func TestExplanationShowsShareOfTheAccount(t *testing.T) {
+	env := newExplainEnv(strictFleet{t}, catalog.Service{Name: "s"}, []string{"127.0.0.1:1"}, nil)
+	g, now := env.gateway, env.gateway.options.Clock()
+	g.options.FairShares = true
+	env.roster.ApplyPeerReport(now, "peer", map[types.UpstreamID]placement.Load{"u0": {ByPriority: map[int]placement.PriorityLoad{0: {Waiting: 5}}}}, nil)
+	explainOne := func() *explain.Explanation { return g.Explain([]byte(rawRequest("/safe/x", "r1", ""))) }
+	if got := explainOne(); got.Outcome != explain.Placed || got.Admission.OverShare || got.Admission.OverShareProbability != 0 {
+		t.Errorf("without a flood: %s, %+v", got.Outcome, got.Admission)
+	}
+	g.SetFleetShares(now, floodedFleet())
+	account := g.shares.table.States(now)[0].Over[0]
+	want := 1 - account.Share/account.Fleet.Offered
+	outcomes := make(map[bool]explain.Outcome)
+	// In the flood a twentieth is within the share, so that 1,000 draws have one except for 5 in 10^23 runs.
+	for range 1000 {
+		got := explainOne()
+		if p := got.Admission.OverShareProbability; p < want-0.002 || p > want+0.002 {
+			t.Fatalf("probability %v, want %v", p, want)
+		}
+		outcomes[got.Admission.OverShare] = got.Outcome
+		if len(outcomes) == 2 {
+			break
+		}
+	}
+	if outcomes[true] != explain.Refused || outcomes[false] != explain.Placed {
+		t.Errorf("outcomes by whether the request is over the share: %v", outcomes)
+	}
+	g.options.FairShares = false
+	if got := explainOne(); got.Outcome != explain.Placed || got.Admission.OverShareProbability != 0 {
+		t.Errorf("without fair shares: %s, %+v", got.Outcome, got.Admission)
+	}
+}
+
 // strictFleet is a Fleet that must only be asked for what it knows without messages.
 type strictFleet struct{ t *testing.T }
 
@@ -256,6 +305,8 @@
 		g.quarantine.RecordPartCrash(now, []quarantine.Fingerprint{part}, types.UpstreamID(fmt.Sprint("c", i)), time.Millisecond)
 	}
 	g.permits.observe("u1", permit.Observation{Limit: permit.Limit{PerSecond: 1, Limited: true}, SentAt: now, ReceivedAt: now})
+	g.options.FairShares = true
+	g.SetFleetShares(now, certainFlood())
 	loads := env.roster.Loads(now, nil)
 	before := metricsText(g.options.Metrics)
 	explainAll := func() {
@@ -282,6 +333,9 @@
 	if after := env.roster.Loads(now, nil); len(loads) != 0 || len(after) != 0 || g.Active() != 0 || g.bufferedBytes.Load() != 0 {
 		t.Errorf("loads %v, %d requests in flight, %d bytes in use", after, g.Active(), g.bufferedBytes.Load())
 	}
+	if own := g.OwnShares(now); len(own.Sums) != 0 {
+		t.Errorf("work of accounts: %+v", own.Sums)
+	}
 	// The budget is as large as that of a gateway without explanations: a share of the burst.
 	spent := 0
 	for g.budget("s").Spend() {
