gateway: a new document spares the requests that arrived before it

Cause: also refused requests whose route or key a document had removed more than 3 s after their arrival. Nothing requires that: the bound of a change counts from when a request was sent. A caller whose body arrives slowly would have got 404 or 401 for a route that existed when it asked, at every deployment.

The checks of the upstream stay.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -95,9 +95,6 @@
 func (q *request) tryUpstreams(ctx context.Context) error {
 	for {
 		q.awaitCrashReport(ctx)
-		if failure := q.checkDocument(); failure != nil {
-			return failure
-		}
 		if failure := q.checkParts(); failure != nil {
 			return failure
 		}
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -228,7 +228,7 @@
 	choice, decision, failure := q.decide(state.open)
 	if choice.ID != "" {
 		result.Admission = &explain.Admission{Admitted: decision.Admit, WaitMs: ms(choice.Wait), FirstResponseMs: ms(choice.FirstResponse), LessUrgentWork: choice.LessUrgentWork, Late: decision.Late,
-			OverShare: q.share.overShare, OverShareProbability: q.overShareProbability(state.now)}
+			OverShare: q.share.overShare(), OverShareProbability: q.overShareProbability(state.now)}
 	}
 	if failure != nil {
 		result.Refusal = refusal(failure)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -130,10 +130,8 @@
 	catalog atomic.Pointer[catalog.Catalog]
 	// appliedAt is when the catalog was applied, in nanoseconds of the clock.
 	appliedAt atomic.Int64
-	// former are the catalogs that were in force within the last removalGrace.
-	former   []formerCatalog
-	stopping atomic.Bool
-	active   atomic.Int64
+	stopping  atomic.Bool
+	active    atomic.Int64
 	// bufferedBytes is the total size of the request bodies in memory, and
 	// bufferedResponseBytes that of the responses.
 	bufferedBytes, bufferedResponseBytes atomic.Int64
@@ -172,7 +170,6 @@
 // Apply replaces the catalog.
 func (g *Gateway) Apply(c *catalog.Catalog) {
 	g.applyStreamRoutes(c.StreamRoutes())
-	g.keepFormer()
 	g.appliedAt.Store(int64(g.options.Clock()))
 	g.catalog.Store(c)
 }
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -106,9 +106,6 @@
 // attempt. It is called right before the first byte of the request is written: connecting may have
 // taken seconds.
 func (a *attempt) checkBeforeSending() error {
-	if err := a.checkDocument(); err != nil {
-		return err
-	}
 	if err := a.checkUpstream(); err != nil {
 		return err
 	}
@@ -140,7 +137,7 @@
 // unsentOutcome returns the outcome of an attempt that sent nothing, with regard to the
 // upstream's health.
 func unsentOutcome(err error) roster.Outcome {
-	if errors.Is(err, errPathLost) || errors.Is(err, errUpstreamLeft) || errors.Is(err, errColdWithoutPermit) || isRemoved(err) {
+	if errors.Is(err, errPathLost) || errors.Is(err, errUpstreamLeft) || errors.Is(err, errColdWithoutPermit) {
 		return roster.Abandoned
 	}
 	return roster.Unreachable
