gateway: tests of overdue attempts and timeouts in a synctest bubble

TestUpstreamThatHasGoneOnIsNotHedgedAgain failed in 1 of 6 runs with GOMAXPROCS=1 and 64 parallel tests at a load average of 21: the upstream was silent for 1.1 s in its own time, but the gateway read its event more than 100 ms late, so the attempt was not overdue for 1 s and was not hedged. The other tests of overdue attempts, of the route timeout (50 ms), of slow endless responses (300 ms) and of the time to return after a pause depend on the machine in the same way, and TestSlowEndlessResponseEndsAtDeadline would wait forever if its deadline passed before the request is sent.

They now run in a bubble of testing/synctest, over pipes, with the same times and checks. For this, gateway.Options has a Dial function; without it nothing changes.

--- a/pkg/gateway/cold_test.go
+++ b/pkg/gateway/cold_test.go
@@ -227,30 +227,32 @@
 // TestHedgeUsesNoColdUpstream guards against a hedge at a cold upstream, which would need a
 // permit, also if the upstream becomes cold while the hedge connects.
 func TestHedgeUsesNoColdUpstream(t *testing.T) {
-	env := newSilentEnv(t, "", rawResponse(200, "slow"), respondWith(rawResponse(200, "fast")))
-	log := &permitLog{reply: permit.Reply{Granted: true}}
-	env.fleet.issue = log.issue
-	routes := silentRoutes()
-	for i := range routes {
-		routes[i].Host, routes[i].Targets, routes[i].Timeout = "h", []catalog.WeightedTarget{{Target: "s", Weight: 1}}, 10*time.Second
-	}
-	env.gateway.Apply(catalog.New(catalog.Contents{Routes: routes, Services: []catalog.Service{{Name: "s", ColdRequestsPerSecond: coldRate}}, RequireKey: true, Keys: map[string]catalog.Account{"k": {ID: "acc"}}}))
-	env.roster.RecordCold(clock.Boot(), []roster.Upstream{{ID: "other0", Target: "s", ColdFor: 30 * time.Second, Revision: 9}})
-	env.gateway.options.Metrics = NewMetrics()
-	if got := env.call("GET", "/safe/", ""); got.status != 200 || got.body != "slow" {
-		t.Errorf("got %+v", got)
-	}
-	if started := env.gateway.options.Metrics.hedges.Get("started"); started != nil {
-		t.Errorf("%v hedges were started", started)
-	}
-	if env.sentTo("other0") != 0 || log.count() != 0 {
-		t.Errorf("%d requests reached the cold upstream, %d permits were asked for", env.sentTo("other0"), log.count())
-	}
-	a := &attempt{request: &request{gateway: env.gateway, tried: map[types.UpstreamID]bool{}}}
-	a.choice.ID = "other0"
-	if a.checkCold() == nil {
-		t.Error("a hedge is sent to an upstream that became cold while it connected")
-	}
+	inBubble(t, func(t *testing.T) {
+		env := newSilentEnv(t, "", rawResponse(200, "slow"), respondWith(rawResponse(200, "fast")))
+		log := &permitLog{reply: permit.Reply{Granted: true}}
+		env.fleet.issue = log.issue
+		routes := silentRoutes()
+		for i := range routes {
+			routes[i].Host, routes[i].Targets, routes[i].Timeout = "h", []catalog.WeightedTarget{{Target: "s", Weight: 1}}, 10*time.Second
+		}
+		env.gateway.Apply(catalog.New(catalog.Contents{Routes: routes, Services: []catalog.Service{{Name: "s", ColdRequestsPerSecond: coldRate}}, RequireKey: true, Keys: map[string]catalog.Account{"k": {ID: "acc"}}}))
+		env.roster.RecordCold(env.gateway.options.Clock(), []roster.Upstream{{ID: "other0", Target: "s", ColdFor: 30 * time.Second, Revision: 9}})
+		env.gateway.options.Metrics = NewMetrics()
+		if got := env.call("GET", "/safe/", ""); got.status != 200 || got.body != "slow" {
+			t.Errorf("got %+v", got)
+		}
+		if started := env.gateway.options.Metrics.hedges.Get("started"); started != nil {
+			t.Errorf("%v hedges were started", started)
+		}
+		if env.sentTo("other0") != 0 || log.count() != 0 {
+			t.Errorf("%d requests reached the cold upstream, %d permits were asked for", env.sentTo("other0"), log.count())
+		}
+		a := &attempt{request: &request{gateway: env.gateway, tried: map[types.UpstreamID]bool{}}}
+		a.choice.ID = "other0"
+		if a.checkCold() == nil {
+			t.Error("a hedge is sent to an upstream that became cold while it connected")
+		}
+	})
 }
 
 // TestResumedStreamAtColdUpstreamNeedsPermit checks that a stream continues at a cold upstream
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -91,21 +91,23 @@
 		"status line": "HTTP/1.1 200 ", "header": "HTTP/1.1 200 OK\r\nX: ", "body": "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			done := make(chan struct{})
-			env := newTestEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, _ int) {
-				defer close(done)
-				for text := head; ; text = "x" {
-					if _, err := io.WriteString(conn, text); err != nil {
-						return
+			inBubble(t, func(t *testing.T) {
+				done := make(chan struct{})
+				env := newBubbleEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, _ int) {
+					defer close(done)
+					for text := head; ; text = "x" {
+						if _, err := io.WriteString(conn, text); err != nil {
+							return
+						}
+						time.Sleep(20 * time.Millisecond)
 					}
-					time.Sleep(20 * time.Millisecond)
+				}, 1)
+				got := env.sendRaw("POST /once/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nWait: 300\r\nContent-Length: 0\r\n\r\n")
+				if got.status != http.StatusGatewayTimeout && got.status != http.StatusBadGateway {
+					t.Errorf("got %+v", got)
 				}
-			}, 1)
-			got := env.sendRaw("POST /once/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nWait: 300\r\nContent-Length: 0\r\n\r\n")
-			if got.status != http.StatusGatewayTimeout && got.status != http.StatusBadGateway {
-				t.Errorf("got %+v", got)
-			}
-			<-done
+				<-done
+			})
 		})
 	}
 }
--- a/pkg/gateway/evacuation_test.go
+++ b/pkg/gateway/evacuation_test.go
@@ -112,33 +112,35 @@
 	}
 	located := map[types.UpstreamID]types.DataCentre{"first": "a", "other0": "b"}
 	t.Run("before the hedge", func(t *testing.T) {
-		t.Parallel()
-		var env *testEnv
-		env = newHedgingEnv(t, 3, func(conn net.Conn, _ *http.Request, _ int) {
-			env.locate(located)
-			env.evacuate("a", "b")
-			first(conn)
-		}, respondWith(streamHead+chunkedEvents(3, 9)+streamEnd))
-		if got := env.call(http.MethodPost, "/resume/", ""); got.err != nil || got.body != plainEvent(1)+plainEvent(2)+plainEvent(3) {
-			t.Errorf("the stream that ran before the evacuation ended as %q, %v", got.body, got.err)
-		}
-		env.checkRequestCount(1)
+		inBubble(t, func(t *testing.T) {
+			var env *testEnv
+			env = newHedgingEnv(t, 3, func(conn net.Conn, _ *http.Request, _ int) {
+				env.locate(located)
+				env.evacuate("a", "b")
+				first(conn)
+			}, respondWith(streamHead+chunkedEvents(3, 9)+streamEnd))
+			if got := env.call(http.MethodPost, "/resume/", ""); got.err != nil || got.body != plainEvent(1)+plainEvent(2)+plainEvent(3) {
+				t.Errorf("the stream that ran before the evacuation ended as %q, %v", got.body, got.err)
+			}
+			env.checkRequestCount(1)
+		})
 	})
 	t.Run("during the hedge", func(t *testing.T) {
-		t.Parallel()
-		var env *testEnv
-		env = newHedgingEnv(t, 3, func(conn net.Conn, _ *http.Request, _ int) {
-			env.locate(located)
-			first(conn)
-		}, func(conn net.Conn, _ *http.Request, _ int) {
-			env.evacuate("b")
-			time.Sleep(2 * handoverTime)
-			_, _ = io.WriteString(conn, streamHead+chunkedEvents(3, 4)+streamEnd)
+		inBubble(t, func(t *testing.T) {
+			var env *testEnv
+			env = newHedgingEnv(t, 3, func(conn net.Conn, _ *http.Request, _ int) {
+				env.locate(located)
+				first(conn)
+			}, func(conn net.Conn, _ *http.Request, _ int) {
+				env.evacuate("b")
+				time.Sleep(2 * handoverTime)
+				_, _ = io.WriteString(conn, streamHead+chunkedEvents(3, 4)+streamEnd)
+			})
+			if got := env.call(http.MethodPost, "/resume/", ""); got.err != nil || got.body != plainEvent(1)+plainEvent(2)+plainEvent(3)+plainEvent(4) {
+				t.Errorf("the hedge that ran before the evacuation ended as %q, %v", got.body, got.err)
+			}
+			env.checkRequestCount(2)
 		})
-		if got := env.call(http.MethodPost, "/resume/", ""); got.err != nil || got.body != plainEvent(1)+plainEvent(2)+plainEvent(3)+plainEvent(4) {
-			t.Errorf("the hedge that ran before the evacuation ended as %q, %v", got.body, got.err)
-		}
-		env.checkRequestCount(2)
 	})
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -107,6 +107,8 @@
 	// Retries limits the retries of the whole fleet to each service. The burst is
 	// divided among the instances.
 	Retries retry.Settings
+	// Dial connects to an upstream. If it is nil, upstreams are dialed over TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// DialTimeout bounds connecting to an upstream, also through a peer. Zero means the
 	// defaults of packages exchange and transit.
 	DialTimeout time.Duration
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -8,10 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -169,6 +171,9 @@
 	address string
 	fleet   *recordingFleet
 	roster  *roster.Roster
+	// network connects the gateway, its upstreams and its callers in a bubble. It is nil on
+	// loopback.
+	network *httpfakes.Network
 
 	mu       sync.Mutex
 	received []receivedRequest
@@ -185,8 +190,34 @@
 func newTestEnv(t testing.TB, routes []catalog.Route, respond responder, upstreams int) *testEnv {
 	t.Helper()
 	env := &testEnv{t: t, fleet: &recordingFleet{}, roster: roster.New()}
-	env.gateway = New(Options{Protocol: testProtocol{}, Roster: env.roster, Fleet: env.fleet, Clock: clock.Boot, Logger: zerolog.Nop(),
-		Retries: retry.Settings{Ratio: 0.2, Burst: 10 * minBudgetShares, Window: 10 * time.Second}, DialTimeout: busyDialTimeout})
+	env.start(Options{Clock: clock.Boot, DialTimeout: busyDialTimeout}, routes, respond, upstreams)
+	return env
+}
+
+// newBubbleEnv is newTestEnv in a bubble of testing/synctest, for tests that depend on the order of
+// timeouts and responses.
+func newBubbleEnv(t *testing.T, routes []catalog.Route, respond responder, upstreams int) *testEnv {
+	t.Helper()
+	env := &testEnv{t: t, fleet: &recordingFleet{}, roster: roster.New(), network: httpfakes.NewNetwork()}
+	began := time.Now()
+	env.start(Options{Clock: func() time.Duration { return time.Since(began) }, Dial: env.network.Dialer("gateway", "gateway")}, slices.Clone(routes), respond, upstreams)
+	return env
+}
+
+// inBubble runs a test, beside others, in a bubble of testing/synctest.
+func inBubble(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	t.Parallel()
+	synctest.Test(t, test)
+}
+
+// start starts the gateway with the options, and the upstreams.
+func (env *testEnv) start(options Options, routes []catalog.Route, respond responder, upstreams int) {
+	t := env.t
+	t.Helper()
+	options.Protocol, options.Roster, options.Fleet, options.Logger = testProtocol{}, env.roster, env.fleet, zerolog.Nop()
+	options.Retries = retry.Settings{Ratio: 0.2, Burst: 10 * minBudgetShares, Window: 10 * time.Second}
+	env.gateway = New(options)
 	for i := range routes {
 		routes[i].Host, routes[i].Targets = "h", []catalog.WeightedTarget{{Target: "s", Weight: 1}}
 		if routes[i].Timeout == 0 {
@@ -204,24 +235,70 @@
 		list = append(list, roster.Upstream{ID: id, Target: "s", Address: env.upstream(string(id), respond), Slots: 4, Ready: true})
 	}
 	env.gateway.UpdateUpstreams(list)
+	listener := env.listen("gateway")
+	server := env.gateway.Server()
+	go func() { _ = server.Serve(NewListener(listener, options.Clock)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	env.address = env.addressOf("gateway", listener)
+}
+
+// listen returns a listener on loopback or, in a bubble, for the host.
+func (env *testEnv) listen(host string) net.Listener {
+	env.t.Helper()
+	if env.network != nil {
+		return env.network.Listen(host)
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		env.t.Fatal(err)
 	}
-	server := env.gateway.Server()
-	go func() { _ = server.Serve(NewListener(listener, clock.Boot)) }()
-	t.Cleanup(func() { _ = server.Close() })
-	env.address = listener.Addr().String()
-	return env
+	return listener
+}
+
+func (env *testEnv) addressOf(host string, listener net.Listener) string {
+	if env.network != nil {
+		return host + ":80"
+	}
+	return listener.Addr().String()
 }
 
 // upstream starts an upstream that runs until the end of the test, and returns its
 // address.
 func (env *testEnv) upstream(id string, respond responder) string {
-	return httpfakes.ListenRaw(env.t, func(conn net.Conn, request *http.Request, body []byte) {
+	serve := func(conn net.Conn, request *http.Request, body []byte) {
 		respond(conn, request, env.record(receivedRequest{id, request.Header.Get("Id"), request.Header.Get("Account"),
 			request.Header.Get("Last-Event-Id"), request.RequestURI, string(body)}))
+	}
+	if env.network == nil {
+		return httpfakes.ListenRaw(env.t, serve)
+	}
+	listener := env.listen(id)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		httpfakes.ServeRaw(listener, serve)
+	}()
+	env.t.Cleanup(func() {
+		_ = listener.Close()
+		// A bubble must not end before its goroutines.
+		<-served
 	})
+	return env.addressOf(id, listener)
+}
+
+// refusingAddress returns an address at which nothing listens.
+func (env *testEnv) refusingAddress(id string) string {
+	listener := env.listen(id)
+	_ = listener.Close()
+	return env.addressOf(id, listener)
+}
+
+// dial connects to the gateway.
+func (env *testEnv) dial() (net.Conn, error) {
+	if env.network != nil {
+		return env.network.Dialer("caller", "caller")(env.t.Context(), "tcp", env.address)
+	}
+	return net.Dial("tcp", env.address)
 }
 
 // record adds a received request and returns the number of requests so far.
@@ -257,7 +334,7 @@
 // sendRaw sends raw bytes over a new connection and reads the response.
 func (env *testEnv) sendRaw(text string) callerResponse {
 	env.t.Helper()
-	conn, err := net.Dial("tcp", env.address)
+	conn, err := env.dial()
 	if err != nil {
 		env.t.Fatal(err)
 	}
@@ -528,21 +605,25 @@
 }
 
 func TestRouteTimeout(t *testing.T) {
-	routes := []catalog.Route{{Prefix: "/", Kind: catalog.AtMostOnce, Timeout: 50 * time.Millisecond}}
-	env := newTestEnv(t, routes, func(conn net.Conn, _ *http.Request, _ int) { _, _ = io.Copy(io.Discard, conn) }, 1)
-	if got := env.call("POST", "/", ""); got.status != 504 || got.header.Get("Run-State") != string(types.MayHaveRun) {
-		t.Errorf("got %+v", got)
-	}
+	inBubble(t, func(t *testing.T) {
+		routes := []catalog.Route{{Prefix: "/", Kind: catalog.AtMostOnce, Timeout: 50 * time.Millisecond}}
+		env := newBubbleEnv(t, routes, func(conn net.Conn, _ *http.Request, _ int) { _, _ = io.Copy(io.Discard, conn) }, 1)
+		if got := env.call("POST", "/", ""); got.status != 504 || got.header.Get("Run-State") != string(types.MayHaveRun) {
+			t.Errorf("got %+v", got)
+		}
+	})
 }
 
 func TestRequestBodyTimeout(t *testing.T) {
-	routes := []catalog.Route{{Prefix: "/", Kind: catalog.AtMostOnce, Timeout: 50 * time.Millisecond}}
-	env := newTestEnv(t, routes, respondWith(rawResponse(200, "fine")), 1)
-	got := env.sendRaw("POST / HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 5\r\n\r\nab")
-	if got.status != 503 || !got.closes || got.header.Get("Run-State") != string(types.NotRun) {
-		t.Errorf("got %+v", got)
-	}
-	env.checkRequestCount(0)
+	inBubble(t, func(t *testing.T) {
+		routes := []catalog.Route{{Prefix: "/", Kind: catalog.AtMostOnce, Timeout: 50 * time.Millisecond}}
+		env := newBubbleEnv(t, routes, respondWith(rawResponse(200, "fine")), 1)
+		got := env.sendRaw("POST / HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 5\r\n\r\nab")
+		if got.status != 503 || !got.closes || got.header.Get("Run-State") != string(types.NotRun) {
+			t.Errorf("got %+v", got)
+		}
+		env.checkRequestCount(0)
+	})
 }
 
 // TestQuarantineAfterCrashes sends one request repeatedly to upstreams that are down after
--- a/pkg/gateway/pause_test.go
+++ b/pkg/gateway/pause_test.go
@@ -51,15 +51,17 @@
 
 // TestCallerReturnsWhenFirstPauseEnds checks pauses of different lengths.
 func TestCallerReturnsWhenFirstPauseEnds(t *testing.T) {
-	env := newTestEnv(t, testRoutes, respondWith(rawResponse(200, "fine")), 3)
-	now := clock.Boot()
-	for id, pause := range map[types.UpstreamID]time.Duration{"u0": time.Minute, "u1": 1500 * time.Millisecond, "u2": time.Hour} {
-		env.roster.Pause(now, id, pause)
-	}
-	response := env.call(http.MethodPost, "/safe/", "")
-	if wait, _ := time.ParseDuration(response.header.Get("Return")); wait > 2250*time.Millisecond || wait < instanceRetryAfter {
-		t.Errorf("the caller may return after %v although an upstream is back after 1.5 s", wait)
-	}
+	inBubble(t, func(t *testing.T) {
+		env := newBubbleEnv(t, testRoutes, respondWith(rawResponse(200, "fine")), 3)
+		now := env.gateway.options.Clock()
+		for id, pause := range map[types.UpstreamID]time.Duration{"u0": time.Minute, "u1": 1500 * time.Millisecond, "u2": time.Hour} {
+			env.roster.Pause(now, id, pause)
+		}
+		response := env.call(http.MethodPost, "/safe/", "")
+		if wait, _ := time.ParseDuration(response.header.Get("Return")); wait > 2250*time.Millisecond || wait < instanceRetryAfter {
+			t.Errorf("the caller may return after %v although an upstream is back after 1.5 s", wait)
+		}
+	})
 }
 
 // TestPauseOfOneUpstreamMovesRequestsToOthers checks that callers notice nothing.
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -525,24 +525,26 @@
 // TestStalledStreamWithKeepAlivesContinuesElsewhere checks that comments do not count as
 // events of a stream.
 func TestStalledStreamWithKeepAlivesContinuesElsewhere(t *testing.T) {
-	env := newTestEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, n int) {
-		if n > 1 {
-			_, _ = io.WriteString(conn, streamHead+event(2)+streamEnd)
-			return
-		}
-		_, _ = io.WriteString(conn, streamHead+event(1))
-		for {
-			if _, err := io.WriteString(conn, "3\r\n:\n\n\r\n"); err != nil {
+	inBubble(t, func(t *testing.T) {
+		env := newBubbleEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, n int) {
+			if n > 1 {
+				_, _ = io.WriteString(conn, streamHead+event(2)+streamEnd)
 				return
 			}
-			time.Sleep(streamIdleTimeout / 10)
+			_, _ = io.WriteString(conn, streamHead+event(1))
+			for {
+				if _, err := io.WriteString(conn, "3\r\n:\n\n\r\n"); err != nil {
+					return
+				}
+				time.Sleep(streamIdleTimeout / 10)
+			}
+		}, 2)
+		got := env.call("POST", "/resume/", "")
+		if got.err != nil || !strings.Contains(got.body, "data: 2") {
+			t.Errorf("got %+v", got)
 		}
-	}, 2)
-	got := env.call("POST", "/resume/", "")
-	if got.err != nil || !strings.Contains(got.body, "data: 2") {
-		t.Errorf("got %+v", got)
-	}
-	env.checkRequestCount(2)
+		env.checkRequestCount(2)
+	})
 }
 
 // TestAgeOfUnnamedStreamFollowsFromItsDeadline guards against refusals, long after a start, of
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -45,17 +45,17 @@
 }
 
 // newHedgingEnv lists the first upstream, and the others as soon as it has received a
-// request.
+// request. It is used in a bubble: whether an attempt is overdue must not depend on the machine.
 func newHedgingEnv(t *testing.T, maxAttempts int, first responder, others ...responder) *testEnv {
 	routes := silentRoutes()
 	for i := range routes {
 		routes[i].MaxAttempts = maxAttempts
 	}
-	env := newTestEnv(t, routes, nil, 0)
+	env := newBubbleEnv(t, routes, nil, 0)
 	list := []roster.Upstream{{ID: "first", Target: "s", Slots: 4, Ready: true}}
 	for i, respond := range others {
 		id := types.UpstreamID(fmt.Sprint("other", i))
-		upstream := roster.Upstream{ID: id, Target: "s", Address: refusingAddress(t), Slots: 4, Ready: true}
+		upstream := roster.Upstream{ID: id, Target: "s", Address: env.refusingAddress(string(id)), Slots: 4, Ready: true}
 		if respond != nil {
 			upstream.Address = env.upstream(string(id), respond)
 		}
@@ -69,16 +69,6 @@
 	return env
 }
 
-// refusingAddress returns an address at which nothing listens.
-func refusingAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // exhaustRetries leaves the gateway no retry.
 func (env *testEnv) exhaustRetries() {
 	env.gateway.options.Retries = retry.Settings{Window: 10 * time.Second}
@@ -129,11 +119,12 @@
 			}
 		}
 		t.Run(when+", no retries left", func(t *testing.T) {
-			t.Parallel()
-			env := newSilentEnv(t, e.before, e.after, respondWith(rawResponse(200, "other")))
-			env.exhaustRetries()
-			check(t, env)
-			env.checkRequestCount(1)
+			inBubble(t, func(t *testing.T) {
+				env := newSilentEnv(t, e.before, e.after, respondWith(rawResponse(200, "other")))
+				env.exhaustRetries()
+				check(t, env)
+				env.checkRequestCount(1)
+			})
 		})
 		for why, respond := range unavailable() {
 			// A stream must not be at two upstreams until its end, so one of two silent ones
@@ -142,17 +133,17 @@
 				continue
 			}
 			t.Run(when+", the other "+why, func(t *testing.T) {
-				t.Parallel()
-				check(t, newSilentEnv(t, e.before, e.after, respond))
+				inBubble(t, func(t *testing.T) { check(t, newSilentEnv(t, e.before, e.after, respond)) })
 			})
 		}
 		t.Run(when+", the other has used up its limit", func(t *testing.T) {
-			t.Parallel()
-			env := newSilentEnv(t, e.before, e.after, respondWith(rawResponse(200, "other")))
-			env.fleet.issue = func(permit.Request) (permit.Reply, error) { return permit.Reply{RetryAfter: time.Second}, nil }
-			env.gateway.permits.observe("other0", permit.Observation{Limit: permit.Limit{PerSecond: 1, Limited: true}, ReceivedAt: clock.Boot()})
-			check(t, env)
-			env.checkRequestCount(1)
+			inBubble(t, func(t *testing.T) {
+				env := newSilentEnv(t, e.before, e.after, respondWith(rawResponse(200, "other")))
+				env.fleet.issue = func(permit.Request) (permit.Reply, error) { return permit.Reply{RetryAfter: time.Second}, nil }
+				env.gateway.permits.observe("other0", permit.Observation{Limit: permit.Limit{PerSecond: 1, Limited: true}, ReceivedAt: env.gateway.options.Clock()})
+				check(t, env)
+				env.checkRequestCount(1)
+			})
 		})
 	}
 }
@@ -162,20 +153,21 @@
 func TestOneOfTwoAttemptsAnswers(t *testing.T) {
 	for _, delay := range []time.Duration{0, handoverTime - 10*time.Millisecond, handoverTime + 10*time.Millisecond, 290 * time.Millisecond, 310 * time.Millisecond} {
 		t.Run(fmt.Sprint(delay), func(t *testing.T) {
-			t.Parallel()
-			var second atomic.Int64
-			env := newSilentEnv(t, streamHead+chunkedEvents(1, 2), chunkedEvents(3, 4)+streamEnd, func(conn net.Conn, request *http.Request, _ int) {
-				second.Add(1)
-				time.Sleep(delay)
-				writeEvents(conn, request, 4)
+			inBubble(t, func(t *testing.T) {
+				var second atomic.Int64
+				env := newSilentEnv(t, streamHead+chunkedEvents(1, 2), chunkedEvents(3, 4)+streamEnd, func(conn net.Conn, request *http.Request, _ int) {
+					second.Add(1)
+					time.Sleep(delay)
+					writeEvents(conn, request, 4)
+				})
+				want := plainEvent(1) + plainEvent(2) + plainEvent(3) + plainEvent(4)
+				if got := env.call("POST", "/resume/", ""); got.err != nil || got.body != want {
+					t.Errorf("the caller received %q, %v", got.body, got.err)
+				}
+				if second.Load() != 1 {
+					t.Errorf("the other upstream received %d requests, want 1", second.Load())
+				}
 			})
-			want := plainEvent(1) + plainEvent(2) + plainEvent(3) + plainEvent(4)
-			if got := env.call("POST", "/resume/", ""); got.err != nil || got.body != want {
-				t.Errorf("the caller received %q, %v", got.body, got.err)
-			}
-			if second.Load() != 1 {
-				t.Errorf("the other upstream received %d requests, want 1", second.Load())
-			}
 		})
 	}
 }
@@ -191,17 +183,18 @@
 		"stream with a header":    {"/resume/", streamHead, streamHead + chunkedEvents(1, 1) + streamEnd, plainEvent(1)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			env := newHedgingEnv(t, 3, pause(4*silence), func(conn net.Conn, _ *http.Request, n int) {
-				if n == 2 {
-					_, _ = io.WriteString(conn, c.begin)
-					time.Sleep(4 * silence)
+			inBubble(t, func(t *testing.T) {
+				env := newHedgingEnv(t, 3, pause(4*silence), func(conn net.Conn, _ *http.Request, n int) {
+					if n == 2 {
+						_, _ = io.WriteString(conn, c.begin)
+						time.Sleep(4 * silence)
+					}
+					_, _ = io.WriteString(conn, c.answer)
+				}, respondWith(c.answer))
+				if got := env.call("POST", c.path, ""); got.err != nil || got.body != c.want {
+					t.Errorf("the caller received %q, %v", got.body, got.err)
 				}
-				_, _ = io.WriteString(conn, c.answer)
-			}, respondWith(c.answer))
-			if got := env.call("POST", c.path, ""); got.err != nil || got.body != c.want {
-				t.Errorf("the caller received %q, %v", got.body, got.err)
-			}
+			})
 		})
 	}
 }
@@ -210,21 +203,22 @@
 func TestUpstreamThatHasGoneOnIsNotHedgedAgain(t *testing.T) {
 	for _, gap := range []time.Duration{handoverTime / 2, handoverTime * 3 / 2} {
 		t.Run(fmt.Sprint(gap), func(t *testing.T) {
-			t.Parallel()
-			env := newHedgingEnv(t, 4, func(conn net.Conn, _ *http.Request, _ int) {
-				_, _ = io.WriteString(conn, streamHead+chunkedEvents(1, 2))
-				time.Sleep(streamIdleTimeout + handoverTime/2)
-				for n := 3; n <= 8; n++ {
-					_, _ = io.WriteString(conn, event(n))
-					time.Sleep(gap)
+			inBubble(t, func(t *testing.T) {
+				env := newHedgingEnv(t, 4, func(conn net.Conn, _ *http.Request, _ int) {
+					_, _ = io.WriteString(conn, streamHead+chunkedEvents(1, 2))
+					time.Sleep(streamIdleTimeout + handoverTime/2)
+					for n := 3; n <= 8; n++ {
+						_, _ = io.WriteString(conn, event(n))
+						time.Sleep(gap)
+					}
+					_, _ = io.WriteString(conn, streamEnd)
+				}, pause(4*silence), pause(4*silence), pause(4*silence))
+				got := env.call("POST", "/resume/", "")
+				if events := strings.Count(got.body, "\n\n"); got.err != nil || events != 8 {
+					t.Errorf("the caller received %d events, %v", events, got.err)
 				}
-				_, _ = io.WriteString(conn, streamEnd)
-			}, pause(4*silence), pause(4*silence), pause(4*silence))
-			got := env.call("POST", "/resume/", "")
-			if events := strings.Count(got.body, "\n\n"); got.err != nil || events != 8 {
-				t.Errorf("the caller received %d events, %v", events, got.err)
-			}
-			env.checkRequestCount(2)
+				env.checkRequestCount(2)
+			})
 		})
 	}
 }
@@ -233,15 +227,19 @@
 	long := strings.Repeat("x", maxBufferedResponseBytes+100)
 	text := rawResponse(200, long)
 	for _, maxAttempts := range []int{2, 4} {
-		env := newHedgingEnv(t, maxAttempts, func(conn net.Conn, _ *http.Request, _ int) {
-			time.Sleep(200 * time.Millisecond)
-			_, _ = io.WriteString(conn, text[:len(text)-50])
-			time.Sleep(500 * time.Millisecond)
-			_, _ = io.WriteString(conn, text[len(text)-50:])
-		}, pause(silence), pause(silence))
-		if got := env.call("POST", "/safe/", ""); got.err != nil || got.body != long {
-			t.Errorf("at most %d attempts: the caller received %d bytes, %v", maxAttempts, len(got.body), got.err)
-		}
+		t.Run(fmt.Sprint(maxAttempts, " attempts"), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				env := newHedgingEnv(t, maxAttempts, func(conn net.Conn, _ *http.Request, _ int) {
+					time.Sleep(200 * time.Millisecond)
+					_, _ = io.WriteString(conn, text[:len(text)-50])
+					time.Sleep(500 * time.Millisecond)
+					_, _ = io.WriteString(conn, text[len(text)-50:])
+				}, pause(silence), pause(silence))
+				if got := env.call("POST", "/safe/", ""); got.err != nil || got.body != long {
+					t.Errorf("the caller received %d bytes, %v", len(got.body), got.err)
+				}
+			})
+		})
 	}
 }
 
@@ -257,19 +255,19 @@
 // TestUnusedResponseOfAHedgeIsReleased plays a first upstream that breaks off while the second
 // one prepares the response to another request.
 func TestUnusedResponseOfAHedgeIsReleased(t *testing.T) {
-	env := newHedgingEnv(t, 2, pause(300*time.Millisecond), func(conn net.Conn, _ *http.Request, _ int) {
-		time.Sleep(300 * time.Millisecond)
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nId: other\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno")
+	inBubble(t, func(t *testing.T) {
+		env := newHedgingEnv(t, 2, pause(300*time.Millisecond), func(conn net.Conn, _ *http.Request, _ int) {
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nId: other\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno")
+		})
+		if got := env.call("POST", "/safe/", ""); got.status != 502 {
+			t.Errorf("the caller received %d %q", got.status, got.body)
+		}
+		env.awaitIdle()
+		if held := env.gateway.bufferedResponseBytes.Load(); held != 0 {
+			t.Errorf("%d bytes still count as buffered", held)
+		}
 	})
-	if got := env.call("POST", "/safe/", ""); got.status != 502 {
-		t.Errorf("the caller received %d %q", got.status, got.body)
-	}
-	for env.gateway.Active() > 0 {
-		time.Sleep(time.Millisecond)
-	}
-	if held := env.gateway.bufferedResponseBytes.Load(); held != 0 {
-		t.Errorf("%d bytes still count as buffered", held)
-	}
 }
 
 func TestRejectedHedgeIsNotARun(t *testing.T) {
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -37,6 +37,7 @@
 		Upstreams:   destinations{options.Roster, options.Clock},
 		Peers:       func() []reach.Peer { return options.Fleet.Peers() },
 		Transport:   options.PeerTransport,
+		Dial:        options.Dial,
 		DialTimeout: cmp.Or(options.DialTimeout, exchange.DefaultDialTimeout),
 		OpenTimeout: options.DialTimeout,
 		Clock:       options.Clock,
