roster, gateway, mesh: an upstream whose process has ended may be another version, and cold

Cause: an upstream that starts again under its ID and address counts as its former process until its new entry arrives. Only an instance whose own connection was refused knew better, and only for 3 s: during an outage of the store the new entry takes longer. The refusal was lost if the request then went through a peer, and a peer that carried requests did not note it at all. A cold upstream got as many requests as the warm one before it in this time.

Change: - the refusal of a connection is reported to the peers, as an optional field of the report of leaving upstreams, unless a peer can connect; only where entries name versions or the service has a limit for cold upstreams; - the process counts as replaced until the list has been read 3 s after the refusal (Follower.Answered), or until its entry changes; - until then the upstream also counts as cold, so it needs permits; - this is checked again between connecting and the first byte, also for the origin of new streams; - a peer notes refusals and carries nothing to such an upstream.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -174,6 +174,8 @@
 	})
 	e.mesh.Register(e.peers)
 	list := e.follower(upstreams, deps.Upstreams)
+	list.Answered = e.roster.RecordListAnswer
+	e.roster.RecordListAnswer(clock.Boot())
 	e.followers = []*follow.Follower{e.follower(configuration, deps.Configuration), list}
 	var transport http.RoundTripper
 	if streams, err := e.dialer.StreamTransport(); err == nil {
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -273,6 +273,11 @@
 	return s.edge.gateway.MergeLeaving(from, processes)
 }
 
+// HandleEnded implements mesh.State.
+func (s state) HandleEnded(from types.InstanceID, processes []roster.Process) []roster.Process {
+	return s.edge.gateway.MergeEnded(from, processes)
+}
+
 // CorrectedLoads implements mesh.State.
 func (s state) CorrectedLoads(upstreams []types.UpstreamID) map[types.UpstreamID]placement.Load {
 	return s.edge.gateway.CorrectedLoads(upstreams)
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -99,6 +99,9 @@
 	// PeerIsReading reports whether a peer reads on behalf of this instance, which
 	// then makes no calls after its first listing.
 	PeerIsReading func() bool
+	// Answered, if set, is called with the time of each successful call and while a peer reads on
+	// behalf of this instance, but not from a failed call until the next listing.
+	Answered func(at time.Duration)
 
 	after types.Revision
 	// idleRevision is a revision up to which a watch returned no changes, or zero,
@@ -142,7 +145,7 @@
 	f.lastAnswer = f.Clock()
 	for ctx.Err() == nil {
 		if f.listed && f.PeerIsReading != nil && f.PeerIsReading() {
-			f.lastAnswer = f.Clock()
+			f.recordAnswer(f.Clock())
 			wait.For(ctx, peerReadingCheckInterval)
 			continue
 		}
@@ -260,11 +263,18 @@
 		f.unavailable.Store(false)
 	}
 	if !f.unavailable.Load() {
-		f.lastAnswer = now
+		f.recordAnswer(now)
 	}
 	f.backoff = 0
 }
 
+func (f *Follower) recordAnswer(at time.Duration) {
+	f.lastAnswer = at
+	if f.Answered != nil {
+		f.Answered(at)
+	}
+}
+
 func (f *Follower) recordFailure(err error) {
 	// Entries may have expired without an event while the store was unavailable.
 	f.listed, f.pause = false, 0
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -404,7 +404,7 @@
 	}
 	if isUnsent(err) {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			a.rosterAttempt.RecordRefused(a.gateway.options.Clock())
+			a.reportRefused()
 		}
 		return result{outcome: unsentOutcome(err), err: err}
 	}
--- a/pkg/gateway/explain_test.go
+++ b/pkg/gateway/explain_test.go
@@ -260,6 +260,7 @@
 func (f strictFleet) ReportCachedSegments(mesh.CachedSegments)         { f.unexpected("ReportCachedSegments") }
 func (f strictFleet) ReportStream(origin.Stream)                       { f.unexpected("ReportStream") }
 func (f strictFleet) ReportLeaving(roster.Process)                     { f.unexpected("ReportLeaving") }
+func (f strictFleet) ReportEnded(roster.Process)                       { f.unexpected("ReportEnded") }
 func (f strictFleet) ReportReservation(reservation.Change)             { f.unexpected("ReportReservation") }
 func (f strictFleet) ReportCrashes([]quarantine.Entry)                 { f.unexpected("ReportCrashes") }
 func (f strictFleet) ReportLimit(types.UpstreamID, permit.Observation) { f.unexpected("ReportLimit") }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -76,6 +76,8 @@
 	ReportLimit(types.UpstreamID, permit.Observation)
 	// ReportLeaving is called when a process of an upstream has said that it leaves.
 	ReportLeaving(roster.Process)
+	// ReportEnded is called when a process of an upstream has refused a connection, so it has ended.
+	ReportEnded(roster.Process)
 	// RequestPermit asks for permission to send one request to an upstream with a limit.
 	RequestPermit(ctx context.Context, request permit.Request, limit permit.Observation) (permit.Reply, error)
 	// QueryLoads asks the other instances for the current loads of upstreams. Those that no
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -108,7 +108,9 @@
 	// reservations are the changes that were reported.
 	reservations []reservation.Change
 	leaving      []roster.Process
-	reported     chan struct{}
+	// endings gets the processes that are reported as ended, unless it is nil.
+	endings  chan roster.Process
+	reported chan struct{}
 }
 
 func (f *recordingFleet) Size() int                              { return cmp.Or(f.size, minBudgetShares) }
@@ -142,6 +144,13 @@
 	defer f.mu.Unlock()
 	f.leaving = append(f.leaving, process)
 }
+func (f *recordingFleet) ReportEnded(process roster.Process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.endings != nil {
+		f.endings <- process
+	}
+}
 func (f *recordingFleet) QueryLoads(context.Context, []types.UpstreamID) map[types.UpstreamID]placement.Load {
 	return f.currentLoads
 }
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -239,7 +239,9 @@
 	before := g.quarantine.Lookup(now, suspect.fingerprint)
 	verdict := g.quarantine.RecordCrash(now, suspect.fingerprint, quarantine.CrashedAttempt{Upstream: upstream, Duration: suspect.took, OnlySuspect: true})
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		a.rosterAttempt.RecordRefused(now)
+		if process, isNew := a.rosterAttempt.RecordRefused(now); isNew && g.endsMatter(process, a.to.Target) {
+			defer g.reportEnded(process)
+		}
 		parts = g.quarantine.RecordPartCrash(now, suspect.parts, upstream, now-a.sentAt)
 	}
 	g.mu.Unlock()
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -43,6 +43,9 @@
 		Clock:       options.Clock,
 		Logger:      options.Logger,
 		Count:       options.Metrics.countPath,
+		HandleRefused: func(to transit.Destination) {
+			options.Roster.RecordRefused(options.Clock(), to.Upstream, to.Address)
+		},
 		HandlePause: func(upstream types.UpstreamID, pause time.Duration, peer types.InstanceID) {
 			options.Roster.Pause(options.Clock(), upstream, pause)
 			logPause(options.Logger, upstream, pause, "peer", string(peer))
@@ -79,8 +82,9 @@
 
 // Upstream implements transit.Upstreams.
 func (d destinations) Upstream(id types.UpstreamID) (transit.Destination, bool) {
-	upstream, ok := d.roster.Find(d.clock(), id)
-	return destinationOf(upstream), ok
+	now := d.clock()
+	upstream, ok := d.roster.Find(now, id)
+	return destinationOf(upstream), ok && !d.roster.MayBeReplaced(now, upstream)
 }
 
 // dial connects to the upstream of the attempt.
@@ -122,6 +126,7 @@
 	if !ok || !a.mayRunIn(found.DataCentre) {
 		return errUpstreamLeft
 	}
+	a.rosterAttempt.CheckReplaced(now)
 	if _, known := a.rosterAttempt.Version(); !known || a.began != nil && a.rosterAttempt.MayBeReplaced() {
 		return errUpstreamLeft
 	}
--- a/pkg/mesh/leaving_test.go
+++ b/pkg/mesh/leaving_test.go
@@ -38,6 +38,35 @@
 	}
 }
 
+// TestEndOfUpstreamIsKnownToTheFleet lets one instance report that a process has ended, several
+// times. All others must know it within a second.
+func TestEndOfUpstreamIsKnownToTheFleet(t *testing.T) {
+	process := roster.Process{Upstream: "u", StartedUnixMilli: 7, Address: "u:1"}
+	for name, instances := range map[string]int{"full mesh": 9, "hubs": largeFleet} {
+		t.Run(name, func(t *testing.T) {
+			runFleetOf(t, instances, func(t *testing.T, f *fleet) {
+				time.Sleep(6 * time.Second)
+				const reporting = 3
+				for range 3 {
+					f.states[reporting].HandleEnded("", []roster.Process{process})
+					f.meshes[reporting].ReportEnded(process)
+				}
+				time.Sleep(time.Second)
+				for i, s := range f.states {
+					s.withLock(func(s *fakeState) {
+						if !slices.Equal(s.ended, []roster.Process{process}) {
+							t.Errorf("instance %d knows of %v after a second", i, s.ended)
+						}
+					})
+					if got := s.Leaving(); len(got) > 0 {
+						t.Errorf("instance %d takes %v for leaving", i, got)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestMalformedReportOfLeavingUpstreams(t *testing.T) {
 	m := New(Options{Self: InstanceInfo{ID: "self", PeerAddress: "self:1"}, State: &fakeState{}})
 	if _, err := m.handleLeaving(t.Context(), peer.Identity{}, json.RawMessage(`{"processes":1}`)); fault.From(err).Code != fault.BadRequest {
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -70,6 +70,9 @@
 	// HandleLeaving adds the processes that leave according to a peer, and returns those of
 	// which this is new.
 	HandleLeaving(from types.InstanceID, processes []roster.Process) []roster.Process
+	// HandleEnded adds the processes that have ended according to a peer, and returns those of
+	// which this is new.
+	HandleEnded(from types.InstanceID, processes []roster.Process) []roster.Process
 	// CorrectedLoads returns the current load of the upstreams, as far as this instance knows
 	// it: the reports with the reservations that it keeps.
 	CorrectedLoads(upstreams []types.UpstreamID) map[types.UpstreamID]placement.Load
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -50,6 +50,7 @@
 	issuer       *permit.Issuer
 	reservations *reservation.Table
 	leaving      []roster.Process
+	ended        []roster.Process
 	clock        func() time.Duration
 }
 
@@ -153,6 +154,16 @@
 	})
 	return news
 }
+func (s *fakeState) HandleEnded(_ types.InstanceID, processes []roster.Process) (news []roster.Process) {
+	s.withLock(func(s *fakeState) {
+		for _, process := range processes {
+			if !slices.Contains(s.ended, process) {
+				s.ended, news = append(s.ended, process), append(news, process)
+			}
+		}
+	})
+	return news
+}
 func (s *fakeState) CorrectedLoads(upstreams []types.UpstreamID) map[types.UpstreamID]placement.Load {
 	loads := make(map[types.UpstreamID]placement.Load)
 	s.withLock(func(s *fakeState) {
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -22,7 +22,7 @@
 	entries        []GossipEntry
 	streams        []origin.Stream
 	limits         map[types.UpstreamID]permit.Observation
-	leaving        []roster.Process
+	leaving, ended []roster.Process
 	capacity       []timedSummaries
 	shares         timedShares
 }
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -63,7 +63,7 @@
 		late:           work.Late(),
 		sensitive:      work.LatencySensitive(),
 		segments:       SharedSegments(work.Segments),
-		replaced:       upstream.mayBeReplaced(now),
+		replaced:       r.mayBeReplaced(now, upstream),
 	}
 	upstream.attempts[a] = struct{}{}
 	return a
@@ -168,20 +168,6 @@
 	return process, a.roster.leave(process)
 }
 
-// RecordRefused records that the upstream has refused a connection, so the listed process has
-// ended.
-func (a *Attempt) RecordRefused(now time.Duration) {
-	a.roster.mu.Lock()
-	defer a.roster.mu.Unlock()
-	if a.upstream != nil {
-		a.upstream.replacedUntil = now + replacedTime
-	}
-}
-
-// MayBeReplaced reports whether the attempt may run at a process of another version than
-// Version returns.
-func (a *Attempt) MayBeReplaced() bool { return a.replaced }
-
 // Version returns the software version of the upstream, or false if it is unknown: the
 // upstream was not listed at Begin, or its entry has been replaced since by that of
 // another process.
--- a/pkg/roster/cold.go
+++ b/pkg/roster/cold.go
@@ -82,13 +82,17 @@
 
 // coldState implements FindCold. r.mu must be held.
 func (r *Roster) coldState(now time.Duration, id types.UpstreamID) (ColdState, bool) {
-	p, ok := r.coldPeriods[id]
-	if !ok || now >= p.until {
-		return ColdState{}, false
-	}
-	target := p.target
+	p, recorded := r.coldPeriods[id]
+	state, cold := ColdState{Target: p.target, DataCentre: p.dataCentre, Revision: p.revision, Remaining: p.until - now}, recorded && now < p.until
 	if listed, ok := r.upstreams[id]; ok {
-		target = listed.Target
+		state.Target, state.DataCentre = listed.Target, listed.DataCentre
+		if remaining, replaced := r.replacedFor(now, listed); replaced {
+			// The process that takes over the ID has just started.
+			state.Remaining, cold = max(state.Remaining, remaining), true
+		}
+	}
+	if !cold {
+		return ColdState{}, false
 	}
-	return ColdState{Target: target, DataCentre: p.dataCentre, Revision: p.revision, Remaining: p.until - now}, true
+	return state, true
 }
--- a/pkg/roster/evacuation.go
+++ b/pkg/roster/evacuation.go
@@ -28,7 +28,7 @@
 	defer r.mu.Unlock()
 	count := 0
 	for _, upstream := range r.upstreams {
-		if !selection.includes(now, upstream) || !r.accepts(upstream) {
+		if !r.includes(now, selection, upstream) || !r.accepts(upstream) {
 			continue
 		}
 		if !r.evacuated[upstream.DataCentre] {
--- a/pkg/roster/examine.go
+++ b/pkg/roster/examine.go
@@ -87,7 +87,7 @@
 			Standing:  r.standing(now, upstream),
 			Upstream:  upstream.Upstream,
 			Candidate: r.candidate(now, upstream, work),
-			Selected:  selection.includes(now, upstream),
+			Selected:  r.includes(now, selection, upstream),
 		}
 		for _, report := range r.peers {
 			if age := now - report.at; age < peerReportTTL && !report.loads[upstream.ID].Empty() {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -103,9 +103,9 @@
 	stepTime     *estimate.Quantile
 	ejection     time.Duration
 	ejectedUntil time.Duration
-	// replacedUntil is the end of the time for which the entry counts as that of a process
-	// that has ended, because it refused a connection.
-	replacedUntil time.Duration
+	// refused reports whether the process has refused a connection, last at refusedAt.
+	refused   bool
+	refusedAt time.Duration
 }
 
 // peerReport is the latest load report of a peer.
@@ -127,6 +127,8 @@
 	timings map[types.TargetName]*timing
 	// evacuated has the data centres whose upstreams get no new requests.
 	evacuated map[types.DataCentre]bool
+	// listAnswered is when the published list was last read, or nil if that is not recorded.
+	listAnswered *time.Duration
 	// capacity learns the capacity of the upstreams, unless it is nil.
 	capacity *capacity.Table
 }
@@ -189,18 +191,12 @@
 	DataCentres map[types.DataCentre]bool
 }
 
-func (s Selection) includes(now time.Duration, upstream *upstreamState) bool {
-	return upstream.Target == s.Target && !s.Except[upstream.ID] && (s.Version == nil || upstream.Version == *s.Version && !upstream.mayBeReplaced(now)) &&
+// includes reports whether a selection has an upstream. r.mu must be held.
+func (r *Roster) includes(now time.Duration, s Selection, upstream *upstreamState) bool {
+	return upstream.Target == s.Target && !s.Except[upstream.ID] && (s.Version == nil || upstream.Version == *s.Version && !r.mayBeReplaced(now, upstream)) &&
 		(s.DataCentres == nil || s.DataCentres[upstream.DataCentre])
 }
 
-// mayBeReplaced reports whether another process, of another version, may have taken over the
-// ID and the address while the list still has the former entry. Nothing in a response names
-// the process. Where entries name no version it makes no difference.
-func (u *upstreamState) mayBeReplaced(now time.Duration) bool {
-	return u.Version != "" && now < u.replacedUntil
-}
-
 // Candidates returns the selected upstreams that may run the work, without those that have
 // asked for a pause. Ejected upstreams are left out unless there is no other.
 func (r *Roster) Candidates(now time.Duration, selection Selection, work *placement.Work) []placement.Candidate {
@@ -209,7 +205,7 @@
 	var found eligible
 	for _, upstream := range r.upstreams {
 		state := r.standing(now, upstream)
-		if !selection.includes(now, upstream) || !state.mayGetRequest() {
+		if !r.includes(now, selection, upstream) || !state.mayGetRequest() {
 			continue
 		}
 		found.add(state, r.candidate(now, upstream, work))
--- a/pkg/roster/statement.go
+++ b/pkg/roster/statement.go
@@ -110,7 +110,7 @@
 	defer r.mu.Unlock()
 	paused := make(map[types.UpstreamID]time.Duration)
 	for id, upstream := range r.upstreams {
-		if remaining := r.pauseOf(now, upstream); remaining > 0 && selection.includes(now, upstream) && r.mayGetRequests(upstream) {
+		if remaining := r.pauseOf(now, upstream); remaining > 0 && r.includes(now, selection, upstream) && r.mayGetRequests(upstream) {
 			paused[id] = remaining
 		}
 	}
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -153,7 +154,10 @@
 			return nil, fault.New(fault.UpstreamLeaving, "this instance sends no requests to the upstream any more")
 		}
 		return conn, nil
-	case !t.reaches(to.Target):
+	case errors.Is(err, syscall.ECONNREFUSED) && t.options.HandleRefused != nil:
+		t.options.HandleRefused(to)
+	}
+	if !t.reaches(to.Target) {
 		return nil, fault.Wrap(fault.PathLost, err, "this instance does not reach the upstreams itself")
 	}
 	return nil, fault.Wrap(fault.NoUpstream, err, "this instance does not reach the upstream")
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	stderrors "errors"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -15,6 +16,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,6 +78,9 @@
 	// HandlePause is called when an upstream that this instance reached for a peer wants no
 	// requests for a time. It may be nil.
 	HandlePause func(upstream types.UpstreamID, pause time.Duration, peer types.InstanceID)
+	// HandleRefused is called when an upstream has refused a connection that this instance made
+	// for a peer. It may be nil.
+	HandleRefused func(to Destination)
 }
 
 // Transit opens connections to upstreams. It is safe for concurrent use.
@@ -120,11 +125,13 @@
 	if way == reach.ThroughPeer && !t.hasPeers(request) {
 		way = reach.Directly
 	}
+	var refused bool
 	if way != reach.ThroughPeer {
 		conn, err := t.dialDirectly(ctx, to, request.Silence, way == reach.OnTrial)
 		if err == nil || ctx.Err() != nil || t.reaches(to.Target) || !t.hasPeers(request) {
 			return conn, err
 		}
+		refused = errors.Is(err, syscall.ECONNREFUSED)
 	}
 	conn, err := t.dialThroughPeer(ctx, to, request)
 	if err == nil || ctx.Err() != nil || errors.Is(err, errUpstreamLeaving) {
@@ -136,6 +143,10 @@
 		}
 	}
 	t.count("refused")
+	if refused {
+		// No instance has connected to the upstream, so its process may have ended.
+		err = stderrors.Join(err, syscall.ECONNREFUSED)
+	}
 	return nil, err
 }
 
