--- a/pkg/fairshare/usual.go
+++ b/pkg/fairshare/usual.go
@@ -59,30 +59,36 @@
 }
 
 // setUrgent sets, for each account, the work by which it floods more urgent priorities of the same
-// target. The sums have their usual work.
+// target. The sums have their usual work and are in the order of Add: by target, then by priority.
 func setUrgent(sums []Sum) {
 	for i := range sums {
 		sum := &sums[i]
+		if sum.Growth == 0 {
+			continue
+		}
 		mean := sum.meanUsual()
-		for account := range sum.Accounts {
-			if sum.Growth == 0 || !sum.floods(account, mean) {
-				continue
-			}
-			excess := sum.Accounts[account].Offered - sum.Growth*sum.weight(account, mean)
-			for j := range sums {
-				less := &sums[j]
-				if less.Target != sum.Target || less.Priority <= sum.Priority || less.Growth == 0 {
-					continue
-				}
-				if work, ok := less.Accounts[account]; ok && excess >= urgentPart*less.weight(account, less.meanUsual()) {
-					work.Urgent = addWork(work.Urgent, excess)
-					less.Accounts[account] = work
-				}
+		for account, work := range sum.Accounts {
+			if sum.floods(account, mean) {
+				addUrgent(sums[i+1:], sum.Target, account, work.Offered-sum.Growth*sum.weight(account, mean))
 			}
 		}
 	}
 }
 
+// addUrgent adds work by which an account floods a group of the target to the sums of its less
+// urgent groups, which come first.
+func addUrgent(sums []Sum, target types.TargetName, account types.AccountID, excess float64) {
+	for i := 0; i < len(sums) && sums[i].Target == target; i++ {
+		less := &sums[i]
+		work, ok := less.Accounts[account]
+		if !ok || less.Growth == 0 || excess < urgentPart*less.weight(account, less.meanUsual()) {
+			continue
+		}
+		work.Urgent = addWork(work.Urgent, excess)
+		less.Accounts[account] = work
+	}
+}
+
 func (w *usualWork) apply(now time.Duration, sum *Sum) {
 	passed := now - w.updatedAt
 	weight := 1 - math.Exp(-passed.Seconds()/adaptationTime.Seconds())
