follow: a late result of a watch confirms nothing

Cause: a watch that returned changes counted up to the time at which its result was read. An instance that was suspended after the store had responded took its list for current for up to the wait of the watch (10 s), so a version that came meanwhile was not known, and a stream of unknown origin could continue at the former only version until the next watch.

Change: the covered time ends at the beginning of such a watch, because the time of the response is unknown. The next call still continues it without a gap. Readers have the next watch within 1.1 s, well within the 3 s for which a confirmation counts.

Tests: TestLateResultConfirmsNothing fails on a scratch copy without the change (covered to 8 s later); TestAnswersAreReported (go test ./pkg/follow).

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -123,11 +123,15 @@
 	covered atomic.Pointer[interval]
 }
 
-type interval struct{ from, to time.Duration }
+// interval is the time for which the collection was read. The next call continues it if it begins
+// within maxReadGap of contact, when the last one ended.
+type interval struct{ from, to, contact time.Duration }
 
 // Covered returns the time for which this instance itself has read the collection without a
-// gap, or false if it has never listed it. A call counts from its beginning, and a watch up to
-// the end of its wait at the latest: a process that was suspended gets the result later.
+// gap, or false if it has never listed it. A call counts from its beginning. A watch without
+// changes counts up to the end of its wait at the latest, and one with changes not at all: the
+// store has responded at an unknown time before the result was read, which is long before if the
+// process was suspended.
 func (f *Follower) Covered() (from, to time.Duration, ok bool) {
 	covered := f.covered.Load()
 	if covered == nil {
@@ -182,19 +186,26 @@
 		return err
 	}
 	f.Sink.Merge(items)
-	f.extendCovered(began, min(began+wait, f.Clock()))
+	if end := min(began+wait, f.Clock()); len(items) > 0 {
+		f.extendContact(began, began, end)
+	} else {
+		f.extendCovered(began, end)
+	}
 	f.advance(len(items) > 0, next)
 	f.setPause(len(items) > 0, f.Clock()-began)
 	return nil
 }
 
 // extendCovered records a call that covers the time from began to its end.
-func (f *Follower) extendCovered(began, end time.Duration) {
+func (f *Follower) extendCovered(began, end time.Duration) { f.extendContact(began, end, end) }
+
+// extendContact records a call that covers the time from began to an end, and ended at contact.
+func (f *Follower) extendContact(began, end, contact time.Duration) {
 	from := began
-	if covered := f.covered.Load(); covered != nil && began-covered.to <= maxReadGap {
-		from = covered.from
+	if covered := f.covered.Load(); covered != nil && began-covered.contact <= maxReadGap {
+		from, end = covered.from, max(covered.to, end)
 	}
-	f.covered.Store(&interval{from, end})
+	f.covered.Store(&interval{from, end, contact})
 }
 
 // setPause sets the pause after a watch.
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -299,6 +299,68 @@
 	}
 }
 
+// TestLateResultConfirmsNothing guards against an instance that was suspended after the store had
+// responded, and takes the list for current as of the time at which it reads the response.
+func TestLateResultConfirmsNothing(t *testing.T) {
+	now := time.Hour
+	source := &lateSource{fakeStore: &fakeStore{}, suspend: func() { now += 8 * time.Second }}
+	f := &Follower{Name: "test", Source: source, Sink: &recordingSink{set: replica.New()}, Logger: zerolog.Nop(), Clock: func() time.Duration { return now }}
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	source.put(replica.Item{Key: "A"})
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if from, to, _ := f.Covered(); from != time.Hour || to != time.Hour {
+		t.Errorf("a watch with a change that was read 8 s later: covered from %v to %v", from, to)
+	}
+	source.suspend = func() {}
+	source.put(replica.Item{Key: "B"})
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if from, to, _ := f.Covered(); from != time.Hour || to != now {
+		t.Errorf("the next watch: covered from %v to %v, want from %v to %v", from, to, time.Hour, now)
+	}
+}
+
+// lateSource is a store whose responses to watches are read late.
+type lateSource struct {
+	*fakeStore
+	suspend func()
+}
+
+func (s *lateSource) Watch(ctx context.Context, after types.Revision, wait time.Duration) ([]replica.Item, types.Revision, error) {
+	items, next, err := s.fakeStore.Watch(ctx, after, wait)
+	s.suspend()
+	return items, next, err
+}
+
+// TestAnswersAreReported guards against an unavailable store that counts as read.
+func TestAnswersAreReported(t *testing.T) {
+	now := time.Hour
+	store := &fakeStore{}
+	var answered []time.Duration
+	f := &Follower{Name: "test", Source: store, Sink: &recordingSink{set: replica.New()}, Logger: zerolog.Nop(), Clock: func() time.Duration { return now },
+		Answered: func(at time.Duration) { answered = append(answered, at) }}
+	for i, step := range []struct {
+		down bool
+		want int
+	}{{false, 1}, {true, 1}, {true, 1}, {false, 2}} {
+		now += time.Second
+		store.update(func(s *fakeStore) { s.down = step.down })
+		if err := f.step(t.Context()); err != nil {
+			f.recordFailure(err)
+		} else {
+			f.recordSuccess()
+		}
+		if len(answered) != step.want || !step.down && answered[len(answered)-1] != now {
+			t.Errorf("step %d: answers at %v", i, answered)
+		}
+	}
+}
+
 // TestSeriesOfChangesTakesFewCalls registers 80 upstreams within 2.4 s, as when a platform
 // starts, and changes one of them after a quiet time. Each instance of a fleet of hundreds
 // makes these calls, and a reader must have every change within a second.
