mesh: impossible ages in a heartbeat keep no instance up

Cause: the ages in heartbeats and gossip entries were used as reported. A negative one, or one that overflows as a duration, put the time at which an instance was last heard from into the future. If the instance was lost, it counted as up until then, and hubs passed the age on. Requests for the permits that it issued got no reply meanwhile.

Change: ages that no instance can report are dropped with a debug log line. The rest of the heartbeat counts.

Result: before the change all four cases of TestImpossibleAgesKeepNoInstanceUp fail: 6 s after its loss, the instance is up and was last heard from in 59m54s. Now GOMAXPROCS=1 go test -run 'TestImpossibleAgesKeepNoInstanceUp|TestDeadInstances|TestResumedInstance|TestLargeFleet|Discovery' ./pkg/mesh passes.

--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -139,9 +139,27 @@
 	m.options.Logger.Info().Str("peer", string(info.ID)).Str("incarnation", string(info.Incarnation)).Str("address", info.PeerAddress).Str("from", from).Msg("peer regained")
 }
 
+// maxReportedAge is the largest time since an instance was last heard from that a peer can report.
+// A larger number of milliseconds may exceed the range of time.Duration.
+const maxReportedAge = 365 * 24 * time.Hour
+
+// possibleAge reports whether an instance can have reported the time since it heard from another
+// one. A negative time would keep an instance up that is lost.
+func possibleAge(milliseconds int64) bool {
+	return milliseconds >= 0 && milliseconds <= maxReportedAge.Milliseconds()
+}
+
+func (m *Mesh) logImpossibleAge(id types.InstanceID, milliseconds int64) {
+	m.options.Logger.Debug().Str("peer", string(id)).Int64("age_ms", milliseconds).Msg("impossible time since a peer was heard from")
+}
+
 // mergeGossip applies a gossip entry if it is newer than what is known, and
 // reports whether the entry changed anything.
 func (m *Mesh) mergeGossip(entry GossipEntry) bool {
+	if !possibleAge(entry.AgeMilliseconds) {
+		m.logImpossibleAge(entry.ID, entry.AgeMilliseconds)
+		return false
+	}
 	age := time.Duration(entry.AgeMilliseconds) * time.Millisecond
 	if entry.PeerAddress == m.options.Self.PeerAddress || entry.ID == "" || age >= distantDownAfter {
 		return false
@@ -189,6 +207,10 @@
 	}
 	for address, member := range m.members {
 		milliseconds, ok := ages[member.info.ID]
+		if !possibleAge(milliseconds) {
+			m.logImpossibleAge(member.info.ID, milliseconds)
+			continue
+		}
 		lastHeard := now - time.Duration(milliseconds)*time.Millisecond
 		if !ok || lastHeard <= member.lastHeard || !m.acceptsGossipAbout(address) {
 			continue
