gateway: a refused permit excludes an upstream for ten seconds at most

Cause: the time until the next request that a peer names when it refuses a permit was used as reported. With an invalid one this instance sent no request to a cold or limited upstream until that was removed or its limit changed; one that overflows was ignored.

Change: the time is bounded by the longest one that an issuer names, which is twice maxRetry.

Result: before the change both cases of TestImpossibleRefusalBlocksNoUpstream fail with status 503 and no second request for a permit. Now GOMAXPROCS=1 go test -run 'TestImpossibleRefusal|Cold|Permit|Limit' ./pkg/gateway ./pkg/permit passes.

--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -222,7 +222,9 @@
 		return true
 	}
 	q.permitsRefused++
-	g.permits.block(choice.ID, priority, now+reply.RetryAfter)
+	// No issuer names a longer time. Without the bound, a peer's invalid one would keep all requests
+	// from the upstream, or overflow.
+	g.permits.block(choice.ID, priority, now+min(reply.RetryAfter, permit.MaxRetryAfter))
 	return false
 }
 
--- a/pkg/gateway/permits_test.go
+++ b/pkg/gateway/permits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -328,3 +329,19 @@
 		}
 	}
 }
+
+// TestImpossibleRefusalBlocksNoUpstream guards against an upstream that gets no request until it is
+// removed because a peer refused a permit with an impossible time until the next request.
+func TestImpossibleRefusalBlocksNoUpstream(t *testing.T) {
+	for name, after := range map[string]time.Duration{"years": math.MaxInt64 / 2, "overflow": math.MaxInt64} {
+		t.Run(name, func(t *testing.T) {
+			env := newColdEnv(t, testRoutes, respondWith(rawResponse(200, "fine")), 1, coldRate)
+			env.setCold(10*permit.MaxRetryAfter, "u0")
+			env.log.set(permit.Reply{RetryAfter: after}, nil)
+			env.checkCall("refused", "/once/", 503, 1, 0)
+			env.log.set(permit.Reply{Granted: true}, nil)
+			env.advance(permit.MaxRetryAfter)
+			env.checkCall("after the longest time that an issuer names", "/once/", 200, 2, 1)
+		})
+	}
+}
--- a/pkg/permit/issuer.go
+++ b/pkg/permit/issuer.go
@@ -16,6 +16,8 @@
 	// again, before jitter.
 	minRetry = 20 * time.Millisecond
 	maxRetry = 5 * time.Second
+	// MaxRetryAfter is the longest time that an issuer names in a refusal, with jitter.
+	MaxRetryAfter = 2 * maxRetry
 	// askerTTL is the time after its last request for which an instance counts as one
 	// that shares the limit.
 	askerTTL = maxRetry
