quarantine: try one of two parts that have one crash each without the other

Cause: after the conviction, the guilty part and a sound one may each have one crash without the other, that of the sound part from an unrelated kill.

Change: of two such parts, single requests with the one whose separate crash came first are let through; one answer or one crash settles both. The other one was let through without a limit since then, so if it is guilty it crashes soon. All parts of a request begin to wait at the same time. The history tests read SEED and RUNS, as those of test/prove.

The tests of the package pass, and fail without the change where they are new.

--- a/pkg/quarantine/explain.go
+++ b/pkg/quarantine/explain.go
@@ -108,19 +108,33 @@
 	if rounds(missing) > toleratedRounds {
 		return unexplained
 	}
-	wider := 0
+	var apart []partCrash
 	if other.convicted {
-		wider = rounds(other.missingFrom(s, false))
+		apart = other.missingFrom(s, false)
 	}
+	wider := rounds(apart)
 	switch {
 	case len(missing) == 0 && wider > 0:
 		return free
 	case len(missing) == 0 || wider >= widerRounds || missing[len(missing)-1].at <= s.since+roundSpacing:
 		return limited
+	case balanced(missing, apart):
+		return limited
 	}
 	return unexplained
 }
 
+// balanced reports whether two convicted parts have as many rounds without each other and the
+// one with the crashes in missing had its last one first. Such rounds do not tell which part is
+// guilty, because an unrelated crash may be one of them, and the sentences would be long for both.
+// From the first of these rounds on the other part was let through without a limit: a guilty one
+// then crashes an upstream soon, a sound one is cleared by its first answer. So the part with the
+// first round is more likely to be sound, and a trial of it costs fewer upstreams. If it crashes
+// again, its second round settles that it is guilty.
+func balanced(missing, apart []partCrash) bool {
+	return len(apart) > 0 && rounds(missing) <= rounds(apart) && missing[len(missing)-1].at <= apart[len(apart)-1].at
+}
+
 // missingFrom returns the crashes that are not among those of another part.
 func (s *partState) missingFrom(other *partState, full bool) []partCrash {
 	var missing []partCrash
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -132,7 +132,8 @@
 	passed   time.Duration
 	wasTried bool
 	// triableSince is when the first request came that may settle before the end of the
-	// sentence whether the part is guilty, or zero if none came since the last that may not.
+	// sentence whether the part is guilty, or zero if none came since the last that was refused
+	// for this part and may not.
 	triableSince time.Duration
 	// explainers are the parts and requests that may explain the crashes, as of a
 	// version of the table and a time.
@@ -141,6 +142,16 @@
 	explainedAt  time.Duration
 }
 
+// noteTriable records whether a request may settle before the end of the sentence whether the
+// part is guilty. One that may not ends the wait, unless it is refused for another part already.
+func (s *partState) noteTriable(now time.Duration, triable, refused bool) {
+	if !triable && !refused {
+		s.triableSince = 0
+	} else if triable && s.triableSince == 0 {
+		s.triableSince = now
+	}
+}
+
 // lastCrash returns the time of the last crash.
 func (s *partState) lastCrash() time.Duration {
 	if len(s.crashes) == 0 {
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -90,7 +90,8 @@
 }
 
 // refusedPart returns the verdict or, for a request that may run, the convicted parts that
-// it puts on trial.
+// it puts on trial. It looks at all parts also if one is refused, so that their waits before the
+// first trial run at the same time and not one after the other.
 func (t *Table) refusedPart(now time.Duration, parts []Fingerprint) (verdict PartVerdict, tried []*partState, refused bool) {
 	if len(t.parts.states) == 0 {
 		return PartVerdict{}, nil, false
@@ -108,15 +109,15 @@
 		if found == free {
 			continue
 		}
-		if onTrial || found == unexplained {
-			state.triableSince = 0
-		} else if state.triableSince == 0 {
-			state.triableSince = now
+		state.noteTriable(now, !onTrial && found != unexplained, refused)
+		if found != unexplained && t.mayTry(now, fp, state) {
+			tried = append(tried, state)
+		} else if !refused {
+			verdict, refused = t.partVerdict(now, fp, state, onTrial), true
 		}
-		if found == unexplained || !t.mayTry(now, fp, state) {
-			return t.partVerdict(now, fp, state, onTrial), nil, true
-		}
-		tried = append(tried, state)
+	}
+	if refused {
+		return verdict, nil, true
 	}
 	return PartVerdict{}, tried, false
 }
--- a/pkg/quarantine/parts_history_test.go
+++ b/pkg/quarantine/parts_history_test.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -33,17 +35,35 @@
 )
 
 func TestGuiltyPartIsStoppedAndSoundRequestsPass(t *testing.T) {
-	for name, change := range variants {
+	for name := range variants {
 		t.Run(name, func(t *testing.T) {
-			checkHistories(t, variantSeeds, stated, func(seed uint64) scenario {
-				s := calm(seed, 8)
-				change(&s)
-				return s
-			})
+			checkHistories(t, variantSeeds, stated, func(seed uint64) scenario { return variant(name, seed) })
 		})
 	}
 }
 
+// variant returns the history of one of the variants.
+func variant(name string, seed uint64) scenario {
+	s := calm(seed, 8)
+	variants[name](&s)
+	return s
+}
+
+// TestSoundPartsAreTriedSoon guards against sound parts that are refused long after the fifth
+// crash, in histories that once exceeded the bound: because the parts of a request waited for their
+// trials one after the other, or because an unrelated crash counted as much as that of the guilty
+// part.
+func TestSoundPartsAreTriedSoon(t *testing.T) {
+	for name, seeds := range map[string][]uint64{"one middle part": {74, 259, 740}, "unrelated crashes at begin": {99, 560}} {
+		for _, seed := range seeds {
+			out := play(variant(name, seed))
+			for _, violation := range out.violations(stated) {
+				t.Errorf("%s, seed %d: %s: %+v", name, seed, violation, out)
+			}
+		}
+	}
+}
+
 func TestGuiltyPartIsStoppedInLargeFleets(t *testing.T) {
 	for instances, seeds := range map[int]uint64{61: 8, 350: 1} {
 		checkHistories(t, seeds, stated, func(seed uint64) scenario { return calm(seed, instances) })
@@ -61,10 +81,13 @@
 	checkHistories(t, variantSeeds, limits{lateGuilty: of(0).limits().lateGuilty, refusedShare: 0.5}, of)
 }
 
-// checkHistories plays a scenario with several seeds and reports each violation.
-func checkHistories(t *testing.T, seeds uint64, bounds limits, of func(seed uint64) scenario) {
+// checkHistories plays a scenario with several seeds and reports each violation. The variables
+// SEED and RUNS select the first seed and the number of seeds, as in test/prove.
+func checkHistories(t *testing.T, usual uint64, bounds limits, of func(seed uint64) scenario) {
 	var total outcome
-	for seed := range seeds {
+	first, seeds := environmentNumber(t, "SEED", 0), environmentNumber(t, "RUNS", usual)
+	for n := range seeds {
+		seed := first + n
 		out := play(of(seed))
 		for _, violation := range out.violations(bounds) {
 			t.Errorf("seed %d: %s", seed, violation)
@@ -74,6 +97,20 @@
 	t.Logf("%d histories: %+v", seeds, total)
 }
 
+// environmentNumber reads a non-negative integer from the environment variable.
+func environmentNumber(t *testing.T, name string, fallback uint64) uint64 {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return fallback
+	}
+	n, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		t.Fatalf("%s=%q is not a non-negative integer", name, text)
+	}
+	return n
+}
+
 func TestCrashesWithoutGuiltyPartRefuseNoOne(t *testing.T) {
 	for name, kills := range map[string]killPlan{
 		"single": {single: 40}, "massive": {massive: 8}, "rolling": {rolling: time.Second},
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -537,3 +537,63 @@
 		t.Fatalf("%d corrections in 10 s", told)
 	}
 }
+
+// TestOneOfTwoPartsWithSeparateCrashesIsTried guards against a guilty and a sound part that are
+// both refused for the whole sentence because each has one crash without the other, that of the
+// sound one from an unrelated kill.
+func TestOneOfTwoPartsWithSeparateCrashesIsTried(t *testing.T) {
+	crashed := func() (*Table, time.Duration) {
+		table := jittered(0)
+		last := crashRounds(table, 0, 5, partsOf("a", "b"))
+		table.RecordPartsSound(last+100*time.Millisecond, partsOf("other"))
+		last = crashRounds(table, last+time.Second, 1, partsOf("a", "c"))
+		last = crashRounds(table, last+time.Second, 1, partsOf("b", "d"))
+		if !isRefused(table, last, "b", "d") {
+			t.Error("the part whose separate crash came later is let through")
+		}
+		if !isRefused(table, last, "a", "b") {
+			t.Error("both parts together are let through")
+		}
+		if isRefused(table, last, "a", "c") || !isRefused(table, last, "a", "e") {
+			t.Fatal("not exactly one request with the part whose separate crash came first is let through")
+		}
+		return table, last
+	}
+	t.Run("the first is sound", func(t *testing.T) {
+		table, now := crashed()
+		table.RecordPartsSound(now, partsOf("a", "c"))
+		if isRefused(table, now, "a", "e") || !isRefused(table, now+trialInterval, "b", "d") {
+			t.Error("after the answer")
+		}
+	})
+	t.Run("the first is guilty", func(t *testing.T) {
+		table, now := crashed()
+		now = crashRounds(table, now+time.Second, 1, partsOf("a", "c")) + trialInterval
+		if !isRefused(table, now, "a", "e") {
+			t.Error("the part that crashed on trial is let through")
+		}
+		if isRefused(table, now, "b", "d") || !isRefused(table, now, "b", "e") {
+			t.Error("not exactly one request with the other part is let through")
+		}
+		table.RecordPartsSound(now, partsOf("b", "d"))
+		if isRefused(table, now, "b", "e") || !isRefused(table, now+trialInterval, "a", "e") {
+			t.Error("after the answer")
+		}
+	})
+}
+
+// TestPartsOfARequestWaitAtTheSameTime guards against a request with several sound parts that are
+// convicted with the guilty one, each of which begins to wait for its trial only after the one
+// before it.
+func TestPartsOfARequestWaitAtTheSameTime(t *testing.T) {
+	table := jittered(0.5)
+	now := crashRounds(table, 0, 5, partsOf("first", "middle", "g"))
+	table.RecordPartsSound(now+time.Second, partsOf("other"))
+	now += 10 * settleSpread
+	if !isRefused(table, now, "first", "middle") {
+		t.Fatal("the instance does not wait")
+	}
+	if isRefused(table, now+settleSpread/2, "first", "middle") {
+		t.Error("no request is let through after the wait of the instance")
+	}
+}
