transit: a peer reports no longer pause than an upstream can ask for

Cause: an instance that carries connections for a peer is told by it of pauses that upstreams ask for. Up to 24 days were accepted, while a pause of more than ten minutes in a response counts as an error. The instance sent the upstream no request for that long.

Change: the report of a pause has the same bound as a response.

Result: before the change TestImpossiblePauseOfPeerIsIgnored fails (status 200, paused for 576h). Now GOMAXPROCS=1 go test ./pkg/transit ./pkg/headervalue passes.

--- a/pkg/headervalue/headervalue.go
+++ b/pkg/headervalue/headervalue.go
@@ -13,8 +13,8 @@
 const (
 	// maxQuotedBytes is the number of bytes of an invalid value that are logged.
 	maxQuotedBytes = 64
-	// maxPause is the longest time that counts as a pause. A longer one is taken for an error.
-	maxPause = 10 * time.Minute
+	// MaxPause is the longest time that counts as a pause. A longer one is taken for an error.
+	MaxPause = 10 * time.Minute
 )
 
 // Decimal parses one decimal number without a sign or an exponent.
@@ -37,7 +37,7 @@
 		return 0, ""
 	}
 	seconds, err := Decimal(values)
-	if err != nil || seconds > maxPause.Seconds() {
+	if err != nil || seconds > MaxPause.Seconds() {
 		return 0, Quote(values)
 	}
 	return time.Duration(seconds * float64(time.Second)), ""
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/headervalue"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -48,7 +49,7 @@
 	})
 	mux.HandleFunc("POST "+pausePath+"{upstream}", func(w http.ResponseWriter, r *http.Request) {
 		milliseconds, err := strconv.ParseInt(r.Header.Get(headerPause), 10, 32)
-		if err != nil || milliseconds < 0 {
+		if err != nil || milliseconds < 0 || milliseconds > headervalue.MaxPause.Milliseconds() {
 			_ = fault.New(fault.BadRequest, "malformed pause").WriteTo(w)
 			return
 		}
