quarantine: crashes with impossible ages of a peer do not count

Cause: a negative age in an entry of a peer, or one that overflows as a duration, put the crash into the future. The entry did not expire at the end of its lifetime and was passed on to other instances. If it named a part, sound requests with the part stayed refused.

Change: Merge drops such crashes, and entries that have no others. Other crashes of the entry count.

Result: before the change TestImpossibleAgesAreIgnored fails: an entry with an age of -1 h is still held after its lifetime of a minute. Now GOMAXPROCS=1 go test -run 'TestImpossibleAges|Merge|Expiry|Condemn|Clear|Correct|TestPart' ./pkg/quarantine passes.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -49,6 +49,22 @@
 	AgeMilliseconds int64 `json:"age_ms"`
 }
 
+// maxReportedAge is the largest age that a peer can report. A larger number of milliseconds may
+// exceed the range of time.Duration.
+const maxReportedAge = 365 * 24 * time.Hour
+
+// withPossibleAges returns the reports without those that have impossible ages. A crash in the future
+// would never expire.
+func withPossibleAges(reports []CrashReport) []CrashReport {
+	impossible := func(report CrashReport) bool {
+		return report.AgeMilliseconds < 0 || report.AgeMilliseconds > maxReportedAge.Milliseconds()
+	}
+	if !slices.ContainsFunc(reports, impossible) {
+		return reports
+	}
+	return slices.DeleteFunc(slices.Clone(reports), impossible)
+}
+
 // Entry is the state of one fingerprint as exchanged between instances.
 type Entry struct {
 	Fingerprint Fingerprint   `json:"fingerprint"`
@@ -198,10 +214,16 @@
 }
 
 // Merge adds the entries of another instance and returns those that changed the
-// table.
+// table. It drops crashes with impossible ages, and entries that have no others.
 func (t *Table) Merge(now time.Duration, entries []Entry) []Entry {
 	var changed []Entry
 	for _, entry := range entries {
+		reported := len(entry.Crashes)
+		entry.Crashes = withPossibleAges(entry.Crashes)
+		// An entry of a part without crashes would clear it.
+		if reported > 0 && len(entry.Crashes) == 0 {
+			continue
+		}
 		if entry.Fingerprint.IsPart() && t.mergePart(now, entry) || !entry.Fingerprint.IsPart() && t.mergeEntry(now, entry) {
 			changed = append(changed, entry)
 		}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -154,3 +154,29 @@
 		t.Fatalf("%+v", list)
 	}
 }
+
+// TestImpossibleAgesAreIgnored guards against quarantine entries of a peer that never expire because the
+// ages of their crashes are negative or overflow.
+func TestImpossibleAgesAreIgnored(t *testing.T) {
+	// A nanosecond count of 64 bits for the second age is that of minus one hour.
+	for _, age := range []int64{-time.Hour.Milliseconds(), 18446740473709} {
+		table := NewTable(Settings{MaxEntries: 9, TTL: time.Minute, MaxCrashes: 4})
+		now := time.Hour
+		for _, fp := range []Fingerprint{testFingerprint(1), FingerprintOfPart("a")} {
+			impossible := Entry{Fingerprint: fp, Condemned: true, Crashes: []CrashReport{{"u1", age}, {"u2", age}}}
+			if changed := table.Merge(now, []Entry{impossible}); len(changed) != 0 {
+				t.Errorf("age %d: %+v changed the table", age, changed)
+			}
+		}
+		if list := table.List(now, 9); len(list) != 0 {
+			t.Errorf("age %d: the table holds %+v", age, list)
+		}
+		mixed := Entry{Fingerprint: testFingerprint(1), Condemned: true, Crashes: []CrashReport{{"u1", age}, {"u2", 10}}}
+		if changed := table.Merge(now, []Entry{mixed}); len(changed) != 1 || len(changed[0].Crashes) != 1 {
+			t.Errorf("age %d: the possible age of the entry is not used: %+v", age, changed)
+		}
+		if list := table.List(now+time.Minute, 9); len(list) != 0 {
+			t.Errorf("age %d: after the lifetime of the entries, the table holds %+v", age, list)
+		}
+	}
+}
