simulate: floods of one kind of request, a test that urgent requests are not refused for others

Flood.Kind limits a flood to one kind, so that a run shows what the flood of the more urgent short prompts, which are never refused in favour of long ones, costs by itself. The test checks that rule with fair shares: in five seconds, fewer than ten or at most a twelfth of the short prompts of the flood get nothing.

--- a/pkg/simulate/accounts.go
+++ b/pkg/simulate/accounts.go
@@ -24,7 +24,9 @@
 // Flood multiplies the request rate of some accounts for a time.
 type Flood struct {
 	// Ranks are the ranks of the accounts; 1 is the largest.
-	Ranks           []int
+	Ranks []int
+	// Kind is the kind of the requests, or empty for all kinds.
+	Kind            string
 	Start, Duration time.Duration
 	Factor          float64
 }
@@ -67,12 +69,13 @@
 	return state
 }
 
-// current returns the load of an account at this time, in parts of the usual load of all.
-func (sim *simulation) current(rank int) float64 {
+// current returns the load of an account at this time with requests of a kind, in parts of the
+// usual load of all.
+func (sim *simulation) current(rank int, kind *Kind) float64 {
 	load := sim.accounts.usual[rank-1]
 	for _, flood := range sim.day.Floods {
 		for _, r := range flood.Ranks {
-			if r == rank && sim.now >= flood.Start && sim.now < flood.Start+flood.Duration {
+			if r == rank && (flood.Kind == "" || flood.Kind == kind.Name) && sim.now >= flood.Start && sim.now < flood.Start+flood.Duration {
 				load *= flood.Factor
 			}
 		}
@@ -80,26 +83,26 @@
 	return load
 }
 
-// accountsFactor returns the load of all accounts in parts of the usual one.
-func (sim *simulation) accountsFactor() float64 {
+// accountsFactor returns the load of all accounts with requests of a kind, in parts of the usual one.
+func (sim *simulation) accountsFactor(kind *Kind) float64 {
 	if sim.site.Accounts == 0 {
 		return 1
 	}
 	factor := 0.0
 	for rank := 1; rank <= sim.site.Accounts; rank++ {
-		factor += sim.current(rank)
+		factor += sim.current(rank, kind)
 	}
 	return factor
 }
 
 // drawAccount returns the rank of the account of a new request, or zero without accounts.
-func (sim *simulation) drawAccount() int {
+func (sim *simulation) drawAccount(kind *Kind) int {
 	if sim.site.Accounts == 0 {
 		return 0
 	}
-	rest := sim.arrivals.Float64() * sim.accountsFactor()
+	rest := sim.arrivals.Float64() * sim.accountsFactor(kind)
 	for rank := 1; rank < sim.site.Accounts; rank++ {
-		if rest -= sim.current(rank); rest < 0 {
+		if rest -= sim.current(rank, kind); rest < 0 {
 			return rank
 		}
 	}
--- a/pkg/simulate/accounts_test.go
+++ b/pkg/simulate/accounts_test.go
@@ -140,6 +140,39 @@
 	}
 }
 
+// TestUrgentFloodIsNotRefusedForLessUrgentWork guards against short prompts that get nothing while
+// long ones, which are less urgent and more than twice as large, are served: ten requests of an
+// account that are more than a twelfth of them break the rule. It logs what a flood of short prompts
+// alone, which this rule protects, costs the long prompts of the others.
+func TestUrgentFloodIsNotRefusedForLessUrgentWork(t *testing.T) {
+	site := competingSite(58)
+	site.FairShares = true
+	for _, kind := range []string{"", ShortPrompts} {
+		day := competingDay(true)
+		day.Floods[0].Kind = kind
+		var flooding, unserved [17]int
+		sim := simulate(site, day, 1, Product, 1)
+		for _, r := range sim.requests {
+			if second := int(r.arrivedAt.Seconds()); r.kind.Name == ShortPrompts && slices.Contains(floodRanks, r.account) && second >= 6 && second < 17 {
+				flooding[second]++
+				if r.firstEventAt == 0 {
+					unserved[second]++
+				}
+			}
+		}
+		t.Logf("flood of %q: %+v", kind, sim.floodShares())
+		for from := 6; from+5 <= 17; from++ {
+			all, none := 0, 0
+			for second := from; second < from+5; second++ {
+				all, none = all+flooding[second], none+unserved[second]
+			}
+			if all < 100 || none >= 10 && 12*none > all {
+				t.Errorf("flood of %q: from %d s on %d of %d short prompts of the flood get nothing", kind, from, none, all)
+			}
+		}
+	}
+}
+
 // TestFairSharesWithoutFloodCostNothing guards against shares that leave capacity unused in the
 // bursts of a day without a flood.
 func TestFairSharesWithoutFloodCostNothing(t *testing.T) {
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -396,7 +396,7 @@
 				rate *= burst.Factor
 			}
 		}
-		expected := rate * sim.accountsFactor() * tick.Seconds()
+		expected := rate * sim.accountsFactor(kind) * tick.Seconds()
 		// A site without accounts has at most one arrival of a kind in a tick.
 		for ; sim.site.Accounts > 0 && expected >= 1; expected-- {
 			sim.startRequest(kind)
@@ -428,7 +428,7 @@
 		Engine: true, Priority: kind.Priority, Objective: kind.Objective, Tokens: rootTokens + sessionTokens + r.uniqueTokens, InterTokenObjective: kind.InterEventObjective / time.Duration(sim.site.TokensPerEvent),
 		Segments: []placement.PromptSegment{{ID: rootName, Tokens: rootTokens}, {ID: ownSession, Tokens: sessionTokens}, {ID: string(r.id), Tokens: r.uniqueTokens}},
 	}
-	r.account = sim.drawAccount()
+	r.account = sim.drawAccount(kind)
 	sim.addParts(r, rootName, ownSession)
 	sim.requests = append(sim.requests, r)
 	sim.startAttempt(r)
