--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -139,16 +139,6 @@
 	m.options.Logger.Info().Str("peer", string(info.ID)).Str("incarnation", string(info.Incarnation)).Str("address", info.PeerAddress).Str("from", from).Msg("peer regained")
 }
 
-// maxReportedAge is the largest time since an instance was last heard from that a peer can report.
-// A larger number of milliseconds may exceed the range of time.Duration.
-const maxReportedAge = 365 * 24 * time.Hour
-
-// possibleAge reports whether an instance can have reported the time since it heard from another
-// one. A negative time would keep an instance up that is lost.
-func possibleAge(milliseconds int64) bool {
-	return milliseconds >= 0 && milliseconds <= maxReportedAge.Milliseconds()
-}
-
 func (m *Mesh) logImpossibleAge(id types.InstanceID, milliseconds int64) {
 	m.options.Logger.Debug().Str("peer", string(id)).Int64("age_ms", milliseconds).Msg("impossible time since a peer was heard from")
 }
@@ -156,7 +146,7 @@
 // mergeGossip applies a gossip entry if it is newer than what is known, and
 // reports whether the entry changed anything.
 func (m *Mesh) mergeGossip(entry GossipEntry) bool {
-	if !possibleAge(entry.AgeMilliseconds) {
+	if !types.PossibleAge(entry.AgeMilliseconds) {
 		m.logImpossibleAge(entry.ID, entry.AgeMilliseconds)
 		return false
 	}
@@ -207,7 +197,7 @@
 	}
 	for address, member := range m.members {
 		milliseconds, ok := ages[member.info.ID]
-		if !possibleAge(milliseconds) {
+		if !types.PossibleAge(milliseconds) {
 			m.logImpossibleAge(member.info.ID, milliseconds)
 			continue
 		}
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -20,9 +20,6 @@
 	// count as the only one. Instances that read the store on behalf of the others confirm it
 	// every 0.7 to 2.1 s while the store answers within its time limit.
 	maxLag = 3 * time.Second
-	// maxReportedAge is the largest age that a peer can report. No instance runs for longer, and
-	// a larger number of milliseconds may exceed the range of time.Duration.
-	maxReportedAge = 365 * 24 * time.Hour
 )
 
 // Origin is the service and the software version of the upstream that sent the first
@@ -74,7 +71,7 @@
 
 // possible reports whether an instance can have reported the interval.
 func (i Interval) possible() bool {
-	return i.ToMilliseconds >= 0 && i.FromMilliseconds >= i.ToMilliseconds && i.FromMilliseconds <= maxReportedAge.Milliseconds()
+	return types.PossibleAge(i.ToMilliseconds) && types.PossibleAge(i.FromMilliseconds) && i.FromMilliseconds >= i.ToMilliseconds
 }
 
 // Received returns the history of a message that was sent at most the given time ago. The complete
@@ -231,7 +228,7 @@
 // their number.
 func (t *Table) Merge(now time.Duration, history History) (impossible int) {
 	for _, sighting := range history.Sightings {
-		if sighting.AgeMilliseconds < 0 || sighting.AgeMilliseconds > maxReportedAge.Milliseconds() {
+		if !types.PossibleAge(sighting.AgeMilliseconds) {
 			impossible++
 			continue
 		}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -49,15 +49,11 @@
 	AgeMilliseconds int64 `json:"age_ms"`
 }
 
-// maxReportedAge is the largest age that a peer can report. A larger number of milliseconds may
-// exceed the range of time.Duration.
-const maxReportedAge = 365 * 24 * time.Hour
-
 // withPossibleAges returns the reports without those that have impossible ages. A crash in the future
 // would never expire.
 func withPossibleAges(reports []CrashReport) []CrashReport {
 	impossible := func(report CrashReport) bool {
-		return report.AgeMilliseconds < 0 || report.AgeMilliseconds > maxReportedAge.Milliseconds()
+		return !types.PossibleAge(report.AgeMilliseconds)
 	}
 	if !slices.ContainsFunc(reports, impossible) {
 		return reports
--- a/pkg/types/types.go
+++ b/pkg/types/types.go
@@ -5,6 +5,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // InstanceID identifies an instance in the published instance list. A replacement
@@ -108,3 +109,13 @@
 	PeerAddress string        `json:"peer_address"`
 	State       InstanceState `json:"state"`
 }
+
+// maxAge is the largest age that an instance can report. No instance runs for longer, and a larger
+// number of milliseconds may exceed the range of time.Duration.
+const maxAge = 365 * 24 * time.Hour
+
+// PossibleAge reports whether an instance can have reported the age. A negative one would put an
+// observation into the future, so that it never expires.
+func PossibleAge(milliseconds int64) bool {
+	return milliseconds >= 0 && milliseconds <= maxAge.Milliseconds()
+}
