--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,7 +7,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-simulations='TestFloodingAccountsBearTheLoss|TestFairSharesWithoutFloodCostNothing|TestLateWorkServesMoreCallers|TestLearnedCapacityServesCallers|TestSlowPlainUpstreamGetsFewerCalls'
+simulations='TestFloodingAccountsBearTheLoss|TestUrgentFloodIsNotRefusedForLessUrgentWork|TestFairSharesWithoutFloodCostNothing|TestLateWorkServesMoreCallers|TestLearnedCapacityServesCallers|TestSlowPlainUpstreamGetsFewerCalls'
 
 known_red=""
 if [ -f KNOWN-RED.txt ]; then
