--- a/pkg/origin/fleet_test.go
+++ b/pkg/origin/fleet_test.go
@@ -34,6 +34,10 @@
 	read     *Span
 	list     []Origin
 	pending  []Stream
+	// suspended reports whether the instance makes no step, and inbox has the reports that have
+	// arrived and are not read yet.
+	suspended bool
+	inbox     []History
 }
 
 // modelStream is a stream that its caller may resume until the time expires.
@@ -94,6 +98,9 @@
 func (f *modelFleet) step() {
 	f.steps++
 	for _, i := range f.instances {
+		if i.suspended {
+			continue
+		}
 		for _, peer := range f.peers(i) {
 			for _, stream := range i.pending {
 				peer.table.Record(f.now, stream)
@@ -107,7 +114,7 @@
 	}
 	var reports []report
 	for index, i := range f.instances {
-		if i.table != nil && (f.steps+index)%gossipSteps == 0 {
+		if i.table != nil && !i.suspended && (f.steps+index)%gossipSteps == 0 {
 			for _, peer := range f.peers(i) {
 				reports = append(reports, report{peer, i.table.History(f.now)})
 			}
@@ -115,11 +122,16 @@
 	}
 	f.now += stepTime
 	for _, r := range reports {
-		r.to.table.Merge(f.now, r.history)
+		r.to.inbox = append(r.to.inbox, r.history)
+	}
+	for _, i := range f.instances {
+		if i.table != nil && !i.suspended {
+			f.readInbox(i)
+		}
 	}
 	for _, i := range f.instances {
 		switch {
-		case i.table == nil:
+		case i.table == nil || i.suspended:
 			continue
 		case !i.hasStore:
 			i.read = nil
@@ -134,9 +146,37 @@
 	}
 }
 
+// readInbox lets an instance read the reports that have arrived. Nobody has asked for them, so they
+// confirm nothing, but their sender is asked for a longer history.
+func (f *modelFleet) readInbox(i *modelInstance) {
+	longer := false
+	for _, history := range i.inbox {
+		longer = longer || history.Complete != nil
+		history.Complete = nil
+		i.table.Merge(f.now, history)
+	}
+	i.inbox = nil
+	if longer {
+		f.ask(i)
+	}
+}
+
+// ask lets an instance ask its peers for their history. It reports whether all have responded.
+func (f *modelFleet) ask(i *modelInstance) (conclusive bool) {
+	conclusive = true
+	for _, peer := range f.peers(i) {
+		if peer.suspended {
+			conclusive = false
+			continue
+		}
+		i.table.Merge(f.now, peer.table.History(f.now).Received(0))
+	}
+	return conclusive
+}
+
 // begin begins a stream at an instance, at an upstream that it knows and that still serves.
 func (f *modelFleet) begin(i *modelInstance, pick int) {
-	if i.table == nil || len(i.list) == 0 {
+	if i.table == nil || i.suspended || len(i.list) == 0 {
 		return
 	}
 	origin := i.list[pick%len(i.list)]
@@ -164,7 +204,7 @@
 // resume resumes a stream at an instance and checks the version at which it goes on. It
 // reports whether it does.
 func (f *modelFleet) resume(i *modelInstance, stream *modelStream, named bool) bool {
-	if i.table == nil || f.now > stream.expires {
+	if i.table == nil || i.suspended || f.now > stream.expires {
 		return false
 	}
 	found, how := f.find(i, stream, named)
@@ -187,12 +227,15 @@
 
 func (f *modelFleet) find(i *modelInstance, stream *modelStream, named bool) (found Origin, how string) {
 	for _, holder := range append([]*modelInstance{i}, f.peers(i)...) {
+		if holder.suspended {
+			continue
+		}
 		if origin, ok := holder.table.Lookup(KeyOf(stream.id)); ok && named {
 			return origin, "record"
 		}
 	}
-	for _, peer := range f.peers(i) {
-		i.table.Merge(f.now, peer.table.History(f.now))
+	if !f.ask(i) {
+		return Origin{}, ""
 	}
 	if version, complete, ok := i.table.OnlyVersion(f.now, "s", i.table.Lifetime()); ok && complete {
 		return of("s", version), "only version"
@@ -216,6 +259,12 @@
 				f.restart(i)
 			}
 		}
+	case "suspend":
+		i.suspended, i.read = i.table != nil, nil
+	case "resume":
+		for _, i := range f.instances {
+			i.suspended = false
+		}
 	case "stop":
 		*i = modelInstance{side: i.side, hasStore: i.hasStore}
 	case "stop all":
@@ -262,7 +311,7 @@
 }
 
 var disturbances = []string{"restart", "restart all", "restart half", "stop", "stop all", "start", "start", "partition", "heal", "store lost",
-	"store lost for all", "store regained", "version comes", "version comes", "version goes", "version goes"}
+	"store lost for all", "store regained", "suspend", "resume", "version comes", "version comes", "version goes", "version goes"}
 
 // TestNoStreamContinuesAtAnotherVersion guards against streams that go on at another version
 // after restarts of any or all instances (also two within a lifetime), by instances that are
