gateway, admission, fairshare, transit: comments and names that a reader stumbles over

The reviewer of the parts named them. fairshare has one condition for work beyond a share instead of two. go test of the packages passes; no behaviour changes.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -98,11 +98,11 @@
 // Place chooses an upstream for the request and decides whether it is admitted.
 // If the upstream with the lowest cost is too busy, which may happen to the one
 // that caches a session's prompts, an idle upstream is chosen instead: no request
-// is shed while there is one. A request that cannot be in time is admitted as late work
-// if the deployment allows that and it is likely to be served before the caller gives it
-// up. During a burst there is none, and retrying a little
-// later at the upstream with the cached prompts serves callers better. Place
-// returns false if there is no candidate.
+// is shed while there is one, unless it is over the share of its account. During a burst
+// there is none, and retrying a little later at the upstream with the cached prompts
+// serves callers better. A request that cannot be in time is admitted as late work if the
+// deployment allows that and it is likely to be served before the caller gives it up.
+// Place returns false if there is no candidate.
 func Place(request Request, work *placement.Work, entry placement.Entry, id string, candidates []placement.Candidate) (placement.Choice, Decision, bool) {
 	choice, ok := placement.Choose(work, entry, id, candidates)
 	if !ok {
--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -291,18 +291,23 @@
 // Excess returns the part of the account's work that is beyond its share.
 func (s *Sum) Excess(account types.AccountID, level float64) float64 {
 	b := s.basis()
-	offered, share := s.Accounts[account].Offered, s.share(account, level, b)
-	if offered <= share || !s.judged(account, b) {
-		return 0
+	if share, over := s.overShare(account, level, b); over {
+		return 1 - share/s.Accounts[account].Offered
 	}
-	return 1 - share/offered
+	return 0
+}
+
+// overShare returns the share of an account at the level, and whether its work is beyond that.
+func (s *Sum) overShare(account types.AccountID, level float64, b basis) (share float64, over bool) {
+	share = s.share(account, level, b)
+	return share, s.Accounts[account].Offered > share && s.judged(account, b)
 }
 
 // over returns the shares of the accounts that are over theirs at the level.
 func (s *Sum) over(level float64) map[types.AccountID]float64 {
 	shares, b := make(map[types.AccountID]float64), s.basis()
-	for account, work := range s.Accounts {
-		if share := s.share(account, level, b); work.Offered > share && s.judged(account, b) {
+	for account := range s.Accounts {
+		if share, over := s.overShare(account, level, b); over {
 			shares[account] = share
 		}
 	}
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -241,8 +241,8 @@
 	result.Retry = q.explainRetry(choice.ID, state.examined)
 }
 
-// overShareProbability returns the probability, in thousandths, with which a request like this one
-// is over the share of its account. It is found from the decisions on single draws.
+// overShareProbability returns the probability with which a request like this one is over the share
+// of its account, to a thousandth. It is found from the decisions on single draws.
 func (q *request) overShareProbability(now time.Duration) float64 {
 	if !q.sharesCapacity() {
 		return 0
--- a/pkg/gateway/shares.go
+++ b/pkg/gateway/shares.go
@@ -48,8 +48,9 @@
 	return fairshare.Group{Target: q.target, Priority: q.priority}
 }
 
-// shareWork returns the work of the request: the prompt tokens that it does not share, which
-// are known before an engine is chosen and are the same at all instances, and the output. A call of a plain service counts as one.
+// shareWork returns the work of the request: the output and the prompt tokens that it does not
+// share. These are known before an engine is chosen, and are the same at all instances. A call of a
+// plain service counts as one.
 func (q *request) shareWork() float64 {
 	if !q.work.Engine {
 		return 1
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -25,9 +25,10 @@
 // errPathLost matches the error of an attempt for which no instance reaches the target.
 var errPathLost = fault.New(fault.PathLost, "")
 
-// errUpstreamLeft ends an attempt whose upstream accepts no new requests any more. It matches the
+// errUpstreamLeft ends an attempt whose upstream may get no new requests any more: it leaves, has
+// asked for a pause, is evacuated, or another process has taken over its ID. It matches the
 // error of a peer that says so.
-var errUpstreamLeft = fault.New(fault.UpstreamLeaving, "the upstream accepts no new requests any more")
+var errUpstreamLeft = fault.New(fault.UpstreamLeaving, "the upstream may get no new requests any more")
 
 // newTransit returns the connections of the gateway to upstreams.
 func newTransit(options Options) *transit.Transit {
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -150,7 +150,7 @@
 	switch {
 	case err == nil:
 		// Connecting may have taken long.
-		if now, ok := t.options.Upstreams.Upstream(upstream); !ok || now != to {
+		if listed, ok := t.options.Upstreams.Upstream(upstream); !ok || listed != to {
 			_ = conn.Close()
 			return nil, fault.New(fault.UpstreamLeaving, "this instance sends no requests to the upstream any more")
 		}
