--- a/pkg/gateway/ended_test.go
+++ b/pkg/gateway/ended_test.go
@@ -92,9 +92,6 @@
 	env.fleet.streams = map[origin.Key]origin.Origin{origin.KeyOf("r1"): {Target: "s", Version: "v1"}}
 	here, there := env.others[0], env.others[0]
 	here.Address, there.Address = httpfakes.RefusingAddress(t), httpfakes.RefusingAddress(t)
-	for there.Address == here.Address {
-		there.Address = httpfakes.RefusingAddress(t)
-	}
 	env.addPeer([]roster.Upstream{there})
 	env.gateway.UpdateUpstreams([]roster.Upstream{here})
 	env.resume("again", "r1")
