--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -390,22 +390,7 @@
 	env.gateway.UpdateUpstreams([]roster.Upstream{entry})
 	env.gateway.recordOrigin(origin.Stream{Key: origin.KeyOf("r1"), Origin: origin.Origin{Target: "s", Version: "v1"}})
 	wantRefused(t, env, "the upstream has ended", "r1")
-	listener, err := net.Listen("tcp", entry.Address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		env.record(receivedRequest{upstream: "u"})
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		defer conn.Close()
-		writeEvents(conn, r, 4)
-	})}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
+	restart(t, env, entry.Address)
 	wantRefused(t, env, "the upstream has started again, its entry is the former one", "r1")
 
 	env.pass(time.Second)
