gateway: the test of a crashing prompt part waits until an answer is recorded

The log of a failed run shows it: the caller had its answer, the goroutine of the gateway had not yet recorded that the parts are sound, and the test had advanced the clock by 1.6 s for four further requests. No request waits that long for a record outside of the test.

Change: the test waits until the gateway has finished the request. No check changes.

--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -75,12 +75,15 @@
 	return listener.Addr().String()
 }
 
-// send sends a request with the parts, and waits until the gateway has recorded the
-// crashes that it caused.
+// send sends a request with the parts, and waits until the gateway has recorded the answer and
+// the crashes that it caused: both are recorded after the response was sent.
 func (env *crashEnv) send(path, id string, parts ...string) callerResponse {
 	env.t.Helper()
 	got := env.sendRaw(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: k\r\nParts: %s\r\nContent-Length: %d\r\n\r\n%s",
 		path, id, strings.Join(append(parts, id), ","), len(id), id))
+	for env.gateway.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
 	for len(env.ended) > 0 {
 		env.awaitRecorded(<-env.ended)
 	}
