fairshare: a decision adds up the accounts once

Each decision added up the work of all accounts three times: for the level, for the excess and for the use of idle upstreams. Sums, the level and the shares now use one basis, and the part that is turned away has one function. The explanation had found the probability by a binary search over decisions, since the package did not return it; OverShare does now. Its former form, which only tests used, is Judge there.

No behaviour changes.

--- a/pkg/fairshare/bench_test.go
+++ b/pkg/fairshare/bench_test.go
@@ -45,13 +45,13 @@
 	}
 }
 
-// BenchmarkOverShare measures the decision on one request at a spoke.
-func BenchmarkOverShare(b *testing.B) {
+// BenchmarkJudge measures the decision on one request at a spoke.
+func BenchmarkJudge(b *testing.B) {
 	report := reportOfAll()
 	table := NewTable()
 	table.SetFleet(0, report.Condensed())
 	for b.Loop() {
-		table.OverShare(0, Group{"engines", 1}, "account-01", 0.5)
+		table.Judge(0, Group{"engines", 1}, "account-01", 0.5)
 		table.Record(0, Group{"engines", 1}, "account-01", 34, Admitted)
 	}
 }
--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -159,18 +159,23 @@
 // fit returns the work that is taken to fit. It follows what was admitted in time. While no
 // request within its share is turned away it exceeds that by more, so that the level rises.
 func (s *Sum) fit(total Work) float64 {
-	within := max(total.Admitted-s.Extra, 0)
-	refused := s.Refused / max(s.Refused+within, 1)
-	growth := max(minGrowth, maxGrowth-(maxGrowth-minGrowth)*refused/usualRefusals)
+	growth := max(minGrowth, maxGrowth-(maxGrowth-minGrowth)*s.refusedPart(total)/usualRefusals)
 	return max((1+growth)*total.Admitted, minFit*total.Offered)
 }
 
+// refusedPart returns the part of the work within the shares that was turned away.
+func (s *Sum) refusedPart(total Work) float64 {
+	within := max(total.Admitted-s.Extra, 0)
+	return s.Refused / max(s.Refused+within, 1)
+}
+
 // meanUsual returns the mean of what the accounts usually offer, or zero if it is unknown.
 func (s *Sum) meanUsual() float64 {
-	total, count := s.total()
-	return total.Usual / float64(max(count, 1))
+	return meanUsual(s.total())
 }
 
+func meanUsual(total Work, count int) float64 { return total.Usual / float64(max(count, 1)) }
+
 // weight returns the weight of an account: what it usually offers, but at least the mean of all
 // accounts, which is meanUsual. Callers of a large account are served as often as those of others
 // while it keeps to its usual work, and an account that offers less than an equal share is never
@@ -189,9 +194,11 @@
 	return s.Growth == 0 || s.Accounts[account].Offered > tolerance*s.Growth*s.weight(account, mean)
 }
 
-// basis is what the shares of all accounts depend on.
+// basis is what the level and the shares of all accounts depend on.
 type basis struct {
-	mean float64
+	total Work
+	count int
+	mean  float64
 	// fit is the work that is taken to fit, part the part of all work that fits, and idleUse the
 	// result of Sum.idleUse.
 	fit, part, idleUse float64
@@ -204,7 +211,7 @@
 
 func (s *Sum) basis() basis {
 	total, count := s.total()
-	b := basis{mean: total.Usual / float64(max(count, 1)), fit: s.fit(total), idleUse: s.idleUse(total)}
+	b := basis{total: total, count: count, mean: meanUsual(total, count), fit: s.fit(total), idleUse: s.idleUse(total)}
 	b.part = min(b.fit/max(total.Offered, 1), 1)
 	others, rest, found := total.Offered, b.fit, false
 	for account, work := range s.Accounts {
@@ -233,18 +240,17 @@
 // before they know of each other's requests, so it is zero while work within the shares is turned
 // away.
 func (s *Sum) idleUse(total Work) float64 {
-	within := max(total.Admitted-s.Extra, 0)
-	return max(1-s.Refused/max(s.Refused+within, 1)/idleRefusals, 0)
+	return max(1-s.refusedPart(total)/idleRefusals, 0)
 }
 
 // Level returns the largest factor such that the work of the accounts adds up to what fits, if
 // that of accounts that flood counts up to this multiple of their weight. It returns false if
 // capacity is not short, or if no account may be over its share. An account that floods keeps
 // the part of its usual work that fits of all work.
-func (s *Sum) Level() (float64, bool) {
-	total, count := s.total()
-	b := s.basis()
-	if total.Offered <= b.fit || count < 2 {
+func (s *Sum) Level() (float64, bool) { return s.level(s.basis()) }
+
+func (s *Sum) level(b basis) (float64, bool) {
+	if b.total.Offered <= b.fit || b.count < 2 {
 		return 0, false
 	}
 	least, fit := b.part, b.fit-s.Rest.Offered
@@ -290,7 +296,10 @@
 
 // Excess returns the part of the account's work that is beyond its share.
 func (s *Sum) Excess(account types.AccountID, level float64) float64 {
-	b := s.basis()
+	return s.excess(account, level, s.basis())
+}
+
+func (s *Sum) excess(account types.AccountID, level float64, b basis) float64 {
 	if share, over := s.overShare(account, level, b); over {
 		return 1 - share/s.Accounts[account].Offered
 	}
@@ -304,8 +313,8 @@
 }
 
 // over returns the shares of the accounts that are over theirs at the level.
-func (s *Sum) over(level float64) map[types.AccountID]float64 {
-	shares, b := make(map[types.AccountID]float64), s.basis()
+func (s *Sum) over(level float64, b basis) map[types.AccountID]float64 {
+	shares := make(map[types.AccountID]float64)
 	for account := range s.Accounts {
 		if share, over := s.overShare(account, level, b); over {
 			shares[account] = share
@@ -416,12 +425,13 @@
 	var condensed Report
 	for i := range r.Sums {
 		sum := &r.Sums[i]
-		level, isShort := sum.Level()
+		b := sum.basis()
+		level, isShort := sum.level(b)
 		if !isShort {
 			continue
 		}
 		short := Sum{Group: sum.Group, Accounts: make(map[types.AccountID]Work), Rest: sum.Rest, RestAccounts: sum.RestAccounts, Refused: math.Round(sum.Refused), Growth: math.Round(100*sum.Growth) / 100, Extra: math.Round(sum.Extra)}
-		over := sum.over(level)
+		over := sum.over(level, b)
 		for account, work := range sum.Accounts {
 			if _, isOver := over[account]; isOver {
 				short.Accounts[account] = work
--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -162,7 +162,7 @@
 // requests, and against sums of the fleet that outlive it.
 func TestInstanceAloneWaitsForEnoughRequests(t *testing.T) {
 	table := NewTable()
-	over := func(now time.Duration) bool { return table.OverShare(now, group, "flood", 0.3) }
+	over := func(now time.Duration) bool { return table.Judge(now, group, "flood", 0.3) != WithinShare }
 	for i := range minOwnRequests {
 		if over(time.Second) {
 			t.Fatalf("an account is over its share after %d requests", i)
@@ -173,7 +173,7 @@
 		}
 		table.Record(time.Second, group, account, 100, Outcome(i%2))
 	}
-	if !over(time.Second) || table.OverShare(time.Second, group, "small", 0) {
+	if !over(time.Second) || table.Judge(time.Second, group, "small", 0) != WithinShare {
 		t.Errorf("the accounts are judged wrongly: %+v", table.States(time.Second))
 	}
 	table.SetFleet(time.Second, Report{AgeMilliseconds: 100})
@@ -227,7 +227,7 @@
 		}
 		for _, account := range f.arrivals(now, fluidStep) {
 			table := f.tables[f.random.IntN(len(f.tables))]
-			over := table.OverShare(now, group, accountName(account), f.random.Float64())
+			over := table.Judge(now, group, accountName(account), f.random.Float64()) != WithinShare
 			second.offered[account]++
 			outcome := Refused
 			switch {
--- a/pkg/fairshare/table.go
+++ b/pkg/fairshare/table.go
@@ -152,12 +152,6 @@
 	return &own, count >= minOwnRequests
 }
 
-// OverShare reports whether a request is over the share of its account. The draw is uniform in
-// [0, 1).
-func (t *Table) OverShare(now time.Duration, group Group, account types.AccountID, draw float64) bool {
-	return t.Judge(now, group, account, draw) != WithinShare
-}
-
 // Judgement is what a request may use with regard to the share of its account.
 type Judgement int
 
@@ -173,21 +167,38 @@
 
 // Judge decides on a request. The draw is uniform in [0, 1).
 func (t *Table) Judge(now time.Duration, group Group, account types.AccountID, draw float64) Judgement {
+	switch over, withheld := t.probabilities(now, group, account); {
+	case draw >= over:
+		return WithinShare
+	case draw < withheld:
+		return Withheld
+	}
+	return NeedsIdle
+}
+
+// OverShare returns the probability with which a request is over the share of its account.
+func (t *Table) OverShare(now time.Duration, group Group, account types.AccountID) float64 {
+	over, _ := t.probabilities(now, group, account)
+	return over
+}
+
+// probabilities returns the probability with which a request is over the share of its account, and
+// with which it is withheld.
+func (t *Table) probabilities(now time.Duration, group Group, account types.AccountID) (over, withheld float64) {
 	sum, ok := t.sum(now, group)
 	if !ok {
-		return WithinShare
+		return 0, 0
 	}
-	level, short := sum.Level()
+	b := sum.basis()
+	level, short := sum.level(b)
 	if !short {
-		return WithinShare
+		return 0, 0
 	}
-	switch excess := sum.Excess(account, level); {
-	case draw >= excess:
-		return WithinShare
-	case sum.Accounts[account].Urgent > 0 && draw < excess*(1-sum.basis().idleUse):
-		return Withheld
+	over = sum.excess(account, level, b)
+	if sum.Accounts[account].Urgent > 0 {
+		withheld = over * (1 - b.idleUse)
 	}
-	return NeedsIdle
+	return over, withheld
 }
 
 // Largest returns the account with the largest part of the offered work of a group, and that
@@ -234,13 +245,14 @@
 		if !ok {
 			continue
 		}
-		level, short := sum.Level()
+		b := sum.basis()
+		level, short := sum.level(b)
 		if !short {
 			continue
 		}
 		state := State{Group: group, Level: level}
 		own, _ := t.ownSum(now, group)
-		over := sum.over(level)
+		over := sum.over(level, b)
 		for _, account := range slices.Sorted(maps.Keys(over)) {
 			state.Over = append(state.Over, AccountState{account, own.Accounts[account], sum.Accounts[account], over[account]})
 		}
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -5,8 +5,8 @@
 	"bytes"
 	"io"
 	"log"
+	"math"
 	"net/http"
-	"sort"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -242,7 +242,7 @@
 }
 
 // overShareProbability returns the probability with which a request like this one is over the share
-// of its account, to a thousandth. It is found from the decisions on single draws.
+// of its account, rounded up to a thousandth.
 func (q *request) overShareProbability(now time.Duration) float64 {
 	if !q.sharesCapacity() {
 		return 0
@@ -251,10 +251,7 @@
 	s := q.gateway.shares
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	within := sort.Search(steps, func(i int) bool {
-		return !s.table.OverShare(now, q.shareGroup(), q.account.ID, float64(i)/steps)
-	})
-	return float64(within) / steps
+	return math.Ceil(steps*s.table.OverShare(now, q.shareGroup(), q.account.ID)) / steps
 }
 
 // explainRetry explains what would follow a failed attempt at an upstream.
