follow, retry: log when the store's revision goes back, and what a retry budget has used

Cause: the logs could not tell whether a change was dropped as older or never read, nor which share of the retry budget an instance had when it refused. Change: a line for a response of the store that is older than the one before, and one for an exhausted budget with its use, its allowance and the number of instances. Measured: tests of follow, retry and gateway pass; no decision changed.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -185,6 +185,7 @@
 	if err != nil {
 		return err
 	}
+	f.checkRevision(next)
 	f.Sink.Merge(items)
 	if end := min(began+wait, f.Clock()); len(items) > 0 {
 		f.extendContact(began, began, end)
@@ -260,6 +261,7 @@
 		now := f.Clock()
 		outage = Outage{Length: now - f.lastAnswer, RecoveredWithin: now - f.lastFailure}
 	}
+	f.checkRevision(at)
 	f.Sink.Replace(items, at, outage)
 	f.after, f.idleRevision, f.listed = at, 0, true
 	f.everListed.Store(true)
@@ -267,6 +269,13 @@
 	return nil
 }
 
+// checkRevision logs a response of the store that is older than what was read before.
+func (f *Follower) checkRevision(revision types.Revision) {
+	if revision < f.after {
+		f.Logger.Warn().Str("collection", f.Name).Uint64("after", uint64(f.after)).Uint64("revision", uint64(revision)).Msg("the revision of the store is lower than before")
+	}
+}
+
 func (f *Follower) recordSuccess() {
 	now := f.Clock()
 	if f.unavailable.Load() && f.listed {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -104,6 +104,7 @@
 		}
 		if q.progress.sends > 0 && q.lastUpstream != "" && !q.retryPaid {
 			if !q.gateway.budget(q.target).Spend() {
+				q.logBudgetExhausted()
 				return q.giveUp("the retry budget is exhausted", nil)
 			}
 			q.retryPaid = true
@@ -128,6 +129,14 @@
 	}
 }
 
+// logBudgetExhausted logs this instance's share of the retry budget and its use.
+func (q *request) logBudgetExhausted() {
+	g := q.gateway
+	usage := g.budget(q.target).Usage()
+	g.options.Logger.Info().Str("request", string(q.call.ID)).Str("service", string(q.target)).Int("retries", usage.Retries).
+		Float64("allowed", usage.Allowed).Int("instances", g.options.Fleet.Size()).Msg("retry budget exhausted")
+}
+
 // chooseUpstream places the request at an upstream, or returns an error if there is
 // none or the request is not admitted.
 func (q *request) chooseUpstream(ctx context.Context) (placement.Choice, error) {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -79,9 +79,28 @@
 	return b.allows(b.slot(b.clock()))
 }
 
+// Usage is what a window has used and what it allows.
+type Usage struct {
+	Retries int
+	Allowed float64
+}
+
+// Usage returns the usage of the window that ends now.
+func (b *Budget) Usage() Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usage(b.slot(b.clock()))
+}
+
 // allows reports whether the window that ends with the slot allows a further retry. b.mu must
 // be held.
 func (b *Budget) allows(current *slot) bool {
+	usage := b.usage(current)
+	return float64(usage.Retries+1) <= usage.Allowed
+}
+
+// usage returns the usage of the window that ends with the slot. b.mu must be held.
+func (b *Budget) usage(current *slot) Usage {
 	first, retries := 0, 0
 	for i := range b.slots {
 		age := current.number - b.slots[i].number
@@ -93,7 +112,7 @@
 			first += b.slots[i].first
 		}
 	}
-	return float64(retries+1) <= b.settings.Ratio*float64(first)+b.settings.Burst
+	return Usage{Retries: retries, Allowed: b.settings.Ratio*float64(first) + b.settings.Burst}
 }
 
 // Refund takes back the latest retry of the window, which was counted but not made.
