follow, replica, edge, platform: positions in the store have an era

Cause: revisions were compared as plain numbers. After the return they are given out again, so the next configuration, and each entry of an upstream that is written at a lower revision, was dropped as older, and an instance that had not seen the return handed its history to its peers. Change: types.Revision orders by era first; platform reads Store-Era. A response of an earlier era is an error and changes nothing; a higher one ends the hanging watches, and the collections are listed again within 200 ms. Across eras the operator's versions define the order: a later one takes force at once, an older one does not revert the one in force, which is offered to peers that have the older one. Upstreams that leave or are gone stay so, and evacuations stay, until their keys are written again, 5 s at most; entries that the copy lacks have the grace of lapsed ones. In era zero revisions are as before, also in messages. Ruled out: a store replica that lags; it has the same era and a lower revision.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -195,6 +196,16 @@
 	return c
 }
 
+// HasEarlierVersion reports whether both versions are numbers and that of c is the smaller one.
+func (c *Catalog) HasEarlierVersion(other *Catalog) bool {
+	version, err := strconv.ParseUint(c.Version, 10, 64)
+	if err != nil {
+		return false
+	}
+	than, err := strconv.ParseUint(other.Version, 10, 64)
+	return err == nil && version < than
+}
+
 // addObjective lowers StrictestInterEvent of the services of a route.
 func (c *Catalog) addObjective(route *Route) {
 	for _, target := range route.Targets {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -131,6 +131,9 @@
 	// evacuated maps the evacuated data centres to the revisions of their keys.
 	evacuated map[types.DataCentre]types.Revision
 	lapsed    lapsedUpstreams
+	lost      lostHistory
+	// inForce is the published item of the configuration in force.
+	inForce replica.Item
 	// undecodable maps the key of an entry to the revision at which a decoding error
 	// was last logged, so that each error is logged once.
 	undecodable map[string]types.Revision
@@ -342,7 +345,9 @@
 	}
 	expvar.Publish("instance", expvar.Func(func() any {
 		status := struct {
-			Configuration  string `json:"configuration"`
+			Configuration string `json:"configuration"`
+			// Era and Revision are those of the store.
+			Era            uint64 `json:"era"`
 			Revision       uint64 `json:"revision"`
 			Upstreams      int    `json:"upstreams"`
 			Peers          int    `json:"peers"`
@@ -353,7 +358,7 @@
 			Evacuated []types.DataCentre `json:"evacuated,omitempty"`
 		}{Upstreams: e.roster.ReadyCount(), Peers: e.mesh.Size(), Active: e.gateway.Active(), StoreReachable: e.storeReachable(), Serving: e.serving(), Evacuated: e.evacuatedDataCentres()}
 		if current := e.gateway.Catalog(); current != nil {
-			status.Configuration, status.Revision = current.Version, uint64(current.Revision)
+			status.Configuration, status.Era, status.Revision = current.Version, current.Revision.Era(), current.Revision.Number()
 		}
 		return status
 	}))
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -22,8 +23,9 @@
 )
 
 // decoder uses the value of an item as the version of the configuration. An upstream
-// is ready unless its value is "leaving". The value "bad" cannot be decoded. A key that begins
-// with evacuation names an evacuated data centre.
+// is ready unless its value ends with "leaving"; a number before that is when it started. The
+// value "bad" cannot be decoded. A key that begins with evacuation names an evacuated data
+// centre.
 type decoder struct{}
 
 const evacuation = "evacuate/"
@@ -55,7 +57,9 @@
 	if string(item.Value) == "bad" {
 		return roster.Upstream{}, errors.New("malformed value")
 	}
-	return roster.Upstream{ID: types.UpstreamID(item.Key), Target: "s", Address: item.Key, DataCentre: types.DataCentre(item.Key[:1]), Slots: 1, Ready: string(item.Value) != "leaving"}, nil
+	text, leaving := strings.CutSuffix(string(item.Value), "leaving")
+	started, _ := strconv.ParseInt(text, 10, 64)
+	return roster.Upstream{ID: types.UpstreamID(item.Key), Target: "s", Address: item.Key, DataCentre: types.DataCentre(item.Key[:1]), Slots: 1, Ready: !leaving, StartedUnixMilli: started}, nil
 }
 
 // newTestEdge returns an Edge that does not run and its fake clock.
--- a/pkg/edge/evacuation.go
+++ b/pkg/edge/evacuation.go
@@ -12,6 +12,7 @@
 // e.mu must be held.
 func (e *Edge) applyEvacuations(source string, changes []replica.Item) {
 	before, after := e.evacuated, e.deps.Decoder.Evacuated(e.configuration.Live())
+	e.addLostEvacuations(after, changes)
 	set := make(map[types.DataCentre]bool, len(after))
 	for dataCentre := range after {
 		set[dataCentre] = true
@@ -32,7 +33,7 @@
 }
 
 func (e *Edge) logEvacuation(dataCentre types.DataCentre, source string, revision types.Revision, message string) {
-	e.logger.Info().Str("data_centre", string(dataCentre)).Str("source", source).Uint64("revision", uint64(revision)).
+	e.logger.Info().Str("data_centre", string(dataCentre)).Str("source", source).Uint64("revision", revision.Number()).
 		Int("upstreams", e.roster.CountIn(dataCentre)).Msg(message)
 }
 
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/follow"
@@ -53,15 +54,26 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	set := e.set(s.name)
+	if at.Era() < set.LatestRevision().Era() {
+		return
+	}
 	if s.name == upstreams && outage.Length > shortOutage {
 		// The entry of an upstream that left for good may have been removed as soon as
 		// the store recovered.
 		e.lapsed.until = e.now() + lapseGracePeriod - outage.RecoveredWithin
 	}
-	before := set.Live()
+	before := e.live(s.name)
+	if beginsEra(set, at) {
+		e.enterEra(s.name, "store", set, items, at)
+	}
 	e.apply(s.name, "store", before, set.Replace(items, at))
 }
 
+// beginsEra reports whether the revision is of a later era than what the set holds.
+func beginsEra(set *replica.Set, at types.Revision) bool {
+	return set.LatestRevision() > 0 && at.Era() > set.LatestRevision().Era()
+}
+
 // Merge implements follow.Sink.
 func (s sink) Merge(items []replica.Item) { s.edge.merge(s.name, "store", items) }
 
@@ -69,8 +81,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	set := e.set(name)
-	before := set.Live()
-	e.apply(name, source, before, set.Merge(items))
+	before := e.live(name)
+	var at types.Revision
+	for _, item := range items {
+		at = max(at, item.Revision)
+	}
+	if beginsEra(set, at) {
+		// A peer has listed the whole collection in the new era.
+		e.enterEra(name, source, set, items, at)
+		e.apply(name, source, before, set.Replace(items, at))
+		return
+	}
+	changes := set.Merge(items)
+	e.apply(name, source, before, append(changes, e.writtenAgain(items, changes)...))
 }
 
 func (e *Edge) set(name string) *replica.Set {
@@ -98,19 +121,29 @@
 }
 
 func (e *Edge) applyConfiguration(source string) {
-	next, err := e.deps.Decoder.Catalog(e.configuration.Live())
+	published := e.configuration.Live()
+	next, err := e.deps.Decoder.Catalog(published)
 	if err != nil {
-		e.logger.Error().Err(err).Uint64("revision", uint64(e.configuration.LatestRevision())).Str("source", source).Msg("cannot decode the configuration, keeping the one in force")
+		e.logger.Error().Err(err).Uint64("revision", e.configuration.LatestRevision().Number()).Str("source", source).Msg("cannot decode the configuration, keeping the one in force")
 		return
 	}
 	if next == nil {
 		return
 	}
-	if current := e.gateway.Catalog(); current != nil && current.Revision >= next.Revision {
-		return
+	if current := e.gateway.Catalog(); current != nil {
+		if current.Revision >= next.Revision {
+			return
+		}
+		if isReverted(current, next) {
+			e.carryConfiguration(next, source)
+			return
+		}
 	}
 	e.gateway.Apply(next)
-	e.logger.Info().Str("version", next.Version).Uint64("revision", uint64(next.Revision)).Str("source", source).Msg("configuration in force")
+	if index := slices.IndexFunc(published, func(item replica.Item) bool { return item.Revision == next.Revision }); index >= 0 {
+		e.inForce = published[index]
+	}
+	e.logger.Info().Str("version", next.Version).Uint64("era", next.Revision.Era()).Uint64("revision", next.Revision.Number()).Str("source", source).Msg("configuration in force")
 }
 
 // keepLapsed keeps the removed upstreams during the grace period.
@@ -133,7 +166,7 @@
 // applyUpstreams updates the roster with the whole list. e.mu must be held.
 func (e *Edge) applyUpstreams(source string, changes []replica.Item) {
 	var list []roster.Upstream
-	items := e.upstreams.Live()
+	items := e.live(upstreams)
 	for _, item := range items {
 		delete(e.lapsed.kept, item.Key)
 	}
@@ -145,7 +178,7 @@
 		if err != nil {
 			if e.undecodable[item.Key] != item.Revision {
 				e.undecodable[item.Key] = item.Revision
-				e.logger.Warn().Err(err).Str("key", item.Key).Uint64("revision", uint64(item.Revision)).Msg("entry names no upstream")
+				e.logger.Warn().Err(err).Str("key", item.Key).Uint64("revision", item.Revision.Number()).Msg("entry names no upstream")
 			}
 			continue
 		}
@@ -153,7 +186,7 @@
 	}
 	e.gateway.UpdateUpstreams(list)
 	for _, item := range changes {
-		event := e.logger.Info().Str("key", item.Key).Uint64("revision", uint64(item.Revision)).Str("source", source)
+		event := e.logger.Info().Str("key", item.Key).Uint64("era", item.Revision.Era()).Uint64("revision", item.Revision.Number()).Str("source", source)
 		if upstream, err := e.deps.Decoder.Upstream(item); err == nil {
 			event = event.Str("address", upstream.Address).Str("version", string(upstream.Version)).Bool("ready", upstream.Ready)
 		}
@@ -161,7 +194,7 @@
 	}
 }
 
-// expireLoop drops lapsed upstreams after the grace period, and reports what differs
+// expireLoop drops lapsed upstreams and lost history after their grace periods, and reports what differs
 // from what peers suspect of parts of prompts, and which upstreams have become warm.
 func (e *Edge) expireLoop(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
@@ -181,6 +214,7 @@
 func (e *Edge) expire() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.expireLost()
 	if len(e.lapsed.kept) == 0 || e.now() < e.lapsed.until {
 		return
 	}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -23,7 +23,12 @@
 // the requested revision.
 var ErrCompacted = fault.New(fault.HistoryCompacted, "the store has compacted the changes after this revision")
 
-// Source reads one published collection.
+// ErrNewEra is returned by Watch and List if the store has returned from an older copy since
+// the revision. The changes after it are lost.
+var ErrNewEra = fault.New(fault.HistoryCompacted, "the store has returned from an older copy")
+
+// Source reads one published collection. It returns an error for a response of an earlier era
+// than another response that it has read.
 type Source interface {
 	// List returns the whole collection and the revision up to which it is complete.
 	List(ctx context.Context) ([]replica.Item, types.Revision, error)
@@ -85,6 +90,9 @@
 	// idleAdvanceDelay is the age at which a watch continues from a revision that
 	// was returned without changes. A failing store may deliver changes late.
 	idleAdvanceDelay = 3 * time.Second
+	// maxEraDelay is the longest random delay before the collection is read again in a new
+	// era, so that not all instances read it at once.
+	maxEraDelay = 200 * time.Millisecond
 )
 
 // Follower reads one collection. Run is called once.
@@ -173,12 +181,19 @@
 // step makes one call to the store.
 func (f *Follower) step(ctx context.Context) error {
 	if !f.listed {
-		return f.list(ctx)
+		err := f.list(ctx)
+		if errors.Is(err, ErrNewEra) {
+			return f.enterEra(ctx)
+		}
+		return err
 	}
 	began, wait := f.Clock(), f.watchWait()
 	items, next, err := f.Source.Watch(ctx, f.after, wait)
+	if errors.Is(err, ErrNewEra) {
+		return f.enterEra(ctx)
+	}
 	if errors.Is(err, ErrCompacted) {
-		f.Logger.Info().Str("collection", f.Name).Uint64("after", uint64(f.after)).Msg("history has a gap, reading the collection again")
+		f.Logger.Info().Str("collection", f.Name).Uint64("after", f.after.Number()).Msg("history has a gap, reading the collection again")
 		f.listed = false
 		return nil
 	}
@@ -197,6 +212,13 @@
 	return nil
 }
 
+// enterEra prepares to read the collection again, since the store has a new era.
+func (f *Follower) enterEra(ctx context.Context) error {
+	f.listed = false
+	wait.For(ctx, rand.N(maxEraDelay))
+	return nil
+}
+
 // extendCovered records a call that covers the time from began to its end.
 func (f *Follower) extendCovered(began, end time.Duration) { f.extendContact(began, end, end) }
 
@@ -262,6 +284,11 @@
 		outage = Outage{Length: now - f.lastAnswer, RecoveredWithin: now - f.lastFailure}
 	}
 	f.checkRevision(at)
+	if at.Era() > f.after.Era() && f.everListed.Load() {
+		f.Logger.Warn().Str("collection", f.Name).Uint64("era_before", f.after.Era()).Uint64("revision_before", f.after.Number()).
+			Uint64("era", at.Era()).Uint64("revision", at.Number()).Msg("the store has returned from an older copy")
+		f.covered.Store(nil)
+	}
 	f.Sink.Replace(items, at, outage)
 	f.after, f.idleRevision, f.listed = at, 0, true
 	f.everListed.Store(true)
@@ -272,14 +299,14 @@
 // checkRevision logs a response of the store that is older than what was read before.
 func (f *Follower) checkRevision(revision types.Revision) {
 	if revision < f.after {
-		f.Logger.Warn().Str("collection", f.Name).Uint64("after", uint64(f.after)).Uint64("revision", uint64(revision)).Msg("the revision of the store is lower than before")
+		f.Logger.Warn().Str("collection", f.Name).Uint64("after", f.after.Number()).Uint64("revision", revision.Number()).Msg("the revision of the store is lower than before")
 	}
 }
 
 func (f *Follower) recordSuccess() {
 	now := f.Clock()
 	if f.unavailable.Load() && f.listed {
-		f.Logger.Info().Str("collection", f.Name).Dur("outage_ms", now-f.lastAnswer).Uint64("revision", uint64(f.after)).Msg("store regained")
+		f.Logger.Info().Str("collection", f.Name).Dur("outage_ms", now-f.lastAnswer).Uint64("revision", f.after.Number()).Msg("store regained")
 		f.unavailable.Store(false)
 	}
 	if !f.unavailable.Load() {
@@ -302,6 +329,6 @@
 	f.backoff = min(max(minBackoff, f.backoff*2), maxBackoff)
 	if !f.unavailable.Load() {
 		f.unavailable.Store(true)
-		f.Logger.Warn().Err(err).Str("collection", f.Name).Uint64("revision", uint64(f.after)).Msg("store lost")
+		f.Logger.Warn().Err(err).Str("collection", f.Name).Uint64("revision", f.after.Number()).Msg("store lost")
 	}
 }
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -22,6 +22,7 @@
 	compacted types.Revision
 	items     []replica.Item
 	down      bool
+	era       uint64
 	// dropsEvents makes watches return no changes.
 	dropsEvents bool
 	calls       int
@@ -31,10 +32,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	item.Revision = s.revision
+	item.Revision, _ = types.NewRevision(s.era, uint64(s.revision))
 	s.items = append(s.items, item)
 }
 
+// newest returns the revision of the store.
+func (s *fakeStore) newest() types.Revision {
+	revision, _ := types.NewRevision(s.era, uint64(s.revision))
+	return revision
+}
+
+// restore returns from a copy that has only the given items.
+func (s *fakeStore) restore(revision types.Revision, items ...replica.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.items = revision, nil
+	for _, item := range items {
+		item.Revision, _ = types.NewRevision(s.era, uint64(item.Revision))
+		s.items = append(s.items, item)
+	}
+}
+
 // update changes the store under its lock.
 func (s *fakeStore) update(change func(s *fakeStore)) {
 	s.mu.Lock()
@@ -53,7 +72,7 @@
 	}
 	set := replica.New()
 	set.Merge(s.items)
-	return set.Live(), s.revision, nil
+	return set.Live(), s.newest(), nil
 }
 
 func (s *fakeStore) Watch(ctx context.Context, after types.Revision, wait time.Duration) ([]replica.Item, types.Revision, error) {
@@ -78,6 +97,9 @@
 	if s.down {
 		return nil, 0, true, errDown
 	}
+	if after.Era() != s.era {
+		return nil, 0, true, ErrNewEra
+	}
 	if after < s.compacted {
 		return nil, 0, true, ErrCompacted
 	}
@@ -87,7 +109,7 @@
 			items = append(items, item)
 		}
 	}
-	return items, s.revision, len(items) > 0 || !waiting, nil
+	return items, s.newest(), len(items) > 0 || !waiting, nil
 }
 
 // recordingSink is a replica that records the reported outages.
@@ -166,6 +188,37 @@
 	})
 }
 
+// TestCollectionIsListedAgainInNewEra guards against a watch that goes on from a revision that
+// the store has given to another change.
+func TestCollectionIsListedAgainInNewEra(t *testing.T) {
+	runFollower(t, false, func(t *testing.T, s *fakeStore, c *recordingSink, f *Follower) {
+		for _, key := range []string{"a", "b", "c", "d"} {
+			s.put(replica.Item{Key: key})
+		}
+		time.Sleep(time.Second)
+		if _, _, ok := f.Covered(); !ok {
+			t.Error("the collection was not read")
+		}
+		returned := f.Clock()
+		s.restore(2, replica.Item{Key: "a", Revision: 1}, replica.Item{Key: "b", Revision: 2})
+		s.put(replica.Item{Key: "e"})
+		s.put(replica.Item{Key: "f"})
+		time.Sleep(maxEraDelay + 50*time.Millisecond)
+		keys := c.keys()
+		if !keys["e"] || !keys["f"] || keys["c"] || len(keys) != 4 {
+			t.Errorf("after the return of the store the items are %v", keys)
+		}
+		if from, _, _ := f.Covered(); from < returned {
+			t.Error("the lost history counts as covered")
+		}
+		s.put(replica.Item{Key: "g"})
+		time.Sleep(time.Second)
+		if !c.keys()["g"] {
+			t.Error("a change in the new era is missing")
+		}
+	})
+}
+
 func TestOutageIsReportedWithNextListing(t *testing.T) {
 	runFollower(t, false, func(t *testing.T, s *fakeStore, c *recordingSink, f *Follower) {
 		s.put(replica.Item{Key: "lapses"})
--- a/pkg/gateway/cold.go
+++ b/pkg/gateway/cold.go
@@ -118,14 +118,14 @@
 			continue
 		}
 		g.options.Logger.Info().Str("upstream", string(id)).Str("data_centre", string(state.DataCentre)).Dur("remaining_ms", state.Remaining).
-			Uint64("revision", uint64(state.Revision)).Float64("per_second", limit.PerSecond).Msg("upstream is cold")
+			Uint64("revision", state.Revision.Number()).Float64("per_second", limit.PerSecond).Msg("upstream is cold")
 	}
 	for id, state := range g.cold.reported {
 		if _, ok := cold[id]; !ok {
 			// Refusals while it was cold say nothing of a warm upstream.
 			g.permits.clearBlock(id)
 			g.options.Logger.Info().Str("upstream", string(id)).Str("data_centre", string(state.DataCentre)).
-				Uint64("revision", uint64(state.Revision)).Msg("upstream is warm")
+				Uint64("revision", state.Revision.Number()).Msg("upstream is warm")
 		}
 	}
 	g.cold.reported = cold
--- a/pkg/mesh/fetch.go
+++ b/pkg/mesh/fetch.go
@@ -50,8 +50,8 @@
 		m.options.Logger.Warn().Err(err).Str("peer", string(heartbeat.ID)).Str("collection", collection).Msg("cannot fetch items from peer")
 		return
 	}
-	m.options.Logger.Info().Str("peer", string(heartbeat.ID)).Str("collection", collection).Uint64("after", uint64(after)).
-		Uint64("revision", uint64(heartbeat.Revisions[collection])).Int("items", len(response.Items)).Msg("fetched from peer")
+	m.options.Logger.Info().Str("peer", string(heartbeat.ID)).Str("collection", collection).Uint64("after", after.Number()).
+		Uint64("revision", heartbeat.Revisions[collection].Number()).Int("items", len(response.Items)).Msg("fetched from peer")
 	m.options.State.HandleFetched(collection, response.Items)
 }
 
--- a/pkg/relay/apply.go
+++ b/pkg/relay/apply.go
@@ -144,7 +144,7 @@
 		Code:     string(failure.Code),
 		Detail:   failure.Error(),
 	})
-	r.options.Logger.Error().Err(failure).Uint64("revision", uint64(rejected.Revision)).Msg("configuration rejected")
+	r.options.Logger.Error().Err(failure).Uint64("revision", rejected.Revision.Number()).Msg("configuration rejected")
 }
 
 // conflictError returns the error for a manifest when another manifest of the
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -1,7 +1,7 @@
 // Package replica keeps a local copy of a published collection. Items are ordered
 // by their own revisions, so items read from the store and from peers can be
-// merged in any order, and no item is replaced by an older version. The package
-// does no I/O and reads no clock.
+// merged in any order, and no item is replaced by an older version. Items of an era
+// before that of the set are ignored. The package does no I/O and reads no clock.
 package replica
 
 import (
@@ -39,6 +39,10 @@
 func (s *Set) Merge(items []Item) []Item {
 	var changes []Item
 	for _, item := range items {
+		// The store has lost the history of an earlier era.
+		if item.Revision.Era() < s.latest.Era() {
+			continue
+		}
 		held, ok := s.items[item.Key]
 		if ok && held.Revision >= item.Revision {
 			continue
@@ -55,8 +59,12 @@
 
 // Replace stores a complete listing of the collection as of a revision. Held
 // items that are older than the revision and not in the listing have been removed
-// since. It returns what changed.
+// since. It returns what changed. A listing of an era before that of the set changes
+// nothing.
 func (s *Set) Replace(items []Item, at types.Revision) []Item {
+	if at.Era() < s.latest.Era() {
+		return nil
+	}
 	changes := s.Merge(items)
 	read := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -74,6 +82,12 @@
 	return changes
 }
 
+// Find returns the item with the key, which may be a tombstone.
+func (s *Set) Find(key string) (Item, bool) {
+	item, ok := s.items[key]
+	return item, ok
+}
+
 // Live returns the items that are not tombstones, sorted by key.
 func (s *Set) Live() []Item {
 	live := slices.Collect(maps.Values(s.items))
--- a/pkg/types/types.go
+++ b/pkg/types/types.go
@@ -60,10 +60,6 @@
 // Tier is the priority of a request. A larger number is a higher tier.
 type Tier int
 
-// Revision is the number of a published configuration. A larger revision is
-// newer; zero means that none has been published.
-type Revision uint64
-
 // PoolID identifies a pool: the upstreams of a target in one data centre.
 type PoolID struct {
 	Target     TargetName `json:"target"`
