relay, configservice: a configuration service that returns from an older copy

What callers of serve would see: a change that is published after the return is not in force, since its revision is not above the one in force. Cause: as in join, revisions were compared as plain numbers. Change: manifests have an optional era. A content that was replaced before is not put in force again; the one in force is kept at a carried revision, which peers that have started since take. The stand-in returns from a copy on request.

--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -163,7 +163,7 @@
 func (s *Snapshot) Classify(attributes rules.Attributes) (Decision, error) {
 	index, ok := s.core.rules.Match(attributes)
 	if !ok {
-		message := fmt.Sprintf("no rule of revision %d matches the request", s.Revision())
+		message := fmt.Sprintf("no rule of revision %v matches the request", s.Revision())
 		return Decision{}, fault.New(fault.NoRuleMatches, message)
 	}
 	return s.decision(index), nil
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -34,7 +34,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.current != nil && !Newer(snapshot.Revision(), snapshot.Digest(), s.current.Revision(), s.current.Digest()) {
-		message := fmt.Sprintf("revision %d is not above revision %d in force", snapshot.Revision(), s.current.Revision())
+		message := fmt.Sprintf("revision %v is not above revision %v in force", snapshot.Revision(), s.current.Revision())
 		return fault.New(fault.StaleRevision, message)
 	}
 	s.current = snapshot
--- a/pkg/configservice/client.go
+++ b/pkg/configservice/client.go
@@ -60,13 +60,18 @@
 // WaitManifest implements Source.
 func (c *Client) WaitManifest(ctx context.Context, after types.Revision, wait time.Duration) (Manifest, error) {
 	query := url.Values{}
-	query.Set("after", strconv.FormatUint(uint64(after), 10))
+	query.Set("after", strconv.FormatUint(after.Number(), 10))
+	if era := after.Era(); era > 0 {
+		query.Set("era", strconv.FormatUint(era, 10))
+	}
 	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	ctx, cancel := context.WithTimeout(ctx, wait+waitMargin)
 	defer cancel()
-	var manifest Manifest
-	err := c.getJSON(ctx, "/v1/manifest?"+query.Encode(), &manifest)
-	return manifest, err
+	var published PublishedManifest
+	if err := c.getJSON(ctx, "/v1/manifest?"+query.Encode(), &published); err != nil {
+		return Manifest{}, err
+	}
+	return published.manifest()
 }
 
 // Part implements Source. It returns an error if the bytes do not match the
--- a/pkg/configservice/source.go
+++ b/pkg/configservice/source.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -27,6 +29,29 @@
 	Parts    []PartRef      `json:"parts"`
 }
 
+// PublishedManifest is a manifest as the service publishes it. Revision is a plain number.
+type PublishedManifest struct {
+	// Era is how often the service has returned from an older copy, after which it gives out
+	// revisions again.
+	Era      uint64    `json:"era,omitempty"`
+	Revision uint64    `json:"revision"`
+	Parts    []PartRef `json:"parts"`
+}
+
+// Published returns the published form of a manifest.
+func Published(m Manifest) PublishedManifest {
+	return PublishedManifest{Era: m.Revision.Era(), Revision: m.Revision.Number(), Parts: m.Parts}
+}
+
+// manifest returns the manifest, or an error if its revision is out of range.
+func (p PublishedManifest) manifest() (Manifest, error) {
+	revision, ok := types.NewRevision(p.Era, p.Revision)
+	if !ok {
+		return Manifest{}, fault.New(fault.PlatformUnavailable, fmt.Sprintf("the revision %d of era %d is out of range", p.Revision, p.Era))
+	}
+	return Manifest{Revision: revision, Parts: p.Parts}, nil
+}
+
 // Source reads from the configuration service. Implementations are safe for
 // concurrent use. If the service does not respond, they return a *fault.Error
 // with code PlatformUnavailable.
--- a/pkg/ctl/explain_placement.go
+++ b/pkg/ctl/explain_placement.go
@@ -166,7 +166,7 @@
 func writePlacementText(w io.Writer, e *explain.Explanation) error {
 	fmt.Fprintf(w, "instance       %s in %s\n", e.Instance, e.DataCentre)
 	if c := e.Config; c != nil {
-		fmt.Fprintf(w, "configuration  version %s, revision %d, in force for %s\n", c.Version, c.Revision, span(c.AgeMs))
+		fmt.Fprintf(w, "configuration  version %s, revision %v, in force for %s\n", c.Version, c.Revision, span(c.AgeMs))
 	}
 	if r := e.Route; r != nil {
 		fmt.Fprintf(w, "route          %s (%s), target %s%s, objective %s, timeout %s\n", r.Name, r.Kind, r.Target, otherTargets(r), span(r.ObjectiveMs), span(r.TimeoutMs))
--- a/pkg/relay/apply.go
+++ b/pkg/relay/apply.go
@@ -46,6 +46,10 @@
 	case <-ctx.Done():
 		return false, fault.New(fault.MissingPart, "this instance is shutting down")
 	}
+	if r.isReverted(manifest) {
+		manifest = r.carry(manifest.Revision)
+		candidate = version{Revision: manifest.Revision, Digest: manifest.Digest()}
+	}
 	if !r.shouldApply(candidate) {
 		return false, nil
 	}
@@ -63,6 +67,21 @@
 	return candidate.newer(current) && !r.history.isRejected(candidate)
 }
 
+// isReverted reports whether the manifest has the content of one that was replaced before, and
+// that the service has again only because it returned from an older copy.
+func (r *Relay) isReverted(manifest configservice.Manifest) bool {
+	current, _ := r.inForce()
+	return (manifest.Revision.Era() > current.Revision.Era() || current.Revision.IsCarried()) && r.history.wasReplaced(manifest)
+}
+
+// carry returns a manifest that keeps the configuration in force in place of an older one at the
+// revision.
+func (r *Relay) carry(revision types.Revision) configservice.Manifest {
+	current, snapshot := r.inForce()
+	r.options.Logger.Warn().Stringer("revision", revision).Stringer("in_force", current.Revision).Msg("the service has an older configuration, keeping the one in force")
+	return configservice.Manifest{Revision: revision.Carried(), Parts: snapshot.Manifest().Parts}
+}
+
 // install fetches, compiles and activates one revision. It drives the state
 // machine of the revision.
 func (r *Relay) install(ctx context.Context, manifest configservice.Manifest, candidate version, from source) error {
@@ -150,6 +169,6 @@
 // conflictError returns the error for a manifest when another manifest of the
 // same revision takes precedence.
 func conflictError(rejected, current version) error {
-	message := fmt.Sprintf("revision %d has the digest %s and also %s, which takes precedence", rejected.Revision, rejected.Digest, current.Digest)
+	message := fmt.Sprintf("revision %v has the digest %s and also %s, which takes precedence", rejected.Revision, rejected.Digest, current.Digest)
 	return fault.New(fault.ConflictingRevision, message)
 }
--- a/pkg/relay/history.go
+++ b/pkg/relay/history.go
@@ -75,6 +75,26 @@
 	return configservice.Manifest{}, false
 }
 
+// wasReplaced reports whether the content of the manifest was in force and has been replaced by
+// another one.
+func (h *history) wasReplaced(manifest configservice.Manifest) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.applied) == 0 {
+		return false
+	}
+	content := contentDigest(manifest)
+	newest := len(h.applied) - 1
+	return contentDigest(h.applied[newest].manifest) != content &&
+		slices.ContainsFunc(h.applied[:newest], func(a appliedManifest) bool { return contentDigest(a.manifest) == content })
+}
+
+// contentDigest returns the digest of the manifest's parts without its revision.
+func contentDigest(manifest configservice.Manifest) configservice.Digest {
+	manifest.Revision = 0
+	return manifest.Digest()
+}
+
 // markProcessed records that a revision read from the configuration service has
 // been processed, so later reads wait for a higher one.
 func (h *history) markProcessed(revision types.Revision) {
--- a/pkg/standin/configuration/handler.go
+++ b/pkg/standin/configuration/handler.go
@@ -24,7 +24,7 @@
 
 // Handler returns the HTTP interface of the service:
 //
-//	GET /v1/manifest?after=N&wait_ms=N
+//	GET /v1/manifest?after=N&era=N&wait_ms=N
 //	GET /v1/parts/{digest}
 //	GET /v1/instances
 //	GET /v1/calls
@@ -32,6 +32,8 @@
 //	                         bytes as one part without parsing them
 //	PUT /v1/instances        a JSON list
 //	PUT /v1/faults           a JSON Faults
+//	PUT /v1/restore          {"revision": N}: return from a copy up to a revision of
+//	                         the present era, in a higher era
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/manifest", s.getManifest)
@@ -41,15 +43,18 @@
 	mux.HandleFunc("PUT /v1/document", s.putDocument)
 	mux.HandleFunc("PUT /v1/instances", s.putInstances)
 	mux.HandleFunc("PUT /v1/faults", s.putFaults)
+	mux.HandleFunc("PUT /v1/restore", s.putRestore)
 	return mux
 }
 
 func (s *Service) getManifest(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	number, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	era, _ := strconv.ParseUint(r.URL.Query().Get("era"), 10, 64)
+	after, _ := types.NewRevision(era, number)
 	milliseconds, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
 	wait := min(time.Duration(milliseconds)*time.Millisecond, maxWait)
-	manifest, err := s.WaitManifest(r.Context(), types.Revision(after), wait)
-	writeResult(w, manifest, err)
+	manifest, err := s.WaitManifest(r.Context(), after, wait)
+	writeResult(w, configservice.Published(manifest), err)
 }
 
 func (s *Service) getPart(w http.ResponseWriter, r *http.Request) {
@@ -81,7 +86,7 @@
 		return
 	}
 	if r.URL.Query().Get("raw") == "true" {
-		writeResult(w, s.PublishParts(map[string][]byte{rawPart: body}), nil)
+		writeResult(w, configservice.Published(s.PublishParts(map[string][]byte{rawPart: body})), nil)
 		return
 	}
 	document, err := config.Parse(body)
@@ -90,7 +95,7 @@
 		return
 	}
 	manifest, err := s.Publish(document)
-	writeResult(w, manifest, err)
+	writeResult(w, configservice.Published(manifest), err)
 }
 
 func (s *Service) putInstances(w http.ResponseWriter, r *http.Request) {
@@ -111,6 +116,21 @@
 	writeResult(w, faults, nil)
 }
 
+func (s *Service) putRestore(w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		Revision uint64 `json:"revision"`
+	}
+	if !decodeBody(w, r, &request) {
+		return
+	}
+	s.mu.Lock()
+	era := s.latest().Revision.Era()
+	s.mu.Unlock()
+	revision, _ := types.NewRevision(era, request.Revision)
+	s.Restore(revision)
+	writeResult(w, request, nil)
+}
+
 // decodeBody decodes a JSON body. If the body is invalid, it writes an error response
 // and returns false.
 func decodeBody(w http.ResponseWriter, r *http.Request, value any) bool {
--- a/pkg/standin/configuration/service.go
+++ b/pkg/standin/configuration/service.go
@@ -72,7 +72,7 @@
 func (s *Service) PublishParts(parts map[string][]byte) configservice.Manifest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, manifest := config.Encode(s.latest().Revision+1, parts)
+	_, manifest := config.Encode(s.latest().Revision.Next(), parts)
 	for _, ref := range manifest.Parts {
 		s.parts[ref.Digest] = slices.Clone(parts[ref.Name])
 	}
@@ -92,13 +92,26 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, manifest := config.Encode(s.latest().Revision+1, parts)
+	_, manifest := config.Encode(s.latest().Revision.Next(), parts)
 	for _, ref := range manifest.Parts {
 		s.parts[ref.Digest] = slices.Clone(parts[ref.Name])
 	}
 	return manifest, nil
 }
 
+// Restore makes the service return from a copy whose newest manifest has the revision. The
+// later ones are lost, and their revisions are given out again in a higher era.
+func (s *Service) Restore(revision types.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := s.latest().Revision.Era() + 1
+	s.history = slices.DeleteFunc(s.history, func(m configservice.Manifest) bool { return m.Revision > revision })
+	for i := range s.history {
+		s.history[i].Revision, _ = types.NewRevision(era, s.history[i].Revision.Number())
+	}
+	s.notifyWaiters()
+}
+
 // trimHistory removes old manifests and the parts that no remaining manifest
 // references. The caller holds mu.
 func (s *Service) trimHistory() {
--- a/pkg/types/revision.go
+++ b/pkg/types/revision.go
@@ -53,6 +53,14 @@
 // IsCarried reports whether the revision was returned by Carried.
 func (r Revision) IsCarried() bool { return r.Era() > 0 && r&carriedBit != 0 }
 
+// Next returns the revision that the store gives out after this one.
+func (r Revision) Next() Revision {
+	if r.Era() == 0 {
+		return r + 1
+	}
+	return r&^carriedBit + 1<<1
+}
+
 // String returns the number, preceded by the era if that is not zero.
 func (r Revision) String() string {
 	number := strconv.FormatUint(r.Number(), 10)
--- a/pkg/types/revision_test.go
+++ b/pkg/types/revision_test.go
@@ -18,6 +18,9 @@
 		last = revision
 		next, ok := NewRevision(c.era, c.number+1)
 		carried := revision.Carried()
+		if ok && (revision.Next() != next || carried.Next() != next) {
+			t.Errorf("after %v comes %v, after the carried one %v", revision, revision.Next(), carried.Next())
+		}
 		if c.era > 0 && (!carried.IsCarried() || carried <= revision || ok && carried >= next || carried.Number() != c.number) {
 			t.Errorf("the carried revision of %v is %v", revision, carried)
 		}
