relay: the test of a returned service loses more revisions than it publishes again

Change: it is published before the return, so that the next change has a revision below the one in force, and the check is the same.

--- a/pkg/relay/era_test.go
+++ b/pkg/relay/era_test.go
@@ -36,6 +36,7 @@
 		second := f.publish(t, 2000)
 		time.Sleep(bound)
 		f.publish(t, 3000)
+		time.Sleep(bound)
 		f.publish(t, 3500)
 		time.Sleep(bound)
 		newest := f.publish(t, 4000)
