retry, mesh: a share of the retry budget outlives restarts and partitions

Cause: the budget lives in the process, so a restarted one has its full share of the burst again within the same window; and a share followed the number of instances that are up, so that the shares of lost ones were given away. Change: retry.Fleet.Burst decides on the share. The log of an exhausted budget names the inputs. Ruled out: retries that are not counted; the processes' own count explains the excess.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -53,6 +53,9 @@
 	RetryRatio, RetryBurst float64
 	// RetryWindow is the time to which both apply.
 	RetryWindow time.Duration
+	// FirstStart reports whether the fleet starts for the first time, so that nothing of the
+	// retry budget has been used.
+	FirstStart bool
 	// FollowEvacuations makes the instance exchange the keys of evacuated data centres with
 	// its peers. The source of the configuration must have them.
 	FollowEvacuations bool
@@ -169,6 +172,7 @@
 		Clock:  clock.Boot,
 		Logger: logger,
 
+		FirstStart:        settings.FirstStart,
 		FollowEvacuations: settings.FollowEvacuations,
 		// Nil unless the capacity is learned.
 		Capacity: e.learnCapacity(),
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -132,9 +132,9 @@
 // logBudgetExhausted logs this instance's share of the retry budget and its use.
 func (q *request) logBudgetExhausted() {
 	g := q.gateway
-	usage := g.budget(q.target).Usage()
+	usage, fleet := g.budget(q.target).Usage(), g.options.Fleet.RetryFleet()
 	g.options.Logger.Info().Str("request", string(q.call.ID)).Str("service", string(q.target)).Int("retries", usage.Retries).
-		Float64("allowed", usage.Allowed).Int("instances", g.options.Fleet.Size()).Msg("retry budget exhausted")
+		Float64("allowed", usage.Allowed).Int("known_instances", fleet.Known).Bool("connected", fleet.Connected).Dur("age_ms", fleet.Age).Msg("retry budget exhausted")
 }
 
 // chooseUpstream places the request at an upstream, or returns an error if there is
--- a/pkg/gateway/explain_test.go
+++ b/pkg/gateway/explain_test.go
@@ -252,7 +252,10 @@
 // strictFleet is a Fleet that must only be asked for what it knows without messages.
 type strictFleet struct{ t *testing.T }
 
-func (f strictFleet) unexpected(what string)                           { f.t.Errorf("an explanation calls %s", what) }
+func (f strictFleet) unexpected(what string) { f.t.Errorf("an explanation calls %s", what) }
+func (strictFleet) RetryFleet() retry.Fleet {
+	return retry.Fleet{Known: 64, Connected: true, FirstStart: true}
+}
 func (strictFleet) Size() int                                          { return 64 }
 func (strictFleet) Peers() []reach.Peer                                { return nil }
 func (strictFleet) AmongFirst(string, int) bool                        { return true }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -45,9 +45,7 @@
 	// noUpstreamRetryAfter is the retry delay, before jitter, when no upstream is
 	// available.
 	noUpstreamRetryAfter = 400 * time.Millisecond
-	// minBudgetShares is the smallest number of shares that a retry budget is
-	// divided into. A network partition may hide instances, so the number of known
-	// ones may be too low.
+	// minBudgetShares is the smallest number of shares that a retry budget is divided into.
 	minBudgetShares = 8
 	// defaultTimeout applies to a request without a deadline on a route without a
 	// timeout.
@@ -58,6 +56,8 @@
 type Fleet interface {
 	// Size returns the number of instances that are up.
 	Size() int
+	// RetryFleet returns what this instance knows of the fleet that shares a retry budget.
+	RetryFleet() retry.Fleet
 	// ReportChange is called when the load that this instance puts on an upstream
 	// changes.
 	ReportChange()
@@ -190,7 +190,8 @@
 // budget returns this instance's share of the retry budget of a service.
 func (g *Gateway) budget(target types.TargetName) *retry.Budget {
 	settings := g.options.Retries
-	settings.Burst /= float64(max(g.options.Fleet.Size(), minBudgetShares))
+	settings.MinShares = minBudgetShares
+	settings.Burst = g.options.Fleet.RetryFleet().Burst(settings)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b, ok := g.budgets[target]
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -113,6 +113,9 @@
 	reported chan struct{}
 }
 
+func (f *recordingFleet) RetryFleet() retry.Fleet {
+	return retry.Fleet{Known: f.Size(), Connected: true, FirstStart: true}
+}
 func (f *recordingFleet) Size() int                              { return cmp.Or(f.size, minBudgetShares) }
 func (*recordingFleet) ReportChange()                            {}
 func (*recordingFleet) ReportCachedSegments(mesh.CachedSegments) {}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -24,6 +24,7 @@
 	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/reservation"
+	"github.com/umbercrank/umbercrank/pkg/retry"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -97,6 +98,8 @@
 	State  State
 	Clock  clock.Clock
 	Logger zerolog.Logger
+	// FirstStart reports whether the fleet starts for the first time.
+	FirstStart bool
 	// FollowEvacuations reports whether this instance follows the keys of evacuated data
 	// centres.
 	FollowEvacuations bool
@@ -147,6 +150,10 @@
 	// usualShares has the usual work of the client accounts.
 	usualShares *fairshare.Usual
 	fetching    map[string]bool
+	// instances are those heard of, also indirectly. wasConnected reports whether a majority of
+	// the seeds has been in contact.
+	instances    *retry.Instances
+	wasConnected bool
 	// queryingHistory reports whether a peer is being asked for its history of versions.
 	queryingHistory bool
 	ctx             context.Context
@@ -160,7 +167,8 @@
 
 // New returns a Mesh that sends nothing until Run is called.
 func New(options Options) *Mesh {
-	return &Mesh{options: options, members: make(map[string]*memberState), fetching: make(map[string]bool), loadsCache: make(map[relation]cachedLoads), usualShares: fairshare.NewUsual()}
+	return &Mesh{options: options, members: make(map[string]*memberState), fetching: make(map[string]bool), loadsCache: make(map[relation]cachedLoads), usualShares: fairshare.NewUsual(),
+		instances: retry.NewInstances()}
 }
 
 // Register registers the handlers for messages from peers.
@@ -195,6 +203,7 @@
 	for {
 		m.mu.Lock()
 		m.noteRunning()
+		m.connected()
 		m.mu.Unlock()
 		for _, seed := range m.options.Seeds() {
 			m.addMember(InstanceInfo{PeerAddress: seed})
@@ -408,3 +417,40 @@
 	}
 	return size
 }
+
+// RetryFleet returns what this instance knows of the fleet that shares a retry budget.
+func (m *Mesh) RetryFleet() retry.Fleet {
+	now := m.options.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	connected := m.connected()
+	known := 1
+	for id := range m.instances.Heard(now) {
+		if id != m.options.Self.ID {
+			known++
+		}
+	}
+	fleet := retry.Fleet{Known: known, Connected: connected, WasConnected: m.wasConnected, FirstStart: m.options.FirstStart}
+	if m.ctx != nil {
+		fleet.Age = now - m.startedAt
+	}
+	return fleet
+}
+
+// connected reports whether a majority of the seeds is up, of which this instance may be one.
+// m.mu must be held.
+func (m *Mesh) connected() bool {
+	seeds := m.options.Seeds()
+	now, up := m.options.Clock(), 0
+	for _, seed := range seeds {
+		member, ok := m.members[seed]
+		if seed == m.options.Self.PeerAddress || ok && !member.down && member.info.ID != "" && now-member.lastHeard <= m.downTimeout(seed) {
+			up++
+		}
+	}
+	if 2*up <= len(seeds) && len(seeds) > 0 {
+		return false
+	}
+	m.wasConnected = true
+	return true
+}
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -121,6 +121,7 @@
 		return nil
 	}
 	changed := member.down || member.info != heartbeat.InstanceInfo
+	m.instances.Record(heartbeat.ID, now)
 	if member.down {
 		m.logPeerRegained(heartbeat.InstanceInfo, "itself")
 	}
@@ -151,6 +152,7 @@
 		return false
 	}
 	age := time.Duration(entry.AgeMilliseconds) * time.Millisecond
+	m.recordInstance(entry.ID, age)
 	if entry.PeerAddress == m.options.Self.PeerAddress || entry.ID == "" || age >= distantDownAfter {
 		return false
 	}
@@ -175,6 +177,14 @@
 	return changed
 }
 
+// recordInstance records that an instance was heard from some time ago.
+func (m *Mesh) recordInstance(id types.InstanceID, age time.Duration) {
+	now := m.options.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances.Record(id, now-age)
+}
+
 // acceptsGossipAbout reports whether gossip about the instance at the address is
 // used: only in a large fleet, and only if this instance receives no heartbeats
 // from that one directly. m.mu must be held.
@@ -202,6 +212,9 @@
 			continue
 		}
 		lastHeard := now - time.Duration(milliseconds)*time.Millisecond
+		if ok {
+			m.instances.Record(member.info.ID, lastHeard)
+		}
 		if !ok || lastHeard <= member.lastHeard || !m.acceptsGossipAbout(address) {
 			continue
 		}
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -236,8 +236,9 @@
 	return ages
 }
 
-// gossipEntries returns the entries of all instances that are up. m.mu must be
-// held.
+// gossipEntries returns the entries of all instances that are up, and the IDs of those that
+// were heard from before. Receivers count the latter, but do not add them as members. m.mu must
+// be held.
 func (m *Mesh) gossipEntries() []GossipEntry {
 	now := m.options.Clock()
 	var entries []GossipEntry
@@ -246,5 +247,10 @@
 			entries = append(entries, GossipEntry{InstanceInfo: member.info, AgeMilliseconds: (now - member.lastHeard).Milliseconds()})
 		}
 	}
+	for id, at := range m.instances.Heard(now) {
+		if now-at >= distantDownAfter {
+			entries = append(entries, GossipEntry{InstanceInfo: InstanceInfo{ID: id}, AgeMilliseconds: (now - at).Milliseconds()})
+		}
+	}
 	return entries
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -17,6 +17,9 @@
 	Burst float64
 	// Window is the length of the sliding window.
 	Window time.Duration
+	// MinShares is the smallest number of shares into which the burst is divided, so that a
+	// fleet of up to that size keeps its budget in any partition.
+	MinShares int
 }
 
 // DefaultSettings allows one retry for five first attempts.
