entry, node: the share of the retry budget outlives restarts in serve too

Cause: as in join, the budget lived in the process and a share followed the number of live instances; and its clock stopped while the process was suspended, so that requests from before allowed retries afterwards.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -204,17 +204,6 @@
 	}
 }
 
-// spendRetry counts a retry, or returns false if the budget allows no more. The burst is
-// meant for the whole fleet and divided among the instances that are up.
-func (e *Entry) spendRetry() bool {
-	instances := 1
-	if e.options.View != nil {
-		instances = max(len(e.options.View.Live()), 1)
-	}
-	e.budget.SetBurst(e.settings.Retry.Burst / float64(instances))
-	return e.budget.Spend()
-}
-
 // send sends the call of the attempt. It returns an error if the upstream does not answer
 // or its response is a refusal.
 func (e *Entry) send(req *request, a *attempt, call upstream.Call) error {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -48,8 +48,13 @@
 	Addresses func() any
 	// Caller sends messages to other instances. If nil, the quarantine is not
 	// shared.
-	Caller   peer.Caller
-	Settings Settings
+	Caller peer.Caller
+	// Clock is the clock of the retry budget. If it is nil, it is clock.Process.
+	Clock clock.Clock
+	// FirstStart reports whether the fleet starts for the first time, so that nothing of the
+	// retry budget has been used.
+	FirstStart bool
+	Settings   Settings
 }
 
 // Entry serves requests of callers. It is safe for concurrent use.
@@ -59,6 +64,7 @@
 	handler  http.Handler
 	limiter  *limits.Limiter
 	budget   *retry.Budget
+	share    *retryShare
 	registry *registry
 	inFlight *inFlightCounter
 	// waiters counts the duplicates that wait for the outcome of an execution. It
@@ -79,12 +85,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.Clock == nil {
+		options.Clock = clock.Process()
+	}
 	e := &Entry{
 		charts:   loaded,
 		options:  options,
 		settings: options.Settings,
 		limiter:  limits.New(),
-		budget:   retry.NewBudget(options.Settings.Retry, clock.Process()),
+		budget:   retry.NewBudget(options.Settings.Retry, options.Clock),
+		share:    newRetryShare(options),
 		registry: newRegistry(options.Settings.FinishedRequests),
 		inFlight: newInFlightCounter(),
 		waiters:  newInFlightCounter(),
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -91,6 +91,7 @@
 		OnceTransport: network.Transport("e1", "e1", true),
 		Probe:         network.Probe("e1", "e1"),
 		Addresses:     func() any { return map[string]int{"lifetime_seconds": 5} },
+		FirstStart:    true,
 		Settings:      DefaultSettings(),
 	}
 	adjust(&options)
--- a/pkg/entry/upstream_response_test.go
+++ b/pkg/entry/upstream_response_test.go
@@ -88,6 +88,7 @@
 		Logger:        zerolog.Nop(),
 		Transport:     transport,
 		OnceTransport: transport,
+		FirstStart:    true,
 		Settings:      DefaultSettings(),
 	})
 	if err != nil {
--- a/pkg/node/paths.go
+++ b/pkg/node/paths.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
@@ -43,10 +42,6 @@
 	if p.dial == nil {
 		p.dial = netconn.Dialer(upstream.DefaultTransportSettings().DialTimeout).DialContext
 	}
-	now := dependencies.Clock
-	if now == nil {
-		now = clock.Boot
-	}
 	p.transit = transit.New(transit.Options{
 		Instance:    self.ID,
 		DataCentre:  self.DataCentre,
@@ -54,7 +49,7 @@
 		Transport:   dependencies.Streams,
 		Dial:        dependencies.Dial,
 		DialTimeout: upstream.DefaultTransportSettings().DialTimeout,
-		Clock:       now,
+		Clock:       dependencies.clock(),
 		Logger:      logger,
 		Peers: func() []reach.Peer {
 			var peers []reach.Peer
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -46,10 +46,19 @@
 	Loads dispatch.LoadReader
 	// Dial connects to upstreams. If it is nil, they are dialed over TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Clock is the clock of the paths to upstreams. If it is nil, it is clock.Boot.
+	// Clock is the clock of the paths to upstreams and of the retry budget. If it is nil, it is
+	// clock.Boot.
 	Clock clock.Clock
 }
 
+// clock returns the clock, or the default.
+func (d Dependencies) clock() clock.Clock {
+	if d.Clock == nil {
+		return clock.Boot
+	}
+	return d.Clock
+}
+
 // Roles holds the roles of one instance, without its listeners. Call Leave before
 // the context of Run is cancelled to shut down gracefully.
 type Roles struct {
@@ -173,6 +182,8 @@
 		Transport:     dependencies.Transport,
 		OnceTransport: dependencies.OnceTransport,
 		Probe:         r.paths.probe,
+		Clock:         dependencies.clock(),
+		FirstStart:    r.settings.FirstStart,
 		Addresses:     func() any { return r.directory.Answer() },
 		Settings:      settings,
 	})
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -88,6 +88,9 @@
 	// DirectoryOverlap is how long, after AddressLifetime, a leaving instance still
 	// accepts requests from callers that cached its address.
 	DirectoryOverlap time.Duration
+	// FirstStart reports whether the fleet starts for the first time, so that no earlier
+	// process has used the retry budget.
+	FirstStart bool
 }
 
 // AddFlags defines a flag with a default for each setting.
@@ -110,6 +113,7 @@
 	flags.DurationVar(&s.StopTimeout, "stop-timeout", defaultStopTimeout, "timeout for a graceful shutdown")
 	flags.DurationVar(&s.AddressLifetime, "address-lifetime", defaultAddressLifetime, "how long callers may cache an address")
 	flags.DurationVar(&s.DirectoryOverlap, "directory-overlap", defaultDirectoryOverlap, "how long a leaving instance still accepts requests after address-lifetime")
+	flags.BoolVar(&s.FirstStart, "first-start", false, "the fleet starts for the first time; its instances may use the retry burst at once")
 }
 
 // EnvironmentName returns the name of the environment variable for a flag.
--- a/pkg/retry/share_test.go
+++ b/pkg/retry/share_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // The budget of the whole fleet, and the part of it that instances use.
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -275,6 +275,7 @@
 	settings.AddressLifetime = time.Second
 	settings.DirectoryOverlap = 0
 	settings.StopTimeout = 30 * time.Second
+	settings.FirstStart = true
 	return settings
 }
 
--- a/test/prove/entryharness_test.go
+++ b/test/prove/entryharness_test.go
@@ -31,12 +31,14 @@
 
 // entryHarness runs entries in front of fake upstreams on one in-memory network.
 type entryHarness struct {
-	t       *testing.T
-	random  *rand.Rand
-	network *httpfakes.Network
-	fleet   *httpfakes.Fleet
-	peers   *fakes.Network
-	plan    *httpfakes.Plan
+	t *testing.T
+	// restarting is set once an entry is replaced.
+	restarting bool
+	random     *rand.Rand
+	network    *httpfakes.Network
+	fleet      *httpfakes.Fleet
+	peers      *fakes.Network
+	plan       *httpfakes.Plan
 	// configureGranter, if set, is called with the granter of each incarnation
 	// before the entry serves.
 	configureGranter func(host string, granter *httpfakes.Granter)
@@ -131,6 +133,7 @@
 		Probe:         h.network.Probe(host, string(incarnation)),
 		Addresses:     func() any { return nil },
 		Caller:        caller,
+		FirstStart:    !h.restarting,
 		Settings:      entrySettings(),
 	})
 	if err != nil {
@@ -162,6 +165,7 @@
 	h.network.Kill(host, string(old.incarnation))
 	h.fleet.Remove(old.incarnation)
 	old.stop()
+	h.restarting = true
 	h.start(host)
 }
 
--- a/test/prove/instanceharness_test.go
+++ b/test/prove/instanceharness_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -220,6 +221,7 @@
 		h.t.Fatal(err)
 	}
 	settings := togetherSettings(host, dataCentre(number))
+	settings.FirstStart = h.incarnations <= togetherInstances
 	row := settings.Self()
 	incarnation := types.Incarnation(fmt.Sprintf("%026d", h.incarnations))
 	caller, registrar := h.peers.AddNode(row.PeerAddress, peer.Identity{
@@ -232,6 +234,7 @@
 		Transport:     h.network.Transport(host, string(incarnation), false),
 		OnceTransport: h.network.Transport(host, string(incarnation), true),
 		Loads:         h,
+		Clock:         clock.Process(),
 	}, h.recorder, zerolog.New(io.Discard))
 	if err != nil {
 		h.t.Fatal(err)
