mesh: a search for the origin of a stream is inconclusive while an instance is lost

What callers would see: a stream that began at an upstream of a version that has just joined, and broke, goes on at another version (ORDER). Cause: peers that are down were not asked, and those that were silent for a minute were forgotten, so 'all peers have responded' held for any part of the fleet. A part that was cut off, and from the store for less than the 3 s for which a listing counts, knew one version only and continued there. Change: every instance heard of in the last hour must be up, or have said that it stops serving. While one is lost, streams without a record are refused with a time to return; those with a record go on as before. Measured: TestSearchIsInconclusiveWhilePeersAreLost failed before in all its partitions; tests of mesh, gateway and edge pass.

--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -154,6 +154,8 @@
 	// the seeds has been in contact.
 	instances    *retry.Instances
 	wasConnected bool
+	// stopped has the instances that have served callers and said that they no longer do.
+	stopped map[types.InstanceID]bool
 	// queryingHistory reports whether a peer is being asked for its history of versions.
 	queryingHistory bool
 	ctx             context.Context
@@ -168,7 +170,7 @@
 // New returns a Mesh that sends nothing until Run is called.
 func New(options Options) *Mesh {
 	return &Mesh{options: options, members: make(map[string]*memberState), fetching: make(map[string]bool), loadsCache: make(map[relation]cachedLoads), usualShares: fairshare.NewUsual(),
-		instances: retry.NewInstances()}
+		instances: retry.NewInstances(), stopped: make(map[types.InstanceID]bool)}
 }
 
 // Register registers the handlers for messages from peers.
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -122,6 +122,7 @@
 	}
 	changed := member.down || member.info != heartbeat.InstanceInfo
 	m.instances.Record(heartbeat.ID, now)
+	m.noteServing(member.info, heartbeat.InstanceInfo)
 	if member.down {
 		m.logPeerRegained(heartbeat.InstanceInfo, "itself")
 	}
@@ -169,6 +170,7 @@
 	if !isNew && lastHeard <= member.lastHeard || !m.acceptsGossipAbout(entry.PeerAddress) {
 		return false
 	}
+	m.noteServing(member.info, entry.InstanceInfo)
 	changed := member.down || member.info != entry.InstanceInfo
 	if member.down {
 		m.logPeerRegained(entry.InstanceInfo, "a peer")
@@ -177,6 +179,16 @@
 	return changed
 }
 
+// noteServing records whether an instance has stopped serving callers. m.mu must be held.
+func (m *Mesh) noteServing(before, now InstanceInfo) {
+	switch {
+	case now.Serving:
+		delete(m.stopped, now.ID)
+	case before.Serving && before.Incarnation == now.Incarnation:
+		m.stopped[now.ID] = true
+	}
+}
+
 // recordInstance records that an instance was heard from some time ago.
 func (m *Mesh) recordInstance(id types.InstanceID, age time.Duration) {
 	now := m.options.Clock()
--- a/pkg/mesh/streams.go
+++ b/pkg/mesh/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -181,16 +182,17 @@
 
 // FindStream asks the peers that may hold the origin of a stream. Conclusive reports
 // whether a stream that is not found is unknown to the fleet: all of these peers have
-// responded. In a fleet with hubs it asks again until findTimeout.
+// responded, and no other instance is lost. In a fleet with hubs it asks again until findTimeout.
 func (m *Mesh) FindStream(ctx context.Context, key origin.Key) (found origin.Origin, ok, conclusive bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	for {
-		addresses, alone := m.streamPeers(key)
+		addresses, all := m.streamPeers(key)
 		if len(addresses) == 0 {
-			return origin.Origin{}, false, alone
+			return origin.Origin{}, false, all
 		}
 		found, ok, conclusive = m.askForStream(ctx, addresses, key)
+		conclusive = conclusive && (ok || all)
 		if ok || !m.hasHubs() || !wait.For(ctx, findInterval) {
 			return found, ok, conclusive
 		}
@@ -199,15 +201,16 @@
 
 // QueryVersions asks the peers what they know of the upstreams' versions: all of a full mesh,
 // or the hub and the instances that read the store for the others, because hubs that do not
-// read may know the list only as of 10 s ago. It reports whether all of them have responded.
+// read may know the list only as of 10 s ago. It reports whether all of them have responded, and no
+// other instance is lost.
 func (m *Mesh) QueryVersions(ctx context.Context) (conclusive bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	addresses, alone := m.versionPeers()
+	addresses, all := m.versionPeers()
 	if len(addresses) == 0 {
-		return alone
+		return all
 	}
-	return m.queryVersionsOf(ctx, addresses)
+	return m.queryVersionsOf(ctx, addresses) && all
 }
 
 // queryVersionsOf asks the peers at the addresses what they know of the upstreams' versions.
@@ -217,9 +220,9 @@
 	return conclusive
 }
 
-// versionPeers returns the addresses of the live peers to ask for the versions. Alone
-// reports whether no other instance has ever been heard from.
-func (m *Mesh) versionPeers() (addresses []string, alone bool) {
+// versionPeers returns the addresses of the live peers to ask for the versions, and whether no
+// other instance may know further ones.
+func (m *Mesh) versionPeers() (addresses []string, all bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	readers := m.readers()
@@ -269,8 +272,8 @@
 }
 
 // streamPeers returns the addresses of the live peers to ask for the origin of a
-// stream. Alone reports whether no other instance has ever been heard from.
-func (m *Mesh) streamPeers(key origin.Key) (addresses []string, alone bool) {
+// stream, and whether no other instance may know it.
+func (m *Mesh) streamPeers(key origin.Key) (addresses []string, all bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	holders := m.holders(key)
@@ -278,11 +281,9 @@
 }
 
 // peersWith returns the addresses of the live peers of a full mesh, or of the hub and those
-// that are included. m.mu must be held.
-func (m *Mesh) peersWith(included func(address string) bool) (addresses []string, alone bool) {
-	alone = true
+// that are included, and whether no other instance may know of a stream. m.mu must be held.
+func (m *Mesh) peersWith(included func(address string) bool) (addresses []string, all bool) {
 	for address, member := range m.members {
-		alone = alone && member.info.ID == ""
 		if member.down {
 			continue
 		}
@@ -290,7 +291,26 @@
 			addresses = append(addresses, address)
 		}
 	}
-	return addresses, alone
+	return addresses, m.everyOtherIsUp()
+}
+
+// everyOtherIsUp reports whether all other instances that may have begun streams lately are up:
+// all that were heard from in the last hour, except those that have stopped serving. Instances
+// on the other side of a partition may use upstreams of which this side does not know. m.mu must
+// be held.
+func (m *Mesh) everyOtherIsUp() bool {
+	up := make(map[types.InstanceID]bool)
+	for _, member := range m.members {
+		up[member.info.ID] = up[member.info.ID] || !member.down
+	}
+	heard := m.instances.Heard(m.options.Clock())
+	maps.DeleteFunc(m.stopped, func(id types.InstanceID, _ bool) bool { _, ok := heard[id]; return !ok })
+	for id := range heard {
+		if id != m.options.Self.ID && !up[id] && !m.stopped[id] {
+			return false
+		}
+	}
+	return true
 }
 
 // handleFindStream answers a peer that looks for the origin of a stream.
--- a/pkg/mesh/streams_test.go
+++ b/pkg/mesh/streams_test.go
@@ -317,3 +317,44 @@
 		}
 	})
 }
+
+// TestSearchIsInconclusiveWhilePeersAreLost guards against a stream that continues at the only
+// version that one side of a partition knows, because the other side was not asked.
+func TestSearchIsInconclusiveWhilePeersAreLost(t *testing.T) {
+	runFleet(t, 5, func(t *testing.T, f *fleet) {
+		want := func(when string, i int, conclusive bool) {
+			t.Helper()
+			if _, ok, got := f.meshes[i].FindStream(f.ctx, 7); ok || got != conclusive {
+				t.Errorf("%s: a search for an unknown stream by instance %d is conclusive: %t", when, i, got)
+			}
+			if got := f.meshes[i].QueryVersions(f.ctx); got != conclusive {
+				t.Errorf("%s: a query for the versions by instance %d is conclusive: %t", when, i, got)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		want("in contact", 0, true)
+		f.network.Partition([]string{address(0), address(1)}, []string{address(2), address(3), address(4)})
+		time.Sleep(2 * time.Second)
+		want("partitioned", 0, false)
+		want("partitioned", 3, false)
+		f.stops[1]()
+		f.start(1)
+		time.Sleep(distantDownAfter + gossipInterval)
+		want("a restarted instance hears of the others from its peer", 1, false)
+		time.Sleep(2 * removeAfter)
+		want("the others are forgotten as members", 1, false)
+		f.network.Heal()
+		time.Sleep(5 * time.Second)
+		want("healed", 0, true)
+		f.states[4].withLock(func(s *fakeState) { s.serving = false })
+		time.Sleep(time.Second)
+		f.stops[4]()
+		f.network.RemoveNode(address(4))
+		time.Sleep(3 * time.Second)
+		want("one has stopped as planned", 0, true)
+		f.stops[3]()
+		f.network.RemoveNode(address(3))
+		time.Sleep(3 * time.Second)
+		want("one was killed", 0, false)
+	})
+}
