gateway: a refusal that names another request does not prove that this one has not run

What callers would see: 'not run, try again' for a request that has run or runs (REFUSED), or a second run of it (TWICE). Cause: the ID of a response was checked only if it was not a refusal. Each request has its own connection to its upstream, also through a peer, so an upstream that writes an earlier refusal once more on a kept connection does not reach it; one that answers with the wrong refusal does. Change: a response that names another request is checked first; it counts as one that may have run, and nothing in it is believed: no limit, pause or leaving. Ruled out: serve opens a connection for each call that must not be repeated. Measured: TestRefusalOfAnotherRequestDoesNotCountAsNotRun failed before (a second upstream got the request, its pause was kept); tests of gateway pass.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -431,10 +431,17 @@
 func (a *attempt) checkResponse(response *exchange.Response, hasAlternative func() bool) *result {
 	q := a.request
 	info := q.gateway.options.Protocol.ParseResponse(response.Status, response.Header)
+	failed := func(message string) *result {
+		return &result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, message)}
+	}
+	if info.ID != "" && info.ID != q.call.ID {
+		a.countRun()
+		return failed("the response is to another request")
+	}
 	if info.ID == q.call.ID && response.Status != http.StatusMisdirectedRequest {
 		a.observeLimit(info)
 	}
-	if (info.ID == q.call.ID || info.ID == "") && response.Status != http.StatusMisdirectedRequest {
+	if response.Status != http.StatusMisdirectedRequest {
 		a.observeLeaving(info)
 	}
 	a.pause = info.Pause
@@ -450,9 +457,6 @@
 		return &result{outcome: roster.Rejected, err: fault.New(fault.NoUpstream, "the upstream rejected the request: status "+strconv.Itoa(response.Status))}
 	}
 	a.countRun()
-	failed := func(message string) *result {
-		return &result{ran: true, outcome: roster.Failed, err: fault.New(fault.UpstreamFailed, message)}
-	}
 	if info.ID != q.call.ID || info.Encoded || !info.Sealed && response.Status < http.StatusMultipleChoices {
 		return failed("the response does not belong to the request")
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -469,6 +469,25 @@
 	}
 }
 
+// TestRefusalOfAnotherRequestDoesNotCountAsNotRun guards against an earlier refusal that an upstream
+// writes once more: the caller would be told that the request has not run, or it would run twice.
+func TestRefusalOfAnotherRequestDoesNotCountAsNotRun(t *testing.T) {
+	for _, refusal := range []string{
+		"HTTP/1.1 503 X\r\nId: other\r\nNot-Run: 1\r\nPause: 30\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 X\r\nId: other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		env := newTestEnv(t, testRoutes, respondInOrder(refusal, rawResponse(200, "done")), 3)
+		got := env.call("POST", "/once/", "")
+		if got.status == 503 || got.status == 200 || got.header.Get("Run-State") != string(types.MayHaveRun) {
+			t.Errorf("%.12s: got %+v", refusal, got)
+		}
+		env.checkRequestCount(1)
+		if paused := env.roster.Paused(env.gateway.options.Clock(), roster.Selection{Target: "s"}); len(paused) > 0 {
+			t.Errorf("%.12s: the pause for another request is kept", refusal)
+		}
+	}
+}
+
 func TestNoUpstreamAvailable(t *testing.T) {
 	env := newTestEnv(t, testRoutes, respondWith("HTTP/1.1 503 X\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), 2)
 	got := env.call("POST", "/once/", "")
