--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -45,9 +45,12 @@
 			continue
 		}
 		held, ok := s.items[item.Key]
-		if ok && held.Revision >= item.Revision || !ok && item.Revision <= s.listedAt {
+		if ok && held.Revision >= item.Revision {
 			continue
 		}
+		if !ok && item.Revision <= s.listedAt {
+			item = Item{Key: item.Key, Revision: item.Revision, Removed: true}
+		}
 		s.items[item.Key] = item
 		s.latest = max(s.latest, item.Revision)
 		if !ok && item.Removed || ok && held.Removed == item.Removed && bytes.Equal(held.Value, item.Value) {
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -85,6 +85,9 @@
 	if changes := started.Merge([]Item{{Key: "b", Revision: 8}, {Key: "c", Revision: 9}}); len(changes) > 0 {
 		t.Errorf("items that the listing as of revision 9 does not have came back: %v", changes)
 	}
+	if latest := started.LatestRevision(); latest != 9 {
+		t.Errorf("the latest revision is %v, so the items are fetched again and again", latest)
+	}
 	if changes := started.Merge([]Item{{Key: "b", Revision: 10}}); len(changes) != 1 {
 		t.Errorf("an item that was written after the listing is missing: %v", changes)
 	}
