edge: a carried configuration is above all other keys of its collection

Cause: the carried configuration kept the revision of the older one in the store. Peers fetch what is above the newest revision that they hold, so one that had listed a later key of the collection, such as an evacuation, never fetched it. Change: it is carried at the newest revision of the collection, and again when that rises.

--- a/pkg/edge/era.go
+++ b/pkg/edge/era.go
@@ -193,13 +193,12 @@
 }
 
 // carryConfiguration keeps the configuration in force in place of an older one in the store's
-// new era, and offers it to peers that have the older one. e.mu must be held.
-func (e *Edge) carryConfiguration(next *catalog.Catalog, source string) {
+// new era. Peers that have the older one fetch it, since its revision is above all others of the
+// collection; the set has every change up to them. e.mu must be held.
+func (e *Edge) carryConfiguration() {
 	carried := e.inForce
-	carried.Revision = next.Revision.Carried()
+	carried.Revision = e.configuration.LatestRevision().Carried()
 	e.configuration.Merge([]replica.Item{carried})
-	e.logger.Warn().Str("version", next.Version).Str("in_force", e.gateway.Catalog().Version).Uint64("era", next.Revision.Era()).
-		Uint64("revision", next.Revision.Number()).Str("source", source).Msg("the store has an older configuration, keeping the one in force")
 	current, err := e.deps.Decoder.Catalog([]replica.Item{carried})
 	if err != nil || current == nil {
 		return
--- a/pkg/edge/era_test.go
+++ b/pkg/edge/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -81,6 +82,27 @@
 	wantVersion(t, old, "the next change", "8")
 }
 
+// TestCarriedConfigurationIsOfferedWhateverElseChanges guards against a configuration that is
+// carried at a revision below those of other keys of the collection, so that no peer fetches it.
+func TestCarriedConfigurationIsOfferedWhateverElseChanges(t *testing.T) {
+	old, _ := newTestEdge()
+	copied := []replica.Item{entry("c", "4", at(1, 50)), entry(evacuation+"a", "{}", at(1, 55))}
+	sink{old, configuration}.Replace([]replica.Item{entry("c", "7", at(0, 70))}, at(0, 70), follow.Outage{})
+	sink{old, configuration}.Replace(copied, at(1, 56), follow.Outage{})
+	for number := range uint64(3) {
+		started, _ := newTestEdge()
+		sink{started, configuration}.Replace(copied, at(1, 56+number), follow.Outage{})
+		exchange(old, started)
+		wantVersion(t, started, "after an exchange with a peer", "7")
+		change := entry(evacuation+"a", fmt.Sprint(number), at(1, 57+number))
+		copied[1] = change
+		sink{old, configuration}.Merge([]replica.Item{change})
+		wantVersion(t, old, "another key changes", "7")
+	}
+	sink{old, configuration}.Merge([]replica.Item{entry("c", "8", at(1, 60))})
+	wantVersion(t, old, "the next change", "8")
+}
+
 // exchange makes an instance fetch what its peer has and it lacks.
 func exchange(from, to *Edge) {
 	own := state{to}.Revisions()
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -131,11 +131,16 @@
 		return
 	}
 	if current := e.gateway.Catalog(); current != nil {
-		if current.Revision >= next.Revision {
+		switch {
+		case current.Revision == next.Revision && current.Revision.IsCarried() && e.configuration.LatestRevision() > current.Revision:
+			e.carryConfiguration()
 			return
-		}
-		if isReverted(current, next) {
-			e.carryConfiguration(next, source)
+		case current.Revision >= next.Revision:
+			return
+		case isReverted(current, next):
+			e.logger.Warn().Str("version", next.Version).Str("in_force", current.Version).Uint64("era", next.Revision.Era()).
+				Uint64("revision", next.Revision.Number()).Str("source", source).Msg("the store has an older configuration, keeping the one in force")
+			e.carryConfiguration()
 			return
 		}
 	}
