--- a/pkg/config/validate_items.go
+++ b/pkg/config/validate_items.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/url"
+	"strconv"
 
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -55,6 +56,10 @@
 		at.addProblem("url", "is %q, want a form such as http://127.0.0.1:9001", text)
 		return
 	}
+	if port, err := strconv.ParseUint(parsed.Port(), 10, 16); parsed.Hostname() == "" || parsed.Port() != "" && (err != nil || port == 0) {
+		at.addProblem("url", "is %q, want a host and a port between 1 and 65535", text)
+		return
+	}
 	if parsed.RawQuery != "" || parsed.Fragment != "" || parsed.User != nil {
 		at.addProblem("url", "is %q, only scheme, host, port and path are allowed", text)
 	}
