peer, mesh: connections are dropped after a suspension

Cause: for 500 ms after a suspension messages do not show that a peer is up. On a busy processor what arrived during the suspension is read later than that: a connection holds as much as its buffers. Change: the server drops its connections and handles nothing more of them. A dead process has no part in a handshake, so later connections hold nothing old. Measured: TestDroppedConnectionsHandleNoFurtherMessages failed before (20 of 20 messages handled); 20 runs with the race detector pass.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -172,6 +172,7 @@
 		Clock:  clock.Boot,
 		Logger: logger,
 
+		HandleSuspension:  e.peers.DropConnections,
 		FirstStart:        settings.FirstStart,
 		FollowEvacuations: settings.FollowEvacuations,
 		// Nil unless the capacity is learned.
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -98,6 +98,9 @@
 	State  State
 	Clock  clock.Clock
 	Logger zerolog.Logger
+	// HandleSuspension is called when this instance has been suspended, unless it is nil. It must
+	// not call the mesh.
+	HandleSuspension func()
 	// FirstStart reports whether the fleet starts for the first time.
 	FirstStart bool
 	// FollowEvacuations reports whether this instance follows the keys of evacuated data
--- a/pkg/mesh/suspension.go
+++ b/pkg/mesh/suspension.go
@@ -7,8 +7,8 @@
 	// suspended. All other instances count as down by then.
 	suspendedAfter = distantDownAfter
 	// staleMessageTime is how long after a suspension messages are no evidence that an
-	// instance is up: what arrived during the suspension is read then, also what instances
-	// sent that have died since.
+	// instance is up: those that are being handled then may be from instances that have died
+	// since. Connections with older ones are dropped.
 	staleMessageTime = 500 * time.Millisecond
 )
 
@@ -23,6 +23,9 @@
 			member.pending.entries = nil
 		}
 		m.options.Logger.Warn().Dur("suspended_ms", silent).Msg("this instance was suspended")
+		if m.options.HandleSuspension != nil {
+			m.options.HandleSuspension()
+		}
 	}
 	m.ranAt = now
 }
--- a/pkg/peer/failure_test.go
+++ b/pkg/peer/failure_test.go
@@ -50,6 +50,51 @@
 
 // TestLackOfDescriptorsDoesNotEndServer checks that the server outlives errors of its
 // listener.
+// TestDroppedConnectionsHandleNoFurtherMessages guards against messages that arrived during a
+// suspension and are handled long after it.
+func TestDroppedConnectionsHandleNoFurtherMessages(t *testing.T) {
+	const waiting = 20
+	server := NewServer(Options{Identity: identity("server"), Secret: testSecret, Address: "127.0.0.1:0"})
+	first, release := make(chan struct{}), make(chan struct{})
+	var handled atomic.Int64
+	server.Handle("notice", func(context.Context, Identity, json.RawMessage) (any, error) {
+		if handled.Add(1) == 1 {
+			close(first)
+			<-release
+		}
+		return nil, nil
+	})
+	server.Handle("echo", func(context.Context, Identity, json.RawMessage) (any, error) { return "echo", nil })
+	if err := server.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx) }()
+	d := dialer(t, Options{Secret: testSecret})
+	for range waiting {
+		if err := d.Notify(t.Context(), server.Address(), "notice", nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-first
+	server.DropConnections()
+	close(release)
+	var answer string
+	for answer == "" {
+		if err := d.Call(t.Context(), server.Address(), "echo", nil, &answer); err != nil && t.Context().Err() != nil {
+			t.Fatal(err)
+		}
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if got := handled.Load(); got != 1 {
+		t.Errorf("%d of %d messages were handled, want 1", got, waiting)
+	}
+}
+
 func TestLackOfDescriptorsDoesNotEndServer(t *testing.T) {
 	server := NewServer(Options{Identity: identity("server"), Secret: testSecret, Address: "127.0.0.1:0"})
 	server.Handle("echo", func(_ context.Context, _ Identity, params json.RawMessage) (any, error) { return params, nil })
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
@@ -36,7 +37,7 @@
 	mu        sync.Mutex
 	listener  net.Listener
 	tls       *tls.Config
-	conns     map[*jsonrpc2.Conn]struct{}
+	conns     map[*jsonrpc2.Conn]*serverConn
 	connSlots chan struct{}
 	active    sync.WaitGroup
 }
@@ -49,7 +50,7 @@
 	return &Server{
 		options:   o,
 		handlers:  map[string]Handler{},
-		conns:     map[*jsonrpc2.Conn]struct{}{},
+		conns:     map[*jsonrpc2.Conn]*serverConn{},
 		connSlots: make(chan struct{}, o.MaxConnections),
 	}
 }
@@ -152,23 +153,35 @@
 	}
 	serving := &serverConn{server: s, callSlots: make(chan struct{}, maxConcurrentCalls)}
 	rpc := jsonrpc2.NewConn(ctx, newStream(conn, s.options), serving, withDebugLogger(s.options.Logger))
-	s.track(rpc, true)
+	s.track(rpc, serving)
 	<-rpc.DisconnectNotify()
-	s.track(rpc, false)
+	s.track(rpc, nil)
 	serving.closeCalls()
 }
 
-// track adds the connection to the open connections or removes it.
-func (s *Server) track(rpc *jsonrpc2.Conn, open bool) {
+// track adds the connection to the open connections, or removes it if serving is nil.
+func (s *Server) track(rpc *jsonrpc2.Conn, serving *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if open {
-		s.conns[rpc] = struct{}{}
+	if serving != nil {
+		s.conns[rpc] = serving
 	} else {
 		delete(s.conns, rpc)
 	}
 }
 
+// DropConnections closes the open connections without handling further messages of them, so
+// that none is read that was sent before. It is for an instance that was suspended. A connection
+// that is accepted later carries no older messages, since its handshake needs this side.
+func (s *Server) DropConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for rpc, serving := range s.conns {
+		serving.dropped.Store(true)
+		go rpc.Close()
+	}
+}
+
 // closeConnections closes all open connections in the background.
 func (s *Server) closeConnections() {
 	s.mu.Lock()
@@ -185,6 +198,8 @@
 	identified bool
 	callSlots  chan struct{}
 	active     sync.WaitGroup
+	// dropped is set if further messages are not handled.
+	dropped atomic.Bool
 	// mu guards closed. After this side closes the connection, it may still read a
 	// call, which must not start while the server waits for the running calls.
 	mu     sync.Mutex
@@ -212,6 +227,9 @@
 // Handle implements jsonrpc2.Handler. It runs notifications synchronously to keep
 // their order, and calls concurrently.
 func (c *serverConn) Handle(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	if c.dropped.Load() {
+		return
+	}
 	params := json.RawMessage("null")
 	if request.Params != nil {
 		params = *request.Params
