fairshare: the growth in a condensed report is rounded down

What callers would see: requests of an account that floods are judged within its share by a spoke, and over it by its hub. Change: it is rounded down. Accounts that are not in the report count in full whatever it is.

--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -420,7 +420,7 @@
 
 // Condensed returns what an instance needs to decide by the report: only groups whose capacity
 // is short, and only the accounts that are over the level. The others count in full, whatever the
-// level is, so their sum is enough.
+// level is, so their sum is enough. The growth is rounded down, so that these accounts still flood.
 func (r *Report) Condensed() Report {
 	var condensed Report
 	for i := range r.Sums {
@@ -430,7 +430,7 @@
 		if !isShort {
 			continue
 		}
-		short := Sum{Group: sum.Group, Accounts: make(map[types.AccountID]Work), Rest: sum.Rest, RestAccounts: sum.RestAccounts, Refused: math.Round(sum.Refused), Growth: math.Round(100*sum.Growth) / 100, Extra: math.Round(sum.Extra)}
+		short := Sum{Group: sum.Group, Accounts: make(map[types.AccountID]Work), Rest: sum.Rest, RestAccounts: sum.RestAccounts, Refused: math.Round(sum.Refused), Growth: math.Floor(100*sum.Growth) / 100, Extra: math.Round(sum.Extra)}
 		over := sum.over(level, b)
 		for account, work := range sum.Accounts {
 			if _, isOver := over[account]; isOver {
--- a/pkg/fairshare/usual_test.go
+++ b/pkg/fairshare/usual_test.go
@@ -129,6 +129,25 @@
 	})
 }
 
+// TestCondensedReportKeepsAccountsAtTheTolerance guards against a growth that is rounded up in the
+// report, so that an account that barely floods does not flood there.
+func TestCondensedReportKeepsAccountsAtTheTolerance(t *testing.T) {
+	const growth = 1.4874
+	sum := Sum{Group: group, Growth: growth, Refused: 50, Accounts: map[types.AccountID]Work{
+		"barely": {Offered: 1.001 * tolerance * growth * 100, Admitted: 20, Usual: 100},
+		"usual":  {Offered: 100, Admitted: 50, Usual: 100},
+	}}
+	level, short := sum.Level()
+	condensed := (&Report{Sums: []Sum{sum}}).Condensed()
+	if !short || len(condensed.Sums) != 1 {
+		t.Fatalf("the level is %v, short: %t", level, short)
+	}
+	got, _ := condensed.Sums[0].Level()
+	if a, b := sum.Excess("barely", level), condensed.Sums[0].Excess("barely", got); a <= 0 || math.Abs(a-b) > 0.01 {
+		t.Errorf("the excess is %v, in the report %v", a, b)
+	}
+}
+
 // TestManyAccountsMakeNoLongReport guards against messages that grow with the number of accounts,
 // and against work that is lost by that.
 func TestManyAccountsMakeNoLongReport(t *testing.T) {
