gateway: a permit for a named limit is checked right before sending

Only permits for cold upstreams were checked then. Change: the check covers both; a permit for a named limit is none for a cold upstream. Measured: TestLimitWhileConnecting (direct and through a peer) and TestExpiredPermitIsNotUsed failed before; tests of gateway pass.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -59,8 +59,8 @@
 	pause time.Duration
 	// reservation is the number of the reservation in force, or zero.
 	reservation uint64
-	// coldPermitUntil is that of the request when the attempt began.
-	coldPermitUntil time.Duration
+	// permit is that of the request when the attempt began.
+	permit heldPermit
 }
 
 // result is the result of an attempt.
@@ -303,7 +303,7 @@
 		return nil, false
 	}
 	a := &attempt{request: q, ctx: ctx, choice: choice, to: destinationOf(found), sentAt: now, rosterAttempt: rosterAttempt}
-	a.coldPermitUntil, q.coldPermitUntil = q.coldPermitUntil, 0
+	a.permit, q.permit = q.permit, heldPermit{}
 	a.exchangeCtx, a.cancel = context.WithCancel(ctx)
 	a.alarm = exchange.NewAlarm(a.handleSilence)
 	g.options.Fleet.ReportChange()
@@ -408,7 +408,7 @@
 
 // handleError returns the result of an exchange that failed.
 func (a *attempt) handleError(err error) result {
-	if errors.Is(err, errColdWithoutPermit) {
+	if errors.Is(err, errWithoutPermit) {
 		a.allowAgain()
 	}
 	if isUnsent(err) {
--- a/pkg/gateway/capacity_test.go
+++ b/pkg/gateway/capacity_test.go
@@ -267,7 +267,7 @@
 	}
 	rule.apply(env)
 	if rule.beforeSending {
-		if a, ok := waiting.begin(t.Context(), choice); ok && a.checkCold() == nil {
+		if a, ok := waiting.begin(t.Context(), choice); ok && a.checkPermit() == nil {
 			t.Error("a request is sent that was placed before the rule came into force")
 		}
 	}
--- a/pkg/gateway/cold.go
+++ b/pkg/gateway/cold.go
@@ -11,8 +11,8 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// errColdWithoutPermit ends an attempt at a cold upstream right before the request is sent.
-var errColdWithoutPermit = fault.New(fault.UpstreamLimited, "the upstream is cold, and there is no valid permit for it")
+// errWithoutPermit ends an attempt at an upstream with a limit right before the request is sent.
+var errWithoutPermit = fault.New(fault.UpstreamLimited, "the upstream has a limit or is cold, and there is no valid permit for it")
 
 // coldUpstreams are those that were last reported as cold.
 type coldUpstreams struct {
@@ -74,15 +74,16 @@
 	return candidates
 }
 
-// checkCold returns an error if the upstream of the attempt is cold and there is no permit for
-// it, or if that has expired. It is called right before the request is sent: the upstream may
-// have become cold, and the connection may have taken long.
-func (a *attempt) checkCold() error {
+// checkPermit returns an error if the upstream of the attempt has a limit or is cold and there is
+// no permit for it, or if that has expired. It is called right before the request is sent: the
+// limit may have become known, and the connection may have taken long.
+func (a *attempt) checkPermit() error {
 	now := a.gateway.options.Clock()
-	if now < a.coldPermitUntil || !a.gateway.coldLimit(now, a.choice.ID).Limited {
+	limit := a.gateway.limitOf(now, a.choice.ID)
+	if !limit.Limited || now < a.permit.until && (a.permit.cold || !limit.cold.Limited) {
 		return nil
 	}
-	return errColdWithoutPermit
+	return errWithoutPermit
 }
 
 // allowAgain lets the request use the upstream of an attempt that sent nothing for lack of a
@@ -90,11 +91,18 @@
 func (a *attempt) allowAgain() {
 	delete(a.tried, a.choice.ID)
 	a.permitsRefused++
-	outcome := "permits_expired"
-	if a.coldPermitUntil == 0 {
-		outcome = "became_cold_before_sending"
+	g := a.gateway
+	cold := g.coldLimit(g.options.Clock(), a.choice.ID).Limited
+	switch {
+	case cold && !a.permit.cold:
+		g.options.Metrics.countCold("became_cold_before_sending")
+	case cold:
+		g.options.Metrics.countCold("permits_expired")
+	case a.permit.until == 0:
+		g.options.Metrics.countLimit("became_limited_before_sending")
+	default:
+		g.options.Metrics.countLimit("permits_expired")
 	}
-	a.gateway.options.Metrics.countCold(outcome)
 }
 
 // ReportCold logs which upstreams have become cold or warm and counts the cold ones. It must
--- a/pkg/gateway/cold_test.go
+++ b/pkg/gateway/cold_test.go
@@ -167,13 +167,13 @@
 		return env.log.issue(request)
 	}
 	env.checkCall("a slow reply", "/once/", 200, 2, 1)
-	a := &attempt{request: &request{gateway: env.gateway, tried: map[types.UpstreamID]bool{"u0": true}}, coldPermitUntil: env.now() + permit.ColdTTL}
+	a := &attempt{request: &request{gateway: env.gateway, tried: map[types.UpstreamID]bool{"u0": true}}, permit: heldPermit{until: env.now() + permit.ColdTTL, cold: true}}
 	a.choice.ID = "u0"
-	if err := a.checkCold(); err != nil {
+	if err := a.checkPermit(); err != nil {
 		t.Errorf("with a valid permit: %v", err)
 	}
 	env.advance(permit.ColdTTL)
-	err := a.checkCold()
+	err := a.checkPermit()
 	if err == nil {
 		t.Fatal("an expired permit is used")
 	}
@@ -249,7 +249,7 @@
 		}
 		a := &attempt{request: &request{gateway: env.gateway, tried: map[types.UpstreamID]bool{}}}
 		a.choice.ID = "other0"
-		if a.checkCold() == nil {
+		if a.checkPermit() == nil {
 			t.Error("a hedge is sent to an upstream that became cold while it connected")
 		}
 	})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -249,9 +249,8 @@
 	// permitsRefused counts the permits that were refused.
 	retryPaid      bool
 	permitsRefused int
-	// coldPermitUntil is until when the next attempt may use its permit for a cold upstream,
-	// or zero if it has none.
-	coldPermitUntil time.Duration
+	// permit is that of the next attempt.
+	permit heldPermit
 	// evacuated is the number of upstreams for whose evacuation the request is refused.
 	evacuated int
 	// reserves reports whether the next attempt is reported as a reservation. keeperWait is
--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -178,13 +178,21 @@
 	return q.gateway.permits.split(now, candidates, q.permitPriority(), atLeast)
 }
 
+// heldPermit is a permit for the next attempt.
+type heldPermit struct {
+	// until is zero if there is none.
+	until time.Duration
+	// cold reports whether it is for an upstream that is cold.
+	cold bool
+}
+
 // obtainPermit returns true if the request may be sent to the chosen upstream. Otherwise
 // the upstream is excluded for a while.
 func (q *request) obtainPermit(ctx context.Context, choice placement.Choice) bool {
 	g := q.gateway
 	asked := g.options.Clock()
 	limit := g.limitOf(asked, choice.ID)
-	q.coldPermitUntil = 0
+	q.permit = heldPermit{}
 	if !limit.Limited {
 		return true
 	}
@@ -216,9 +224,7 @@
 	event.Dur("took_ms", now-asked).
 		Dur("return_ms", reply.RetryAfter).Str("outcome", outcome).Msg("permit")
 	if reply.Granted {
-		if limit.cold.Limited {
-			q.coldPermitUntil = asked + ttl
-		}
+		q.permit = heldPermit{until: asked + ttl, cold: limit.cold.Limited}
 		return true
 	}
 	q.permitsRefused++
--- a/pkg/gateway/sending_test.go
+++ b/pkg/gateway/sending_test.go
@@ -113,6 +113,55 @@
 	}
 }
 
+// TestLimitWhileConnecting guards against a request without a permit at an upstream whose limit
+// becomes known while the request connects.
+func TestLimitWhileConnecting(t *testing.T) {
+	for path, throughPeer := range map[string]bool{"direct": false, "through a peer": true} {
+		t.Run(path, func(t *testing.T) {
+			env := newTestEnv(t, testRoutes, respondWith(rawResponse(200, "fine")), 1)
+			env.gateway.options.Metrics = NewMetrics()
+			asked := 0
+			env.fleet.issue = func(permit.Request) (permit.Reply, error) {
+				asked++
+				return permit.Reply{RetryAfter: time.Second}, nil
+			}
+			env.whenConnected(throughPeer, func() {
+				now := clock.Boot()
+				env.gateway.MergeLimits("peer", map[types.UpstreamID]permit.Observation{"u0": {Limit: permit.Limit{PerSecond: 1, Limited: true}, SentAt: now, ReceivedAt: now}})
+			})
+			got := env.call(http.MethodPost, "/once/", "")
+			if got.status != http.StatusServiceUnavailable || fault.Code(got.header.Get("Code")) != fault.UpstreamLimited || got.header.Get("Run-State") != string(types.NotRun) {
+				t.Errorf("status %d, code %s, run state %s", got.status, got.header.Get("Code"), got.header.Get("Run-State"))
+			}
+			if asked != 1 {
+				t.Errorf("%d permits were asked for, want 1", asked)
+			}
+			if count := env.gateway.options.Metrics.limits.Get("became_limited_before_sending"); count == nil || count.String() != "1" {
+				t.Errorf("%v attempts are counted", count)
+			}
+			env.checkRequestCount(0)
+		})
+	}
+}
+
+// TestExpiredPermitIsNotUsed guards against a request that connects for longer than its permit
+// for a named limit is valid.
+func TestExpiredPermitIsNotUsed(t *testing.T) {
+	env := newTestEnv(t, testRoutes, respondWith(rawResponse(200, "fine")), 1)
+	now := clock.Boot()
+	env.gateway.MergeLimits("peer", map[types.UpstreamID]permit.Observation{"u0": {Limit: permit.Limit{PerSecond: 100, Limited: true}, SentAt: now, ReceivedAt: now}})
+	asked := 0
+	env.fleet.issue = func(permit.Request) (permit.Reply, error) {
+		asked++
+		return permit.Reply{Granted: true}, nil
+	}
+	env.whenConnected(false, func() { time.Sleep(permitTTL) })
+	if got := env.call(http.MethodPost, "/once/", ""); got.status != http.StatusOK || asked != 2 {
+		t.Errorf("status %d, %d permits were asked for, want 2", got.status, asked)
+	}
+	env.checkRequestCount(1)
+}
+
 // TestProcessThatTakesOverIDWhileConnecting guards against a request to a process that has taken over
 // the ID of the chosen upstream while the request connected: its version would be unknown.
 func TestProcessThatTakesOverIDWhileConnecting(t *testing.T) {
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -115,7 +115,7 @@
 	if err := a.checkUpstream(); err != nil {
 		return err
 	}
-	return a.checkCold()
+	return a.checkPermit()
 }
 
 // checkUpstream returns an error if the upstream of the attempt accepts no new requests any more:
@@ -144,7 +144,7 @@
 // unsentOutcome returns the outcome of an attempt that sent nothing, with regard to the
 // upstream's health.
 func unsentOutcome(err error) roster.Outcome {
-	if errors.Is(err, errPathLost) || errors.Is(err, errUpstreamLeft) || errors.Is(err, errColdWithoutPermit) {
+	if errors.Is(err, errPathLost) || errors.Is(err, errUpstreamLeft) || errors.Is(err, errWithoutPermit) {
 		return roster.Abandoned
 	}
 	return roster.Unreachable
