replica, mesh: an instance that started later tells its peers the whole collection

Cause: a set has no tombstone of what was removed before its first listing. A peer that is behind, because its own watch hangs or pauses, got the newer items from such a set, and with them the newest revision, but not the removals before it; so it used the removed upstreams until its own watch returned, up to 10 s. Change: a set that does not know all changes since the asked revision sends its whole listing with the revision as of which it is complete. Earlier releases ignore that field and merge the items as before.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -137,7 +137,7 @@
 	e, _ := newTestEdge()
 	sink{e, configuration}.Replace([]replica.Item{entry("c", "v1", 5)}, 5, follow.Outage{})
 	sink{e, configuration}.Merge([]replica.Item{entry("c", "v0", 4)})
-	state{e}.HandleFetched(configuration, []replica.Item{entry("c", "v0", 3)})
+	state{e}.HandleFetched(configuration, replica.Changes{Items: []replica.Item{entry("c", "v0", 3)}})
 	if got := e.gateway.Catalog().Version; got != "v1" {
 		t.Errorf("version %s is in force, want v1", got)
 	}
@@ -145,7 +145,7 @@
 	if got := e.gateway.Catalog().Version; got != "v1" {
 		t.Errorf("after a malformed document, version %s is in force, want v1", got)
 	}
-	state{e}.HandleFetched(configuration, []replica.Item{entry("c", "v2", 7)})
+	state{e}.HandleFetched(configuration, replica.Changes{Items: []replica.Item{entry("c", "v2", 7)}})
 	if got := e.gateway.Catalog().Version; got != "v2" {
 		t.Errorf("after a fetch from a peer, version %s is in force, want v2", got)
 	}
@@ -249,3 +249,19 @@
 	e.expire()
 	wantReady(t, e, "after the grace period", "b")
 }
+
+// TestRemovalReachesPeerThroughStartedInstance guards against an upstream that is used for as long as
+// the instance's own watch hangs, because it got what is newer than the removal from an instance
+// that has started since and knows of no removal.
+func TestRemovalReachesPeerThroughStartedInstance(t *testing.T) {
+	running, _ := newTestEdge()
+	sink{running, upstreams}.Replace([]replica.Item{entry("a", "", 5), entry("b", "", 6)}, 6, follow.Outage{})
+	started, _ := newTestEdge()
+	// The entry of a was removed at revision 7.
+	sink{started, upstreams}.Replace([]replica.Item{entry("b", "leaving", 8), entry("c", "", 9)}, 9, follow.Outage{})
+	exchange(started, running)
+	wantReady(t, running, "after an exchange", "c")
+	sink{started, upstreams}.Merge([]replica.Item{entry("d", "", 10)})
+	exchange(started, running)
+	wantReady(t, running, "after a later change", "c", "d")
+}
--- a/pkg/edge/evacuation_test.go
+++ b/pkg/edge/evacuation_test.go
@@ -94,10 +94,10 @@
 	if got := strings.Count(logs.String(), `"source":"peer","revision":8,"upstreams":2`); got != 1 {
 		t.Errorf("the end is logged %d times: %s", got, logs)
 	}
-	if items := (state{reader}).Since(configuration, 0, false); len(items) != 1 || items[0].Key != "config" {
+	if items := (state{reader}).Since(configuration, 0, false).Items; len(items) != 1 || items[0].Key != "config" {
 		t.Errorf("an instance that does not follow evacuations gets %v", items)
 	}
-	if items := (state{reader}).Since(upstreams, 0, false); len(items) != 4 {
+	if items := (state{reader}).Since(upstreams, 0, false).Items; len(items) != 4 {
 		t.Errorf("an instance that does not follow evacuations gets %d upstreams", len(items))
 	}
 }
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -75,25 +75,26 @@
 }
 
 // Merge implements follow.Sink.
-func (s sink) Merge(items []replica.Item) { s.edge.merge(s.name, "store", items) }
+func (s sink) Merge(items []replica.Item) {
+	s.edge.merge(s.name, "store", replica.Changes{Items: items})
+}
 
-func (e *Edge) merge(name, source string, items []replica.Item) {
+func (e *Edge) merge(name, source string, changes replica.Changes) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	set := e.set(name)
 	before := e.live(name)
-	var at types.Revision
-	for _, item := range items {
+	at := changes.ListedAt
+	for _, item := range changes.Items {
 		at = max(at, item.Revision)
 	}
 	if beginsEra(set, at) {
 		// A peer has listed the whole collection in the new era.
-		e.enterEra(name, source, set, items, at)
-		e.apply(name, source, before, set.Replace(items, at))
-		return
+		changes.ListedAt = at
+		e.enterEra(name, source, set, changes.Items, at)
 	}
-	changes := set.Merge(items)
-	e.apply(name, source, before, append(changes, e.writtenAgain(items, changes)...))
+	changed := set.Apply(changes)
+	e.apply(name, source, before, append(changed, e.writtenAgain(changes.Items, changed)...))
 }
 
 func (e *Edge) set(name string) *replica.Set {
@@ -259,15 +260,15 @@
 }
 
 // Since implements mesh.State.
-func (s state) Since(collection string, after types.Revision, evacuations bool) []replica.Item {
+func (s state) Since(collection string, after types.Revision, evacuations bool) replica.Changes {
 	e := s.edge
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	items := e.set(collection).Since(after)
+	changes := e.set(collection).Since(after)
 	if collection == configuration && !evacuations {
-		return e.withoutEvacuations(items)
+		changes.Items = e.withoutEvacuations(changes.Items)
 	}
-	return items
+	return changes
 }
 
 // QuarantineEntries implements mesh.State.
@@ -349,8 +350,8 @@
 }
 
 // HandleFetched implements mesh.State.
-func (s state) HandleFetched(collection string, items []replica.Item) {
-	s.edge.merge(collection, "peer", items)
+func (s state) HandleFetched(collection string, changes replica.Changes) {
+	s.edge.merge(collection, "peer", changes)
 }
 
 // HandlePeerLost implements mesh.State.
--- a/pkg/mesh/fetch.go
+++ b/pkg/mesh/fetch.go
@@ -6,6 +6,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
@@ -52,7 +53,7 @@
 	}
 	m.options.Logger.Info().Str("peer", string(heartbeat.ID)).Str("collection", collection).Uint64("after", after.Number()).
 		Uint64("revision", heartbeat.Revisions[collection].Number()).Int("items", len(response.Items)).Msg("fetched from peer")
-	m.options.State.HandleFetched(collection, response.Items)
+	m.options.State.HandleFetched(collection, replica.Changes(response))
 }
 
 func (m *Mesh) handleFetch(_ context.Context, _ peer.Identity, params json.RawMessage) (any, error) {
@@ -60,5 +61,10 @@
 	if err := json.Unmarshal(params, &req); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "malformed fetch request")
 	}
-	return fetchResponse{Items: m.options.State.Since(req.Collection, req.After, req.Evacuations)}, nil
+	changes := m.options.State.Since(req.Collection, req.After, req.Evacuations)
+	if req.Evacuations && !m.options.FollowEvacuations {
+		// This instance does not list the keys that the other follows.
+		changes.ListedAt = 0
+	}
+	return fetchResponse(changes), nil
 }
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -76,9 +76,11 @@
 	Evacuations bool `json:"evacuations,omitempty"`
 }
 
-// fetchResponse carries the requested items.
+// fetchResponse carries the requested items. Instances of the previous release leave ListedAt
+// out.
 type fetchResponse struct {
-	Items []replica.Item `json:"items"`
+	Items    []replica.Item `json:"items"`
+	ListedAt types.Revision `json:"listed,omitempty"`
 }
 
 const (
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -44,9 +44,9 @@
 	Ejected() map[types.UpstreamID]time.Duration
 	// Revisions returns the latest revision held of each collection.
 	Revisions() map[string]types.Revision
-	// Since returns the items of a collection that are newer than a revision. The keys of
-	// evacuated data centres are included only if the receiver follows them.
-	Since(collection string, after types.Revision, evacuations bool) []replica.Item
+	// Since returns what is newer than a revision of a collection. The keys of evacuated data
+	// centres are included only if the receiver follows them.
+	Since(collection string, after types.Revision, evacuations bool) replica.Changes
 	// QuarantineEntries returns the known requests that crashed upstreams.
 	QuarantineEntries() []quarantine.Entry
 	// FindStream returns the origin of a stream if this instance knows it.
@@ -84,8 +84,8 @@
 	RetainReservations(keeps func(types.UpstreamID) bool)
 	// HandleHeartbeat processes a peer's heartbeat.
 	HandleHeartbeat(heartbeat Heartbeat)
-	// HandleFetched merges items fetched from a peer.
-	HandleFetched(collection string, items []replica.Item)
+	// HandleFetched applies what was fetched from a peer.
+	HandleFetched(collection string, changes replica.Changes)
 	// HandlePeerLost is called when a peer is considered down.
 	HandlePeerLost(id types.InstanceID)
 }
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -77,9 +77,10 @@
 	s.withLock(func(s *fakeState) { revisions = map[string]types.Revision{"c": s.set.LatestRevision()} })
 	return revisions
 }
-func (s *fakeState) Since(_ string, after types.Revision, evacuations bool) (items []replica.Item) {
-	s.withLock(func(s *fakeState) { items = s.set.Since(after) })
-	return slices.DeleteFunc(items, func(item replica.Item) bool { return item.Key == evacuationKey && !evacuations })
+func (s *fakeState) Since(_ string, after types.Revision, evacuations bool) (changes replica.Changes) {
+	s.withLock(func(s *fakeState) { changes = s.set.Since(after) })
+	changes.Items = slices.DeleteFunc(changes.Items, func(item replica.Item) bool { return item.Key == evacuationKey && !evacuations })
+	return changes
 }
 func (s *fakeState) FindStream(key origin.Key) (found origin.Origin, ok bool) {
 	s.withLock(func(s *fakeState) { found, ok = s.origins[key] })
@@ -179,8 +180,8 @@
 func (s *fakeState) RetainReservations(keeps func(types.UpstreamID) bool) {
 	s.withLock(func(s *fakeState) { s.reservations.Retain(keeps) })
 }
-func (s *fakeState) HandleFetched(_ string, items []replica.Item) {
-	s.withLock(func(s *fakeState) { s.set.Merge(items) })
+func (s *fakeState) HandleFetched(_ string, changes replica.Changes) {
+	s.withLock(func(s *fakeState) { s.set.Apply(changes) })
 }
 func (s *fakeState) HandlePeerLost(id types.InstanceID) {
 	s.withLock(func(s *fakeState) { s.lost = append(s.lost, id) })
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -27,6 +27,16 @@
 	// latest is the newest revision of any item, and listedAt that of the newest listing. An
 	// item up to listedAt whose key is not held has been removed since.
 	latest, listedAt types.Revision
+	// completeFrom is the revision from which the set has every change: that of its first
+	// listing in the era. Of what was removed before it, the set has no tombstones.
+	completeFrom types.Revision
+}
+
+// Changes are what one copy has and another may lack.
+type Changes struct {
+	Items []Item
+	// ListedAt, unless zero, is the revision as of which Items is the whole collection.
+	ListedAt types.Revision
 }
 
 // New returns an empty set.
@@ -69,6 +79,9 @@
 	if at.Era() < s.latest.Era() {
 		return nil
 	}
+	if s.completeFrom.Era() < at.Era() || s.listedAt == 0 {
+		s.completeFrom = at
+	}
 	changes := s.Merge(items)
 	s.listedAt = max(s.listedAt, at)
 	read := make(map[string]bool, len(items))
@@ -87,6 +100,14 @@
 	return changes
 }
 
+// Apply stores the changes of another copy. It returns what changed.
+func (s *Set) Apply(changes Changes) []Item {
+	if changes.ListedAt > 0 {
+		return s.Replace(changes.Items, changes.ListedAt)
+	}
+	return s.Merge(changes.Items)
+}
+
 // Find returns the item with the key, which may be a tombstone.
 func (s *Set) Find(key string) (Item, bool) {
 	item, ok := s.items[key]
@@ -101,13 +122,17 @@
 	return live
 }
 
-// Since returns the items newer than the revision, including tombstones.
-func (s *Set) Since(revision types.Revision) []Item {
+// Since returns what is newer than the revision, including tombstones, or the whole collection
+// if the set does not know what was removed since.
+func (s *Set) Since(revision types.Revision) Changes {
+	if revision < s.completeFrom {
+		return Changes{Items: s.Live(), ListedAt: max(s.listedAt, s.latest)}
+	}
 	var items []Item
 	for _, item := range s.items {
 		if item.Revision > revision {
 			items = append(items, item)
 		}
 	}
-	return items
+	return Changes{Items: items}
 }
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 
@@ -71,7 +72,7 @@
 	ahead, behind := New(), New()
 	ahead.Merge([]Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}, {Key: "a", Revision: 3, Removed: true}})
 	behind.Merge([]Item{{Key: "a", Revision: 1}})
-	behind.Merge(ahead.Since(behind.LatestRevision()))
+	behind.Merge(ahead.Since(behind.LatestRevision()).Items)
 	if !reflect.DeepEqual(ahead.Live(), behind.Live()) || ahead.LatestRevision() != behind.LatestRevision() {
 		t.Fatalf("after merging Since: %v, want %v", behind.Live(), ahead.Live())
 	}
@@ -92,3 +93,38 @@
 		t.Errorf("an item that was written after the listing is missing: %v", changes)
 	}
 }
+
+// TestCopyCatchesUpWithOneThatStartedLater draws a history of which one copy has a beginning, and
+// another a listing in the middle and what follows. It guards against removals that nobody tells.
+func TestCopyCatchesUpWithOneThatStartedLater(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []Item
+		store := New()
+		read, listed := New(), New()
+		count := rapid.IntRange(1, 30).Draw(t, "writes")
+		readUpTo := rapid.IntRange(0, count).Draw(t, "read up to")
+		listedAt := rapid.IntRange(readUpTo, count).Draw(t, "listed at")
+		for i := range count + 1 {
+			if i == listedAt {
+				listed.Replace(store.Live(), types.Revision(i))
+			}
+			if i == count {
+				break
+			}
+			item := Item{Key: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key"), Revision: types.Revision(i + 1), Removed: rapid.Bool().Draw(t, "removed")}
+			history = append(history, item)
+			store.Merge(history[i:])
+			if i < readUpTo {
+				read.Merge(history[i:])
+			}
+		}
+		listed.Merge(history[listedAt:])
+		if listed.LatestRevision() <= read.LatestRevision() {
+			return
+		}
+		read.Apply(listed.Since(read.LatestRevision()))
+		if fmt.Sprint(read.Live()) != fmt.Sprint(store.Live()) {
+			t.Fatalf("after catching up the copy has %v, the store %v", read.Live(), store.Live())
+		}
+	})
+}
