edge: an entry of the store's copy does not end a cold period

What callers would see: none of it; a cold upstream gets more requests than it tolerates when the store returns from a copy of before it became cold. Cause: the copy's entry was taken as the later state of the same process, though the one known before says that it is cold for longer.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -24,7 +24,7 @@
 
 // decoder uses the value of an item as the version of the configuration. An upstream
 // is ready unless its value ends with "leaving"; a number before that is when it started. The
-// value "bad" cannot be decoded. A key that begins with evacuation names an evacuated data
+// value "cold" means that it is cold for a minute. The value "bad" cannot be decoded. A key that begins with evacuation names an evacuated data
 // centre.
 type decoder struct{}
 
@@ -59,7 +59,11 @@
 	}
 	text, leaving := strings.CutSuffix(string(item.Value), "leaving")
 	started, _ := strconv.ParseInt(text, 10, 64)
-	return roster.Upstream{ID: types.UpstreamID(item.Key), Target: "s", Address: item.Key, DataCentre: types.DataCentre(item.Key[:1]), Slots: 1, Ready: !leaving, StartedUnixMilli: started}, nil
+	upstream := roster.Upstream{ID: types.UpstreamID(item.Key), Target: "s", Address: item.Key, DataCentre: types.DataCentre(item.Key[:1]), Slots: 1, Ready: !leaving, StartedUnixMilli: started, Revision: item.Revision}
+	if text == "cold" {
+		upstream.ColdFor = time.Minute
+	}
+	return upstream, nil
 }
 
 // newTestEdge returns an Edge that does not run and its fake clock.
--- a/pkg/edge/era.go
+++ b/pkg/edge/era.go
@@ -77,7 +77,7 @@
 }
 
 // supersedes reports whether the known state of an upstream is later than the listed one: it
-// has been removed, a later process has its ID, or it leaves.
+// has been removed, a later process has its ID, it leaves, or it is cold for longer.
 func (e *Edge) supersedes(known, listed replica.Item) bool {
 	if known.Removed {
 		return true
@@ -93,7 +93,10 @@
 	if before.StartedUnixMilli != after.StartedUnixMilli {
 		return before.StartedUnixMilli > after.StartedUnixMilli
 	}
-	return !before.Ready && after.Ready
+	if before.Ready != after.Ready {
+		return after.Ready
+	}
+	return before.ColdFor > after.ColdFor
 }
 
 // live returns the items of a collection in their last known states. e.mu must be held.
--- a/pkg/edge/era_test.go
+++ b/pkg/edge/era_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/follow"
 	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -180,6 +181,26 @@
 	}
 }
 
+// TestEntryOfCopyDoesNotEndColdPeriod guards against more requests than a cold upstream tolerates,
+// because the copy was made before it became cold.
+func TestEntryOfCopyDoesNotEndColdPeriod(t *testing.T) {
+	e, _ := newTestEdge()
+	store := sink{e, upstreams}
+	store.Replace([]replica.Item{entry("a", "", 50)}, 50, follow.Outage{})
+	store.Merge([]replica.Item{entry("a", "cold", 60)})
+	check := func(when string, want bool) {
+		t.Helper()
+		if _, cold := e.roster.FindCold(clock.Boot(), "a"); cold != want {
+			t.Errorf("%s: the upstream is cold: %t", when, cold)
+		}
+	}
+	check("before the return", true)
+	store.Replace([]replica.Item{entry("a", "", at(1, 50))}, at(1, 50), follow.Outage{})
+	check("the copy has it as warm", true)
+	store.Merge([]replica.Item{entry("a", "", at(1, 51))})
+	check("it is written again as warm", false)
+}
+
 // TestEntryWrittenAgainEndsGracePeriod guards against a ready upstream that gets no requests
 // until the end of the grace period.
 func TestEntryWrittenAgainEndsGracePeriod(t *testing.T) {
