--- a/pkg/edge/era.go
+++ b/pkg/edge/era.go
@@ -192,7 +192,7 @@
 // isReverted reports whether the next configuration is an older one than the current one, which
 // is of an earlier era. Within an era, revisions define the order.
 func isReverted(current, next *catalog.Catalog) bool {
-	return (next.Revision.Era() > current.Revision.Era() || current.Revision.IsCarried()) && next.HasEarlierVersion(current)
+	return next.Revision.CrossesEra(current.Revision) && next.HasEarlierVersion(current)
 }
 
 // carryConfiguration keeps the configuration in force in place of an older one in the store's
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -103,7 +103,7 @@
 			return failure
 		}
 		if q.progress.sends > 0 && q.lastUpstream != "" && !q.retryPaid {
-			if !q.gateway.budget(q.target).Spend() {
+			if !q.gateway.currentBudget(q.target).Spend() {
 				q.logBudgetExhausted()
 				return q.giveUp("the retry budget is exhausted", nil)
 			}
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -260,7 +260,7 @@
 	again.tried = map[types.UpstreamID]bool{first: true}
 	again.lastUpstream = first
 	again.progress.sends++
-	retry := &explain.Retry{NotRun: again.progress.mayTryAnother(again.remaining()), Budget: q.gateway.budget(q.target).Available()}
+	retry := &explain.Retry{NotRun: again.progress.mayTryAnother(again.remaining()), Budget: q.gateway.currentBudget(q.target).Available()}
 	ran := again.progress
 	ran.runs++
 	retry.AfterRun = ran.mayRepeat(q.route, again.remaining())
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -187,19 +187,27 @@
 // Active returns the number of requests in flight.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
-// budget returns this instance's share of the retry budget of a service.
+// budget returns the retry budget of a service. It has no burst before currentBudget.
 func (g *Gateway) budget(target types.TargetName) *retry.Budget {
-	settings := g.options.Retries
-	settings.MinShares = minBudgetShares
-	settings.Burst = g.options.Fleet.RetryFleet().Burst(settings)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b, ok := g.budgets[target]
 	if !ok {
+		settings := g.options.Retries
+		settings.Burst = 0
 		b = retry.NewBudget(settings, g.options.Clock)
 		g.budgets[target] = b
 	}
-	b.SetBurst(settings.Burst)
+	return b
+}
+
+// currentBudget returns the retry budget of a service with this instance's present share of the
+// burst.
+func (g *Gateway) currentBudget(target types.TargetName) *retry.Budget {
+	settings := g.options.Retries
+	settings.MinShares = minBudgetShares
+	b := g.budget(target)
+	b.SetBurst(g.options.Fleet.RetryFleet().Burst(settings))
 	return b
 }
 
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -141,7 +141,7 @@
 	if refused := q.checkPartsBeforeSending(); refused != nil {
 		return choice, refused.Error()
 	}
-	if !g.budget(q.target).Spend() {
+	if !g.currentBudget(q.target).Spend() {
 		return choice, "the retry budget is exhausted"
 	}
 	return choice, ""
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -429,11 +429,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	connected := m.connected()
-	known := 1
-	for id := range m.instances.Heard(now) {
-		if id != m.options.Self.ID {
-			known++
-		}
+	heard := m.instances.Heard(now)
+	known := len(heard)
+	if _, ok := heard[m.options.Self.ID]; !ok {
+		known++
 	}
 	fleet := retry.Fleet{Known: known, Connected: connected, WasConnected: m.wasConnected, FirstStart: m.options.FirstStart}
 	if m.ctx != nil {
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -153,14 +153,11 @@
 		return false
 	}
 	age := time.Duration(entry.AgeMilliseconds) * time.Millisecond
-	m.recordInstance(entry.ID, age)
-	if entry.PeerAddress == m.options.Self.PeerAddress || entry.ID == "" || age >= distantDownAfter {
-		return false
-	}
 	lastHeard := m.options.Clock() - age
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.readsStaleMessages() {
+	m.instances.Record(entry.ID, lastHeard)
+	if entry.PeerAddress == m.options.Self.PeerAddress || entry.ID == "" || age >= distantDownAfter || m.readsStaleMessages() {
 		return false
 	}
 	member, isNew := m.addLocked(entry.InstanceInfo)
@@ -189,14 +186,6 @@
 	}
 }
 
-// recordInstance records that an instance was heard from some time ago.
-func (m *Mesh) recordInstance(id types.InstanceID, age time.Duration) {
-	now := m.options.Clock()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.instances.Record(id, now-age)
-}
-
 // acceptsGossipAbout reports whether gossip about the instance at the address is
 // used: only in a large fleet, and only if this instance receives no heartbeats
 // from that one directly. m.mu must be held.
--- a/pkg/relay/apply.go
+++ b/pkg/relay/apply.go
@@ -71,7 +71,7 @@
 // that the service has again only because it returned from an older copy.
 func (r *Relay) isReverted(manifest configservice.Manifest) bool {
 	current, _ := r.inForce()
-	return (manifest.Revision.Era() > current.Revision.Era() || current.Revision.IsCarried()) && r.history.wasReplaced(manifest)
+	return manifest.Revision.CrossesEra(current.Revision) && r.history.wasReplaced(manifest)
 }
 
 // carry returns a manifest that keeps the configuration in force in place of an older one at the
--- a/pkg/types/revision.go
+++ b/pkg/types/revision.go
@@ -53,6 +53,12 @@
 // IsCarried reports whether the revision was returned by Carried.
 func (r Revision) IsCarried() bool { return r.Era() > 0 && r&carriedBit != 0 }
 
+// CrossesEra reports whether the revision is of a later era than the value that current belongs
+// to, which may be carried.
+func (r Revision) CrossesEra(current Revision) bool {
+	return r.Era() > current.Era() || current.IsCarried()
+}
+
 // Next returns the revision that the store gives out after this one.
 func (r Revision) Next() Revision {
 	if r.Era() == 0 {
