netconn, gateway, node: bytes behind a request do not hide that its caller has left

Callers that sent a further request, or anything else, on a connection and then closed it left their upstream at work until its response was complete: net/http reads one byte beside a handler and stops once it has it, so the end behind it was never read.

A ServerConn reads on while a handler runs, keeps up to 64 KiB for later requests, and returns the end of the connection to net/http, which cancels the request. Behind more than that the connection counts as closed once its response is complete, so memory is bounded.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
@@ -447,14 +448,15 @@
 	return &http.Server{
 		Handler:        http.HandlerFunc(g.handle),
 		MaxHeaderBytes: maxHeaderBytes,
-		ConnContext:    withHeaderTracker,
+		ConnContext:    netconn.ConnContext,
 		ErrorLog:       nil,
 	}
 }
 
 // handle checks the header of a request before the body is read, then serves it.
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request) {
-	if header, ok := r.Context().Value(headerTrackerKey{}).(*headerTracker); ok {
+	if caller, ok := netconn.ServerConnOf(r.Context()).(*callerConn); ok {
+		header := &caller.header
 		length, ok := header.startServing()
 		if !ok {
 			panic(http.ErrAbortHandler)
@@ -485,13 +487,3 @@
 	}
 	return nil
 }
-
-// headerTrackerKey is the context key of the headerTracker of the connection.
-type headerTrackerKey struct{}
-
-func withHeaderTracker(ctx context.Context, conn net.Conn) context.Context {
-	if caller, ok := conn.(*callerConn); ok {
-		return context.WithValue(ctx, headerTrackerKey{}, &caller.header)
-	}
-	return ctx
-}
--- /dev/null
+++ b/pkg/gateway/left_test.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// endTimeout is far above the time that the end of a connection takes through the gateway.
+const endTimeout = 20 * time.Second
+
+// requestOn returns a request on a route, with an ID and a body.
+func requestOn(path, id, body string) string {
+	return fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: k\r\nContent-Length: %d\r\n\r\n%s", path, id, len(body), body)
+}
+
+// workUntilClosed returns a responder that works until its connection ends, with channels that get
+// a value when it begins and when it ends.
+func workUntilClosed(header string) (respond responder, began, ended chan struct{}) {
+	began, ended = make(chan struct{}, 1), make(chan struct{}, 1)
+	return func(conn net.Conn, _ *http.Request, _ int) {
+		_, _ = io.WriteString(conn, header)
+		began <- struct{}{}
+		_, _ = io.Copy(io.Discard, conn)
+		ended <- struct{}{}
+	}, began, ended
+}
+
+// TestBytesBehindRequestDoNotHideThatCallerLeft guards against upstreams that go on for a caller
+// that has sent more on the connection before it closed it.
+func TestBytesBehindRequestDoNotHideThatCallerLeft(t *testing.T) {
+	const event = "HTTP/1.1 200 X\r\nId: r1\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid: 1\ndata: a\n\r\n"
+	for name, behind := range map[string]string{
+		"nothing":                    "",
+		"a byte":                     "x",
+		"a request":                  requestOn("/safe/", "r2", "body"),
+		"a request without its body": requestOn("/safe/", "r2", strings.Repeat("b", 900))[:500],
+		"several requests":           strings.Repeat(requestOn("/safe/", "r2", strings.Repeat("b", 900)), 100),
+		"more than is kept":          strings.Repeat("x", 300<<10),
+	} {
+		for _, route := range testRoutes {
+			for responded, header := range map[string]string{"waiting": "", "stream": event} {
+				if header != "" && route.Name != "stream" && route.Name != "resume" {
+					continue
+				}
+				t.Run(name+" on "+route.Name+", "+responded, func(t *testing.T) {
+					t.Parallel()
+					respond, began, ended := workUntilClosed(header)
+					env := newTestEnv(t, slices.Clone(testRoutes), respond, 1)
+					conn, err := env.dial()
+					if err != nil {
+						t.Fatal(err)
+					}
+					if _, err := io.WriteString(conn, requestOn(route.Prefix, "r1", "body")); err != nil {
+						t.Fatal(err)
+					}
+					<-began
+					if _, err := io.WriteString(conn, behind); err != nil {
+						t.Fatal(err)
+					}
+					_ = conn.Close()
+					select {
+					case <-ended:
+					case <-time.After(endTimeout):
+						t.Fatal("the upstream still works on the request")
+					}
+					env.awaitIdle()
+					env.checkRequestCount(1)
+				})
+			}
+		}
+	}
+}
+
+// TestRequestsBehindOneAnotherAreServed checks that what is read ahead of a request is not lost.
+func TestRequestsBehindOneAnotherAreServed(t *testing.T) {
+	const count = 30
+	env := newTestEnv(t, testRoutes, func(conn net.Conn, request *http.Request, _ int) {
+		id := request.Header.Get("Id")
+		fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+	}, 1)
+	conn, err := env.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	var all strings.Builder
+	for n := range count {
+		all.WriteString(requestOn("/once/", fmt.Sprint("r", n), strings.Repeat("b", 33*n)))
+	}
+	go func() { _, _ = io.WriteString(conn, all.String()) }()
+	reader := bufio.NewReader(conn)
+	for n := range count {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", n, err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if want := fmt.Sprint("r", n); err != nil || string(body) != want || response.Header.Get("Id") != want {
+			t.Fatalf("response %d: %q, %v", n, body, err)
+		}
+	}
+	for n, received := range env.requests() {
+		if received.id != fmt.Sprint("r", n) || received.body != strings.Repeat("b", 33*n) {
+			t.Errorf("request %d arrived as %s with %d bytes", n, received.id, len(received.body))
+		}
+	}
+	env.checkRequestCount(count)
+}
+
+// TestMoreThanIsReadAheadEndsConnectionAfterResponse checks that a request whose beginning only was
+// kept is not served.
+func TestMoreThanIsReadAheadEndsConnectionAfterResponse(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	env := newTestEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, n int) {
+		if n == 1 {
+			close(began)
+			<-release
+		}
+		_, _ = io.WriteString(conn, rawResponse(200, "hello"))
+	}, 1)
+	conn, err := env.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, requestOn("/once/", "r1", "body")); err != nil {
+		t.Fatal(err)
+	}
+	<-began
+	if _, err := io.WriteString(conn, strings.Replace(requestOn("/once/", "r2", ""), "Key: k", "Key: k\r\nPadding: "+strings.Repeat("x", 8<<20), 1)); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "hello" {
+		t.Errorf("the response is %q, %v", body, err)
+	}
+	if rest, err := io.ReadAll(reader); len(rest) > 0 {
+		t.Errorf("%d bytes behind the response, %v", len(rest), err)
+	}
+	env.awaitIdle()
+	env.checkRequestCount(1)
+}
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -9,6 +9,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
@@ -85,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &callerConn{Conn: inner, listener: l, header: headerTracker{now: l.now, since: l.now()}}
+	conn := &callerConn{ServerConn: netconn.NewServerConn(inner), listener: l, header: headerTracker{now: l.now, since: l.now()}}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[conn] = struct{}{}
@@ -152,7 +153,7 @@
 
 // callerConn is a connection from a caller.
 type callerConn struct {
-	net.Conn
+	*netconn.ServerConn
 	listener *Listener
 	header   headerTracker
 }
@@ -160,9 +161,9 @@
 // Read implements net.Conn and records the request header. While the connection is being
 // closed, it returns the error of a closed one, to which net/http writes no response.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.ServerConn.Read(b)
 	if !c.header.add(b[:n]) {
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+		return 0, c.ClosedError()
 	}
 	return n, err
 }
@@ -172,5 +173,5 @@
 	c.listener.mu.Lock()
 	delete(c.listener.open, c)
 	c.listener.mu.Unlock()
-	return c.Conn.Close()
+	return c.ServerConn.Close()
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/timeline/causal"
@@ -145,6 +146,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    n.settings.MaxHeaderBytes,
+		ConnContext:       netconn.ConnContext,
 	}
 	n.adminServer = &http.Server{
 		Handler:           n.adminHandler(),
@@ -194,7 +196,7 @@
 func (n *Node) serveCallers(ctx context.Context) error {
 	context.AfterFunc(ctx, func() { _ = n.callerServer.Close() })
 	limited := netutil.LimitListener(n.listeners.callers, n.settings.MaxConnections)
-	return ignoreServerClosed(n.callerServer.Serve(limited))
+	return ignoreServerClosed(n.callerServer.Serve(netconn.ServerListener{Listener: limited}))
 }
 
 // awaitReady moves the lifecycle to serving when the roles are ready.
