gateway, entry: a request whose caller has left is not sent

Upstreams got requests of callers that had closed their connection before the request was read, at-most-once ones too. The handler and the goroutine that reads the end of the connection ran beside one another, and nothing looked for the end before the first byte was sent. The longer a request waits in a socket or in the accept queue, the more callers have left.

A keyed call of serve goes on without its caller, as before.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
@@ -62,6 +63,9 @@
 // count as a crash.
 var errStreamIdle = fault.New(fault.UpstreamFailed, "the stream of the engine exceeded the idle timeout")
 
+// errCallerLeft ends an attempt that has not been sent, because its caller has disconnected.
+var errCallerLeft = fault.New(fault.CallerGone, "the caller disconnected before the request was sent").WithRunState(types.NotRun)
+
 // rejectedRetryDelay is the delay before a retry after an upstream was full.
 const rejectedRetryDelay = 10 * time.Millisecond
 
@@ -139,6 +143,9 @@
 	if condemned := e.checkQuarantine(req); condemned != nil {
 		return nil, condemned
 	}
+	if netconn.CallerHasLeft(ctx) {
+		return nil, req.finalFailure(ctx, errCallerLeft)
+	}
 	e.options.Recorder.Record(req.event(timeline.RequestEnqueued))
 	poolRequest := req.poolRequest(e.options.Incarnation, deadline, x.generated())
 	poolRequest.Version = x.version()
@@ -210,6 +217,9 @@
 	if refusal := e.refusePart(req); refusal != nil {
 		return refusal
 	}
+	if netconn.CallerHasLeft(a.ctx) {
+		return errCallerLeft
+	}
 	call.Guard = e.guard(a.lifecycle, func() bool {
 		return !a.grant.Expired() && (req.mayExecute == nil || req.mayExecute())
 	})
@@ -315,7 +325,7 @@
 // that is not repeatable is retried only if none of its bytes can have been sent.
 // Before a retry after a rejection, mayRetry waits for rejectedRetryDelay.
 func (e *Entry) mayRetry(ctx context.Context, req *request, x exchange, result attemptResult) bool {
-	if ctx.Err() != nil || req.attempts >= e.settings.MaxAttempts {
+	if ctx.Err() != nil || result.err.Code == fault.CallerGone || req.attempts >= e.settings.MaxAttempts {
 		return false
 	}
 	if !req.attributes.Repeatable && req.sent {
--- a/pkg/entry/idempotency.go
+++ b/pkg/entry/idempotency.go
@@ -6,6 +6,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/idempotency"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
@@ -54,7 +55,7 @@
 // executeDetached runs the request independently of its caller, so that later
 // duplicates get the outcome even if the caller disconnects.
 func (e *Entry) executeDetached(answer *responseBuffer, in inboundRequest, scopedKey idempotency.ScopedKey) {
-	in.httpRequest = in.httpRequest.WithContext(context.WithoutCancel(in.httpRequest.Context()))
+	in.httpRequest = in.httpRequest.WithContext(netconn.WithoutCaller(in.httpRequest.Context()))
 	in.mayExecute = func() bool { return e.keys.IsOpen(scopedKey.Key.Window) }
 	err := e.admitAndServe(answer, in)
 	e.keys.Finish(scopedKey, answer.result(err))
--- a/pkg/entry/left_test.go
+++ b/pkg/entry/left_test.go
@@ -38,6 +38,38 @@
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer good\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
 }
 
+// TestRequestOfCallerThatHasLeftIsNotExecuted guards against requests that are executed although
+// their callers left before they were read.
+func TestRequestOfCallerThatHasLeftIsNotExecuted(t *testing.T) {
+	const callers = 100
+	for name, raw := range map[string]string{
+		"chat":    rawRequest("POST", chatURL, chatJSON("a", "")),
+		"stream":  rawRequest("POST", chatURL, chatJSON("a", `,"stream":true`)),
+		"service": rawRequest("GET", "/v1/services/queue/next", ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine, service := httpfakes.NewUpstream("u1"), httpfakes.NewUpstream("s1")
+			f := newFixture(t, engine, service)
+			address, serve, closed := f.startServer(t, callers)
+			for range callers {
+				conn, err := net.Dial("tcp", address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.WriteString(conn, raw); err != nil {
+					t.Fatal(err)
+				}
+				_ = conn.Close()
+			}
+			serve()
+			closed.Wait()
+			if n := len(engine.Executions()) + len(service.Executions()); n > 0 {
+				t.Errorf("%d requests were executed", n)
+			}
+		})
+	}
+}
+
 // TestBytesBehindRequestDoNotHideThatCallerLeft guards against attempts that go on for a caller that
 // has sent more on the connection before it closed it.
 func TestBytesBehindRequestDoNotHideThatCallerLeft(t *testing.T) {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/transit"
@@ -95,6 +96,9 @@
 func (q *request) tryUpstreams(ctx context.Context) error {
 	for {
 		q.awaitCrashReport(ctx)
+		if netconn.CallerHasLeft(q.incoming.Context()) {
+			return errCallerLeft
+		}
 		if failure := q.checkParts(); failure != nil {
 			return failure
 		}
@@ -261,6 +265,9 @@
 	if ctx.Err() != nil || q.remaining() <= 0 {
 		return q.contextError()
 	}
+	if errors.Is(result.err, errCallerLeft) {
+		return errCallerLeft
+	}
 	if errors.Is(result.err, errPathLost) && q.progress.runs == 0 {
 		return fault.Wrap(fault.PathLost, result.err, "no upstream can be reached").WithRetryAfter(jitteredRetryAfter())
 	}
--- a/pkg/gateway/left_test.go
+++ b/pkg/gateway/left_test.go
@@ -8,8 +8,11 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/clock"
 )
 
 // endTimeout is far above the time that the end of a connection takes through the gateway.
@@ -78,6 +81,66 @@
 	}
 }
 
+// countingListener counts the connections that were accepted and closed.
+type countingListener struct {
+	net.Listener
+	closed sync.WaitGroup
+}
+
+type countedConn struct {
+	*net.TCPConn
+	closed func()
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn.(*net.TCPConn), sync.OnceFunc(l.closed.Done)}, nil
+}
+
+func (c *countedConn) Close() error {
+	defer c.closed()
+	return c.TCPConn.Close()
+}
+
+// TestRequestOfCallerThatHasLeftIsNotSent guards against requests that are sent although their
+// callers left before they were read.
+func TestRequestOfCallerThatHasLeftIsNotSent(t *testing.T) {
+	const callers = 100
+	for _, route := range testRoutes {
+		for name, body := range map[string]string{"a short body": "body", "a long body": strings.Repeat("b", 1000)} {
+			for behindName, behind := range map[string]string{"": "", " and a further request": requestOn(route.Prefix, "r2", "body")} {
+				t.Run(route.Name+" with "+name+behindName, func(t *testing.T) {
+					env := newTestEnv(t, testRoutes, respondWith(rawResponse(200, "")), 1)
+					inner, err := net.Listen("tcp", "127.0.0.1:0")
+					if err != nil {
+						t.Fatal(err)
+					}
+					listener := &countingListener{Listener: inner}
+					listener.closed.Add(callers)
+					for range callers {
+						conn, err := net.Dial("tcp", inner.Addr().String())
+						if err != nil {
+							t.Fatal(err)
+						}
+						if _, err := io.WriteString(conn, requestOn(route.Prefix, "r1", body)+behind); err != nil {
+							t.Fatal(err)
+						}
+						_ = conn.Close()
+					}
+					server := env.gateway.Server()
+					go func() { _ = server.Serve(NewListener(listener, clock.Boot)) }()
+					t.Cleanup(func() { _ = server.Close() })
+					listener.closed.Wait()
+					env.checkRequestCount(0)
+				})
+			}
+		}
+	}
+}
+
 // TestRequestsBehindOneAnotherAreServed checks that what is read ahead of a request is not lost.
 func TestRequestsBehindOneAnotherAreServed(t *testing.T) {
 	const count = 30
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -12,6 +12,7 @@
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/transit"
@@ -30,6 +31,9 @@
 // error of a peer that says so.
 var errUpstreamLeft = fault.New(fault.UpstreamLeaving, "the upstream may get no new requests any more")
 
+// errCallerLeft ends an attempt whose caller has disconnected.
+var errCallerLeft = fault.New(fault.CallerGone, "the caller disconnected")
+
 // newTransit returns the connections of the gateway to upstreams.
 func newTransit(options Options) *transit.Transit {
 	return transit.New(transit.Options{
@@ -112,6 +116,9 @@
 // attempt. It is called right before the first byte of the request is written: connecting may have
 // taken seconds.
 func (a *attempt) checkBeforeSending() error {
+	if netconn.CallerHasLeft(a.incoming.Context()) {
+		return errCallerLeft
+	}
 	if err := a.checkUpstream(); err != nil {
 		return err
 	}
@@ -144,7 +151,7 @@
 // unsentOutcome returns the outcome of an attempt that sent nothing, with regard to the
 // upstream's health.
 func unsentOutcome(err error) roster.Outcome {
-	if errors.Is(err, errPathLost) || errors.Is(err, errUpstreamLeft) || errors.Is(err, errWithoutPermit) {
+	if errors.Is(err, errPathLost) || errors.Is(err, errUpstreamLeft) || errors.Is(err, errWithoutPermit) || errors.Is(err, errCallerLeft) {
 		return roster.Abandoned
 	}
 	return roster.Unreachable
