transit, gateway, mesh, edge: an instance that is late does not blame others

Connections to sound upstreams timed out after 150 ms; each such upstream was ejected, at all instances; paths counted as lost and requests went through peers; requests got second attempts, and peers counted as down.

The timeouts that an instance sets for others are longer by what it is late. If one passes while it is late by more than 50 ms, that is no evidence: no ejection, no lost path, no second attempt. A refused connection still counts. Peers are dropped up to a second later. What an instance is late by and accepts is in the metric 'overload', and changes are logged.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/umbercrank/umbercrank/pkg/gateway"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
+	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/retry"
@@ -122,6 +123,9 @@
 	mesh     *mesh.Mesh
 	peers    *peer.Server
 	dialer   *peer.Dialer
+	// meter measures how late this instance is, and limiter refuses requests meanwhile.
+	meter    *overload.Meter
+	limiter  *overload.Limiter
 	stopping atomic.Bool
 	// explaining is held while a request is explained.
 	explaining sync.Mutex
@@ -152,6 +156,8 @@
 		now:           clock.Boot,
 		roster:        roster.New(),
 		metrics:       gateway.NewMetrics(),
+		meter:         overload.NewMeter(clock.Boot),
+		limiter:       overload.NewLimiter(),
 		configuration: replica.New(),
 		upstreams:     replica.New(),
 		undecodable:   make(map[string]types.Revision),
@@ -172,6 +178,7 @@
 		Clock:  clock.Boot,
 		Logger: logger,
 
+		Late:              e.meter.Late,
 		HandleSuspension:  e.peers.DropConnections,
 		FirstStart:        settings.FirstStart,
 		FollowEvacuations: settings.FollowEvacuations,
@@ -205,6 +212,8 @@
 		Logger:        logger,
 		Metrics:       e.metrics,
 		FairShares:    settings.FairShares,
+		Meter:         e.meter,
+		Limiter:       e.limiter,
 		Retries:       retry.Settings{Ratio: retryBudgetShare * settings.RetryRatio, Burst: retryBudgetShare * settings.RetryBurst, Window: settings.RetryWindow},
 	})
 	e.peers.HandleStreams(e.gateway.PeerHandler())
@@ -238,6 +247,7 @@
 	for _, follower := range e.followers {
 		group.Go(func() error { return follower.Run(taskCtx) })
 	}
+	group.Go(func() error { e.measureDelay(taskCtx); return nil })
 	group.Go(func() error { e.expireLoop(taskCtx); return nil })
 	group.Go(func() error { e.logCapacity(taskCtx); return nil })
 	group.Go(func() error { e.logShares(taskCtx); return nil })
@@ -345,6 +355,7 @@
 func (e *Edge) publishMetrics() {
 	e.metrics.Publish("requests")
 	e.publishCapacity()
+	e.publishOverload()
 	if e.settings.FairShares {
 		e.gateway.PublishShares("fair_shares")
 	}
--- /dev/null
+++ b/pkg/edge/overload.go
@@ -0,0 +1,29 @@
+package edge
+
+import (
+	"context"
+	"expvar"
+	"time"
+)
+
+// measureDelay measures how late this instance is until ctx is done.
+func (e *Edge) measureDelay(ctx context.Context) {
+	e.meter.Run(ctx, func(delay time.Duration) {
+		before, after := e.limiter.Observe(delay)
+		if (before < 1) == (after < 1) {
+			return
+		}
+		e.logger.Warn().Bool("refuses", after < 1).Float64("accepted", after).Dur("late_ms", e.meter.Late()).Int64("active", e.gateway.Active()).
+			Msg("instance overload changed")
+	})
+}
+
+// publishOverload registers the metrics of the overload with expvar.
+func (e *Edge) publishOverload() {
+	expvar.Publish("overload", expvar.Func(func() any {
+		return struct {
+			LateMilliseconds int64   `json:"late_ms"`
+			Accepted         float64 `json:"accepted"`
+		}{e.meter.Late().Milliseconds(), e.limiter.Fraction()}
+	}))
+}
--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -85,6 +85,8 @@
 	UnknownRequest Code = "unknown_request"
 	// NotFound: no resource exists at the path.
 	NotFound Code = "not_found"
+	// InstanceLate: a timeout passed while this instance was late with its own work.
+	InstanceLate Code = "instance_late"
 	// CallerGone: the caller disconnected.
 	CallerGone Code = "caller_gone"
 	// InvalidSetting: a flag or environment variable has an invalid value.
@@ -156,6 +158,7 @@
 	NotReady:             {http.StatusServiceUnavailable, types.NotRun},
 	UnknownRequest:       {http.StatusNotFound, types.NotRun},
 	NotFound:             {http.StatusNotFound, types.NotRun},
+	InstanceLate:         {http.StatusServiceUnavailable, types.NotRun},
 	CallerGone:           {499, types.MayHaveRun},
 	InvalidSetting:       {http.StatusInternalServerError, types.NotRun},
 	InvalidConfiguration: {http.StatusInternalServerError, types.NotRun},
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -402,7 +402,7 @@
 	if a.incoming.Context().Err() != nil {
 		return false
 	}
-	return a.ctx.Err() == nil || !a.late && a.progress.events == 0 && took > overdueFactor*a.choice.FirstResponse
+	return a.ctx.Err() == nil || !a.late && a.gateway.options.Meter.Late() <= transit.MaxLate && a.progress.events == 0 && took > overdueFactor*a.choice.FirstResponse
 }
 
 // countRun counts the attempt as one that may have run the request.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/origin"
+	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
@@ -125,6 +126,10 @@
 	FairShares bool
 	// LateWork allows requests to engines that cannot be in time to be sent as late work.
 	LateWork bool
+	// Meter measures how late this instance is, and Limiter decides which requests it accepts
+	// then. They may be nil.
+	Meter   *overload.Meter
+	Limiter *overload.Limiter
 	// PeerTransport opens streams to peers. If it is nil, no request is sent through one.
 	PeerTransport http.RoundTripper
 }
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -16,6 +16,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/roster"
+	"github.com/umbercrank/umbercrank/pkg/transit"
 )
 
 const (
@@ -58,6 +59,9 @@
 	case a.overdueAt.IsZero():
 	case time.Now().Before(a.overdueAt):
 		a.alarm.Set(a.overdueAt)
+	case a.gateway.options.Meter.Late() > transit.MaxLate:
+		// The response may have arrived.
+		a.declineHedge("this instance is late")
 	default:
 		a.startHedge()
 	}
--- /dev/null
+++ b/pkg/gateway/overload_test.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/catalog"
+	"github.com/umbercrank/umbercrank/pkg/overload"
+)
+
+// delayedMeter returns a Meter of an instance that is late by the delay, which the test may change.
+func delayedMeter(t *testing.T, delay *atomic.Int64) *overload.Meter {
+	began := time.Now()
+	meter := overload.NewMeter(func() time.Duration { return time.Since(began) + time.Duration(delay.Load()) })
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go meter.Run(ctx, nil)
+	synctest.Wait()
+	return meter
+}
+
+// TestLateInstanceEjectsNoUpstream guards against upstreams that get no work, at all instances,
+// because one instance could not connect to them in time.
+func TestLateInstanceEjectsNoUpstream(t *testing.T) {
+	for name, c := range map[string]struct {
+		late   time.Duration
+		ejects bool
+	}{"late": {late: 300 * time.Millisecond}, "on time": {ejects: true}} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				env := newBubbleEnv(t, testRoutes, respondWith(rawResponse(200, "hello")), 6)
+				delay := &atomic.Int64{}
+				env.gateway.options.Meter = delayedMeter(t, delay)
+				env.gateway.options.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+					delay.Add(int64(c.late))
+					<-ctx.Done()
+					return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+				}
+				env.gateway.transit = newTransit(env.gateway.options)
+				if got := env.call("GET", "/safe/", ""); got.status != 503 {
+					t.Errorf("got %+v", got)
+				}
+				if ejected := env.roster.Ejected(env.gateway.options.Clock()); len(ejected) > 0 != c.ejects {
+					t.Errorf("%d upstreams are ejected", len(ejected))
+				}
+			})
+		})
+	}
+}
+
+// TestLateInstanceSendsNoRequestTwice guards against second attempts beside ones whose response an
+// instance has not read yet.
+func TestLateInstanceSendsNoRequestTwice(t *testing.T) {
+	for name, c := range map[string]struct {
+		late time.Duration
+		sent int
+	}{"late": {late: time.Second, sent: 1}, "on time": {sent: 2}} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				routes := []catalog.Route{{Name: "safe", Prefix: "/safe/", Kind: catalog.Idempotent, MaxAttempts: 2, Objective: time.Second}}
+				delay := &atomic.Int64{}
+				responded := respondWith(rawResponse(200, "hello"))
+				env := newBubbleEnv(t, routes, func(conn net.Conn, _ *http.Request, n int) {
+					time.Sleep(2 * time.Second)
+					responded(conn, nil, n)
+				}, 3)
+				env.gateway.options.Meter = delayedMeter(t, delay)
+				go func() {
+					for range 40 {
+						time.Sleep(50 * time.Millisecond)
+						delay.Add(int64(c.late) / 10)
+					}
+				}()
+				if got := env.call("GET", "/safe/", ""); got.status != 200 {
+					t.Errorf("got %+v", got)
+				}
+				env.checkRequestCount(c.sent)
+			})
+		})
+	}
+}
--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -46,6 +46,7 @@
 		DialTimeout: cmp.Or(options.DialTimeout, exchange.DefaultDialTimeout),
 		OpenTimeout: options.DialTimeout,
 		Clock:       options.Clock,
+		Late:        options.Meter.Late,
 		Logger:      options.Logger,
 		Count:       options.Metrics.countPath,
 		HandleRefused: func(to transit.Destination) {
@@ -151,6 +152,9 @@
 // unsentOutcome returns the outcome of an attempt that sent nothing, with regard to the
 // upstream's health.
 func unsentOutcome(err error) roster.Outcome {
+	if errors.Is(err, transit.ErrLate) {
+		return roster.Abandoned
+	}
 	if errors.Is(err, errPathLost) || errors.Is(err, errUpstreamLeft) || errors.Is(err, errWithoutPermit) || errors.Is(err, errCallerLeft) {
 		return roster.Abandoned
 	}
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -127,6 +127,8 @@
 	// through hubs. It covers one late heartbeat on each hop: to the hub, between
 	// hubs and from the hub.
 	distantDownAfter = 3 * time.Second
+	// maxLate bounds the time that is added to these timeouts while this instance is late.
+	maxLate = time.Second
 	// removeAfter is the time after which an instance that is down is removed. Until
 	// then it is retried, because a network partition may heal.
 	removeAfter = time.Minute
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -98,6 +98,8 @@
 	State  State
 	Clock  clock.Clock
 	Logger zerolog.Logger
+	// Late returns how late this instance is with its own work, unless it is nil.
+	Late func() time.Duration
 	// HandleSuspension is called when this instance has been suspended, unless it is nil. It must
 	// not call the mesh.
 	HandleSuspension func()
@@ -261,14 +263,23 @@
 func (m *Mesh) downTimeout(address string) time.Duration {
 	switch m.relation(address) {
 	case meshPeer:
-		return downAfter
+		return downAfter + m.late()
 	case distant:
-		return distantDownAfter
+		return distantDownAfter + m.late()
 	default:
-		return downAfterLargeFleet
+		return downAfterLargeFleet + m.late()
 	}
 }
 
+// late returns by how much later than usual heartbeats may be handled because this instance is
+// late.
+func (m *Mesh) late() time.Duration {
+	if m.options.Late == nil {
+		return 0
+	}
+	return min(m.options.Late(), maxLate)
+}
+
 // updateTopology recomputes the hubs from the instances that are up.
 func (m *Mesh) updateTopology() {
 	m.mu.Lock()
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -637,3 +637,25 @@
 		t.Errorf("in a fleet of 8 the relation is %v", got)
 	}
 }
+
+// TestLateInstanceDropsNoPeer guards against peers that count as down because this instance has not
+// handled their heartbeats yet.
+func TestLateInstanceDropsNoPeer(t *testing.T) {
+	for late, dropped := range map[time.Duration]bool{0: true, 800 * time.Millisecond: false, 10 * time.Second: false} {
+		runFleet(t, 3, func(t *testing.T, f *fleet) {
+			time.Sleep(3 * time.Second)
+			f.meshes[0].mu.Lock()
+			f.meshes[0].options.Late = func() time.Duration { return late }
+			f.meshes[0].mu.Unlock()
+			f.network.Partition([]string{address(0), address(1)})
+			time.Sleep(1700 * time.Millisecond)
+			if got := len(f.meshes[0].CallerAddresses()) < 3; got != dropped {
+				t.Errorf("late by %v, the silent peer is dropped: %v", late, got)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			if got := len(f.meshes[0].CallerAddresses()); got != 2 {
+				t.Errorf("late by %v, %d caller addresses 3.2 s after the last heartbeat", late, got)
+			}
+		})
+	}
+}
--- a/pkg/transit/stream.go
+++ b/pkg/transit/stream.go
@@ -55,7 +55,7 @@
 	if to.Version != "" {
 		call.Header.Set(headerVersion, string(to.Version))
 	}
-	stopTimer := time.AfterFunc(t.options.OpenTimeout, cancel).Stop
+	stopTimer := time.AfterFunc(t.options.OpenTimeout+t.options.Late(), cancel).Stop
 	stopWatching := context.AfterFunc(ctx, cancel)
 	response, err := t.options.Transport.RoundTrip(call)
 	stopWatching()
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -39,6 +39,14 @@
 	errUpstreamUnreached = fault.New(fault.NoUpstream, "")
 )
 
+// MaxLate is how late this instance may be while a timeout that it sets for others still says
+// something about them. It is a part of the time that connecting to an upstream may take.
+const MaxLate = 50 * time.Millisecond
+
+// ErrLate matches the error of a connection attempt whose timeout this instance may have caused
+// itself.
+var ErrLate = fault.New(fault.InstanceLate, "")
+
 // Destination is an upstream.
 type Destination struct {
 	Target   types.TargetName
@@ -72,7 +80,9 @@
 	// DefaultOpenTimeout.
 	OpenTimeout time.Duration
 	Clock       clock.Clock
-	Logger      zerolog.Logger
+	// Late returns how late this instance is with its own work. It may be nil.
+	Late   func() time.Duration
+	Logger zerolog.Logger
 	// Count counts what becomes of requests, by outcome. It may be nil.
 	Count func(outcome string)
 	// HandlePause is called when an upstream that this instance reached for a peer wants no
@@ -97,6 +107,9 @@
 // New returns a Transit for which all upstreams can be reached directly.
 func New(options Options) *Transit {
 	options.OpenTimeout = cmp.Or(options.OpenTimeout, DefaultOpenTimeout)
+	if options.Late == nil {
+		options.Late = func() time.Duration { return 0 }
+	}
 	return &Transit{options: options, paths: reach.NewPaths(), peers: reach.NewPeers()}
 }
 
@@ -196,14 +209,25 @@
 	return t.paths.State(target) != reach.Lost
 }
 
-// connect opens a connection to the address over the instance's own path.
+// connect opens a connection to the address over the instance's own path. While the instance is
+// late, the timeout is longer by that, and the error of a timeout matches ErrLate.
 func (t *Transit) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	if t.options.Dial == nil {
-		return netconn.Dialer(timeout).DialContext(ctx, "tcp", address)
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	limited, cancel := context.WithTimeout(ctx, timeout+t.options.Late())
 	defer cancel()
-	return t.options.Dial(ctx, "tcp", address)
+	dial := t.options.Dial
+	if dial == nil {
+		dial = netconn.Dialer(0).DialContext
+	}
+	conn, err := dial(limited, "tcp", address)
+	if isTimeout(err) && ctx.Err() == nil && t.options.Late() > MaxLate {
+		return nil, fault.Wrap(fault.InstanceLate, err, "timed out while this instance was late")
+	}
+	return conn, err
+}
+
+func isTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
 }
 
 // dialDirectly connects over the instance's own path and records the result.
@@ -217,7 +241,7 @@
 		t.mu.Unlock()
 		return t.newConn(&Conn{Conn: raw, to: to, connectedAt: now, onTrial: onTrial}, silence), nil
 	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !errors.Is(err, ErrLate) {
 		t.recordFailure(now, reach.Attempt{Target: to.Target, Upstream: to.Upstream, Kind: reach.NotConnected, Since: began})
 	}
 	if onTrial {
@@ -315,6 +339,8 @@
 			return nil, errors.WithStack(ctx.Err())
 		case errors.Is(err, errUpstreamLeaving):
 			return nil, err
+		case errors.Is(err, ErrLate) || t.options.Late() > MaxLate:
+			continue
 		case errors.Is(err, errUpstreamUnreached):
 			// The cause may be the upstream, or that the peer has just lost its own path.
 			failure = fault.From(err)
@@ -410,7 +436,7 @@
 func (t *Transit) newConn(conn *Conn, silence time.Duration) *Conn {
 	conn.transit = t
 	// The timer must be set before it can end.
-	conn.silence = time.AfterFunc(math.MaxInt64, conn.RecordNoResponse)
+	conn.silence = time.AfterFunc(math.MaxInt64, conn.handleSilence)
 	conn.silence.Reset(silence)
 	return conn
 }
@@ -418,6 +444,16 @@
 // Peer returns the instance that carries the connection, or "" if it is direct.
 func (c *Conn) Peer() types.InstanceID { return c.peer }
 
+// handleSilence records that there is no response. While this instance is late, the response may
+// have arrived, and the upstream gets as much more time.
+func (c *Conn) handleSilence() {
+	if late := c.transit.options.Late(); late > MaxLate {
+		c.silence.Reset(late)
+		return
+	}
+	c.RecordNoResponse()
+}
+
 // RecordResponse records that the upstream has begun to respond.
 func (c *Conn) RecordResponse() {
 	c.silence.Stop()
