gateway: an instance that is late refuses requests before it works on them

What an instance could not carry it began all the same, and everything it does came later with each request: the end of a caller's connection too, which passes two goroutines until the upstream's is closed. Nothing limited the requests at work by what the processor carries.

The Limiter decides right after the route and the account are known, before the body is read and an upstream is chosen; the refusal says that the request has not run and when to come back, half a second to one and a half later. Streams that are taken up again are always accepted.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -348,6 +348,9 @@
 		q.account = account
 	}
 	q.catalog, q.timeout = current, requestTimeout(q.route, call)
+	if failure := q.checkOverload(); failure != nil {
+		return failure
+	}
 	q.restrictRegions()
 	return q.setTarget(q.route.PickTarget(rand.Float64()))
 }
--- a/pkg/gateway/overload_test.go
+++ b/pkg/gateway/overload_test.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
+	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/overload"
+	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // delayedMeter returns a Meter of an instance that is late by the delay, which the test may change.
@@ -85,3 +87,37 @@
 		})
 	}
 }
+
+// TestOverloadedInstanceRefusesBeforeItChoosesAnUpstream checks what callers of an instance get
+// that is late with its work.
+func TestOverloadedInstanceRefusesBeforeItChoosesAnUpstream(t *testing.T) {
+	env := newTestEnv(t, testRoutes, respondWith(rawResponse(200, "hello")), 1)
+	env.gateway.options.Limiter = overload.NewLimiter()
+	for range 1000 {
+		env.gateway.options.Limiter.Admit(0, 0)
+		env.gateway.options.Limiter.Observe(time.Second)
+	}
+	var refused, served int
+	for range 200 {
+		got := env.call("POST", "/once/", "body")
+		switch {
+		case got.status == 200:
+			served++
+		case got.status != 503 || got.header.Get("Code") != string(fault.Overloaded) || got.header.Get("Run-State") != string(types.NotRun):
+			t.Fatalf("got %+v", got)
+		default:
+			refused++
+			if after, err := time.ParseDuration(got.header.Get("Return")); err != nil || after < 100*time.Millisecond {
+				t.Fatalf("return after %v, %v", after, err)
+			}
+		}
+	}
+	if refused < 150 {
+		t.Errorf("%d requests are refused and %d served", refused, served)
+	}
+	env.checkRequestCount(served)
+	got := env.sendRaw("POST /resume/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nLast-Event-Id: 3\r\nResumes: r0\r\nContent-Length: 0\r\n\r\n")
+	if got.header.Get("Code") == string(fault.Overloaded) {
+		t.Errorf("a stream that is taken up again is refused: %+v", got)
+	}
+}
