netconn, gateway: a long request right behind a response is served

Callers that sent the next request as soon as they had their response lost it if it was longer than 64 KiB: the handler had not returned yet, so the connection read it ahead, dropped what it does not keep, and counted as closed.

A caller may send more only once it has its response. The gateway and the entry say when that may be, and from then on nothing is dropped: what does not fit is left in the socket, and the end of the connection is asked for instead. Until then what does not fit is dropped as before; 16 KiB are kept instead of 64.

--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 )
 
 // finish updates the metrics, logs the request and, after a failure, writes the error
@@ -36,6 +37,7 @@
 		// response, and the caller may never send the rest.
 		q.writer.Header().Set("Connection", "close")
 	}
+	q.completeResponse()
 	g.options.Protocol.WriteError(&errorWriter{ResponseWriter: q.writer, before: func(status int) {
 		q.status = status
 		q.log(failure, elapsed)
@@ -45,6 +47,13 @@
 	}
 }
 
+// completeResponse is called before the end of a response is written.
+func (q *request) completeResponse() {
+	if caller, ok := netconn.ServerConnOf(q.incoming.Context()).(*callerConn); ok {
+		caller.Complete()
+	}
+}
+
 // resetConnection closes the connection with a TCP reset. A response to HTTP/1.0 without
 // a length ends with the connection, so a regular close would mark it as complete.
 func (q *request) resetConnection() {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -469,11 +469,14 @@
 		if !ok {
 			panic(http.ErrAbortHandler)
 		}
+		caller.BeginRequest()
+		defer caller.Complete()
 		defer header.reset()
 		if failure := g.checkHeader(r, header, length); failure != nil {
 			g.options.Metrics.countRefused(failure.Code)
 			g.options.Logger.Info().Int("header_bytes", length).Str("outcome", string(failure.Code)).Str("reason", failure.Error()).Msg("request")
 			w.Header().Set("Connection", "close")
+			caller.Complete()
 			g.options.Protocol.WriteError(w, "", failure)
 			return
 		}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -49,6 +49,7 @@
 		q.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	q.writer.WriteHeader(response.Status)
+	q.completeResponse()
 	if err := q.write(body); err != nil {
 		return result{answered: true, ran: true, outcome: roster.Abandoned, err: err}
 	}
@@ -97,6 +98,7 @@
 	q.setHeader(k.response)
 	q.writer.Header().Set("Content-Length", strconv.Itoa(len(k.body)))
 	q.writer.WriteHeader(k.response.Status)
+	q.completeResponse()
 	return q.write(k.body)
 }
 
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"slices"
 	"sync/atomic"
@@ -14,9 +16,9 @@
 
 const (
 	// maxAheadBytes bounds what is kept of the bytes that follow a request.
-	maxAheadBytes = 64 << 10
-	// aheadBlockBytes bounds how much of them is read at once.
-	aheadBlockBytes = 4 << 10
+	maxAheadBytes = 16 << 10
+	// dropBlockBytes bounds how many of the bytes behind them are dropped at once.
+	dropBlockBytes = 16 << 10
 )
 
 // ServerListener wraps the connections of a listener as ServerConns.
@@ -33,23 +35,35 @@
 
 // ServerConn is a caller's connection to an HTTP server. While a handler runs, net/http reads a
 // single byte and cancels the request when that read fails; bytes that follow the request would
-// hide the end of the connection. A ServerConn reads on until the connection ends, and returns to
-// later reads what it has read. Of more than maxAheadBytes it keeps the beginning, behind which the
-// connection counts as closed.
+// hide the end of the connection. A ServerConn reads on until the end, and returns what it has read
+// to later reads. If there are more than maxAheadBytes before the response is complete, the rest is
+// dropped and the connection counts as closed behind the response.
 type ServerConn struct {
 	net.Conn
 	// ahead has the bytes that were read ahead. Reads do not overlap, so it needs no lock.
-	ahead     []byte
-	truncated bool
+	ahead []byte
+	// dropped reports whether bytes behind ahead were dropped.
+	dropped bool
 	// failure is the error behind ahead, and ended reports whether there is one.
 	failure error
 	ended   atomic.Bool
+	// completing reports whether the caller may have the whole response to its request, so that
+	// it may send the next one.
+	completing atomic.Bool
 }
 
 // NewServerConn wraps an accepted connection.
 func NewServerConn(conn net.Conn) *ServerConn { return &ServerConn{Conn: conn} }
 
-// Read implements net.Conn. The only reads of a single byte are those of net/http beside a handler.
+// BeginRequest is called when a handler begins, and Complete before it writes the end of a response
+// and when it returns.
+func (c *ServerConn) BeginRequest() { c.completing.Store(false) }
+
+// Complete is described at BeginRequest.
+func (c *ServerConn) Complete() { c.completing.Store(true) }
+
+// Read implements net.Conn. The only reads of a single byte are those of net/http beside a handler,
+// which it interrupts by a deadline when the handler has returned.
 func (c *ServerConn) Read(b []byte) (int, error) {
 	switch {
 	case len(b) == 1:
@@ -58,10 +72,10 @@
 		n := copy(b, c.ahead)
 		c.ahead = c.ahead[n:]
 		return n, nil
+	case c.dropped:
+		return 0, c.ClosedError()
 	case c.failure != nil:
 		return 0, c.failure
-	case c.truncated:
-		return 0, c.ClosedError()
 	}
 	c.ahead = nil
 	return c.Conn.Read(b)
@@ -84,24 +98,48 @@
 	return 1, err
 }
 
-// readAhead reads once. Without bytes ahead it reads into the given space first, so that idle
-// connections need no buffer.
+// readAhead reads once. Without bytes ahead it reads into the given space, so that idle connections
+// need no buffer.
 func (c *ServerConn) readAhead(space []byte) error {
 	kept := len(c.ahead)
 	switch {
-	case kept >= maxAheadBytes:
-		space, c.truncated = make([]byte, aheadBlockBytes), true
-	case kept > 0:
-		c.ahead = slices.Grow(c.ahead, min(aheadBlockBytes, maxAheadBytes-kept))
-		space = c.ahead[kept:min(cap(c.ahead), maxAheadBytes)]
-	}
-	n, err := c.Conn.Read(space)
-	switch {
 	case kept == 0:
+		n, err := c.Conn.Read(space)
 		c.ahead = append(c.ahead, space[:n]...)
+		return err
 	case kept < maxAheadBytes:
+		c.ahead = slices.Grow(c.ahead, maxAheadBytes-kept)
+		n, err := c.Conn.Read(c.ahead[kept:maxAheadBytes])
 		c.ahead = c.ahead[:kept+n]
+		return err
+	}
+	return c.readBeyond()
+}
+
+// readBeyond waits for bytes that are not kept or for the end of the connection. Bytes that a caller
+// may send because it has its response are left to later reads.
+func (c *ServerConn) readBeyond() error {
+	raw, ok := rawConn(c.Conn)
+	if !ok {
+		return c.dropRead()
+	}
+	hungUp := false
+	if err := raw.Read(func(fd uintptr) bool {
+		hungUp = isReadyFor(fd, unix.POLLRDHUP)
+		return hungUp || !c.completing.Load() && isReadyFor(fd, unix.POLLIN)
+	}); err != nil {
+		return err
 	}
+	if hungUp {
+		return io.EOF
+	}
+	return c.dropRead()
+}
+
+// dropRead reads bytes that are not kept.
+func (c *ServerConn) dropRead() error {
+	c.dropped = true
+	_, err := c.Conn.Read(make([]byte, dropBlockBytes))
 	return err
 }
 
@@ -123,6 +161,17 @@
 	return context.WithValue(ctx, serverConnKey{}, conn)
 }
 
+// Handler marks the beginning and the end of the requests of a ServerListener.
+func Handler(inner http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := ServerConnOf(r.Context()).(*ServerConn); ok {
+			conn.BeginRequest()
+			defer conn.Complete()
+		}
+		inner.ServeHTTP(w, r)
+	})
+}
+
 // WithoutCaller returns a context for work that goes on when the caller of the request leaves.
 func WithoutCaller(ctx context.Context) context.Context {
 	return context.WithValue(context.WithoutCancel(ctx), serverConnKey{}, nil)
@@ -143,20 +192,28 @@
 
 // hasHungUp reports whether the other side of a TCP connection has closed it or its sending half.
 func hasHungUp(conn net.Conn) bool {
-	socket, ok := conn.(syscall.Conn)
+	raw, ok := rawConn(conn)
 	if !ok {
 		return false
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
 	hungUp := false
-	err = raw.Control(func(fd uintptr) {
-		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(state, 0)
-		hungUp = err == nil && n > 0 && state[0].Revents != 0
-	})
+	err := raw.Control(func(fd uintptr) { hungUp = isReadyFor(fd, unix.POLLRDHUP) })
 	// An error means that this side has closed the connection.
 	return hungUp || err != nil
 }
+
+func rawConn(conn net.Conn) (syscall.RawConn, bool) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := socket.SyscallConn()
+	return raw, err == nil
+}
+
+// isReadyFor reports whether a socket has an event, or has failed.
+func isReadyFor(fd uintptr, event int16) bool {
+	state := []unix.PollFd{{Fd: int32(fd), Events: event}}
+	n, err := unix.Poll(state, 0)
+	return err == nil && n > 0
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -142,7 +142,7 @@
 // buildHTTPServers creates the HTTP servers for callers and operators.
 func (n *Node) buildHTTPServers() {
 	n.callerServer = &http.Server{
-		Handler:           n.requireReady(n.roles.Handler()),
+		Handler:           netconn.Handler(n.requireReady(n.roles.Handler())),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    n.settings.MaxHeaderBytes,
