gateway: a stream that has begun goes on with events of a stream only

Reported by operators of similar systems, and it could happen here: a resumable stream had begun and broke off, and the next upstream answered otherwise.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -467,8 +467,8 @@
 	if info.ID != q.call.ID || info.Encoded || !info.Sealed && response.Status < http.StatusMultipleChoices {
 		return failed("the response does not belong to the request")
 	}
-	if q.headerSent && response.Status >= http.StatusMultipleChoices {
-		return failed("the stream cannot be resumed: status " + strconv.Itoa(response.Status))
+	if q.headerSent && (response.Status != q.status || !a.isStream(response)) {
+		return failed("the stream cannot be resumed: status " + strconv.Itoa(response.Status) + ", type " + strconv.Quote(response.Header.Get("Content-Type")))
 	}
 	if response.Status >= http.StatusInternalServerError && hasAlternative() {
 		own := failed("the upstream failed: status " + strconv.Itoa(response.Status))
