--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -143,9 +143,12 @@
 	return failure
 }
 
-// withDeadline returns a context that ends at the request's deadline.
+// withDeadline returns a context that ends at the request's deadline, or with the cause errEnding
+// before the instance stops.
 func (e *Entry) withDeadline(ctx context.Context, req *request) (context.Context, context.CancelFunc, time.Time) {
 	deadline := req.deadline(e.settings.DefaultDeadline)
-	limited, cancel := context.WithDeadline(ctx, deadline)
-	return limited, cancel, deadline
+	stoppable, stop := context.WithCancelCause(ctx)
+	release := context.AfterFunc(e.ending, func() { stop(errEnding) })
+	limited, cancel := context.WithDeadline(stoppable, deadline)
+	return limited, func() { release(); cancel(); stop(nil) }, deadline
 }
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -63,6 +63,9 @@
 // count as a crash.
 var errStreamIdle = fault.New(fault.UpstreamFailed, "the stream of the engine exceeded the idle timeout")
 
+// errEnding is the cancellation cause of requests that are still in flight when the instance stops.
+var errEnding = fault.New(fault.DeadlineExceeded, "the instance stops before the answer is complete")
+
 // errCallerLeft ends an attempt that has not been sent, because its caller has disconnected.
 var errCallerLeft = fault.New(fault.CallerGone, "the caller disconnected before the request was sent").WithRunState(types.NotRun)
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -70,6 +70,9 @@
 	// waiters counts the duplicates that wait for the outcome of an execution. It
 	// stays open while the instance is leaving.
 	waiters *inFlightCounter
+	// ending is done once End is called.
+	ending  context.Context
+	end     context.CancelFunc
 	keys    *idempotency.Store
 	charts  charts
 	memory  *semaphore.Weighted
@@ -88,7 +91,10 @@
 	if options.Clock == nil {
 		options.Clock = clock.Process()
 	}
+	ending, end := context.WithCancel(context.Background())
 	e := &Entry{
+		ending:   ending,
+		end:      end,
 		charts:   loaded,
 		options:  options,
 		settings: options.Settings,
@@ -140,6 +146,9 @@
 	}
 }
 
+// End ends the requests in flight with a response that says whether they may have run.
+func (e *Entry) End() { e.end() }
+
 // Settings configures the limits and timeouts of an Entry.
 type Settings struct {
 	// MaxBodyBytes is the maximum size of a request body.
--- a/pkg/entry/lifecycle_test.go
+++ b/pkg/entry/lifecycle_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/pool"
+	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
@@ -172,3 +175,49 @@
 		}
 	})
 }
+
+// fullPool is a Granter whose requests wait.
+type fullPool struct{}
+
+func (fullPool) Acquire(ctx context.Context, _ types.TargetName, _ pool.Request) (dispatch.Grant, error) {
+	<-ctx.Done()
+	return nil, fault.New(fault.CallerGone, "the request was withdrawn").WithRunState(types.NotRun)
+}
+
+// TestStopAnswersRequestsThatItEnds guards against requests that a planned stop cuts without a
+// response.
+func TestStopAnswersRequestsThatItEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, body string
+		status     int
+		state      types.RunState
+	}{
+		"chat":    {chatURL, chatJSON("a", ""), http.StatusGatewayTimeout, types.MayHaveRun},
+		"stream":  {chatURL, chatJSON("a", `,"stream":true`), http.StatusOK, types.MayHaveRun},
+		"waiting": {chatURL, chatJSON("a", ""), http.StatusGatewayTimeout, types.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := httpfakes.NewUpstream("u1")
+				u.Tokens = 1_000_000
+				f := newFixtureWith(t, func(o *Options) {
+					if c.state == types.NotRun {
+						o.Granter = fullPool{}
+					}
+				}, u)
+				answered := make(chan *httptest.ResponseRecorder)
+				go func() { answered <- f.send("POST", c.path, c.body) }()
+				time.Sleep(time.Second)
+				synctest.Wait()
+				f.entry.End()
+				if err := f.entry.Drain(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				got := <-answered
+				if got.Code != c.status || !strings.Contains(got.Body.String(), `"run_state":"`+string(c.state)+`"`) {
+					t.Errorf("got %d %.300s", got.Code, got.Body)
+				}
+			})
+		})
+	}
+}
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -111,6 +111,8 @@
 	switch context.Cause(ctx) {
 	case context.DeadlineExceeded:
 		failure = fault.Wrap(fault.DeadlineExceeded, err, "the deadline passed before the answer was complete")
+	case errEnding:
+		failure = fault.Wrap(fault.DeadlineExceeded, err, errEnding.Message)
 	case context.Canceled:
 		failure = fault.Wrap(fault.CallerGone, err, "the caller disconnected")
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -228,13 +228,19 @@
 	return fault.New(fault.DeadlineExceeded, "no response before the deadline").WithRunState(q.progress.runState())
 }
 
-// contextError returns the error of a request whose caller disconnected or whose
-// deadline has passed.
+// contextError returns the error of a request whose caller disconnected, whose deadline has
+// passed or that the instance ends before it stops.
 func (q *request) contextError() error {
 	if err := q.incoming.Context().Err(); err != nil {
 		return fault.Wrap(fault.CallerGone, err, "the caller disconnected")
 	}
-	return q.deadlineError()
+	if q.gateway.ending.Err() == nil || q.remaining() <= 0 {
+		return q.deadlineError()
+	}
+	if q.progress.runs == 0 {
+		return fault.New(fault.Leaving, "this instance is shutting down").WithRetryAfter(instanceRetryAfter)
+	}
+	return fault.New(fault.DeadlineExceeded, "this instance shuts down before the response is complete").WithRunState(q.progress.runState())
 }
 
 // jitteredRetryAfter returns the retry delay when no upstream is available, spread so
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -141,7 +141,12 @@
 	// appliedAt is when the catalog was applied, in nanoseconds of the clock.
 	appliedAt atomic.Int64
 	stopping  atomic.Bool
-	active    atomic.Int64
+	// endsAt is when a stopping instance ends the requests in flight, in nanoseconds of the clock,
+	// or zero. ending is done once it does, and end ends it.
+	endsAt atomic.Int64
+	ending context.Context
+	end    context.CancelFunc
+	active atomic.Int64
 	// bufferedBytes is the total size of the request bodies in memory, and
 	// bufferedResponseBytes that of the responses.
 	bufferedBytes, bufferedResponseBytes atomic.Int64
@@ -165,7 +170,10 @@
 
 // New returns a Gateway that refuses all requests until Apply is called.
 func New(options Options) *Gateway {
+	ending, end := context.WithCancel(context.Background())
 	return &Gateway{
+		ending:       ending,
+		end:          end,
 		options:      options,
 		budgets:      make(map[types.TargetName]*retry.Budget),
 		quarantine:   quarantine.NewTable(quarantineSettings(options)),
@@ -187,6 +195,13 @@
 // Catalog returns the current catalog, or nil if there is none yet.
 func (g *Gateway) Catalog() *catalog.Catalog { return g.catalog.Load() }
 
+// EndAt announces when End will be called. From now on the gateway refuses requests that may run
+// only once and may last longer.
+func (g *Gateway) EndAt(at time.Duration) { g.endsAt.Store(int64(at)) }
+
+// End ends the requests in flight with a response that says whether they may have run.
+func (g *Gateway) End() { g.end() }
+
 // Stop makes the gateway refuse all new requests.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
@@ -313,6 +328,7 @@
 	}
 	ctx, cancel := context.WithTimeout(q.incoming.Context(), q.remaining())
 	defer cancel()
+	defer context.AfterFunc(q.gateway.ending, cancel)()
 	if failure := q.findOrigin(ctx); failure != nil {
 		return failure
 	}
@@ -348,6 +364,9 @@
 		q.account = account
 	}
 	q.catalog, q.timeout = current, requestTimeout(q.route, call)
+	if at := time.Duration(g.endsAt.Load()); at > 0 && !q.route.Repeatable() && q.startedAt+q.timeout > at {
+		return fault.New(fault.Leaving, "this instance may shut down before the response is complete").WithRetryAfter(instanceRetryAfter)
+	}
 	if failure := q.checkOverload(); failure != nil {
 		return failure
 	}
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -217,7 +217,7 @@
 // Leave stops serving callers without interrupting requests. It informs the other
 // instances and hands over the pools, keeps serving callers that still use this
 // address for AddressLifetime plus DirectoryOverlap, and then waits for the
-// requests in flight. It returns when they have ended or when ctx is done.
+// requests in flight. It returns when they have ended, or after it has ended them because ctx is done.
 func (r *Roles) Leave(ctx context.Context) {
 	r.recorder.Record(timeline.Event{Kind: timeline.InstanceLeaving})
 	r.logger.Info().Msg("leaving")
@@ -226,6 +226,11 @@
 	wait.For(ctx, r.settings.AddressLifetime+r.settings.DirectoryOverlap)
 	if err := r.entry.Drain(ctx); err != nil {
 		r.logger.Warn().Err(err).Msg("requests in flight did not end in time")
+		r.entry.End()
+		answering, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+		defer cancel()
+		// An error means that callers do not read their responses.
+		_ = r.entry.Drain(answering)
 	}
 	for r.paths.transit.Carried() > 0 && wait.For(ctx, drainPollInterval) {
 	}
--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -2,17 +2,23 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 )
 
+// answerTime is how long the responses of requests may take that a node ends before it stops.
+const answerTime = 500 * time.Millisecond
+
 // stop shuts the node down gracefully within StopTimeout.
 func (n *Node) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout)
 	defer cancel()
 	n.lifecycle.fire(eventLeave)
-	n.roles.Leave(ctx)
+	leaving, cancelLeave := context.WithTimeout(ctx, n.settings.StopTimeout-answerTime)
+	defer cancelLeave()
+	n.roles.Leave(leaving)
 	n.lifecycle.fire(drainEvent(ctx))
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.logger.Warn().Err(err).Msg("timed out closing caller connections")
