placement, rendezvous, roster: a decision among many upstreams costs less processor time

Half of what a request costs before 140 upstreams was its decision: all candidates, some hundred bytes each, were sorted by their weights up to four times, also for requests that consider all of them, and each repeated report of an ejection by a peer left a line in the log.

Positions are sorted instead of candidates, the reserved engines by their IDs, the short list is made only where there is one, and an ejection that goes on is logged once. No decision changes.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -71,11 +71,11 @@
 	// stays open while the instance is leaving.
 	waiters *inFlightCounter
 	// ending is done once End is called.
-	ending  context.Context
-	end     context.CancelFunc
-	keys    *idempotency.Store
-	charts  charts
-	memory  *semaphore.Weighted
+	ending context.Context
+	end    context.CancelFunc
+	keys   *idempotency.Store
+	charts charts
+	memory *semaphore.Weighted
 
 	quarantine *quarantine.Quarantine
 	suspects   *suspectRuns
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -393,6 +393,9 @@
 // candidates: an instance of a large fleet considers only a few engines for a long prompt.
 // It does not depend on the requests that run or wait at the candidates.
 func Shortlist(work *Work, entry Entry, request string, candidates []Candidate) []types.UpstreamID {
+	if considersAll(work, entry, candidates) {
+		return nil
+	}
 	key := cmp.Or(work.affinityKey(), request)
 	return shortlist(work, entry, request, key, preferredEngine(work, key, candidates, reservedEngines(candidates)), candidates)
 }
@@ -402,7 +405,7 @@
 // Latency-sensitive streams consider all engines: their prefill is short and they need the
 // reserved ones.
 func shortlist(work *Work, entry Entry, request, key string, preferred types.UpstreamID, candidates []Candidate) []types.UpstreamID {
-	if entry.FleetSize <= smallFleetSize || !work.Engine || work.LatencySensitive() || len(candidates) <= sampleSize {
+	if considersAll(work, entry, candidates) {
 		return nil
 	}
 	list := []types.UpstreamID{preferred}
@@ -420,6 +423,11 @@
 	return list
 }
 
+// considersAll reports whether Choose decides among all candidates.
+func considersAll(work *Work, entry Entry, candidates []Candidate) bool {
+	return entry.FleetSize <= smallFleetSize || !work.Engine || work.LatencySensitive() || len(candidates) <= sampleSize
+}
+
 // preferredEngine returns the engine that caches the shared segments of a session:
 // the first in rendezvous order among the reserved engines for latency-sensitive
 // streams, and among the others for other work. Instances with the same view of the
--- a/pkg/placement/reserve.go
+++ b/pkg/placement/reserve.go
@@ -40,9 +40,9 @@
 	perEngine := float64(slots) / float64(len(candidates)) * reservedBatchShare
 	least := int(math.Ceil(minReservedShare * float64(len(candidates))))
 	count := min(max(1+int(float64(sensitive)/perEngine), least), len(candidates)-1)
-	order := rendezvous.OrderOf("sensitive", withoutSlow(candidates), candidateID)
-	for _, candidate := range order[:min(count, len(order))] {
-		reserved[candidate.ID] = true
+	order := rendezvous.OrderOf("sensitive", withoutSlow(candidates), func(id types.UpstreamID) types.InstanceID { return types.InstanceID(id) })
+	for _, id := range order[:min(count, len(order))] {
+		reserved[id] = true
 	}
 	return reserved
 }
@@ -55,7 +55,7 @@
 
 // withoutSlow returns the engines whose steps are not much longer than those of the
 // others.
-func withoutSlow(candidates []Candidate) []Candidate {
+func withoutSlow(candidates []Candidate) []types.UpstreamID {
 	var times []time.Duration
 	for i := range candidates {
 		if candidates[i].StepTime > 0 {
@@ -66,10 +66,10 @@
 		times = append(times, 0)
 	}
 	slices.Sort(times)
-	var fast []Candidate
+	fast := make([]types.UpstreamID, 0, len(candidates))
 	for i := range candidates {
 		if !candidates[i].slow(times[len(times)/2]) {
-			fast = append(fast, candidates[i])
+			fast = append(fast, candidates[i].ID)
 		}
 	}
 	return fast
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -33,14 +33,16 @@
 
 // OrderOf is like Order for items of any type that have an ID.
 func OrderOf[T any](key string, list []T, id func(T) types.InstanceID) []T {
-	weighted := make([]weightedItem[T], len(list))
+	// Items may be large, so their positions are sorted.
+	weighted := make([]weightedItem[int], len(list))
 	for i, item := range list {
-		weighted[i] = weigh(key, item, id)
+		itemID := id(item)
+		weighted[i] = weightedItem[int]{item: i, id: itemID, weight: Weight(key, itemID)}
 	}
 	slices.SortFunc(weighted, compare)
 	ordered := make([]T, len(weighted))
 	for i, w := range weighted {
-		ordered[i] = w.item
+		ordered[i] = list[w.item]
 	}
 	return ordered
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -362,7 +362,7 @@
 
 // ApplyPeerReport stores the load that a peer reports and ejects the upstreams that
 // the peer has ejected, if they have no attempts of this instance. It returns the
-// upstreams that this ejects, with the time.
+// upstreams that this ejects and that were not ejected a moment before, with the time.
 func (r *Roster) ApplyPeerReport(now time.Duration, peer types.InstanceID, loads map[types.UpstreamID]placement.Load, ejected map[types.UpstreamID]time.Duration) map[types.UpstreamID]time.Duration {
 	var applied map[types.UpstreamID]time.Duration
 	r.mu.Lock()
@@ -372,11 +372,14 @@
 		// An ejection by a peer counts for minEjection at most, because the fault may
 		// be on the peer's network path only.
 		if upstream, ok := r.upstreams[id]; ok && now >= upstream.ejectedUntil && len(upstream.attempts) == 0 {
-			if applied == nil {
-				applied = make(map[types.UpstreamID]time.Duration)
+			ejection := min(remaining, minEjection)
+			if upstream.ejectedUntil == 0 || now-upstream.ejectedUntil > peerReportTTL {
+				if applied == nil {
+					applied = make(map[types.UpstreamID]time.Duration)
+				}
+				applied[id] = ejection
 			}
-			applied[id] = min(remaining, minEjection)
-			upstream.ejectedUntil = now + applied[id]
+			upstream.ejectedUntil = now + ejection
 		}
 	}
 	return applied
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -299,3 +299,28 @@
 		}
 	}
 }
+
+// TestEjectionThatPeersRepeatIsReportedOnce guards against a log line for each report of each peer.
+func TestEjectionThatPeersRepeatIsReportedOnce(t *testing.T) {
+	r := New()
+	r.Update([]Upstream{{ID: "u", Target: "s", Slots: 1, Ready: true}})
+	reported := 0
+	apply := func(now time.Duration) {
+		reported += len(r.ApplyPeerReport(now, "p", nil, map[types.UpstreamID]time.Duration{"u": time.Second}))
+		if len(r.Ejected(now)) != 1 {
+			t.Errorf("the upstream is not ejected at %v", now)
+		}
+	}
+	now := time.Second
+	for range 20 {
+		apply(now)
+		now += 300 * time.Millisecond
+	}
+	if reported != 1 {
+		t.Errorf("reported %d times", reported)
+	}
+	apply(now + peerReportTTL)
+	if reported != 2 {
+		t.Errorf("reported %d times, with a pause", reported)
+	}
+}
