node, entry: serve refuses requests while it is late, and does not blame upstreams

The paths to upstreams take the delay of the instance into account. Membership and the successors of silent streams do not yet.

TestOverloadedInstanceRefusesBeforeItQueues cannot be built on the code before.

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -87,6 +89,10 @@
 	if condemned := e.checkQuarantine(req); condemned != nil {
 		return admission{}, e.refuse(req, condemned)
 	}
+	// Higher tiers are more urgent.
+	if retryAfter, ok := e.options.Overload.Admit(overload.Priorities-1-int(decision.Tier), rand.Float64()); !ok {
+		return admission{}, e.refuse(req, fault.New(fault.Overloaded, "this instance is late with its work").WithRetryAfter(retryAfter))
+	}
 	release, err := e.acquireSlots(in.account, req.arrival)
 	if err != nil {
 		return admission{}, e.refuse(req, err)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/umbercrank/umbercrank/pkg/idempotency"
 	"github.com/umbercrank/umbercrank/pkg/limits"
 	"github.com/umbercrank/umbercrank/pkg/membership"
+	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/retry"
@@ -51,6 +52,8 @@
 	Caller peer.Caller
 	// Clock is the clock of the retry budget. If it is nil, it is clock.Process.
 	Clock clock.Clock
+	// Overload decides which requests this instance accepts while it is late. It may be nil.
+	Overload *overload.Limiter
 	// FirstStart reports whether the fleet starts for the first time, so that nothing of the
 	// retry budget has been used.
 	FirstStart bool
--- a/pkg/entry/lifecycle_test.go
+++ b/pkg/entry/lifecycle_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
@@ -221,3 +223,32 @@
 		})
 	}
 }
+
+// TestOverloadedInstanceRefusesBeforeItQueues checks what callers of an instance get that is late with
+// its work.
+func TestOverloadedInstanceRefusesBeforeItQueues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := httpfakes.NewUpstream("u1")
+		limiter := overload.NewLimiter()
+		f := newFixtureWith(t, func(o *Options) { o.Overload = limiter }, u)
+		for range 1000 {
+			limiter.Admit(7, 0)
+			limiter.Observe(time.Minute)
+		}
+		refused, served := 0, 0
+		for n := range 100 {
+			got := f.send("POST", chatURL, chatJSON(strconv.Itoa(n), ""))
+			switch {
+			case got.Code == http.StatusOK:
+				served++
+			case got.Code != http.StatusServiceUnavailable || got.Header().Get("Retry-After") == "" || !strings.Contains(got.Body.String(), `"run_state":"not_run"`):
+				t.Fatalf("got %d %s", got.Code, got.Body)
+			default:
+				refused++
+			}
+		}
+		if refused < 80 || len(u.Executions()) != served {
+			t.Errorf("%d refused, %d served, %d executed", refused, served, len(u.Executions()))
+		}
+	})
+}
--- a/pkg/node/paths.go
+++ b/pkg/node/paths.go
@@ -37,7 +37,7 @@
 
 // newPaths returns the paths of the instance self over the given connections to upstreams and to
 // the live peers.
-func newPaths(self types.Instance, store *config.Store, live func() []types.Instance, dependencies Dependencies, logger zerolog.Logger) *paths {
+func newPaths(self types.Instance, store *config.Store, live func() []types.Instance, late func() time.Duration, dependencies Dependencies, logger zerolog.Logger) *paths {
 	p := &paths{store: store, dial: dependencies.Dial}
 	if p.dial == nil {
 		p.dial = netconn.Dialer(upstream.DefaultTransportSettings().DialTimeout).DialContext
@@ -50,6 +50,7 @@
 		Dial:        dependencies.Dial,
 		DialTimeout: upstream.DefaultTransportSettings().DialTimeout,
 		Clock:       dependencies.clock(),
+		Late:        late,
 		Logger:      logger,
 		Peers: func() []reach.Peer {
 			var peers []reach.Peer
--- a/pkg/node/paths_test.go
+++ b/pkg/node/paths_test.go
@@ -58,7 +58,7 @@
 				closed.Close()
 				reachable, gone = append(reachable, engine.URL), append(gone, closed.URL)
 			}
-			helper := newPaths(types.Instance{ID: "helper"}, storeWith(t, reachable), func() []types.Instance { return nil }, Dependencies{}, zerolog.Nop())
+			helper := newPaths(types.Instance{ID: "helper"}, storeWith(t, reachable), func() []types.Instance { return nil }, nil, Dependencies{}, zerolog.Nop())
 			server := httptest.NewUnstartedServer(helper.transit.Handler(func() bool { return true }))
 			server.EnableHTTP2 = true
 			server.StartTLS()
@@ -69,7 +69,7 @@
 				}
 				return []types.Instance{{ID: "helper", PeerAddress: server.Listener.Addr().String()}}
 			}
-			cut := newPaths(types.Instance{ID: "cut"}, storeWith(t, gone), live, Dependencies{Streams: server.Client().Transport}, zerolog.Nop())
+			cut := newPaths(types.Instance{ID: "cut"}, storeWith(t, gone), live, nil, Dependencies{Streams: server.Client().Transport}, zerolog.Nop())
 			settings := upstream.DefaultTransportSettings()
 			settings.DialContext = cut.dialer(false)
 			transport := upstream.NewOnceTransport(settings)
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -16,6 +16,7 @@
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/entry"
 	"github.com/umbercrank/umbercrank/pkg/membership"
+	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/pool"
 	"github.com/umbercrank/umbercrank/pkg/relay"
@@ -73,6 +74,9 @@
 	entry       *entry.Entry
 	directory   *directory.Directory
 	paths       *paths
+	// meter measures how late this instance is, and limiter refuses requests meanwhile.
+	meter   *overload.Meter
+	limiter *overload.Limiter
 }
 
 // NewRoles creates the roles of one incarnation and registers their peer methods.
@@ -85,6 +89,8 @@
 		logger:      logger,
 		recorder:    recorder,
 		store:       config.NewStore(),
+		meter:       overload.NewMeter(dependencies.clock()),
+		limiter:     overload.NewLimiter(),
 	}
 	r.buildMembershipAndRelay(dependencies)
 	r.buildPaths(&dependencies)
@@ -120,7 +126,7 @@
 // buildPaths creates the connections to upstreams, and the transports that use them unless
 // others are given.
 func (r *Roles) buildPaths(dependencies *Dependencies) {
-	r.paths = newPaths(r.settings.Self(), r.store, r.members.Live, *dependencies, r.logger)
+	r.paths = newPaths(r.settings.Self(), r.store, r.members.Live, r.meter.Late, *dependencies, r.logger)
 	if dependencies.Transport != nil {
 		return
 	}
@@ -183,6 +189,7 @@
 		OnceTransport: dependencies.OnceTransport,
 		Probe:         r.paths.probe,
 		Clock:         dependencies.clock(),
+		Overload:      r.limiter,
 		FirstStart:    r.settings.FirstStart,
 		Addresses:     func() any { return r.directory.Answer() },
 		Settings:      settings,
@@ -204,13 +211,23 @@
 func (r *Roles) Run(ctx context.Context) error {
 	group, runCtx := errgroup.WithContext(ctx)
 	for _, run := range []func(context.Context) error{
-		r.members.Run, r.relay.Run, r.dispatch.Run, r.directory.Run, r.entry.Run,
+		r.members.Run, r.relay.Run, r.dispatch.Run, r.directory.Run, r.entry.Run, r.measureDelay,
 	} {
 		group.Go(func() error { return errorUnlessDone(ctx, run(runCtx)) })
 	}
 	return group.Wait()
 }
 
+// measureDelay measures how late this instance is until ctx is done.
+func (r *Roles) measureDelay(ctx context.Context) error {
+	r.meter.Run(ctx, func(delay time.Duration) {
+		if before, after := r.limiter.Observe(delay); (before < 1) != (after < 1) {
+			r.logger.Warn().Bool("refuses", after < 1).Float64("accepted", after).Dur("late_ms", r.meter.Late()).Msg("instance overload changed")
+		}
+	})
+	return ctx.Err()
+}
+
 // drainPollInterval is the time between two checks of the calls carried for peers.
 const drainPollInterval = 20 * time.Millisecond
 
