--- a/pkg/gateway/left_test.go
+++ b/pkg/gateway/left_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,7 +10,9 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
@@ -200,3 +203,64 @@
 		}
 	}
 }
+
+// TestCallerThatLeavesEndsItsAttempts closes the caller's connection in each phase of a request that
+// takes time, and checks that nothing is at work for it afterwards.
+func TestCallerThatLeavesEndsItsAttempts(t *testing.T) {
+	silent := func(conn net.Conn, _ *http.Request, _ int) { _, _ = io.Copy(io.Discard, conn) }
+	breaks := func(conn net.Conn, request *http.Request, n int) {
+		if n == 1 {
+			_, _ = io.WriteString(conn, eventsHead+chunk(firstEvent))
+			return
+		}
+		silent(conn, request, n)
+	}
+	for name, c := range map[string]struct {
+		raw      string
+		respond  responder
+		connects bool
+		sent     int
+	}{
+		"reading the body":     {raw: requestOn("/resume/", "r1", "body")[:len(requestOn("/resume/", "r1", "body"))-1], respond: silent, connects: true},
+		"connecting":           {raw: requestOn("/resume/", "r1", "body"), respond: silent},
+		"waiting":              {raw: requestOn("/once/", "r1", "body"), respond: silent, connects: true, sent: 1},
+		"at a second upstream": {raw: requestOn("/resume/", "r1", "body"), respond: silent, connects: true, sent: 2},
+		"resuming":             {raw: requestOn("/resume/", "r1", "body"), respond: breaks, connects: true, sent: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				var working atomic.Int64
+				env := newBubbleEnv(t, testRoutes, func(conn net.Conn, request *http.Request, n int) {
+					working.Add(1)
+					defer working.Add(-1)
+					c.respond(conn, request, n)
+				}, 3)
+				if !c.connects {
+					env.gateway.options.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					}
+					env.gateway.options.DialTimeout = time.Hour
+					env.gateway.transit = newTransit(env.gateway.options)
+				}
+				conn, err := env.dial()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.WriteString(conn, c.raw); err != nil {
+					t.Fatal(err)
+				}
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+				// Half of the objective has passed, so that an attempt is overdue.
+				time.Sleep(3 * time.Second)
+				_ = conn.Close()
+				time.Sleep(50 * time.Millisecond)
+				synctest.Wait()
+				if active := env.gateway.Active(); active != 0 || working.Load() != 0 {
+					t.Errorf("%d requests are active and %d upstreams work after the caller has left", active, working.Load())
+				}
+				env.checkRequestCount(c.sent)
+			})
+		})
+	}
+}
