--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -55,11 +55,10 @@
 // NewServerConn wraps an accepted connection.
 func NewServerConn(conn net.Conn) *ServerConn { return &ServerConn{Conn: conn} }
 
-// BeginRequest is called when a handler begins, and Complete before it writes the end of a response
-// and when it returns.
+// BeginRequest notes that a handler begins.
 func (c *ServerConn) BeginRequest() { c.completing.Store(false) }
 
-// Complete is described at BeginRequest.
+// Complete notes that a handler is about to write the end of its response, or has returned.
 func (c *ServerConn) Complete() { c.completing.Store(true) }
 
 // Read implements net.Conn. The only reads of a single byte are those of net/http beside a handler,
