gateway: a stream that goes on without a further event is complete

Since a resumed stream was broken off if its second upstream sent no event and its response ended with the connection.

Without a length or chunks this end cannot be told from a break before the first event.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -106,10 +106,6 @@
 // finishStream ends the response after the last event.
 func (a *attempt) finishStream(response *exchange.Response) result {
 	q := a.request
-	if q.headerSent && !a.responded && response.Framing == exchange.FramingClose {
-		// The upstream may have ended before its first event of a stream that goes on.
-		return a.handleBrokenStream(io.ErrUnexpectedEOF)
-	}
 	if !q.headerSent {
 		a.recordFirstResponse()
 		q.setHeader(response)
