review: brittle workers fall over one after the other

Cause: nothing reads Server-Brittle, and a request that one worker rejects is sent to up to three more.

--- a/review/lib/worker.go
+++ b/review/lib/worker.go
@@ -31,6 +31,13 @@
 	Work   time.Duration
 	Events int
 	Pause  time.Duration
+	// Queue is the number of requests that may wait for a slot. Brittle, if not zero, is the number of
+	// requests that the worker may turn away in a second before it falls over, from FallsFrom on;
+	// it says so in all its answers. OnFall is called then.
+	Queue     int
+	Brittle   int
+	FallsFrom time.Time
+	OnFall    func(*Worker)
 
 	run     *Run
 	address string
@@ -40,11 +47,17 @@
 	mu       sync.Mutex
 	active   int
 	arrivals []Arrival
+	// places has a token for each slot. turnedAway are the times of the latest refusals.
+	places     chan struct{}
+	turnedAway []time.Time
+	fallen     bool
+	broken     int
 }
 
 // AddWorker starts a worker and writes its entry.
 func (r *Run) AddWorker(w *Worker) *Worker {
 	w.run, w.born = r, time.Now().UnixMilli()
+	w.places = make(chan struct{}, w.Slots)
 	listener, err := net.Listen("tcp", r.Host(230)+":0")
 	if err != nil {
 		r.NotRun("worker: %v", err)
@@ -61,11 +74,33 @@
 		"State": "ready", "ColdRemainingMs": 0, "Sequence": 1, "born": w.born}
 }
 
-// Crash ends the worker: its connections break, and its entry is removed after three heartbeats.
-func (w *Worker) Crash() {
-	w.run.Logf("worker %s crashes", w.ID)
-	_ = w.server.Close()
-	time.AfterFunc(3*1200*time.Millisecond, func() { w.run.Store.Remove("servers/" + w.ID) })
+// turnAway counts a refusal for want of room, and lets the worker fall over if there are too many.
+// w.mu must be held.
+func (w *Worker) turnAway() {
+	now := time.Now()
+	w.turnedAway = append(w.turnedAway, now)
+	for len(w.turnedAway) > 0 && now.Sub(w.turnedAway[0]) > time.Second {
+		w.turnedAway = w.turnedAway[1:]
+	}
+	if w.Brittle == 0 || w.fallen || now.Before(w.FallsFrom) || len(w.turnedAway) <= w.Brittle {
+		return
+	}
+	w.fallen = true
+	w.run.Logf("worker %s falls over: it had to turn away %d requests in a second, with %d running or waiting", w.ID, len(w.turnedAway), w.active)
+	go func() {
+		// A moment passes until the answers that were begun are out.
+		time.Sleep(5 * time.Millisecond)
+		_ = w.server.Close()
+		time.AfterFunc(3*1200*time.Millisecond, func() { w.run.Store.Remove("servers/" + w.ID) })
+		w.OnFall(w)
+	}()
+}
+
+// Broken returns how many requests the worker was running when it fell over.
+func (w *Worker) Broken() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.broken
 }
 
 // Arrivals returns the requests that the worker got.
@@ -98,29 +133,44 @@
 		status = http.StatusMisdirectedRequest
 	case id == "":
 		status = http.StatusBadRequest
-	case w.active >= w.Slots:
+	case w.active >= w.Slots+w.Queue:
 		status = http.StatusServiceUnavailable
+		w.turnAway()
 	default:
 		w.active++
 	}
 	w.mu.Unlock()
 	out.Header().Set("X-Umbercrank-Request-Id", id)
+	if w.Brittle > 0 {
+		out.Header().Set("Server-Brittle", strconv.Itoa(w.Brittle))
+	}
 	if status != 0 {
 		w.note(arrival)
 		out.Header().Set("X-Umbercrank-Not-Executed", "1")
 		out.WriteHeader(status)
 		return
 	}
-	arrival.Run = true
-	w.note(arrival)
 	defer func() {
 		w.mu.Lock()
 		w.active--
 		w.mu.Unlock()
 	}()
 	select {
+	case w.places <- struct{}{}:
+		defer func() { <-w.places }()
+	case <-in.Context().Done():
+		return
+	}
+	arrival.Run = true
+	w.note(arrival)
+	select {
 	case <-time.After(w.Work):
 	case <-in.Context().Done():
+		w.mu.Lock()
+		if w.fallen {
+			w.broken++
+		}
+		w.mu.Unlock()
 		return
 	}
 	out.Header().Set("X-Umbercrank-Response-Seal", "s."+id)
