mesh: an instance that starts copies the origins of streams from its peers

Cause: the origin of a stream is reported once, at its first event, to the instances that are up then. A replacement got no records, so none was left once every instance had been replaced. The log line 'stream origin' shows it: 221 of 231 lookups were conclusive and found no record.

Change: an instance copies the records that its peers hold, in pages, from one peer after the other; a peer that has held them for no longer sends nothing. Hubs copy those that they are to hold, and the sides of a partition what began at the other one. This restores the invariant that a record survives as long as any instance that has been up with a holder does.

--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -279,6 +279,14 @@
 	return s.edge.gateway.FindStream(key)
 }
 
+// Streams implements mesh.State.
+func (s state) Streams(after *origin.Key, limit int, include func(origin.Key) bool) origin.Page {
+	return s.edge.gateway.Streams(after, limit, include)
+}
+
+// AdoptStreams implements mesh.State.
+func (s state) AdoptStreams(page origin.Page) { s.edge.gateway.AdoptStreams(page) }
+
 // Versions implements mesh.State.
 func (s state) Versions() origin.History { return s.edge.gateway.Versions() }
 
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -324,6 +324,20 @@
 	return g.origins.Lookup(key)
 }
 
+// Streams returns a page of the origins that this instance knows.
+func (g *Gateway) Streams(after *origin.Key, limit int, include func(origin.Key) bool) origin.Page {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.origins.Page(after, limit, include)
+}
+
+// AdoptStreams adds the origins that a peer knows.
+func (g *Gateway) AdoptStreams(page origin.Page) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.origins.Adopt(g.options.Clock(), page)
+}
+
 // MergeStreams adds the origins of streams that a peer reports, and what it knows of the
 // upstreams' versions.
 func (g *Gateway) MergeStreams(batches []origin.Batch, versions *origin.History) {
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -56,6 +56,11 @@
 	// HandleStreams adds the origins of streams that a peer reports, and what it knows
 	// of the upstreams' versions, if it says so.
 	HandleStreams(batches []origin.Batch, versions *origin.History)
+	// Streams returns a page of the origins that this instance holds and that are included:
+	// those with the lowest keys above after, or of all if that is nil.
+	Streams(after *origin.Key, limit int, include func(origin.Key) bool) origin.Page
+	// AdoptStreams adds the origins that a peer holds.
+	AdoptStreams(page origin.Page)
 	// Limits returns the latest limit of each upstream that has named one.
 	Limits() map[types.UpstreamID]permit.Observation
 	// HandleLimits adds the limits that a peer has observed, and returns those that have
@@ -163,8 +168,12 @@
 	stopped map[types.InstanceID]bool
 	// queryingHistory reports whether a peer is being asked for its history of versions.
 	queryingHistory bool
-	ctx             context.Context
-	workers         sync.WaitGroup
+	// heldSince is the time since which this instance has the origins of all streams of a full
+	// mesh, and copySources has the peers that are to be asked for theirs.
+	heldSince   time.Duration
+	copySources []copySource
+	ctx         context.Context
+	workers     sync.WaitGroup
 	// startedAt is when Run was called.
 	startedAt time.Duration
 	// ranAt is the time of the last step of Run or message, or zero before Run. Until
@@ -184,6 +193,7 @@
 	r.Handle(fetchMethod, m.handleFetch)
 	r.Handle(streamsMethod, m.handleStreams)
 	r.Handle(findStreamMethod, m.handleFindStream)
+	r.Handle(copyStreamsMethod, m.handleCopyStreams)
 	r.Handle(limitsMethod, m.handleLimits)
 	r.Handle(permitMethod, m.handlePermit)
 	r.Handle(leavingMethod, m.handleLeaving)
@@ -195,8 +205,12 @@
 func (m *Mesh) Run(ctx context.Context) error {
 	m.mu.Lock()
 	m.ctx, m.startedAt = ctx, m.options.Clock()
-	for address := range m.members {
+	m.heldSince = m.startedAt
+	for address, member := range m.members {
 		m.startSender(address)
+		if !member.down {
+			m.copyStreamsFrom(copySource{address: address})
+		}
 	}
 	m.mu.Unlock()
 	if m.options.Capacity != nil {
@@ -293,6 +307,7 @@
 	}
 	before := m.topology
 	m.topology = newTopology(m.options.Self, up)
+	m.copyStreamsFromHubs(before)
 	if !maps.Equal(before.hubs, m.topology.hubs) {
 		for _, member := range m.members {
 			member.wakeSender()
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -38,6 +38,8 @@
 	quarantined    []quarantine.Entry
 	lost           []types.InstanceID
 	origins        map[origin.Key]origin.Origin
+	// adopted is the number of origins copied from peers.
+	adopted int
 	// id names the instance in the history that it reports, and histories counts the
 	// reports by instance.
 	id        types.InstanceID
@@ -86,6 +88,20 @@
 	s.withLock(func(s *fakeState) { found, ok = s.origins[key] })
 	return found, ok
 }
+func (s *fakeState) Streams(after *origin.Key, limit int, include func(origin.Key) bool) (page origin.Page) {
+	s.withLock(func(s *fakeState) {
+		table := origin.NewTable(0)
+		for key, began := range s.origins {
+			table.Record(0, origin.Stream{Key: key, Origin: began})
+		}
+		page = table.Page(after, limit, include)
+	})
+	return page
+}
+func (s *fakeState) AdoptStreams(page origin.Page) {
+	s.HandleStreams(page.Recent, nil)
+	s.withLock(func(s *fakeState) { s.adopted += page.Len() })
+}
 func (s *fakeState) Versions() origin.History {
 	history := origin.History{Sightings: []origin.Sighting{{Origin: origin.Origin{Target: types.TargetName(s.id)}}}, CoverageMilliseconds: 1}
 	s.withLock(func(s *fakeState) { history.Complete = s.complete })
@@ -249,7 +265,7 @@
 	m := New(Options{
 		Capacity: table,
 		Shares:   shares,
-		Self:     InstanceInfo{ID: id, PeerAddress: address(i), CallerAddress: fmt.Sprint("front", i), Capacity: capacity, DataCentre: types.DataCentre(fmt.Sprint("dc", i%4))},
+		Self:     InstanceInfo{ID: id, Incarnation: types.Incarnation(fmt.Sprint(id, " from ", time.Since(f.started))), PeerAddress: address(i), CallerAddress: fmt.Sprint("front", i), Capacity: capacity, DataCentre: types.DataCentre(fmt.Sprint("dc", i%4))},
 		Seeds:    func() []string { return []string{address(0)} },
 		Caller:   caller, State: state, Logger: zerolog.Nop(),
 		Clock:             func() time.Duration { return time.Since(f.started) + time.Duration(f.jumps[i].Load()) },
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -126,6 +126,9 @@
 	if member.down {
 		m.logPeerRegained(heartbeat.InstanceInfo, "itself")
 	}
+	if relation := m.relation(heartbeat.PeerAddress); (member.down || member.info.Incarnation != heartbeat.Incarnation) && (relation == meshPeer || relation == otherHub) {
+		m.copyStreamsFrom(copySource{address: heartbeat.PeerAddress, all: member.heartbeatAt > 0 && member.info.Incarnation == heartbeat.Incarnation})
+	}
 	member.info, member.lastHeard, member.heartbeatAt, member.down, member.isSpoke = heartbeat.InstanceInfo, now, now, false, heartbeat.ReceiverIsHub
 	if heartbeat.AliveCount < m.size() && now-member.introducedAt >= introductionInterval && m.relation(heartbeat.PeerAddress) == distant {
 		member.introductionDue = true
--- a/pkg/mesh/streams.go
+++ b/pkg/mesh/streams.go
@@ -99,7 +99,12 @@
 // holders returns the addresses of the hubs that hold the origin of the stream. m.mu
 // must be held.
 func (m *Mesh) holders(key origin.Key) []string {
-	ordered := rendezvous.OrderOf(strconv.FormatUint(uint64(key), 16), m.topology.hubList, func(address string) types.InstanceID { return types.InstanceID(address) })
+	return holdersAmong(m.topology.hubList, key)
+}
+
+// holdersAmong returns which of the hubs hold the origin of the stream.
+func holdersAmong(hubs []string, key origin.Key) []string {
+	ordered := rendezvous.OrderOf(strconv.FormatUint(uint64(key), 16), hubs, func(address string) types.InstanceID { return types.InstanceID(address) })
 	return ordered[:min(streamHolders, len(ordered))]
 }
 
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -148,9 +148,7 @@
 // Record records the origin of a stream. If another origin is recorded, the caller has used
 // one ID for two streams, and the origin becomes the zero value for both.
 func (t *Table) Record(now time.Duration, stream Stream) {
-	if now-t.rotatedAt >= t.lifetime {
-		t.earlier, t.recent, t.rotatedAt = t.recent, make(map[Key]Origin), now
-	}
+	t.rotate(now)
 	if known, ok := t.Lookup(stream.Key); ok && known != stream.Origin {
 		stream.Origin = Origin{}
 	}
