follow: the history of the list is read after a start

Cause: without a record a stream continues only if one version is known to have served for a lifetime, and instances knew the list only since their start.

Change: one second after the first listing, an instance that reads the store for the others asks for all changes of the list. If the store has all of them and they include each listed upstream, every version that ever served is known. A part of the history is not used: neither changes nor removals have a time, so it is unknown since when it is complete. No rule about which streams continue has changed.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -189,6 +189,7 @@
 	e.mesh.Register(e.peers)
 	list := e.follower(upstreams, deps.Upstreams)
 	list.Answered = e.roster.RecordListAnswer
+	list.Replay = e.replayHistory
 	e.roster.RecordListAnswer(clock.Boot())
 	e.followers = []*follow.Follower{e.follower(configuration, deps.Configuration), list}
 	var transport http.RoundTripper
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -269,3 +269,26 @@
 	exchange(started, running)
 	wantReady(t, running, "after a later change", "c", "d")
 }
+
+// TestHistoryOfStoreIsReplayed guards against a history that counts as complete without a listed
+// upstream, or whose removed upstreams are not seen.
+func TestHistoryOfStoreIsReplayed(t *testing.T) {
+	history := []replica.Item{entry("a", "", 1), entry("b", "bad", 2), entry("c", "", 3), {Key: "c", Revision: 4, Removed: true}, entry("a", "leaving", 5)}
+	for name, c := range map[string]struct {
+		listed   []replica.Item
+		complete bool
+	}{
+		"all listed upstreams":  {[]replica.Item{entry("a", "leaving", 5), entry("b", "bad", 2)}, true},
+		"a later one":           {[]replica.Item{entry("a", "leaving", 5), entry("d", "", 6)}, true},
+		"one that is not named": {[]replica.Item{entry("a", "leaving", 5), entry("d", "", 4)}, false},
+	} {
+		e, _ := newTestEdge()
+		sink{e, upstreams}.Replace(c.listed, 6, follow.Outage{})
+		if got := e.replayHistory(history); got != c.complete {
+			t.Errorf("%s: complete %t, want %t", name, got, c.complete)
+		}
+		if seen := (state{e}).Versions().Sightings; len(seen) != 1 || seen[0].Origin.Target != "s" {
+			t.Errorf("%s: versions %v", name, seen)
+		}
+	}
+}
--- a/pkg/edge/state.go
+++ b/pkg/edge/state.go
@@ -69,6 +69,28 @@
 	e.apply(s.name, "store", before, set.Replace(items, at))
 }
 
+// replayHistory records the versions of all upstreams that were ever listed. It reports whether the
+// changes include the upstreams that are listed now.
+func (e *Edge) replayHistory(changes []replica.Item) (complete bool) {
+	var versions []origin.Origin
+	written := make(map[string]bool)
+	var latest types.Revision
+	for _, change := range changes {
+		written[change.Key], latest = true, max(latest, change.Revision)
+		if change.Removed {
+			continue
+		}
+		// An entry that cannot be decoded names no upstream to use.
+		if upstream, err := e.deps.Decoder.Upstream(change); err == nil {
+			versions = append(versions, origin.Origin{Target: upstream.Target, Version: upstream.Version})
+		}
+	}
+	e.gateway.RecordVersions(versions)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !slices.ContainsFunc(e.upstreams.Live(), func(item replica.Item) bool { return item.Revision <= latest && !written[item.Key] })
+}
+
 // beginsEra reports whether the revision is of a later era than what the set holds.
 func beginsEra(set *replica.Set, at types.Revision) bool {
 	return set.LatestRevision() > 0 && at.Era() > set.LatestRevision().Era()
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -110,6 +110,9 @@
 	// Answered, if set, is called with the time of each successful call and while a peer reads on
 	// behalf of this instance, but not from a failed call until the next listing.
 	Answered func(at time.Duration)
+	// Replay, if set, is called with all changes that the collection ever had, if the store still
+	// has them after the first listing. It reports whether they include all listed items.
+	Replay func(changes []replica.Item) (complete bool)
 
 	after types.Revision
 	// idleRevision is a revision up to which a watch returned no changes, or zero,
@@ -128,12 +131,15 @@
 	// set by the first one. Other goroutines read both.
 	unavailable, everListed atomic.Bool
 	// covered is the time for which the collection was read without a gap, or nil.
-	covered atomic.Pointer[interval]
+	covered atomic.Pointer[coveredInterval]
+	// listedAt is when the first listing began.
+	listedAt    time.Duration
+	historyRead bool
 }
 
-// interval is the time for which the collection was read. The next call continues it if it begins
+// coveredInterval is the time for which the collection was read. The next call continues it if it begins
 // within maxReadGap of contact, when the last one ended.
-type interval struct{ from, to, contact time.Duration }
+type coveredInterval struct{ from, to, contact time.Duration }
 
 // Covered returns the time for which this instance itself has read the collection without a
 // gap, or false if it has never listed it. A call counts from its beginning. A watch without
@@ -164,6 +170,7 @@
 		err := f.step(ctx)
 		if err == nil {
 			f.recordSuccess()
+			f.readHistory(ctx)
 			wait.For(ctx, f.pause)
 			continue
 		}
@@ -228,7 +235,7 @@
 	if covered := f.covered.Load(); covered != nil && began-covered.contact <= maxReadGap {
 		from, end = covered.from, max(covered.to, end)
 	}
-	f.covered.Store(&interval{from, end, contact})
+	f.covered.Store(&coveredInterval{from, end, contact})
 }
 
 // setPause sets the pause after a watch.
@@ -290,8 +297,13 @@
 		f.covered.Store(nil)
 	}
 	f.Sink.Replace(items, at, outage)
+	if !f.everListed.Swap(true) {
+		f.listedAt = began
+	} else if at.Era() > f.after.Era() {
+		// The history lacks the changes that the store has lost.
+		f.historyRead = true
+	}
 	f.after, f.idleRevision, f.listed = at, 0, true
-	f.everListed.Store(true)
 	f.extendCovered(began, began)
 	return nil
 }
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -359,6 +359,16 @@
 	}
 }
 
+// RecordVersions records versions that were in use at an unknown time before. They count as in use
+// until now.
+func (g *Gateway) RecordVersions(versions []origin.Origin) {
+	var history origin.History
+	for _, version := range versions {
+		history.Sightings = append(history.Sightings, origin.Sighting{Origin: version})
+	}
+	g.MergeStreams(nil, &history)
+}
+
 // Versions returns what this instance knows of the upstreams' versions.
 func (g *Gateway) Versions() origin.History {
 	g.mu.Lock()
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -589,3 +589,21 @@
 		}
 	}
 }
+
+// TestStreamOfBeforeRestartContinuesAtOnlyVersion guards against the refusal of all streams of before
+// a restart of all instances while only one version has ever served, and against a guess where the
+// history of the store names another one.
+func TestStreamOfBeforeRestartContinuesAtOnlyVersion(t *testing.T) {
+	listed := origin.Origin{Target: "s", Version: "v1"}
+	for _, resumes := range callersNaming {
+		env := newListedEnv(t, "v1")
+		env.readFor(time.Hour)
+		env.gateway.RecordVersions([]origin.Origin{listed, {Target: "t", Version: "v0"}})
+		wantResumed(t, env, "no other version in the history", resumes, "other-v1")
+
+		env = newListedEnv(t, "v1")
+		env.readFor(time.Hour)
+		env.gateway.RecordVersions([]origin.Origin{{Target: "s", Version: "v0"}, listed})
+		wantRefused(t, env, "another version in the history", resumes)
+	}
+}
