origin: versions that were forgotten stay unknown after a longer lifetime

Found by reading. When a configuration makes the lifetime of origins longer, the history of versions must not count for the time in which versions were forgotten. SetLifetime shortened it, but the next confirmation of the own reading extended it to the first listing again, so a stream without a record could continue at another version (ORDER).

TestForgottenVersionsStayUnknown failed: 'only one: true, complete: true' right after the change.

--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -5,6 +5,7 @@
 package origin
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -119,11 +120,14 @@
 	// readAt the time up to which this instance has read them itself.
 	complete *Span
 	readAt   time.Duration
+	// createdAt is when the table was created. Until forgottenUntil, versions may have been listed
+	// of which it no longer knows.
+	createdAt, forgottenUntil time.Duration
 }
 
 // NewTable returns a Table that knows no stream and no version.
 func NewTable(now time.Duration) *Table {
-	return &Table{lifetime: MinLifetime, recent: make(map[Key]Origin), rotatedAt: now, lastSeen: make(map[Origin]time.Duration)}
+	return &Table{lifetime: MinLifetime, recent: make(map[Key]Origin), rotatedAt: now, createdAt: now, forgottenUntil: math.MinInt64, lastSeen: make(map[Origin]time.Duration)}
 }
 
 // SetLifetime sets how long an origin is kept after it was last recorded, and how long a
@@ -135,9 +139,11 @@
 	if lifetime <= t.lifetime {
 		return
 	}
-	if t.complete != nil {
-		// Versions that went earlier have been forgotten.
-		t.complete.From = max(t.complete.From, now-t.lifetime)
+	if known := now - t.lifetime; known > t.createdAt {
+		t.forgottenUntil = max(t.forgottenUntil, known)
+		if t.complete != nil {
+			t.complete.From = max(t.complete.From, known)
+		}
 	}
 	t.lifetime = lifetime
 }
@@ -168,7 +174,10 @@
 // time begins anew with the first complete listing after contact with the store was lost.
 func (t *Table) Confirm(read Span) {
 	t.readAt = max(t.readAt, read.To)
-	t.addComplete(read)
+	read.From = max(read.From, t.forgottenUntil)
+	if read.From <= read.To {
+		t.addComplete(read)
+	}
 }
 
 func (t *Table) addComplete(span Span) {
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -284,6 +284,22 @@
 	wantOnly(t, table, 3*l, "when the longer lifetime is covered", "v2", true)
 }
 
+// TestForgottenVersionsStayUnknown guards against the same once the instance confirms again that it
+// has read the list all the time.
+func TestForgottenVersionsStayUnknown(t *testing.T) {
+	const l = MinLifetime
+	table := NewTable(0)
+	table.Observe(0, []Origin{of("s", "v1"), of("s", "v2")})
+	table.Observe(1, []Origin{of("s", "v2")})
+	table.Observe(2*l, []Origin{of("s", "v2")})
+	table.SetLifetime(2*l, 2*l)
+	table.Confirm(read(0, 2*l))
+	wantOnly(t, table, 2*l, "right after the change", "v2", false)
+	// A peer that has had the longer lifetime all the time tells what it has seen.
+	table.Merge(2*l, History{Sightings: []Sighting{{Origin: of("s", "v2")}}, Complete: &Interval{FromMilliseconds: (2 * l).Milliseconds()}})
+	wantOnly(t, table, 2*l, "a peer knows more", "v2", true)
+}
+
 // TestImpossibleAgesAreIgnored guards against a peer whose report makes a version count for ever, or
 // a history complete that is not.
 func TestImpossibleAgesAreIgnored(t *testing.T) {
