netconn, exchange, upstream, entry: what stalled responses hold is bounded

What other operators saw: a faulty upstream sent bytes without end, the instance kept them and ran out of memory. Here each response had limits, but hundreds of responses together did not fit into a small instance (134 MB).

Cause: limits were per response and in bytes on the wire. 60 kB of short header fields take about 970 kB once parsed; the kernel's buffers of a side that does not read grow to several megabytes.

Change: response headers have at most 16 kB and 128 lines, counted before they are parsed; events have 32 kB, lines of a stream 64 kB in serve; the sockets of callers and upstreams hold 64 kB in each direction; the text of streams in serve counts towards the memory for bodies.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -312,7 +312,7 @@
 )
 
 func (e *Edge) listen(ctx context.Context, address string) (net.Listener, error) {
-	listener, err := netconn.ListenConfig().Listen(ctx, "tcp", address)
+	listener, err := netconn.BoundListeners(netconn.ListenConfig()).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+address)
 	}
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -87,13 +87,21 @@
 // Read implements io.Reader.
 func (r accountedReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
-	if !r.memory.shared.TryAcquire(int64(n)) {
-		return 0, fault.New(fault.AnswerTooLarge, "the bodies of other requests and answers use all buffer memory")
+	if failure := r.memory.acquire(n); failure != nil {
+		return 0, failure
 	}
-	r.memory.used += int64(n)
 	return n, err
 }
 
+// acquire accounts for a number of bytes, or returns an error if other requests use all memory.
+func (m *answerMemory) acquire(count int) error {
+	if !m.shared.TryAcquire(int64(count)) {
+		return fault.New(fault.AnswerTooLarge, "the bodies of other requests and answers use all buffer memory")
+	}
+	m.used += int64(count)
+	return nil
+}
+
 // readAnswer returns the complete body of the response. An answer above the limit, or
 // above the memory that other requests leave, is an error with the run state Ran.
 func (m *answerMemory) readAnswer(response *http.Response) ([]byte, error) {
--- /dev/null
+++ b/pkg/entry/stalled_test.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/test/httpfakes"
+)
+
+const (
+	stalledResponses = 300
+	// maxStalledHeap is a quarter of the memory of a small instance, 134 MB.
+	maxStalledHeap = 32 << 20
+)
+
+// TestManyStalledResponsesFitIntoMemory guards against an instance that runs out of memory because it
+// keeps what hundreds of faulty upstreams send of a header or an event that does not end.
+func TestManyStalledResponsesFitIntoMemory(t *testing.T) {
+	for _, stalled := range httpfakes.StalledResponses("") {
+		t.Run(stalled.Name, func(t *testing.T) {
+			sent := make(chan struct{}, 100*stalledResponses)
+			release := make(chan struct{})
+			f := newRawFixture(t, DefaultSettings(), func(conn net.Conn, _ *http.Request, _ []byte) {
+				select {
+				case <-release:
+					return
+				default:
+				}
+				_, _ = io.WriteString(conn, stalled.Text)
+				sent <- struct{}{}
+				<-release
+			})
+			path, body := "/v1/services/queue/x", ""
+			if stalled.Stream {
+				path, body = chatURL, chatJSON("a", `,"stream":true`)
+			}
+			var running sync.WaitGroup
+			heap := httpfakes.StalledHeap(t, func() {
+				for range stalledResponses {
+					running.Go(func() { f.send("POST", path, body, headerRepeatable, "true") })
+				}
+				for range stalledResponses {
+					<-sent
+				}
+				// What is left in the sockets is read within milliseconds.
+				time.Sleep(100 * time.Millisecond)
+			})
+			t.Logf("%d kB for each response", heap>>10/stalledResponses)
+			if heap > maxStalledHeap {
+				t.Errorf("%d stalled responses take %d MB of memory, want %d at most", stalledResponses, heap>>20, maxStalledHeap>>20)
+			}
+			close(release)
+			running.Wait()
+		})
+	}
+}
+
+// TestTextOfStreamsSharesMemory guards against streams that each keep their text, for another engine to
+// continue it, until memory is gone.
+func TestTextOfStreamsSharesMemory(t *testing.T) {
+	settings := DefaultSettings()
+	settings.BodyMemoryBytes = 1 << 20
+	f := newRawFixture(t, settings, func(conn net.Conn, _ *http.Request, _ []byte) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+		for range 4 * int(settings.BodyMemoryBytes) / len(unreadBlock) {
+			if _, err := io.WriteString(conn, unreadBlock); err != nil {
+				return
+			}
+		}
+	})
+	w := f.send("POST", chatURL, chatJSON("a", `,"stream":true`), headerRepeatable, "true")
+	if w.Body.Len() > 2*int(settings.BodyMemoryBytes) {
+		t.Errorf("the text of a stream grew to %d bytes, the memory has %d", w.Body.Len(), settings.BodyMemoryBytes)
+	}
+	if !f.entry.memory.TryAcquire(settings.BodyMemoryBytes) {
+		t.Error("memory of the text was not released")
+	}
+}
+
+var unreadBlock = `data: {"id":"c","choices":[{"delta":{"content":"` + fmt.Sprintf("%01000d", 0) + `"}}]}` + "\n\n"
+
+// TestUnreadResponseIsNotHeldByKernel guards against an instance that has no memory left because the
+// kernel holds what an upstream sends for a caller that does not read.
+func TestUnreadResponseIsNotHeldByKernel(t *testing.T) {
+	written := make(chan int, 1)
+	f := newRawFixture(t, DefaultSettings(), func(conn net.Conn, _ *http.Request, _ []byte) {
+		_ = conn.(*net.TCPConn).SetWriteBuffer(16 << 10)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+		total := 0
+		for total < httpfakes.MaxEndlessBytes {
+			_ = conn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+			n, err := io.WriteString(conn, unreadBlock)
+			if total += n; err != nil {
+				break
+			}
+		}
+		written <- total
+	})
+	w := newUnreadWriter()
+	defer close(w.released)
+	go f.entry.Handler().ServeHTTP(w, newChat("a"))
+	if n := <-written; n > 2*DefaultSettings().StreamBufferBytes+512<<10 {
+		t.Errorf("the upstream could write %d kB that nobody reads", n>>10)
+	}
+}
+
+// unreadWriter is the response of a caller that does not read.
+type unreadWriter struct {
+	header   http.Header
+	released chan struct{}
+}
+
+func newUnreadWriter() *unreadWriter {
+	return &unreadWriter{make(http.Header), make(chan struct{})}
+}
+
+func (w *unreadWriter) Header() http.Header { return w.header }
+func (w *unreadWriter) WriteHeader(int)     {}
+func (w *unreadWriter) Flush()              {}
+func (w *unreadWriter) Write(p []byte) (int, error) {
+	<-w.released
+	return len(p), nil
+}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -176,6 +176,9 @@
 	if x.transcript.text.Len()+len(chunk.Text()) > int(x.memory.limit) {
 		return fault.New(fault.AnswerTooLarge, "the answer exceeds the size limit")
 	}
+	if err := x.memory.acquire(len(chunk.Text())); err != nil {
+		return err
+	}
 	forwarded, err := x.transcript.add(payload, chunk)
 	if err != nil || forwarded == nil {
 		return err
--- a/pkg/exchange/events.go
+++ b/pkg/exchange/events.go
@@ -12,7 +12,7 @@
 
 // maxEventBytes is the maximum size of one event of a stream. Events have a few tokens,
 // and an instance holds one event of each stream in memory.
-const maxEventBytes = 128 << 10
+const maxEventBytes = 32 << 10
 
 // Event is one complete server-sent event: its bytes, including the empty line that
 // ends it and those before it, and its ID. Empty reports whether it has neither data nor
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -52,9 +52,6 @@
 	readBufferBytes = 4 << 10
 	// maxInformational is the maximum number of 1xx responses before the final one.
 	maxInformational = 5
-	// maxHeaderBytes is the maximum size of the headers of all responses to a request.
-	// net/http reads a line of any length.
-	maxHeaderBytes = 64 << 10
 	// MaxResponseBytes is the maximum size of a response.
 	MaxResponseBytes = 64 << 20
 )
@@ -140,7 +137,7 @@
 	if r.Dial != nil {
 		return r.Dial(ctx)
 	}
-	return netconn.Dialer(cmp.Or(r.DialTimeout, DefaultDialTimeout)).DialContext(ctx, "tcp", r.Address)
+	return netconn.BoundDialer(netconn.Dialer(cmp.Or(r.DialTimeout, DefaultDialTimeout))).DialContext(ctx, "tcp", r.Address)
 }
 
 // roundTrip writes the request and reads the header of the final response. Large
@@ -154,13 +151,12 @@
 	} else {
 		go func() { _, _ = conn.Write(message) }()
 	}
-	bounded := &boundedReader{reader: conn, remaining: maxHeaderBytes}
+	bounded := &boundedReader{reader: netconn.NewResponseHeadReader(conn), remaining: MaxResponseBytes}
 	reader := bufio.NewReaderSize(bounded, readBufferBytes)
 	response, err := readFinalHeader(reader, request.Method)
 	if err != nil {
 		return nil, err
 	}
-	bounded.remaining = MaxResponseBytes
 	return &Response{
 		Status:  response.StatusCode,
 		Header:  response.Header,
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/permit"
 	"github.com/umbercrank/umbercrank/pkg/placement"
@@ -260,7 +261,7 @@
 	if env.network != nil {
 		return env.network.Listen(host)
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := netconn.BoundListeners(netconn.ListenConfig()).Listen(env.t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		env.t.Fatal(err)
 	}
--- /dev/null
+++ b/pkg/gateway/stalled_test.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/roster"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
+)
+
+const (
+	stalledResponses = 300
+	// maxStalledHeap is a quarter of the memory of a small instance, 134 MB.
+	maxStalledHeap = 32 << 20
+)
+
+// TestManyStalledResponsesFitIntoMemory guards against an instance that runs out of memory because it
+// keeps what hundreds of faulty upstreams send of a header or an event that does not end.
+func TestManyStalledResponsesFitIntoMemory(t *testing.T) {
+	for _, stalled := range httpfakes.StalledResponses("Id: r1\r\nSeal: s\r\n") {
+		t.Run(stalled.Name, func(t *testing.T) {
+			sent := make(chan struct{}, 100*stalledResponses)
+			release := make(chan struct{})
+			env := newTestEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, _ int) {
+				_, _ = io.WriteString(conn, stalled.Text)
+				sent <- struct{}{}
+				<-release
+			}, 1)
+			path := "/once/"
+			if stalled.Stream {
+				path = "/stream/"
+			}
+			var running sync.WaitGroup
+			heap := httpfakes.StalledHeap(t, func() {
+				for range stalledResponses {
+					running.Go(func() { env.callDiscarding(path) })
+				}
+				for range stalledResponses {
+					<-sent
+				}
+				// What is left in the sockets is read within milliseconds.
+				time.Sleep(100 * time.Millisecond)
+			})
+			t.Logf("%d kB for each response", heap>>10/stalledResponses)
+			if heap > maxStalledHeap {
+				t.Errorf("%d stalled responses take %d MB of memory, want %d at most", stalledResponses, heap>>20, maxStalledHeap>>20)
+			}
+			close(release)
+			running.Wait()
+		})
+	}
+}
+
+// countingResponder writes a response without end until the write blocks, and sends the number of
+// bytes.
+func countingResponder(head string, written chan<- int) responder {
+	return func(conn net.Conn, _ *http.Request, _ int) {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetWriteBuffer(16 << 10)
+		}
+		total := 0
+		for text := []byte(head); total < httpfakes.MaxEndlessBytes; text = unreadBlock {
+			_ = conn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+			n, err := conn.Write(text)
+			if total += n; err != nil {
+				break
+			}
+		}
+		written <- total
+	}
+}
+
+var unreadBlock = slices.Repeat([]byte("data: "+string(slices.Repeat([]byte("x"), 500))+"\n\n"), 32)
+
+// TestUnreadResponseIsNotHeldByKernel guards against an instance that has no memory left because the
+// kernel holds what an upstream sends for a caller that does not read, directly or through a peer.
+func TestUnreadResponseIsNotHeldByKernel(t *testing.T) {
+	for _, kind := range []struct{ path, head string }{
+		{"/once/", "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Length: 1000000000\r\n\r\n"},
+		{"/stream/", "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n"},
+	} {
+		for _, way := range []string{"directly", "through a peer"} {
+			t.Run(kind.path+way, func(t *testing.T) {
+				written := make(chan int, 1)
+				env := newTestEnv(t, testRoutes, countingResponder(kind.head, written), 1)
+				if way == "through a peer" {
+					env.reachThroughPeer()
+				}
+				conn, err := net.Dial("tcp", env.address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+				_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n", kind.path)
+				if n := <-written; n > maxBufferedResponseBytes+1<<20 {
+					t.Errorf("the upstream could write %d kB that nobody reads", n>>10)
+				}
+			})
+		}
+	}
+}
+
+// reachThroughPeer makes the gateway reach its upstream only through a peer.
+func (env *testEnv) reachThroughPeer() {
+	listed, _ := env.roster.Find(env.gateway.options.Clock(), "u0")
+	env.addPeer([]roster.Upstream{listed})
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	_ = refused.Close()
+	here := listed
+	here.Address = refused.Addr().String()
+	env.gateway.UpdateUpstreams([]roster.Upstream{here})
+}
--- a/pkg/gateway/transit_test.go
+++ b/pkg/gateway/transit_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -27,7 +28,9 @@
 	env.t.Cleanup(server.Close)
 	env.fleet.peers = []reach.Peer{{ID: "peer", Address: server.Listener.Addr().String()}}
 	options := env.gateway.options
-	options.PeerTransport = server.Client().Transport
+	transport := server.Client().Transport.(*http.Transport)
+	transport.HTTP2 = peer.StreamSettings()
+	options.PeerTransport = transport
 	env.gateway.options = options
 	env.gateway.transit = newTransit(options)
 	return reachable
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -101,7 +101,7 @@
 
 // listen opens the listening socket for the address of a setting.
 func listen(setting, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := netconn.BoundListeners(&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+setting+" "+address)
 	}
--- a/pkg/node/paths.go
+++ b/pkg/node/paths.go
@@ -40,7 +40,7 @@
 func newPaths(self types.Instance, store *config.Store, live func() []types.Instance, late func() time.Duration, dependencies Dependencies, logger zerolog.Logger) *paths {
 	p := &paths{store: store, dial: dependencies.Dial}
 	if p.dial == nil {
-		p.dial = netconn.Dialer(upstream.DefaultTransportSettings().DialTimeout).DialContext
+		p.dial = netconn.BoundDialer(netconn.Dialer(upstream.DefaultTransportSettings().DialTimeout)).DialContext
 	}
 	p.transit = transit.New(transit.Options{
 		Instance:    self.ID,
--- a/pkg/peer/streams.go
+++ b/pkg/peer/streams.go
@@ -35,7 +35,8 @@
 	return protocols
 }
 
-func streamSettings() *http.HTTP2Config {
+// StreamSettings returns the settings of the connections for byte streams.
+func StreamSettings() *http.HTTP2Config {
 	return &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout, MaxReceiveBufferPerStream: streamBufferBytes, MaxReceiveBufferPerConnection: connectionBufferBytes}
 }
 
@@ -46,7 +47,7 @@
 // serveStreams serves the connections of streams that serveConn passes to the listener.
 func (s *Server) serveStreams(ctx context.Context, listener *handoverListener) {
 	// The handler logs the streams; what the library logs are connections that broke off.
-	server := &http.Server{Handler: s.streams, Protocols: streamProtocols(), HTTP2: streamSettings(), ErrorLog: log.New(io.Discard, "", 0)}
+	server := &http.Server{Handler: s.streams, Protocols: streamProtocols(), HTTP2: StreamSettings(), ErrorLog: log.New(io.Discard, "", 0)}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	_ = server.Serve(listener)
@@ -65,7 +66,7 @@
 		TLSHandshakeTimeout: d.options.DialTimeout,
 		IdleConnTimeout:     d.options.IdleTimeout,
 		Protocols:           streamProtocols(),
-		HTTP2:               streamSettings(),
+		HTTP2:               StreamSettings(),
 		DisableCompression:  true,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			raw, err := netconn.Dialer(d.options.DialTimeout).DialContext(ctx, network, address)
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -216,7 +216,7 @@
 	defer cancel()
 	dial := t.options.Dial
 	if dial == nil {
-		dial = netconn.Dialer(0).DialContext
+		dial = netconn.BoundDialer(netconn.Dialer(0)).DialContext
 	}
 	conn, err := dial(limited, "tcp", address)
 	if isTimeout(err) && ctx.Err() == nil && t.options.Late() > MaxLate {
--- a/pkg/upstream/sse.go
+++ b/pkg/upstream/sse.go
@@ -8,8 +8,9 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 )
 
-// maxLineBytes is the maximum length of a line of an event stream.
-const maxLineBytes = 1 << 20
+// maxLineBytes is the maximum length of a line of an event stream. An instance holds one of each
+// stream in memory.
+const maxLineBytes = 64 << 10
 
 // maxSkippedBytes is the maximum size of what a stream has between two payloads:
 // comments, empty lines and other fields.
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 )
 
 // TransportSettings configures the limits of connections to upstreams.
@@ -34,12 +36,20 @@
 func NewTransport(settings TransportSettings) *http.Transport {
 	dial := settings.DialContext
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: settings.DialTimeout}).DialContext
+		dial = netconn.BoundDialer(&net.Dialer{Timeout: settings.DialTimeout}).DialContext
+	}
+	// Each connection serves a single request.
+	limited := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return netconn.LimitResponseHead(conn), nil
 	}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            limited,
 		Protocols:              protocols,
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
