netconn, gateway, node: every request of a connection is checked for two lengths

Cause: the raw header was collected from the reads after a request had been served. A header that arrived earlier was cut off, and an empty one was checked. 'OPTIONS *', which net/http answers itself, kept the old header. serve checked nothing.

Change: RequestScanner follows the bytes of a connection through headers and bodies. Where the end of a body is uncertain, the connection is closed before the next request runs. Both doors use it.

--- a/pkg/gateway/ending_test.go
+++ b/pkg/gateway/ending_test.go
@@ -180,7 +180,7 @@
 				}
 			},
 			"serve": func(t *rapid.T) {
-				if _, ok := h.startServing(); ok != (expected != phaseClosing) {
+				if ok := h.startServing(); ok != (expected != phaseClosing) {
 					t.Fatalf("phase %v: served: %v", expected, ok)
 				} else if ok {
 					h.reset()
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -14,6 +14,7 @@
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/explain"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/placement"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -35,7 +36,7 @@
 // one gets the same error. Explain contacts no upstream or peer and counts nothing.
 func (g *Gateway) Explain(raw []byte) *explain.Explanation {
 	result := &explain.Explanation{}
-	conn := &memoryConn{unread: bytes.NewReader(raw), header: &headerTracker{now: g.options.Clock}, wrote: make(chan struct{})}
+	conn := &memoryConn{unread: bytes.NewReader(raw), wrote: make(chan struct{})}
 	var serving atomic.Bool
 	done := make(chan struct{})
 	server := g.Server()
@@ -47,7 +48,8 @@
 		}
 		defer close(done)
 		w.Header().Set("Connection", "close")
-		g.explainRequest(w, r, conn.header, result)
+		header, _ := conn.requests.Take()
+		g.explainRequest(w, r, header, result)
 	})
 	go func() { _ = server.Serve(newMemoryListener(conn)) }()
 	select {
@@ -91,9 +93,8 @@
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // explainRequest goes through the steps of handle and serve up to the first attempt.
-func (g *Gateway) explainRequest(w http.ResponseWriter, r *http.Request, header *headerTracker, result *explain.Explanation) {
-	length, _ := header.startServing()
-	if failure := g.checkHeader(r, header, length); failure != nil {
+func (g *Gateway) explainRequest(w http.ResponseWriter, r *http.Request, header netconn.RequestHeader, result *explain.Explanation) {
+	if failure := g.checkHeader(header); failure != nil {
 		result.Refusal = refusal(failure)
 		return
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -477,23 +477,25 @@
 		MaxHeaderBytes: maxHeaderBytes,
 		ConnContext:    netconn.ConnContext,
 		ErrorLog:       nil,
+		// All requests are checked by handle.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
 // handle checks the header of a request before the body is read, then serves it.
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request) {
 	if caller, ok := netconn.ServerConnOf(r.Context()).(*callerConn); ok {
-		header := &caller.header
-		length, ok := header.startServing()
-		if !ok {
+		serving := caller.header.startServing()
+		header, known := caller.Requests.Take()
+		if !serving || !known {
 			panic(http.ErrAbortHandler)
 		}
 		caller.BeginRequest()
 		defer caller.Complete()
-		defer header.reset()
-		if failure := g.checkHeader(r, header, length); failure != nil {
+		defer caller.header.reset()
+		if failure := g.checkHeader(header); failure != nil {
 			g.options.Metrics.countRefused(failure.Code)
-			g.options.Logger.Info().Int("header_bytes", length).Str("outcome", string(failure.Code)).Str("reason", failure.Error()).Msg("request")
+			g.options.Logger.Info().Int("header_bytes", header.Bytes).Str("outcome", string(failure.Code)).Str("reason", failure.Error()).Msg("request")
 			w.Header().Set("Connection", "close")
 			caller.Complete()
 			g.options.Protocol.WriteError(w, "", failure)
@@ -507,12 +509,11 @@
 }
 
 // checkHeader returns an error if the request is refused because of its header.
-func (g *Gateway) checkHeader(r *http.Request, header *headerTracker, length int) *fault.Error {
-	// The header is searched only if there is a transfer coding, which is rare.
-	if len(r.TransferEncoding) > 0 && header.hasConflictingLengths() {
-		return fault.New(fault.BadRequest, "the request has both Content-Length and Transfer-Encoding")
+func (g *Gateway) checkHeader(header netconn.RequestHeader) *fault.Error {
+	if header.ConflictingLengths {
+		return netconn.ErrConflictingLengths
 	}
-	if limit := g.limits().HeaderBytes; limit > 0 && length > limit {
+	if limit := g.limits().HeaderBytes; limit > 0 && header.Bytes > limit {
 		return fault.New(fault.HeaderTooLarge, "the request header exceeds the size limit")
 	}
 	return nil
--- a/pkg/gateway/header_tracker.go
+++ b/pkg/gateway/header_tracker.go
@@ -31,14 +31,14 @@
 	return "header_timeout"
 }
 
-// headerTracker records the raw header of the current request of a connection.
+// headerTracker tracks the phase of a connection for its time limits.
 type headerTracker struct {
 	now clock.Clock
 
 	mu    sync.Mutex
 	phase phase
 	since time.Duration
-	// bytes holds the request line and the header fields.
+	// bytes holds the header that is being received.
 	bytes []byte
 }
 
@@ -70,26 +70,17 @@
 // enter changes the phase. h.mu must be held.
 func (h *headerTracker) enter(next phase) { h.phase, h.since = next, h.now() }
 
-// startServing enters phaseServing and returns the length of the header, or false if the
-// connection is being closed. The phase is set also if the header was received together
-// with the previous request, when add did not see it as a header.
-func (h *headerTracker) startServing() (length int, ok bool) {
+// startServing enters phaseServing, or returns false if the connection is being closed. The phase is
+// set also if the header was received together with the previous request, when add did not see
+// it as a header.
+func (h *headerTracker) startServing() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.phase == phaseClosing {
-		return 0, false
+		return false
 	}
 	h.enter(phaseServing)
-	return len(h.bytes), true
-}
-
-// hasConflictingLengths reports whether the header has both a Content-Length and a
-// Transfer-Encoding field.
-func (h *headerTracker) hasConflictingLengths() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	lower := bytes.ToLower(h.bytes)
-	return bytes.Contains(lower, []byte("\ncontent-length")) && bytes.Contains(lower, []byte("\ntransfer-encoding"))
+	return true
 }
 
 // reset discards the header and waits for the next request.
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -63,9 +63,7 @@
 		Dur("limit_ms", closed.limit).Str("version", version).Msg("connection closed")
 }
 
-// Listener accepts the connections of callers and records the raw headers of their
-// requests. net/http silently drops a Content-Length next to a chunked
-// Transfer-Encoding, and such a request can smuggle a second one.
+// Listener accepts the connections of callers and closes those that exceed a time limit.
 type Listener struct {
 	net.Listener
 	now clock.Clock
@@ -158,7 +156,7 @@
 	header   headerTracker
 }
 
-// Read implements net.Conn and records the request header. While the connection is being
+// Read implements net.Conn and tracks the phase. While the connection is being
 // closed, it returns the error of a closed one, to which net/http writes no response.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.ServerConn.Read(b)
--- a/pkg/gateway/memory_conn.go
+++ b/pkg/gateway/memory_conn.go
@@ -6,13 +6,15 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 )
 
 // memoryConn is a connection from which the bytes of one request are read. It keeps what is
 // written.
 type memoryConn struct {
-	unread *bytes.Reader
-	header *headerTracker
+	unread   *bytes.Reader
+	requests netconn.RequestScanner
 
 	mu      sync.Mutex
 	written bytes.Buffer
@@ -21,10 +23,10 @@
 	wroteOnce sync.Once
 }
 
-// Read implements net.Conn and records the request header, as that of a caller is.
+// Read implements net.Conn and follows the request, as a connection of a caller does.
 func (c *memoryConn) Read(b []byte) (int, error) {
 	n, err := c.unread.Read(b)
-	c.header.add(b[:n])
+	c.requests.Add(b[:n])
 	return n, err
 }
 
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
 )
 
 const (
@@ -40,6 +42,8 @@
 // dropped and the connection counts as closed behind the response.
 type ServerConn struct {
 	net.Conn
+	// Requests follows the bytes that were read.
+	Requests RequestScanner
 	// ahead has the bytes that were read ahead. Reads do not overlap, so it needs no lock.
 	ahead []byte
 	// dropped reports whether bytes behind ahead were dropped.
@@ -61,9 +65,16 @@
 // Complete notes that a handler is about to write the end of its response, or has returned.
 func (c *ServerConn) Complete() { c.completing.Store(true) }
 
-// Read implements net.Conn. The only reads of a single byte are those of net/http beside a handler,
-// which it interrupts by a deadline when the handler has returned.
+// Read implements net.Conn.
 func (c *ServerConn) Read(b []byte) (int, error) {
+	n, err := c.read(b)
+	c.Requests.Add(b[:n])
+	return n, err
+}
+
+// read reads for net/http. The only reads of a single byte are those of net/http beside a handler,
+// which it interrupts by a deadline when the handler has returned.
+func (c *ServerConn) read(b []byte) (int, error) {
 	switch {
 	case len(b) == 1:
 		return c.watch(b)
@@ -151,6 +162,10 @@
 // HasEnded reports whether the caller has closed the connection, also if that was not read yet.
 func (c *ServerConn) HasEnded() bool { return c.ended.Load() || hasHungUp(c.Conn) }
 
+// ErrConflictingLengths is the error of a request with both a Content-Length and a
+// Transfer-Encoding.
+var ErrConflictingLengths = fault.New(fault.BadRequest, "the request has both Content-Length and Transfer-Encoding")
+
 // serverConnKey is the context key of the connection of a request.
 type serverConnKey struct{}
 
@@ -160,12 +175,24 @@
 	return context.WithValue(ctx, serverConnKey{}, conn)
 }
 
-// Handler marks the beginning and the end of the requests of a ServerListener.
+// Handler marks the beginning and the end of the requests of a ServerListener, and refuses those
+// whose end another server may see elsewhere.
 func Handler(inner http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := ServerConnOf(r.Context()).(*ServerConn); ok {
+			header, known := conn.Requests.Take()
+			if !known {
+				// The request was not read as one by the scanner, so it must not run.
+				panic(http.ErrAbortHandler)
+			}
 			conn.BeginRequest()
 			defer conn.Complete()
+			if header.ConflictingLengths {
+				w.Header().Set("Connection", "close")
+				// A write error means that the caller has disconnected.
+				_ = ErrConflictingLengths.WriteTo(w)
+				return
+			}
 		}
 		inner.ServeHTTP(w, r)
 	})
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -147,6 +147,8 @@
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    n.settings.MaxHeaderBytes,
 		ConnContext:       netconn.ConnContext,
+		// All requests are checked by the handler.
+		DisableGeneralOptionsHandler: true,
 	}
 	n.adminServer = &http.Server{
 		Handler:           n.adminHandler(),
