gateway, exchange, entry: the memory of a body is reserved before it is read

Cause: a body counted only once all of it had been read, each was held up to three times (a buffer that doubles, a string, a copy of that), and the bound of 24 MB did not depend on the instance's memory.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -76,6 +76,8 @@
 	// memoryShare is the fraction of the memory limit that is set as the soft limit of
 	// the garbage collector. The rest is for stacks and socket buffers.
 	memoryShare = 0.5
+	// bodyShare is the fraction of the memory limit that the bodies of requests may use.
+	bodyShare = 0.4
 	// gcPercent is that of the garbage collector.
 	gcPercent = 100
 	// retryBudgetShare is the fraction of the retry bounds that is used, because
@@ -212,6 +214,7 @@
 		Logger:        logger,
 		Metrics:       e.metrics,
 		FairShares:    settings.FairShares,
+		BodyMemory:    int64(bodyShare * float64(settings.MemoryLimit)),
 		Meter:         e.meter,
 		Limiter:       e.limiter,
 		Retries:       retry.Settings{Ratio: retryBudgetShare * settings.RetryRatio, Burst: retryBudgetShare * settings.RetryBurst, Window: settings.RetryWindow},
--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -45,7 +45,7 @@
 	// A writer that does not support deadlines is bounded by the request's context.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(e.settings.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes), r.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		return body, nil
@@ -57,6 +57,16 @@
 	return nil, fault.Wrap(fault.BadRequest, err, "cannot read the request body")
 }
 
+// readAll reads a body without memory beyond its length if that is known. It is negative otherwise.
+func readAll(reader io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(reader)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(reader, body)
+	return body, err
+}
+
 // admission is an admitted request. release must be called when it ends.
 type admission struct {
 	request *request
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -6,13 +6,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -144,12 +144,11 @@
 // requests are written concurrently, because an upstream may respond before it has
 // read the body.
 func roundTrip(conn net.Conn, request *Request) (*Response, error) {
-	message := encode(request)
 	// A write error breaks the connection, so the read below returns an error too.
-	if len(message) <= readBufferBytes {
-		_, _ = conn.Write(message)
+	if head := encodeHead(request); len(head)+len(request.Body) <= readBufferBytes {
+		_, _ = conn.Write(append(head, request.Body...))
 	} else {
-		go func() { _, _ = conn.Write(message) }()
+		go func() { _ = writeAll(conn, head, request.Body) }()
 	}
 	bounded := &boundedReader{reader: netconn.NewResponseHeadReader(conn), remaining: MaxResponseBytes}
 	reader := bufio.NewReaderSize(bounded, readBufferBytes)
@@ -210,10 +209,20 @@
 	return nil, fault.New(fault.UpstreamFailed, "too many informational responses without a final one")
 }
 
-// encode returns the wire format of the request.
-func encode(request *Request) []byte {
-	var b strings.Builder
-	b.Grow(len(request.Body) + 512)
+// writeAll writes the parts of a request.
+func writeAll(conn net.Conn, parts ...[]byte) error {
+	for _, part := range parts {
+		if _, err := conn.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// encodeHead returns the wire format of the request without its body.
+func encodeHead(request *Request) []byte {
+	var b bytes.Buffer
+	b.Grow(readBufferBytes)
 	b.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	for name, values := range request.Header {
 		for _, value := range values {
@@ -224,8 +233,7 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	b.WriteString("Connection: close\r\n\r\n")
-	b.Write(request.Body)
-	return []byte(b.String())
+	return b.Bytes()
 }
 
 func mayCarryBody(method string) bool {
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -25,7 +25,7 @@
 func (g *Gateway) MaxExplainedBytes() int64 {
 	limit := g.limits().BodyBytes
 	if limit <= 0 {
-		limit = maxTotalBodyBytes
+		limit = defaultBodyMemory
 	}
 	// The header, and twice the body because of a chunked coding.
 	return 2*maxHeaderBytes + 2*limit + 1
@@ -103,7 +103,7 @@
 	g.describeRequest(q, result)
 	if failure == nil {
 		failure = q.readBody()
-		defer g.bufferedBytes.Add(-int64(len(q.body)))
+		defer q.releaseBody()
 	}
 	if failure == nil {
 		failure = q.checkQuarantine()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,17 +5,14 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
@@ -38,9 +35,6 @@
 )
 
 const (
-	// maxTotalBodyBytes limits the total size of the request bodies in memory, so
-	// that large bodies cannot exhaust the memory of a small instance.
-	maxTotalBodyBytes = 24 << 20
 	// instanceRetryAfter is the retry delay for a caller that this instance cannot
 	// serve. It is short because another instance can probably serve it at once.
 	instanceRetryAfter = 100 * time.Millisecond
@@ -121,6 +115,9 @@
 	ListCovered func() (from, to time.Duration, ok bool)
 	// Regions has the region of each data centre.
 	Regions map[types.DataCentre]types.Region
+	// BodyMemory is the number of bytes that the bodies of requests may use. Zero means
+	// defaultBodyMemory.
+	BodyMemory int64
 	// FairShares makes each client account get a fair share of the capacity of a target while
 	// that is short.
 	FairShares bool
@@ -147,7 +144,7 @@
 	ending context.Context
 	end    context.CancelFunc
 	active atomic.Int64
-	// bufferedBytes is the total size of the request bodies in memory, and
+	// bufferedBytes is the memory that is reserved for request bodies, and
 	// bufferedResponseBytes that of the responses.
 	bufferedBytes, bufferedResponseBytes atomic.Int64
 
@@ -270,6 +267,8 @@
 	upstreamFailure *keptResponse
 	// headerSent reports whether the response header was passed to the caller.
 	headerSent bool
+	// bodyReserved is the memory that is reserved for the body.
+	bodyReserved int64
 	// bodyRead reports whether the whole body was read, bodyAbandoned whether its
 	// rest is left unread.
 	bodyRead, bodyAbandoned bool
@@ -319,10 +318,10 @@
 	if failure := q.resolve(); failure != nil {
 		return failure
 	}
+	defer q.releaseBody()
 	if failure := q.readBody(); failure != nil {
 		return failure
 	}
-	defer q.gateway.bufferedBytes.Add(-int64(len(q.body)))
 	if failure := q.checkQuarantine(); failure != nil {
 		return failure
 	}
@@ -418,57 +417,6 @@
 func (q *request) elapsed() time.Duration   { return q.gateway.options.Clock() - q.startedAt }
 func (q *request) remaining() time.Duration { return q.timeout - q.elapsed() }
 
-// readBody reads the whole body, so that no part of a malformed request is sent to
-// an upstream.
-func (q *request) readBody() error {
-	limit := q.catalog.Limits.BodyBytes
-	if limit > 0 && q.incoming.ContentLength > limit {
-		q.bodyAbandoned = true
-		return fault.New(fault.BodyTooLarge, "the request body exceeds the size limit")
-	}
-	if q.gateway.bufferedBytes.Load() > maxTotalBodyBytes {
-		return fault.New(fault.Overloaded, "the bodies of other requests use all buffer memory").WithRetryAfter(instanceRetryAfter)
-	}
-	reader := io.Reader(q.incoming.Body)
-	if limit > 0 {
-		reader = io.LimitReader(reader, limit+1)
-	}
-	control := http.NewResponseController(q.writer)
-	// Setting a deadline fails only for the writers of tests, whose callers do not
-	// stall.
-	_ = control.SetReadDeadline(time.Now().Add(q.remaining()))
-	body, err := readAll(reader, q.incoming.ContentLength)
-	_ = control.SetReadDeadline(time.Time{})
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		q.bodyAbandoned = true
-		return fault.Wrap(fault.DeadlineUnreachable, err, "timed out while reading the request body").WithRetryAfter(instanceRetryAfter)
-	}
-	if err != nil {
-		return fault.Wrap(fault.CallerGone, err, "the request body is incomplete")
-	}
-	if limit > 0 && int64(len(body)) > limit {
-		q.bodyAbandoned = true
-		return fault.New(fault.BodyTooLarge, "the request body exceeds the size limit")
-	}
-	q.body, q.bodyRead = body, true
-	q.gateway.bufferedBytes.Add(int64(len(body)))
-	return nil
-}
-
-// maxPreallocatedBytes limits the memory that is allocated for a body because of its
-// Content-Length, before any of it was received.
-const maxPreallocatedBytes = 128 << 10
-
-// readAll reads a body. The length is -1 if it is unknown.
-func readAll(reader io.Reader, length int64) ([]byte, error) {
-	if length < 0 || length > maxPreallocatedBytes {
-		return io.ReadAll(reader)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(reader, body)
-	return body, err
-}
-
 // Server returns the HTTP server of the gateway. It must serve a Listener; Enforce
 // applies the limits to its connections.
 func (g *Gateway) Server() *http.Server {
