brittle, gateway, platform: brittle upstreams get no more than their slots

Cause: Server-Brittle was not read, and upstreams found themselves filled beyond their room by instances with lagging reports and by retries.

Change: while the upstreams of a target say so, each instance has at most its share of the slots in flight at each; the shares of all add up to the slots. Requests without room wait in order of priority and arrival, as long as their objective at most.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -160,6 +160,9 @@
 			return placement.Choice{}, refused
 		}
 	}
+	if candidates, failure = q.awaitRoom(ctx, candidates); failure != nil {
+		return placement.Choice{}, failure
+	}
 	q.updateLoads(ctx, candidates)
 	q.judgeShare(now)
 	choice, decision, failure := q.decide(candidates)
@@ -315,6 +318,11 @@
 		rosterAttempt.End(now, roster.Abandoned)
 		return nil, false
 	}
+	if !g.enterUpstream(q.target, choice.ID, found.Slots) {
+		delete(q.tried, choice.ID)
+		rosterAttempt.End(now, roster.Abandoned)
+		return nil, false
+	}
 	a := &attempt{request: q, ctx: ctx, choice: choice, to: destinationOf(found), sentAt: now, rosterAttempt: rosterAttempt}
 	a.permit, q.permit = q.permit, heldPermit{}
 	a.exchangeCtx, a.cancel = context.WithCancel(ctx)
@@ -331,6 +339,7 @@
 	a.dropPrefetched()
 	outcome = a.settleHedge(outcome)
 	q, g := a.request, a.gateway
+	g.rooms.end(g.options.Clock(), a.to.Target, a.choice.ID, outcome.outcome != roster.Abandoned && (outcome.err == nil || outcome.outcome != roster.Failed))
 	took := g.options.Clock() - a.sentAt
 	if outcome.outcome == roster.Failed && !a.isUpstreamFault(took) {
 		outcome.outcome = roster.Abandoned
@@ -456,6 +465,9 @@
 	}
 	if response.Status != http.StatusMisdirectedRequest {
 		a.observeLeaving(info)
+		if info.ID == q.call.ID {
+			a.observeBrittle(info)
+		}
 	}
 	a.pause = info.Pause
 	// Before the response is passed on: the caller's next request must find the pause.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -163,6 +163,7 @@
 	reservations     *reservations
 	cold             coldUpstreams
 	shares           *shares
+	rooms            *rooms
 }
 
 // New returns a Gateway that refuses all requests until Apply is called.
@@ -179,6 +180,7 @@
 		transit:      newTransit(options),
 		reservations: newReservations(),
 		shares:       newShares(),
+		rooms:        newRooms(),
 	}
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/headervalue"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/origin"
@@ -66,6 +67,7 @@
 		info.Pause = time.Duration(seconds * float64(time.Second))
 	}
 	info.Leaving = upstream.Get("Leaving") != ""
+	info.Brittle, info.InvalidBrittle = headervalue.Count(upstream["Brittle"])
 	if text := upstream.Get("Limit"); text != "" {
 		if perSecond, err := strconv.ParseFloat(text, 64); err == nil {
 			info.Limit = &permit.Limit{PerSecond: perSecond, Limited: true}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -40,6 +40,8 @@
 	paths *expvar.Map
 	// leaving counts the upstreams that said that they leave, by the source.
 	leaving *expvar.Map
+	// brittle counts changes of what upstreams say of their brittleness, and requests refused for it.
+	brittle *expvar.Map
 	// reservations counts the loads that were asked for, and the reservations reported.
 	reservations *expvar.Map
 	// late counts the requests that were admitted as late work, those of them that were
@@ -52,7 +54,7 @@
 
 // NewMetrics returns unpublished metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), cold: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), pauses: new(expvar.Map).Init(), reservations: new(expvar.Map).Init(), leaving: new(expvar.Map).Init(), late: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), connections: new(expvar.Map).Init(), origins: new(expvar.Map).Init(), hedges: new(expvar.Map).Init(), parts: new(expvar.Map).Init(), limits: new(expvar.Map).Init(), cold: new(expvar.Map).Init(), paths: new(expvar.Map).Init(), pauses: new(expvar.Map).Init(), reservations: new(expvar.Map).Init(), leaving: new(expvar.Map).Init(), brittle: new(expvar.Map).Init(), late: new(expvar.Map).Init(), latencies: make(map[catalog.Kind]*hdrhistogram.Histogram)}
 }
 
 // Publish publishes the metrics with expvar under the name. It must be called only
@@ -70,6 +72,7 @@
 	all.Set("upstream_pauses", m.pauses)
 	all.Set("reservations", m.reservations)
 	all.Set("leaving_upstreams", m.leaving)
+	all.Set("brittle_upstreams", m.brittle)
 	all.Set("late_work", m.late)
 	all.Set("first_ms", expvar.Func(m.latencySummaries))
 }
@@ -88,6 +91,13 @@
 	}
 }
 
+// countBrittle counts what happens because upstreams are brittle.
+func (m *Metrics) countBrittle(what string) {
+	if m != nil {
+		m.brittle.Add(what, 1)
+	}
+}
+
 // countReservation counts loads or reservations.
 func (m *Metrics) countReservation(what string, count int) {
 	if m != nil && count > 0 {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -73,6 +73,11 @@
 	// such a statement that cannot be used.
 	Leaving        bool
 	InvalidLeaving string
+	// Brittle is how many requests the upstream may turn away in a second before it falls over, or
+	// zero if it does not say that it is brittle. InvalidBrittle is the text of a number that cannot
+	// be used.
+	Brittle        int
+	InvalidBrittle string
 	// Encoded reports whether the body has a content coding, so that it is not as the
 	// upstream produced it.
 	Encoded bool
--- a/pkg/headervalue/headervalue.go
+++ b/pkg/headervalue/headervalue.go
@@ -57,6 +57,19 @@
 	return true, ""
 }
 
+// Count parses a positive whole number, or returns zero if there are no values. It returns the text
+// for the log if there is anything else.
+func Count(values []string) (count int, invalid string) {
+	if len(values) == 0 {
+		return 0, ""
+	}
+	count, err := strconv.Atoi(strings.TrimSpace(values[0]))
+	if err != nil || count <= 0 || len(values) > 1 {
+		return 0, Quote(values)
+	}
+	return count, ""
+}
+
 // Quote returns the beginning of the values for the log.
 func Quote(values []string) string {
 	text := joined(values)
--- a/pkg/headervalue/headervalue_test.go
+++ b/pkg/headervalue/headervalue_test.go
@@ -22,3 +22,18 @@
 		}
 	}
 }
+
+func TestCount(t *testing.T) {
+	for _, c := range []struct {
+		values  []string
+		count   int
+		invalid bool
+	}{
+		{nil, 0, false}, {[]string{"2"}, 2, false}, {[]string{" 7 "}, 7, false},
+		{[]string{"0"}, 0, true}, {[]string{"-1"}, 0, true}, {[]string{"1.5"}, 0, true}, {[]string{"1", "1"}, 0, true}, {[]string{"99999999999999999999"}, 0, true}, {[]string{""}, 0, true},
+	} {
+		if count, invalid := Count(c.values); count != c.count || (invalid != "") != c.invalid {
+			t.Errorf("%q: %d, %q", c.values, count, invalid)
+		}
+	}
+}
