--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -339,7 +339,7 @@
 	a.dropPrefetched()
 	outcome = a.settleHedge(outcome)
 	q, g := a.request, a.gateway
-	g.rooms.end(g.options.Clock(), a.to.Target, a.choice.ID, outcome.outcome != roster.Abandoned && (outcome.err == nil || outcome.outcome != roster.Failed))
+	g.rooms.end(g.options.Clock(), a.to.Target, a.choice.ID, outcome.hasFinished())
 	took := g.options.Clock() - a.sentAt
 	if outcome.outcome == roster.Failed && !a.isUpstreamFault(took) {
 		outcome.outcome = roster.Abandoned
--- a/pkg/gateway/rooms.go
+++ b/pkg/gateway/rooms.go
@@ -11,6 +11,7 @@
 	"github.com/umbercrank/umbercrank/pkg/brittle"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/placement"
+	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -117,14 +118,15 @@
 func (g *Gateway) enterUpstream(target types.TargetName, id types.UpstreamID, slots int) bool {
 	now := g.options.Clock()
 	g.rooms.mu.Lock()
-	brittle := g.rooms.table.IsBrittle(now, target)
-	if !brittle {
+	limited := g.rooms.table.IsBrittle(now, target)
+	if !limited {
 		g.rooms.table.Count(id)
 	}
 	g.rooms.mu.Unlock()
-	if !brittle {
+	if !limited {
 		return true
 	}
+	// The fleet must not be asked with the lock held.
 	share := g.roomShare(id, slots)
 	g.rooms.mu.Lock()
 	defer g.rooms.mu.Unlock()
@@ -135,14 +137,14 @@
 func (g *Gateway) withRoom(target types.TargetName, priority int, candidates []placement.Candidate, own *roomWaiter) []placement.Candidate {
 	now := g.options.Clock()
 	g.rooms.mu.Lock()
-	brittle := g.rooms.table.IsBrittle(now, target)
-	behind := brittle && g.rooms.isBehind(target, priority, own)
+	limited := g.rooms.table.IsBrittle(now, target)
+	behind := limited && g.rooms.isBehind(target, priority, own)
 	g.rooms.mu.Unlock()
-	if !brittle || behind {
-		if behind {
-			return nil
-		}
+	switch {
+	case !limited:
 		return candidates
+	case behind:
+		return nil
 	}
 	shares := make([]int, len(candidates))
 	for i := range candidates {
@@ -203,6 +205,12 @@
 	return fault.New(fault.UpstreamLimited, message).WithRetryAfter(minRoomWait + rand.N(2*minRoomWait))
 }
 
+// hasFinished reports whether the upstream has ended the request of an attempt itself, so that it does
+// not work on it any more.
+func (r result) hasFinished() bool {
+	return r.outcome != roster.Abandoned && (r.err == nil || r.outcome != roster.Failed)
+}
+
 // observeBrittle records whether the upstream of an attempt says that it is brittle.
 func (a *attempt) observeBrittle(info ResponseInfo) {
 	g := a.gateway
--- a/pkg/mesh/copy.go
+++ b/pkg/mesh/copy.go
@@ -9,6 +9,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
@@ -109,11 +110,11 @@
 		}
 		page := response.Page
 		m.options.State.AdoptStreams(page)
-		if request.After == nil {
+		if request.After == nil && types.PossibleAge(response.HeldMilliseconds) {
 			held = time.Duration(response.HeldMilliseconds) * time.Millisecond
 		}
 		count += page.Len()
-		if page.Next == nil {
+		if page.Next == nil || request.After != nil && *page.Next <= *request.After {
 			break
 		}
 		request.After = page.Next
