entry, gateway: tests of stalled responses send requests that are not alike

With the race detector, requests of TestManyStalledResponsesFitIntoMemory began slowly enough for the quarantine to refuse those that were alike, so the test waited for arrivals that did not come.

--- a/pkg/entry/stalled_test.go
+++ b/pkg/entry/stalled_test.go
@@ -35,18 +35,20 @@
 				sent <- struct{}{}
 				<-release
 			})
-			path, body := "/v1/services/queue/x", ""
-			if stalled.Stream {
-				path, body = chatURL, chatJSON("a", `,"stream":true`)
+			send := func(n int) {
+				// Requests that are alike are refused once they have crashed several upstreams.
+				path, body := fmt.Sprintf("/v1/services/queue/%d", n), ""
+				if stalled.Stream {
+					path, body = chatURL, chatJSON(fmt.Sprint("prompt ", n), `,"stream":true`)
+				}
+				f.send("POST", path, body, headerRepeatable, "true")
 			}
 			var running sync.WaitGroup
 			heap := httpfakes.StalledHeap(t, func() {
-				for range stalledResponses {
-					running.Go(func() { f.send("POST", path, body, headerRepeatable, "true") })
-				}
-				for range stalledResponses {
-					<-sent
+				for n := range stalledResponses {
+					running.Go(func() { send(n) })
 				}
+				httpfakes.Await(t, sent, stalledResponses)
 				// What is left in the sockets is read within milliseconds.
 				time.Sleep(100 * time.Millisecond)
 			})
--- a/pkg/gateway/stalled_test.go
+++ b/pkg/gateway/stalled_test.go
@@ -41,9 +41,7 @@
 				for range stalledResponses {
 					running.Go(func() { env.callDiscarding(path) })
 				}
-				for range stalledResponses {
-					<-sent
-				}
+				httpfakes.Await(t, sent, stalledResponses)
 				// What is left in the sockets is read within milliseconds.
 				time.Sleep(100 * time.Millisecond)
 			})
--- a/test/httpfakes/stalled.go
+++ b/test/httpfakes/stalled.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 )
 
 // StalledResponse is a large part of a response after which the upstream is silent.
@@ -45,6 +46,22 @@
 	return max(after, before) - before
 }
 
+// awaitTimeout is how long Await waits.
+const awaitTimeout = 30 * time.Second
+
+// Await waits for a number of events.
+func Await(t testing.TB, events <-chan struct{}, count int) {
+	t.Helper()
+	limit := time.After(awaitTimeout)
+	for n := range count {
+		select {
+		case <-events:
+		case <-limit:
+			t.Fatalf("only %d of %d events", n, count)
+		}
+	}
+}
+
 func liveHeap() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
