--- a/pkg/follow/history.go
+++ b/pkg/follow/history.go
@@ -5,8 +5,7 @@
 	"math"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -25,6 +24,8 @@
 	forever = time.Duration(math.MaxInt64) / 4
 )
 
+var errPartialHistory = fault.New(fault.HistoryCompacted, "the store does not return all changes")
+
 // readHistory reads all changes that the collection ever had, once, some time after the first
 // listing, if this instance reads on behalf of the others and the store still has them. All items
 // of before the start are then known.
@@ -70,5 +71,5 @@
 		}
 		after = next
 	}
-	return nil, errors.New("the store does not return all changes")
+	return nil, errPartialHistory
 }
