follow: tests set up the follower before it runs

The race detector found two races in the tests of the history of the store: they set Replay, and read what it recorded, while the follower ran.

--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -144,13 +144,18 @@
 
 // runFollower runs a follower in a synctest bubble.
 func runFollower(t *testing.T, reader bool, test func(t *testing.T, s *fakeStore, c *recordingSink, f *Follower)) {
+	runReplayingFollower(t, reader, nil, test)
+}
+
+// runReplayingFollower is runFollower for a follower that reads the history of the store.
+func runReplayingFollower(t *testing.T, reader bool, replay func([]replica.Item) bool, test func(t *testing.T, s *fakeStore, c *recordingSink, f *Follower)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		started := time.Now()
 		s := &fakeStore{}
 		c := &recordingSink{set: replica.New()}
 		f := &Follower{Name: "test", Source: s, Sink: c, Logger: zerolog.Nop(),
-			Clock: func() time.Duration { return time.Since(started) }, IsReader: func() bool { return reader }}
+			Clock: func() time.Duration { return time.Since(started) }, IsReader: func() bool { return reader }, Replay: replay}
 		ended := make(chan struct{})
 		go func() { _ = f.Run(ctx); close(ended) }()
 		test(t, s, c, f)
--- a/pkg/follow/history_test.go
+++ b/pkg/follow/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/replica"
@@ -26,24 +27,26 @@
 		{name: "no changes", prepare: func(s *fakeStore) { s.dropsEvents = true }, reader: true, unlisted: true, read: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			runFollower(t, c.reader, func(t *testing.T, s *fakeStore, _ *recordingSink, f *Follower) {
+			var read []int
+			replay := func(changes []replica.Item) bool {
+				read = append(read, len(changes))
+				return !c.unlisted
+			}
+			runReplayingFollower(t, c.reader, replay, func(t *testing.T, s *fakeStore, _ *recordingSink, f *Follower) {
 				for i := range 8 {
 					s.put(replica.Item{Key: fmt.Sprint(i % 4), Value: []byte("x")})
 				}
 				if c.prepare != nil {
 					s.update(c.prepare)
 				}
-				var read []int
-				f.Replay = func(changes []replica.Item) bool {
-					read = append(read, len(changes))
-					return !c.unlisted
-				}
 				time.Sleep(5 * time.Second)
+				synctest.Wait()
 				from, _, _ := f.Covered()
 				if (len(read) == 1) != c.read || (from < -time.Hour) != c.reachBack {
 					t.Errorf("read %v changes, covered from %v", read, from)
 				}
 				time.Sleep(2 * maxHistoryAge)
+				synctest.Wait()
 				if len(read) > 1 {
 					t.Errorf("the history was read %d times", len(read))
 				}
@@ -56,14 +59,15 @@
 // read once the store has returned from an older copy, and what was read does not count any more.
 func TestNoHistoryAcrossEras(t *testing.T) {
 	for _, after := range []time.Duration{historyDelay / 2, 3 * historyDelay} {
-		runFollower(t, true, func(t *testing.T, s *fakeStore, _ *recordingSink, f *Follower) {
+		read := 0
+		runReplayingFollower(t, true, func([]replica.Item) bool { read++; return true }, func(t *testing.T, s *fakeStore, _ *recordingSink, f *Follower) {
 			s.put(replica.Item{Key: "a"})
-			read := 0
-			f.Replay = func([]replica.Item) bool { read++; return true }
 			time.Sleep(after)
+			synctest.Wait()
 			before := read
 			s.restore(1, replica.Item{Key: "a", Revision: 1})
 			time.Sleep(5 * time.Second)
+			synctest.Wait()
 			if from, _, _ := f.Covered(); read != before || from < 0 {
 				t.Errorf("a new era after %v: read %d times, covered from %v", after, read, from)
 			}
