follow: a test of changes that does not depend on the order of goroutines

Usually the first listing has a, and b comes with the first watch. If the follower lists before a is written, a comes with a watch, and the follower pauses for 100 ms by design, so that b is read later.

--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -166,12 +166,16 @@
 
 func TestChangesArriveImmediately(t *testing.T) {
 	runFollower(t, false, func(t *testing.T, s *fakeStore, c *recordingSink, _ *Follower) {
+		// The collection has been listed.
+		synctest.Wait()
 		for _, key := range []string{"a", "b"} {
 			s.put(replica.Item{Key: key})
 			time.Sleep(50 * time.Millisecond)
 			if !c.keys()[key] {
 				t.Errorf("%s is missing after 50 ms", key)
 			}
+			// A change that follows another one within the pause waits for its end.
+			time.Sleep(maxPause)
 		}
 	})
 }
