--- a/pkg/netconn/requestscanner.go
+++ b/pkg/netconn/requestscanner.go
@@ -184,7 +184,7 @@
 	}
 	size, err := strconv.ParseUint(string(digits), 16, 63)
 	switch {
-	case !regular || err != nil || digits[0] == '+':
+	case !regular || err != nil:
 		s.state = scanLost
 	case size == 0:
 		s.state = scanTrailer
