brittle: only the time of a statement is kept

The number of refusals and the time of the request were stored with each statement and never read. No behaviour changes; the package's tests pass with the race detector, and those of the gateway on brittle upstreams.

--- a/pkg/brittle/brittle.go
+++ b/pkg/brittle/brittle.go
@@ -21,22 +21,16 @@
 // Table has what the upstreams of each target say, and the requests that this instance has at each
 // upstream. It is not safe for concurrent use.
 type Table struct {
-	statements map[types.TargetName]statement
-	running    map[types.UpstreamID]int
+	// saidAt is when the last response with a statement arrived.
+	saidAt  map[types.TargetName]time.Duration
+	running map[types.UpstreamID]int
 	// unfinished has until when the ended requests of an upstream count.
 	unfinished map[types.UpstreamID][]time.Duration
 }
 
-// statement is what upstreams say: how many requests one of them may turn away in a second.
-type statement struct {
-	refusals int
-	// sentAt and receivedAt are the times of the request and of the response with it.
-	sentAt, receivedAt time.Duration
-}
-
 // NewTable returns a Table without statements and requests.
 func NewTable() *Table {
-	return &Table{statements: make(map[types.TargetName]statement), running: make(map[types.UpstreamID]int), unfinished: make(map[types.UpstreamID][]time.Duration)}
+	return &Table{saidAt: make(map[types.TargetName]time.Duration), running: make(map[types.UpstreamID]int), unfinished: make(map[types.UpstreamID][]time.Duration)}
 }
 
 // Observe records a response to a request that was sent at the given time. Refusals is zero if it has
@@ -44,11 +38,11 @@
 // ceased to be.
 func (t *Table) Observe(now, sentAt time.Duration, target types.TargetName, refusals int) (changed bool) {
 	before := t.IsBrittle(now, target)
-	switch known, ok := t.statements[target]; {
+	switch saidAt, ok := t.saidAt[target]; {
 	case refusals > 0:
-		t.statements[target] = statement{refusals, max(sentAt, known.sentAt), now}
-	case ok && sentAt > known.receivedAt:
-		delete(t.statements, target)
+		t.saidAt[target] = now
+	case ok && sentAt > saidAt:
+		delete(t.saidAt, target)
 	}
 	return before != t.IsBrittle(now, target)
 }
@@ -56,8 +50,8 @@
 // IsBrittle reports whether the upstreams of a target say that they are brittle. What one of them says
 // counts for all, since one that has just started has not said anything yet.
 func (t *Table) IsBrittle(now time.Duration, target types.TargetName) bool {
-	said, ok := t.statements[target]
-	return ok && now-said.receivedAt <= statementTTL
+	saidAt, ok := t.saidAt[target]
+	return ok && now-saidAt <= statementTTL
 }
 
 // Fleet is what a share depends on.
