--- a/pkg/gateway/stalled_test.go
+++ b/pkg/gateway/stalled_test.go
@@ -32,14 +32,15 @@
 				sent <- struct{}{}
 				<-release
 			}, 1)
-			path := "/once/"
+			route := "/once/"
 			if stalled.Stream {
-				path = "/stream/"
+				route = "/stream/"
 			}
 			var running sync.WaitGroup
 			heap := httpfakes.StalledHeap(t, func() {
-				for range stalledResponses {
-					running.Go(func() { env.callDiscarding(path) })
+				for n := range stalledResponses {
+					// Requests that are alike are refused once they have crashed several upstreams.
+					running.Go(func() { env.callDiscarding(fmt.Sprint(route, n)) })
 				}
 				httpfakes.Await(t, sent, stalledResponses)
 				// What is left in the sockets is read within milliseconds.
