gateway: a late instance reports no crash that it could not examine

What callers could see: 422 at all instances for a request whose response had been lost three times, with no upstream down.

Cause: after a lost response the upstream is probed for 100 ms. The timeout of that probe counted as a crash also while the instance was late with its own work, which Transit marks as ErrLate and all other callers leave out.

Change: such a timeout counts neither as a crash nor as the end of a process, and is logged.

TestLateInstanceReportsNoCrash failed before: one crash was reported.

--- a/pkg/gateway/leaving.go
+++ b/pkg/gateway/leaving.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
@@ -48,7 +47,7 @@
 		return
 	}
 	go func() {
-		if g.transit.Probe(a.to, a.call.ID, quarantine.ProbeTimeout) != nil {
+		if down, _ := g.probe(a); down {
 			g.reportEnded(process)
 		}
 	}()
--- a/pkg/gateway/overload_test.go
+++ b/pkg/gateway/overload_test.go
@@ -56,6 +56,43 @@
 	}
 }
 
+// TestLateInstanceReportsNoCrash guards against requests that are quarantined at all instances because
+// one instance was too late to see whether an upstream had crashed or only lost a response.
+func TestLateInstanceReportsNoCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		late    time.Duration
+		crashes int
+	}{"late": {late: 300 * time.Millisecond}, "on time": {crashes: 1}} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				env := newBubbleEnv(t, testRoutes, func(net.Conn, *http.Request, int) {}, 1)
+				delay := &atomic.Int64{}
+				env.gateway.options.Meter = delayedMeter(t, delay)
+				connect, connected := env.gateway.options.Dial, false
+				env.gateway.options.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+					if !connected {
+						connected = true
+						return connect(ctx, network, address)
+					}
+					delay.Add(int64(c.late))
+					<-ctx.Done()
+					return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+				}
+				env.gateway.transit = newTransit(env.gateway.options)
+				if got := env.call("POST", "/once/", ""); got.status != 502 {
+					t.Errorf("got %+v", got)
+				}
+				time.Sleep(time.Second)
+				env.fleet.mu.Lock()
+				defer env.fleet.mu.Unlock()
+				if len(env.fleet.crashes) != c.crashes {
+					t.Errorf("reported crashes: %v", env.fleet.crashes)
+				}
+			})
+		})
+	}
+}
+
 // TestLateInstanceSendsNoRequestTwice guards against second attempts beside ones whose response an
 // instance has not read yet.
 func TestLateInstanceSendsNoRequestTwice(t *testing.T) {
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -10,6 +10,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
+	"github.com/umbercrank/umbercrank/pkg/transit"
 )
 
 const (
@@ -223,13 +224,25 @@
 	took time.Duration
 }
 
+// probe reports whether the upstream of an attempt is down, with the error of the connection. A timeout
+// while this instance is late does not tell.
+func (g *Gateway) probe(a *attempt) (down bool, failure error) {
+	failure = g.transit.Probe(a.to, a.call.ID, quarantine.ProbeTimeout)
+	if errors.Is(failure, transit.ErrLate) {
+		g.options.Logger.Info().Str("request", string(a.call.ID)).Str("upstream", string(a.choice.ID)).AnErr("probe", failure).
+			Dur("late_ms", g.options.Meter.Late()).Msg("not counted as a crash: this instance is late")
+		return false, failure
+	}
+	return failure != nil, failure
+}
+
 // recordCrash counts a crash against the request if the upstream does not accept
 // connections, neither of this instance nor of a peer, and against the parts of its prompt if
 // nothing listens at its address any more. An upstream that cannot be reached may only be
 // cut off.
 func (g *Gateway) recordCrash(suspect crashSuspect, a *attempt) {
-	err := g.transit.Probe(a.to, suspect.call.ID, quarantine.ProbeTimeout)
-	if err == nil {
+	down, err := g.probe(a)
+	if !down {
 		return
 	}
 	upstream := a.choice.ID
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -290,7 +290,7 @@
 
 // Probe returns nil if this instance, within the timeout, or a peer can connect to the upstream,
 // and otherwise why this instance cannot. One instance alone cannot tell a crashed upstream from
-// a lost path.
+// a lost path. An error that matches ErrLate does not tell whether the upstream is down.
 func (t *Transit) Probe(to Destination, request types.RequestID, timeout time.Duration) error {
 	conn, err := t.connect(context.Background(), to.Address, timeout)
 	if err == nil {
