origin: a page of origins is found without sorting all of them

Cause: each page of a copy sorted all keys, and asked for each of them which hubs hold it, with the gateway's lock held, while requests waited for it.

Change: one pass keeps the lowest keys, and asks only for those that may be among them.

TestPageExaminesFewKeys failed before (200,000 of 200,000 keys examined for a page of 1,024).

--- a/pkg/origin/page.go
+++ b/pkg/origin/page.go
@@ -1,7 +1,6 @@
 package origin
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -28,15 +27,16 @@
 
 // Page returns the included origins with the lowest keys above after, or of all if that is nil.
 func (t *Table) Page(after *Key, limit int, include func(Key) bool) Page {
-	keys := make(map[Key]bool)
-	for _, streams := range []map[Key]Origin{t.earlier, t.recent} {
+	lowest := lowestKeys{limit: limit + 1}
+	for _, streams := range []map[Key]Origin{t.recent, t.earlier} {
 		for key := range streams {
-			if (after == nil || key > *after) && include(key) {
-				keys[key] = true
+			// include may be costly, so it is asked last.
+			if (after == nil || key > *after) && lowest.wants(key) && include(key) {
+				lowest.add(key)
 			}
 		}
 	}
-	ordered := slices.Sorted(maps.Keys(keys))
+	ordered := lowest.sorted()
 	var page Page
 	if len(ordered) > limit {
 		ordered = ordered[:limit]
@@ -54,6 +54,41 @@
 	return page
 }
 
+// lowestKeys collects the lowest of many keys. It sorts now and then, so that the cost of a key that
+// is not among them is one comparison.
+type lowestKeys struct {
+	limit int
+	keys  []Key
+	// bound is the highest key that is wanted, if bounded.
+	bound   Key
+	bounded bool
+}
+
+// wants reports whether a key may be among the lowest.
+func (l *lowestKeys) wants(key Key) bool { return !l.bounded || key < l.bound }
+
+func (l *lowestKeys) add(key Key) {
+	l.keys = append(l.keys, key)
+	if len(l.keys) >= 2*l.limit {
+		l.reduce()
+	}
+}
+
+// reduce drops duplicates and all keys but the lowest.
+func (l *lowestKeys) reduce() {
+	slices.Sort(l.keys)
+	l.keys = slices.Compact(l.keys)
+	if len(l.keys) >= l.limit {
+		l.keys = l.keys[:l.limit]
+		l.bound, l.bounded = l.keys[l.limit-1], true
+	}
+}
+
+func (l *lowestKeys) sorted() []Key {
+	l.reduce()
+	return l.keys
+}
+
 // Adopt adds the origins in the table of a peer. Those of its earlier lifetime stay there, so that
 // a series of restarts does not keep them for ever.
 func (t *Table) Adopt(now time.Duration, page Page) {
--- a/pkg/origin/page_test.go
+++ b/pkg/origin/page_test.go
@@ -1,8 +1,11 @@
 package origin
 
 import (
+	"strconv"
 	"testing"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
 // TestPagesHaveEachOriginOnce guards against origins that a copy in pages leaves out, and against
@@ -54,3 +57,31 @@
 		t.Errorf("the copied origin is %v, %t", found, ok)
 	}
 }
+
+// TestPageExaminesFewKeys guards against an instance that serves no requests while it searches all its
+// origins for each page of a copy.
+func TestPageExaminesFewKeys(t *testing.T) {
+	const total, limit = 200_000, 1024
+	table := NewTable(0)
+	for n := range total {
+		table.Record(0, Stream{KeyOf(types.RequestID(strconv.Itoa(n))), of("s", "v1")})
+	}
+	examined := 0
+	page := table.Page(nil, limit, func(Key) bool { examined++; return true })
+	if page.Len() != limit || page.Next == nil {
+		t.Errorf("the page has %d origins, want %d and a next page", page.Len(), limit)
+	}
+	if examined > total/10 {
+		t.Errorf("%d of %d keys were examined for a page of %d", examined, total, limit)
+	}
+}
+
+func BenchmarkPage(b *testing.B) {
+	table := NewTable(0)
+	for n := range 150_000 {
+		table.Record(0, Stream{KeyOf(types.RequestID(strconv.Itoa(n))), of("s", "v1")})
+	}
+	for b.Loop() {
+		table.Page(nil, 1024, func(Key) bool { return true })
+	}
+}
