--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,8 +2,8 @@
 # Runs the real program as processes on loopback, injects faults, and checks what
 # callers and workers see. Prints "soak: ok" or the violations.
 #
-# SEED is the first seed, SEEDS the number of seeds, MINUTES the duration of each
-# and PARALLEL the number that run concurrently. Even seeds have planned
+# SEED is the first seed, SEEDS the number of seeds, PROCESSES the number of processes,
+# MINUTES the duration of each and PARALLEL the number that run concurrently. Even seeds have planned
 # disturbances only, such as stops, reloads and configuration changes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
