transit: the first byte of a response shows that the path works

What callers saw: 503 path_lost for sound requests at an instance that reaches a target through a peer, after a faulty upstream had sent a malformed response.

Cause: join recorded a response only once its header was valid. Until then a failure counted against the path to the target, or against the peer that carried the connection, although the upstream had been reached. serve and the carrying side recorded the first byte.

Change: transit.Conn itself records the first byte, on all three paths, and a failure after it is none of the path.

TestMalformedResponsesDoNotLosePath failed before: after one malformed response through a peer four requests got path_lost, one of them for a sound response.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -395,7 +395,6 @@
 		return a.handleError(err)
 	}
 	defer response.Close()
-	a.conn.RecordResponse()
 	q.framing, q.partialEventBytes = response.Framing, 0
 	if invalid := a.checkResponse(response, a.hasAlternative); invalid != nil {
 		if invalid.ownFailure {
--- a/pkg/gateway/transit_test.go
+++ b/pkg/gateway/transit_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -9,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/roster"
@@ -24,6 +27,7 @@
 	carrier := newTransit(Options{Instance: "peer", Roster: reachable, Fleet: &recordingFleet{}, DialTimeout: busyDialTimeout, Clock: clock.Boot, Logger: zerolog.Nop()})
 	server := httptest.NewUnstartedServer(carrier.Handler(func() bool { return true }))
 	server.EnableHTTP2 = true
+	server.Config.HTTP2 = peer.StreamSettings()
 	server.StartTLS()
 	env.t.Cleanup(server.Close)
 	env.fleet.peers = []reach.Peer{{ID: "peer", Address: server.Listener.Addr().String()}}
@@ -36,6 +40,31 @@
 	return reachable
 }
 
+// The ways to the upstream of a test.
+const (
+	directly     = "directly"
+	throughAPeer = "through a peer"
+)
+
+var ways = []string{directly, throughAPeer}
+
+// reachBy makes the gateway reach its upstream only through a peer, if that is the way.
+func (env *testEnv) reachBy(way string) {
+	if way != throughAPeer {
+		return
+	}
+	listed, _ := env.roster.Find(env.gateway.options.Clock(), "u0")
+	env.addPeer([]roster.Upstream{listed})
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	_ = refused.Close()
+	here := listed
+	here.Address = refused.Addr().String()
+	env.gateway.UpdateUpstreams([]roster.Upstream{here})
+}
+
 // crashOnce returns the address of an upstream that breaks off its first request and refuses
 // connections from then on.
 func crashOnce(t *testing.T) string {
@@ -87,3 +116,29 @@
 		})
 	}
 }
+
+// TestMalformedResponsesDoNotLosePath guards against an instance that takes what a faulty upstream sends
+// for a lost path, or for a peer that does not reach the upstreams, and refuses requests for that.
+func TestMalformedResponsesDoNotLosePath(t *testing.T) {
+	for _, way := range ways {
+		t.Run(way, func(t *testing.T) {
+			sound := respondWith(rawResponse(200, "fine"))
+			env := newTestEnv(t, testRoutes, func(conn net.Conn, request *http.Request, n int) {
+				if request.RequestURI == "/once/sound" {
+					sound(conn, request, n)
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nno field\r\n\r\n")
+			}, 1)
+			env.reachBy(way)
+			for n := range 4 {
+				if got := env.call(http.MethodPost, fmt.Sprint("/once/", n), ""); got.header.Get("Code") != string(fault.UpstreamFailed) {
+					t.Errorf("a malformed response: %+v", got)
+				}
+			}
+			if got := env.call(http.MethodPost, "/once/sound", ""); got.status != http.StatusOK {
+				t.Errorf("a sound response: %+v", got)
+			}
+		})
+	}
+}
--- a/pkg/transit/late_test.go
+++ b/pkg/transit/late_test.go
@@ -68,7 +68,7 @@
 						t.Errorf("%v, late %v", err, errors.Is(err, ErrLate))
 					}
 					if err == nil {
-						conn.RecordResponse()
+						conn.recordResponse()
 						_ = conn.Close()
 					}
 				}
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -89,9 +89,6 @@
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := conn.Read(buffer)
-		if n > 0 && received == 0 {
-			conn.RecordResponse()
-		}
 		received += int64(n)
 		if n > 0 {
 			if _, err := w.Write(buffer[:n]); err != nil {
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -429,7 +429,9 @@
 	// peer is the instance that carries the connection, or "", and peerAddress its address.
 	peer        types.InstanceID
 	peerAddress string
-	once        sync.Once
+	// responded reports whether the upstream has sent anything.
+	responded atomic.Bool
+	once      sync.Once
 }
 
 // newConn begins to wait for a response over the connection.
@@ -454,8 +456,18 @@
 	c.RecordNoResponse()
 }
 
-// RecordResponse records that the upstream has begun to respond.
-func (c *Conn) RecordResponse() {
+// Read implements net.Conn. The first byte shows that the path to the upstream works, whether or not
+// it belongs to a valid response.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.responded.CompareAndSwap(false, true) {
+		c.recordResponse()
+	}
+	return n, err
+}
+
+// recordResponse records that the upstream has begun to respond.
+func (c *Conn) recordResponse() {
 	c.silence.Stop()
 	t := c.transit
 	now := t.options.Clock()
@@ -471,9 +483,12 @@
 }
 
 // RecordNoResponse records that the connection broke, or has been silent for too long,
-// before the upstream has responded.
+// before the upstream has sent anything.
 func (c *Conn) RecordNoResponse() {
 	c.silence.Stop()
+	if c.responded.Load() {
+		return
+	}
 	t := c.transit
 	now := t.options.Clock()
 	if c.peer != "" {
@@ -503,10 +518,10 @@
 	return err
 }
 
-// recordingConn records by itself whether the upstream responds.
+// recordingConn records by itself that the connection broke before the upstream has responded.
 type recordingConn struct {
 	*Conn
-	recorded atomic.Bool
+	once sync.Once
 }
 
 // Recording returns the connection with reads that record whether the upstream responds.
@@ -515,11 +530,8 @@
 // Read implements net.Conn.
 func (c *recordingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	switch {
-	case n > 0 && c.recorded.CompareAndSwap(false, true):
-		c.RecordResponse()
-	case n == 0 && err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) && c.recorded.CompareAndSwap(false, true):
-		c.RecordNoResponse()
+	if n == 0 && err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.once.Do(c.RecordNoResponse)
 	}
 	return n, err
 }
--- a/pkg/transit/transit_test.go
+++ b/pkg/transit/transit_test.go
@@ -359,7 +359,7 @@
 			if _, err := alone.Dial(t.Context(), upstreams[3], Request{ID: "second", Repeatable: true, Silence: busyTimeout}); !errors.Is(err, fault.New(fault.PathLost, "")) {
 				t.Errorf("a second request on trial ended with %v, want %s", err, fault.PathLost)
 			}
-			conn.RecordResponse()
+			conn.recordResponse()
 			_ = conn.Close()
 			if conn.Peer() != "" || !alone.reaches("s") {
 				t.Errorf("connected through %q, the path is direct: %v", conn.Peer(), alone.reaches("s"))
