peer: a stream between instances does not hold half a megabyte

What callers would see: an instance that reaches its upstreams through peers runs out of memory with some hundred requests, and all of them end with it.

Cause: net/http holds a buffer as large as the largest frame that the other side receives, 512 kB, for each stream whose request body is open, which is as long as the stream. The tests of responses without end did not go through a peer with many of them.

Change: a side receives frames of 16 kB at most.

--- a/pkg/entry/stalled_test.go
+++ b/pkg/entry/stalled_test.go
@@ -18,7 +18,7 @@
 		t.Run(stalled.Name, func(t *testing.T) {
 			upstream := httpfakes.NewStallingUpstream(stalled.Text)
 			f := newRawFixture(t, DefaultSettings(), func(conn net.Conn, _ *http.Request, _ []byte) { upstream.Serve(conn) })
-			upstream.CheckHeap(t, func(n int) {
+			upstream.CheckHeap(t, 1, func(n int) {
 				// Requests that are alike are refused once they have crashed several upstreams.
 				path, body := fmt.Sprintf("/v1/services/queue/%d", n), ""
 				if stalled.Stream {
--- a/pkg/gateway/stalled_test.go
+++ b/pkg/gateway/stalled_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
 
@@ -16,16 +15,19 @@
 // keeps what hundreds of faulty upstreams send of a header or an event that does not end.
 func TestManyStalledResponsesFitIntoMemory(t *testing.T) {
 	for _, stalled := range httpfakes.StalledResponses("Id: r1\r\nSeal: s\r\n") {
-		t.Run(stalled.Name, func(t *testing.T) {
-			upstream := httpfakes.NewStallingUpstream(stalled.Text)
-			env := newTestEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, _ int) { upstream.Serve(conn) }, 1)
-			route := "/once/"
-			if stalled.Stream {
-				route = "/stream/"
-			}
-			// Requests that are alike are refused once they have crashed several upstreams.
-			upstream.CheckHeap(t, func(n int) { env.callDiscarding(fmt.Sprint(route, n)) })
-		})
+		for _, way := range ways {
+			t.Run(stalled.Name+" "+way, func(t *testing.T) {
+				upstream := httpfakes.NewStallingUpstream(stalled.Text)
+				env := newTestEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, _ int) { upstream.Serve(conn) }, 1)
+				env.reachBy(way)
+				route := "/once/"
+				if stalled.Stream {
+					route = "/stream/"
+				}
+				// Requests that are alike are refused once they have crashed several upstreams.
+				upstream.CheckHeap(t, instances(way), func(n int) { env.callDiscarding(fmt.Sprint(route, n)) })
+			})
+		}
 	}
 }
 
@@ -50,27 +52,34 @@
 
 var unreadBlock = slices.Repeat([]byte("data: "+string(slices.Repeat([]byte("x"), 500))+"\n\n"), 32)
 
+// unreadResponses are the heads of responses whose bodies do not end.
+var unreadResponses = []struct{ path, head string }{
+	{"/once/", "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Length: 1000000000\r\n\r\n"},
+	{"/stream/", "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n"},
+}
+
+// sendUnread sends a request and leaves its response unread until the test ends.
+func (env *testEnv) sendUnread(path string) {
+	env.t.Helper()
+	conn, err := net.Dial("tcp", env.address)
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	env.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n", path)
+}
+
 // TestUnreadResponseIsNotHeldByKernel guards against an instance that has no memory left because the
 // kernel holds what an upstream sends for a caller that does not read, directly or through a peer.
 func TestUnreadResponseIsNotHeldByKernel(t *testing.T) {
-	for _, kind := range []struct{ path, head string }{
-		{"/once/", "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Length: 1000000000\r\n\r\n"},
-		{"/stream/", "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n"},
-	} {
-		for _, way := range []string{"directly", "through a peer"} {
-			t.Run(kind.path+way, func(t *testing.T) {
+	for _, unread := range unreadResponses {
+		for _, way := range ways {
+			t.Run(unread.path+way, func(t *testing.T) {
 				written := make(chan int, 1)
-				env := newTestEnv(t, testRoutes, countingResponder(kind.head, written), 1)
-				if way == "through a peer" {
-					env.reachThroughPeer()
-				}
-				conn, err := net.Dial("tcp", env.address)
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer conn.Close()
-				_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
-				_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n", kind.path)
+				env := newTestEnv(t, testRoutes, countingResponder(unread.head, written), 1)
+				env.reachBy(way)
+				env.sendUnread(unread.path)
 				if n := <-written; n > maxBufferedResponseBytes+1<<20 {
 					t.Errorf("the upstream could write %d kB that nobody reads", n>>10)
 				}
@@ -79,16 +88,32 @@
 	}
 }
 
-// reachThroughPeer makes the gateway reach its upstream only through a peer.
-func (env *testEnv) reachThroughPeer() {
-	listed, _ := env.roster.Find(env.gateway.options.Clock(), "u0")
-	env.addPeer([]roster.Upstream{listed})
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		env.t.Fatal(err)
+// TestManyUnreadResponsesFitIntoMemory guards against an instance that runs out of memory because
+// hundreds of callers do not read responses without end.
+func TestManyUnreadResponsesFitIntoMemory(t *testing.T) {
+	for _, unread := range unreadResponses {
+		for _, way := range ways {
+			t.Run(unread.path+way, func(t *testing.T) {
+				written := make(chan int, httpfakes.StalledResponseCount)
+				env := newTestEnv(t, testRoutes, countingResponder(unread.head, written), 1)
+				env.reachBy(way)
+				httpfakes.CheckHeap(t, instances(way), func() {
+					for n := range httpfakes.StalledResponseCount {
+						env.sendUnread(fmt.Sprint(unread.path, n))
+					}
+					for range httpfakes.StalledResponseCount {
+						<-written
+					}
+				})
+			})
+		}
+	}
+}
+
+// instances returns the number of instances that a response passes.
+func instances(way string) int {
+	if way == throughAPeer {
+		return 2
 	}
-	_ = refused.Close()
-	here := listed
-	here.Address = refused.Addr().String()
-	env.gateway.UpdateUpstreams([]roster.Upstream{here})
+	return 1
 }
--- a/pkg/peer/streams.go
+++ b/pkg/peer/streams.go
@@ -27,6 +27,9 @@
 	// memory. At a round trip of 3 ms, a stream carries 20 MB a second.
 	streamBufferBytes     = 64 << 10
 	connectionBufferBytes = 8 << 20
+	// frameBytes is the largest frame that a side receives. net/http holds a buffer of this size,
+	// up to 512 kB, for each stream whose request body is open.
+	frameBytes = 16 << 10
 )
 
 func streamProtocols() *http.Protocols {
@@ -37,7 +40,7 @@
 
 // StreamSettings returns the settings of the connections for byte streams.
 func StreamSettings() *http.HTTP2Config {
-	return &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout, MaxReceiveBufferPerStream: streamBufferBytes, MaxReceiveBufferPerConnection: connectionBufferBytes}
+	return &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout, MaxReceiveBufferPerStream: streamBufferBytes, MaxReceiveBufferPerConnection: connectionBufferBytes, MaxReadFrameSize: frameBytes}
 }
 
 // HandleStreams registers the handler of byte streams: HTTP requests whose body and response
--- a/test/httpfakes/stalled.go
+++ b/test/httpfakes/stalled.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// stalledResponses is the number of responses that stall at once.
-	stalledResponses = 300
+	// StalledResponseCount is the number of responses that stall at once.
+	StalledResponseCount = 300
 	// maxStalledHeap is a quarter of the memory of a small instance, 134 MB.
 	maxStalledHeap = 32 << 20
 	// stallTimeout limits the time until all responses have stalled.
@@ -60,7 +60,7 @@
 
 // NewStallingUpstream returns an upstream that responds with the text.
 func NewStallingUpstream(text string) *StallingUpstream {
-	return &StallingUpstream{text: text, sent: make(chan struct{}, 100*stalledResponses), released: make(chan struct{})}
+	return &StallingUpstream{text: text, sent: make(chan struct{}, 100*StalledResponseCount), released: make(chan struct{})}
 }
 
 // Serve responds to a request.
@@ -77,36 +77,43 @@
 }
 
 // CheckHeap calls send, which sends the request with the number and waits for its end, for hundreds of
-// requests at once, and reports an error if their stalled responses take too much memory.
-func (u *StallingUpstream) CheckHeap(t *testing.T, send func(n int)) {
+// requests at once, and reports an error if their stalled responses take too much memory of the instances.
+func (u *StallingUpstream) CheckHeap(t *testing.T, instances int, send func(n int)) {
 	t.Helper()
 	var running sync.WaitGroup
 	var ended atomic.Int64
-	heap := HeapGrowth(t, func() {
-		for n := range stalledResponses {
+	CheckHeap(t, instances, func() {
+		for n := range StalledResponseCount {
 			running.Go(func() {
 				send(n)
 				ended.Add(1)
 			})
 		}
 		limit := time.After(stallTimeout)
-		for n := range stalledResponses {
+		for n := range StalledResponseCount {
 			select {
 			case <-u.sent:
 			case <-limit:
-				t.Fatalf("only %d of %d requests reached the upstream, %d have ended", n, stalledResponses, ended.Load())
+				t.Fatalf("only %d of %d requests reached the upstream, %d have ended", n, StalledResponseCount, ended.Load())
 			}
 		}
 		time.Sleep(settleTime)
 	})
-	t.Logf("%d kB for each response", heap>>10/stalledResponses)
-	if heap > maxStalledHeap {
-		t.Errorf("%d stalled responses take %d MB of memory, want %d at most", stalledResponses, heap>>20, maxStalledHeap>>20)
-	}
 	close(u.released)
 	running.Wait()
 }
 
+// CheckHeap calls begin, which begins StalledResponseCount requests and returns when their responses have
+// stalled, and reports an error if these take too much memory of the instances that they pass.
+func CheckHeap(t testing.TB, instances int, begin func()) {
+	t.Helper()
+	heap := HeapGrowth(t, begin)
+	t.Logf("%d kB for each response", heap>>10/StalledResponseCount)
+	if limit := uint64(instances) * maxStalledHeap; heap > limit {
+		t.Errorf("%d stalled responses take %d MB of memory, want %d at most", StalledResponseCount, heap>>20, limit>>20)
+	}
+}
+
 // HeapGrowth calls begin, which begins many requests and returns when they have stalled, and returns
 // by how much the heap has grown.
 func HeapGrowth(t testing.TB, begin func()) uint64 {
