dispatch: the header of a load report is bounded

Cause: serve reads load reports with the default limit of net/http, 10 MB for a header, whose short fields take sixteen times their length once parsed. Found while all reads from upstreams were looked through for responses without end.

Change: 4 kB at most. join reads no reports.

TestManyStalledLoadReportsFitIntoMemory failed before: 315 and 374 MB for 300 reports with headers of 60 kB, 32 are allowed; below 1 MB after.

--- a/pkg/dispatch/loads.go
+++ b/pkg/dispatch/loads.go
@@ -63,8 +63,12 @@
 	return time.Duration(r.AgeMilliseconds) * time.Millisecond
 }
 
-// maxReportBytes limits the size of a load report.
-const maxReportBytes = 64 << 10
+const (
+	// maxReportBytes limits the size of a load report, and maxReportHeaderBytes that of its header: a
+	// parsed field takes many times the memory of a short line.
+	maxReportBytes       = 64 << 10
+	maxReportHeaderBytes = 4 << 10
+)
 
 // httpLoadReader reads load reports over HTTP.
 type httpLoadReader struct{ client *http.Client }
@@ -72,7 +76,7 @@
 // NewHTTPLoadReader returns a LoadReader that connects to upstreams with dial, or directly if
 // that is nil.
 func NewHTTPLoadReader(dial func(ctx context.Context, network, address string) (net.Conn, error)) LoadReader {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, DialContext: dial}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxReportHeaderBytes, DialContext: dial}
 	return &httpLoadReader{client: &http.Client{Transport: transport}}
 }
 
