httpfakes, gateway: unread responses stay open until all of them stall

StallingUpstream sends such responses now, keeps them open, and says how many requests have ended if some do not arrive. The bounds are as before.

--- a/pkg/dispatch/stalled_test.go
+++ b/pkg/dispatch/stalled_test.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		t.Run(stalled.Name, func(t *testing.T) {
-			upstream := httpfakes.NewStallingUpstream(stalled.Text)
+			upstream := httpfakes.NewStallingUpstream(stalled.Text, "")
 			address := httpfakes.ListenRaw(t, func(conn net.Conn, _ *http.Request, _ []byte) { upstream.Serve(conn) })
 			reader := dispatch.NewHTTPLoadReader(nil)
 			upstream.CheckHeap(t, 1, func(int) {
--- a/pkg/entry/stalled_test.go
+++ b/pkg/entry/stalled_test.go
@@ -16,7 +16,7 @@
 func TestManyStalledResponsesFitIntoMemory(t *testing.T) {
 	for _, stalled := range httpfakes.StalledResponses("") {
 		t.Run(stalled.Name, func(t *testing.T) {
-			upstream := httpfakes.NewStallingUpstream(stalled.Text)
+			upstream := httpfakes.NewStallingUpstream(stalled.Text, "")
 			f := newRawFixture(t, DefaultSettings(), func(conn net.Conn, _ *http.Request, _ []byte) { upstream.Serve(conn) })
 			upstream.CheckHeap(t, 1, func(n int) {
 				// Requests that are alike are refused once they have crashed several upstreams.
--- a/pkg/gateway/stalled_test.go
+++ b/pkg/gateway/stalled_test.go
@@ -17,7 +17,7 @@
 	for _, stalled := range httpfakes.StalledResponses("Id: r1\r\nSeal: s\r\n") {
 		for _, way := range ways {
 			t.Run(stalled.Name+" "+way, func(t *testing.T) {
-				upstream := httpfakes.NewStallingUpstream(stalled.Text)
+				upstream := httpfakes.NewStallingUpstream(stalled.Text, "")
 				env := newTestEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, _ int) { upstream.Serve(conn) }, 1)
 				env.reachBy(way)
 				route := "/once/"
@@ -58,16 +58,18 @@
 	{"/stream/", "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n"},
 }
 
-// sendUnread sends a request and leaves its response unread until the test ends.
-func (env *testEnv) sendUnread(path string) {
+// sendUnread sends a request and leaves its response unread until done is closed.
+func (env *testEnv) sendUnread(path string, done <-chan struct{}) {
 	env.t.Helper()
 	conn, err := net.Dial("tcp", env.address)
 	if err != nil {
-		env.t.Fatal(err)
+		env.t.Error(err)
+		return
 	}
-	env.t.Cleanup(func() { _ = conn.Close() })
+	defer conn.Close()
 	_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
 	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n", path)
+	<-done
 }
 
 // TestUnreadResponseIsNotHeldByKernel guards against an instance that has no memory left because the
@@ -79,7 +81,7 @@
 				written := make(chan int, 1)
 				env := newTestEnv(t, testRoutes, countingResponder(unread.head, written), 1)
 				env.reachBy(way)
-				env.sendUnread(unread.path)
+				go env.sendUnread(unread.path, t.Context().Done())
 				if n := <-written; n > maxBufferedResponseBytes+1<<20 {
 					t.Errorf("the upstream could write %d kB that nobody reads", n>>10)
 				}
@@ -94,17 +96,10 @@
 	for _, unread := range unreadResponses {
 		for _, way := range ways {
 			t.Run(unread.path+way, func(t *testing.T) {
-				written := make(chan int, httpfakes.StalledResponseCount)
-				env := newTestEnv(t, testRoutes, countingResponder(unread.head, written), 1)
+				upstream := httpfakes.NewStallingUpstream(unread.head, string(unreadBlock))
+				env := newTestEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, _ int) { upstream.Serve(conn) }, 1)
 				env.reachBy(way)
-				httpfakes.CheckHeap(t, instances(way), func() {
-					for n := range httpfakes.StalledResponseCount {
-						env.sendUnread(fmt.Sprint(unread.path, n))
-					}
-					for range httpfakes.StalledResponseCount {
-						<-written
-					}
-				})
+				upstream.CheckHeap(t, instances(way), func(n int) { env.sendUnread(fmt.Sprint(unread.path, n), upstream.Released) })
 			})
 		}
 	}
--- a/test/httpfakes/stalled.go
+++ b/test/httpfakes/stalled.go
@@ -13,12 +13,14 @@
 )
 
 const (
-	// StalledResponseCount is the number of responses that stall at once.
-	StalledResponseCount = 300
+	// stalledResponses is the number of responses that stall at once.
+	stalledResponses = 300
 	// maxStalledHeap is a quarter of the memory of a small instance, 134 MB.
 	maxStalledHeap = 32 << 20
 	// stallTimeout limits the time until all responses have stalled.
 	stallTimeout = 30 * time.Second
+	// unreadTime is how long a write waits until it counts as unread.
+	unreadTime = 300 * time.Millisecond
 	// settleTime is enough to read what is left in the sockets.
 	settleTime = 100 * time.Millisecond
 )
@@ -51,29 +53,35 @@
 	}
 }
 
-// StallingUpstream sends stalled responses until it is released.
+// StallingUpstream sends responses that stall until it is released.
 type StallingUpstream struct {
-	text     string
-	sent     chan struct{}
-	released chan struct{}
+	text, endless string
+	sent          chan struct{}
+	// Released is closed when the memory has been checked.
+	Released chan struct{}
 }
 
-// NewStallingUpstream returns an upstream that responds with the text.
-func NewStallingUpstream(text string) *StallingUpstream {
-	return &StallingUpstream{text: text, sent: make(chan struct{}, 100*StalledResponseCount), released: make(chan struct{})}
+// NewStallingUpstream returns an upstream that responds with the text and, unless that is empty, with
+// the endless text again and again until nobody reads it.
+func NewStallingUpstream(text, endless string) *StallingUpstream {
+	return &StallingUpstream{text: text, endless: endless, sent: make(chan struct{}, 100*stalledResponses), Released: make(chan struct{})}
 }
 
 // Serve responds to a request.
 func (u *StallingUpstream) Serve(conn net.Conn) {
 	select {
-	case <-u.released:
+	case <-u.Released:
 		return
 	default:
 	}
 	// The other side may close the connection before it has read everything.
-	_, _ = io.WriteString(conn, u.text)
+	_, err := io.WriteString(conn, u.text)
+	for written := 0; u.endless != "" && written < MaxEndlessBytes && err == nil; written += len(u.endless) {
+		_ = conn.SetWriteDeadline(time.Now().Add(unreadTime))
+		_, err = io.WriteString(conn, u.endless)
+	}
 	u.sent <- struct{}{}
-	<-u.released
+	<-u.Released
 }
 
 // CheckHeap calls send, which sends the request with the number and waits for its end, for hundreds of
@@ -82,36 +90,29 @@
 	t.Helper()
 	var running sync.WaitGroup
 	var ended atomic.Int64
-	CheckHeap(t, instances, func() {
-		for n := range StalledResponseCount {
+	heap := HeapGrowth(t, func() {
+		for n := range stalledResponses {
 			running.Go(func() {
 				send(n)
 				ended.Add(1)
 			})
 		}
 		limit := time.After(stallTimeout)
-		for n := range StalledResponseCount {
+		for n := range stalledResponses {
 			select {
 			case <-u.sent:
 			case <-limit:
-				t.Fatalf("only %d of %d requests reached the upstream, %d have ended", n, StalledResponseCount, ended.Load())
+				t.Fatalf("only %d of %d requests reached the upstream, %d have ended", n, stalledResponses, ended.Load())
 			}
 		}
 		time.Sleep(settleTime)
 	})
-	close(u.released)
-	running.Wait()
-}
-
-// CheckHeap calls begin, which begins StalledResponseCount requests and returns when their responses have
-// stalled, and reports an error if these take too much memory of the instances that they pass.
-func CheckHeap(t testing.TB, instances int, begin func()) {
-	t.Helper()
-	heap := HeapGrowth(t, begin)
-	t.Logf("%d kB for each response", heap>>10/StalledResponseCount)
+	t.Logf("%d kB for each response", heap>>10/stalledResponses)
 	if limit := uint64(instances) * maxStalledHeap; heap > limit {
-		t.Errorf("%d stalled responses take %d MB of memory, want %d at most", StalledResponseCount, heap>>20, limit>>20)
+		t.Errorf("%d stalled responses take %d MB of memory, want %d at most", stalledResponses, heap>>20, limit>>20)
 	}
+	close(u.Released)
+	running.Wait()
 }
 
 // HeapGrowth calls begin, which begins many requests and returns when they have stalled, and returns
