gateway: gateways of one test do not share their routes

Tests whose requests outlast a gateway give each one a copy.

pkg/gateway passed with the race detector at a load average of 35.

--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,7 +23,7 @@
 // release is closed.
 func newBodyEnv(t *testing.T, memory int64, received chan<- struct{}, release <-chan struct{}) *testEnv {
 	env := &testEnv{t: t, fleet: &recordingFleet{}, roster: roster.New()}
-	env.start(Options{Clock: clock.Boot, DialTimeout: busyDialTimeout, BodyMemory: memory}, testRoutes, respondWith(""), 0)
+	env.start(Options{Clock: clock.Boot, DialTimeout: busyDialTimeout, BodyMemory: memory}, slices.Clone(testRoutes), respondWith(""), 0)
 	address := httpfakes.Listen(t, func(conn *net.TCPConn) {
 		defer conn.Close()
 		request, err := http.ReadRequest(bufio.NewReader(conn))
--- a/pkg/gateway/stalled_test.go
+++ b/pkg/gateway/stalled_test.go
@@ -19,7 +19,7 @@
 		for _, way := range ways {
 			t.Run(stalled.Name+" "+way, func(t *testing.T) {
 				upstream := httpfakes.NewStallingUpstream(stalled.Text, "")
-				env := newTestEnv(t, testRoutes, func(conn net.Conn, _ *http.Request, _ int) { upstream.Serve(conn) }, 1)
+				env := newTestEnv(t, slices.Clone(testRoutes), func(conn net.Conn, _ *http.Request, _ int) { upstream.Serve(conn) }, 1)
 				env.reachBy(way)
 				route := "/once/"
 				if stalled.Stream {
@@ -80,7 +80,7 @@
 		for _, way := range ways {
 			t.Run(unread.path+way, func(t *testing.T) {
 				written := make(chan int, 1)
-				env := newTestEnv(t, testRoutes, countingResponder(unread.head, written), 1)
+				env := newTestEnv(t, slices.Clone(testRoutes), countingResponder(unread.head, written), 1)
 				env.reachBy(way)
 				go env.sendUnread(unread.path, t.Context().Done())
 				if n := <-written; n > maxBufferedResponseBytes+1<<20 {
--- a/pkg/gateway/transit_test.go
+++ b/pkg/gateway/transit_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -125,7 +126,7 @@
 	for _, way := range ways {
 		t.Run(way, func(t *testing.T) {
 			sound := respondWith(rawResponse(200, "fine"))
-			env := newTestEnv(t, testRoutes, func(conn net.Conn, request *http.Request, n int) {
+			env := newTestEnv(t, slices.Clone(testRoutes), func(conn net.Conn, request *http.Request, n int) {
 				if request.RequestURI == "/once/sound" {
 					sound(conn, request, n)
 					return
