gateway: the stream of a test of callers that leave is well-formed

The chunk of its event was a byte longer than its size said, so the response failed as malformed, the gateway answered 502, and the next request of the connection rightly ran if the caller had not closed by then.

The chunk has its right size and the event its end now, so that the stream is in progress until the caller closes, as the test means.

--- a/pkg/gateway/left_test.go
+++ b/pkg/gateway/left_test.go
@@ -41,7 +41,7 @@
 // TestBytesBehindRequestDoNotHideThatCallerLeft guards against upstreams that go on for a caller
 // that has sent more on the connection before it closed it.
 func TestBytesBehindRequestDoNotHideThatCallerLeft(t *testing.T) {
-	const event = "HTTP/1.1 200 X\r\nId: r1\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nd\r\nid: 1\ndata: a\n\r\n"
+	const event = "HTTP/1.1 200 X\r\nId: r1\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n"
 	for name, behind := range map[string]string{
 		"nothing":                    "",
 		"a byte":                     "x",
