httpfakes, gateway, entry: one loop that writes until nobody reads

Three tests wrote it, and one of them a request that requestOn and dial already make. The bounds and assertions are as before; the tests of stalled and unread responses pass with the race detector.

--- a/pkg/entry/stalled_test.go
+++ b/pkg/entry/stalled_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
@@ -61,15 +60,7 @@
 	f := newRawFixture(t, DefaultSettings(), func(conn net.Conn, _ *http.Request, _ []byte) {
 		_ = conn.(*net.TCPConn).SetWriteBuffer(16 << 10)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
-		total := 0
-		for total < httpfakes.MaxEndlessBytes {
-			_ = conn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
-			n, err := io.WriteString(conn, unreadBlock)
-			if total += n; err != nil {
-				break
-			}
-		}
-		written <- total
+		written <- httpfakes.WriteUntilUnread(conn, unreadBlock)
 	})
 	w := newUnreadWriter()
 	defer close(w.released)
--- a/pkg/gateway/stalled_test.go
+++ b/pkg/gateway/stalled_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
-	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
@@ -39,19 +40,12 @@
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetWriteBuffer(16 << 10)
 		}
-		total := 0
-		for text := []byte(head); total < httpfakes.MaxEndlessBytes; text = unreadBlock {
-			_ = conn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
-			n, err := conn.Write(text)
-			if total += n; err != nil {
-				break
-			}
-		}
-		written <- total
+		n, _ := io.WriteString(conn, head)
+		written <- n + httpfakes.WriteUntilUnread(conn, unreadBlock)
 	}
 }
 
-var unreadBlock = slices.Repeat([]byte("data: "+string(slices.Repeat([]byte("x"), 500))+"\n\n"), 32)
+var unreadBlock = strings.Repeat("data: "+strings.Repeat("x", 500)+"\n\n", 32)
 
 // unreadResponses are the heads of responses whose bodies do not end.
 var unreadResponses = []struct{ path, head string }{
@@ -62,14 +56,14 @@
 // sendUnread sends a request and leaves its response unread until done is closed.
 func (env *testEnv) sendUnread(path string, done <-chan struct{}) {
 	env.t.Helper()
-	conn, err := net.Dial("tcp", env.address)
+	conn, err := env.dial()
 	if err != nil {
 		env.t.Error(err)
 		return
 	}
 	defer conn.Close()
 	_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
-	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n", path)
+	_, _ = io.WriteString(conn, requestOn(path, "r1", ""))
 	<-done
 }
 
@@ -97,7 +91,7 @@
 	for _, unread := range unreadResponses {
 		for _, way := range ways {
 			t.Run(unread.path+way, func(t *testing.T) {
-				upstream := httpfakes.NewStallingUpstream(unread.head, string(unreadBlock))
+				upstream := httpfakes.NewStallingUpstream(unread.head, unreadBlock)
 				env := newTestEnv(t, patientRoutes(), func(conn net.Conn, _ *http.Request, _ int) { upstream.Serve(conn) }, 1)
 				env.reachBy(way)
 				upstream.CheckHeap(t, instances(way), func(n int) { env.sendUnread(fmt.Sprint(unread.path, n), upstream.Released) })
--- a/test/httpfakes/stalled.go
+++ b/test/httpfakes/stalled.go
@@ -76,14 +76,26 @@
 	}
 	// The other side may close the connection before it has read everything.
 	_, err := io.WriteString(conn, u.text)
-	for written := 0; u.endless != "" && written < MaxEndlessBytes && err == nil; written += len(u.endless) {
-		_ = conn.SetWriteDeadline(time.Now().Add(unreadTime))
-		_, err = io.WriteString(conn, u.endless)
+	if err == nil && u.endless != "" {
+		WriteUntilUnread(conn, u.endless)
 	}
 	u.sent <- struct{}{}
 	<-u.Released
 }
 
+// WriteUntilUnread writes the text again and again until nobody reads it, and returns the number of
+// bytes.
+func WriteUntilUnread(conn net.Conn, text string) (written int) {
+	for written < MaxEndlessBytes {
+		_ = conn.SetWriteDeadline(time.Now().Add(unreadTime))
+		n, err := io.WriteString(conn, text)
+		if written += n; err != nil {
+			break
+		}
+	}
+	return written
+}
+
 // CheckHeap calls send, which sends the request with the number and waits for its end, for hundreds of
 // requests at once, and reports an error if their stalled responses take too much memory of the instances.
 func (u *StallingUpstream) CheckHeap(t *testing.T, instances int, send func(n int)) {
