origin, gateway, transit: one batch loop, one refusal of large bodies, no guard twice

MergeStreams and Adopt had the same loop over batches; Table.RecordAll has it now. The refusal of a body that is too large was written twice. The carrying side checked whether anything had been received before it records that there was no response, which transit.Conn does since its first byte is recorded.

No behaviour changes; origin, gateway, transit and fault pass with the race detector.

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -29,7 +29,7 @@
 	limit := q.catalog.Limits.BodyBytes
 	if limit > 0 && q.incoming.ContentLength > limit {
 		q.bodyAbandoned = true
-		return fault.New(fault.BodyTooLarge, "the request body exceeds the size limit")
+		return errBodyTooLarge
 	}
 	control := http.NewResponseController(q.writer)
 	// Setting a deadline fails only for the writers of tests, whose callers do not
--- a/pkg/gateway/resume.go
+++ b/pkg/gateway/resume.go
@@ -347,11 +347,7 @@
 	now := g.options.Clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, batch := range batches {
-		for _, stream := range batch.Streams() {
-			g.origins.Record(now, stream)
-		}
-	}
+	g.origins.RecordAll(now, batches)
 	if versions != nil {
 		if impossible := g.origins.Merge(now, *versions); impossible > 0 {
 			g.options.Logger.Debug().Int("values", impossible).Msg("a peer reports impossible ages of versions")
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -161,6 +161,15 @@
 	t.recent[stream.Key] = stream.Origin
 }
 
+// RecordAll records the origins of the streams of all batches.
+func (t *Table) RecordAll(now time.Duration, batches []Batch) {
+	for _, batch := range batches {
+		for _, stream := range batch.Streams() {
+			t.Record(now, stream)
+		}
+	}
+}
+
 // Lookup returns the origin of a stream, or false if it is not known.
 func (t *Table) Lookup(key Key) (Origin, bool) {
 	if origin, ok := t.recent[key]; ok {
--- a/pkg/origin/page.go
+++ b/pkg/origin/page.go
@@ -92,11 +92,7 @@
 // Adopt adds the origins in the table of a peer. Those of its earlier lifetime stay there, so that
 // a series of restarts does not keep them for ever.
 func (t *Table) Adopt(now time.Duration, page Page) {
-	for _, batch := range page.Recent {
-		for _, stream := range batch.Streams() {
-			t.Record(now, stream)
-		}
-	}
+	t.RecordAll(now, page.Recent)
 	t.rotate(now)
 	if t.earlier == nil {
 		t.earlier = make(map[Key]Origin)
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -102,7 +102,7 @@
 			return received, nil
 		}
 		if err != nil {
-			if received == 0 && r.Context().Err() == nil && !errors.Is(err, net.ErrClosed) {
+			if r.Context().Err() == nil && !errors.Is(err, net.ErrClosed) {
 				conn.RecordNoResponse()
 			}
 			return received, fault.Wrap(fault.UpstreamFailed, err, "the connection to the upstream broke")
