overload, gateway: a request's log line says how long it waited until it was handled

Cause: the log counts from the beginning of the handler, and the measure of an instance's delay is that of a timer, which the Go scheduler serves before all that is ready to run. Neither shows how long bytes that have arrived wait. A request that is read late and one that ends late look alike. No decision uses it yet.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -241,6 +241,10 @@
 	if err := e.peers.Listen(); err != nil {
 		return err
 	}
+	signal, err := overload.OpenPipe()
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "cannot open a pipe")
+	}
 	// The background tasks end only after the requests that need them.
 	taskCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -250,7 +254,7 @@
 	for _, follower := range e.followers {
 		group.Go(func() error { return follower.Run(taskCtx) })
 	}
-	group.Go(func() error { e.measureDelay(taskCtx); return nil })
+	group.Go(func() error { e.measureDelay(taskCtx, signal); return nil })
 	group.Go(func() error { e.expireLoop(taskCtx); return nil })
 	group.Go(func() error { e.logCapacity(taskCtx); return nil })
 	group.Go(func() error { e.logShares(taskCtx); return nil })
--- a/pkg/edge/overload.go
+++ b/pkg/edge/overload.go
@@ -4,11 +4,13 @@
 	"context"
 	"expvar"
 	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/overload"
 )
 
 // measureDelay measures how late this instance is until ctx is done.
-func (e *Edge) measureDelay(ctx context.Context) {
-	e.meter.Run(ctx, func(delay time.Duration) {
+func (e *Edge) measureDelay(ctx context.Context, signal overload.Signal) {
+	e.meter.Run(ctx, signal, func(delay time.Duration) {
 		before, after := e.limiter.Observe(delay)
 		if (before < 1) == (after < 1) {
 			return
@@ -22,8 +24,9 @@
 func (e *Edge) publishOverload() {
 	expvar.Publish("overload", expvar.Func(func() any {
 		return struct {
-			LateMilliseconds int64   `json:"late_ms"`
-			Accepted         float64 `json:"accepted"`
-		}{e.meter.Late().Milliseconds(), e.limiter.Fraction()}
+			LateMilliseconds   int64   `json:"late_ms"`
+			WaitedMilliseconds int64   `json:"waited_ms"`
+			Accepted           float64 `json:"accepted"`
+		}{e.meter.Late().Milliseconds(), e.meter.Waited().Milliseconds(), e.limiter.Fraction()}
 	}))
 }
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -135,5 +135,5 @@
 	}
 	event.Str("request", string(q.call.ID)).Str("account", string(q.account.ID)).Str("upstream", string(q.lastUpstream)).
 		Str("version", string(q.lastVersion)).Int("status", q.status).Int("sends", q.progress.sends).Int("runs", q.progress.runs).Int("events", q.progress.events).
-		Dur("first_ms", q.timeToFirstResponse).Dur("elapsed_ms", elapsed).Str("outcome", outcome).Msg("request")
+		Dur("waited_ms", q.waited).Dur("first_ms", q.timeToFirstResponse).Dur("elapsed_ms", elapsed).Str("outcome", outcome).Msg("request")
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -263,8 +263,9 @@
 	// crashReport is closed when the last failure of an upstream has been examined. It
 	// is nil if there was none.
 	crashReport chan struct{}
-	startedAt   time.Duration
-	timeout     time.Duration
+	// startedAt is when the handler began, and waited how long the request had waited for that.
+	startedAt, waited time.Duration
+	timeout           time.Duration
 	// upstreamFailure is the last upstream's own failure, or nil.
 	upstreamFailure *keptResponse
 	// headerSent reports whether the response header was passed to the caller.
@@ -310,7 +311,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	q := &request{gateway: g, incoming: r, writer: w, startedAt: g.options.Clock(), tried: make(map[types.UpstreamID]bool)}
+	q := &request{gateway: g, incoming: r, writer: w, startedAt: g.options.Clock(), waited: g.options.Meter.Waited(), tried: make(map[types.UpstreamID]bool)}
 	err := q.serve()
 	q.finish(err)
 }
--- a/pkg/gateway/overload_test.go
+++ b/pkg/gateway/overload_test.go
@@ -22,7 +22,7 @@
 	meter := overload.NewMeter(func() time.Duration { return time.Since(began) + time.Duration(delay.Load()) })
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
-	go meter.Run(ctx, nil)
+	go meter.Run(ctx, nil, nil)
 	synctest.Wait()
 	return meter
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
+	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/peer"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/timeline/causal"
@@ -129,7 +130,12 @@
 	if err != nil {
 		return err
 	}
+	signal, err := overload.OpenPipe()
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "cannot open a pipe")
+	}
 	roles, err := NewRoles(n.settings, n.incarnation, Dependencies{
+		Signal:    signal,
 		Source:    configservice.NewClient(n.settings.PlatformURL, &http.Client{}),
 		Caller:    causal.NewCaller(n.dialer, n.ring),
 		Registrar: causal.NewRegistrar(n.peerServer, n.ring),
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -47,6 +47,8 @@
 	Loads dispatch.LoadReader
 	// Dial connects to upstreams. If it is nil, they are dialed over TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Signal measures how late this instance is. If it is nil, the delay of timers does.
+	Signal overload.Signal
 	// Clock is the clock of the paths to upstreams and of the retry budget. If it is nil, it is
 	// clock.Boot.
 	Clock clock.Clock
@@ -76,6 +78,7 @@
 	paths       *paths
 	// meter measures how late this instance is, and limiter refuses requests meanwhile.
 	meter   *overload.Meter
+	signal  overload.Signal
 	limiter *overload.Limiter
 }
 
@@ -90,6 +93,7 @@
 		recorder:    recorder,
 		store:       config.NewStore(),
 		meter:       overload.NewMeter(dependencies.clock()),
+		signal:      dependencies.Signal,
 		limiter:     overload.NewLimiter(),
 	}
 	r.buildMembershipAndRelay(dependencies)
@@ -220,7 +224,7 @@
 
 // measureDelay measures how late this instance is until ctx is done.
 func (r *Roles) measureDelay(ctx context.Context) error {
-	r.meter.Run(ctx, func(delay time.Duration) {
+	r.meter.Run(ctx, r.signal, func(delay time.Duration) {
 		if before, after := r.limiter.Observe(delay); (before < 1) != (after < 1) {
 			r.logger.Warn().Bool("refuses", after < 1).Float64("accepted", after).Dur("late_ms", r.meter.Late()).Msg("instance overload changed")
 		}
--- a/pkg/overload/meter.go
+++ b/pkg/overload/meter.go
@@ -25,6 +25,8 @@
 	now clock.Clock
 
 	mu sync.Mutex
+	// sent has when each signal was sent that has not been received.
+	sent []time.Duration
 	// due is when the next measurement is due, or zero before Run.
 	due time.Duration
 	// longest and previous are the longest delays since longestSince and in the time before it.
@@ -35,8 +37,59 @@
 // NewMeter returns a Meter without delay.
 func NewMeter(now clock.Clock) *Meter { return &Meter{now: now} }
 
-// Run measures until ctx is done, and calls observe, unless it is nil, with each delay.
-func (m *Meter) Run(ctx context.Context, observe func(delay time.Duration)) {
+// Run measures until ctx is done, and calls observe, unless it is nil, with each delay. It sends the
+// signal and closes it. Without one, as in tests that run in virtual time, it knows the delay of timers only.
+func (m *Meter) Run(ctx context.Context, signal Signal, observe func(delay time.Duration)) {
+	if signal == nil {
+		m.measure(ctx, nil, observe)
+		return
+	}
+	var receiver sync.WaitGroup
+	receiver.Go(func() { m.receive(signal) })
+	m.measure(ctx, signal, observe)
+	// An error means that it is closed already.
+	_ = signal.Close()
+	receiver.Wait()
+}
+
+// receive receives signals until they end.
+func (m *Meter) receive(signal Signal) {
+	for {
+		count, err := signal.Receive()
+		if err != nil {
+			return
+		}
+		m.mu.Lock()
+		m.sent = m.sent[min(count, len(m.sent)):]
+		m.mu.Unlock()
+	}
+}
+
+// send sends a signal, unless there are too many that have not been received.
+func (m *Meter) send(signal Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.sent) < maxSignals && signal.Send() == nil {
+		m.sent = append(m.sent, m.now())
+	}
+}
+
+// Waited returns how long what the network has made ready and runs now has waited for that, up to
+// the time between two measurements less.
+func (m *Meter) Waited() time.Duration {
+	if m == nil {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.sent) == 0 {
+		return 0
+	}
+	return m.now() - m.sent[0]
+}
+
+// measure measures until ctx is done.
+func (m *Meter) measure(ctx context.Context, signal Signal, observe func(delay time.Duration)) {
 	for {
 		m.mu.Lock()
 		m.due = m.now() + meterInterval
@@ -44,6 +97,9 @@
 		if !wait.For(ctx, meterInterval) {
 			return
 		}
+		if signal != nil {
+			m.send(signal)
+		}
 		delay := m.record()
 		if observe != nil {
 			observe(delay)
--- a/pkg/overload/meter_test.go
+++ b/pkg/overload/meter_test.go
@@ -21,7 +21,7 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go m.Run(ctx, nil)
+		go m.Run(ctx, nil, nil)
 		check := func(after, least, most time.Duration) {
 			t.Helper()
 			time.Sleep(after)
--- /dev/null
+++ b/pkg/overload/signal.go
@@ -0,0 +1,51 @@
+package overload
+
+import "os"
+
+// maxSignals bounds the signals that are sent and not received.
+const maxSignals = 64
+
+// Signal wakes a goroutine of this process in the way in which the network does: the goroutine waits
+// for the poller and then behind all that is ready to run. The Go scheduler runs a goroutine that a
+// timer or another goroutine has woken before these.
+type Signal interface {
+	// Send makes Receive return.
+	Send() error
+	// Receive waits and returns the number of signals that have arrived.
+	Receive() (int, error)
+	// Close ends Receive.
+	Close() error
+}
+
+// pipe is a Signal.
+type pipe struct {
+	reader, writer *os.File
+	buffer         [maxSignals]byte
+}
+
+// OpenPipe returns a Signal through a pipe.
+func OpenPipe() (Signal, error) {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	return &pipe{reader: reader, writer: writer}, nil
+}
+
+// Send implements Signal.
+func (p *pipe) Send() error {
+	_, err := p.writer.Write([]byte{0})
+	return err
+}
+
+// Receive implements Signal.
+func (p *pipe) Receive() (int, error) { return p.reader.Read(p.buffer[:]) }
+
+// Close implements Signal.
+func (p *pipe) Close() error {
+	err := p.writer.Close()
+	if failure := p.reader.Close(); err == nil {
+		err = failure
+	}
+	return err
+}
