--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -222,6 +222,8 @@
 	jumps [256]atomic.Int64
 	// stops ends the instances.
 	stops map[int]context.CancelFunc
+	// registrars have the handlers of the instances.
+	registrars map[int]peer.Registrar
 }
 
 func address(i int) string { return fmt.Sprint("node", i, ":1") }
@@ -235,7 +237,7 @@
 	defer runtime.GOMAXPROCS(processors)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := &fleet{network: fakes.NewNetwork(1), started: time.Now(), ctx: ctx, stops: map[int]context.CancelFunc{}}
+		f := &fleet{network: fakes.NewNetwork(1), started: time.Now(), ctx: ctx, stops: map[int]context.CancelFunc{}, registrars: map[int]peer.Registrar{}}
 		f.network.SetDelay(time.Millisecond, 3*time.Millisecond)
 		for i := range n {
 			f.start(i)
@@ -272,6 +274,7 @@
 		FollowEvacuations: !f.ignoresEvacuations[i],
 	})
 	m.Register(registrar)
+	f.registrars[i] = registrar
 	if i == len(f.states) {
 		f.states, f.meshes, f.capacity, f.shares = append(f.states, state), append(f.meshes, m), append(f.capacity, table), append(f.shares, shares)
 	} else {
--- /dev/null
+++ b/pkg/mesh/readers_test.go
@@ -0,0 +1,105 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/peer"
+	"github.com/umbercrank/umbercrank/pkg/replica"
+)
+
+// spokesOf returns the instances whose hub is instance i.
+func (f *fleet) spokesOf(t *testing.T, i int) []int {
+	var spokes []int
+	for j, m := range f.meshes {
+		m.mu.Lock()
+		if m.relation(address(i)) == hub {
+			spokes = append(spokes, j)
+		}
+		m.mu.Unlock()
+	}
+	if len(spokes) == 0 {
+		t.Fatalf("instance %d has no spokes", i)
+	}
+	return spokes
+}
+
+// publish gives a change to the first count instances, as if they had read it.
+func (f *fleet) publish(count int) {
+	for i := range count {
+		f.states[i].withLock(func(s *fakeState) { s.set.Merge([]replica.Item{{Key: "k", Revision: 7}}) })
+		f.meshes[i].ReportChange()
+	}
+}
+
+// wantNoRelianceWithoutChange checks that no instance lacks the change and relies on its hub to read it.
+func (f *fleet) wantNoRelianceWithoutChange(t *testing.T, instances []int, after time.Duration) {
+	t.Helper()
+	for _, i := range instances {
+		// An instance that reads by itself finds the change with its next call.
+		if f.states[i].Revisions()["c"] != 7 && f.meshes[i].HubIsReading() {
+			t.Errorf("instance %d relies on a hub, and lacks a change after %v", i, after)
+		}
+	}
+}
+
+// TestChangeReachesSpokesOfHubThatDoesNotRespond guards against instances that keep an old
+// configuration because their hub sends heartbeats, but does not deliver what it announces.
+func TestChangeReachesSpokesOfHubThatDoesNotRespond(t *testing.T) {
+	const allowed = 1200 * time.Millisecond
+	runLargeFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(10 * time.Second)
+		f.registrars[0].Handle(fetchMethod, func(context.Context, peer.Identity, json.RawMessage) (any, error) {
+			time.Sleep(time.Minute)
+			return nil, nil
+		})
+		spokes := f.spokesOf(t, 0)
+		f.publish(8)
+		time.Sleep(allowed)
+		f.wantNoRelianceWithoutChange(t, spokes, allowed)
+	})
+}
+
+// TestSpokesDoNotRelyOnHubThatIsBehind guards against instances that keep an old configuration because their
+// hub sends heartbeats, but cannot obtain what other instances have.
+func TestSpokesDoNotRelyOnHubThatIsBehind(t *testing.T) {
+	const allowed = 1500 * time.Millisecond
+	runLargeFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(10 * time.Second)
+		for i := 1; i < 8; i++ {
+			f.registrars[i].Handle(fetchMethod, func(context.Context, peer.Identity, json.RawMessage) (any, error) {
+				time.Sleep(time.Minute)
+				return nil, nil
+			})
+		}
+		spokes := f.spokesOf(t, 0)
+		for i := 1; i < 8; i++ {
+			f.states[i].withLock(func(s *fakeState) { s.set.Merge([]replica.Item{{Key: "k", Revision: 7}}) })
+			f.meshes[i].ReportChange()
+		}
+		time.Sleep(allowed)
+		f.wantNoRelianceWithoutChange(t, spokes, allowed)
+	})
+}
+
+// TestLateHubDoesNotReadForOthers guards against instances that keep an old configuration because their hub
+// sends heartbeats, but handles what it receives late.
+func TestLateHubDoesNotReadForOthers(t *testing.T) {
+	runLargeFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(10 * time.Second)
+		spokes := f.spokesOf(t, 0)
+		for _, late := range []time.Duration{500 * time.Millisecond, 0} {
+			f.meshes[0].mu.Lock()
+			f.meshes[0].options.Late = func() time.Duration { return late }
+			f.meshes[0].mu.Unlock()
+			time.Sleep(time.Second)
+			for _, i := range spokes {
+				if got := f.meshes[i].HubIsReading(); got != (late == 0) {
+					t.Errorf("instance %d relies on a hub that is late by %v: %v", i, late, got)
+				}
+			}
+		}
+	})
+}
