overload, gateway: the time of a request begins when it arrives, and the delay of an instance is that of its connections

Callers saw 504 more than half a second after the timeout of the route, 1,340 ms after the request on a timeout of 800 ms. Cause: all times of a request are counted from the beginning of its handler. What passes before, while bytes that have arrived wait for the poller and behind other goroutines, was in none of them, and was not known either: the meter took the delay of a timer, whose goroutine the scheduler runs before those. The limiter of requests, the longer timeouts of a late instance and what counts as evidence follow the meter. Change: the meter takes the delay of a signal through a pipe, which waits as connections do. A request began as long before its handler as such signals wait on average; upstreams are given what remains. If nothing remains, the request is refused before its body is read.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -263,7 +263,7 @@
 	// crashReport is closed when the last failure of an upstream has been examined. It
 	// is nil if there was none.
 	crashReport chan struct{}
-	// startedAt is when the handler began, and waited how long the request had waited for that.
+	// startedAt is when the request arrived, and waited how long after that its handler began.
 	startedAt, waited time.Duration
 	timeout           time.Duration
 	// upstreamFailure is the last upstream's own failure, or nil.
@@ -311,7 +311,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	q := &request{gateway: g, incoming: r, writer: w, startedAt: g.options.Clock(), waited: g.options.Meter.Waited(), tried: make(map[types.UpstreamID]bool)}
+	waited := g.options.Meter.Waited()
+	q := &request{gateway: g, incoming: r, writer: w, startedAt: g.options.Clock() - waited, waited: waited, tried: make(map[types.UpstreamID]bool)}
 	err := q.serve()
 	q.finish(err)
 }
@@ -366,6 +367,9 @@
 		q.account = account
 	}
 	q.catalog, q.timeout = current, requestTimeout(q.route, call)
+	if q.remaining() <= 0 {
+		return q.deadlineError()
+	}
 	if at := time.Duration(g.endsAt.Load()); at > 0 && !q.route.Repeatable() && q.startedAt+q.timeout > at {
 		return fault.New(fault.Leaving, "this instance may shut down before the response is complete").WithRetryAfter(instanceRetryAfter)
 	}
--- a/pkg/overload/meter.go
+++ b/pkg/overload/meter.go
@@ -17,18 +17,21 @@
 	meterInterval = 50 * time.Millisecond
 	// delayTTL is how long a delay counts, at least. It counts for twice as long at most.
 	delayTTL = 500 * time.Millisecond
+	// averageWeight is the weight of the latest delay in the average.
+	averageWeight = 0.25
 )
 
-// Meter measures how long work that is ready waits until it runs: the delay of a timer. It is safe
-// for concurrent use. A nil Meter measures nothing.
+// Meter measures how long work that is ready waits until it runs: the delay of a timer, and of a Signal
+// that is sent then. It is safe for concurrent use. A nil Meter measures nothing.
 type Meter struct {
 	now clock.Clock
 
 	mu sync.Mutex
-	// sent has when each signal was sent that has not been received.
-	sent []time.Duration
 	// due is when the next measurement is due, or zero before Run.
 	due time.Duration
+	// pending is when the signal was due that has not been received, or zero, and average the decaying
+	// average of the delays of those that have been.
+	pending, average time.Duration
 	// longest and previous are the longest delays since longestSince and in the time before it.
 	longest, previous time.Duration
 	longestSince      time.Duration
@@ -40,71 +43,83 @@
 // Run measures until ctx is done, and calls observe, unless it is nil, with each delay. It sends the
 // signal and closes it. Without one, as in tests that run in virtual time, it knows the delay of timers only.
 func (m *Meter) Run(ctx context.Context, signal Signal, observe func(delay time.Duration)) {
+	if observe == nil {
+		observe = func(time.Duration) {}
+	}
 	if signal == nil {
-		m.measure(ctx, nil, observe)
+		m.runTimer(ctx, func() { observe(m.record()) })
 		return
 	}
 	var receiver sync.WaitGroup
-	receiver.Go(func() { m.receive(signal) })
-	m.measure(ctx, signal, observe)
+	receiver.Go(func() { m.receive(signal, observe) })
+	m.runTimer(ctx, func() {
+		m.record()
+		m.send(signal)
+	})
 	// An error means that it is closed already.
 	_ = signal.Close()
 	receiver.Wait()
 }
 
-// receive receives signals until they end.
-func (m *Meter) receive(signal Signal) {
+// runTimer calls measure whenever a measurement is due, until ctx is done.
+func (m *Meter) runTimer(ctx context.Context, measure func()) {
 	for {
-		count, err := signal.Receive()
-		if err != nil {
-			return
-		}
 		m.mu.Lock()
-		m.sent = m.sent[min(count, len(m.sent)):]
+		m.due = m.now() + meterInterval
 		m.mu.Unlock()
+		if !wait.For(ctx, meterInterval) {
+			return
+		}
+		measure()
 	}
 }
 
-// send sends a signal, unless there are too many that have not been received.
+// send sends a signal, unless one has not been received yet.
 func (m *Meter) send(signal Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.sent) < maxSignals && signal.Send() == nil {
-		m.sent = append(m.sent, m.now())
+	if m.pending == 0 && signal.Send() == nil {
+		m.pending = m.due
 	}
 }
 
-// Waited returns how long what the network has made ready and runs now has waited for that, up to
-// the time between two measurements less.
+// receive receives signals until they end, and records their delays.
+func (m *Meter) receive(signal Signal, observe func(delay time.Duration)) {
+	for signal.Receive() == nil {
+		observe(m.recordReceived())
+	}
+}
+
+// recordReceived records that the signal has been received, and returns its delay.
+func (m *Meter) recordReceived() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	delay := now - m.pending
+	m.pending = 0
+	m.average += time.Duration(averageWeight * float64(delay-m.average))
+	m.rotate(now)
+	m.longest = max(m.longest, delay)
+	return delay
+}
+
+// Waited returns an estimate of how long what the network has made ready and runs now has waited for
+// that.
 func (m *Meter) Waited() time.Duration {
 	if m == nil {
 		return 0
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.sent) == 0 {
-		return 0
-	}
-	return m.now() - m.sent[0]
+	return max(m.average, m.overdue(m.now()))
 }
 
-// measure measures until ctx is done.
-func (m *Meter) measure(ctx context.Context, signal Signal, observe func(delay time.Duration)) {
-	for {
-		m.mu.Lock()
-		m.due = m.now() + meterInterval
-		m.mu.Unlock()
-		if !wait.For(ctx, meterInterval) {
-			return
-		}
-		if signal != nil {
-			m.send(signal)
-		}
-		delay := m.record()
-		if observe != nil {
-			observe(delay)
-		}
+// overdue returns for how long the signal has not been received. m.mu must be held.
+func (m *Meter) overdue(now time.Duration) time.Duration {
+	if m.pending == 0 {
+		return 0
 	}
+	return now - m.pending
 }
 
 // record records the delay of a measurement that was due.
@@ -142,5 +157,5 @@
 	}
 	now := m.now()
 	m.rotate(now)
-	return max(m.longest, m.previous, now-m.due)
+	return max(m.longest, m.previous, now-m.due, m.overdue(now))
 }
--- a/pkg/overload/signal.go
+++ b/pkg/overload/signal.go
@@ -2,26 +2,20 @@
 
 import "os"
 
-// maxSignals bounds the signals that are sent and not received.
-const maxSignals = 64
-
 // Signal wakes a goroutine of this process in the way in which the network does: the goroutine waits
 // for the poller and then behind all that is ready to run. The Go scheduler runs a goroutine that a
 // timer or another goroutine has woken before these.
 type Signal interface {
 	// Send makes Receive return.
 	Send() error
-	// Receive waits and returns the number of signals that have arrived.
-	Receive() (int, error)
+	// Receive waits for the signal.
+	Receive() error
 	// Close ends Receive.
 	Close() error
 }
 
 // pipe is a Signal.
-type pipe struct {
-	reader, writer *os.File
-	buffer         [maxSignals]byte
-}
+type pipe struct{ reader, writer *os.File }
 
 // OpenPipe returns a Signal through a pipe.
 func OpenPipe() (Signal, error) {
@@ -39,7 +33,10 @@
 }
 
 // Receive implements Signal.
-func (p *pipe) Receive() (int, error) { return p.reader.Read(p.buffer[:]) }
+func (p *pipe) Receive() error {
+	_, err := p.reader.Read(make([]byte, 1))
+	return err
+}
 
 // Close implements Signal.
 func (p *pipe) Close() error {
