entry: the deadline of a class counts from the arrival of a request

Cause: as in join, serve counted from the admission, so that what a request had waited for the processor of a late instance was in no budget. Change: the entry takes what the meter says when the handler begins. serve measures the delay of a signal since. Measured: TestDeadlineCountsFromArrival failed before (504 and ended streams 800 ms after the handler began, late by 300 and 650 ms) and passes.

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -79,7 +79,7 @@
 		id:         types.RequestID(w.Header().Get(headerRequestID)),
 		account:    in.account,
 		attributes: in.attributes,
-		arrival:    time.Now(),
+		arrival:    time.Now().Add(-in.waited),
 		body:       in.body,
 		parts:      in.parts,
 		mayExecute: in.mayExecute,
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return e.withKeyRunState(inboundRequest{httpRequest: r}, err)
 	}
-	in := inboundRequest{httpRequest: r, account: account, snapshot: snapshot}
+	in := inboundRequest{httpRequest: r, waited: e.options.Meter.Waited(), account: account, snapshot: snapshot}
 	body, release, err := e.readBody(w, r)
 	if err != nil {
 		return e.withKeyRunState(in, err)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -52,6 +52,8 @@
 	Caller peer.Caller
 	// Clock is the clock of the retry budget. If it is nil, it is clock.Process.
 	Clock clock.Clock
+	// Meter measures how late this instance is. It may be nil.
+	Meter *overload.Meter
 	// Overload decides which requests this instance accepts while it is late. It may be nil.
 	Overload *overload.Limiter
 	// FirstStart reports whether the fleet starts for the first time, so that nothing of the
--- a/pkg/entry/inbound.go
+++ b/pkg/entry/inbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
@@ -11,10 +12,12 @@
 // inboundRequest is an authenticated HTTP request of a caller with its body.
 type inboundRequest struct {
 	httpRequest *http.Request
-	account     config.Account
-	snapshot    *config.Snapshot
-	attributes  rules.Attributes
-	body        []byte
+	// waited is how long the request had waited when its handler began.
+	waited     time.Duration
+	account    config.Account
+	snapshot   *config.Snapshot
+	attributes rules.Attributes
+	body       []byte
 	// parts are the fingerprints of the messages that other requests may share.
 	parts []quarantine.Fingerprint
 	// mayExecute, if set, is checked right before the first byte is sent to an
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return e.withKeyRunState(inboundRequest{httpRequest: r}, err)
 	}
-	in := inboundRequest{httpRequest: r, account: account, snapshot: snapshot, answer: e.answerService}
+	in := inboundRequest{httpRequest: r, waited: e.options.Meter.Waited(), account: account, snapshot: snapshot, answer: e.answerService}
 	if err := checkService(snapshot, params.Params().Get("name"), r.URL.Path); err != nil {
 		return e.withKeyRunState(in, err)
 	}
--- /dev/null
+++ b/pkg/entry/waited_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/overload"
+	"github.com/umbercrank/umbercrank/test/fakes"
+	"github.com/umbercrank/umbercrank/test/httpfakes"
+)
+
+// TestDeadlineCountsFromArrival guards against requests that go on beyond the deadline of their class because
+// they waited for the processor before they were read.
+func TestDeadlineCountsFromArrival(t *testing.T) {
+	const (
+		deadline = 800 * time.Millisecond
+		// inaccuracy is that of the measure.
+		inaccuracy = 60 * time.Millisecond
+	)
+	for _, late := range []time.Duration{0, 300 * time.Millisecond, 650 * time.Millisecond} {
+		for _, streamed := range []bool{false, true} {
+			t.Run(fmt.Sprint("late by ", late, ", streamed ", streamed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					meter := overload.NewMeter(clock.Process())
+					ctx, cancel := context.WithCancel(t.Context())
+					measured := make(chan struct{})
+					go func() {
+						defer close(measured)
+						meter.Run(ctx, fakes.NewSignal(late), nil)
+					}()
+					defer func() {
+						cancel()
+						<-measured
+					}()
+					slow := httpfakes.NewUpstream("u1")
+					slow.TokenInterval = time.Minute
+					f := newFixtureWith(t, func(o *Options) {
+						o.Store, o.Meter = newStoreWithDeadline(t, 800), meter
+					}, slow)
+					// Until the delay has been measured.
+					time.Sleep(10 * time.Second)
+					began := time.Now()
+					extra := ""
+					if streamed {
+						extra = `,"stream":true`
+					}
+					w := f.send("POST", chatURL, chatJSON("a", extra))
+					if took := time.Since(began); took > deadline-late+inaccuracy || !streamed && w.Code != http.StatusGatewayTimeout {
+						t.Errorf("%d %v after the handler began", w.Code, took)
+					}
+				})
+			})
+		}
+	}
+}
--- a/pkg/gateway/waited_test.go
+++ b/pkg/gateway/waited_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/overload"
+	"github.com/umbercrank/umbercrank/test/fakes"
 )
 
 // lateListener accepts connections on which the instance reads late.
@@ -43,30 +44,6 @@
 	return n, err
 }
 
-// lateSignal is a signal that is received late.
-type lateSignal struct {
-	sent chan struct{}
-	late time.Duration
-}
-
-func (s lateSignal) Send() error {
-	s.sent <- struct{}{}
-	return nil
-}
-
-func (s lateSignal) Receive() error {
-	if _, ok := <-s.sent; !ok {
-		return io.EOF
-	}
-	time.Sleep(s.late)
-	return nil
-}
-
-func (s lateSignal) Close() error {
-	close(s.sent)
-	return nil
-}
-
 // TestRequestsOfBusyInstanceEndAtTheirTimeout guards against requests that get no response at their timeout
 // because they waited for the processor before they were read.
 func TestRequestsOfBusyInstanceEndAtTheirTimeout(t *testing.T) {
@@ -89,7 +66,7 @@
 					measured := make(chan struct{})
 					go func() {
 						defer close(measured)
-						env.gateway.options.Meter.Run(ctx, lateSignal{make(chan struct{}, 1), late}, nil)
+						env.gateway.options.Meter.Run(ctx, fakes.NewSignal(late), nil)
 					}()
 					defer func() {
 						cancel()
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -193,6 +193,7 @@
 		OnceTransport: dependencies.OnceTransport,
 		Probe:         r.paths.probe,
 		Clock:         dependencies.clock(),
+		Meter:         r.meter,
 		Overload:      r.limiter,
 		FirstStart:    r.settings.FirstStart,
 		Addresses:     func() any { return r.directory.Answer() },
