--- a/pkg/mesh/readers.go
+++ b/pkg/mesh/readers.go
@@ -105,18 +105,26 @@
 // readsForOthers reports whether other instances may rely on this one to read the store: it reaches
 // the store, is on time, and has all changes that it has heard of.
 func (m *Mesh) readsForOthers() bool {
-	if !m.options.State.StoreReachable() || m.late() > maxReaderLate {
-		return false
-	}
-	own := m.options.State.Revisions()
+	reachable, late, own := m.options.State.StoreReachable(), m.late(), m.options.State.Revisions()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	reason := ""
+	switch {
+	case !reachable:
+		reason = "store unreachable"
+	case late > maxReaderLate:
+		reason = "late"
+	}
 	for collection := range m.announced {
-		if m.isBehind(collection, own[collection]) {
-			return false
+		if reason == "" && m.isBehind(collection, own[collection]) {
+			reason = "behind"
 		}
 	}
-	return true
+	if m.topology.isHub(m.options.Self.PeerAddress) && reason != m.notReadingFor {
+		m.options.Logger.Info().Bool("reads", reason == "").Str("reason", reason).Dur("late_ms", late).Msg("hub reads the store for others, or no longer")
+	}
+	m.notReadingFor = reason
+	return reason == ""
 }
 
 // HubIsReading reports whether this instance's hub reads a collection on its behalf: it can read the
@@ -125,9 +133,27 @@
 	own := m.options.State.Revisions()[collection]
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.topology.isHub(m.options.Self.PeerAddress) || m.isBehind(collection, own) {
+	if m.topology.isHub(m.options.Self.PeerAddress) {
+		delete(m.notRelyingFor, collection)
 		return false
 	}
-	member, ok := m.members[m.topology.hubs[m.options.Self.PeerAddress]]
-	return ok && !member.down && member.info.StoreReachable && m.options.Clock()-member.heartbeatAt <= hubSilenceTimeout
+	hub, ok := m.members[m.topology.hubs[m.options.Self.PeerAddress]]
+	reason := ""
+	switch {
+	case !ok || hub.down || m.options.Clock()-hub.heartbeatAt > hubSilenceTimeout:
+		reason = "hub silent"
+	case !hub.info.StoreReachable:
+		reason = "hub does not read"
+	case m.isBehind(collection, own):
+		reason = "behind"
+	}
+	if before, known := m.notRelyingFor[collection]; known && before != reason {
+		event := m.options.Logger.Info().Str("collection", collection).Bool("relies", reason == "").Str("reason", reason).Uint64("revision", own.Number())
+		if ok {
+			event = event.Str("hub", string(hub.info.ID))
+		}
+		event.Msg("relies on its hub to read the store, or no longer")
+	}
+	m.notRelyingFor[collection] = reason
+	return reason == ""
 }
