--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -162,10 +162,10 @@
 	fetching    map[string]bool
 	// announced has the newest revision of each collection that this instance lacks.
 	announced map[string]announced
-	// notReadingFor is why this instance does not read the store for others, and notRelyingFor, by
+	// notReading is why this instance does not read the store for others, and notRelying, by
 	// collection, why it does not rely on its hub. They are empty if it does.
-	notReadingFor string
-	notRelyingFor map[string]string
+	notReading string
+	notRelying map[string]string
 	// instances are those heard of, also indirectly. wasConnected reports whether a majority of
 	// the seeds has been in contact.
 	instances    *retry.Instances
@@ -189,7 +189,7 @@
 
 // New returns a Mesh that sends nothing until Run is called.
 func New(options Options) *Mesh {
-	return &Mesh{options: options, members: make(map[string]*memberState), fetching: make(map[string]bool), announced: make(map[string]announced), notRelyingFor: make(map[string]string), loadsCache: make(map[relation]cachedLoads), usualShares: fairshare.NewUsual(),
+	return &Mesh{options: options, members: make(map[string]*memberState), fetching: make(map[string]bool), announced: make(map[string]announced), notRelying: make(map[string]string), loadsCache: make(map[relation]cachedLoads), usualShares: fairshare.NewUsual(),
 		instances: retry.NewInstances(), stopped: make(map[types.InstanceID]bool)}
 }
 
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -220,6 +220,8 @@
 	ignoresEvacuations map[int]bool
 	// jumps are added to the clocks of the instances.
 	jumps [256]atomic.Int64
+	// lates is how late the instances are.
+	lates [256]atomic.Int64
 	// stops ends the instances.
 	stops map[int]context.CancelFunc
 	// registrars have the handlers of the instances.
@@ -271,6 +273,7 @@
 		Seeds:    func() []string { return []string{address(0)} },
 		Caller:   caller, State: state, Logger: zerolog.Nop(),
 		Clock:             func() time.Duration { return time.Since(f.started) + time.Duration(f.jumps[i].Load()) },
+		Late:              func() time.Duration { return time.Duration(f.lates[i].Load()) },
 		FollowEvacuations: !f.ignoresEvacuations[i],
 	})
 	m.Register(registrar)
@@ -683,9 +686,7 @@
 	for late, dropped := range map[time.Duration]bool{0: true, 800 * time.Millisecond: false, 10 * time.Second: false} {
 		runFleet(t, 3, func(t *testing.T, f *fleet) {
 			time.Sleep(3 * time.Second)
-			f.meshes[0].mu.Lock()
-			f.meshes[0].options.Late = func() time.Duration { return late }
-			f.meshes[0].mu.Unlock()
+			f.lates[0].Store(int64(late))
 			f.network.Partition([]string{address(0), address(1)})
 			time.Sleep(1700 * time.Millisecond)
 			if got := len(f.meshes[0].CallerAddresses()) < 3; got != dropped {
--- a/pkg/mesh/readers.go
+++ b/pkg/mesh/readers.go
@@ -120,10 +120,10 @@
 			reason = "behind"
 		}
 	}
-	if m.topology.isHub(m.options.Self.PeerAddress) && reason != m.notReadingFor {
+	if m.topology.isHub(m.options.Self.PeerAddress) && reason != m.notReading {
 		m.options.Logger.Info().Bool("reads", reason == "").Str("reason", reason).Dur("late_ms", late).Msg("hub reads the store for others, or no longer")
 	}
-	m.notReadingFor = reason
+	m.notReading = reason
 	return reason == ""
 }
 
@@ -134,26 +134,26 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.topology.isHub(m.options.Self.PeerAddress) {
-		delete(m.notRelyingFor, collection)
+		delete(m.notRelying, collection)
 		return false
 	}
-	hub, ok := m.members[m.topology.hubs[m.options.Self.PeerAddress]]
+	member, ok := m.members[m.topology.hubs[m.options.Self.PeerAddress]]
 	reason := ""
 	switch {
-	case !ok || hub.down || m.options.Clock()-hub.heartbeatAt > hubSilenceTimeout:
+	case !ok || member.down || m.options.Clock()-member.heartbeatAt > hubSilenceTimeout:
 		reason = "hub silent"
-	case !hub.info.StoreReachable:
+	case !member.info.StoreReachable:
 		reason = "hub does not read"
 	case m.isBehind(collection, own):
 		reason = "behind"
 	}
-	if before, known := m.notRelyingFor[collection]; known && before != reason {
+	if before, known := m.notRelying[collection]; known && before != reason {
 		event := m.options.Logger.Info().Str("collection", collection).Bool("relies", reason == "").Str("reason", reason).Uint64("revision", own.Number())
 		if ok {
-			event = event.Str("hub", string(hub.info.ID))
+			event = event.Str("hub", string(member.info.ID))
 		}
 		event.Msg("relies on its hub to read the store, or no longer")
 	}
-	m.notRelyingFor[collection] = reason
+	m.notRelying[collection] = reason
 	return reason == ""
 }
--- a/pkg/mesh/readers_test.go
+++ b/pkg/mesh/readers_test.go
@@ -91,9 +91,7 @@
 		time.Sleep(10 * time.Second)
 		spokes := f.spokesOf(t, 0)
 		for _, late := range []time.Duration{2 * maxReaderLate, 0} {
-			f.meshes[0].mu.Lock()
-			f.meshes[0].options.Late = func() time.Duration { return late }
-			f.meshes[0].mu.Unlock()
+			f.lates[0].Store(int64(late))
 			time.Sleep(time.Second)
 			for _, i := range spokes {
 				if got := f.meshes[i].HubIsReading("c"); got != (late == 0) {
