overload, mesh: one loop from the meter to the limiter, no delay recorded twice, one read of the revisions for a heartbeat

Found in reading once more; no behaviour changes. Both measureDelay repeated when a change of the limiter is told: Limiter.Follow. The delay of a signal contains that of its timer, which was recorded beside it. readsForOthers read the revisions, under the lock of the state, that its heartbeat had just read. OpenPipe returns the error that both of its callers wrapped.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -243,7 +243,7 @@
 	}
 	signal, err := overload.OpenPipe()
 	if err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot open a pipe")
+		return err
 	}
 	// The background tasks end only after the requests that need them.
 	taskCtx, cancel := context.WithCancel(context.Background())
--- a/pkg/edge/overload.go
+++ b/pkg/edge/overload.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"expvar"
-	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/overload"
 )
 
 // measureDelay measures how late this instance is until ctx is done.
 func (e *Edge) measureDelay(ctx context.Context, signal overload.Signal) {
-	e.meter.Run(ctx, signal, func(delay time.Duration) {
-		before, after := e.limiter.Observe(delay)
-		if (before < 1) == (after < 1) {
-			return
-		}
-		e.logger.Warn().Bool("refuses", after < 1).Float64("accepted", after).Dur("late_ms", e.meter.Late()).Int64("active", e.gateway.Active()).
+	e.limiter.Follow(ctx, e.meter, signal, func(accepted float64) {
+		e.logger.Warn().Bool("refuses", accepted < 1).Float64("accepted", accepted).Dur("late_ms", e.meter.Late()).Int64("active", e.gateway.Active()).
 			Msg("instance overload changed")
 	})
 }
--- a/pkg/mesh/readers.go
+++ b/pkg/mesh/readers.go
@@ -103,9 +103,9 @@
 }
 
 // readsForOthers reports whether other instances may rely on this one to read the store: it reaches
-// the store, is on time, and has all changes that it has heard of.
-func (m *Mesh) readsForOthers() bool {
-	reachable, late, own := m.options.State.StoreReachable(), m.late(), m.options.State.Revisions()
+// the store, is on time, and has all changes that it has heard of. Own are the revisions that it has.
+func (m *Mesh) readsForOthers(own map[string]types.Revision) bool {
+	reachable, late := m.options.State.StoreReachable(), m.late()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	reason := ""
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -184,7 +184,7 @@
 	if relation != distant {
 		heartbeat.Loads = m.loadsFor(relation)
 	}
-	heartbeat.Serving, heartbeat.StoreReachable = state.Serving(), m.readsForOthers()
+	heartbeat.Serving, heartbeat.StoreReachable = state.Serving(), m.readsForOthers(heartbeat.Revisions)
 	for id, remaining := range state.Ejected() {
 		heartbeat.Ejected[id] = remaining.Milliseconds()
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -132,7 +132,7 @@
 	}
 	signal, err := overload.OpenPipe()
 	if err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot open a pipe")
+		return err
 	}
 	roles, err := NewRoles(n.settings, n.incarnation, Dependencies{
 		Signal:    signal,
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -225,10 +225,8 @@
 
 // measureDelay measures how late this instance is until ctx is done.
 func (r *Roles) measureDelay(ctx context.Context) error {
-	r.meter.Run(ctx, r.signal, func(delay time.Duration) {
-		if before, after := r.limiter.Observe(delay); (before < 1) != (after < 1) {
-			r.logger.Warn().Bool("refuses", after < 1).Float64("accepted", after).Dur("late_ms", r.meter.Late()).Msg("instance overload changed")
-		}
+	r.limiter.Follow(ctx, r.meter, r.signal, func(accepted float64) {
+		r.logger.Warn().Bool("refuses", accepted < 1).Float64("accepted", accepted).Dur("late_ms", r.meter.Late()).Msg("instance overload changed")
 	})
 	return ctx.Err()
 }
--- a/pkg/overload/limiter.go
+++ b/pkg/overload/limiter.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -73,6 +74,16 @@
 	return before, l.fraction
 }
 
+// Follow adjusts the fraction to the delays that the meter measures, until ctx is done. It calls changed
+// when requests begin to be refused, and when all are accepted again.
+func (l *Limiter) Follow(ctx context.Context, meter *Meter, signal Signal, changed func(accepted float64)) {
+	meter.Run(ctx, signal, func(delay time.Duration) {
+		if before, after := l.Observe(delay); (before < 1) != (after < 1) {
+			changed(after)
+		}
+	})
+}
+
 // adjust changes the fraction after an interval with the given mean delay. l.mu must be held.
 func (l *Limiter) adjust(mean time.Duration) {
 	switch {
--- a/pkg/overload/meter.go
+++ b/pkg/overload/meter.go
@@ -52,10 +52,8 @@
 	}
 	var receiver sync.WaitGroup
 	receiver.Go(func() { m.receive(signal, observe) })
-	m.runTimer(ctx, func() {
-		m.record()
-		m.send(signal)
-	})
+	// The delay of the signal contains that of its timer.
+	m.runTimer(ctx, func() { m.send(signal) })
 	// An error means that it is closed already.
 	_ = signal.Close()
 	receiver.Wait()
@@ -98,9 +96,14 @@
 	delay := now - m.pending
 	m.pending = 0
 	m.average += time.Duration(averageWeight * float64(delay-m.average))
+	m.keep(now, delay)
+	return delay
+}
+
+// keep keeps a delay among the recent ones. m.mu must be held.
+func (m *Meter) keep(now, delay time.Duration) {
 	m.rotate(now)
 	m.longest = max(m.longest, delay)
-	return delay
 }
 
 // Waited returns an estimate of how long what the network has made ready and runs now has waited for
@@ -128,8 +131,7 @@
 	defer m.mu.Unlock()
 	now := m.now()
 	delay := max(now-m.due, 0)
-	m.rotate(now)
-	m.longest = max(m.longest, delay)
+	m.keep(now, delay)
 	return delay
 }
 
--- a/pkg/overload/signal.go
+++ b/pkg/overload/signal.go
@@ -1,6 +1,10 @@
 package overload
 
-import "os"
+import (
+	"os"
+
+	"github.com/umbercrank/umbercrank/pkg/fault"
+)
 
 // Signal wakes a goroutine of this process in the way in which the network does: the goroutine waits
 // for the poller and then behind all that is ready to run. The Go scheduler runs a goroutine that a
@@ -17,11 +21,11 @@
 // pipe is a Signal.
 type pipe struct{ reader, writer *os.File }
 
-// OpenPipe returns a Signal through a pipe.
+// OpenPipe returns a Signal through a pipe. Its error has the code Internal.
 func OpenPipe() (Signal, error) {
 	reader, writer, err := os.Pipe()
 	if err != nil {
-		return nil, err
+		return nil, fault.Wrap(fault.Internal, err, "cannot open a pipe")
 	}
 	return &pipe{reader: reader, writer: writer}, nil
 }
