fakes, gateway, entry, mesh: one meter of a late instance, one set of steps for tests of hubs

The tests of late requests each ran a meter of their own, and TestSpokesReadWhenTheirHubIsSilent had the steps that spokesOf, publish and wantNoRelianceWithoutChange repeated.

--- a/pkg/entry/waited_test.go
+++ b/pkg/entry/waited_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -9,7 +8,6 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
-	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/test/fakes"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
@@ -26,24 +24,12 @@
 		for _, streamed := range []bool{false, true} {
 			t.Run(fmt.Sprint("late by ", late, ", streamed ", streamed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					meter := overload.NewMeter(clock.Process())
-					ctx, cancel := context.WithCancel(t.Context())
-					measured := make(chan struct{})
-					go func() {
-						defer close(measured)
-						meter.Run(ctx, fakes.NewSignal(late), nil)
-					}()
-					defer func() {
-						cancel()
-						<-measured
-					}()
+					meter := fakes.RunLateMeter(t, clock.Process(), late)
 					slow := httpfakes.NewUpstream("u1")
 					slow.TokenInterval = time.Minute
 					f := newFixtureWith(t, func(o *Options) {
 						o.Store, o.Meter = newStoreWithDeadline(t, 800), meter
 					}, slow)
-					// Until the delay has been measured.
-					time.Sleep(10 * time.Second)
 					began := time.Now()
 					extra := ""
 					if streamed {
--- a/pkg/gateway/waited_test.go
+++ b/pkg/gateway/waited_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,7 +12,6 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
-	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/test/fakes"
 )
 
@@ -61,24 +59,12 @@
 					routes := []catalog.Route{{Name: "r", Prefix: "/r/", Kind: kind, MaxAttempts: 1, Timeout: timeout}}
 					respond, began, ended := workUntilClosed("")
 					env := newBubbleEnv(t, routes, respond, 1)
-					env.gateway.options.Meter = overload.NewMeter(env.gateway.options.Clock)
-					ctx, cancel := context.WithCancel(t.Context())
-					measured := make(chan struct{})
-					go func() {
-						defer close(measured)
-						env.gateway.options.Meter.Run(ctx, fakes.NewSignal(late), nil)
-					}()
-					defer func() {
-						cancel()
-						<-measured
-					}()
+					env.gateway.options.Meter = fakes.RunLateMeter(t, env.gateway.options.Clock, late)
 					server := env.gateway.Server()
 					listener := env.listen("late")
 					go func() { _ = server.Serve(NewListener(lateListener{listener, late}, env.gateway.options.Clock)) }()
 					defer func() { _ = server.Close() }()
 					env.address = env.addressOf("late", listener)
-					// Until the delay has been measured.
-					time.Sleep(10 * time.Second)
 					conn, err := env.dial()
 					if err != nil {
 						t.Fatal(err)
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -546,32 +546,16 @@
 	const allowed = 1200 * time.Millisecond
 	runLargeFleet(t, func(t *testing.T, f *fleet) {
 		time.Sleep(10 * time.Second)
-		var spokes []int
 		for i, m := range f.meshes {
 			if i >= 8 && !m.HubIsReading("c") {
 				t.Errorf("instance %d has no hub that reads", i)
 			}
-			m.mu.Lock()
-			if m.relation(address(0)) == hub {
-				spokes = append(spokes, i)
-			}
-			m.mu.Unlock()
-		}
-		if len(spokes) == 0 {
-			t.Fatal("the hub has no spokes")
 		}
+		spokes := f.spokesOf(t, 0)
 		f.network.Partition([]string{address(0)})
-		for i := 1; i < 8; i++ {
-			f.states[i].withLock(func(s *fakeState) { s.set.Merge([]replica.Item{{Key: "k", Revision: 7}}) })
-			f.meshes[i].ReportChange()
-		}
+		f.publish(1, 7)
 		time.Sleep(allowed)
-		for _, i := range spokes {
-			// An instance that reads by itself finds the change with its next call.
-			if f.states[i].Revisions()["c"] != 7 && f.meshes[i].HubIsReading("c") {
-				t.Errorf("instance %d relies on a hub, and lacks a change %v after the loss of its hub", i, allowed)
-			}
-		}
+		f.wantNoRelianceWithoutChange(t, spokes, allowed)
 	})
 }
 
--- a/pkg/mesh/readers_test.go
+++ b/pkg/mesh/readers_test.go
@@ -26,14 +26,24 @@
 	return spokes
 }
 
-// publish gives a change to the first count instances, as if they had read it.
-func (f *fleet) publish(count int) {
-	for i := range count {
+// publish gives a change to the instances from first to last, as if they had read it.
+func (f *fleet) publish(first, last int) {
+	for i := first; i <= last; i++ {
 		f.states[i].withLock(func(s *fakeState) { s.set.Merge([]replica.Item{{Key: "k", Revision: 7}}) })
 		f.meshes[i].ReportChange()
 	}
 }
 
+// withholdItems makes the instances from first to last not respond to fetches.
+func (f *fleet) withholdItems(first, last int) {
+	for i := first; i <= last; i++ {
+		f.registrars[i].Handle(fetchMethod, func(context.Context, peer.Identity, json.RawMessage) (any, error) {
+			time.Sleep(time.Minute)
+			return nil, nil
+		})
+	}
+}
+
 // wantNoRelianceWithoutChange checks that no instance lacks the change and relies on its hub to read it.
 func (f *fleet) wantNoRelianceWithoutChange(t *testing.T, instances []int, after time.Duration) {
 	t.Helper()
@@ -51,12 +61,9 @@
 	const allowed = 1200 * time.Millisecond
 	runLargeFleet(t, func(t *testing.T, f *fleet) {
 		time.Sleep(10 * time.Second)
-		f.registrars[0].Handle(fetchMethod, func(context.Context, peer.Identity, json.RawMessage) (any, error) {
-			time.Sleep(time.Minute)
-			return nil, nil
-		})
+		f.withholdItems(0, 0)
 		spokes := f.spokesOf(t, 0)
-		f.publish(8)
+		f.publish(0, 7)
 		time.Sleep(allowed)
 		f.wantNoRelianceWithoutChange(t, spokes, allowed)
 	})
@@ -68,17 +75,9 @@
 	const allowed = 1500 * time.Millisecond
 	runLargeFleet(t, func(t *testing.T, f *fleet) {
 		time.Sleep(10 * time.Second)
-		for i := 1; i < 8; i++ {
-			f.registrars[i].Handle(fetchMethod, func(context.Context, peer.Identity, json.RawMessage) (any, error) {
-				time.Sleep(time.Minute)
-				return nil, nil
-			})
-		}
+		f.withholdItems(1, 7)
 		spokes := f.spokesOf(t, 0)
-		for i := 1; i < 8; i++ {
-			f.states[i].withLock(func(s *fakeState) { s.set.Merge([]replica.Item{{Key: "k", Revision: 7}}) })
-			f.meshes[i].ReportChange()
-		}
+		f.publish(1, 7)
 		time.Sleep(allowed)
 		f.wantNoRelianceWithoutChange(t, spokes, allowed)
 	})
