review: case 8, no stream goes on after a kill of all processes of an older deployment

An instance then accepts the only version there is after 30 s of reading the list, which no stream lasts. The store of the stand-ins discards its history after HistoryS.

--- a/review/lib2/client.go
+++ b/review/lib2/client.go
@@ -35,6 +35,10 @@
 	Deadline  time.Duration
 	// Retries is how often a client retries within its deadline.
 	Retries int
+	// Pause is how long a client waits before it takes up a stream that has broken off.
+	Pause time.Duration
+	// BreakOff, if set, ends the connections that are open when it is done.
+	BreakOff context.Context
 	// Abandon is the gap after which a client abandons a stream.
 	Abandon time.Duration
 
@@ -157,6 +161,9 @@
 			failed[address] = true
 		}
 		wait := min(try.RetryAfter, (c.Deadline-time.Since(began))/3)
+		if try.Events > 0 {
+			wait = c.Pause
+		}
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
@@ -191,6 +198,9 @@
 		return try
 	}
 	defer conn.Close()
+	if c.BreakOff != nil && c.BreakOff.Err() == nil {
+		defer context.AfterFunc(c.BreakOff, func() { _ = conn.Close() })()
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	request, err := http.NewRequest(method, "http://"+c.Host+path, strings.NewReader(body))
--- a/review/lib2/front.go
+++ b/review/lib2/front.go
@@ -18,11 +18,13 @@
 	Name, Host, Zone string
 	// StoreAddress is where the machine reaches the store.
 	StoreAddress string
-	fleet        *Fleet
-	command      *exec.Cmd
-	done         chan struct{}
-	log          *os.File
-	first        bool
+	// StartedAt is when the process was started last.
+	StartedAt time.Duration
+	fleet     *Fleet
+	command   *exec.Cmd
+	done      chan struct{}
+	log       *os.File
+	first     bool
 }
 
 // Fleet is the machines of the system.
@@ -146,7 +148,7 @@
 	if err := f.command.Start(); err != nil {
 		return err
 	}
-	f.done = make(chan struct{})
+	f.done, f.StartedAt = make(chan struct{}), f.fleet.record.Now()
 	f.fleet.record.Add("%s started at %s, process %d", f.Name, f.Host, f.command.Process.Pid)
 	go func(command *exec.Cmd, done chan struct{}) {
 		err := command.Wait()
--- a/review/lib2/store.go
+++ b/review/lib2/store.go
@@ -44,7 +44,9 @@
 	revision uint64
 	items    map[string]Item
 	history  []Item
-	// compacted is the newest revision that the history no longer has.
+	// writtenAt is when each change of the history was made, and compacted the newest revision that
+	// it no longer has.
+	writtenAt []time.Time
 	compacted uint64
 	changed   chan struct{}
 	// seen is when each entry was last written, also if only its Sequence was new.
@@ -59,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{mode: Up, era: 1, revision: 10, compacted: 10, items: make(map[string]Item), changed: make(chan struct{}), seen: make(map[string]time.Time), listener: listener, record: record}
+	s := &Store{mode: Up, era: 1, revision: 10, items: make(map[string]Item), changed: make(chan struct{}), seen: make(map[string]time.Time), listener: listener, record: record}
 	go func() { _ = (&http.Server{Handler: s}).Serve(listener) }()
 	return s, nil
 }
@@ -79,6 +81,17 @@
 	s.wake()
 }
 
+// historyKept is how long the store keeps its history, HistoryS of the settings.
+const historyKept = 20 * time.Second
+
+// prune discards the history that is too old. s.mu must be held.
+func (s *Store) prune() {
+	for len(s.writtenAt) > 0 && time.Since(s.writtenAt[0]) > historyKept {
+		s.compacted = s.history[0].Revision
+		s.history, s.writtenAt = s.history[1:], s.writtenAt[1:]
+	}
+}
+
 // wake wakes the waiting watches. s.mu must be held.
 func (s *Store) wake() {
 	close(s.changed)
@@ -114,7 +127,7 @@
 	if before, ok := s.items[item.Key]; ok {
 		item.CreatedRev = before.CreatedRev
 	}
-	s.history = append(s.history, item)
+	s.history, s.writtenAt = append(s.history, item), append(s.writtenAt, time.Now())
 	if item.Tombstone {
 		delete(s.items, item.Key)
 	} else {
@@ -181,13 +194,14 @@
 	revision, compacted uint64
 	items               map[string]Item
 	history             []Item
+	writtenAt           []time.Time
 }
 
 // Copy returns the present state.
 func (s *Store) Copy() Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Copy{s.revision, s.compacted, maps.Clone(s.items), slices.Clone(s.history)}
+	return Copy{s.revision, s.compacted, maps.Clone(s.items), slices.Clone(s.history), slices.Clone(s.writtenAt)}
 }
 
 // Return makes the store come back from a copy, in a new era.
@@ -195,6 +209,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision, s.compacted, s.items, s.history = from.revision, from.compacted, maps.Clone(from.items), slices.Clone(from.history)
+	s.writtenAt = slices.Clone(from.writtenAt)
 	s.era++
 	for key := range s.seen {
 		s.seen[key] = time.Now()
@@ -221,6 +236,7 @@
 	began := uint64(0)
 	for {
 		s.mu.Lock()
+		s.prune()
 		mode, era, changed := s.mode, s.era, s.changed
 		if began == 0 {
 			began = era
