gateway: an error without the mark of an upstream is not an upstream's answer

Callers of a plain service got 401 for nearly all requests after a restart of all instances while an entry of another writer, whose address was the caller port of an instance, was in the list. That instance responds to its neighbour at once, without a key, with the ID of the request; a response below 200 to 299 needed no seal, so the 401 counted as the upstream's answer, and as the fastest one it attracted the requests of all others.

A response without a seal is now a failure of the attempt whatever its status, and is not passed on. An instance that is asked as the upstream of an entry with its own address refuses as misdirected (421), so no request goes round in circles on routes that need no key.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -205,6 +205,7 @@
 		PeerTransport: transport,
 		Instance:      settings.Instance,
 		DataCentre:    settings.DataCentre,
+		CallerAddress: settings.CallerAddress,
 		Regions:       settings.Regions,
 		LateWork:      settings.LateWork,
 		Protocol:      deps.Protocol,
--- a/pkg/fault/codes.go
+++ b/pkg/fault/codes.go
@@ -77,6 +77,8 @@
 	OutcomeUnknown Code = "outcome_unknown"
 	// LeaseExpired: the lease of the grant expired before the upstream was called.
 	LeaseExpired Code = "lease_expired"
+	// Misdirected: another instance has sent the request to this one as if it were an upstream.
+	Misdirected Code = "misdirected"
 	// Leaving: this instance is shutting down; callers are to use another address.
 	Leaving Code = "leaving"
 	// NotReady: this instance has no configuration yet.
@@ -154,6 +156,7 @@
 	KeyReused:            {http.StatusUnprocessableEntity, types.NotRun},
 	OutcomeUnknown:       {http.StatusConflict, types.MayHaveRun},
 	LeaseExpired:         {http.StatusServiceUnavailable, types.NotRun},
+	Misdirected:          {http.StatusMisdirectedRequest, types.NotRun},
 	Leaving:              {http.StatusServiceUnavailable, types.NotRun},
 	NotReady:             {http.StatusServiceUnavailable, types.NotRun},
 	UnknownRequest:       {http.StatusNotFound, types.NotRun},
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -481,8 +481,10 @@
 		return &result{outcome: roster.Rejected, err: fault.New(fault.NoUpstream, "the upstream rejected the request: status "+strconv.Itoa(response.Status))}
 	}
 	a.countRun()
-	if info.ID != q.call.ID || info.Encoded || !info.Sealed && response.Status < http.StatusMultipleChoices {
-		return failed("the response does not belong to the request")
+	if info.ID != q.call.ID || info.Encoded || !info.Sealed {
+		// Any HTTP server may be listening at the address of an entry. Its error is not that of an
+		// upstream, and being fast it would attract the requests of all others.
+		return failed("the response does not belong to the request, or is not from an upstream: status " + strconv.Itoa(response.Status))
 	}
 	if q.headerSent && (response.Status != q.status || !a.isStream(response)) {
 		return failed("the stream cannot be resumed: status " + strconv.Itoa(response.Status) + ", type " + strconv.Quote(response.Header.Get("Content-Type")))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -96,12 +97,14 @@
 type Options struct {
 	Instance   types.InstanceID
 	DataCentre types.DataCentre
-	Protocol   Protocol
-	Roster     *roster.Roster
-	Fleet      Fleet
-	Clock      clock.Clock
-	Logger     zerolog.Logger
-	Metrics    *Metrics
+	// CallerAddress is where callers reach this instance, or empty.
+	CallerAddress string
+	Protocol      Protocol
+	Roster        *roster.Roster
+	Fleet         Fleet
+	Clock         clock.Clock
+	Logger        zerolog.Logger
+	Metrics       *Metrics
 	// Retries limits the retries of the whole fleet to each service. The burst is
 	// divided among the instances.
 	Retries retry.Settings
@@ -354,6 +357,9 @@
 		return fault.Wrap(fault.BadRequest, err, "invalid request headers")
 	}
 	q.call = call
+	if g.isListedAs(call.Upstream) {
+		return fault.New(fault.Misdirected, "this instance is not the upstream "+strconv.Quote(string(call.Upstream)))
+	}
 	path, _, _ := strings.Cut(q.incoming.RequestURI, "?")
 	q.route = current.Match(q.incoming.Host, path)
 	if q.route == nil {
@@ -380,6 +386,16 @@
 	return q.setTarget(q.route.PickTarget(rand.Float64()))
 }
 
+// isListedAs reports whether the published list has this instance's own address for an upstream. The
+// request of an instance that follows such an entry would go round in circles.
+func (g *Gateway) isListedAs(id types.UpstreamID) bool {
+	if id == "" || g.options.CallerAddress == "" {
+		return false
+	}
+	address, listed := g.options.Roster.AddressOf(id)
+	return listed && address == g.options.CallerAddress
+}
+
 // setTarget sets the service that runs the request.
 func (q *request) setTarget(name types.TargetName) error {
 	service, ok := q.catalog.Service(name)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -46,7 +46,7 @@
 		segments = append(segments, placement.PromptSegment{ID: part, Tokens: 1})
 	}
 	return RequestInfo{ID: types.RequestID(r.Header.Get("Id")), Segments: segments, Key: r.Header.Get("Key"), Timeout: time.Duration(wait) * time.Millisecond,
-		LastEvent: r.Header.Get("Last-Event-Id"), Resumes: types.RequestID(r.Header.Get("Resumes"))}, nil
+		LastEvent: r.Header.Get("Last-Event-Id"), Resumes: types.RequestID(r.Header.Get("Resumes")), Upstream: types.UpstreamID(r.Header.Get("Upstream"))}, nil
 }
 
 func (testProtocol) RequestHeader(caller http.Header, options ForwardOptions) http.Header {
@@ -62,8 +62,8 @@
 	return header
 }
 
-func (testProtocol) ParseResponse(_ int, upstream http.Header) ResponseInfo {
-	info := ResponseInfo{ID: types.RequestID(upstream.Get("Id")), Sealed: upstream.Get("Seal") != "", NotRun: upstream.Get("Not-Run") != ""}
+func (testProtocol) ParseResponse(status int, upstream http.Header) ResponseInfo {
+	info := ResponseInfo{ID: types.RequestID(upstream.Get("Id")), Sealed: upstream.Get("Seal") != "", NotRun: upstream.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
 	if seconds, err := strconv.ParseFloat(upstream.Get("Pause"), 64); err == nil {
 		info.Pause = time.Duration(seconds * float64(time.Second))
 	}
@@ -234,6 +234,9 @@
 	t := env.t
 	t.Helper()
 	options.Protocol, options.Roster, options.Fleet, options.Logger = testProtocol{}, env.roster, env.fleet, zerolog.Nop()
+	listener := env.listen("gateway")
+	env.address = env.addressOf("gateway", listener)
+	options.CallerAddress = env.address
 	options.Retries = retry.Settings{Ratio: 0.2, Burst: 10 * minBudgetShares, Window: 10 * time.Second}
 	env.gateway = New(options)
 	for i := range routes {
@@ -253,11 +256,9 @@
 		list = append(list, roster.Upstream{ID: id, Target: "s", Address: env.upstream(string(id), respond), Slots: 4, Ready: true})
 	}
 	env.gateway.UpdateUpstreams(list)
-	listener := env.listen("gateway")
 	server := env.gateway.Server()
 	go func() { _ = server.Serve(NewListener(listener, options.Clock)) }()
 	t.Cleanup(func() { _ = server.Close() })
-	env.address = env.addressOf("gateway", listener)
 }
 
 // listen returns a listener on loopback or, in a bubble, for the host.
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -24,6 +24,9 @@
 	// Resumes is the ID of the caller's earlier request that received the first event
 	// of the stream that this one resumes, or empty.
 	Resumes types.RequestID
+	// Upstream is the upstream that the sender expects to run the request, or empty. Only an
+	// instance names one.
+	Upstream types.UpstreamID
 	// Segments, PromptTokens and OutputTokens describe the size of a model request.
 	Segments     []placement.PromptSegment
 	PromptTokens int
--- /dev/null
+++ b/pkg/gateway/unproven_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/umbercrank/umbercrank/pkg/roster"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// workFor is a responder that takes some time and then answers as an upstream does.
+func workFor(d time.Duration) responder {
+	return func(conn net.Conn, request *http.Request, n int) {
+		time.Sleep(d)
+		respondWith(rawResponse(200, plainEvent(1)))(conn, request, n)
+	}
+}
+
+// listForeign adds an entry whose address is that of a server that is no upstream, in front of the
+// upstreams of the environment.
+func (env *testEnv) listForeign(id types.UpstreamID, address string, sound int, respond responder) {
+	list := []roster.Upstream{{ID: id, Target: "s", Address: address, Slots: 4, Ready: true}}
+	for i := range sound {
+		name := fmt.Sprint("sound", i)
+		list = append(list, roster.Upstream{ID: types.UpstreamID(name), Target: "s", Address: env.upstream(name, respond), Slots: 4, Ready: true})
+	}
+	env.gateway.UpdateUpstreams(list)
+}
+
+// TestErrorsOfForeignServerDoNotAttractRequests guards against an entry whose address is that of another
+// HTTP server: its errors are faster than any answer, so that it counted as the best upstream and
+// received nearly all requests.
+func TestErrorsOfForeignServerDoNotAttractRequests(t *testing.T) {
+	for _, status := range []int{301, 400, 401, 404, 413} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				env := newBubbleEnv(t, testRoutes, workFor(0), 0)
+				foreign := env.upstream("foreign", respondWith(fmt.Sprintf("HTTP/1.1 %d X\r\nId: r1\r\nContent-Length: 0\r\n\r\n", status)))
+				env.listForeign("foreign", foreign, 3, workFor(60*time.Millisecond))
+				served := 0
+				for range 100 {
+					if env.call("GET", "/safe/", "").status == 200 {
+						served++
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				if served < 95 {
+					t.Errorf("%d of 100 requests were served", served)
+				}
+			})
+		})
+	}
+}
+
+// TestInstanceDoesNotServeAsUpstream guards against an entry whose address is that of an instance: a request
+// without a key would be sent from one instance to the other and back.
+func TestInstanceDoesNotServeAsUpstream(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		env := newBubbleEnv(t, testRoutes, workFor(0), 0)
+		env.listForeign("instance", env.address, 2, workFor(60*time.Millisecond))
+		for range 20 {
+			if got := env.sendRaw("GET /open/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n"); got.status != 200 {
+				t.Fatalf("got %+v", got)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		env.checkRequestCount(20)
+		if got := env.sendRaw("GET /open/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nUpstream: instance\r\n\r\n"); got.status != 421 || got.header.Get("Run-State") != string(types.NotRun) {
+			t.Errorf("a request to the instance as an upstream: %+v", got)
+		}
+		if got := env.sendRaw("GET /open/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nUpstream: sound0\r\n\r\n"); got.status != 200 {
+			t.Errorf("a request that names another upstream: %+v", got)
+		}
+	})
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -247,6 +247,17 @@
 	return ok
 }
 
+// AddressOf returns the address of the upstream, and false if it is not listed.
+func (r *Roster) AddressOf(id types.UpstreamID) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	upstream, ok := r.upstreams[id]
+	if !ok {
+		return "", false
+	}
+	return upstream.Address, true
+}
+
 // Load returns the load from this instance and its peers at an upstream, and false if the
 // upstream is not listed.
 func (r *Roster) Load(now time.Duration, id types.UpstreamID) (placement.Load, bool) {
