roster: an upstream that has never responded gets one request at a time

An entry whose server closes connections, responds without a mark, or is another upstream lost requests for as long as it stood: each instance sent it one as soon as the failure rate had decayed, or 2 s after a status 421.

An upstream is proven once its process has sent this instance a response with its mark, or a refusal with the ID of the request. Before that it runs one request of the instance at a time while others are available, and a failure ejects it for 1 to 8 s, doubled each time.

Two tests begin attempts that never end; these are proven there, as they would be by the response.

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -133,6 +133,7 @@
 	OtherVersion State = "other_version"
 	Paused       State = "paused"
 	Ejected      State = "ejected"
+	Awaited      State = "awaited"
 	Blocked      State = "blocked"
 )
 
@@ -179,7 +180,7 @@
 	Preferred bool `json:"preferred,omitempty"`
 	Reserved  bool `json:"reserved,omitempty"`
 	// WaitMs, FirstResponseMs and CostMs are predicted. They are missing unless State is
-	// Available or Ejected and no other upstream is available.
+	// Available, or Awaited or Ejected and no other upstream is available.
 	WaitMs          *float64 `json:"wait_ms,omitempty"`
 	FirstResponseMs *float64 `json:"first_response_ms,omitempty"`
 	CostMs          *float64 `json:"cost_ms,omitempty"`
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -478,6 +478,9 @@
 		if response.Status == http.StatusMisdirectedRequest {
 			return &result{outcome: roster.Misdirected, err: fault.New(fault.NoUpstream, "the address belongs to another upstream")}
 		}
+		if info.ID == q.call.ID {
+			a.rosterAttempt.RecordProof()
+		}
 		return &result{outcome: roster.Rejected, err: fault.New(fault.NoUpstream, "the upstream rejected the request: status "+strconv.Itoa(response.Status))}
 	}
 	a.countRun()
@@ -486,6 +489,7 @@
 		// upstream, and being fast it would attract the requests of all others.
 		return failed("the response does not belong to the request, or is not from an upstream: status " + strconv.Itoa(response.Status))
 	}
+	a.rosterAttempt.RecordProof()
 	if q.headerSent && (response.Status != q.status || !a.isStream(response)) {
 		return failed("the stream cannot be resumed: status " + strconv.Itoa(response.Status) + ", type " + strconv.Quote(response.Header.Get("Content-Type")))
 	}
--- a/pkg/gateway/capacity_test.go
+++ b/pkg/gateway/capacity_test.go
@@ -267,8 +267,11 @@
 	}
 	rule.apply(env)
 	if rule.beforeSending {
-		if a, ok := waiting.begin(t.Context(), choice); ok && a.checkPermit() == nil {
-			t.Error("a request is sent that was placed before the rule came into force")
+		if a, ok := waiting.begin(t.Context(), choice); ok {
+			if a.checkPermit() == nil {
+				t.Error("a request is sent that was placed before the rule came into force")
+			}
+			a.rosterAttempt.RecordProof()
 		}
 	}
 	var sent []time.Duration
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -358,6 +358,8 @@
 		return explain.Blocked
 	case examined.Ejection > 0:
 		return explain.Ejected
+	case examined.Awaited:
+		return explain.Awaited
 	}
 	return explain.Available
 }
--- a/pkg/gateway/unproven_test.go
+++ b/pkg/gateway/unproven_test.go
@@ -76,3 +76,37 @@
 		}
 	})
 }
+
+// TestForeignServerCostsFewRequests guards against an entry whose server fails, refuses or keeps all requests:
+// every instance lost one to it again and again, which were nearly one in ten where requests are rare.
+func TestForeignServerCostsFewRequests(t *testing.T) {
+	for name, foreign := range map[string]responder{
+		"closes":               respondWith(""),
+		"has no such resource": respondWith("HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n"),
+		"is full":              respondWith("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"),
+		"is another upstream":  respondWith("HTTP/1.1 421 X\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+		"says nothing":         func(net.Conn, *http.Request, int) { time.Sleep(10 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				env := newBubbleEnv(t, testRoutes, workFor(0), 0)
+				env.listForeign("foreign", env.upstream("foreign", foreign), 3, workFor(350*time.Millisecond))
+				began := time.Now()
+				for time.Since(began) < 20*time.Second {
+					env.call("POST", "/once/", "")
+					time.Sleep(50 * time.Millisecond)
+				}
+				received := 0
+				for _, request := range env.requests() {
+					if request.upstream == "foreign" {
+						received++
+					}
+				}
+				// It is tried again after 1, 2, 4 and 8 seconds.
+				if received > 5 {
+					t.Errorf("the foreign server received %d of %d requests", received, len(env.requests()))
+				}
+			})
+		})
+	}
+}
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -104,7 +104,7 @@
 	if a.upstream == nil || a.running {
 		return
 	}
-	a.running = true
+	a.running, a.upstream.proven = true, true
 	a.upstream.markCached(now, a.segments)
 	if !a.engine {
 		a.roster.observeCapacity(now, a.upstream, false, now-a.started)
@@ -115,6 +115,16 @@
 	a.measureFirstResponse(now)
 }
 
+// RecordProof records that the upstream has responded as an upstream does, if only to refuse the
+// request or with a failure.
+func (a *Attempt) RecordProof() {
+	a.roster.mu.Lock()
+	defer a.roster.mu.Unlock()
+	if a.upstream != nil {
+		a.upstream.proven = true
+	}
+}
+
 // End removes the attempt from the upstream's load and updates the upstream's
 // health from the outcome. It returns for how long this ejects an upstream that was not
 // ejected, or zero.
@@ -135,15 +145,30 @@
 		upstream.failureRate, upstream.ejection, upstream.ejectedUntil = failureRate*(1-failureWeight), 0, 0
 	case Failed, Rejected:
 		upstream.failureRate, upstream.failureRateAt = failureRate+failureWeight*(1-failureRate), now
-	case Unreachable, Misdirected:
-		upstream.ejection = min(max(2*upstream.ejection, minEjection), maxEjection)
-		if now >= upstream.ejectedUntil {
-			ejected = upstream.ejection
+		if !upstream.proven {
+			return upstream.eject(now, minUnprovenEjection, maxUnprovenEjection)
+		}
+	case Misdirected:
+		if !upstream.proven {
+			return upstream.eject(now, minUnprovenEjection, maxUnprovenEjection)
 		}
-		upstream.ejectedUntil = now + upstream.ejection
-		clear(upstream.cachedSegments)
+		return upstream.eject(now, minEjection, maxEjection)
+	case Unreachable:
+		return upstream.eject(now, minEjection, maxEjection)
 	case Abandoned:
 	}
+	return 0
+}
+
+// eject ejects the upstream for twice the time of before within the bounds. It returns the time if the
+// upstream was not ejected.
+func (u *upstreamState) eject(now, least, most time.Duration) (ejected time.Duration) {
+	u.ejection = min(max(2*u.ejection, least), most)
+	if now >= u.ejectedUntil {
+		ejected = u.ejection
+	}
+	u.ejectedUntil = now + u.ejection
+	clear(u.cachedSegments)
 	return ejected
 }
 
--- a/pkg/roster/examine.go
+++ b/pkg/roster/examine.go
@@ -16,6 +16,9 @@
 	Ready, Leaving bool
 	// Evacuated reports whether its data centre is evacuated.
 	Evacuated bool
+	// Awaited reports whether the upstream has never responded to this instance and is running a
+	// request of it.
+	Awaited bool
 	// Pause, Ejection and Cold are the remaining times of the three states, or zero.
 	Pause, Ejection, Cold time.Duration
 }
@@ -32,6 +35,7 @@
 		Leaving:   r.statementOf(upstream).leaving,
 		Evacuated: r.evacuated[upstream.DataCentre],
 		Pause:     r.pauseOf(now, upstream),
+		Awaited:   !upstream.proven && len(upstream.attempts) > 0,
 		Ejection:  max(upstream.ejectedUntil-now, 0),
 	}
 	if cold, ok := r.coldState(now, upstream.ID); ok {
@@ -40,25 +44,31 @@
 	return state
 }
 
-// eligible collects the upstreams that may get a request. Ejected ones count only if there is
-// no other.
+// eligible collects the upstreams that may get a request. Awaited ones count only if no other is
+// available, and ejected ones only if there are none of these either.
 type eligible struct {
-	available, ejected []placement.Candidate
+	available, awaited, ejected []placement.Candidate
 }
 
 func (e *eligible) add(state Standing, candidate placement.Candidate) {
-	if state.Ejection > 0 {
+	switch {
+	case state.Ejection > 0:
 		e.ejected = append(e.ejected, candidate)
-		return
+	case state.Awaited:
+		e.awaited = append(e.awaited, candidate)
+	default:
+		e.available = append(e.available, candidate)
 	}
-	e.available = append(e.available, candidate)
 }
 
 func (e *eligible) candidates() []placement.Candidate {
-	if len(e.available) == 0 {
-		return e.ejected
+	switch {
+	case len(e.available) > 0:
+		return e.available
+	case len(e.awaited) > 0:
+		return e.awaited
 	}
-	return e.available
+	return e.ejected
 }
 
 // Examined is an upstream of a target as it was at one time.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -21,6 +21,11 @@
 	// is well below the time that a crashed upstream takes to restart.
 	minEjection = 250 * time.Millisecond
 	maxEjection = 2 * time.Second
+	// minUnprovenEjection and maxUnprovenEjection bound that time for an upstream that has
+	// failed and has never responded as an upstream: its entry may name a server that is none.
+	// The longest is about the time that a crashed upstream takes to restart.
+	minUnprovenEjection = time.Second
+	maxUnprovenEjection = 8 * time.Second
 	// peerReportTTL is how long a peer's report counts without a newer one: five
 	// heartbeat intervals.
 	peerReportTTL = 1500 * time.Millisecond
@@ -103,6 +108,8 @@
 	stepTime     *estimate.Quantile
 	ejection     time.Duration
 	ejectedUntil time.Duration
+	// proven reports whether the process has responded to this instance as an upstream does.
+	proven bool
 	// refused reports whether the process has refused a connection, last at refusedAt.
 	refused   bool
 	refusedAt time.Duration
@@ -198,7 +205,8 @@
 }
 
 // Candidates returns the selected upstreams that may run the work, without those that have
-// asked for a pause. Ejected upstreams are left out unless there is no other.
+// asked for a pause. Ejected upstreams, and those that have yet to respond for the first time to a
+// request of this instance, are left out unless there is no other.
 func (r *Roster) Candidates(now time.Duration, selection Selection, work *placement.Work) []placement.Candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -239,6 +239,7 @@
 		}
 	}
 	attempt := r.Begin(0, &placement.Work{}, placement.Choice{ID: "a"})
+	attempt.RecordProof()
 	attempt.Pause(0, 3*time.Second)
 	offered(0, "b")
 	attempt.Pause(time.Second, time.Second)
@@ -324,3 +325,56 @@
 		t.Errorf("reported %d times, with a pause", reported)
 	}
 }
+
+// TestUnprovenUpstreamGetsOneRequestAtATime guards against an entry that names a server that is no upstream
+// and keeps or fails what it is sent: it got requests as any other upstream.
+func TestUnprovenUpstreamGetsOneRequestAtATime(t *testing.T) {
+	r := New()
+	list := []Upstream{{ID: "a", Target: "s", Ready: true}, {ID: "b", Target: "s", Ready: true}, {ID: "c", Target: "s", Ready: true}}
+	r.Update(list)
+	offered := func(now time.Duration, want ...types.UpstreamID) {
+		t.Helper()
+		var got []types.UpstreamID
+		for _, c := range r.Candidates(now, Selection{Target: "s"}, &placement.Work{}) {
+			got = append(got, c.ID)
+		}
+		slices.Sort(got)
+		if !slices.Equal(got, want) {
+			t.Errorf("at %v the candidates are %v, want %v", now, got, want)
+		}
+	}
+	begin := func(now time.Duration, id types.UpstreamID) *Attempt {
+		return r.Begin(now, &placement.Work{}, placement.Choice{ID: id})
+	}
+	a, b := begin(0, "a"), begin(0, "b")
+	offered(0, "c")
+	c := begin(0, "c")
+	offered(0, "a", "b", "c")
+	c.RecordFirstResponse(0)
+	offered(0, "c")
+	b.RecordProof()
+	offered(0, "b", "c")
+	now := time.Duration(0)
+	for _, ejection := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 8 * time.Second} {
+		if got := a.End(now, Failed); got != ejection {
+			t.Errorf("a failure ejects for %v, want %v", got, ejection)
+		}
+		offered(now+ejection-1, "b", "c")
+		offered(now+ejection, "a", "b", "c")
+		now += ejection
+		a = begin(now, "a")
+		offered(now, "b", "c")
+	}
+	a.RecordProof()
+	if got := a.End(now, Failed); got != 0 {
+		t.Errorf("a failure of an upstream that has responded before ejects for %v", got)
+	}
+	offered(now, "a", "b", "c")
+	list[0].StartedUnixMilli = 2
+	r.Update(list)
+	a = begin(now, "a")
+	offered(now, "b", "c")
+	if got := a.End(now, Misdirected); got != time.Second {
+		t.Errorf("an upstream of another ID ejects for %v", got)
+	}
+}
