gateway: a refusal of an upstream that may have run the request is not passed on

The attempt counted as a run, but without an alternative the upstream's own failure was passed on whatever its status.

A response with status 408, 421, 429 or 503 that does not state that the request has not run is now a failed attempt: it is sent to another upstream if it may run again, and is answered 502 without the mark otherwise.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -493,6 +493,10 @@
 	if q.headerSent && (response.Status != q.status || !a.isStream(response)) {
 		return failed("the stream cannot be resumed: status " + strconv.Itoa(response.Status) + ", type " + strconv.Quote(response.Header.Get("Content-Type")))
 	}
+	if info.Refusal {
+		// It has not said that it did not run the request, which the caller would conclude.
+		return failed("the upstream may have run the request and failed: status " + strconv.Itoa(response.Status))
+	}
 	if response.Status >= http.StatusInternalServerError && hasAlternative() {
 		own := failed("the upstream failed: status " + strconv.Itoa(response.Status))
 		own.ownFailure = true
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -64,6 +64,7 @@
 
 func (testProtocol) ParseResponse(status int, upstream http.Header) ResponseInfo {
 	info := ResponseInfo{ID: types.RequestID(upstream.Get("Id")), Sealed: upstream.Get("Seal") != "", NotRun: upstream.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+	info.Refusal = slices.Contains([]int{408, 421, 429, 503}, status)
 	if seconds, err := strconv.ParseFloat(upstream.Get("Pause"), 64); err == nil {
 		info.Pause = time.Duration(seconds * float64(time.Second))
 	}
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -68,6 +68,8 @@
 	Sealed bool
 	// NotRun reports whether the upstream declared that it did not run the request.
 	NotRun bool
+	// Refusal reports whether the status promises a caller that the request has not run.
+	Refusal bool
 	// Pause is the time for which an upstream that turned the request away wants none from
 	// this instance, or zero. InvalidPause is the text of a time that cannot be used.
 	Pause        time.Duration
