fault: a refusal status needs the run state not_run

serve gave status 503 or 429 with the run state may_have_run: after a full or leaving engine, a preemption, and for a key whose outcome is not known. A caller that goes by the status takes it for a promise that the request has not run.

Error.Status gives 502 in their place unless the run state is not_run; Retry-After stays.

--- a/pkg/entry/routes.go
+++ b/pkg/entry/routes.go
@@ -68,7 +68,7 @@
 func (e *Entry) writeFailure(w http.ResponseWriter, failure *fault.Error) {
 	failure = e.withRetryAfter(failure)
 	w.Header().Set(headerRunState, string(failure.RunState))
-	if failure.Code.Status() >= http.StatusInternalServerError {
+	if failure.Status() >= http.StatusInternalServerError {
 		e.options.Logger.Warn().Err(failure).Str("code", string(failure.Code)).Msg("request failed")
 	}
 	if err := failure.WriteTo(w); err != nil {
@@ -79,7 +79,7 @@
 // withRetryAfter sets the default Retry-After on failures with status 429 or 503
 // that do not have one.
 func (e *Entry) withRetryAfter(failure *fault.Error) *fault.Error {
-	status := failure.Code.Status()
+	status := failure.Status()
 	busy := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	if !busy || failure.RetryAfter > 0 {
 		return failure
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -4,6 +4,7 @@
 package fault
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,6 +62,16 @@
 	return ok && other.Code == e.Code
 }
 
+// Status returns the HTTP status for the caller. A status that says that the request was refused would
+// be taken for a promise that it has not run, so it is replaced if that is not known.
+func (e *Error) Status() int {
+	status := e.Code.Status()
+	if e.RunState != types.NotRun && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		return http.StatusBadGateway
+	}
+	return status
+}
+
 // WithRunState returns a copy with the given run state.
 func (e *Error) WithRunState(s types.RunState) *Error {
 	c := *e
--- a/pkg/fault/fault_test.go
+++ b/pkg/fault/fault_test.go
@@ -41,3 +41,19 @@
 		}
 	}
 }
+
+// TestRefusalStatusNeedsRunState guards against a status that says that a request was refused while it may have
+// run: a caller that goes by the status sends it again.
+func TestRefusalStatusNeedsRunState(t *testing.T) {
+	for _, code := range Codes() {
+		for _, state := range []types.RunState{types.NotRun, types.MayHaveRun, types.Ran} {
+			status := New(code, "").WithRunState(state).Status()
+			if refused := status == 429 || status == 503; refused && state != types.NotRun {
+				t.Errorf("%s with run state %s has status %d", code, state, status)
+			}
+			if state == types.NotRun && status != code.Status() {
+				t.Errorf("%s that has not run has status %d, want %d", code, status, code.Status())
+			}
+		}
+	}
+}
--- a/pkg/fault/response.go
+++ b/pkg/fault/response.go
@@ -46,7 +46,7 @@
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(e.Code.Status())
+	w.WriteHeader(e.Status())
 	return json.NewEncoder(w).Encode(e.Response())
 }
 
