follow, lineage: entries that have not changed replace a history that the store has discarded

A removal uses up a revision. From the revisions of all items of the store, and from the starts and writes that the entries state, package lineage derives since when no entry can have been removed or replaced. An instance that reads for the others and finds no complete history makes this one call, and the time for which the list is known begins that much earlier. The present time is the store's. The rule itself, and the tests of ORDER, are unchanged.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -14,6 +14,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/lineage"
 	"github.com/umbercrank/umbercrank/pkg/replica"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/wait"
@@ -37,6 +38,11 @@
 	Watch(ctx context.Context, after types.Revision, wait time.Duration) ([]replica.Item, types.Revision, error)
 }
 
+// Snapshotter is a Source that can read the contents of the whole store.
+type Snapshotter interface {
+	Snapshot(ctx context.Context) (lineage.Snapshot, error)
+}
+
 // Sink receives the items that a Follower reads.
 type Sink interface {
 	// Replace stores a complete listing. The outage before it is zero if the store was
--- a/pkg/follow/history.go
+++ b/pkg/follow/history.go
@@ -28,7 +28,8 @@
 
 // readHistory reads all changes that the collection ever had, once, some time after the first
 // listing, if this instance reads on behalf of the others and the store still has them. All items
-// of before the start are then known.
+// of before the start are then known. If the store has discarded some, the items that it has may tell
+// since when none was removed.
 //
 // A part of the history would not help: neither its revisions nor removals have a time, and the
 // store may discard it at any time, so it is unknown since when the part is complete.
@@ -45,12 +46,42 @@
 	changes, err := f.fetchHistory(ctx)
 	if err != nil {
 		f.Logger.Info().Err(err).Str("collection", f.Name).Msg("no complete history of the store")
+		f.readLineage(ctx)
 		return
 	}
 	complete := f.Replay(changes)
 	f.Logger.Info().Str("collection", f.Name).Int("changes", len(changes)).Bool("complete", complete).Msg("history of the store read")
-	if interval := f.covered.Load(); complete && interval != nil {
-		f.covered.Store(&coveredInterval{from: min(interval.from, f.listedAt-forever), to: interval.to, contact: interval.contact})
+	if complete {
+		f.extendBack(f.listedAt - forever)
+	}
+}
+
+// readLineage extends the time for which the collection was read by that in which no item can have been
+// removed or replaced.
+func (f *Follower) readLineage(ctx context.Context) {
+	source, ok := f.Source.(Snapshotter)
+	if !ok {
+		return
+	}
+	snapshot, err := source.Snapshot(ctx)
+	// The time is measured from the end of the call, so that its duration makes it shorter.
+	now := f.Clock()
+	age, known := snapshot.UnchangedFor()
+	known = known && snapshot.Era == f.after.Era()
+	switch {
+	case err != nil:
+		// The store may answer the next call.
+		f.historyRead = false
+	case known:
+		f.extendBack(now - age)
+	}
+	f.Logger.Info().Err(err).Str("collection", f.Name).Int("items", len(snapshot.Items)).Bool("known", known).Dur("unchanged_ms", age).Msg("unchanged entries of the store")
+}
+
+// extendBack makes the time for which the collection was read begin earlier.
+func (f *Follower) extendBack(from time.Duration) {
+	if interval := f.covered.Load(); interval != nil && from < interval.from {
+		f.covered.Store(&coveredInterval{from: from, to: interval.to, contact: interval.contact})
 	}
 }
 
