exchange, transit: a response without a length that is reset during the upload is incomplete

An upstream responded to a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being sent. The caller got the part as a whole response. The kernel returns the error of a reset once: the write of the upload had it, and the read behind it got the end of the stream, as after a regular close.

At the end of a body without a length the socket tells whether it was reset (POLLHUP, which a closed sending half alone does not set), and the request must have been sent as a whole, for which the reader waits up to 2 s. An instance that carries the connection for a peer checks the same and ends its stream with an error.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	stderrors "errors"
 	"io"
 	"net"
 	"net/http"
@@ -120,7 +121,7 @@
 		return nil, &Error{Stage: Unsent, cause: errors.WithStack(err)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	response, err := roundTrip(request.Alarm.watch(conn), request)
+	response, err := roundTrip(conn, request)
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -144,27 +145,98 @@
 // requests are written concurrently, because an upstream may respond before it has
 // read the body.
 func roundTrip(conn net.Conn, request *Request) (*Response, error) {
-	// A write error breaks the connection, so the read below returns an error too.
-	if head := encodeHead(request); len(head)+len(request.Body) <= readBufferBytes {
-		_, _ = conn.Write(append(head, request.Body...))
-	} else {
-		go func() { _ = writeAll(conn, head, request.Body) }()
-	}
-	bounded := &boundedReader{reader: netconn.NewResponseHeadReader(conn), remaining: MaxResponseBytes}
+	watched := request.Alarm.watch(conn)
+	sending := startSending(watched, request)
+	bounded := &boundedReader{reader: netconn.NewResponseHeadReader(watched), remaining: MaxResponseBytes}
 	reader := bufio.NewReaderSize(bounded, readBufferBytes)
 	response, err := readFinalHeader(reader, request.Method)
 	if err != nil {
 		return nil, err
 	}
+	framing, body := framingOf(response), io.Reader(response.Body)
+	if framing == FramingClose {
+		body = &closeDelimitedBody{body: body, conn: conn, sending: sending}
+	}
 	return &Response{
 		Status:  response.StatusCode,
 		Header:  response.Header,
-		Framing: framingOf(response),
-		Body:    response.Body,
+		Framing: framing,
+		Body:    body,
 		conn:    conn,
 	}, nil
 }
 
+// sending is a request that is being sent.
+type sending struct {
+	// done is closed when err is set.
+	done chan struct{}
+	err  error
+}
+
+// startSending writes a request, a large one concurrently.
+func startSending(conn net.Conn, request *Request) *sending {
+	s := &sending{done: make(chan struct{})}
+	if head := encodeHead(request); len(head)+len(request.Body) <= readBufferBytes {
+		s.err = writeAll(conn, append(head, request.Body...))
+		close(s.done)
+	} else {
+		go func() {
+			defer close(s.done)
+			s.err = writeAll(conn, head, request.Body)
+		}()
+	}
+	return s
+}
+
+// maxSendingAfterEnd is how long a request may still be sent after the end of a response that has no
+// length. It is longer than the time for which a sound upstream may fall silent.
+const maxSendingAfterEnd = 2 * time.Second
+
+// check returns an error if the request was not sent as a whole.
+func (s *sending) check() error {
+	timer := time.NewTimer(maxSendingAfterEnd)
+	defer timer.Stop()
+	select {
+	case <-s.done:
+		return s.err
+	case <-timer.C:
+		return fault.New(fault.UpstreamFailed, "the upstream has not read the request")
+	}
+}
+
+// closeDelimitedBody is a body that ends with its connection. The error of a reset is returned once: if the
+// request is still being sent, a write may have it, and a read then returns io.EOF as at the end of a
+// complete response.
+type closeDelimitedBody struct {
+	body    io.Reader
+	conn    net.Conn
+	sending *sending
+}
+
+// Read implements io.Reader. It returns io.EOF only if the upstream has closed the connection after it has
+// read the request.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if wasReset(b.conn) {
+		return n, fault.Wrap(fault.UpstreamFailed, io.ErrUnexpectedEOF, "the upstream has reset the connection")
+	}
+	if failure := b.sending.check(); failure != nil {
+		return n, fault.Wrap(fault.UpstreamFailed, stderrors.Join(io.ErrUnexpectedEOF, failure), "the response has no length and ended before the request was sent")
+	}
+	return n, err
+}
+
+// wasReset reports whether the upstream has reset a connection of a Dial function.
+func wasReset(conn net.Conn) bool {
+	if known, ok := conn.(interface{ WasReset() bool }); ok {
+		return known.WasReset()
+	}
+	return netconn.WasReset(conn)
+}
+
 // boundedReader returns an error with the code AnswerTooLarge after a number of bytes.
 type boundedReader struct {
 	reader    io.Reader
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -206,3 +207,77 @@
 		}
 	}
 }
+
+// serveEarly listens and calls answer with each connection once the header of a request has arrived.
+func serveEarly(t *testing.T, answer func(conn *net.TCPConn, rest *bufio.Reader)) string {
+	t.Helper()
+	return httpfakes.Listen(t, func(conn *net.TCPConn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for line := ""; line != "\r\n"; {
+			var err error
+			if line, err = reader.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		answer(conn, reader)
+	})
+}
+
+// upload is larger than the buffers of a connection.
+var upload = bytes.Repeat([]byte("x"), 3<<20)
+
+// TestResetBesideUploadIsNoEnd guards against a response without a length that is cut by a reset while the request
+// is being sent: the write has the error of the reset, and the read io.EOF as after a whole response.
+func TestResetBesideUploadIsNoEnd(t *testing.T) {
+	for name, head := range map[string]string{"1.1": "HTTP/1.1 200 OK\r\n\r\n", "close": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "1.0": "HTTP/1.0 200 OK\r\n\r\n"} {
+		for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+			for _, reset := range []bool{true, false} {
+				t.Run(fmt.Sprint(name, delay, reset), func(t *testing.T) {
+					address := serveEarly(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+						_, _ = io.WriteString(conn, head+"part")
+						time.Sleep(delay)
+						if reset {
+							_ = conn.SetLinger(0)
+						}
+						// Closing resets the connection in any case, because the body is unread.
+					})
+					for range 20 {
+						response, err := Do(t.Context(), &Request{Address: address, Method: "POST", Target: "/a", Host: "h", Body: upload, DialTimeout: busyDialTimeout})
+						if err != nil {
+							continue
+						}
+						if body, err := io.ReadAll(response.Body); err == nil {
+							t.Errorf("%q was read as a whole response", body)
+						}
+						response.Close()
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestEarlyResponseWithoutLength checks that a response without a length is complete if the upstream reads the request
+// behind it, and that one whose request is never read ends with an error.
+func TestEarlyResponseWithoutLength(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		address := serveEarly(t, func(conn *net.TCPConn, rest *bufio.Reader) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+			_ = conn.CloseWrite()
+			if reads {
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.Copy(io.Discard, rest)
+			}
+			<-t.Context().Done()
+		})
+		response, err := Do(t.Context(), &Request{Address: address, Method: "POST", Target: "/a", Host: "h", Body: upload, DialTimeout: busyDialTimeout})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(response.Body); (err == nil) != reads || string(body) != "whole" {
+			t.Errorf("with a request that is read (%t): %q, %v", reads, body, err)
+		}
+		response.Close()
+	}
+}
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -228,6 +228,23 @@
 	return hungUp || err != nil
 }
 
+// WasReset reports whether the other side has reset a TCP connection, and not only closed its sending
+// half. The error of a reset is returned once: if a write has had it, a read returns io.EOF.
+func WasReset(conn net.Conn) bool {
+	raw, ok := rawConn(conn)
+	if !ok {
+		return false
+	}
+	reset := false
+	err := raw.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd)}}
+		// Both are always reported. Neither is after the other side has closed its sending half only.
+		n, err := unix.Poll(state, 0)
+		reset = err == nil && n > 0 && state[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return reset && err == nil
+}
+
 func rawConn(conn net.Conn) (syscall.RawConn, bool) {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -26,6 +26,9 @@
 	carriedSilence = 3 * time.Second
 )
 
+// errReset is the error of a connection whose reset a write has learned of.
+var errReset = fault.New(fault.UpstreamFailed, "the upstream has reset the connection")
+
 // Handler returns the handler of the streams with which peers connect to upstreams through
 // this instance. It connects directly only. Serving reports whether this instance accepts
 // requests.
@@ -98,6 +101,9 @@
 				return received, fault.Wrap(fault.UpstreamFailed, err, "the peer has given up")
 			}
 		}
+		if errors.Is(err, io.EOF) && conn.WasReset() {
+			err = errReset
+		}
 		if errors.Is(err, io.EOF) {
 			return received, nil
 		}
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -482,6 +482,10 @@
 	t.logChange(now, change, changed)
 }
 
+// WasReset reports whether the upstream has reset the connection. Of one through a peer the peer tells, by
+// an error of Read.
+func (c *Conn) WasReset() bool { return c.peer == "" && netconn.WasReset(c.Conn) }
+
 // RecordNoResponse records that the connection broke, or has been silent for too long,
 // before the upstream has sent anything.
 func (c *Conn) RecordNoResponse() {
