netconn: a response with an invalid status is no answer

An upstream in trouble sent an answer with status 000. net/http takes any three characters that form a number for a status: 000 to 099 and +20 counted as informational responses, behind which the gateway waited for the final one until the caller had left, and 600 to 999 were passed on.

ResponseHeadReader, through which the gateway and serve read the headers of upstreams, directly or through a peer, accepts a status from 100 to 599 behind HTTP/1.x only, and fails the attempt otherwise.

The case of TestResponseHeadIsBounded without a line has a valid status now, as it is refused for the status before its length otherwise.

--- a/pkg/netconn/responsehead.go
+++ b/pkg/netconn/responsehead.go
@@ -15,12 +15,18 @@
 	// maxResponseHeadLines bounds their lines. A parsed field takes many times the memory of a short
 	// line.
 	maxResponseHeadLines = 128
-	// statusClassAt is the position of the first digit of the status in a status line.
-	statusClassAt = len("HTTP/1.1 ")
+	// statusAt is the position of the status in a status line, and statusLineBytes the length of its
+	// part up to the end of the status.
+	statusAt        = len("HTTP/1.1 ")
+	statusLineBytes = statusAt + len("200")
 )
 
-// ResponseHeadReader reads the responses to one request from an upstream, and returns an error with
-// the code AnswerTooLarge if their headers exceed the limits.
+// errStatus is the error of a status line that net/http accepts and that names no status.
+var errStatus = fault.New(fault.UpstreamFailed, "the response has no valid status")
+
+// ResponseHeadReader reads the responses to one request from an upstream, and judges their headers: it returns
+// an error with the code AnswerTooLarge if they exceed the limits, and with UpstreamFailed if they are
+// malformed in a way that net/http tolerates.
 type ResponseHeadReader struct {
 	reader io.Reader
 	// bytes and lines are what was read of the headers, and column is the length of the current
@@ -29,6 +35,10 @@
 	// statusLine reports whether the current line is a status line, and informational whether
 	// another header follows the current one.
 	statusLine, informational, done bool
+	// start is the beginning of the current status line.
+	start []byte
+	// malformed is what is wrong with the headers so far, or nil.
+	malformed *fault.Error
 }
 
 // NewResponseHeadReader returns a reader of the responses in reader.
@@ -45,15 +55,18 @@
 	if r.scan(p[:n]); r.bytes > maxResponseHeadBytes || r.lines > maxResponseHeadLines {
 		return 0, fault.New(fault.AnswerTooLarge, "the header of the response exceeds the size limit")
 	}
+	if r.malformed != nil {
+		return 0, r.malformed
+	}
 	return n, err
 }
 
-// scan counts the bytes and lines of headers.
+// scan counts the bytes and lines of headers, and judges them.
 func (r *ResponseHeadReader) scan(read []byte) {
 	for len(read) > 0 && !r.done {
 		line, rest, ended := bytes.Cut(read, []byte("\n"))
-		if at := statusClassAt - r.column; r.statusLine && at >= 0 && at < len(line) {
-			r.informational = line[at] == '1'
+		if r.statusLine {
+			r.scanStatusLine(line, ended)
 		}
 		r.bytes += len(line)
 		r.column += len(bytes.TrimSuffix(line, []byte("\r")))
@@ -68,6 +81,39 @@
 	}
 }
 
+// scanStatusLine judges a part of a status line. net/http accepts any three characters that form a
+// number as a status, and an informational one of any class.
+func (r *ResponseHeadReader) scanStatusLine(part []byte, ended bool) {
+	r.start = append(r.start, part[:min(len(part), statusLineBytes+1-len(r.start))]...)
+	if !ended && len(r.start) <= statusLineBytes {
+		return
+	}
+	if !validStatus(r.start) {
+		r.malformed = errStatus
+		return
+	}
+	r.informational = r.start[statusAt] == '1'
+	if ended {
+		r.start = r.start[:0]
+	}
+}
+
+// validStatus reports whether a status line begins with a version and a status from 100 to 599.
+func validStatus(line []byte) bool {
+	if len(line) < statusLineBytes || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[statusAt-1] != ' ' {
+		return false
+	}
+	for _, digit := range line[statusAt:statusLineBytes] {
+		if digit < '0' || digit > '9' {
+			return false
+		}
+	}
+	if class := line[statusAt]; class < '1' || class > '5' {
+		return false
+	}
+	return len(line) == statusLineBytes || line[statusLineBytes] == ' ' || line[statusLineBytes] == '\r'
+}
+
 // responseConn is a connection whose responses have bounded headers.
 type responseConn struct {
 	net.Conn
@@ -75,7 +121,7 @@
 }
 
 // LimitResponseHead returns a connection for one request that fails if the headers of the responses
-// exceed the limits.
+// exceed the limits or are malformed.
 func LimitResponseHead(conn net.Conn) net.Conn {
 	return &responseConn{conn, NewResponseHeadReader(conn)}
 }
--- a/pkg/netconn/responsehead_test.go
+++ b/pkg/netconn/responsehead_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -26,7 +27,7 @@
 		{"as many fields as allowed", "HTTP/1.1 200 OK\r\n" + few + "\r\nbody", false},
 		{"too many fields", "HTTP/1.1 200 OK\r\n" + many + "\r\nbody", true},
 		{"long line", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxResponseHeadBytes) + "\r\n\r\n", true},
-		{"no line", strings.Repeat("x", maxResponseHeadBytes+1), true},
+		{"no line", "HTTP/1.1 200 " + strings.Repeat("x", maxResponseHeadBytes+1), true},
 		{"body of many lines", "HTTP/1.1 200 OK\r\nA: b\r\n\r\n" + lines, false},
 		{"bare line feeds", "HTTP/1.1 200 OK\nA: b\n\n" + lines, false},
 		{"no fields", "HTTP/1.1 200 OK\r\n\r\n" + lines, false},
@@ -42,6 +43,44 @@
 	}
 }
 
+// readPieces reads a response in pieces of several sizes through a ResponseHeadReader, and checks that each way
+// has the same result.
+func readPieces(t *testing.T, text string) error {
+	t.Helper()
+	var results []error
+	for _, reader := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text)), iotest.HalfReader(strings.NewReader(text))} {
+		read, err := io.ReadAll(NewResponseHeadReader(reader))
+		if err == nil && string(read) != text {
+			t.Errorf("%q was read as %q", text, read)
+		}
+		results = append(results, err)
+	}
+	if fmt.Sprint(results[0]) != fmt.Sprint(results[1]) || fmt.Sprint(results[0]) != fmt.Sprint(results[2]) {
+		t.Errorf("%q: %v", text, results)
+	}
+	return results[0]
+}
+
+// TestStatusIsValid guards against a status that is none: net/http takes 000 for an informational response, and
+// passes 999 on.
+func TestStatusIsValid(t *testing.T) {
+	for _, start := range []string{"HTTP/1.1 000 X", "HTTP/1.1 001 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.1 +20 X", "HTTP/1.1 -20 X", "HTTP/1.1 2 X", "HTTP/1.1 20 X", "HTTP/1.1 2000 X",
+		"HTTP/1.1  200 X", "HTTP/1.1 2x0 X", "HTTP/1.1", "HTTP/1.1 ", "HTTP/2.0 200 X", "HTTP/1.10 200 X", "ICY 200 OK", "\x00\x01", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 X"} {
+		for _, end := range []string{"\r\n", "\n"} {
+			if err := readPieces(t, start+end+"A: b\r\n\r\nbody"); !errors.Is(err, fault.New(fault.UpstreamFailed, "")) {
+				t.Errorf("%q: %v", start, err)
+			}
+		}
+	}
+	for _, start := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 599 X", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 X"} {
+		for _, end := range []string{"\r\n", "\n"} {
+			if err := readPieces(t, start+end+"A: b\r\n\r\nbody\r\nHTTP/1.1 000 X\r\n"); err != nil {
+				t.Errorf("%q: %v", start, err)
+			}
+		}
+	}
+}
+
 // FuzzResponseHead compares the end of the header with that of net/http.
 func FuzzResponseHead(f *testing.F) {
 	for _, seed := range []string{"HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody", "HTTP/1.1 204 X\n\nx", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n\n", "HTTP/1.1 200 OK\r\r\n\r\n"} {
