netconn: a field name that is no token makes a response no answer

An upstream in trouble sent an answer in whose header the name of a field held a blank. net/http accepts blanks in and behind a name, so the caller got the line as it was, or a body that was not the upstream's: a Content-Length or a Transfer-Encoding with a blank behind its name did not count, and the body was read to the end of the connection.

ResponseHeadReader fails the attempt if the name of a field is not a token that ends with a colon. Folded lines are accepted as before, since net/http replaces the fold by a space.

TestFieldNamesAreTokens; TestBrokenHeadIsNoAnswer failed for the blanks in the gateway, directly and through a peer, and in serve.

--- a/pkg/netconn/responsehead.go
+++ b/pkg/netconn/responsehead.go
@@ -24,6 +24,9 @@
 // errStatus is the error of a status line that net/http accepts and that names no status.
 var errStatus = fault.New(fault.UpstreamFailed, "the response has no valid status")
 
+// errField is the error of a line that net/http accepts in a header and that is no field.
+var errField = fault.New(fault.UpstreamFailed, "the header of the response has a malformed field")
+
 // ResponseHeadReader reads the responses to one request from an upstream, and judges their headers: it returns
 // an error with the code AnswerTooLarge if they exceed the limits, and with UpstreamFailed if they are
 // malformed in a way that net/http tolerates.
@@ -37,6 +40,9 @@
 	statusLine, informational, done bool
 	// start is the beginning of the current status line.
 	start []byte
+	// named reports whether the name of the current field is complete, and ending whether a carriage
+	// return was read within it, which may only be the end of an empty line.
+	named, ending bool
 	// malformed is what is wrong with the headers so far, or nil.
 	malformed *fault.Error
 }
@@ -67,6 +73,8 @@
 		line, rest, ended := bytes.Cut(read, []byte("\n"))
 		if r.statusLine {
 			r.scanStatusLine(line, ended)
+		} else {
+			r.scanField(line, ended)
 		}
 		r.bytes += len(line)
 		r.column += len(bytes.TrimSuffix(line, []byte("\r")))
@@ -98,6 +106,42 @@
 	}
 }
 
+// scanField judges a part of the line of a field, or of the empty line. net/http accepts blanks in and
+// behind the name of a field: the field then counts as another one than the upstream means, such as one that
+// tells the length of the body.
+func (r *ResponseHeadReader) scanField(part []byte, ended bool) {
+	for i, c := range part {
+		if r.named {
+			break
+		}
+		first := i == 0 && r.column == 0 && !r.ending
+		switch {
+		case first && (c == ' ' || c == '\t'):
+			// The line continues the one before. net/http refuses it as the first one.
+			r.named = true
+		case c == ':' && !first && !r.ending:
+			r.named = true
+		case c == '\r' && !r.ending:
+			r.ending = true
+		case r.ending || !isTokenByte(c):
+			r.malformed = errField
+			return
+		}
+	}
+	if !ended {
+		return
+	}
+	if empty := r.column+len(bytes.TrimSuffix(part, []byte("\r"))) == 0; !r.named && !empty {
+		r.malformed = errField
+	}
+	r.named, r.ending = false, false
+}
+
+// isTokenByte reports whether a byte may be part of the name of a field (RFC 9110, token).
+func isTokenByte(c byte) bool {
+	return c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) >= 0
+}
+
 // validStatus reports whether a status line begins with a version and a status from 100 to 599.
 func validStatus(line []byte) bool {
 	if len(line) < statusLineBytes || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[statusAt-1] != ' ' {
--- a/pkg/netconn/responsehead_test.go
+++ b/pkg/netconn/responsehead_test.go
@@ -81,6 +81,27 @@
 	}
 }
 
+// TestFieldNamesAreTokens guards against a field whose name holds a blank or a control byte: net/http passes some of
+// these on, and does not see the length of the body in them.
+func TestFieldNamesAreTokens(t *testing.T) {
+	for _, field := range []string{"X Odd: y", "X-Odd : y", "X-Odd\t: y", "Content-Length : 4", "Transfer-Encoding : chunked", "X\x01Odd: y", "X\x00: y", "X\x7f: y", "X\rY: y", "X\r: y", "\r: y", ": y", "no colon", "X(Odd): y", "X\u00e9: y"} {
+		for _, end := range []string{"\r\n", "\n"} {
+			for _, text := range []string{"A: b" + end + field + end, field + end + "A: b" + end, "A: b" + end + " folded" + end + field + end} {
+				if err := readPieces(t, "HTTP/1.1 200 OK\r\n"+text+end+"body"); !errors.Is(err, fault.New(fault.UpstreamFailed, "")) {
+					t.Errorf("%q: %v", text, err)
+				}
+			}
+		}
+	}
+	for _, field := range []string{"X: y", "x_!#$%&'*+-.^`|~09: y", "X:", "X:y", "X: y: z", "X:  y \t", "X: y\r\n folded: z", "X: y\r\n\tfolded", "X: \u00e9"} {
+		for _, end := range []string{"\r\n", "\n"} {
+			if err := readPieces(t, "HTTP/1.1 200 OK\r\nA: b"+end+field+end+end+"X Odd: body"+end); err != nil {
+				t.Errorf("%q: %v", field, err)
+			}
+		}
+	}
+}
+
 // FuzzResponseHead compares the end of the header with that of net/http.
 func FuzzResponseHead(f *testing.F) {
 	for _, seed := range []string{"HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody", "HTTP/1.1 204 X\n\nx", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n\n", "HTTP/1.1 200 OK\r\r\n\r\n"} {
--- a/pkg/upstream/head_test.go
+++ b/pkg/upstream/head_test.go
@@ -15,7 +15,8 @@
 // TestBrokenHeadIsNoAnswer guards against a response whose status or header is none, and that net/http reads as an
 // answer.
 func TestBrokenHeadIsNoAnswer(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 +20 X\r\n", "HTTP/1.1 600 X\r\n", "HTTP/1.1 999 X\r\n"} {
+	for _, head := range []string{"HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 +20 X\r\n", "HTTP/1.1 600 X\r\n", "HTTP/1.1 999 X\r\n",
+		"HTTP/1.1 200 X\r\nX Odd: y\r\n", "HTTP/1.1 200 X\r\nX-Odd : y\r\n", "HTTP/1.1 200 X\r\nX\x01Odd: y\r\n", "HTTP/1.1 200 X\r\nTransfer-Encoding : chunked\r\n"} {
 		address := httpfakes.ListenRaw(t, func(conn net.Conn, _ *http.Request, _ []byte) {
 			_, _ = io.WriteString(conn, head+"Content-Length: 2\r\n\r\nno")
 		})
