--- a/cmd/umbercrank/main_test.go
+++ b/cmd/umbercrank/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -102,3 +103,66 @@
 		t.Errorf("the process ended: %v\n%s", err, stderr.String())
 	}
 }
+
+// TestStartWaitsForAddresses guards against a process that ends at its start because the one before it, which is
+// still stopping, holds one of its addresses.
+func TestStartWaitsForAddresses(t *testing.T) {
+	for _, field := range []string{"Listen.Front", "Listen.Ready", "Listen.Directory", "InternalPorts", "metrics"} {
+		t.Run(field, func(t *testing.T) {
+			settings, ready := writeSettings(t)
+			text, err := os.ReadFile(settings)
+			if err != nil {
+				t.Fatal(err)
+			}
+			before, err := net.Listen("tcp", heldAddress(t, string(text), field))
+			if err != nil {
+				t.Fatal(err)
+			}
+			command := exec.CommandContext(t.Context(), os.Args[0], "join")
+			command.Env = append(os.Environ(), runMainVariable+"=1", "UMBERCRANK_CONFIG="+settings, "UMBERCRANK_PEER_SECRET=x")
+			output, err := command.StdoutPipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := command.Start(); err != nil {
+				t.Fatal(err)
+			}
+			lines := bufio.NewScanner(output)
+			for lines.Scan() && !strings.Contains(lines.Text(), "address is in use") {
+			}
+			_ = before.Close()
+			for lines.Scan() && !strings.Contains(lines.Text(), `"message":"started"`) {
+			}
+			if response, err := http.Get(ready); err != nil {
+				t.Errorf("the instance does not serve: %v", err)
+			} else {
+				response.Body.Close()
+			}
+			_ = command.Process.Signal(syscall.SIGTERM)
+			for lines.Scan() {
+			}
+			if err := command.Wait(); err != nil {
+				t.Errorf("the process ended: %v", err)
+			}
+		})
+	}
+}
+
+// heldAddress returns the address of a field of the settings.
+func heldAddress(t *testing.T, settings, field string) string {
+	t.Helper()
+	name := strings.Replace(field, "metrics", "InternalPorts", 1)
+	_, value, ok := strings.Cut(settings, name+"=")
+	if !ok {
+		t.Fatal("no field " + name)
+	}
+	value, _, _ = strings.Cut(value, "\n")
+	first, last, both := strings.Cut(value, ",")
+	switch {
+	case !both:
+		return value
+	case field == "metrics":
+		return "127.0.0.1:" + last
+	}
+	return "127.0.0.1:" + first
+}
--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -42,7 +42,7 @@
 		id := types.InstanceID(fmt.Sprintf("node-%d", i))
 		o := pair.options(id, centre)
 		server := peer.NewServer(o)
-		if err := server.Listen(); err != nil {
+		if err := server.Listen(context.Background()); err != nil {
 			b.Fatal(err)
 		}
 		servers = append(servers, server)
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -235,11 +235,12 @@
 	if e.settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(e.settings.MemoryLimit)))
 	}
-	listener, err := e.listen(ctx, e.settings.CallerAddress)
-	if err != nil {
+	// A process that is stopping gives this address up last. Callers must not connect before.
+	if err := e.peers.Listen(ctx); err != nil {
 		return err
 	}
-	if err := e.peers.Listen(); err != nil {
+	listener, err := e.listen(ctx, e.settings.CallerAddress)
+	if err != nil {
 		return err
 	}
 	signal, err := overload.OpenPipe()
@@ -321,7 +322,7 @@
 )
 
 func (e *Edge) listen(ctx context.Context, address string) (net.Listener, error) {
-	listener, err := netconn.BoundListeners(netconn.ListenConfig()).Listen(ctx, "tcp", address)
+	listener, err := netconn.Listen(ctx, netconn.BoundListeners(netconn.ListenConfig()), address, e.logger)
 	if err != nil {
 		return nil, fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+address)
 	}
--- a/pkg/mesh/bench_test.go
+++ b/pkg/mesh/bench_test.go
@@ -67,7 +67,7 @@
 			State: &fakeState{storeReachable: true, serving: true, set: replica.New(), loads: loads, heartbeats: map[types.InstanceID]Heartbeat{}, origins: map[origin.Key]origin.Origin{}},
 		})
 		m.Register(server)
-		if err := server.Listen(); err != nil {
+		if err := server.Listen(context.Background()); err != nil {
 			b.Fatal(err)
 		}
 		meshes = append(meshes, m)
--- a/pkg/netconn/netconn.go
+++ b/pkg/netconn/netconn.go
@@ -4,6 +4,7 @@
 package netconn
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -11,6 +12,9 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
+
+	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 const (
@@ -43,6 +47,37 @@
 	}
 }
 
+const (
+	// maxAddressWait is how long a process that starts waits for an address that is in use. The process
+	// before it may still be stopping, for which platforms allow some 10 s.
+	maxAddressWait = 20 * time.Second
+	// addressRetryDelay is the time between two attempts to listen.
+	addressRetryDelay = 50 * time.Millisecond
+)
+
+// Listen listens on an address. While the process that had it before is ending, it waits.
+func Listen(ctx context.Context, config *net.ListenConfig, address string, logger zerolog.Logger) (net.Listener, error) {
+	began := clock.Boot()
+	waiting := false
+	for {
+		listener, err := config.Listen(ctx, "tcp", address)
+		waited := clock.Boot() - began
+		if err == nil && waiting {
+			logger.Info().Str("address", address).Dur("waited_ms", waited).Msg("address is free")
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || waited >= maxAddressWait {
+			return listener, err
+		}
+		if !waiting {
+			logger.Error().Err(err).Str("address", address).Dur("limit_ms", maxAddressWait).Msg("address is in use, waiting for it")
+			waiting = true
+		}
+		if !wait.For(ctx, addressRetryDelay) {
+			return nil, err
+		}
+	}
+}
+
 // acceptRetryDelay is the delay after an error of a listener.
 const acceptRetryDelay = 50 * time.Millisecond
 
--- a/pkg/node/command/serve.go
+++ b/pkg/node/command/serve.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	logger := newLogger(command.OutOrStdout(), settings)
-	instance, err := node.Provision(settings, logger)
+	instance, err := node.Provision(command.Context(), settings, logger)
 	if err != nil {
 		return err
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -52,7 +52,7 @@
 // Provision creates a node from settings and opens its listeners. It returns an
 // error with the code InvalidSetting if a setting is invalid or an address cannot
 // be used.
-func Provision(settings Settings, logger zerolog.Logger) (*Node, error) {
+func Provision(ctx context.Context, settings Settings, logger zerolog.Logger) (*Node, error) {
 	if err := settings.Validate(); err != nil {
 		return nil, err
 	}
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	n.lifecycle = lifecycle
-	if err := n.openListeners(); err != nil {
+	if err := n.openListeners(ctx); err != nil {
 		return nil, err
 	}
 	if err := n.buildRoles(); err != nil {
@@ -80,29 +80,30 @@
 // openListeners opens the listening sockets and stores their addresses in the
 // settings. A port of zero thus has its real number before the addresses are
 // announced.
-func (n *Node) openListeners() error {
+func (n *Node) openListeners(ctx context.Context) error {
 	var err error
-	if n.listeners.callers, err = listen("caller-address", n.settings.CallerAddress); err != nil {
+	n.peerServer = peer.NewServer(n.peerOptions(n.settings.PeerAddress))
+	// The roles are created before the server serves.
+	n.peerServer.HandleStreams(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.roles.StreamHandler().ServeHTTP(w, r) }))
+	// A process that is stopping gives this address up last. Callers must not connect before.
+	if err := n.peerServer.Listen(ctx); err != nil {
+		return fault.Wrap(fault.InvalidSetting, err, "cannot listen on peer-address "+n.settings.PeerAddress)
+	}
+	if n.listeners.callers, err = n.listen(ctx, "caller-address", n.settings.CallerAddress); err != nil {
 		return err
 	}
-	if n.listeners.admin, err = listen("admin-address", n.settings.AdminAddress); err != nil {
+	if n.listeners.admin, err = n.listen(ctx, "admin-address", n.settings.AdminAddress); err != nil {
 		return err
 	}
 	n.settings.CallerAddress = n.listeners.callers.Addr().String()
 	n.settings.AdminAddress = n.listeners.admin.Addr().String()
-	n.peerServer = peer.NewServer(n.peerOptions(n.settings.PeerAddress))
-	// The roles are created before the server serves.
-	n.peerServer.HandleStreams(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.roles.StreamHandler().ServeHTTP(w, r) }))
-	if err := n.peerServer.Listen(); err != nil {
-		return fault.Wrap(fault.InvalidSetting, err, "cannot listen on peer-address "+n.settings.PeerAddress)
-	}
 	n.settings.PeerAddress = n.peerServer.Address()
 	return nil
 }
 
 // listen opens the listening socket for the address of a setting.
-func listen(setting, address string) (net.Listener, error) {
-	listener, err := netconn.BoundListeners(&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+func (n *Node) listen(ctx context.Context, setting, address string) (net.Listener, error) {
+	listener, err := netconn.Listen(ctx, netconn.BoundListeners(&net.ListenConfig{}), address, n.logger)
 	if err != nil {
 		return nil, fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+setting+" "+address)
 	}
--- a/pkg/node/ready_test.go
+++ b/pkg/node/ready_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := Provision(*settings, zerolog.Nop())
+	n, err := Provision(t.Context(), *settings, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/peer/failure_test.go
+++ b/pkg/peer/failure_test.go
@@ -65,7 +65,7 @@
 		return nil, nil
 	})
 	server.Handle("echo", func(context.Context, Identity, json.RawMessage) (any, error) { return "echo", nil })
-	if err := server.Listen(); err != nil {
+	if err := server.Listen(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -98,7 +98,7 @@
 func TestLackOfDescriptorsDoesNotEndServer(t *testing.T) {
 	server := NewServer(Options{Identity: identity("server"), Secret: testSecret, Address: "127.0.0.1:0"})
 	server.Handle("echo", func(_ context.Context, _ Identity, params json.RawMessage) (any, error) { return params, nil })
-	if err := server.Listen(); err != nil {
+	if err := server.Listen(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	failing := &failingListener{Listener: server.listener}
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -30,7 +30,7 @@
 	if register != nil {
 		register(server)
 	}
-	if err := server.Listen(); err != nil {
+	if err := server.Listen(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -142,7 +142,7 @@
 func TestServerClosesConnectionOnOversizedMessage(t *testing.T) {
 	server := NewServer(Options{Identity: identity("server"), Secret: testSecret, Address: "127.0.0.1:0", MaxMessage: 4096})
 	server.Handle("take", func(context.Context, Identity, json.RawMessage) (any, error) { return true, nil })
-	if err := server.Listen(); err != nil {
+	if err := server.Listen(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -61,7 +61,7 @@
 }
 
 // Listen opens the listening socket, unless it is open. Serve calls it if needed.
-func (s *Server) Listen() error {
+func (s *Server) Listen(ctx context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.listener != nil {
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", s.options.Address)
+	listener, err := netconn.Listen(ctx, &net.ListenConfig{}, s.options.Address, s.options.Logger)
 	if err != nil {
 		return fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+s.options.Address)
 	}
@@ -96,7 +96,7 @@
 // Serve accepts connections until ctx is done, then closes them and waits for the
 // handlers. It returns nil if it stopped because ctx is done.
 func (s *Server) Serve(ctx context.Context) error {
-	if err := s.Listen(); err != nil {
+	if err := s.Listen(ctx); err != nil {
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
--- a/pkg/relay/peers_test.go
+++ b/pkg/relay/peers_test.go
@@ -31,7 +31,7 @@
 		DialTimeout:  generousTimeout,
 	}
 	server := peer.NewServer(options)
-	if err := server.Listen(); err != nil {
+	if err := server.Listen(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	instance := types.Instance{ID: types.InstanceID(name), PeerAddress: server.Address()}
--- a/pkg/transit/transit_test.go
+++ b/pkg/transit/transit_test.go
@@ -81,7 +81,7 @@
 	added.serving.Store(true)
 	server := peer.NewServer(options)
 	server.HandleStreams(added.Handler(added.serving.Load))
-	if err := server.Listen(); err != nil {
+	if err := server.Listen(context.Background()); err != nil {
 		f.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -241,7 +241,7 @@
 		settings := instanceSettings(t, i, platformURL)
 		log := &logBuffer{}
 		f.logs = append(f.logs, log)
-		n, err := node.Provision(settings, zerolog.New(log).With().Timestamp().Logger())
+		n, err := node.Provision(context.Background(), settings, zerolog.New(log).With().Timestamp().Logger())
 		if err != nil {
 			t.Fatal(err)
 		}
