--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -208,22 +208,6 @@
 	}
 }
 
-// serveEarly listens and calls answer with each connection once the header of a request has arrived.
-func serveEarly(t *testing.T, answer func(conn *net.TCPConn, rest *bufio.Reader)) string {
-	t.Helper()
-	return httpfakes.Listen(t, func(conn *net.TCPConn) {
-		defer conn.Close()
-		reader := bufio.NewReader(conn)
-		for line := ""; line != "\r\n"; {
-			var err error
-			if line, err = reader.ReadString('\n'); err != nil {
-				return
-			}
-		}
-		answer(conn, reader)
-	})
-}
-
 // upload is larger than the buffers of a connection.
 var upload = bytes.Repeat([]byte("x"), 3<<20)
 
@@ -234,7 +218,7 @@
 		for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
 			for _, reset := range []bool{true, false} {
 				t.Run(fmt.Sprint(name, delay, reset), func(t *testing.T) {
-					address := serveEarly(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+					address := httpfakes.ListenEarly(t, func(conn *net.TCPConn, _ io.Reader) {
 						_, _ = io.WriteString(conn, head+"part")
 						time.Sleep(delay)
 						if reset {
@@ -262,7 +246,7 @@
 // behind it, and that one whose request is never read ends with an error.
 func TestEarlyResponseWithoutLength(t *testing.T) {
 	for _, reads := range []bool{true, false} {
-		address := serveEarly(t, func(conn *net.TCPConn, rest *bufio.Reader) {
+		address := httpfakes.ListenEarly(t, func(conn *net.TCPConn, rest io.Reader) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
 			_ = conn.CloseWrite()
 			if reads {
--- a/pkg/gateway/cut_test.go
+++ b/pkg/gateway/cut_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -24,15 +23,7 @@
 		for _, way := range ways {
 			t.Run(path+way, func(t *testing.T) {
 				env := newTestEnv(t, slices.Clone(testRoutes), respondWith(""), 1)
-				address := httpfakes.Listen(t, func(conn *net.TCPConn) {
-					defer conn.Close()
-					reader := bufio.NewReader(conn)
-					for line := ""; line != "\r\n"; {
-						var err error
-						if line, err = reader.ReadString('\n'); err != nil {
-							return
-						}
-					}
+				address := httpfakes.ListenEarly(t, func(conn *net.TCPConn, _ io.Reader) {
 					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n\r\n"+events)
 					time.Sleep(20 * time.Millisecond)
 					_ = conn.SetLinger(0)
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -219,6 +219,19 @@
 	}
 }
 
+// checkCandidates checks which upstreams of target s may get work.
+func checkCandidates(t *testing.T, r *Roster, now time.Duration, want ...types.UpstreamID) {
+	t.Helper()
+	var got []types.UpstreamID
+	for _, c := range r.Candidates(now, Selection{Target: "s"}, &placement.Work{}) {
+		got = append(got, c.ID)
+	}
+	slices.Sort(got)
+	if !slices.Equal(got, want) {
+		t.Errorf("at %v the candidates are %v, want %v", now, got, want)
+	}
+}
+
 // TestPausedUpstreamGetsNoWork checks the pauses that an upstream asks this instance for.
 func TestPausedUpstreamGetsNoWork(t *testing.T) {
 	r := New()
@@ -226,14 +239,7 @@
 	r.Update(list)
 	offered := func(now time.Duration, want ...types.UpstreamID) {
 		t.Helper()
-		var got []types.UpstreamID
-		for _, c := range r.Candidates(now, Selection{Target: "s"}, &placement.Work{}) {
-			got = append(got, c.ID)
-		}
-		slices.Sort(got)
-		if !slices.Equal(got, want) {
-			t.Errorf("at %v the candidates are %v, want %v", now, got, want)
-		}
+		checkCandidates(t, r, now, want...)
 		if _, ok := r.Find(now, "a"); ok != slices.Contains(want, "a") {
 			t.Errorf("at %v the upstream accepts work: %v", now, ok)
 		}
@@ -334,14 +340,7 @@
 	r.Update(list)
 	offered := func(now time.Duration, want ...types.UpstreamID) {
 		t.Helper()
-		var got []types.UpstreamID
-		for _, c := range r.Candidates(now, Selection{Target: "s"}, &placement.Work{}) {
-			got = append(got, c.ID)
-		}
-		slices.Sort(got)
-		if !slices.Equal(got, want) {
-			t.Errorf("at %v the candidates are %v, want %v", now, got, want)
-		}
+		checkCandidates(t, r, now, want...)
 	}
 	begin := func(now time.Duration, id types.UpstreamID) *Attempt {
 		return r.Begin(now, &placement.Work{}, placement.Choice{ID: id})
--- a/test/httpfakes/raw.go
+++ b/test/httpfakes/raw.go
@@ -42,3 +42,17 @@
 	body, _ := io.ReadAll(request.Body)
 	serve(conn, request, body)
 }
+
+// ListenEarly starts an upstream on loopback that calls answer with each connection once the header of a
+// request has arrived, and returns its address. The body is left in rest.
+func ListenEarly(t testing.TB, answer func(conn *net.TCPConn, rest io.Reader)) string {
+	t.Helper()
+	return Listen(t, func(conn *net.TCPConn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		answer(conn, reader)
+	})
+}
