--- a/pkg/gateway/cut_test.go
+++ b/pkg/gateway/cut_test.go
@@ -22,7 +22,8 @@
 	for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/"} {
 		for _, way := range ways {
 			t.Run(path+way, func(t *testing.T) {
-				env := newTestEnv(t, slices.Clone(testRoutes), respondWith(""), 1)
+				routes := slices.Clone(testRoutes)
+				env := newTestEnv(t, routes, respondWith(""), 1)
 				address := httpfakes.ListenEarly(t, func(conn *net.TCPConn, _ io.Reader) {
 					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n\r\n"+events)
 					time.Sleep(20 * time.Millisecond)
@@ -31,7 +32,7 @@
 				env.gateway.UpdateUpstreams([]roster.Upstream{{ID: "u0", Target: "s", Address: address, Slots: 4, Ready: true}})
 				env.reachBy(way)
 				current := env.gateway.Catalog()
-				env.gateway.Apply(catalog.New(catalog.Contents{Routes: withHosts(testRoutes), Services: []catalog.Service{{Name: "s"}}, RequireKey: true,
+				env.gateway.Apply(catalog.New(catalog.Contents{Routes: routes, Services: []catalog.Service{{Name: "s"}}, RequireKey: true,
 					Limits: catalog.Limits{BodyBytes: 4 << 20, HeaderBytes: headerLimit}, Keys: map[string]catalog.Account{"k": {ID: "acc"}}, Revision: current.Revision + 1}))
 				body := strings.Repeat("x", 3<<20)
 				for range 10 {
@@ -44,13 +45,3 @@
 		}
 	}
 }
-
-// withHosts returns the routes as newTestEnv completes them.
-func withHosts(routes []catalog.Route) []catalog.Route {
-	complete := slices.Clone(routes)
-	for i := range complete {
-		complete[i].Host, complete[i].Targets = "h", []catalog.WeightedTarget{{Target: "s", Weight: 1}}
-		complete[i].Timeout, complete[i].Objective = 10*time.Second, 5*time.Second
-	}
-	return complete
-}
--- a/pkg/lineage/lineage_test.go
+++ b/pkg/lineage/lineage_test.go
@@ -40,7 +40,7 @@
 	s.revision++
 	held, ok := s.items[key]
 	if !ok {
-		held = &modelItem{Item: Item{Created: s.revision, Listed: strings.HasPrefix(key, "servers/")}}
+		held = &modelItem{Item: Item{Created: s.revision, Listed: strings.HasPrefix(key, "entries/")}}
 		s.items[key] = held
 	}
 	if ok && held.process != nil && held.process != process {
@@ -82,7 +82,7 @@
 	told := 0
 	rapid.Check(t, func(t *rapid.T) {
 		s := &modelStore{now: time.UnixMilli(1_700_000_000_000), revision: rapid.Uint64Range(0, 50).Draw(t, "first revision"), items: make(map[string]*modelItem)}
-		s.write("op/config", nil, nil)
+		s.write("configuration", nil, nil)
 		var processes []*modelProcess
 		start := func(key string) {
 			p := &modelProcess{key: key, started: s.now, alive: true}
@@ -96,13 +96,13 @@
 			}
 		}
 		for i := range rapid.IntRange(0, 4).Draw(t, "processes") {
-			start(fmt.Sprint("servers/", i))
+			start(fmt.Sprint("entries/", i))
 		}
 		foreign, away := false, false
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
 			s.now = s.now.Add(heartbeat)
 			which := rapid.IntRange(0, 5).Draw(t, "which")
-			key := fmt.Sprint("servers/", which)
+			key := fmt.Sprint("entries/", which)
 			switch rapid.IntRange(0, 60).Draw(t, "change") {
 			case 0, 1:
 				end(key)
@@ -111,7 +111,7 @@
 				end(key)
 				s.remove(key)
 			case 3:
-				s.write("op/config", nil, nil)
+				s.write("configuration", nil, nil)
 			case 4:
 				// All entries lapse in an outage, and the live ones return.
 				for k, item := range s.items {
@@ -123,7 +123,7 @@
 				// One entry of another writer, which may state any time.
 				if !foreign {
 					foreign = true
-					s.write("servers/foreign", nil, &Entry{Started: time.UnixMilli(1), Writes: 1})
+					s.write("entries/foreign", nil, &Entry{Started: time.UnixMilli(1), Writes: 1})
 				}
 			case 6:
 				s.write(key, nil, nil)
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -236,12 +236,8 @@
 		return false
 	}
 	reset := false
-	err := raw.Control(func(fd uintptr) {
-		state := []unix.PollFd{{Fd: int32(fd)}}
-		// Both are always reported. Neither is after the other side has closed its sending half only.
-		n, err := unix.Poll(state, 0)
-		reset = err == nil && n > 0 && state[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0
-	})
+	// A failure is reported without asking for an event, a closed sending half is not.
+	err := raw.Control(func(fd uintptr) { reset = isReadyFor(fd, 0) })
 	return reset && err == nil
 }
 
