gateway: empty lines before a request do not keep a connection open

Callers saw nothing of it; an instance did: a connection on which an empty line and another one arrived stayed open for ever, whatever the limits. net/http tolerates such lines behind a POST request.

Cause: the tracker of a connection looked for the end of a header in the raw bytes, so two empty lines were a complete request that is being served, which has no time limit. It also kept up to 64 kB of each header and searched all of it again with each read.

Change: the scanner of requests, which knows what the bytes belong to, tells where they end. Empty lines are between two requests, and the idle limit applies. A header that is partly received when a handler returns is one that is being received.

Two cases of TestConnectionTimeouts failed before ("empty lines", "partial header behind empty lines"). The model test of the phases draws what was read in place of bytes, with the same checks. Tests of gateway and netconn on headers, limits and endings: passed.

--- a/pkg/gateway/ending_test.go
+++ b/pkg/gateway/ending_test.go
@@ -168,23 +168,27 @@
 				now += time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second
 			},
 			"read": func(t *rapid.T) {
-				bytes := rapid.SampledFrom([]string{"GET", "\r\n\r\n"}).Draw(t, "bytes")
-				if passed := h.add([]byte(bytes)); passed != (expected != phaseClosing) {
+				// Neither is the case behind empty lines.
+				complete, partial := rapid.Bool().Draw(t, "complete"), rapid.Bool().Draw(t, "partial")
+				if passed := h.observe(complete, partial); passed != (expected != phaseClosing) {
 					t.Fatalf("phase %v: bytes passed on: %v", expected, passed)
 				}
 				switch {
-				case expected == phaseIdle && bytes == "GET":
-					enter(phaseHeader)
-				case expected == phaseIdle || expected == phaseHeader && bytes != "GET":
+				case complete && (expected == phaseIdle || expected == phaseHeader):
 					enter(phaseServing)
+				case partial && expected == phaseIdle:
+					enter(phaseHeader)
 				}
 			},
 			"serve": func(t *rapid.T) {
 				if ok := h.startServing(); ok != (expected != phaseClosing) {
 					t.Fatalf("phase %v: served: %v", expected, ok)
 				} else if ok {
-					h.reset()
-					enter(phaseIdle)
+					partial := rapid.Bool().Draw(t, "partial")
+					h.reset(partial)
+					if enter(phaseIdle); partial {
+						enter(phaseHeader)
+					}
 				}
 			},
 			"enforce": func(t *rapid.T) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -462,8 +462,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		caller.BeginRequest()
-		defer caller.Complete()
-		defer caller.header.reset()
+		defer caller.endRequest()
 		if failure := g.checkHeader(header); failure != nil {
 			g.options.Metrics.countRefused(failure.Code)
 			g.options.Logger.Info().Int("header_bytes", header.Bytes).Str("outcome", string(failure.Code)).Str("reason", failure.Error()).Msg("request")
--- a/pkg/gateway/header_tracker.go
+++ b/pkg/gateway/header_tracker.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"sync"
 	"time"
 
@@ -38,31 +37,21 @@
 	mu    sync.Mutex
 	phase phase
 	since time.Duration
-	// bytes holds the header that is being received.
-	bytes []byte
 }
 
-var headerEnd = []byte("\r\n\r\n")
-
-// add records bytes that were read. Of a header that is too long, only the beginning
-// is kept. It returns false if the connection is being closed, and the bytes must not be
-// passed on.
-func (h *headerTracker) add(b []byte) bool {
+// observe records what was read: whether a header was completed, and whether one is partly received. It
+// returns false if the connection is being closed, and the bytes must not be passed on.
+func (h *headerTracker) observe(complete, partial bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.phase == phaseClosing {
+	switch {
+	case h.phase == phaseClosing:
 		return false
-	}
-	if h.phase == phaseServing || len(b) == 0 {
-		return true
-	}
-	if h.phase == phaseIdle {
-		h.enter(phaseHeader)
-	}
-	h.bytes = append(h.bytes, b[:min(len(b), max(maxHeaderBytes-len(h.bytes), 0))]...)
-	if end := bytes.Index(h.bytes, headerEnd); end >= 0 {
-		h.bytes = h.bytes[:end+2]
+	case h.phase == phaseServing:
+	case complete:
 		h.enter(phaseServing)
+	case partial && h.phase == phaseIdle:
+		h.enter(phaseHeader)
 	}
 	return true
 }
@@ -71,8 +60,8 @@
 func (h *headerTracker) enter(next phase) { h.phase, h.since = next, h.now() }
 
 // startServing enters phaseServing, or returns false if the connection is being closed. The phase is
-// set also if the header was received together with the previous request, when add did not see
-// it as a header.
+// set also if the header was received together with the previous request, when observe did not see
+// it.
 func (h *headerTracker) startServing() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -83,12 +72,14 @@
 	return true
 }
 
-// reset discards the header and waits for the next request.
-func (h *headerTracker) reset() {
+// reset waits for the next request, whose header may be partly received already.
+func (h *headerTracker) reset(partial bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.bytes = h.bytes[:0]
 	h.enter(phaseIdle)
+	if partial {
+		h.enter(phaseHeader)
+	}
 }
 
 // isBusy reports whether a request is being received or served.
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -159,13 +159,20 @@
 // Read implements net.Conn and tracks the phase. While the connection is being
 // closed, it returns the error of a closed one, to which net/http writes no response.
 func (c *callerConn) Read(b []byte) (int, error) {
+	before := c.Requests.Position()
 	n, err := c.ServerConn.Read(b)
-	if !c.header.add(b[:n]) {
+	if after := c.Requests.Position(); !c.header.observe(after.Ended > before.Ended, after.PartialBytes > 0) {
 		return 0, c.ClosedError()
 	}
 	return n, err
 }
 
+// endRequest notes that the handler of a request has returned.
+func (c *callerConn) endRequest() {
+	c.header.reset(c.Requests.Position().PartialBytes > 0)
+	c.Complete()
+}
+
 // Close implements net.Conn and removes the connection from its listener.
 func (c *callerConn) Close() error {
 	c.listener.mu.Lock()
--- a/pkg/gateway/limits_test.go
+++ b/pkg/gateway/limits_test.go
@@ -84,6 +84,9 @@
 		{"partial header, within the limit", partial, 3 * time.Second, true},
 		{"partial header", partial, 3*time.Second + 1, false},
 		{"a request that is served", partial + "\r\n", time.Hour, true},
+		{"empty lines, within the limit", "\r\n\r\n", 15 * time.Second, true},
+		{"empty lines", "\r\n\r\n", 15*time.Second + 1, false},
+		{"partial header behind empty lines", "\r\n\r\n" + partial, 3*time.Second + 1, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var now atomic.Int64
--- a/pkg/netconn/requestscanner.go
+++ b/pkg/netconn/requestscanner.go
@@ -9,8 +9,8 @@
 
 // RequestHeader is what net/http does not tell of the header of a request.
 type RequestHeader struct {
-	// Bytes is the length of the request line and the fields with their line ends.
-	Bytes int
+	// Bytes is the length of the request line and the fields with their line ends, and Lines their number.
+	Bytes, Lines int
 	// ConflictingLengths reports whether the request has both a Content-Length and a
 	// Transfer-Encoding. net/http drops the former, and another server may not: a part of the body
 	// is a second request for it.
@@ -28,8 +28,10 @@
 	header    scannedHeader
 	// remaining is what is left of the body or of the current chunk.
 	remaining uint64
-	// headers are those of the requests that were not taken yet.
+	// headers are those of the requests that were not taken yet, and ended the number of all whose header
+	// was complete.
 	headers []RequestHeader
+	ended   uint64
 }
 
 // scanState is what the next byte belongs to.
@@ -49,7 +51,7 @@
 
 // scannedHeader is the header of the current request so far.
 type scannedHeader struct {
-	bytes int
+	bytes, lines int
 	// hasLength and hasCoding report whether there is a Content-Length and a Transfer-Encoding,
 	// and framing whether the current field is one of them. Odd reports whether one of them
 	// cannot be interpreted.
@@ -93,6 +95,37 @@
 	return next, true
 }
 
+// Position is where the bytes of a connection end.
+type Position struct {
+	// Ended is the number of headers that were complete.
+	Ended uint64
+	// PartialBytes and PartialLines are the length of the header that is partly received and the number of
+	// its lines. Both are zero between two requests, also behind empty lines.
+	PartialBytes, PartialLines int
+	// Waiting is the number of complete headers that Take has not returned yet, and WaitingBytes and
+	// WaitingLines are the size of the largest one.
+	Waiting, WaitingBytes, WaitingLines int
+	// InBody reports whether the end of a body has not been received.
+	InBody bool
+	// Lost reports whether nothing is known of what follows.
+	Lost bool
+}
+
+// Position returns where the bytes so far end.
+func (s *RequestScanner) Position() Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := Position{Ended: s.ended, Waiting: len(s.headers), Lost: s.state == scanLost, InBody: s.state != scanHeader && s.state != scanLost}
+	for _, h := range s.headers {
+		p.WaitingBytes, p.WaitingLines = max(p.WaitingBytes, h.Bytes), max(p.WaitingLines, h.Lines)
+	}
+	emptyLine := s.header.bytes == 0 && (s.lineBytes == 0 || s.lineBytes == 1 && s.line[0] == '\r')
+	if s.state == scanHeader && !emptyLine {
+		p.PartialBytes, p.PartialLines = s.header.bytes+s.lineBytes, s.header.lines+1
+	}
+	return p
+}
+
 // skip skips bytes of a body or a chunk and returns the rest.
 func (s *RequestScanner) skip(b []byte) []byte {
 	n := min(uint64(len(b)), s.remaining)
@@ -143,6 +176,7 @@
 		h.addField(s.line, s.lineBytes > maxScannedLine)
 	}
 	h.bytes += s.lineBytes
+	h.lines++
 }
 
 // addField interprets a field. Long reports whether only the beginning of its line is known.
@@ -163,7 +197,8 @@
 func (s *RequestScanner) endHeader() {
 	h := s.header
 	s.header = scannedHeader{}
-	s.headers = append(s.headers, RequestHeader{Bytes: h.bytes, ConflictingLengths: h.hasLength && h.hasCoding})
+	s.ended++
+	s.headers = append(s.headers, RequestHeader{Bytes: h.bytes, Lines: h.lines, ConflictingLengths: h.hasLength && h.hasCoding})
 	switch {
 	case h.odd || h.hasLength && h.hasCoding:
 		s.state = scanLost
