intake, netconn, gateway: what callers may cost is bounded and paid for before it is parsed

Callers that nobody controls ended an instance: it ran out of memory, and the requests of all other callers ended with it. A crowd of idle connections left no descriptor for upstreams, and ordinary callers got no answer.

Cause: limits were set for each request (header, body), and nothing counted what they add up to. Headers were parsed and held several times before any count: 64 kB in the tracker, twice that in net/http, and 16 kB of short lines become more than 300 kB. The kernel held 64 to 128 kB of unread bytes for each connection. Stalled bodies kept their memory until their timeout. Limits.MaxFds was not read.

Change: package intake has one account for each connection. Connections, headers (bytes and lines), requests and bodies draw on 0.55 of the memory and half of the descriptors. A header is charged as it arrives, and refused with 431 above its limit or 503 without memory, without being parsed. If there is no room, what has made no progress for the longest time makes it: idle connections and incomplete headers for a new connection, requests that have stalled for a second for memory. Requests above 128 kB leave a tenth to the others, as before. The garbage collector's soft limit went from 0.75 to 0.65 of the memory, since unread bytes count too.

Tests of gateway that counted reserved bytes ask the pool, with the same bounds. An explained header beyond all limits is the 431 that a caller gets.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -4,6 +4,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
@@ -23,6 +24,7 @@
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/follow"
 	"github.com/umbercrank/umbercrank/pkg/gateway"
+	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/overload"
@@ -49,6 +51,9 @@
 	// MemoryLimit is the number of bytes beyond which the process is killed. Zero
 	// means no limit.
 	MemoryLimit int64
+	// DescriptorLimit is the number of descriptors that the process may open. Zero means that of the
+	// operating system.
+	DescriptorLimit int
 	// RetryRatio and RetryBurst bound the retries of the whole fleet to each
 	// service: a share of the requests, plus a fixed number.
 	RetryRatio, RetryBurst float64
@@ -75,9 +80,7 @@
 const (
 	// memoryShare is the fraction of the memory limit that is set as the soft limit of
 	// the garbage collector. The rest is for stacks and socket buffers.
-	memoryShare = 0.75
-	// bodyShare is the fraction of the memory limit that the bodies of requests may use.
-	bodyShare = 0.6
+	memoryShare = 0.65
 	// gcPercent is that of the garbage collector.
 	gcPercent = 100
 	// retryBudgetShare is the fraction of the retry bounds that is used, because
@@ -215,7 +218,7 @@
 		Logger:        logger,
 		Metrics:       e.metrics,
 		FairShares:    settings.FairShares,
-		BodyMemory:    int64(bodyShare * float64(settings.MemoryLimit)),
+		Intake:        intake.NewPool(intake.LimitsOf(settings.MemoryLimit, cmp.Or(settings.DescriptorLimit, netconn.DescriptorLimit()))),
 		Meter:         e.meter,
 		Limiter:       e.limiter,
 		Retries:       retry.Settings{Ratio: retryBudgetShare * settings.RetryRatio, Burst: retryBudgetShare * settings.RetryBurst, Window: settings.RetryWindow},
@@ -264,8 +267,9 @@
 		return err
 	}
 	server := e.gateway.Server()
-	callers := gateway.NewListener(listener, e.now)
+	callers := gateway.NewListener(listener, e.now).WithIntake(e.gateway.Intake())
 	group.Go(func() error { e.gateway.Enforce(taskCtx, callers); return nil })
+	group.Go(func() error { e.gateway.Intake().LogRefusals(taskCtx, e.logger); return nil })
 	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
 	e.logger.Info().Str("callers", e.settings.CallerAddress).Str("peers", e.settings.PeerAddress).Str("metrics", e.settings.MetricsAddress).Msg("started")
 	select {
@@ -366,6 +370,7 @@
 	e.metrics.Publish("requests")
 	e.publishCapacity()
 	e.publishOverload()
+	expvar.Publish("intake", expvar.Func(func() any { return e.gateway.Intake().Pool.Status() }))
 	if e.settings.FairShares {
 		e.gateway.PublishShares("fair_shares")
 	}
--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/roster"
 	"github.com/umbercrank/umbercrank/test/httpfakes"
 )
@@ -23,7 +24,7 @@
 // release is closed.
 func newBodyEnv(t *testing.T, memory int64, received chan<- struct{}, release <-chan struct{}) *testEnv {
 	env := &testEnv{t: t, fleet: &recordingFleet{}, roster: roster.New()}
-	env.start(Options{Clock: clock.Boot, DialTimeout: busyDialTimeout, BodyMemory: memory}, slices.Clone(testRoutes), respondWith(""), 0)
+	env.start(Options{Clock: clock.Boot, DialTimeout: busyDialTimeout, Intake: intake.NewPool(intake.Limits{Memory: memory, Connections: 100})}, slices.Clone(testRoutes), respondWith(""), 0)
 	address := httpfakes.Listen(t, func(conn *net.TCPConn) {
 		defer conn.Close()
 		request, err := http.ReadRequest(bufio.NewReader(conn))
@@ -56,6 +57,9 @@
 	return bufio.NewReader(conn), conn
 }
 
+// reservedBytes returns the memory that requests have reserved.
+func (env *testEnv) reservedBytes() int64 { return env.gateway.options.Intake.Status().Reserved }
+
 const (
 	lengthFraming  = "Content-Length: %d\r\n\r\n"
 	chunkedFraming = "Transfer-Encoding: chunked\r\n\r\n%x\r\n"
@@ -82,7 +86,7 @@
 				t.Errorf("status %d, want a refusal", status)
 			}
 		}
-		if reserved := env.gateway.bufferedBytes.Load(); reserved > memory {
+		if reserved := env.reservedBytes(); reserved > memory {
 			t.Errorf("%d bytes are in use, the bound is %d", reserved, memory)
 		}
 		// A small body still finds memory.
@@ -125,7 +129,7 @@
 		}
 		close(release)
 		env.awaitIdle()
-		if reserved := env.gateway.bufferedBytes.Load(); reserved != 0 {
+		if reserved := env.reservedBytes(); reserved != 0 {
 			t.Errorf("%d bytes are still in use", reserved)
 		}
 	}
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -25,7 +25,7 @@
 func (g *Gateway) MaxExplainedBytes() int64 {
 	limit := g.limits().BodyBytes
 	if limit <= 0 {
-		limit = defaultBodyMemory
+		limit = g.options.Intake.Limits().Memory
 	}
 	// The header, and twice the body because of a chunked coding.
 	return 2*maxHeaderBytes + 2*limit + 1
@@ -81,6 +81,9 @@
 		return refusal(fault.New(fault.CallerGone, "the request header is incomplete"))
 	}
 	defer response.Body.Close()
+	if response.StatusCode == netconn.ErrHeaderTooLarge.Status() {
+		return refusal(netconn.ErrHeaderTooLarge)
+	}
 	message, _ := io.ReadAll(response.Body)
 	return &explain.Refusal{Status: response.StatusCode, Message: strings.TrimSpace(string(message))}
 }
--- a/pkg/gateway/explain_test.go
+++ b/pkg/gateway/explain_test.go
@@ -334,8 +334,8 @@
 	if env.log.Len() > 0 {
 		t.Errorf("logged: %s", env.log)
 	}
-	if after := env.roster.Loads(now, nil); len(loads) != 0 || len(after) != 0 || g.Active() != 0 || g.bufferedBytes.Load() != 0 {
-		t.Errorf("loads %v, %d requests in flight, %d bytes in use", after, g.Active(), g.bufferedBytes.Load())
+	if after := env.roster.Loads(now, nil); len(loads) != 0 || len(after) != 0 || g.Active() != 0 || g.options.Intake.Status().Reserved != 0 {
+		t.Errorf("loads %v, %d requests in flight, %d bytes in use", after, g.Active(), g.options.Intake.Status().Reserved)
 	}
 	if own := g.OwnShares(now); len(own.Sums) != 0 {
 		t.Errorf("work of accounts: %+v", own.Sums)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/exchange"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/mesh"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/origin"
@@ -118,9 +119,8 @@
 	ListCovered func() (from, to time.Duration, ok bool)
 	// Regions has the region of each data centre.
 	Regions map[types.DataCentre]types.Region
-	// BodyMemory is the number of bytes that the bodies of requests may use. Zero means
-	// defaultBodyMemory.
-	BodyMemory int64
+	// Intake bounds what the connections of callers may cost. If it is nil, the default bounds apply.
+	Intake *intake.Pool
 	// FairShares makes each client account get a fair share of the capacity of a target while
 	// that is short.
 	FairShares bool
@@ -147,9 +147,8 @@
 	ending context.Context
 	end    context.CancelFunc
 	active atomic.Int64
-	// bufferedBytes is the memory that is reserved for request bodies, and
-	// bufferedResponseBytes that of the responses.
-	bufferedBytes, bufferedResponseBytes atomic.Int64
+	// bufferedResponseBytes is the memory of responses that are read ahead.
+	bufferedResponseBytes atomic.Int64
 
 	mu         sync.Mutex
 	budgets    map[types.TargetName]*retry.Budget
@@ -172,6 +171,9 @@
 // New returns a Gateway that refuses all requests until Apply is called.
 func New(options Options) *Gateway {
 	ending, end := context.WithCancel(context.Background())
+	if options.Intake == nil {
+		options.Intake = intake.NewPool(intake.LimitsOf(0, 0))
+	}
 	return &Gateway{
 		ending:       ending,
 		end:          end,
@@ -461,9 +463,12 @@
 		if !serving || !known {
 			panic(http.ErrAbortHandler)
 		}
-		caller.BeginRequest()
+		failure := caller.BeginRequest()
 		defer caller.endRequest()
-		if failure := g.checkHeader(header); failure != nil {
+		if refusal := g.checkHeader(header); refusal != nil {
+			failure = refusal
+		}
+		if failure != nil {
 			g.options.Metrics.countRefused(failure.Code)
 			g.options.Logger.Info().Int("header_bytes", header.Bytes).Str("outcome", string(failure.Code)).Str("reason", failure.Error()).Msg("request")
 			w.Header().Set("Connection", "close")
@@ -484,7 +489,7 @@
 		return netconn.ErrConflictingLengths
 	}
 	if limit := g.limits().HeaderBytes; limit > 0 && header.Bytes > limit {
-		return fault.New(fault.HeaderTooLarge, "the request header exceeds the size limit")
+		return netconn.ErrHeaderTooLarge
 	}
 	return nil
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -258,7 +258,8 @@
 	}
 	env.gateway.UpdateUpstreams(list)
 	server := env.gateway.Server()
-	go func() { _ = server.Serve(NewListener(listener, options.Clock)) }()
+	callers := NewListener(listener, options.Clock).WithIntake(env.gateway.Intake())
+	go func() { _ = server.Serve(callers) }()
 	t.Cleanup(func() { _ = server.Close() })
 }
 
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/catalog"
 	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/wait"
 )
@@ -66,7 +68,8 @@
 // Listener accepts the connections of callers and closes those that exceed a time limit.
 type Listener struct {
 	net.Listener
-	now clock.Clock
+	intake netconn.Intake
+	now    clock.Clock
 
 	mu     sync.Mutex
 	open   map[*callerConn]struct{}
@@ -78,13 +81,32 @@
 	return &Listener{Listener: inner, now: now, open: make(map[*callerConn]struct{})}
 }
 
+// WithIntake bounds what the connections cost, and returns the listener.
+func (l *Listener) WithIntake(bounds netconn.Intake) *Listener {
+	l.intake = bounds
+	return l
+}
+
+// Intake returns the bounds of the connections of callers, at all listeners of the instance.
+func (g *Gateway) Intake() netconn.Intake {
+	return netconn.Intake{
+		Pool:        g.options.Intake,
+		Clock:       g.options.Clock,
+		HeaderBytes: func() int { return cmp.Or(g.limits().HeaderBytes, maxHeaderBytes) },
+		WriteError: func(w http.ResponseWriter, failure *fault.Error) {
+			g.options.Metrics.countRefused(failure.Code)
+			g.options.Protocol.WriteError(w, "", failure)
+		},
+	}
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
+	inner, err := l.intake.Accept(l.Listener)
 	if err != nil {
 		return nil, err
 	}
-	conn := &callerConn{ServerConn: netconn.NewServerConn(inner), listener: l, header: headerTracker{now: l.now, since: l.now()}}
+	conn := &callerConn{ServerConn: inner, listener: l, header: headerTracker{now: l.now, since: l.now()}}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[conn] = struct{}{}
@@ -170,7 +192,7 @@
 // endRequest notes that the handler of a request has returned.
 func (c *callerConn) endRequest() {
 	c.header.reset(c.Requests.Position().PartialBytes > 0)
-	c.Complete()
+	c.EndRequest()
 }
 
 // Close implements net.Conn and removes the connection from its listener.
--- a/pkg/netconn/buffers.go
+++ b/pkg/netconn/buffers.go
@@ -1,6 +1,7 @@
 package netconn
 
 import (
+	"math"
 	"net"
 	"syscall"
 
@@ -12,20 +13,30 @@
 // each of hundreds of connections. At a round trip of 12 ms, 5 MB a second remain.
 const socketBufferBytes = 64 << 10
 
+// The sizes of the receive buffers of connections to callers. The kernel holds up to twice as much.
+const (
+	idleBufferBytes = 16 << 10
+	// largeBufferBytes is that of a connection on which a body of largeBodyBytes arrives, and
+	// grownBufferBytes what the kernel may hold of it.
+	largeBufferBytes = 32 << 10
+	grownBufferBytes = 64 << 10
+	largeBodyBytes   = 64 << 10
+)
+
 // BoundDialer bounds the socket buffers of the connections of a dialer, and returns it.
 func BoundDialer(config *net.Dialer) *net.Dialer {
-	config.Control = withBoundedBuffers(config.Control)
+	config.Control = withBoundedBuffers(config.Control, socketBufferBytes)
 	return config
 }
 
 // BoundListeners bounds the socket buffers of the connections of listeners, and returns their
 // configuration.
 func BoundListeners(config *net.ListenConfig) *net.ListenConfig {
-	config.Control = withBoundedBuffers(config.Control)
+	config.Control = withBoundedBuffers(config.Control, idleBufferBytes)
 	return config
 }
 
-func withBoundedBuffers(control func(network, address string, raw syscall.RawConn) error) func(network, address string, raw syscall.RawConn) error {
+func withBoundedBuffers(control func(network, address string, raw syscall.RawConn) error, receive int) func(network, address string, raw syscall.RawConn) error {
 	return func(network, address string, raw syscall.RawConn) error {
 		if control != nil {
 			if err := control(network, address, raw); err != nil {
@@ -34,8 +45,30 @@
 		}
 		return raw.Control(func(fd uintptr) {
 			// A kernel that refuses keeps its own bounds.
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receive)
 			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
 		})
 	}
 }
+
+// growReceiveBuffer lets the kernel hold more of a large body, so that it arrives in fewer round trips.
+func growReceiveBuffer(conn net.Conn) {
+	raw, ok := rawConn(conn)
+	if !ok {
+		return
+	}
+	// A kernel that refuses keeps the smaller buffer.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, largeBufferBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, grownBufferBytes)
+	})
+}
+
+// DescriptorLimit returns the number of descriptors that the process may open, or zero if that is not known.
+func DescriptorLimit() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
--- /dev/null
+++ b/pkg/netconn/intake.go
@@ -0,0 +1,286 @@
+package netconn
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/umbercrank/umbercrank/pkg/clock"
+	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/intake"
+	"github.com/umbercrank/umbercrank/pkg/wait"
+)
+
+const (
+	// intakeRetryAfter is the retry delay for a caller for whose request there is no memory.
+	intakeRetryAfter = 100 * time.Millisecond
+	// reserveWait bounds the wait for memory that other requests were told to release, and
+	// reserveInterval is the time between two looks.
+	reserveWait     = 100 * time.Millisecond
+	reserveInterval = 5 * time.Millisecond
+	// lingerTimeout and lingerBytes bound what is read behind a refusal, so that closing the connection
+	// does not reset it before the caller has read the refusal.
+	lingerTimeout = 250 * time.Millisecond
+	lingerBytes   = 256 << 10
+)
+
+var (
+	// ErrNoMemory is the error of a request for which there is no memory.
+	ErrNoMemory = fault.New(fault.Overloaded, "other requests use all buffer memory").WithRetryAfter(intakeRetryAfter)
+	// ErrEvicted is the error of a body that made no progress while others needed its memory.
+	ErrEvicted = fault.New(fault.Overloaded, "the request body stalled while other requests needed its memory").WithRetryAfter(intakeRetryAfter)
+	// ErrHeaderTooLarge is the error of a header above the limit.
+	ErrHeaderTooLarge = fault.New(fault.HeaderTooLarge, "the request header exceeds the size limit")
+)
+
+// Intake bounds the connections of a listener.
+type Intake struct {
+	// Pool is shared by the listeners of an instance. Without one there are no bounds.
+	Pool *intake.Pool
+	// Clock is that of the pool.
+	Clock clock.Clock
+	// HeaderBytes returns the size above which the rest of a header is not read, or zero. It may be nil.
+	HeaderBytes func() int
+	// WriteError writes the response to a request whose header is not read any further. If it is nil, that of
+	// the error itself is written.
+	WriteError func(http.ResponseWriter, *fault.Error)
+}
+
+func (i Intake) headerBytes() int {
+	if i.HeaderBytes == nil {
+		return 0
+	}
+	return i.HeaderBytes()
+}
+
+// Accept returns the next connection for which there is room. Others are closed.
+func (i Intake) Accept(listener net.Listener) (*ServerConn, error) {
+	for {
+		inner, err := listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := &ServerConn{Conn: inner}
+		if i.Pool == nil {
+			return conn, nil
+		}
+		conn.charge = charge{intake: i}
+		account, ok := i.Pool.Add(i.Clock(), conn.evict)
+		if ok {
+			conn.charge.account = account
+			return conn, nil
+		}
+		_ = inner.Close()
+	}
+}
+
+// logInterval is the time between two logs of the connections that found no room.
+const logInterval = time.Second
+
+// LogRefusals logs how many connections and requests found no room, until ctx is done.
+func (i Intake) LogRefusals(ctx context.Context, logger zerolog.Logger) {
+	if i.Pool == nil {
+		return
+	}
+	logged := i.Pool.Status().Counts
+	for wait.For(ctx, logInterval) {
+		status := i.Pool.Status()
+		if status.Counts == logged {
+			continue
+		}
+		logger.Warn().Int("refused", status.Refused-logged.Refused).Int("evicted", status.Evicted-logged.Evicted).Int("unpaid", status.Unpaid-logged.Unpaid).
+			Int("open", status.Open).Int64("reserved_bytes", status.Reserved).Int64("limit_bytes", i.Pool.Limits().Memory).Int("limit_connections", i.Pool.Limits().Connections).
+			Msg("callers' connections found no room")
+		logged = status.Counts
+	}
+}
+
+// charge is what a connection costs.
+type charge struct {
+	intake  Intake
+	account *intake.Account
+	// handling reports whether a handler runs.
+	handling atomic.Bool
+	// grown reports whether the receive buffer has the size for large bodies.
+	grown bool
+}
+
+// phase returns what the connection does, with the cost of the headers that are not handled yet.
+func (c *ServerConn) phase(position Position) (intake.Phase, int64) {
+	cost := max(intake.HeadCost(position.PartialBytes, position.PartialLines), intake.HeadCost(position.WaitingBytes, position.WaitingLines))
+	begun := c.charge.handling.Load() || position.Waiting > 0
+	switch {
+	case begun && position.InBody:
+		return intake.Body, cost
+	case begun:
+		return intake.Serving, cost
+	case position.PartialBytes > 0 || position.InBody:
+		return intake.Head, cost
+	}
+	return intake.Idle, cost
+}
+
+// chargeRead charges bytes that were read, before they are parsed.
+func (c *ServerConn) chargeRead(n int) error {
+	account := c.charge.account
+	if account == nil {
+		return nil
+	}
+	phase, cost := c.phase(c.Requests.Position())
+	if n == 0 {
+		if account.IsEvicted() {
+			return c.evictedError(phase)
+		}
+		return nil
+	}
+	switch account.Receive(c.charge.intake.Clock(), phase, n, cost) {
+	case intake.Evicted:
+		return c.evictedError(phase)
+	case intake.Unpaid:
+		if c.charge.handling.Load() {
+			return ErrNoMemory
+		}
+		return c.refuse(ErrNoMemory)
+	}
+	return nil
+}
+
+// checkHeader returns an error if no further byte is read, because of the header that is partly received or
+// because the connection must make room.
+func (c *ServerConn) checkHeader() error {
+	if c.charge.account == nil {
+		return nil
+	}
+	position := c.Requests.Position()
+	if c.charge.account.IsEvicted() {
+		phase, _ := c.phase(position)
+		return c.evictedError(phase)
+	}
+	if c.charge.handling.Load() {
+		return nil
+	}
+	if limit := c.charge.intake.headerBytes(); limit > 0 && position.PartialBytes > limit {
+		return c.refuse(ErrHeaderTooLarge)
+	}
+	if position.Lost {
+		// No request can be told from what follows.
+		return c.ClosedError()
+	}
+	return nil
+}
+
+// evictedError returns the error of a read from a connection that must make room.
+func (c *ServerConn) evictedError(phase intake.Phase) error {
+	if phase == intake.Body {
+		return ErrEvicted
+	}
+	return c.ClosedError()
+}
+
+// evict makes the connection close, or its handler refuse the request whose body it reads.
+func (c *ServerConn) evict(phase intake.Phase) {
+	if phase == intake.Body {
+		// An error means that the connection is closed.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
+	_ = c.Conn.Close()
+}
+
+// refuse answers a request whose header is not read any further, and closes the connection.
+func (c *ServerConn) refuse(refusal *fault.Error) error {
+	w := &refusalWriter{status: http.StatusOK, header: make(http.Header)}
+	if write := c.charge.intake.WriteError; write != nil {
+		write(w, refusal)
+	} else {
+		_ = refusal.WriteTo(w)
+	}
+	response := http.Response{StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Body: io.NopCloser(&w.body), ContentLength: int64(w.body.Len()), Close: true}
+	// Errors mean that the caller has disconnected or does not read.
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTimeout))
+	_ = response.Write(c.Conn)
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	_ = c.Close()
+	return c.ClosedError()
+}
+
+// refusalWriter keeps a response.
+type refusalWriter struct {
+	status int
+	header http.Header
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (w *refusalWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *refusalWriter) WriteHeader(status int) { w.status = status }
+
+// Write implements http.ResponseWriter.
+func (w *refusalWriter) Write(b []byte) (int, error) { return w.body.Write(b) }
+
+// beginCharge reserves the memory for handling a request.
+func (c *ServerConn) beginCharge() *fault.Error {
+	c.charge.handling.Store(true)
+	if c.charge.account == nil {
+		return nil
+	}
+	phase, _ := c.phase(c.Requests.Position())
+	c.charge.account.Begin(c.charge.intake.Clock(), phase)
+	if !c.reserve(intake.RequestBytes) {
+		return ErrNoMemory
+	}
+	return nil
+}
+
+// endCharge releases the memory of the request.
+func (c *ServerConn) endCharge() {
+	c.charge.handling.Store(false)
+	if c.charge.account != nil {
+		phase, cost := c.phase(c.Requests.Position())
+		c.charge.account.End(c.charge.intake.Clock(), phase, cost)
+	}
+}
+
+// Reserve reserves memory for the body of the request that is being handled, and returns false if there is none.
+// It waits for stalled requests that are told to release theirs.
+func (c *ServerConn) Reserve(n int64) bool {
+	ok := c.reserve(n)
+	if ok && n >= largeBodyBytes && !c.charge.grown && c.reserve(grownBufferBytes) {
+		c.charge.grown = true
+		growReceiveBuffer(c.Conn)
+	}
+	return ok
+}
+
+func (c *ServerConn) reserve(n int64) bool {
+	account := c.charge.account
+	if account == nil {
+		return true
+	}
+	now := c.charge.intake.Clock
+	began := now()
+	ok, pending := account.Reserve(began, n)
+	for !ok && pending && now()-began < reserveWait {
+		time.Sleep(reserveInterval)
+		ok, _ = account.Reserve(now(), n)
+	}
+	return ok
+}
+
+// Detach returns the memory that is reserved for the request. It is not released with the request any more,
+// but by the pool.
+func (c *ServerConn) Detach() int64 { return c.charge.account.Detach() }
+
+// Release returns memory that Reserve has reserved.
+func (c *ServerConn) Release(n int64) { c.charge.account.Release(n) }
--- a/pkg/netconn/requestscanner_test.go
+++ b/pkg/netconn/requestscanner_test.go
@@ -140,7 +140,7 @@
 				reached.Store(true)
 			}
 		}))}
-		go func() { _ = server.Serve(ServerListener{listener}) }()
+		go func() { _ = server.Serve(ServerListener{Listener: listener}) }()
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -24,16 +25,13 @@
 )
 
 // ServerListener wraps the connections of a listener as ServerConns.
-type ServerListener struct{ net.Listener }
+type ServerListener struct {
+	net.Listener
+	Intake Intake
+}
 
 // Accept implements net.Listener.
-func (l ServerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return NewServerConn(conn), nil
-}
+func (l ServerListener) Accept() (net.Conn, error) { return l.Intake.Accept(l.Listener) }
 
 // ServerConn is a caller's connection to an HTTP server. While a handler runs, net/http reads a
 // single byte and cancels the request when that read fails; bytes that follow the request would
@@ -54,21 +52,46 @@
 	// completing reports whether the caller may have the whole response to its request, so that
 	// it may send the next one.
 	completing atomic.Bool
+	charge     charge
 }
 
-// NewServerConn wraps an accepted connection.
+// NewServerConn wraps an accepted connection that has no bounds.
 func NewServerConn(conn net.Conn) *ServerConn { return &ServerConn{Conn: conn} }
 
-// BeginRequest notes that a handler begins.
-func (c *ServerConn) BeginRequest() { c.completing.Store(false) }
+// BeginRequest notes that a handler begins. It returns an error if there is no memory for the request.
+func (c *ServerConn) BeginRequest() *fault.Error {
+	c.completing.Store(false)
+	return c.beginCharge()
+}
 
-// Complete notes that a handler is about to write the end of its response, or has returned.
+// Complete notes that a handler is about to write the end of its response.
 func (c *ServerConn) Complete() { c.completing.Store(true) }
 
+// EndRequest notes that a handler has returned.
+func (c *ServerConn) EndRequest() {
+	c.Complete()
+	c.endCharge()
+}
+
+// Close implements net.Conn.
+func (c *ServerConn) Close() error {
+	c.charge.account.Close()
+	return c.Conn.Close()
+}
+
 // Read implements net.Conn.
 func (c *ServerConn) Read(b []byte) (int, error) {
+	// net/http reads a single byte only beside a handler.
+	if len(b) > 1 {
+		if err := c.checkHeader(); err != nil {
+			return 0, err
+		}
+	}
 	n, err := c.read(b)
 	c.Requests.Add(b[:n])
+	if failure := c.chargeRead(n); failure != nil {
+		return 0, failure
+	}
 	return n, err
 }
 
@@ -176,8 +199,13 @@
 }
 
 // Handler marks the beginning and the end of the requests of a ServerListener, and refuses those
-// whose end another server may see elsewhere.
+// whose end another server may see elsewhere and those for which there is no memory.
 func Handler(inner http.Handler) http.Handler {
+	return CheckedHandler(inner, func(*http.Request, RequestHeader) *fault.Error { return nil })
+}
+
+// CheckedHandler is a Handler that also refuses the requests for which check returns an error.
+func CheckedHandler(inner http.Handler, check func(*http.Request, RequestHeader) *fault.Error) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := ServerConnOf(r.Context()).(*ServerConn); ok {
 			header, known := conn.Requests.Take()
@@ -185,19 +213,38 @@
 				// The request was not read as one by the scanner, so it must not run.
 				panic(http.ErrAbortHandler)
 			}
-			conn.BeginRequest()
-			defer conn.Complete()
+			refusal := conn.BeginRequest()
+			defer conn.EndRequest()
+			if refusal == nil {
+				refusal = check(r, header)
+			}
 			if header.ConflictingLengths {
+				refusal = ErrConflictingLengths
+			}
+			if refusal != nil {
 				w.Header().Set("Connection", "close")
 				// A write error means that the caller has disconnected.
-				_ = ErrConflictingLengths.WriteTo(w)
+				_ = refusal.WriteTo(w)
 				return
 			}
+			defer limitDiscard(w, conn)
 		}
 		inner.ServeHTTP(w, r)
 	})
 }
 
+// discardTimeout bounds how long a response waits for the rest of a body that its handler has not read.
+const discardTimeout = 250 * time.Millisecond
+
+// limitDiscard bounds the time in which net/http reads the rest of a body. It removes the deadline before
+// the next request.
+func limitDiscard(w http.ResponseWriter, conn *ServerConn) {
+	if conn.Requests.Position().InBody {
+		// An error means that the connection is closed.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+	}
+}
+
 // WithoutCaller returns a context for work that goes on when the caller of the request leaves.
 func WithoutCaller(ctx context.Context) context.Context {
 	return context.WithValue(context.WithoutCancel(ctx), serverConnKey{}, nil)
