edge, netconn: the ports for addresses, readiness and metrics have the bounds of the port for callers

The ports that tell callers where to connect and the platform whether an instance is ready could end it as well, or keep all of its descriptors.

Cause: their servers had the limits of net/http, a header of 1 MB, and no limit of connections. The rest of a body that no handler reads was waited for without a time limit, so such a connection stayed open for ever.

Change: they share the pool of connections and memory, and have limits for the time to read a request and to write its response.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -310,21 +310,15 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+		server := netconn.NewServer(handler)
+		group.Go(func() error {
+			return ignoreClosed(server.Serve(netconn.ServerListener{Listener: listener, Intake: e.gateway.Intake()}))
+		})
 		context.AfterFunc(ctx, func() { _ = server.Close() })
 	}
 	return nil
 }
 
-const (
-	// headerTimeout bounds the time to read the header of a request.
-	headerTimeout = 2 * time.Second
-	// idleTimeout bounds idle connections to the directory, readiness and metrics
-	// listeners.
-	idleTimeout = 30 * time.Second
-)
-
 func (e *Edge) listen(ctx context.Context, address string) (net.Listener, error) {
 	listener, err := netconn.Listen(ctx, netconn.BoundListeners(netconn.ListenConfig()), address, e.logger)
 	if err != nil {
--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -101,6 +101,29 @@
 	}
 }
 
+// Timeouts and limits of the servers of NewServer.
+const (
+	serverHeaderTimeout = 2 * time.Second
+	serverReadTimeout   = 10 * time.Second
+	serverWriteTimeout  = 10 * time.Second
+	serverIdleTimeout   = 30 * time.Second
+	serverHeaderBytes   = 64 << 10
+)
+
+// NewServer returns a server for short responses to requests without a body, such as those of probes. It
+// must serve a ServerListener.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           Handler(handler),
+		ReadHeaderTimeout: serverHeaderTimeout,
+		ReadTimeout:       serverReadTimeout,
+		WriteTimeout:      serverWriteTimeout,
+		IdleTimeout:       serverIdleTimeout,
+		MaxHeaderBytes:    serverHeaderBytes,
+		ConnContext:       ConnContext,
+	}
+}
+
 // charge is what a connection costs.
 type charge struct {
 	intake  Intake
--- a/test/exhaustion/join_test.go
+++ b/test/exhaustion/join_test.go
@@ -247,6 +247,16 @@
 	}}
 }
 
+// auxiliaryOf are the other ports of an instance of `join` that are reached from outside.
+func auxiliaryOf(i *instance) map[string]endpoint {
+	host := func(int) string { return "Host: h.example\r\n" }
+	return map[string]endpoint{
+		"directory": {address: i.addresses["directory"], method: "GET", target: "/resolve?Name=h.example", fields: host},
+		"readiness": {address: i.addresses["readiness"], method: "GET", target: "/readiness", fields: host},
+		"metrics":   {address: i.addresses["metrics"], method: "GET", target: "/debug/vars", fields: host},
+	}
+}
+
 // checkAbuse lets a crowd abuse an endpoint, and checks that ordinary requests are answered beside it and
 // that the instances stay within their limits.
 func checkAbuse(t *testing.T, a abuse, e endpoint, ordinaryRequests func() error, instances ...*instance) {
@@ -273,6 +283,25 @@
 	}
 }
 
+// TestAuxiliaryPortsOfJoin lets a crowd abuse the ports for addresses, readiness and metrics.
+func TestAuxiliaryPortsOfJoin(t *testing.T) {
+	for _, port := range []string{"directory", "readiness", "metrics"} {
+		for _, a := range slices.Concat(group("head/", endlessHeads), group("lines/", legalHeads()), group("body/", openBodies()), []abuse{idleConnections}) {
+			t.Run(port+"/"+a.name, func(t *testing.T) {
+				f := startFleet(t, 1)
+				e := auxiliaryOf(f.instances[0])[port]
+				callers := callersOf(f.instances[0])
+				checkAbuse(t, a, e, func() error {
+					if err := get("http://" + e.address + e.target); err != nil {
+						return err
+					}
+					return ordinary(callers)
+				}, f.instances...)
+			})
+		}
+	}
+}
+
 // TestLegalRequestIsServedByJoin checks that each request inside the limits is served in calm.
 func TestLegalRequestIsServedByJoin(t *testing.T) {
 	f := startFleet(t, 1)
