transit: connections that are carried for peers draw on the memory for callers

An instance that carries requests of others, up to 512 at a time, holds up to 128 kB for each of them, and nothing counted that beside what its own callers cost.

Change: it reserves that memory from the pool of package intake and refuses without, as it does above 512; the peer asks another instance.

Only suspected for the carrying instance: no test ended it or brought it above its memory.

--- a/pkg/gateway/transit.go
+++ b/pkg/gateway/transit.go
@@ -49,6 +49,7 @@
 		Late:        options.Meter.Late,
 		Logger:      options.Logger,
 		Count:       options.Metrics.countPath,
+		Memory:      options.Intake,
 		HandleRefused: func(to transit.Destination) {
 			options.Roster.RecordRefused(options.Clock(), to.Upstream, to.Address)
 		},
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -19,6 +19,9 @@
 	// maxCarried bounds the connections that an instance carries for peers, so that their
 	// buffers cannot exhaust the memory of a small instance.
 	maxCarried = 512
+	// carriedBytes is the memory of a connection that is carried: the buffers of its stream, what the kernel
+	// holds, and three goroutines.
+	carriedBytes = 128 << 10
 	// readBufferBytes holds a few events of a stream.
 	readBufferBytes = 4 << 10
 	// carriedSilence is the time without a response after which an upstream counts as not
@@ -123,7 +126,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.carried >= maxCarried {
+	if t.carried >= maxCarried || t.options.Memory != nil && !t.options.Memory.TryAcquire(carriedBytes) {
 		return fault.New(fault.Overloaded, "this instance carries too many connections for peers")
 	}
 	t.carried++
@@ -134,6 +137,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.carried--
+	if t.options.Memory != nil {
+		t.options.Memory.Release(carriedBytes)
+	}
 }
 
 // connectFor connects directly to an upstream for a peer.
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -88,11 +88,20 @@
 	// HandlePause is called when an upstream that this instance reached for a peer wants no
 	// requests for a time. It may be nil.
 	HandlePause func(upstream types.UpstreamID, pause time.Duration, peer types.InstanceID)
+	// Memory is that of the connections that are carried for peers. It may be nil.
+	Memory Memory
 	// HandleRefused is called when an upstream has refused a connection that this instance made
 	// for a peer. It may be nil.
 	HandleRefused func(to Destination)
 }
 
+// Memory is reserved for connections that are carried for peers.
+type Memory interface {
+	// TryAcquire reserves memory, or returns false if there is none.
+	TryAcquire(n int64) bool
+	Release(n int64)
+}
+
 // Transit opens connections to upstreams. It is safe for concurrent use.
 type Transit struct {
 	options Options
--- a/test/exhaustion/join_test.go
+++ b/test/exhaustion/join_test.go
@@ -302,6 +302,22 @@
 	}
 }
 
+// TestCarryingInstanceOfJoin lets a crowd abuse an instance whose requests another instance carries to the
+// worker.
+func TestCarryingInstanceOfJoin(t *testing.T) {
+	for _, a := range slices.Concat(group("lines/", completeHeads()), group("body/", completeBodies()), group("open/", openBodies())) {
+		t.Run(a.name, func(t *testing.T) {
+			f := startFleet(t, 2)
+			f.worker.cut.Store(int64(f.instances[0].command.Process.Pid))
+			callers := callersOf(f.instances[0])
+			if !await(func() bool { return ordinary(callers) == nil }) {
+				t.Fatal("no request is carried by the other instance")
+			}
+			checkAbuse(t, a, callers, func() error { return ordinary(callers) }, f.instances...)
+		})
+	}
+}
+
 // TestLegalRequestIsServedByJoin checks that each request inside the limits is served in calm.
 func TestLegalRequestIsServedByJoin(t *testing.T) {
 	f := startFleet(t, 1)
