node, entry: serve bounds what callers may cost, as join does

Callers that nobody controls ended an instance of serve as they did one of join, and the one that their keys name with it.

Cause: bodies and answers had 64 MB, headers and connections nothing; the limit of 8,192 connections let ordinary callers wait behind idle ones. The memory of a request was released when its caller left, while its execution, which goes on, kept the body. The buffer of a body of unknown length doubled beyond what was reserved. The admin port had the limits of net/http.

The memory of an execution that outlasts its caller is released with the execution. The soft limit of the garbage collector is 0.65 of the memory.

Tests, x86-64, nothing beside them: before, TestCallersOfServe failed in 12 of 16 cases (118 to 233 MB of 115 allowed; all descriptors with 1,000 idle connections), TestExecutingInstanceOfServe in 12 of 12 (151 to 591 MB at the first instance, 165 to 425 MB at the executor where it failed there).

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -3,68 +3,96 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/intake"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// readBody returns the complete body and a function that releases its memory,
-// which must be called once. The error has the code BodyTooLarge if the body
-// exceeds the limit, Overloaded if the memory for bodies is used up, and
-// BadRequest if the body does not arrive in time.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, func(), error) {
-	weight := e.settings.MaxBodyBytes
-	if r.ContentLength > weight {
-		return nil, nil, fault.New(fault.BodyTooLarge, "the request body exceeds the size limit")
+// requestMemory is the memory that is reserved for a request.
+type requestMemory struct {
+	pool *intake.Pool
+	// conn has reserved the memory, unless it is nil.
+	conn     *netconn.ServerConn
+	reserved int64
+}
+
+// Reserve implements intake.Reserver.
+func (m *requestMemory) Reserve(n int64) bool {
+	if m.conn != nil {
+		return m.conn.Reserve(n)
 	}
-	if r.ContentLength >= 0 {
-		weight = r.ContentLength
+	return m.pool.TryAcquire(n)
+}
+
+// Release implements intake.Reserver.
+func (m *requestMemory) Release(n int64) {
+	if m.conn != nil {
+		m.conn.Release(n)
+	} else {
+		m.pool.Release(n)
 	}
-	if !e.memory.TryAcquire(weight) {
-		refusal := fault.New(fault.Overloaded, "the bodies of other requests use all buffer memory")
-		return nil, nil, refusal.WithRetryAfter(e.settings.BusyRetryAfter)
+}
+
+// release returns the memory when the request has ended.
+func (m *requestMemory) release() {
+	if m == nil {
+		return
 	}
-	release := func() { e.memory.Release(weight) }
-	body, err := e.receiveBody(w, r)
-	if err != nil {
-		release()
-		return nil, nil, err
+	m.Release(m.reserved)
+	m.reserved = 0
+}
+
+// detach returns the memory of a request that may last longer than its connection.
+func (m *requestMemory) detach() *requestMemory {
+	if m == nil {
+		return nil
 	}
-	return body, release, nil
+	if m.conn != nil {
+		m.reserved = m.conn.Detach()
+		m.conn = nil
+	}
+	detached := *m
+	m.reserved = 0
+	return &detached
 }
 
-func (e *Entry) receiveBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody returns the complete body and its memory, which must be released
+// once. The error has the code BodyTooLarge if the body
+// exceeds the limit, Overloaded if the memory is used up, and
+// BadRequest if the body does not arrive in time.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *requestMemory, error) {
+	memory := &requestMemory{pool: e.memory}
+	memory.conn, _ = netconn.ServerConnOf(r.Context()).(*netconn.ServerConn)
 	// A writer that does not support deadlines is bounded by the request's context.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(e.settings.BodyTimeout))
-	body, err := readAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes), r.ContentLength)
+	body, reserved, err := intake.ReadBody(r.Body, r.ContentLength, e.settings.MaxBodyBytes, memory)
 	_ = control.SetReadDeadline(time.Time{})
+	memory.reserved = reserved
 	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fault.Wrap(fault.BodyTooLarge, err, "the request body exceeds the size limit")
-	}
-	return nil, fault.Wrap(fault.BadRequest, err, "cannot read the request body")
-}
-
-// readAll reads a body without memory beyond its length if that is known. It is negative otherwise.
-func readAll(reader io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(reader)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(reader, body)
-	return body, err
+		return body, memory, nil
+	}
+	memory.release()
+	// The rest of the body is not read.
+	w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		return nil, nil, fault.Wrap(fault.BodyTooLarge, err, "the request body exceeds the size limit")
+	case errors.Is(err, intake.ErrNoMemory):
+		return nil, nil, netconn.ErrNoMemory.WithRetryAfter(e.settings.BusyRetryAfter)
+	case errors.Is(err, netconn.ErrNoMemory), errors.Is(err, netconn.ErrEvicted):
+		return nil, nil, fault.From(err).WithRetryAfter(e.settings.BusyRetryAfter)
+	}
+	return nil, nil, fault.Wrap(fault.BadRequest, err, "cannot read the request body")
 }
 
 // admission is an admitted request. release must be called when it ends.
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
@@ -66,7 +66,7 @@
 // answerMemory accounts for the answers of one request that are in memory.
 type answerMemory struct {
 	// shared is the memory for the bodies of all requests and answers.
-	shared *semaphore.Weighted
+	shared *intake.Pool
 	limit  int64
 	used   int64
 }
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -22,12 +22,12 @@
 		return e.withKeyRunState(inboundRequest{httpRequest: r}, err)
 	}
 	in := inboundRequest{httpRequest: r, waited: e.options.Meter.Waited(), account: account, snapshot: snapshot}
-	body, release, err := e.readBody(w, r)
+	body, memory, err := e.readBody(w, r)
 	if err != nil {
 		return e.withKeyRunState(in, err)
 	}
-	defer release()
-	in.body = body
+	defer memory.release()
+	in.body, in.memory = body, memory
 	chat, err := parseChat(in)
 	if err != nil {
 		return e.withKeyRunState(in, err)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -11,13 +11,13 @@
 
 	"github.com/kataras/iris/v12"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/idempotency"
+	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/limits"
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/overload"
@@ -59,7 +59,9 @@
 	// FirstStart reports whether the fleet starts for the first time, so that nothing of the
 	// retry budget has been used.
 	FirstStart bool
-	Settings   Settings
+	// Intake bounds what callers and answers may cost. If it is nil, Settings.BodyMemoryBytes does.
+	Intake   *intake.Pool
+	Settings Settings
 }
 
 // Entry serves requests of callers. It is safe for concurrent use.
@@ -80,7 +82,7 @@
 	end    context.CancelFunc
 	keys   *idempotency.Store
 	charts charts
-	memory *semaphore.Weighted
+	memory *intake.Pool
 
 	quarantine *quarantine.Quarantine
 	suspects   *suspectRuns
@@ -96,6 +98,9 @@
 	if options.Clock == nil {
 		options.Clock = clock.Process()
 	}
+	if options.Intake == nil {
+		options.Intake = intake.NewPool(intake.Limits{Memory: options.Settings.BodyMemoryBytes})
+	}
 	ending, end := context.WithCancel(context.Background())
 	e := &Entry{
 		ending:   ending,
@@ -110,7 +115,7 @@
 		inFlight: newInFlightCounter(),
 		waiters:  newInFlightCounter(),
 		suspects: newSuspectRuns(),
-		memory:   semaphore.NewWeighted(options.Settings.BodyMemoryBytes),
+		memory:   options.Intake,
 		keys:     idempotency.NewStore(options.Incarnation, options.Settings.Idempotency),
 	}
 	e.quarantine = quarantine.New(quarantine.Options{
@@ -158,7 +163,7 @@
 type Settings struct {
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
-	// BodyMemoryBytes is the maximum total size of the bodies in memory.
+	// BodyMemoryBytes is the maximum total size of the bodies in memory without Options.Intake.
 	BodyMemoryBytes int64
 	// BodyTimeout is the timeout for reading a body.
 	BodyTimeout time.Duration
--- a/pkg/entry/idempotency.go
+++ b/pkg/entry/idempotency.go
@@ -37,6 +37,7 @@
 	}
 	keyCounts.Add(action.String(), 1)
 	if action == idempotency.Execute {
+		in.memory = in.memory.detach()
 		go e.executeDetached(newResponseBuffer(w.Header(), e.settings.MaxAnswerBytes), in, scopedKey)
 	}
 	if action == idempotency.Wait {
@@ -56,6 +57,7 @@
 // duplicates get the outcome even if the caller disconnects.
 func (e *Entry) executeDetached(answer *responseBuffer, in inboundRequest, scopedKey idempotency.ScopedKey) {
 	in.httpRequest = in.httpRequest.WithContext(netconn.WithoutCaller(in.httpRequest.Context()))
+	defer in.memory.release()
 	in.mayExecute = func() bool { return e.keys.IsOpen(scopedKey.Key.Window) }
 	err := e.admitAndServe(answer, in)
 	e.keys.Finish(scopedKey, answer.result(err))
--- a/pkg/entry/inbound.go
+++ b/pkg/entry/inbound.go
@@ -18,6 +18,8 @@
 	snapshot   *config.Snapshot
 	attributes rules.Attributes
 	body       []byte
+	// memory is that of the request.
+	memory *requestMemory
 	// parts are the fingerprints of the messages that other requests may share.
 	parts []quarantine.Fingerprint
 	// mayExecute, if set, is checked right before the first byte is sent to an
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -32,16 +32,16 @@
 	if err := checkService(snapshot, params.Params().Get("name"), r.URL.Path); err != nil {
 		return e.withKeyRunState(in, err)
 	}
-	body, release, err := e.readBody(w, r)
+	body, memory, err := e.readBody(w, r)
 	if err != nil {
 		return e.withKeyRunState(in, err)
 	}
-	defer release()
+	defer memory.release()
 	repeatable, err := parseRepeatable(r.Header, repeatableMethod(r.Method))
 	if err != nil {
 		return e.withKeyRunState(in, err)
 	}
-	in.body = body
+	in.body, in.memory = body, memory
 	in.attributes = serviceAttributes(in, params.Params().Get("name"), repeatable)
 	return e.serve(w, in)
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -4,15 +4,17 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 	"github.com/rs/zerolog"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/configservice"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/peer"
@@ -27,6 +29,10 @@
 	callerIdleTimeout = 2 * time.Minute
 )
 
+// memoryShare is the fraction of the memory that is set as the soft limit of the garbage collector. The rest is
+// for stacks and socket buffers.
+const memoryShare = 0.65
+
 // Node is one instance with its roles, servers and listeners. Provision creates
 // it; Serve runs it and releases its resources before it returns.
 type Node struct {
@@ -41,6 +47,8 @@
 	adminServer  *http.Server
 	listeners    listeners
 	lifecycle    *lifecycle
+	// intake bounds the connections to both HTTP servers.
+	intake netconn.Intake
 }
 
 // listeners holds the listening sockets of the HTTP servers.
@@ -62,6 +70,7 @@
 		ring:        timeline.NewRing(types.InstanceID(settings.Instance), settings.TimelineEvents, time.Now),
 	}
 	n.logger = logger.With().Str("instance", settings.Instance).Str("incarnation", string(n.incarnation)).Logger()
+	n.intake = netconn.Intake{Pool: intake.NewPool(settings.intakeLimits()), Clock: clock.Boot, HeaderBytes: func() int { return settings.MaxHeaderBytes }}
 	lifecycle, err := newLifecycle(n.logger)
 	if err != nil {
 		return nil, err
@@ -141,6 +150,7 @@
 		Caller:    causal.NewCaller(n.dialer, n.ring),
 		Registrar: causal.NewRegistrar(n.peerServer, n.ring),
 		Streams:   streams,
+		Intake:    n.intake.Pool,
 	}, n.ring, n.logger)
 	n.roles = roles
 	return err
@@ -157,10 +167,12 @@
 		// All requests are checked by the handler.
 		DisableGeneralOptionsHandler: true,
 	}
-	n.adminServer = &http.Server{
-		Handler:           n.adminHandler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-	}
+	n.adminServer = netconn.NewServer(n.adminHandler())
+}
+
+// bound returns a listener whose connections are bounded together with those of the others.
+func (n *Node) bound(listener net.Listener) net.Listener {
+	return netconn.ServerListener{Listener: listener, Intake: n.intake}
 }
 
 // CallerAddress returns the host:port at which callers connect.
@@ -176,14 +188,16 @@
 // returns nil after a graceful shutdown, otherwise the error that stopped the
 // node.
 func (n *Node) Serve(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.MemoryBytes)))
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return n.roles.Run(runCtx) })
 	group.Go(func() error { return errorUnlessDone(runCtx, n.peerServer.Serve(runCtx)) })
-	group.Go(func() error { return ignoreServerClosed(n.adminServer.Serve(n.listeners.admin)) })
+	group.Go(func() error { return ignoreServerClosed(n.adminServer.Serve(n.bound(n.listeners.admin))) })
 	group.Go(func() error { return n.serveCallers(runCtx) })
 	group.Go(func() error { return n.awaitReady(runCtx) })
+	group.Go(func() error { n.intake.LogRefusals(runCtx, n.logger); return nil })
 	n.ring.Record(timeline.Event{Kind: timeline.InstanceStarted, Detail: n.settings.CallerAddress})
 	n.logger.Info().Str("caller_address", n.settings.CallerAddress).
 		Str("peer_address", n.settings.PeerAddress).
@@ -204,8 +218,7 @@
 // that is not ready.
 func (n *Node) serveCallers(ctx context.Context) error {
 	context.AfterFunc(ctx, func() { _ = n.callerServer.Close() })
-	limited := netutil.LimitListener(n.listeners.callers, n.settings.MaxConnections)
-	return ignoreServerClosed(n.callerServer.Serve(netconn.ServerListener{Listener: limited}))
+	return ignoreServerClosed(n.callerServer.Serve(n.bound(n.listeners.callers)))
 }
 
 // awaitReady moves the lifecycle to serving when the roles are ready.
--- a/pkg/node/paths.go
+++ b/pkg/node/paths.go
@@ -50,6 +50,7 @@
 		Dial:        dependencies.Dial,
 		DialTimeout: upstream.DefaultTransportSettings().DialTimeout,
 		Clock:       dependencies.clock(),
+		Memory:      dependencies.Intake,
 		Late:        late,
 		Logger:      logger,
 		Peers: func() []reach.Peer {
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -15,6 +15,7 @@
 	"github.com/umbercrank/umbercrank/pkg/directory"
 	"github.com/umbercrank/umbercrank/pkg/dispatch"
 	"github.com/umbercrank/umbercrank/pkg/entry"
+	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/membership"
 	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/peer"
@@ -49,6 +50,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Signal measures how late this instance is. If it is nil, the delay of timers does.
 	Signal overload.Signal
+	// Intake bounds what callers and answers may cost. It may be nil.
+	Intake *intake.Pool
 	// Clock is the clock of the paths to upstreams and of the retry budget. If it is nil, it is
 	// clock.Boot.
 	Clock clock.Clock
@@ -196,6 +199,7 @@
 		Meter:         r.meter,
 		Overload:      r.limiter,
 		FirstStart:    r.settings.FirstStart,
+		Intake:        dependencies.Intake,
 		Addresses:     func() any { return r.directory.Answer() },
 		Settings:      settings,
 	})
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -13,6 +13,8 @@
 	"github.com/spf13/pflag"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/intake"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
@@ -29,6 +31,7 @@
 	defaultMaxHeaderBytes   = 32 << 10
 	defaultMaxRequests      = 4096
 	defaultMaxConnections   = 8192
+	defaultMemoryBytes      = 512 << 20
 	defaultTimelineEvents   = 16384
 	defaultStopTimeout      = 2 * time.Minute
 	defaultAddressLifetime  = 10 * time.Second
@@ -42,6 +45,8 @@
 	minMaxHeaderBytes  = 4 << 10
 	maxMaxHeaderBytes  = 1 << 20
 	maxRequestLimit    = 1 << 20
+	minMemoryBytes     = 64 << 20
+	maxMemoryBytes     = 1 << 40
 	maxTimelineEvents  = 1 << 20
 	maxStopTimeout     = time.Hour
 	maxAddressLifetime = 5 * time.Minute
@@ -79,6 +84,8 @@
 	MaxRequests int
 	// MaxConnections is the maximum number of open caller connections.
 	MaxConnections int
+	// MemoryBytes is the memory that the process may use.
+	MemoryBytes int64
 	// TimelineEvents is the number of time line events that are kept.
 	TimelineEvents int
 	// StopTimeout is the timeout for a graceful shutdown.
@@ -109,6 +116,7 @@
 	flags.IntVar(&s.MaxHeaderBytes, "max-header-bytes", defaultMaxHeaderBytes, "maximum size of the request headers in bytes")
 	flags.IntVar(&s.MaxRequests, "max-requests", defaultMaxRequests, "maximum number of requests in flight")
 	flags.IntVar(&s.MaxConnections, "max-connections", defaultMaxConnections, "maximum number of open caller connections")
+	flags.Int64Var(&s.MemoryBytes, "memory-bytes", defaultMemoryBytes, "memory that the process may use, in bytes")
 	flags.IntVar(&s.TimelineEvents, "timeline-events", defaultTimelineEvents, "number of time line events kept")
 	flags.DurationVar(&s.StopTimeout, "stop-timeout", defaultStopTimeout, "timeout for a graceful shutdown")
 	flags.DurationVar(&s.AddressLifetime, "address-lifetime", defaultAddressLifetime, "how long callers may cache an address")
@@ -116,6 +124,13 @@
 	flags.BoolVar(&s.FirstStart, "first-start", false, "the fleet starts for the first time; its instances may use the retry burst at once")
 }
 
+// intakeLimits returns the limits of the connections of callers and operators.
+func (s *Settings) intakeLimits() intake.Limits {
+	limits := intake.LimitsOf(s.MemoryBytes, netconn.DescriptorLimit())
+	limits.Connections = min(limits.Connections, s.MaxConnections)
+	return limits
+}
+
 // EnvironmentName returns the name of the environment variable for a flag.
 func EnvironmentName(flag string) string {
 	return EnvironmentPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
@@ -171,6 +186,7 @@
 		checkRange("max-header-bytes", int64(s.MaxHeaderBytes), minMaxHeaderBytes, maxMaxHeaderBytes),
 		checkRange("max-requests", int64(s.MaxRequests), 1, maxRequestLimit),
 		checkRange("max-connections", int64(s.MaxConnections), 1, maxRequestLimit),
+		checkRange("memory-bytes", s.MemoryBytes, minMemoryBytes, maxMemoryBytes),
 		checkRange("timeline-events", int64(s.TimelineEvents), 1, maxTimelineEvents),
 		checkDuration("stop-timeout", s.StopTimeout, time.Second, maxStopTimeout),
 		checkDuration("address-lifetime", s.AddressLifetime, time.Second, maxAddressLifetime),
--- /dev/null
+++ b/test/exhaustion/serve_test.go
@@ -0,0 +1,129 @@
+package exhaustion
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"testing"
+
+	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/standin/configuration"
+	"github.com/umbercrank/umbercrank/pkg/standin/service"
+	"github.com/umbercrank/umbercrank/pkg/types"
+)
+
+// serveKey is the API key of the account of examples/quickstart.yaml.
+const serveKey = "quickstart-key"
+
+// startServe starts instances of `serve` with a configuration service and a plain service, and waits until
+// all of them serve.
+func startServe(t *testing.T, size int) []*instance {
+	t.Helper()
+	host := hosts()
+	calls := listen(t, host(workerHost))
+	plain := service.DefaultSettings()
+	plain.Name, plain.MaxBodyBytes = "queue", maxBodyBytes
+	serveHTTP(t, calls, service.New(plain).Handler())
+	published := configuration.New()
+	document, err := config.Parse([]byte(fmt.Sprintf(`
+classes:
+  - {name: claim, tier: 2, deadline_ms: 30000, floor: {starts: 1, interval_ms: 1000}}
+rules:
+  - {name: claims, when: 'kind == "service"', class: claim, target: queue}
+targets:
+  - {name: queue, kind: service, service: queue}
+upstreams:
+  - {id: queue-1, target: queue, data_centre: z, url: "http://%s", max_concurrent: 32}
+accounts:
+  - {id: clinic, key_sha256: [130a82f68d3064ef477880b571abfcf0f1f4aac4f9cd161aea5e6b543d2ee2d8], limits: {weight: 1}}
+`, calls.Addr())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := published.Publish(document); err != nil {
+		t.Fatal(err)
+	}
+	var list []types.Instance
+	for n := range size {
+		own := host(n + 1)
+		list = append(list, types.Instance{ID: types.InstanceID(fmt.Sprintf("entry-%d", n+1)), DataCentre: "z", CallerAddress: own + ":7100", PeerAddress: own + ":7200", State: types.InstanceLive})
+	}
+	published.SetInstances(list)
+	source := listen(t, host(storeHost))
+	serveHTTP(t, source, published.Handler())
+	var instances []*instance
+	for n, member := range list {
+		own := host(n + 1)
+		environment := []string{"UMBERCRANK_PEER_SECRET=exhaustion-secret", fmt.Sprint("UMBERCRANK_MEMORY_BYTES=", memoryMB<<20)}
+		instances = append(instances, startInstance(t, string(member.ID), own, map[string]string{"callers": member.CallerAddress, "admin": own + ":7300"}, environment,
+			"serve", "--instance", string(member.ID), "--data-centre", "z", "--caller-address", member.CallerAddress, "--peer-address", member.PeerAddress, "--admin-address", own+":7300",
+			"--platform-url", "http://"+source.Addr().String(), "--max-body-bytes", fmt.Sprint(maxBodyBytes), "--max-header-bytes", fmt.Sprint(maxHeaderBytes), "--log-level", "warn"))
+	}
+	for _, i := range instances {
+		if !await(func() bool { return ordinary(callersOfServe(i)) == nil }) {
+			t.Fatalf("%s does not serve", i.name)
+		}
+	}
+	return instances
+}
+
+// callersOfServe is the port for callers of an instance of `serve`.
+func callersOfServe(i *instance) endpoint {
+	return endpoint{address: i.addresses["callers"], method: "POST", target: "/v1/services/queue/claim", fields: func(int) string {
+		return "Host: h.example\r\nAuthorization: Bearer " + serveKey + "\r\nX-Umbercrank-Repeatable: true\r\n"
+	}}
+}
+
+// executedBy returns the requests to an endpoint that another instance must execute.
+func executedBy(t *testing.T, e endpoint, executor *instance) endpoint {
+	t.Helper()
+	response, err := http.Get("http://" + executor.addresses["callers"] + "/v1/addresses")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var known struct{ Incarnation, Window string }
+	if err := json.NewDecoder(response.Body).Decode(&known); err != nil {
+		t.Fatal(err)
+	}
+	e.fields = func(client int) string {
+		return fmt.Sprintf("Host: h.example\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s.%s.card-%d\r\n", serveKey, known.Incarnation, known.Window, client)
+	}
+	return e
+}
+
+// TestCallersOfServe lets a crowd abuse the port for callers.
+func TestCallersOfServe(t *testing.T) {
+	for _, a := range slices.Concat(group("head/", endlessHeads), group("lines/", legalHeads()), group("body/", openBodies()), []abuse{idleConnections}) {
+		t.Run(a.name, func(t *testing.T) {
+			instances := startServe(t, 1)
+			callers := callersOfServe(instances[0])
+			checkAbuse(t, a, callers, func() error { return ordinary(callers) }, instances...)
+		})
+	}
+}
+
+// TestExecutingInstanceOfServe lets a crowd abuse an instance with requests that another instance executes.
+func TestExecutingInstanceOfServe(t *testing.T) {
+	for _, a := range slices.Concat(group("lines/", completeHeads()), group("body/", completeBodies()), group("open/", openBodies())) {
+		t.Run(a.name, func(t *testing.T) {
+			instances := startServe(t, 2)
+			callers := callersOfServe(instances[0])
+			checkAbuse(t, a, executedBy(t, callers, instances[1]), func() error { return ordinary(callers) }, instances...)
+		})
+	}
+}
+
+// TestLegalRequestIsServedByServe checks that each request inside the limits is served in calm.
+func TestLegalRequestIsServedByServe(t *testing.T) {
+	callers := callersOfServe(startServe(t, 1)[0])
+	for client, a := range slices.Concat(group("lines/", completeHeads()), group("body/", completeBodies())) {
+		t.Run(a.name, func(t *testing.T) {
+			if err := exchange(callers.address, func(to io.Writer) error { return a.send(to, callers, client) }); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
