entry, upstream: the memory of a parsed chat completion is reserved

A body of 1 MB with half a million messages took some 30 times as much memory once it was parsed. A crowd of 600 made an instance of serve take 1,682 MB, which ends it on a small machine.

Cause: only the bytes of a body counted, not the values that they become.

Change: before it is parsed, twice the body and 80 bytes for each comma are reserved; without that the request is refused as not run.

TestChatOfServe failed before (1,682 MB of 115 allowed) and passes now (104 MB at a soft limit of 0.7; x86-64, nothing beside it).

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// grow reserves further memory for the request, or returns false if there is none.
+func (m *requestMemory) grow(n int64) bool {
+	if !m.Reserve(n) {
+		return false
+	}
+	m.reserved += n
+	return true
+}
+
 // release returns the memory when the request has ended.
 func (m *requestMemory) release() {
 	if m == nil {
--- a/pkg/upstream/chat.go
+++ b/pkg/upstream/chat.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -45,6 +46,15 @@
 	} `json:"stream_options"`
 }
 
+// elementBytes is the memory of a value in an array, with what the growing array leaves.
+const elementBytes = 80
+
+// ChatMemory returns the memory that a parsed body takes at most beyond the body itself, of which each value is
+// held twice.
+func ChatMemory(body []byte) int64 {
+	return 2*int64(len(body)) + elementBytes*int64(bytes.Count(body, []byte(",")))
+}
+
 // ParseChat parses the body of a chat completion request. It returns an error with
 // the code BadRequest if the body is not an object with a model and messages.
 func ParseChat(body []byte) (*ChatRequest, error) {
--- a/test/exhaustion/serve_test.go
+++ b/test/exhaustion/serve_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
@@ -105,6 +106,28 @@
 	}
 }
 
+// chatOfServe are requests for a chat completion.
+func chatOfServe(i *instance) endpoint {
+	e := callersOfServe(i)
+	e.target = "/v1/chat/completions"
+	return e
+}
+
+// manyMessages is a body of legal size with as many messages as fit.
+var manyMessages = abuse{"many messages", 0, func(to io.Writer, e endpoint, client int) error {
+	const start, message, end = `{"model":"demo-model","messages":[0`, ",0", "]}"
+	body := start + strings.Repeat(message, (maxBodyBytes-len(start)-len(end))/len(message)) + end
+	_, err := fmt.Fprintf(to, "%sContent-Length: %d\r\n\r\n%s", e.start(client), len(body), body)
+	return err
+}}
+
+// TestChatOfServe lets a crowd send bodies that take much more memory once they are parsed.
+func TestChatOfServe(t *testing.T) {
+	instances := startServe(t, 1)
+	callers := callersOfServe(instances[0])
+	checkAbuse(t, manyMessages, chatOfServe(instances[0]), func() error { return ordinary(callers) }, instances...)
+}
+
 // TestExecutingInstanceOfServe lets a crowd abuse an instance with requests that another instance executes.
 func TestExecutingInstanceOfServe(t *testing.T) {
 	for _, a := range slices.Concat(group("lines/", completeHeads()), group("body/", completeBodies()), group("open/", openBodies())) {
