node, netconn: a header of legal size is served if another instance executes the request

Cause: an instance writes the fields that it forwards with a blank behind the colon and CRLF, and adds some. A header of many short lines grows beyond the limit on the way.

Change: the size limit is checked by the handler, and not for requests that another instance has forwarded; twice the limit bounds these. What is above is refused before it is parsed, and what is below is paid for like any header.

--- a/pkg/entry/idempotency.go
+++ b/pkg/entry/idempotency.go
@@ -18,6 +18,9 @@
 	headerHop = "X-Umbercrank-Hop"
 )
 
+// IsForwarded reports whether another instance has forwarded the request to the executor of its key.
+func IsForwarded(r *http.Request) bool { return r.Header.Get(headerHop) != "" }
+
 // serveIdempotent serves a request that is not repeatable. The instance named by
 // the idempotency key executes it at most once, and every duplicate gets the same
 // outcome.
@@ -89,7 +92,7 @@
 // forward sends the request once to the instance that the key names. Its failures
 // never have the run state NotRun, because a duplicate may have run there.
 func (e *Entry) forward(w http.ResponseWriter, in inboundRequest, key idempotency.Key) error {
-	if in.httpRequest.Header.Get(headerHop) != "" {
+	if IsForwarded(in.httpRequest) {
 		return unknownOutcome(nil, "the executor of the idempotency key is not this instance")
 	}
 	executor, ok := e.options.View.Instance(key.Incarnation)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/configservice"
+	"github.com/umbercrank/umbercrank/pkg/entry"
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
@@ -70,7 +71,7 @@
 		ring:        timeline.NewRing(types.InstanceID(settings.Instance), settings.TimelineEvents, time.Now),
 	}
 	n.logger = logger.With().Str("instance", settings.Instance).Str("incarnation", string(n.incarnation)).Logger()
-	n.intake = netconn.Intake{Pool: intake.NewPool(settings.intakeLimits()), Clock: clock.Boot, HeaderBytes: func() int { return settings.MaxHeaderBytes }}
+	n.intake = netconn.Intake{Pool: intake.NewPool(settings.intakeLimits()), Clock: clock.Boot, HeaderBytes: n.maxForwardedHeader}
 	lifecycle, err := newLifecycle(n.logger)
 	if err != nil {
 		return nil, err
@@ -159,10 +160,10 @@
 // buildHTTPServers creates the HTTP servers for callers and operators.
 func (n *Node) buildHTTPServers() {
 	n.callerServer = &http.Server{
-		Handler:           netconn.Handler(n.requireReady(n.roles.Handler())),
+		Handler:           netconn.CheckedHandler(n.requireReady(n.roles.Handler()), n.checkHeader),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    n.settings.MaxHeaderBytes,
+		MaxHeaderBytes:    n.maxForwardedHeader(),
 		ConnContext:       netconn.ConnContext,
 		// All requests are checked by the handler.
 		DisableGeneralOptionsHandler: true,
@@ -170,6 +171,18 @@
 	n.adminServer = netconn.NewServer(n.adminHandler())
 }
 
+// maxForwardedHeader returns the maximum size of the headers that another instance forwards. It writes fields in
+// another form than the caller, with blanks and longer line ends.
+func (n *Node) maxForwardedHeader() int { return 2 * n.settings.MaxHeaderBytes }
+
+// checkHeader returns an error if the header of a request is above the limit for callers.
+func (n *Node) checkHeader(r *http.Request, header netconn.RequestHeader) *fault.Error {
+	if header.Bytes > n.settings.MaxHeaderBytes && !entry.IsForwarded(r) {
+		return netconn.ErrHeaderTooLarge
+	}
+	return nil
+}
+
 // bound returns a listener whose connections are bounded together with those of the others.
 func (n *Node) bound(listener net.Listener) net.Listener {
 	return netconn.ServerListener{Listener: listener, Intake: n.intake}
