exhaustion: a single chat completion of many messages is parsed in calm

The test checks that one body of 1 MB with half a million messages passes the reservation of its memory (404, since no target serves its model) before the crowd sends it.

--- a/test/exhaustion/serve_test.go
+++ b/test/exhaustion/serve_test.go
@@ -125,6 +125,11 @@
 func TestChatOfServe(t *testing.T) {
 	instances := startServe(t, 1)
 	callers := callersOfServe(instances[0])
+	// No target serves the model, which is known once the body is parsed.
+	chat := chatOfServe(instances[0])
+	if err := exchange(chat.address, func(to io.Writer) error { return manyMessages.send(to, chat, 0) }); err == nil || !strings.Contains(err.Error(), "status 404") {
+		t.Errorf("a single request: %v", err)
+	}
 	checkAbuse(t, manyMessages, chatOfServe(instances[0]), func() error { return ordinary(callers) }, instances...)
 }
 
