--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -155,7 +155,8 @@
 	if account == nil {
 		return nil
 	}
-	phase, cost := c.phase(c.Requests.Position())
+	position := c.Requests.Position()
+	phase, cost := c.phase(position)
 	if n == 0 {
 		if account.IsEvicted() {
 			return c.evictedError(phase)
@@ -166,14 +167,23 @@
 	case intake.Evicted:
 		return c.evictedError(phase)
 	case intake.Unpaid:
-		if c.charge.handling.Load() {
+		switch {
+		case c.charge.handling.Load():
 			return ErrNoMemory
+		case c.isTooLarge(position):
+			return c.refuse(ErrHeaderTooLarge)
 		}
 		return c.refuse(ErrNoMemory)
 	}
 	return nil
 }
 
+// isTooLarge reports whether the header that is partly received is above the limit.
+func (c *ServerConn) isTooLarge(position Position) bool {
+	limit := c.charge.intake.headerBytes()
+	return limit > 0 && position.PartialBytes > limit
+}
+
 // checkHeader returns an error if no further byte is read, because of the header that is partly received or
 // because the connection must make room.
 func (c *ServerConn) checkHeader() error {
@@ -188,7 +198,7 @@
 	if c.charge.handling.Load() {
 		return nil
 	}
-	if limit := c.charge.intake.headerBytes(); limit > 0 && position.PartialBytes > limit {
+	if c.isTooLarge(position) {
 		return c.refuse(ErrHeaderTooLarge)
 	}
 	if position.Lost {
--- a/pkg/netconn/requestscanner.go
+++ b/pkg/netconn/requestscanner.go
@@ -119,9 +119,13 @@
 	for _, h := range s.headers {
 		p.WaitingBytes, p.WaitingLines = max(p.WaitingBytes, h.Bytes), max(p.WaitingLines, h.Lines)
 	}
-	emptyLine := s.header.bytes == 0 && (s.lineBytes == 0 || s.lineBytes == 1 && s.line[0] == '\r')
-	if s.state == scanHeader && !emptyLine {
-		p.PartialBytes, p.PartialLines = s.header.bytes+s.lineBytes, s.header.lines+1
+	if s.state == scanHeader {
+		p.PartialBytes, p.PartialLines = s.header.bytes, s.header.lines
+		// The line may be the empty one, which does not count.
+		if empty := s.lineBytes == 0 || s.lineBytes == 1 && s.line[0] == '\r'; !empty {
+			p.PartialBytes += s.lineBytes
+			p.PartialLines++
+		}
 	}
 	return p
 }
