--- a/pkg/entry/endless_test.go
+++ b/pkg/entry/endless_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -48,10 +49,10 @@
 	return r.transport.RoundTrip(request)
 }
 
-// TestEndlessResponseIsCutOff checks for every part of a response that the upstream is
+// TestEndlessUpstreamResponseIsCutOff checks for every part of a response that the upstream is
 // disconnected after a bounded number of bytes, that the attempt counts against it, and
 // that the caller gets a failure or a stream without its last event.
-func TestEndlessResponseIsCutOff(t *testing.T) {
+func TestEndlessUpstreamResponseIsCutOff(t *testing.T) {
 	for _, endless := range httpfakes.EndlessResponses("") {
 		for _, path := range []string{"/v1/services/queue/x", chatURL} {
 			if endless.Stream && path != chatURL {
@@ -71,8 +72,13 @@
 				if w.Code < 400 && !(endless.Stream && !strings.Contains(w.Body.String(), "[DONE]")) {
 					t.Errorf("the caller got a complete response with status %d", w.Code)
 				}
-				if n := <-written; n > DefaultSettings().MaxAnswerBytes+endlessSlack {
-					t.Errorf("the upstream wrote %d bytes before it was disconnected", n)
+				select {
+				case n := <-written:
+					if n > DefaultSettings().MaxAnswerBytes+endlessSlack {
+						t.Errorf("the upstream wrote %d bytes before it was disconnected", n)
+					}
+				case <-time.After(time.Minute):
+					t.Fatalf("the upstream has not written its response; the caller got status %d: %s", w.Code, w.Body)
 				}
 				if ends := f.granter.Finished(); len(ends) == 0 || ends[0].Reason == pool.FinishComplete {
 					t.Errorf("the attempts ended as %+v", ends)
