netconn: the receive buffer of a large body does not outlast its request

A crowd of connections that had each sent one large body could hold 64 kB unread each for which nothing was reserved.

Change: the buffer has its former size again once the handler has returned.

--- a/pkg/netconn/buffers.go
+++ b/pkg/netconn/buffers.go
@@ -51,16 +51,17 @@
 	}
 }
 
-// growReceiveBuffer lets the kernel hold more of a large body, so that it arrives in fewer round trips.
-func growReceiveBuffer(conn net.Conn) {
+// setReceiveBuffer sets how much the kernel may hold of what a caller sends. More than idleBufferBytes lets a
+// large body arrive in fewer round trips.
+func setReceiveBuffer(conn net.Conn, size int) {
 	raw, ok := rawConn(conn)
 	if !ok {
 		return
 	}
-	// A kernel that refuses keeps the smaller buffer.
+	// A kernel that refuses keeps the buffer.
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, largeBufferBytes)
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, grownBufferBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, 2*size)
 	})
 }
 
--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -276,9 +276,13 @@
 	return nil
 }
 
-// endCharge releases the memory of the request.
+// endCharge releases the memory of the request, and that of a larger receive buffer.
 func (c *ServerConn) endCharge() {
 	c.charge.handling.Store(false)
+	if c.charge.grown {
+		c.charge.grown = false
+		setReceiveBuffer(c.Conn, idleBufferBytes)
+	}
 	if c.charge.account != nil {
 		phase, cost := c.phase(c.Requests.Position())
 		c.charge.account.End(c.charge.intake.Clock(), phase, cost)
@@ -291,7 +295,7 @@
 	ok := c.reserve(n)
 	if ok && n >= largeBodyBytes && !c.charge.grown && c.reserve(grownBufferBytes) {
 		c.charge.grown = true
-		growReceiveBuffer(c.Conn)
+		setReceiveBuffer(c.Conn, largeBufferBytes)
 	}
 	return ok
 }
--- a/pkg/netconn/intake_test.go
+++ b/pkg/netconn/intake_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/fault"
@@ -213,6 +214,35 @@
 	}
 }
 
+// TestReceiveBufferIsThatOfTheRequest guards against connections that keep the buffer of a large body without paying
+// for it.
+func TestReceiveBufferIsThatOfTheRequest(t *testing.T) {
+	listener, err := BoundListeners(ListenConfig()).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialIntake(t, listener.Addr().String())
+	conn, err := Intake{Pool: intake.NewPool(intake.Limits{Memory: 1 << 20, Connections: 1}), Clock: clock.Boot}.Accept(listener)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	size := func() (bytes int) {
+		raw, _ := rawConn(conn.Conn)
+		_ = raw.Control(func(fd uintptr) { bytes, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) })
+		return bytes
+	}
+	idle := size()
+	conn.BeginRequest()
+	if !conn.Reserve(largeBodyBytes) || size() <= idle {
+		t.Errorf("%d bytes for a large body, %d for an idle connection", size(), idle)
+	}
+	if conn.EndRequest(); size() != idle {
+		t.Errorf("%d bytes after the request, %d before", size(), idle)
+	}
+}
+
 // TestRefusalsAreLogged checks that connections and requests without room are counted in the log.
 func TestRefusalsAreLogged(t *testing.T) {
 	pool := intake.NewPool(intake.Limits{Memory: 1 << 20})
