entry: the memory of a detached execution is released before its outcome is told

Cause: since the execution of a key holds the memory of its request, and released it after the outcome had been told, so a caller that sent its next request at once could be refused for memory that was not in use any more.

Change: the memory is released first.

--- a/pkg/entry/idempotency.go
+++ b/pkg/entry/idempotency.go
@@ -60,9 +60,10 @@
 // duplicates get the outcome even if the caller disconnects.
 func (e *Entry) executeDetached(answer *responseBuffer, in inboundRequest, scopedKey idempotency.ScopedKey) {
 	in.httpRequest = in.httpRequest.WithContext(netconn.WithoutCaller(in.httpRequest.Context()))
-	defer in.memory.release()
 	in.mayExecute = func() bool { return e.keys.IsOpen(scopedKey.Key.Window) }
 	err := e.admitAndServe(answer, in)
+	// The caller may send its next request as soon as it has the outcome.
+	in.memory.release()
 	e.keys.Finish(scopedKey, answer.result(err))
 }
 
