intake, netconn, gateway, entry: one reservation for a request, one copy of its errors, no code without a use

From reading the change once more; behaviour stays as it is.

- The gateway and the entry each kept what a request had reserved, and each had an adapter of the pool. intake.Reservation serves both; the pool is a Reserver itself (TryAcquire is Reserve), and transit uses that interface in place of its own.
- "No memory", "evicted" and "body too large" were defined in netconn and in the gateway, and once more in intake as errors without a type, which both callers translated.
They are typed errors of intake now.
- The soft limit of the garbage collector was a constant of edge and one of node: intake.HeapLimit.
- The scanner counted complete headers so that two positions could be compared around each read; whether one waits for its handler says the same, with one look less for each read.
- Pool.Detached and the accounts without a connection had no use; NewServerConn had none beside its twin in Accept.
- The tests of exhaustion listed the same kinds of requests six times, checked what happens beside a crowd twice, and formatted addresses twice.
Cases, crowds, bounds and checks are the same.

Seen and left: the constant of 250 ms for bodies that are discarded stands in gateway and netconn; gateway.handle and netconn.CheckedHandler take the same steps; test/exhaustion has a store and a worker of its own beside those of the soak.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -78,9 +78,6 @@
 }
 
 const (
-	// memoryShare is the fraction of the memory limit that is set as the soft limit of
-	// the garbage collector. The rest is for stacks and socket buffers.
-	memoryShare = 0.65
 	// gcPercent is that of the garbage collector.
 	gcPercent = 100
 	// retryBudgetShare is the fraction of the retry bounds that is used, because
@@ -236,7 +233,7 @@
 	e.publishMetrics()
 	debug.SetGCPercent(gcPercent)
 	if e.settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(e.settings.MemoryLimit)))
+		debug.SetMemoryLimit(intake.HeapLimit(e.settings.MemoryLimit))
 	}
 	// A process that is stopping gives this address up last. Callers must not connect before.
 	if err := e.peers.Listen(ctx); err != nil {
--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -17,91 +17,37 @@
 	"github.com/umbercrank/umbercrank/pkg/types"
 )
 
-// requestMemory is the memory that is reserved for a request.
-type requestMemory struct {
-	pool *intake.Pool
-	// conn has reserved the memory, unless it is nil.
-	conn     *netconn.ServerConn
-	reserved int64
-}
-
-// Reserve implements intake.Reserver.
-func (m *requestMemory) Reserve(n int64) bool {
-	if m.conn != nil {
-		return m.conn.Reserve(n)
-	}
-	return m.pool.TryAcquire(n)
-}
-
-// Release implements intake.Reserver.
-func (m *requestMemory) Release(n int64) {
-	if m.conn != nil {
-		m.conn.Release(n)
-	} else {
-		m.pool.Release(n)
-	}
-}
-
-// grow reserves further memory for the request, or returns false if there is none.
-func (m *requestMemory) grow(n int64) bool {
-	if !m.Reserve(n) {
-		return false
-	}
-	m.reserved += n
-	return true
-}
-
-// release returns the memory when the request has ended.
-func (m *requestMemory) release() {
-	if m == nil {
-		return
-	}
-	m.Release(m.reserved)
-	m.reserved = 0
-}
-
-// detach returns the memory of a request that may last longer than its connection.
-func (m *requestMemory) detach() *requestMemory {
-	if m == nil {
-		return nil
-	}
-	if m.conn != nil {
-		m.reserved = m.conn.Detach()
-		m.conn = nil
+// reserver returns the memory of the caller's connection, or that of the instance.
+func (e *Entry) reserver(r *http.Request) intake.Reserver {
+	if conn, ok := netconn.ServerConnOf(r.Context()).(*netconn.ServerConn); ok {
+		return conn
 	}
-	detached := *m
-	m.reserved = 0
-	return &detached
+	return e.memory
 }
 
-// readBody returns the complete body and its memory, which must be released
-// once. The error has the code BodyTooLarge if the body
-// exceeds the limit, Overloaded if the memory is used up, and
+// readBody returns the complete body and its memory, which must be released. The error has the code
+// BodyTooLarge if the body exceeds the limit, Overloaded if the memory is used up, and
 // BadRequest if the body does not arrive in time.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *requestMemory, error) {
-	memory := &requestMemory{pool: e.memory}
-	memory.conn, _ = netconn.ServerConnOf(r.Context()).(*netconn.ServerConn)
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *intake.Reservation, error) {
+	memory := intake.NewReservation(e.reserver(r))
 	// A writer that does not support deadlines is bounded by the request's context.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(e.settings.BodyTimeout))
-	body, reserved, err := intake.ReadBody(r.Body, r.ContentLength, e.settings.MaxBodyBytes, memory)
+	body, err := intake.ReadBody(r.Body, r.ContentLength, e.settings.MaxBodyBytes, memory)
 	_ = control.SetReadDeadline(time.Time{})
-	memory.reserved = reserved
 	if err == nil {
 		return body, memory, nil
 	}
-	memory.release()
+	memory.Release()
 	// The rest of the body is not read.
 	w.Header().Set("Connection", "close")
 	switch {
-	case errors.Is(err, intake.ErrTooLarge):
-		return nil, nil, fault.Wrap(fault.BodyTooLarge, err, "the request body exceeds the size limit")
 	case errors.Is(err, intake.ErrNoMemory):
-		return nil, nil, netconn.ErrNoMemory.WithRetryAfter(e.settings.BusyRetryAfter)
-	case errors.Is(err, netconn.ErrNoMemory), errors.Is(err, netconn.ErrEvicted):
-		return nil, nil, fault.From(err).WithRetryAfter(e.settings.BusyRetryAfter)
+		err = fault.From(err).WithRetryAfter(e.settings.BusyRetryAfter)
+	case !errors.Is(err, intake.ErrBodyTooLarge):
+		err = fault.Wrap(fault.BadRequest, err, "cannot read the request body")
 	}
-	return nil, nil, fault.Wrap(fault.BadRequest, err, "cannot read the request body")
+	return nil, nil, err
 }
 
 // admission is an admitted request. release must be called when it ends.
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -95,7 +95,7 @@
 
 // acquire accounts for a number of bytes, or returns an error if other requests use all memory.
 func (m *answerMemory) acquire(count int) error {
-	if !m.shared.TryAcquire(int64(count)) {
+	if !m.shared.Reserve(int64(count)) {
 		return fault.New(fault.AnswerTooLarge, "the bodies of other requests and answers use all buffer memory")
 	}
 	m.used += int64(count)
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -8,7 +8,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/config"
 	"github.com/umbercrank/umbercrank/pkg/fault"
-	"github.com/umbercrank/umbercrank/pkg/netconn"
+	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/rules"
 	"github.com/umbercrank/umbercrank/pkg/upstream"
 )
@@ -27,9 +27,9 @@
 	if err != nil {
 		return e.withKeyRunState(in, err)
 	}
-	defer memory.release()
-	if !memory.grow(upstream.ChatMemory(body)) {
-		return e.withKeyRunState(in, netconn.ErrNoMemory.WithRetryAfter(e.settings.BusyRetryAfter))
+	defer memory.Release()
+	if !memory.Reserve(upstream.ChatMemory(body)) {
+		return e.withKeyRunState(in, intake.ErrNoMemory.WithRetryAfter(e.settings.BusyRetryAfter))
 	}
 	in.body, in.memory = body, memory
 	chat, err := parseChat(in)
--- a/pkg/entry/endless_test.go
+++ b/pkg/entry/endless_test.go
@@ -133,7 +133,7 @@
 			t.Errorf("a small answer afterwards: %d %.200s", w.Code, w.Body)
 		}
 	}
-	if !f.entry.memory.TryAcquire(settings.BodyMemoryBytes) {
+	if !f.entry.memory.Reserve(settings.BodyMemoryBytes) {
 		t.Error("memory of answers was not released")
 	}
 }
--- a/pkg/entry/idempotency.go
+++ b/pkg/entry/idempotency.go
@@ -40,7 +40,7 @@
 	}
 	keyCounts.Add(action.String(), 1)
 	if action == idempotency.Execute {
-		in.memory = in.memory.detach()
+		in.memory = in.memory.Detach(e.memory)
 		go e.executeDetached(newResponseBuffer(w.Header(), e.settings.MaxAnswerBytes), in, scopedKey)
 	}
 	if action == idempotency.Wait {
@@ -63,7 +63,7 @@
 	in.mayExecute = func() bool { return e.keys.IsOpen(scopedKey.Key.Window) }
 	err := e.admitAndServe(answer, in)
 	// The caller may send its next request as soon as it has the outcome.
-	in.memory.release()
+	in.memory.Release()
 	e.keys.Finish(scopedKey, answer.result(err))
 }
 
--- a/pkg/entry/idempotency_test.go
+++ b/pkg/entry/idempotency_test.go
@@ -134,7 +134,7 @@
 		if w := f.postClaim(ownKey, "x"); w.Code != 200 {
 			t.Fatalf("%d %s", w.Code, w.Body)
 		}
-		if !f.entry.memory.TryAcquire(DefaultSettings().BodyMemoryBytes) {
+		if !f.entry.memory.Reserve(DefaultSettings().BodyMemoryBytes) {
 			t.Fatal("the memory for bodies is in use")
 		}
 		tests := []struct {
--- a/pkg/entry/inbound.go
+++ b/pkg/entry/inbound.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/quarantine"
 	"github.com/umbercrank/umbercrank/pkg/rules"
 )
@@ -19,7 +20,7 @@
 	attributes rules.Attributes
 	body       []byte
 	// memory is that of the request.
-	memory *requestMemory
+	memory *intake.Reservation
 	// parts are the fingerprints of the messages that other requests may share.
 	parts []quarantine.Fingerprint
 	// mayExecute, if set, is checked right before the first byte is sent to an
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return e.withKeyRunState(in, err)
 	}
-	defer memory.release()
+	defer memory.Release()
 	repeatable, err := parseRepeatable(r.Header, repeatableMethod(r.Method))
 	if err != nil {
 		return e.withKeyRunState(in, err)
--- a/pkg/entry/stalled_test.go
+++ b/pkg/entry/stalled_test.go
@@ -46,7 +46,7 @@
 	if w.Body.Len() > 2*int(settings.BodyMemoryBytes) {
 		t.Errorf("the text of a stream grew to %d bytes, the memory has %d", w.Body.Len(), settings.BodyMemoryBytes)
 	}
-	if !f.entry.memory.TryAcquire(settings.BodyMemoryBytes) {
+	if !f.entry.memory.Reserve(settings.BodyMemoryBytes) {
 		t.Error("memory of the text was not released")
 	}
 }
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -19,19 +19,13 @@
 	// Setting a deadline fails only for the writers of tests, whose callers do not
 	// stall.
 	_ = control.SetReadDeadline(time.Now().Add(q.remaining()))
-	body, reserved, err := intake.ReadBody(q.incoming.Body, q.incoming.ContentLength, q.catalog.Limits.BodyBytes, q.memory())
+	q.memory = intake.NewReservation(q.reserver())
+	body, err := intake.ReadBody(q.incoming.Body, q.incoming.ContentLength, q.catalog.Limits.BodyBytes, q.memory)
 	_ = control.SetReadDeadline(time.Time{})
-	q.bodyReserved = reserved
 	switch {
-	case errors.Is(err, netconn.ErrEvicted), errors.Is(err, netconn.ErrNoMemory):
+	case errors.Is(err, intake.ErrNoMemory), errors.Is(err, intake.ErrBodyTooLarge):
 		q.bodyAbandoned = true
 		return fault.From(err)
-	case errors.Is(err, intake.ErrNoMemory):
-		q.bodyAbandoned = true
-		return netconn.ErrNoMemory
-	case errors.Is(err, intake.ErrTooLarge):
-		q.bodyAbandoned = true
-		return errBodyTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.bodyAbandoned = true
 		return fault.Wrap(fault.DeadlineUnreachable, err, "timed out while reading the request body").WithRetryAfter(instanceRetryAfter)
@@ -42,24 +36,10 @@
 	return nil
 }
 
-var errBodyTooLarge = fault.New(fault.BodyTooLarge, "the request body exceeds the size limit")
-
-// memory returns that of the caller's connection.
-func (q *request) memory() intake.Reserver {
+// reserver returns the memory of the caller's connection, or that of the instance.
+func (q *request) reserver() intake.Reserver {
 	if caller, ok := netconn.ServerConnOf(q.incoming.Context()).(*callerConn); ok {
 		return caller
 	}
-	return unconnected{q.gateway.options.Intake}
-}
-
-// unconnected is the memory of requests without a connection.
-type unconnected struct{ *intake.Pool }
-
-// Reserve implements intake.Reserver.
-func (u unconnected) Reserve(n int64) bool { return u.TryAcquire(n) }
-
-// releaseBody releases the memory of the body.
-func (q *request) releaseBody() {
-	q.memory().Release(q.bodyReserved)
-	q.bodyReserved = 0
+	return q.gateway.options.Intake
 }
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -106,7 +106,7 @@
 	g.describeRequest(q, result)
 	if failure == nil {
 		failure = q.readBody()
-		defer q.releaseBody()
+		defer func() { q.memory.Release() }()
 	}
 	if failure == nil {
 		failure = q.checkQuarantine()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -275,8 +275,8 @@
 	upstreamFailure *keptResponse
 	// headerSent reports whether the response header was passed to the caller.
 	headerSent bool
-	// bodyReserved is the memory that is reserved for the body.
-	bodyReserved int64
+	// memory is what is reserved for the body, or nil before it is read.
+	memory *intake.Reservation
 	// bodyRead reports whether the whole body was read, bodyAbandoned whether its
 	// rest is left unread.
 	bodyRead, bodyAbandoned bool
@@ -327,7 +327,7 @@
 	if failure := q.resolve(); failure != nil {
 		return failure
 	}
-	defer q.releaseBody()
+	defer func() { q.memory.Release() }()
 	if failure := q.readBody(); failure != nil {
 		return failure
 	}
--- a/pkg/gateway/header_tracker.go
+++ b/pkg/gateway/header_tracker.go
@@ -39,8 +39,8 @@
 	since time.Duration
 }
 
-// observe records what was read: whether a header was completed, and whether one is partly received. It
-// returns false if the connection is being closed, and the bytes must not be passed on.
+// observe records what was read: whether a complete header waits for its handler, and whether one is partly
+// received. It returns false if the connection is being closed, and the bytes must not be passed on.
 func (h *headerTracker) observe(complete, partial bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -181,9 +181,8 @@
 // Read implements net.Conn and tracks the phase. While the connection is being
 // closed, it returns the error of a closed one, to which net/http writes no response.
 func (c *callerConn) Read(b []byte) (int, error) {
-	before := c.Requests.Position()
 	n, err := c.ServerConn.Read(b)
-	if after := c.Requests.Position(); !c.header.observe(after.Ended > before.Ended, after.PartialBytes > 0) {
+	if position := c.Requests.Position(); !c.header.observe(position.Waiting > 0, position.PartialBytes > 0) {
 		return 0, c.ClosedError()
 	}
 	return n, err
--- a/pkg/intake/account.go
+++ b/pkg/intake/account.go
@@ -23,8 +23,6 @@
 type Account struct {
 	pool  *Pool
 	evict func(Phase)
-	// detached accounts belong to no connection.
-	detached bool
 
 	// The fields below are guarded by the lock of the pool.
 	phase Phase
@@ -199,7 +197,7 @@
 func (a *Account) enter(now time.Duration, phase Phase) {
 	a.phase, a.progressAt, a.received = phase, now, 0
 	switch {
-	case a.detached || a.closed:
+	case a.closed:
 	case phase == Serving:
 		a.unlist()
 	case a.element == nil:
@@ -223,7 +221,7 @@
 
 // closeSlot makes the connection not count as open. The lock of the pool must be held.
 func (a *Account) closeSlot() {
-	if !a.slotless && !a.detached {
+	if !a.slotless {
 		a.slotless = true
 		a.pool.open--
 	}
--- a/pkg/intake/pool.go
+++ b/pkg/intake/pool.go
@@ -33,6 +33,9 @@
 	// reservedDescriptors are not for sockets. Of the others, half are for callers and half for
 	// upstreams and peers.
 	reservedDescriptors = 200
+	// heapShare is the part of an instance's memory that its heap should not exceed. The rest is for the program
+	// and for what the kernel holds.
+	heapShare = 0.65
 	// defaultMemory is the memory of an instance without a limit.
 	defaultMemory = 256 << 20
 )
@@ -59,6 +62,9 @@
 	return limits
 }
 
+// HeapLimit returns the soft limit of the garbage collector of an instance with the given memory, in bytes.
+func HeapLimit(memory int64) int64 { return int64(heapShare * float64(memory)) }
+
 // Phase is what a connection does.
 type Phase int
 
@@ -144,12 +150,9 @@
 	return a, fits
 }
 
-// Detached returns an account for requests that do not belong to a connection of the pool.
-func (p *Pool) Detached() *Account { return &Account{pool: p, detached: true, phase: Serving} }
-
-// TryAcquire reserves memory for something else than a request, or returns false if there is none. A nil
+// Reserve reserves memory for something else than the request of a connection, or returns false if there is none. A nil
 // Pool has no bounds.
-func (p *Pool) TryAcquire(n int64) bool {
+func (p *Pool) Reserve(n int64) bool {
 	if p == nil {
 		return true
 	}
@@ -163,7 +166,7 @@
 	return true
 }
 
-// Release returns memory that TryAcquire has reserved.
+// Release returns memory that Reserve has reserved.
 func (p *Pool) Release(n int64) {
 	if p == nil {
 		return
--- a/pkg/intake/pool_test.go
+++ b/pkg/intake/pool_test.go
@@ -207,14 +207,15 @@
 		if rapid.Bool().Draw(t, "halves") {
 			reader = iotest.HalfReader(reader)
 		}
-		body, reserved, err := ReadBody(reader, length, limit, memory)
-		if reserved != memory.used || int64(len(body)) > reserved {
-			t.Fatalf("%d bytes of body, %d reserved, %d in use", len(body), reserved, memory.used)
+		reservation := NewReservation(memory)
+		body, err := ReadBody(reader, length, limit, reservation)
+		if reservation.held != memory.used || int64(len(body)) > reservation.held {
+			t.Fatalf("%d bytes of body, %d reserved, %d in use", len(body), reservation.held, memory.used)
 		}
 		switch {
 		case err == nil && len(body) != size:
 			t.Fatalf("%d bytes of %d", len(body), size)
-		case errors.Is(err, ErrTooLarge) != (limit > 0 && int64(size) > limit) && !errors.Is(err, ErrNoMemory):
+		case errors.Is(err, ErrBodyTooLarge) != (limit > 0 && int64(size) > limit) && !errors.Is(err, ErrNoMemory):
 			t.Fatalf("%d bytes with a limit of %d: %v", size, limit, err)
 		case errors.Is(err, ErrNoMemory) && int64(4*size+firstBodyBlock) < memory.limit:
 			t.Fatalf("%d bytes, %d of memory: %v", size, memory.limit, err)
--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// intakeRetryAfter is the retry delay for a caller for whose request there is no memory.
-	intakeRetryAfter = 100 * time.Millisecond
 	// reserveWait bounds the wait for memory that other requests were told to release, and
 	// reserveInterval is the time between two looks.
 	reserveWait     = 100 * time.Millisecond
@@ -30,14 +28,8 @@
 	lingerBytes   = 256 << 10
 )
 
-var (
-	// ErrNoMemory is the error of a request for which there is no memory.
-	ErrNoMemory = fault.New(fault.Overloaded, "other requests use all buffer memory").WithRetryAfter(intakeRetryAfter)
-	// ErrEvicted is the error of a body that made no progress while others needed its memory.
-	ErrEvicted = fault.New(fault.Overloaded, "the request body stalled while other requests needed its memory").WithRetryAfter(intakeRetryAfter)
-	// ErrHeaderTooLarge is the error of a header above the limit.
-	ErrHeaderTooLarge = fault.New(fault.HeaderTooLarge, "the request header exceeds the size limit")
-)
+// ErrHeaderTooLarge is the error of a header above the limit.
+var ErrHeaderTooLarge = fault.New(fault.HeaderTooLarge, "the request header exceeds the size limit")
 
 // Intake bounds the connections of a listener.
 type Intake struct {
@@ -66,7 +58,7 @@
 		if err != nil {
 			return nil, err
 		}
-		conn := &ServerConn{Conn: inner}
+		conn := NewServerConn(inner)
 		if i.Pool == nil {
 			return conn, nil
 		}
@@ -169,11 +161,11 @@
 	case intake.Unpaid:
 		switch {
 		case c.charge.handling.Load():
-			return ErrNoMemory
+			return intake.ErrNoMemory
 		case c.isTooLarge(position):
 			return c.refuse(ErrHeaderTooLarge)
 		}
-		return c.refuse(ErrNoMemory)
+		return c.refuse(intake.ErrNoMemory)
 	}
 	return nil
 }
@@ -211,7 +203,7 @@
 // evictedError returns the error of a read from a connection that must make room.
 func (c *ServerConn) evictedError(phase intake.Phase) error {
 	if phase == intake.Body {
-		return ErrEvicted
+		return intake.ErrEvicted
 	}
 	return c.ClosedError()
 }
@@ -271,7 +263,7 @@
 	phase, _ := c.phase(c.Requests.Position())
 	c.charge.account.Begin(c.charge.intake.Clock(), phase)
 	if !c.reserve(intake.RequestBytes) {
-		return ErrNoMemory
+		return intake.ErrNoMemory
 	}
 	return nil
 }
--- a/pkg/netconn/intake_test.go
+++ b/pkg/netconn/intake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -37,11 +36,7 @@
 			return
 		}
 		conn := ServerConnOf(r.Context()).(*ServerConn)
-		_, _, err := intake.ReadBody(r.Body, r.ContentLength, 0, conn)
-		if errors.Is(err, intake.ErrNoMemory) {
-			err = ErrNoMemory
-		}
-		if err != nil {
+		if _, err := intake.ReadBody(r.Body, r.ContentLength, 0, intake.NewReservation(conn)); err != nil {
 			w.Header().Set("Connection", "close")
 			_ = fault.From(err).WriteTo(w)
 		}
@@ -249,7 +244,7 @@
 	logged := make(lineSignal, 1)
 	go Intake{Pool: pool, Clock: clock.Boot}.LogRefusals(t.Context(), zerolog.New(logged))
 	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); {
-		pool.TryAcquire(2 << 20)
+		pool.Reserve(2 << 20)
 		select {
 		case <-logged:
 			return
--- a/pkg/netconn/requestscanner.go
+++ b/pkg/netconn/requestscanner.go
@@ -28,10 +28,8 @@
 	header    scannedHeader
 	// remaining is what is left of the body or of the current chunk.
 	remaining uint64
-	// headers are those of the requests that were not taken yet, and ended the number of all whose header
-	// was complete.
+	// headers are those of the requests that were not taken yet.
 	headers []RequestHeader
-	ended   uint64
 }
 
 // scanState is what the next byte belongs to.
@@ -97,8 +95,6 @@
 
 // Position is where the bytes of a connection end.
 type Position struct {
-	// Ended is the number of headers that were complete.
-	Ended uint64
 	// PartialBytes and PartialLines are the length of the header that is partly received and the number of
 	// its lines. Both are zero between two requests, also behind empty lines.
 	PartialBytes, PartialLines int
@@ -115,7 +111,7 @@
 func (s *RequestScanner) Position() Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := Position{Ended: s.ended, Waiting: len(s.headers), Lost: s.state == scanLost, InBody: s.state != scanHeader && s.state != scanLost}
+	p := Position{Waiting: len(s.headers), Lost: s.state == scanLost, InBody: s.state != scanHeader && s.state != scanLost}
 	for _, h := range s.headers {
 		p.WaitingBytes, p.WaitingLines = max(p.WaitingBytes, h.Bytes), max(p.WaitingLines, h.Lines)
 	}
@@ -201,7 +197,6 @@
 func (s *RequestScanner) endHeader() {
 	h := s.header
 	s.header = scannedHeader{}
-	s.ended++
 	s.headers = append(s.headers, RequestHeader{Bytes: h.bytes, Lines: h.lines, ConflictingLengths: h.hasLength && h.hasCoding})
 	switch {
 	case h.odd || h.hasLength && h.hasCoding:
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -30,10 +30,6 @@
 	callerIdleTimeout = 2 * time.Minute
 )
 
-// memoryShare is the fraction of the memory that is set as the soft limit of the garbage collector. The rest is
-// for stacks and socket buffers.
-const memoryShare = 0.65
-
 // Node is one instance with its roles, servers and listeners. Provision creates
 // it; Serve runs it and releases its resources before it returns.
 type Node struct {
@@ -201,7 +197,7 @@
 // returns nil after a graceful shutdown, otherwise the error that stopped the
 // node.
 func (n *Node) Serve(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.MemoryBytes)))
+	debug.SetMemoryLimit(intake.HeapLimit(n.settings.MemoryBytes))
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -126,7 +126,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.carried >= maxCarried || t.options.Memory != nil && !t.options.Memory.TryAcquire(carriedBytes) {
+	if t.carried >= maxCarried || t.options.Memory != nil && !t.options.Memory.Reserve(carriedBytes) {
 		return fault.New(fault.Overloaded, "this instance carries too many connections for peers")
 	}
 	t.carried++
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -24,6 +24,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/fault"
+	"github.com/umbercrank/umbercrank/pkg/intake"
 	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/reach"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -89,19 +90,12 @@
 	// requests for a time. It may be nil.
 	HandlePause func(upstream types.UpstreamID, pause time.Duration, peer types.InstanceID)
 	// Memory is that of the connections that are carried for peers. It may be nil.
-	Memory Memory
+	Memory intake.Reserver
 	// HandleRefused is called when an upstream has refused a connection that this instance made
 	// for a peer. It may be nil.
 	HandleRefused func(to Destination)
 }
 
-// Memory is reserved for connections that are carried for peers.
-type Memory interface {
-	// TryAcquire reserves memory, or returns false if there is none.
-	TryAcquire(n int64) bool
-	Release(n int64)
-}
-
 // Transit opens connections to upstreams. It is safe for concurrent use.
 type Transit struct {
 	options Options
--- a/test/exhaustion/crowd_test.go
+++ b/test/exhaustion/crowd_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -118,35 +119,33 @@
 	{"folded lines", func(number int) string { return fmt.Sprintf("%x:\r\n\t\r\n", number) }},
 }
 
-// legalHeads are heads of legal size of very many lines. Every other client leaves its head open, the
-// others the body.
-func legalHeads() []abuse {
+// manyLines are requests with heads of legal size of very many lines and a body of two bytes. Part returns what
+// a client sends of a head, of its end and of a body.
+func manyLines(part func(client int, lines, end, body string) string) []abuse {
+	const end = "Content-Length: 2\r\n\r\n"
 	var list []abuse
 	for _, kind := range headLines {
 		list = append(list, abuse{kind.name, 0, func(to io.Writer, e endpoint, client int) error {
-			const end = "Content-Length: 2\r\n\r\n"
-			head := fill(e.start(client), end, kind.line)
-			if client%2 == 0 {
-				head += end + "x"
-			}
-			_, err := io.WriteString(to, head)
+			_, err := io.WriteString(to, part(client, fill(e.start(client), end, kind.line), end, "xy"))
 			return err
 		}})
 	}
 	return list
 }
 
-// completeHeads are requests with such heads, with a body of two bytes.
+// openHeads are such requests of which every other client leaves the head open, the others the body.
+func openHeads() []abuse {
+	return manyLines(func(client int, lines, end, body string) string {
+		if client%2 == 0 {
+			return lines + end + body[:1]
+		}
+		return lines
+	})
+}
+
+// completeHeads are such requests as a whole.
 func completeHeads() []abuse {
-	var list []abuse
-	for _, kind := range headLines {
-		list = append(list, abuse{kind.name, 0, func(to io.Writer, e endpoint, client int) error {
-			const end = "Content-Length: 2\r\n\r\n"
-			_, err := io.WriteString(to, fill(e.start(client), end, kind.line)+end+"xy")
-			return err
-		}})
-	}
-	return list
+	return manyLines(func(_ int, lines, end, body string) string { return lines + end + body })
 }
 
 const (
@@ -245,3 +244,42 @@
 		reading.Wait()
 	}
 }
+
+// group prefixes the names of abuses.
+func group(prefix string, list []abuse) []abuse {
+	var named []abuse
+	for _, a := range list {
+		named = append(named, abuse{prefix + a.name, a.clients, a.send})
+	}
+	return named
+}
+
+// stalling are requests that are never complete, and heads without an end.
+func stalling() []abuse {
+	return slices.Concat(group("head/", endlessHeads), group("lines/", openHeads()), group("body/", openBodies()))
+}
+
+// complete are requests that are sent as a whole.
+func complete() []abuse {
+	return slices.Concat(group("lines/", completeHeads()), group("body/", completeBodies()))
+}
+
+// checkBeside checks that ordinary requests are answered beside a crowd, ends it, and checks that the instances have
+// stayed within their limits.
+func checkBeside(t *testing.T, disperse func(), ordinaryRequests func() error, instances ...*instance) {
+	t.Helper()
+	var last error
+	if !await(func() bool { last = ordinaryRequests(); return last == nil }) {
+		t.Errorf("an ordinary request is not answered beside the crowd: %v", last)
+	}
+	disperse()
+	for _, i := range instances {
+		i.checkLimits(t)
+	}
+}
+
+// checkAbuse lets a crowd abuse an endpoint, and checks what checkBeside does.
+func checkAbuse(t *testing.T, a abuse, e endpoint, ordinaryRequests func() error, instances ...*instance) {
+	t.Helper()
+	checkBeside(t, gather(t, a, e), ordinaryRequests, instances...)
+}
--- a/test/exhaustion/harness_test.go
+++ b/test/exhaustion/harness_test.go
@@ -163,8 +163,7 @@
 // unreadBytes returns the number of bytes that the kernel has received on the connections to a host and
 // that the process has not read.
 func unreadBytes(host string) int64 {
-	ip := net.ParseIP(host).To4()
-	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
+	local := hexIP(net.ParseIP(host)) + ":"
 	total := int64(0)
 	for _, fields := range sockets() {
 		const listening = "0A"
@@ -178,6 +177,12 @@
 	return total
 }
 
+// hexIP returns an address of IPv4 as the kernel lists it.
+func hexIP(address net.IP) string {
+	ip := address.To4()
+	return fmt.Sprintf("%02X%02X%02X%02X", ip[3], ip[2], ip[1], ip[0])
+}
+
 // sockets returns the fields of the TCP sockets: number, local address, remote address, state,
 // queues, …, inode.
 func sockets() [][]string {
--- a/test/exhaustion/join_test.go
+++ b/test/exhaustion/join_test.go
@@ -79,8 +79,7 @@
 // hexAddress returns an address as the kernel lists it.
 func hexAddress(address net.Addr) string {
 	tcp := address.(*net.TCPAddr)
-	ip := tcp.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
+	return fmt.Sprintf("%s:%04X", hexIP(tcp.IP), tcp.Port)
 }
 
 // isFrom reports whether a process has opened a connection.
@@ -257,24 +256,9 @@
 	}
 }
 
-// checkAbuse lets a crowd abuse an endpoint, and checks that ordinary requests are answered beside it and
-// that the instances stay within their limits.
-func checkAbuse(t *testing.T, a abuse, e endpoint, ordinaryRequests func() error, instances ...*instance) {
-	t.Helper()
-	disperse := gather(t, a, e)
-	var last error
-	if !await(func() bool { last = ordinaryRequests(); return last == nil }) {
-		t.Errorf("an ordinary request is not answered beside the crowd: %v", last)
-	}
-	disperse()
-	for _, i := range instances {
-		i.checkLimits(t)
-	}
-}
-
 // TestCallersOfJoin lets a crowd abuse the port for callers.
 func TestCallersOfJoin(t *testing.T) {
-	for _, a := range slices.Concat(group("head/", endlessHeads), group("lines/", legalHeads()), group("body/", openBodies()), []abuse{idleConnections}) {
+	for _, a := range append(stalling(), idleConnections) {
 		t.Run(a.name, func(t *testing.T) {
 			f := startFleet(t, 1)
 			callers := callersOf(f.instances[0])
@@ -286,7 +270,7 @@
 // TestAuxiliaryPortsOfJoin lets a crowd abuse the ports for addresses, readiness and metrics.
 func TestAuxiliaryPortsOfJoin(t *testing.T) {
 	for _, port := range []string{"directory", "readiness", "metrics"} {
-		for _, a := range slices.Concat(group("head/", endlessHeads), group("lines/", legalHeads()), group("body/", openBodies()), []abuse{idleConnections}) {
+		for _, a := range append(stalling(), idleConnections) {
 			t.Run(port+"/"+a.name, func(t *testing.T) {
 				f := startFleet(t, 1)
 				e := auxiliaryOf(f.instances[0])[port]
@@ -305,7 +289,7 @@
 // TestCarryingInstanceOfJoin lets a crowd abuse an instance whose requests another instance carries to the
 // worker.
 func TestCarryingInstanceOfJoin(t *testing.T) {
-	for _, a := range slices.Concat(group("lines/", completeHeads()), group("body/", completeBodies()), group("open/", openBodies())) {
+	for _, a := range append(complete(), group("open/", openBodies())...) {
 		t.Run(a.name, func(t *testing.T) {
 			f := startFleet(t, 2)
 			f.worker.cut.Store(int64(f.instances[0].command.Process.Pid))
@@ -322,7 +306,7 @@
 func TestLegalRequestIsServedByJoin(t *testing.T) {
 	f := startFleet(t, 1)
 	callers := callersOf(f.instances[0])
-	for _, a := range slices.Concat(group("lines/", completeHeads()), group("body/", completeBodies())) {
+	for _, a := range complete() {
 		t.Run(a.name, func(t *testing.T) {
 			if err := exchange(callers.address, func(to io.Writer) error { return a.send(to, callers, 0) }); err != nil {
 				t.Error(err)
@@ -330,12 +314,3 @@
 		})
 	}
 }
-
-// group prefixes the names of abuses.
-func group(prefix string, list []abuse) []abuse {
-	var named []abuse
-	for _, a := range list {
-		named = append(named, abuse{prefix + a.name, a.clients, a.send})
-	}
-	return named
-}
--- a/test/exhaustion/relentless_test.go
+++ b/test/exhaustion/relentless_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -68,7 +67,7 @@
 
 // relentless are what a crowd sends that takes the most time of the processor.
 func relentless() []abuse {
-	return slices.Concat(group("head/", endlessHeads), group("lines/", legalHeads()), group("body/", openBodies()), []abuse{
+	return append(stalling(), []abuse{
 		{"body/chunks of one byte without end", 0, func(to io.Writer, e endpoint, client int) error {
 			return endless(to, e.start(client)+"Transfer-Encoding: chunked\r\n\r\n", "1\r\nb\r\n")
 		}},
@@ -78,7 +77,7 @@
 		{"unknown paths without waiting", 0, func(to io.Writer, e endpoint, client int) error {
 			return endless(to, "", strings.Replace(e.start(client), e.target, "/none", 1)+"Content-Length: 0\r\n\r\n")
 		}},
-	})
+	}...)
 }
 
 // TestRelentlessCallersOfJoin lets a crowd that never gives up abuse the port for callers.
@@ -89,12 +88,7 @@
 			callers := callersOf(f.instances[0])
 			end := besiege(a, callers)
 			time.Sleep(siegeTime)
-			var last error
-			if !await(func() bool { last = ordinary(callers); return last == nil }) {
-				t.Errorf("an ordinary request is not answered beside the crowd: %v", last)
-			}
-			end()
-			f.instances[0].checkLimits(t)
+			checkBeside(t, end, func() error { return ordinary(callers) }, f.instances...)
 		})
 	}
 }
--- a/test/exhaustion/serve_test.go
+++ b/test/exhaustion/serve_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 
@@ -97,7 +96,7 @@
 
 // TestCallersOfServe lets a crowd abuse the port for callers.
 func TestCallersOfServe(t *testing.T) {
-	for _, a := range slices.Concat(group("head/", endlessHeads), group("lines/", legalHeads()), group("body/", openBodies()), []abuse{idleConnections}) {
+	for _, a := range append(stalling(), idleConnections) {
 		t.Run(a.name, func(t *testing.T) {
 			instances := startServe(t, 1)
 			callers := callersOfServe(instances[0])
@@ -135,7 +134,7 @@
 
 // TestExecutingInstanceOfServe lets a crowd abuse an instance with requests that another instance executes.
 func TestExecutingInstanceOfServe(t *testing.T) {
-	for _, a := range slices.Concat(group("lines/", completeHeads()), group("body/", completeBodies()), group("open/", openBodies())) {
+	for _, a := range append(complete(), group("open/", openBodies())...) {
 		t.Run(a.name, func(t *testing.T) {
 			instances := startServe(t, 2)
 			callers := callersOfServe(instances[0])
@@ -151,7 +150,7 @@
 	forwarded := executedBy(t, callers, instances[1])
 	for name, e := range map[string]endpoint{"own": callers, "forwarded": forwarded} {
 		client := 0
-		for _, a := range slices.Concat(group("lines/", completeHeads()), group("body/", completeBodies())) {
+		for _, a := range complete() {
 			client++
 			t.Run(name+"/"+a.name, func(t *testing.T) {
 				if err := exchange(e.address, func(to io.Writer) error { return a.send(to, e, client) }); err != nil {
