netconn, intake, gateway, node: a connection is in use until the response to its request is written

What callers saw: a request had run, and its connection was closed without a response. In serve, and at the other ports, the same.

Cause: the phase of a connection ended with the handler, and net/http writes the end of a response only after that. In between the connection counted as idle: it made room for others, a planned stop did not count it as busy, and what was read of a body that nobody had asked for was charged as the header of a next request. The class of fault: something in progress is ended on a belief that is ahead of what has happened.

Change: the phase ends when http.Server reports that the connection is idle again, which it does once the response has been handed to the kernel. Track sets that up for each server, together with what the handlers need. When a handler returns, only its memory is released, and the writing of the rest and the reading of an unread body are bounded; the latter replaces two copies of the same bound. The phase of the next request begins before its header is taken.

--- a/pkg/entry/left_test.go
+++ b/pkg/entry/left_test.go
@@ -25,11 +25,11 @@
 	}
 	closed = &sync.WaitGroup{}
 	closed.Add(conns)
-	server := &http.Server{Handler: netconn.Handler(f.entry.Handler()), ConnContext: netconn.ConnContext, ConnState: func(_ net.Conn, state http.ConnState) {
+	server := netconn.Track(&http.Server{Handler: netconn.Handler(f.entry.Handler()), ConnState: func(_ net.Conn, state http.ConnState) {
 		if state == http.StateClosed {
 			closed.Done()
 		}
-	}}
+	}})
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String(), func() { go func() { _ = server.Serve(netconn.ServerListener{Listener: listener}) }() }, closed
 }
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -32,7 +32,7 @@
 	case err != nil:
 		return fault.Wrap(fault.CallerGone, err, "the request body is incomplete")
 	}
-	q.body, q.bodyRead = body, true
+	q.body = body
 	return nil
 }
 
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -42,9 +42,6 @@
 		q.status = status
 		q.log(failure, elapsed)
 	}}, q.call.ID, failure)
-	if !q.bodyAbandoned && !q.bodyRead && q.incoming.ContentLength != 0 {
-		q.discardBody()
-	}
 }
 
 // completeResponse is called before the end of a response is written.
@@ -73,23 +70,6 @@
 	_ = conn.Close()
 }
 
-// discardTimeout limits how long a response waits for a body that is discarded.
-// Unless the caller stalls, a body follows its header within milliseconds.
-const discardTimeout = 250 * time.Millisecond
-
-// discardBody flushes the response, which makes net/http read the rest of a small
-// body. This must be complete before the header tracker of the connection waits for
-// the next header.
-func (q *request) discardBody() {
-	control := http.NewResponseController(q.writer)
-	// Setting a deadline fails only for the writers of tests, whose callers do not
-	// stall.
-	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
-	// An error means that the caller has disconnected.
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Time{})
-}
-
 // errorWriter calls a function with the status of an error response before it is written.
 type errorWriter struct {
 	http.ResponseWriter
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -277,10 +277,9 @@
 	headerSent bool
 	// memory is what is reserved for the body, or nil before it is read.
 	memory *intake.Reservation
-	// bodyRead reports whether the whole body was read, bodyAbandoned whether its
-	// rest is left unread.
-	bodyRead, bodyAbandoned bool
-	progress                progress
+	// bodyAbandoned reports whether the rest of the body is left unread.
+	bodyAbandoned bool
+	progress      progress
 	// retryPaid reports whether the next attempt has been counted as a retry.
 	// permitsRefused counts the permits that were refused.
 	retryPaid      bool
@@ -445,26 +444,26 @@
 // Server returns the HTTP server of the gateway. It must serve a Listener; Enforce
 // applies the limits to its connections.
 func (g *Gateway) Server() *http.Server {
-	return &http.Server{
+	return netconn.Track(&http.Server{
 		Handler:        http.HandlerFunc(g.handle),
 		MaxHeaderBytes: maxHeaderBytes,
-		ConnContext:    netconn.ConnContext,
 		ErrorLog:       nil,
 		// All requests are checked by handle.
 		DisableGeneralOptionsHandler: true,
-	}
+	})
 }
 
 // handle checks the header of a request before the body is read, then serves it.
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request) {
 	if caller, ok := netconn.ServerConnOf(r.Context()).(*callerConn); ok {
 		serving := caller.header.startServing()
+		// Before the header is taken, so that the connection does not count as idle in between.
+		failure := caller.BeginRequest()
+		defer caller.EndHandler()
 		header, known := caller.Requests.Take()
 		if !serving || !known {
 			panic(http.ErrAbortHandler)
 		}
-		failure := caller.BeginRequest()
-		defer caller.endRequest()
 		if refusal := g.checkHeader(header); refusal != nil {
 			failure = refusal
 		}
--- a/pkg/gateway/header_tracker.go
+++ b/pkg/gateway/header_tracker.go
@@ -15,7 +15,7 @@
 	phaseIdle phase = iota
 	// phaseHeader: the header of a request is partly received.
 	phaseHeader
-	// phaseServing: a request is being served.
+	// phaseServing: a request is being served, or its response is not written yet.
 	phaseServing
 	// phaseClosing: the connection is being closed and passes on no further byte. It is
 	// the last phase.
@@ -82,7 +82,7 @@
 	}
 }
 
-// isBusy reports whether a request is being received or served.
+// isBusy reports whether a request is being received or served, or its response is not written yet.
 func (h *headerTracker) isBusy() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -144,7 +144,8 @@
 	return closed
 }
 
-// Busy returns the number of connections on which a request is being received or served.
+// Busy returns the number of connections on which a request is being received or served, or its response is not
+// written yet.
 func (l *Listener) Busy() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -157,8 +158,7 @@
 	return busy
 }
 
-// closeTimeout bounds the wait for responses that have been written by their handlers but
-// not yet sent.
+// closeTimeout bounds the wait for requests that were read while the server began to close.
 const closeTimeout = 250 * time.Millisecond
 
 // Close closes the server of a Gateway when no request is in flight any more. It completes
@@ -188,10 +188,10 @@
 	return n, err
 }
 
-// endRequest notes that the handler of a request has returned.
-func (c *callerConn) endRequest() {
+// EndRequest notes that the response to a request has been written.
+func (c *callerConn) EndRequest() {
 	c.header.reset(c.Requests.Position().PartialBytes > 0)
-	c.EndRequest()
+	c.ServerConn.EndRequest()
 }
 
 // Close implements net.Conn and removes the connection from its listener.
--- a/pkg/intake/account.go
+++ b/pkg/intake/account.go
@@ -93,7 +93,22 @@
 	}
 }
 
-// End releases the memory of a request that was handled. HeadCost is that of the next head, of which a
+// EndHandler releases the memory of a request whose handler has returned, except that of its head. The connection
+// does not make room yet: the response may not be written.
+func (a *Account) EndHandler() {
+	if a == nil {
+		return
+	}
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	if !a.closed {
+		kept := min(a.held, a.head)
+		a.pool.reserved -= a.held - kept
+		a.held = kept
+	}
+}
+
+// End notes that the response to a request was written, and releases what is left of its memory. HeadCost is that of the next head, of which a
 // part may have been received.
 func (a *Account) End(now time.Duration, phase Phase, headCost int64) {
 	if a == nil {
--- a/pkg/intake/pool_test.go
+++ b/pkg/intake/pool_test.go
@@ -70,6 +70,7 @@
 					a.Release(n)
 				}
 			},
+			"end handler": func(t *rapid.T) { pick(t).EndHandler() },
 			"end": func(t *rapid.T) {
 				a := pick(t)
 				a.End(now, Idle, 0)
--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -105,22 +105,21 @@
 // NewServer returns a server for short responses to requests without a body, such as those of probes. It
 // must serve a ServerListener.
 func NewServer(handler http.Handler) *http.Server {
-	return &http.Server{
+	return Track(&http.Server{
 		Handler:           Handler(handler),
 		ReadHeaderTimeout: serverHeaderTimeout,
 		ReadTimeout:       serverReadTimeout,
 		WriteTimeout:      serverWriteTimeout,
 		IdleTimeout:       serverIdleTimeout,
 		MaxHeaderBytes:    serverHeaderBytes,
-		ConnContext:       ConnContext,
-	}
+	})
 }
 
 // charge is what a connection costs.
 type charge struct {
 	intake  Intake
 	account *intake.Account
-	// handling reports whether a handler runs.
+	// handling reports whether a handler runs, or its response is not written yet.
 	handling atomic.Bool
 	// grown reports whether the receive buffer has the size for large bodies.
 	grown bool
--- a/pkg/netconn/intake_test.go
+++ b/pkg/netconn/intake_test.go
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	pool, blocked = intake.NewPool(limits), make(chan struct{})
-	server := &http.Server{ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := Track(&http.Server{Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/blocked" {
 			<-blocked
 			return
@@ -40,7 +40,7 @@
 			w.Header().Set("Connection", "close")
 			_ = fault.From(err).WriteTo(w)
 		}
-	}))}
+	}))})
 	bounds := Intake{Pool: pool, Clock: clock.Boot, HeaderBytes: func() int { return testHeaderBytes }}
 	go func() { _ = server.Serve(ServerListener{Listener: listener, Intake: bounds}) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -115,7 +115,7 @@
 		t.Fatal(err)
 	}
 	pool := intake.NewPool(intake.Limits{Memory: 200 << 10, Connections: 10})
-	server := &http.Server{ConnContext: ConnContext, Handler: Handler(http.NotFoundHandler())}
+	server := Track(&http.Server{Handler: Handler(http.NotFoundHandler())})
 	go func() {
 		_ = server.Serve(ServerListener{Listener: listener, Intake: Intake{Pool: pool, Clock: clock.Boot}})
 	}()
--- a/pkg/netconn/requestscanner_test.go
+++ b/pkg/netconn/requestscanner_test.go
@@ -134,12 +134,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := &http.Server{ConnContext: ConnContext, DisableGeneralOptionsHandler: true, Handler: Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		server := Track(&http.Server{DisableGeneralOptionsHandler: true, Handler: Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			if r.URL.Path != "/first" && r.RequestURI != "*" {
 				reached.Store(true)
 			}
-		}))}
+		}))})
 		go func() { _ = server.Serve(ServerListener{Listener: listener}) }()
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		if err != nil {
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -67,12 +67,30 @@
 // Complete notes that a handler is about to write the end of its response.
 func (c *ServerConn) Complete() { c.completing.Store(true) }
 
-// EndRequest notes that a handler has returned.
-func (c *ServerConn) EndRequest() {
+const (
+	// responseTimeout bounds the writing of what a handler has left of its response.
+	responseTimeout = 10 * time.Second
+	// discardTimeout bounds how long a response waits for the rest of a body that its handler has not read. Unless
+	// the caller stalls, a body follows its header within milliseconds.
+	discardTimeout = 250 * time.Millisecond
+)
+
+// EndHandler notes that a handler has returned. The end of its response may not be written yet.
+func (c *ServerConn) EndHandler() {
 	c.Complete()
-	c.endCharge()
+	now := time.Now()
+	// Errors mean that the connection is closed. net/http removes both deadlines before the next request.
+	_ = c.Conn.SetWriteDeadline(now.Add(responseTimeout))
+	if c.Requests.Position().InBody {
+		_ = c.Conn.SetReadDeadline(now.Add(discardTimeout))
+	}
+	c.charge.account.EndHandler()
 }
 
+// EndRequest notes that the response to a request has been written. Until then the connection makes no room for
+// others and counts as busy.
+func (c *ServerConn) EndRequest() { c.endCharge() }
+
 // Close implements net.Conn.
 func (c *ServerConn) Close() error {
 	c.charge.account.Close()
@@ -192,10 +210,22 @@
 // serverConnKey is the context key of the connection of a request.
 type serverConnKey struct{}
 
-// ConnContext adds the connection of a ServerListener to the context of its requests; see
-// http.Server.
-func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, serverConnKey{}, conn)
+// Track makes the server of a ServerListener tell the connections when the response to a request has been
+// written, and makes the handlers know the connections. It returns the server.
+func Track(server *http.Server) *http.Server {
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, serverConnKey{}, conn)
+	}
+	observe := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if tracked, ok := conn.(interface{ EndRequest() }); ok && state == http.StateIdle {
+			tracked.EndRequest()
+		}
+		if observe != nil {
+			observe(conn, state)
+		}
+	}
+	return server
 }
 
 // Handler marks the beginning and the end of the requests of a ServerListener, and refuses those
@@ -208,13 +238,14 @@
 func CheckedHandler(inner http.Handler, check func(*http.Request, RequestHeader) *fault.Error) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := ServerConnOf(r.Context()).(*ServerConn); ok {
+			// Before the header is taken, so that the connection does not count as idle in between.
+			refusal := conn.BeginRequest()
+			defer conn.EndHandler()
 			header, known := conn.Requests.Take()
 			if !known {
 				// The request was not read as one by the scanner, so it must not run.
 				panic(http.ErrAbortHandler)
 			}
-			refusal := conn.BeginRequest()
-			defer conn.EndRequest()
 			if refusal == nil {
 				refusal = check(r, header)
 			}
@@ -227,24 +258,11 @@
 				_ = refusal.WriteTo(w)
 				return
 			}
-			defer limitDiscard(w, conn)
 		}
 		inner.ServeHTTP(w, r)
 	})
 }
 
-// discardTimeout bounds how long a response waits for the rest of a body that its handler has not read.
-const discardTimeout = 250 * time.Millisecond
-
-// limitDiscard bounds the time in which net/http reads the rest of a body. It removes the deadline before
-// the next request.
-func limitDiscard(w http.ResponseWriter, conn *ServerConn) {
-	if conn.Requests.Position().InBody {
-		// An error means that the connection is closed.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
-	}
-}
-
 // WithoutCaller returns a context for work that goes on when the caller of the request leaves.
 func WithoutCaller(ctx context.Context) context.Context {
 	return context.WithValue(context.WithoutCancel(ctx), serverConnKey{}, nil)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -155,15 +155,14 @@
 
 // buildHTTPServers creates the HTTP servers for callers and operators.
 func (n *Node) buildHTTPServers() {
-	n.callerServer = &http.Server{
+	n.callerServer = netconn.Track(&http.Server{
 		Handler:           netconn.CheckedHandler(n.requireReady(n.roles.Handler()), n.checkHeader),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    n.maxForwardedHeader(),
-		ConnContext:       netconn.ConnContext,
 		// All requests are checked by the handler.
 		DisableGeneralOptionsHandler: true,
-	}
+	})
 	n.adminServer = netconn.NewServer(n.adminHandler())
 }
 
