gateway: a request that was read ahead as a whole keeps its connection busy

A request that arrives as a whole beside the one before is read ahead. Between the two, the connection counted as idle although the request had been read: a planned stop did not wait for it. The tracker now enters the phase that fits what was read, as it does for a header that was read in part. TestClosingIsDecidedOnCurrentPhase draws that case too.

--- a/pkg/gateway/ending_test.go
+++ b/pkg/gateway/ending_test.go
@@ -184,10 +184,15 @@
 				if ok := h.startServing(); ok != (expected != phaseClosing) {
 					t.Fatalf("phase %v: served: %v", expected, ok)
 				} else if ok {
-					partial := rapid.Bool().Draw(t, "partial")
-					h.reset(partial)
-					if enter(phaseIdle); partial {
+					complete, partial := rapid.Bool().Draw(t, "complete"), rapid.Bool().Draw(t, "partial")
+					h.reset(complete, partial)
+					switch {
+					case complete:
+						enter(phaseServing)
+					case partial:
 						enter(phaseHeader)
+					default:
+						enter(phaseIdle)
 					}
 				}
 			},
--- a/pkg/gateway/header_tracker.go
+++ b/pkg/gateway/header_tracker.go
@@ -72,13 +72,17 @@
 	return true
 }
 
-// reset waits for the next request, whose header may be partly received already.
-func (h *headerTracker) reset(partial bool) {
+// reset waits for the next request, whose header may be received already, as a whole or in part.
+func (h *headerTracker) reset(complete, partial bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.enter(phaseIdle)
-	if partial {
+	switch {
+	case complete:
+		h.enter(phaseServing)
+	case partial:
 		h.enter(phaseHeader)
+	default:
+		h.enter(phaseIdle)
 	}
 }
 
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -190,7 +190,8 @@
 
 // EndRequest notes that the response to a request has been written.
 func (c *callerConn) EndRequest() {
-	c.header.reset(c.Requests.Position().PartialBytes > 0)
+	position := c.Requests.Position()
+	c.header.reset(position.Waiting > 0, position.PartialBytes > 0)
 	c.ServerConn.EndRequest()
 }
 
