gateway: failing test of a stream that is cut for an estimated wait

What callers see: a stream ends before its deadline. The time of a request begins when it arrived, which is estimated from the mean wait of the instance's other work. A request that was read at once loses that estimate: with a mean of 150 ms, a stream of 1 s is cut after 0.85 s.

--- a/pkg/gateway/waited_test.go
+++ b/pkg/gateway/waited_test.go
@@ -112,3 +112,29 @@
 	milliseconds, _ := strconv.Atoi(env.wait)
 	return time.Duration(milliseconds) * time.Millisecond
 }
+
+// TestStreamIsNotCutForAnEstimatedWait guards against streams that end before their callers' deadline because the instance
+// was late with other requests.
+func TestStreamIsNotCutForAnEstimatedWait(t *testing.T) {
+	const timeout, late = time.Second, 150 * time.Millisecond
+	inBubble(t, func(t *testing.T) {
+		routes := []catalog.Route{{Name: "r", Prefix: "/r/", Kind: catalog.Stream, MaxAttempts: 1, Timeout: timeout}}
+		env := newBubbleEnv(t, routes, func(conn net.Conn, _ *http.Request, _ int) {
+			_, _ = io.WriteString(conn, streamHead+event(1))
+			time.Sleep(timeout - late/3)
+			_, _ = io.WriteString(conn, event(2)+streamEnd)
+		}, 1)
+		env.gateway.options.Meter = fakes.RunLateMeter(t, env.gateway.options.Clock, late)
+		conn, err := env.dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := io.WriteString(conn, requestOn("/r/", "r1", "")); err != nil {
+			t.Fatal(err)
+		}
+		if response := readResponse(conn); response.err != nil || response.body != "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n" {
+			t.Errorf("the stream was cut behind %q: %v", response.body, response.err)
+		}
+	})
+}
