gateway, exchange, transit: a response in progress is not cut for an estimated wait

What callers saw: streams that ended before their deadline, at an instance that was late with other requests. Beside a planned stop that is a lost request: only one that has reached its deadline is excused.

Cause: the time of a request is counted from its arrival, which is estimated from how long the instance's work waits on average. The estimate is needed for requests without a response, which must have one at their timeout however late they were read. It also cut responses in progress, in which nobody waits for a final answer. The class of fault: something in progress is ended on a belief.

Change: a response that begins gets the estimated wait back, 200 ms at most, which keeps it below what counts as held. What an upstream is given is as before. The limit of a request is a timer of its own, since that of a context cannot be moved; its cause tells a timeout from a caller that has left.

TestStreamIsNotCutForAnEstimatedWait failed before (cut 150 ms early) and passes; tests of gateway, exchange and transit pass, among them TestRequestsOfBusyInstanceEndAtTheirTimeout.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return nil, &Error{Stage: Unsent, cause: errors.WithStack(err)}
 	}
-	if err := ctx.Err(); err != nil {
+	if err := context.Cause(ctx); err != nil {
 		_ = conn.Close()
 		return nil, &Error{Stage: Unsent, cause: errors.WithStack(err)}
 	}
@@ -126,7 +126,7 @@
 		stop()
 		_ = conn.Close()
 		if ctx.Err() != nil {
-			err = ctx.Err()
+			err = context.Cause(ctx)
 		}
 		return nil, &Error{Stage: Sent, cause: errors.WithStack(err)}
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -271,6 +271,8 @@
 	// startedAt is when the request arrived, and waited how long after that its handler began.
 	startedAt, waited time.Duration
 	timeout           time.Duration
+	// limit ends the request after its timeout.
+	limit *time.Timer
 	// upstreamFailure is the last upstream's own failure, or nil.
 	upstreamFailure *keptResponse
 	// headerSent reports whether the response header was passed to the caller.
@@ -333,9 +335,11 @@
 	if failure := q.checkQuarantine(); failure != nil {
 		return failure
 	}
-	ctx, cancel := context.WithTimeout(q.incoming.Context(), q.remaining())
-	defer cancel()
-	defer context.AfterFunc(q.gateway.ending, cancel)()
+	ctx, end := context.WithCancelCause(q.incoming.Context())
+	defer end(nil)
+	q.limit = time.AfterFunc(q.remaining(), func() { end(context.DeadlineExceeded) })
+	defer q.limit.Stop()
+	defer context.AfterFunc(q.gateway.ending, func() { end(nil) })()
 	if failure := q.findOrigin(ctx); failure != nil {
 		return failure
 	}
@@ -438,6 +442,19 @@
 	return limit
 }
 
+// maxWaitAllowance bounds how much later than its timeout a response in progress ends. Beyond it callers would
+// be held for too long.
+const maxWaitAllowance = 200 * time.Millisecond
+
+// allowWait gives a response that begins the time back that the request seems to have waited before it was read. That
+// is an estimate, for which nothing in progress is cut.
+func (q *request) allowWait() {
+	if q.limit.Stop() {
+		q.timeout += min(q.waited, maxWaitAllowance)
+		q.limit.Reset(q.remaining())
+	}
+}
+
 func (q *request) elapsed() time.Duration   { return q.gateway.options.Clock() - q.startedAt }
 func (q *request) remaining() time.Duration { return q.timeout - q.elapsed() }
 
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -144,6 +144,7 @@
 // setHeader sets the status and the header of the response to the caller.
 func (q *request) setHeader(response *exchange.Response) {
 	q.headerSent, q.status = true, response.Status
+	q.allowWait()
 	header := q.writer.Header()
 	for name, values := range q.gateway.options.Protocol.ResponseHeader(response.Header) {
 		header[name] = values
--- a/pkg/transit/transit.go
+++ b/pkg/transit/transit.go
@@ -339,7 +339,7 @@
 			t.count("through_peer")
 			return conn, nil
 		case ctx.Err() != nil:
-			return nil, errors.WithStack(ctx.Err())
+			return nil, errors.WithStack(context.Cause(ctx))
 		case errors.Is(err, errUpstreamLeaving):
 			return nil, err
 		case errors.Is(err, ErrLate) || t.options.Late() > MaxLate:
