mesh: failing test of streams that are resumed after a kill that takes the hubs

In a fleet with hubs the origin of a stream is held by the instance that began it, its hub and two further hubs.

The tests that search for streams share one function, and the fleet of a test may have another number of data centres; their checks are the same.

--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"reflect"
@@ -216,6 +217,8 @@
 	started  time.Time
 	ctx      context.Context
 	runs     sync.WaitGroup
+	// dataCentres is the number of data centres, or zero for four.
+	dataCentres int
 	// ignoresEvacuations has the instances that do not follow evacuated data centres.
 	ignoresEvacuations map[int]bool
 	// jumps are added to the clocks of the instances.
@@ -269,7 +272,7 @@
 	m := New(Options{
 		Capacity: table,
 		Shares:   shares,
-		Self:     InstanceInfo{ID: id, Incarnation: types.Incarnation(fmt.Sprint(id, " from ", time.Since(f.started))), PeerAddress: address(i), CallerAddress: fmt.Sprint("front", i), Capacity: capacity, DataCentre: types.DataCentre(fmt.Sprint("dc", i%4))},
+		Self:     InstanceInfo{ID: id, Incarnation: types.Incarnation(fmt.Sprint(id, " from ", time.Since(f.started))), PeerAddress: address(i), CallerAddress: fmt.Sprint("front", i), Capacity: capacity, DataCentre: types.DataCentre(fmt.Sprint("dc", i%cmp.Or(f.dataCentres, 4)))},
 		Seeds:    func() []string { return []string{address(0)} },
 		Caller:   caller, State: state, Logger: zerolog.Nop(),
 		Clock:             func() time.Duration { return time.Since(f.started) + time.Duration(f.jumps[i].Load()) },
--- a/pkg/mesh/streams_test.go
+++ b/pkg/mesh/streams_test.go
@@ -5,6 +5,8 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,13 +23,18 @@
 	f.meshes[i].ReportStream(origin.Stream{Key: key, Origin: began})
 }
 
+// find returns the origin of a stream if an instance finds it, itself or at its peers.
+func (f *fleet) find(i int, key origin.Key) (found origin.Origin, ok bool) {
+	if found, ok = f.states[i].FindStream(key); !ok {
+		found, ok, _ = f.meshes[i].FindStream(f.ctx, key)
+	}
+	return found, ok
+}
+
 // wantStream checks that an instance finds the origin of a stream, itself or at its peers.
 func (f *fleet) wantStream(t *testing.T, i int, key origin.Key) {
 	t.Helper()
-	if _, ok := f.states[i].FindStream(key); ok {
-		return
-	}
-	if found, ok, _ := f.meshes[i].FindStream(f.ctx, key); !ok || found != began {
+	if found, ok := f.find(i, key); !ok || found != began {
 		t.Errorf("instance %d: the origin of stream %d is %v, found: %v", i, key, found, ok)
 	}
 }
@@ -107,13 +114,11 @@
 		searched, found := 0, 0
 		for i := range f.meshes {
 			for n := range streamsEach {
-				key, at := origin.Key(100*i+n), survivors[(i+n)%len(survivors)]
 				if i%5 < 2 {
 					continue
 				}
 				searched++
-				_, own := f.states[at].FindStream(key)
-				if _, ok, _ := f.meshes[at].FindStream(f.ctx, key); ok || own {
+				if _, ok := f.find(survivors[(i+n)%len(survivors)], origin.Key(100*i+n)); ok {
 					found++
 				}
 			}
@@ -125,6 +130,73 @@
 	})
 }
 
+// TestLargeFleetFindsStreamsAfterHubsLosePower guards against streams that cannot be resumed
+// because the only copies of their origins were at hubs that ended together with their instance.
+func TestLargeFleetFindsStreamsAfterHubsLosePower(t *testing.T) {
+	const (
+		instances, hubs = 58, 6
+		killed          = instances * 55 / 100
+		streamsEach     = 10
+		tries           = 3
+	)
+	for killedHubs := hubs - 2; killedHubs <= hubs; killedHubs++ {
+		t.Run(fmt.Sprint(killedHubs, " of the hubs"), func(t *testing.T) {
+			runFleet(t, 0, func(t *testing.T, f *fleet) {
+				f.dataCentres = hubs / hubsPerDataCentre
+				for i := range instances {
+					f.startWith(i, 20+60*max(hubs-i, 0))
+				}
+				time.Sleep(10 * time.Second)
+				for n := range streamsEach {
+					for i := range instances {
+						f.begin(i, origin.Key(instances*n+i))
+						time.Sleep(5 * time.Millisecond)
+					}
+				}
+				lost := make([]int, killed)
+				for n := range lost {
+					lost[n] = n
+					if n >= killedHubs {
+						lost[n] = n + hubs - killedHubs
+					}
+				}
+				var groups [][]string
+				for _, i := range lost {
+					f.stops[i]()
+					groups = append(groups, []string{address(i)})
+				}
+				f.network.Partition(groups...)
+				var found atomic.Int64
+				var callers sync.WaitGroup
+				for n, i := range lost {
+					for stream := range streamsEach {
+						key, wait := origin.Key(instances*stream+i), time.Duration(100+(37*n+211*stream)%1000)*time.Millisecond
+						callers.Go(func() {
+							for try := range tries {
+								time.Sleep(wait)
+								if _, ok := f.find(killed+hubs+(n+7*stream+3*try)%(instances-killed-hubs), key); ok {
+									found.Add(1)
+									return
+								}
+							}
+						})
+					}
+				}
+				time.Sleep(2 * time.Second)
+				f.network.Heal()
+				for _, i := range lost {
+					f.startWith(i, 20+60*max(hubs-i, 0))
+				}
+				callers.Wait()
+				t.Logf("%d of %d origins are found", found.Load(), killed*streamsEach)
+				if 2*found.Load() < killed*streamsEach {
+					t.Errorf("%d of %d origins are found, want half at least", found.Load(), killed*streamsEach)
+				}
+			})
+		})
+	}
+}
+
 func TestLargeFleetFindsStreamThatHasJustBegun(t *testing.T) {
 	runLargeFleet(t, func(t *testing.T, f *fleet) {
 		time.Sleep(10 * time.Second)
