mesh: backups of any role hold the origin of a stream, besides the hubs

What callers saw: after a kill of half of a large fleet, streams of the ended instances were not resumed at instances that nothing had disturbed, while both software versions served: 503, "it is not known which version began the stream". New streams began.

Cause: in a fleet with hubs the origin was held by the instance that began the stream, its hub and two more hubs. A fleet of 58 instances in three data centres has six hubs. A kill of 32 instances drawn at random takes five or six of them in 15 of 100 cases, and then most or all copies. Class: state that must survive the loss of any number of instances depended on a few of them.

Evidence: 31 of 58 instances lose power at once and are back after 2 s; their callers return at the others 0.1 to 1.1 s later, up to three times (TestLargeFleetFindsStreamsAfterHubsLosePower). Origins found of 310, with four, five and all six hubs among the lost: 217, 145, 0.

Change: three backups, the first in rendezvous order of all live instances, hold the origin as well. The choice doesn't depend on who is a hub, so it stays the same when others are chosen. A hub passes origins to backups among its spokes and relays the others to their hubs ("relayed", which earlier releases ignore), with the heartbeats that it sends anyway. A search asks the hubs first, and the backups once these do not know the stream or are silent for 125 ms. A stream still goes on only at a recorded version; nothing is guessed.

Result: 293, 276 and 248 of 310.

--- a/pkg/mesh/copy.go
+++ b/pkg/mesh/copy.go
@@ -186,5 +186,5 @@
 		}
 		hubs = append(slices.Clone(hubs), request.From)
 	}
-	return func(key origin.Key) bool { return slices.Contains(holdersAmong(hubs, key), request.From) }, true
+	return func(key origin.Key) bool { return slices.Contains(firstFor(key, hubs, streamHolders), request.From) }, true
 }
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -21,12 +21,18 @@
 	quarantined    []quarantine.Entry
 	entries        []GossipEntry
 	streams        []origin.Stream
+	// relayed has the streams for the spokes of a hub that are their backups.
+	relayed        []origin.Stream
 	limits         map[types.UpstreamID]permit.Observation
 	leaving, ended []roster.Process
 	capacity       []timedSummaries
 	shares         timedShares
 }
 
+func (p *pending) queueStream(stream origin.Stream) {
+	p.streams = appendBounded(p.streams, []origin.Stream{stream})
+}
+
 // queueUpdates queues updates for the live peers whose relation is included,
 // except for the peer they came from. m.mu must be held.
 func (m *Mesh) queueUpdates(from string, updates pending, include func(to relation) bool) {
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -196,7 +196,7 @@
 	heartbeat.CachedSegments = to.pending.cachedSegments
 	heartbeat.QuarantineEntries = append(heartbeat.QuarantineEntries, to.pending.quarantined...)
 	heartbeat.Gossip = to.pending.entries
-	to.pending = pending{streams: to.pending.streams, limits: to.pending.limits, leaving: to.pending.leaving, ended: to.pending.ended, capacity: to.pending.capacity, shares: to.pending.shares}
+	to.pending = pending{streams: to.pending.streams, relayed: to.pending.relayed, limits: to.pending.limits, leaving: to.pending.leaving, ended: to.pending.ended, capacity: to.pending.capacity, shares: to.pending.shares}
 	if full {
 		heartbeat.Gossip = m.gossipEntries()
 	}
--- a/pkg/mesh/streams.go
+++ b/pkg/mesh/streams.go
@@ -6,13 +6,11 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/fault"
 	"github.com/umbercrank/umbercrank/pkg/origin"
 	"github.com/umbercrank/umbercrank/pkg/peer"
-	"github.com/umbercrank/umbercrank/pkg/rendezvous"
 	"github.com/umbercrank/umbercrank/pkg/types"
 	"github.com/umbercrank/umbercrank/pkg/wait"
 )
@@ -44,6 +42,9 @@
 	From string `json:"from"`
 	// Streams has the streams that began since the previous report.
 	Streams []origin.Batch `json:"streams,omitempty"`
+	// Relayed has the streams that the receiver, a hub, passes on to those of its spokes that
+	// are their backups. Instances of earlier releases ignore it.
+	Relayed []origin.Batch `json:"relayed,omitempty"`
 	// Versions is what the sender knows of the upstreams' versions. It follows full
 	// heartbeats.
 	Versions *origin.History `json:"versions,omitempty"`
@@ -74,7 +75,7 @@
 
 // queueStreams queues the origins of streams for the peers that hold them. This
 // instance's own go to all peers of a full mesh or to its hub, and a hub passes all
-// that it gets to the holders of each stream. m.mu must be held.
+// that it gets to the holders and backups of each stream. m.mu must be held.
 func (m *Mesh) queueStreams(from string, streams []origin.Stream) {
 	if from == "" {
 		for address, member := range m.members {
@@ -89,23 +90,18 @@
 	for _, stream := range streams {
 		for _, address := range m.holders(stream.Key) {
 			if member, ok := m.members[address]; ok && !member.down && address != from {
-				member.pending.streams = appendBounded(member.pending.streams, []origin.Stream{stream})
+				member.pending.queueStream(stream)
 				member.wakeSender()
 			}
 		}
 	}
+	m.queueForBackups(from, streams, false)
 }
 
 // holders returns the addresses of the hubs that hold the origin of the stream. m.mu
 // must be held.
 func (m *Mesh) holders(key origin.Key) []string {
-	return holdersAmong(m.topology.hubList, key)
-}
-
-// holdersAmong returns which of the hubs hold the origin of the stream.
-func holdersAmong(hubs []string, key origin.Key) []string {
-	ordered := rendezvous.OrderOf(strconv.FormatUint(uint64(key), 16), hubs, func(address string) types.InstanceID { return types.InstanceID(address) })
-	return ordered[:min(streamHolders, len(ordered))]
+	return firstFor(key, m.topology.hubList, streamHolders)
 }
 
 // sendStreams sends the pending streams, and after a full heartbeat also the versions.
@@ -117,9 +113,10 @@
 	}
 	m.mu.Lock()
 	report.Streams = origin.Batches(to.pending.streams)
-	to.pending.streams = nil
+	report.Relayed = origin.Batches(to.pending.relayed)
+	to.pending.streams, to.pending.relayed = nil, nil
 	m.mu.Unlock()
-	if len(report.Streams) == 0 && report.Versions == nil {
+	if len(report.Streams) == 0 && len(report.Relayed) == 0 && report.Versions == nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -128,7 +125,7 @@
 }
 
 // handleStreams processes a peer's report of streams. A hub passes those of its spokes on
-// to their holders.
+// to their holders and backups, and those that another hub relays to its spokes.
 func (m *Mesh) handleStreams(_ context.Context, _ peer.Identity, params json.RawMessage) (any, error) {
 	var report streamsReport
 	if err := json.Unmarshal(params, &report); err != nil {
@@ -143,6 +140,9 @@
 			m.queueStreams(report.From, batch.Streams())
 		}
 	}
+	for _, batch := range report.Relayed {
+		m.queueForBackups(report.From, batch.Streams(), true)
+	}
 	return struct{}{}, nil
 }
 
@@ -187,16 +187,17 @@
 
 // FindStream asks the peers that may hold the origin of a stream. Conclusive reports
 // whether a stream that is not found is unknown to the fleet: all of these peers have
-// responded, and no other instance is lost. In a fleet with hubs it asks again until findTimeout.
+// responded, and no other instance is lost. In a fleet with hubs it asks the backups if the hubs
+// do not know the stream or are silent for findInterval, and asks again until findTimeout.
 func (m *Mesh) FindStream(ctx context.Context, key origin.Key) (found origin.Origin, ok, conclusive bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	for {
-		addresses, all := m.streamPeers(key)
-		if len(addresses) == 0 {
+		addresses, backups, all := m.streamPeers(key)
+		if len(addresses)+len(backups) == 0 {
 			return origin.Origin{}, false, all
 		}
-		found, ok, conclusive = m.askForStream(ctx, addresses, key)
+		found, ok, conclusive = m.askForStream(ctx, addresses, backups, key)
 		conclusive = conclusive && (ok || all)
 		if ok || !m.hasHubs() || !wait.For(ctx, findInterval) {
 			return found, ok, conclusive
@@ -221,7 +222,7 @@
 // queryVersionsOf asks the peers at the addresses what they know of the upstreams' versions.
 func (m *Mesh) queryVersionsOf(ctx context.Context, addresses []string) (conclusive bool) {
 	// No stream has this key.
-	_, _, conclusive = m.askForStream(ctx, addresses, origin.Key(rand.Uint64()))
+	_, _, conclusive = m.askForStream(ctx, addresses, nil, origin.Key(rand.Uint64()))
 	return conclusive
 }
 
@@ -242,47 +243,73 @@
 }
 
 // askForStream asks the peers at the addresses for the origin of a stream, and hands over
-// what they know of the versions. A peer has replied after it was asked, so its reply confirms
+// what they know of the versions. Those in second are asked if the first do not know it or have not
+// responded after findInterval. A peer has replied after it was asked, so its reply confirms
 // nothing later than that.
-func (m *Mesh) askForStream(ctx context.Context, addresses []string, key origin.Key) (found origin.Origin, ok, conclusive bool) {
-	type reply struct {
-		streamResponse
-		err error
+func (m *Mesh) askForStream(ctx context.Context, first, second []string, key origin.Key) (found origin.Origin, ok, conclusive bool) {
+	replies := make(chan streamReply, len(first)+len(second))
+	m.requestStream(ctx, first, key, replies)
+	missing := len(first)
+	askSecond := func() {
+		m.requestStream(ctx, second, key, replies)
+		missing, second = missing+len(second), nil
 	}
-	replies := make(chan reply, len(addresses))
+	late := time.NewTimer(findInterval)
+	defer late.Stop()
+	conclusive = true
+	for missing > 0 || len(second) > 0 {
+		if missing == 0 {
+			askSecond()
+		}
+		select {
+		case <-late.C:
+			askSecond()
+		case r := <-replies:
+			missing--
+			if r.err != nil {
+				conclusive = false
+				m.options.Logger.Debug().Err(r.err).Msg("a peer did not say whether it knows the origin of a stream")
+			}
+			if r.err == nil && r.Known {
+				return r.Origin, true, true
+			}
+			if r.Versions != nil {
+				versions := r.Versions.Received(m.options.Clock() - r.asked)
+				m.options.State.HandleStreams(nil, &versions)
+			}
+		}
+	}
+	return origin.Origin{}, false, conclusive
+}
+
+// streamReply is the reply of a peer that was asked for the origin of a stream.
+type streamReply struct {
+	streamResponse
+	// asked is when the peer was asked.
+	asked time.Duration
+	err   error
+}
+
+// requestStream asks the peers at the addresses for the origin of a stream.
+func (m *Mesh) requestStream(ctx context.Context, addresses []string, key origin.Key, replies chan<- streamReply) {
 	asked := m.options.Clock()
 	for _, address := range addresses {
 		go func() {
-			var r reply
+			r := streamReply{asked: asked}
 			r.err = m.options.Caller.Call(ctx, address, findStreamMethod, streamRequest{Key: key}, &r.streamResponse)
 			replies <- r
 		}()
 	}
-	conclusive = true
-	for range addresses {
-		r := <-replies
-		if r.err != nil {
-			conclusive = false
-			m.options.Logger.Debug().Err(r.err).Msg("a peer did not say whether it knows the origin of a stream")
-		}
-		if r.err == nil && r.Known {
-			return r.Origin, true, true
-		}
-		if r.Versions != nil {
-			versions := r.Versions.Received(m.options.Clock() - asked)
-			m.options.State.HandleStreams(nil, &versions)
-		}
-	}
-	return origin.Origin{}, false, conclusive
 }
 
 // streamPeers returns the addresses of the live peers to ask for the origin of a
-// stream, and whether no other instance may know it.
-func (m *Mesh) streamPeers(key origin.Key) (addresses []string, all bool) {
+// stream, those of its backups, and whether no other instance may know it.
+func (m *Mesh) streamPeers(key origin.Key) (addresses, backups []string, all bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	holders := m.holders(key)
-	return m.peersWith(func(address string) bool { return slices.Contains(holders, address) })
+	addresses, all = m.peersWith(func(address string) bool { return slices.Contains(holders, address) })
+	return addresses, m.backupsToAsk(key, addresses), all
 }
 
 // peersWith returns the addresses of the live peers of a full mesh, or of the hub and those
