--- a/pkg/mesh/streams_test.go
+++ b/pkg/mesh/streams_test.go
@@ -197,6 +197,33 @@
 	}
 }
 
+// TestLargeFleetFindsStreamsThatBeganWhileHubWasSilent guards against origins that no other instance
+// learns of because they were reported to a hub that had ended.
+func TestLargeFleetFindsStreamsThatBeganWhileHubWasSilent(t *testing.T) {
+	runLargeFleet(t, func(t *testing.T, f *fleet) {
+		const streams = 60
+		time.Sleep(10 * time.Second)
+		f.network.Partition([]string{address(0)}, []string{address(1)})
+		var beginners []int
+		for i := 8; i < len(f.meshes)/2; i++ {
+			beginners = append(beginners, i)
+		}
+		for key := range origin.Key(streams) {
+			f.begin(beginners[int(key)%len(beginners)], key)
+			time.Sleep(time.Second / streams)
+		}
+		time.Sleep(4 * time.Second)
+		lost := [][]string{{address(0)}, {address(1)}}
+		for _, i := range beginners {
+			lost = append(lost, []string{address(i)})
+		}
+		f.network.Partition(lost...)
+		for key := range origin.Key(streams) {
+			f.wantStream(t, len(f.meshes)/2+int(key)%10, key)
+		}
+	})
+}
+
 func TestLargeFleetFindsStreamThatHasJustBegun(t *testing.T) {
 	runLargeFleet(t, func(t *testing.T, f *fleet) {
 		time.Sleep(10 * time.Second)
