mesh: what was passed to a hub that has ended is passed on again

What callers saw: a stream that began within some two seconds of the end of a hub could not be resumed once its own instance had ended as well (machines stopped in turn, killed, frozen), or had broken off its connection and the caller came back elsewhere.

Cause: an instance reports the origin of a stream once, to its hub, without an acknowledgement. A hub that has ended counts as up for 1.5 s, and for up to a second more at a late instance. What is reported meanwhile is lost. A spoke may also know earlier than the new hub that it is one; the new hub then drops what it should pass on. Class: a report that is sent once, to an instance that may be gone.

Evidence: TestLargeFleetFindsStreamsThatBeganWhileHubWasSilent, 11 of 60 origins not found.

Change: an instance remembers for 3.1 s what it has passed on, its own streams and those of its spokes, and passes it on again when its hub changes or it becomes one. Records are the same whoever sends them, so a second copy changes nothing.

Result: all 60 found.

--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -172,6 +172,7 @@
 	wasConnected bool
 	// stopped has the instances that have served callers and said that they no longer do.
 	stopped map[types.InstanceID]bool
+	passed  passedStreams
 	// queryingHistory reports whether a peer is being asked for its history of versions.
 	queryingHistory bool
 	// heldSince is the time since which this instance has the origins of all streams of a full
@@ -314,6 +315,7 @@
 	before := m.topology
 	m.topology = newTopology(m.options.Self, up)
 	m.copyStreamsFromHubs(before)
+	m.passOnAgain(before)
 	if !maps.Equal(before.hubs, m.topology.hubs) {
 		for _, member := range m.members {
 			member.wakeSender()
