edge: failing test of a late instance that is killed in its planned stop

All phases of a stop are counted from when the process notices SIGTERM, with constants for its lateness and its last responses.

--- a/pkg/edge/drain_test.go
+++ b/pkg/edge/drain_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/gateway"
+	"github.com/umbercrank/umbercrank/pkg/overload"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 // TestStoppingInstanceAcceptsNothingLate guards against a request that arrives late in a planned stop,
@@ -33,6 +39,80 @@
 	}
 }
 
+// pipeListener accepts one end of a pipe.
+type pipeListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l pipeListener) Accept() (net.Conn, error) { return l.conn, nil }
+
+// busyListener returns a listener with a connection on which a request is being received.
+func busyListener(t *testing.T, now clock.Clock) *gateway.Listener {
+	t.Helper()
+	caller, accepted := net.Pipe()
+	callers := gateway.NewListener(pipeListener{conn: accepted}, now)
+	conn, err := callers.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = caller.Close(), conn.Close() })
+	go func() { _, _ = caller.Write([]byte("GET")) }()
+	if _, err := conn.Read(make([]byte, 3)); err != nil || callers.Busy() != 1 {
+		t.Fatal("the connection is not busy", err)
+	}
+	return callers
+}
+
+// TestStopOfLateInstanceAnswersBeforeItIsKilled guards against an instance that notices the signal late, counts its
+// stop from then, and is killed while it still waits for requests or for responses that are being written.
+func TestStopOfLateInstanceAnswersBeforeItIsKilled(t *testing.T) {
+	const grace, slack = 8 * time.Second, 2 * drainPollInterval
+	for _, late := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(late.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, _ := newTestEdge()
+				running := clock.Process()
+				var skipped atomic.Int64
+				e.now = func() time.Duration { return running() + time.Duration(skipped.Load()) }
+				e.meter = overload.NewMeter(e.now)
+				at := make(map[string]time.Duration)
+				e.logger = zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) { at[message] = e.now() }))
+				e.settings.GracePeriod = grace
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go e.meter.Run(ctx, nil, nil)
+				callers := busyListener(t, e.now)
+				time.Sleep(time.Second)
+				signalled := e.now()
+				skipped.Add(int64(late))
+				noticed := e.now()
+				go func() {
+					// The process stands still again and again.
+					for wait.For(ctx, 500*time.Millisecond) {
+						skipped.Add(int64(late))
+					}
+				}()
+				e.drain(callers)
+				returned := e.now() - signalled
+				if after := at["accepts no more requests"] - signalled; after > maxAcceptTime {
+					t.Errorf("accepts requests %v after the signal", after)
+				}
+				ended := at["stopped serving"]
+				if left := signalled + grace - ended; left < min(max(late, grace/16-slack), grace/6-2*late-slack) {
+					t.Errorf("ends requests %v before it is killed", left)
+				}
+				if after := ended - noticed; after < grace*5/6 {
+					t.Errorf("ends requests %v after it has noticed the signal", after)
+				}
+				if returned > grace+late || returned < grace-grace/16+100*time.Millisecond {
+					t.Errorf("waits until %v after the signal for a response that is being written", returned)
+				}
+			})
+		})
+	}
+}
+
 // stoppedAccepting returns the time after the beginning of the stop that the log names.
 func stoppedAccepting(t *testing.T, log *bytes.Buffer) (after time.Duration, ok bool) {
 	t.Helper()
