--- a/pkg/gateway/header_tracker.go
+++ b/pkg/gateway/header_tracker.go
@@ -15,7 +15,7 @@
 	phaseIdle phase = iota
 	// phaseHeader: the header of a request is partly received.
 	phaseHeader
-	// phaseServing: a request is being served.
+	// phaseServing: a request is being served, or its response is not written yet.
 	phaseServing
 	// phaseClosing: the connection is being closed and passes on no further byte. It is
 	// the last phase.
@@ -72,17 +72,21 @@
 	return true
 }
 
-// reset waits for the next request, whose header may be partly received already.
-func (h *headerTracker) reset(partial bool) {
+// reset waits for the next request, whose header may be received already, as a whole or in part.
+func (h *headerTracker) reset(complete, partial bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.enter(phaseIdle)
-	if partial {
+	switch {
+	case complete:
+		h.enter(phaseServing)
+	case partial:
 		h.enter(phaseHeader)
+	default:
+		h.enter(phaseIdle)
 	}
 }
 
-// isBusy reports whether a request is being received or served.
+// isBusy reports whether a request is being received or served, or its response is not written yet.
 func (h *headerTracker) isBusy() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
