edge: failing test of a request that is read while the server of a stopping instance closes

The server is closed 250 ms after the stop has found no request any more, whatever a late instance has read meanwhile: 'unexpected EOF' at its caller.

--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/gateway"
@@ -56,8 +57,8 @@
 // drain stops the instance gracefully: it removes the instance from the directory
 // and notifies its peers, still accepts requests for a while, and then waits for the running ones, also those of peers,
 // for those that are being received and for responses that are being written. It ends what is left in time for its
-// callers to get a response before the process is killed.
-func (e *Edge) drain(callers *gateway.Listener) {
+// callers to get a response before the process is killed. It returns until when they may be waited for.
+func (e *Edge) drain(callers *gateway.Listener) (exit time.Duration) {
 	late, noticed := e.meter.Late(), e.now()
 	e.stopping.Store(true)
 	e.mesh.ReportChange()
@@ -75,10 +76,16 @@
 	}
 	e.logStop("stopped serving", noticed)
 	e.gateway.End()
-	exit := max(times.after(times.signalled, exitShare), e.now()+minAnswerTime)
+	exit = max(times.after(times.signalled, exitShare), e.now()+minAnswerTime)
 	for e.busy(callers) && e.now() < exit {
 		time.Sleep(drainPollInterval)
 	}
+	return exit
+}
+
+// closeCallers closes the server.
+func (*Edge) closeCallers(server *http.Server, _ *gateway.Listener, _ time.Duration) {
+	gateway.Close(server)
 }
 
 // busy reports whether requests are in flight, of callers or of peers, or are being received.
--- a/pkg/edge/drain_test.go
+++ b/pkg/edge/drain_test.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,6 +17,7 @@
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/gateway"
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/overload"
 	"github.com/umbercrank/umbercrank/pkg/wait"
 )
@@ -39,19 +42,26 @@
 	}
 }
 
-// pipeListener accepts one end of a pipe.
-type pipeListener struct {
-	net.Listener
-	conn net.Conn
+// pipeListener accepts the ends of pipes until it is closed.
+type pipeListener chan net.Conn
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	if conn, ok := <-l; ok {
+		return conn, nil
+	}
+	return nil, http.ErrServerClosed
 }
 
-func (l pipeListener) Accept() (net.Conn, error) { return l.conn, nil }
+func (l pipeListener) Close() error { close(l); return nil }
+func (pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 // busyListener returns a listener with a connection on which a request is being received.
 func busyListener(t *testing.T, now clock.Clock) *gateway.Listener {
 	t.Helper()
 	caller, accepted := net.Pipe()
-	callers := gateway.NewListener(pipeListener{conn: accepted}, now)
+	inner := make(pipeListener, 1)
+	inner <- accepted
+	callers := gateway.NewListener(inner, now)
 	conn, err := callers.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -113,6 +123,42 @@
 	}
 }
 
+// TestRequestReadWhileTheServerClosesIsAnswered guards against connections that end without a response because the handler
+// of a request that was read at the end of a stop is late.
+func TestRequestReadWhileTheServerClosesIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, _ := newTestEdge()
+		e.now = clock.Process()
+		inner := make(pipeListener)
+		callers := gateway.NewListener(inner, e.now)
+		began, ended := make(chan struct{}), make(chan struct{})
+		server := netconn.Track(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			defer close(ended)
+			close(began)
+			time.Sleep(time.Second)
+		})})
+		go func() { _ = server.Serve(callers) }()
+		caller, accepted := net.Pipe()
+		defer caller.Close()
+		inner <- accepted
+		go func() { _, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") }()
+		<-began
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			e.closeCallers(server, callers, e.now()+2*time.Second)
+		}()
+		if _, err := http.ReadResponse(bufio.NewReader(caller), nil); err != nil {
+			t.Error(err)
+		}
+		<-ended
+		<-closed
+		if now := e.now(); now > 1500*time.Millisecond {
+			t.Errorf("closes after %v, when nothing is left to be answered", now)
+		}
+	})
+}
+
 // stoppedAccepting returns the time after the beginning of the stop that the log names.
 func stoppedAccepting(t *testing.T, log *bytes.Buffer) (after time.Duration, ok bool) {
 	t.Helper()
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -269,12 +269,13 @@
 	group.Go(func() error { e.gateway.Intake().LogRefusals(taskCtx, e.logger); return nil })
 	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
 	e.logger.Info().Str("callers", e.settings.CallerAddress).Str("peers", e.settings.PeerAddress).Str("metrics", e.settings.MetricsAddress).Msg("started")
+	var exit time.Duration
 	select {
 	case <-ctx.Done():
-		e.drain(callers)
+		exit = e.drain(callers)
 	case <-taskCtx.Done():
 	}
-	gateway.Close(server)
+	e.closeCallers(server, callers, exit)
 	cancel()
 	e.dialer.Close()
 	err = group.Wait()
