--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/gateway"
+	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 const (
@@ -83,8 +85,17 @@
 	return exit
 }
 
-// closeCallers closes the server.
-func (*Edge) closeCallers(server *http.Server, _ *gateway.Listener, _ time.Duration) {
+// closeCallers closes the server. It completes requests that are read meanwhile, at most until exit.
+func (e *Edge) closeCallers(server *http.Server, callers *gateway.Listener, exit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), exit-e.now())
+	defer cancel()
+	go func() {
+		defer cancel()
+		for wait.For(ctx, drainPollInterval) && e.busy(callers) {
+		}
+	}()
+	// An error means that callers have connections on which they have sent no request, or that the time is over.
+	_ = server.Shutdown(ctx)
 	gateway.Close(server)
 }
 
