--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -11,12 +11,20 @@
 // answerTime is how long the responses of requests may take that a node ends before it stops.
 const answerTime = 500 * time.Millisecond
 
+// stopTimes returns how long a stop may take that is noticed now, and how long of that requests in flight may go on.
+func stopTimes(timeout, _ time.Duration) (total, serving time.Duration) {
+	return timeout, timeout - answerTime
+}
+
 // stop shuts the node down gracefully within StopTimeout.
 func (n *Node) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout)
+	late := n.roles.meter.Late()
+	n.logger.Info().Dur("timeout_ms", n.settings.StopTimeout).Dur("late_ms", late).Msg("stopping")
+	total, serving := stopTimes(n.settings.StopTimeout, late)
+	ctx, cancel := context.WithTimeout(context.Background(), total)
 	defer cancel()
 	n.lifecycle.fire(eventLeave)
-	leaving, cancelLeave := context.WithTimeout(ctx, n.settings.StopTimeout-answerTime)
+	leaving, cancelLeave := context.WithTimeout(ctx, serving)
 	defer cancelLeave()
 	n.roles.Leave(leaving)
 	n.lifecycle.fire(drainEvent(ctx))
