--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -244,7 +244,7 @@
 // requests in flight. It returns when they have ended, or after it has ended them because ctx is done.
 func (r *Roles) Leave(ctx context.Context) {
 	r.recorder.Record(timeline.Event{Kind: timeline.InstanceLeaving})
-	r.logger.Info().Msg("leaving")
+	r.logger.Info().Dur("late_ms", r.meter.Late()).Msg("leaving")
 	r.members.Leave(ctx)
 	r.dispatch.Drain(ctx)
 	wait.For(ctx, r.settings.AddressLifetime+r.settings.DirectoryOverlap)
--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -8,19 +8,23 @@
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 )
 
-// answerTime is how long the responses of requests may take that a node ends before it stops.
+// answerTime is how long the responses of requests may take, at least, that a node ends before it stops.
 const answerTime = 500 * time.Millisecond
 
-// stopTimes returns how long a stop may take that is noticed now, and how long of that requests in flight may go on.
-func stopTimes(timeout, _ time.Duration) (total, serving time.Duration) {
-	return timeout, timeout - answerTime
+// answerDelays is how often such a response waits for a late node.
+const answerDelays = 4
+
+// stopTimes returns how long a stop may take that is noticed now by a node that is late by the given time, and how long of that
+// requests in flight may go on: at least a quarter of the timeout.
+func stopTimes(timeout, late time.Duration) (total, serving time.Duration) {
+	late = min(late, timeout/4)
+	total = timeout - late
+	return total, max(total-max(answerTime, answerDelays*late), timeout/4)
 }
 
 // stop shuts the node down gracefully within StopTimeout.
 func (n *Node) stop() {
-	late := n.roles.meter.Late()
-	n.logger.Info().Dur("timeout_ms", n.settings.StopTimeout).Dur("late_ms", late).Msg("stopping")
-	total, serving := stopTimes(n.settings.StopTimeout, late)
+	total, serving := stopTimes(n.settings.StopTimeout, n.roles.meter.Late())
 	ctx, cancel := context.WithTimeout(context.Background(), total)
 	defer cancel()
 	n.lifecycle.fire(eventLeave)
