--- a/pkg/edge/drain_test.go
+++ b/pkg/edge/drain_test.go
@@ -55,23 +55,24 @@
 func (l pipeListener) Close() error { close(l); return nil }
 func (pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-// busyListener returns a listener with a connection on which a request is being received.
-func busyListener(t *testing.T, now clock.Clock) *gateway.Listener {
+// openListener returns a listener with a connection, and a function that sends it a part of a request.
+func openListener(t *testing.T, now clock.Clock) (callers *gateway.Listener, send func()) {
 	t.Helper()
 	caller, accepted := net.Pipe()
 	inner := make(pipeListener, 1)
 	inner <- accepted
-	callers := gateway.NewListener(inner, now)
+	callers = gateway.NewListener(inner, now)
 	conn, err := callers.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _, _ = caller.Close(), conn.Close() })
-	go func() { _, _ = caller.Write([]byte("GET")) }()
-	if _, err := conn.Read(make([]byte, 3)); err != nil || callers.Busy() != 1 {
-		t.Fatal("the connection is not busy", err)
+	return callers, func() {
+		go func() { _, _ = caller.Write([]byte("GET")) }()
+		if _, err := conn.Read(make([]byte, 3)); err != nil || callers.Busy() != 1 {
+			t.Error("the connection is not busy", err)
+		}
 	}
-	return callers
 }
 
 // TestStopOfLateInstanceAnswersBeforeItIsKilled guards against an instance that notices the signal late, counts its
@@ -92,7 +93,8 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go e.meter.Run(ctx, nil, nil)
-				callers := busyListener(t, e.now)
+				callers, send := openListener(t, e.now)
+				send()
 				time.Sleep(time.Second)
 				signalled := e.now()
 				skipped.Add(int64(late))
@@ -123,6 +125,33 @@
 	}
 }
 
+// TestStopOfLateInstanceReadsWhatHasArrived guards against connections that are closed although a request has arrived, which
+// a late instance has not read yet.
+func TestStopOfLateInstanceReadsWhatHasArrived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, _ := newTestEdge()
+		running := clock.Process()
+		var skipped atomic.Int64
+		e.now = func() time.Duration { return running() + time.Duration(skipped.Load()) }
+		e.meter = overload.NewMeter(e.now)
+		e.settings.GracePeriod = 8 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go e.meter.Run(ctx, nil, nil)
+		callers, send := openListener(t, e.now)
+		e.logger = zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
+			if message == "accepts no more requests" {
+				skipped.Add(int64(300 * time.Millisecond))
+				time.AfterFunc(200*time.Millisecond, send)
+			}
+		}))
+		e.drain(callers)
+		if callers.Busy() == 0 {
+			t.Error("the stop has ended before the request was read")
+		}
+	})
+}
+
 // TestRequestReadWhileTheServerClosesIsAnswered guards against connections that end without a response because the handler
 // of a request that was read at the end of a stop is late.
 func TestRequestReadWhileTheServerClosesIsAnswered(t *testing.T) {
