--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -73,9 +73,7 @@
 	}
 	e.gateway.Stop()
 	e.logStop("accepts no more requests", noticed)
-	for e.busy(callers) && e.now() < times.ending(e.meter.Late()) {
-		time.Sleep(drainPollInterval)
-	}
+	e.awaitQuiet(callers, times)
 	e.logStop("stopped serving", noticed)
 	e.gateway.End()
 	exit = max(times.after(times.signalled, exitShare), e.now()+minAnswerTime)
@@ -85,6 +83,21 @@
 	return exit
 }
 
+// awaitQuiet waits until the instance has not been busy for as long as it is late, so that it has read what has arrived, or
+// until it ends the requests in flight.
+func (e *Edge) awaitQuiet(callers *gateway.Listener, times stopTimes) {
+	quietSince := e.now()
+	for now := quietSince; now < times.ending(e.meter.Late()); now = e.now() {
+		switch {
+		case e.busy(callers):
+			quietSince = now
+		case now-quietSince >= e.meter.Late():
+			return
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // closeCallers closes the server. It completes requests that are read meanwhile, at most until exit.
 func (e *Edge) closeCallers(server *http.Server, callers *gateway.Listener, exit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), exit-e.now())
