netconn: bytes that arrive behind dropped ones belong to no request

What callers saw: a caller that sends more than 16 kB behind a request that is served loses the rest, and a later request that begins before the gap ran with bytes from behind it.

Cause: watch did not ask whether bytes were dropped, so the read beside a later handler appended to what is kept.

Change: once bytes were dropped, nothing is kept any more; the read beside a handler only waits for the end of the connection, as it does while too much is kept.

Measured: the test failed with 2137 strange bytes in a body of 18432, and passes in 20 of 20 runs with the race detector.

--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -154,6 +154,9 @@
 func (c *ServerConn) readAhead(space []byte) error {
 	kept := len(c.ahead)
 	switch {
+	case c.dropped:
+		// What follows is not next to the bytes that are kept.
+		return c.readBeyond()
 	case kept == 0:
 		n, err := c.Conn.Read(space)
 		c.ahead = append(c.ahead, space[:n]...)
