transit: a connection for a peer counts before it is accepted

What callers saw: a request that a peer sends through an instance at the moment at which it stops accepting requests may be cut when the process exits, because the stop does not wait for it.

Cause: the instance asked whether it accepts requests, and counted the connection after that. The stop refuses new requests and then reads the count.

Change: the connection is counted first. Either the stop sees it, or the connection sees the stop and is refused before anything is sent.

--- a/pkg/transit/server.go
+++ b/pkg/transit/server.go
@@ -119,11 +119,21 @@
 	}
 }
 
-// admit counts a connection, or returns an error if none is accepted.
+// admit counts a connection, or returns an error if none is accepted. It counts before it decides: a stop refuses
+// first and then waits for those that count.
 func (t *Transit) admit(serving func() bool) *fault.Error {
+	if failure := t.reserve(); failure != nil {
+		return failure
+	}
 	if !serving() {
+		t.release()
 		return fault.New(fault.Leaving, "this instance is shutting down")
 	}
+	return nil
+}
+
+// reserve counts a connection and reserves its memory, or returns an error if there is no room for it.
+func (t *Transit) reserve() *fault.Error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.carried >= maxCarried || t.options.Memory != nil && !t.options.Memory.Reserve(carriedBytes) {
