gateway: a failing test of a request that is read while a stopping instance closes its connections

What callers see: on a connection that was accepted right before a planned stop closes its server, a request is read as a whole and the connection ends without a response. Callers do not send a request that may run only once again after that, as they would after a refusal or a connection that was closed with the request unread.

Cause: once http.Server.Shutdown was called, net/http closes a connection as soon as it has read a request on it. Shutdown closes idle connections at once, and waits for new ones for up to 250 ms.

--- a/pkg/gateway/close_test.go
+++ b/pkg/gateway/close_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
@@ -161,3 +162,37 @@
 	}
 	env.checkRequestCount(1)
 }
+
+// TestRequestThatCrossesTheCloseIsRefused guards against requests that a stopping instance reads and drops without a response.
+func TestRequestThatCrossesTheCloseIsRefused(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		env := newBubbleEnv(t, testRoutes, respondWith(rawResponse(200, "fine")), 1)
+		inner := env.listen("closing")
+		callers := NewListener(inner, env.gateway.options.Clock)
+		server := env.gateway.Server()
+		go func() { _ = server.Serve(callers) }()
+		env.address = env.addressOf("closing", inner)
+		conn, err := env.dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		synctest.Wait()
+		env.gateway.Stop()
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			Close(server)
+		}()
+		synctest.Wait()
+		if _, err := io.WriteString(conn, requestOn("/once/", "r1", "body")); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("%+v, %v", response, err)
+		}
+		<-closed
+		env.checkRequestCount(0)
+	})
+}
