netconn: a request whose bytes cross the eviction of its connection is refused, not cut

What callers saw: with all connections or all memory in use, a stalled request whose last bytes arrive just as its connection is chosen to make room was cut by join, though it has not run. A header that crosses the eviction of an idle connection got 400 if a part of its body was due, which callers do not retry.

Cause: the error of a read from an evicted connection was chosen by where the bytes end. With the last byte the body was complete, and its handler got the error of a closed connection; with a header the body was due, and net/http, which had not begun a handler, got the refusal that is meant for one and wrote its own 400.

Change: the error depends on who reads. A handler gets the refusal, net/http that of a closed connection, to which it writes nothing.

--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -150,13 +150,13 @@
 	phase, cost := c.phase(position)
 	if n == 0 {
 		if account.IsEvicted() {
-			return c.evictedError(phase)
+			return c.evictedError()
 		}
 		return nil
 	}
 	switch account.Receive(c.charge.intake.Clock(), phase, n, cost) {
 	case intake.Evicted:
-		return c.evictedError(phase)
+		return c.evictedError()
 	case intake.Unpaid:
 		switch {
 		case c.charge.handling.Load():
@@ -181,14 +181,13 @@
 	if c.charge.account == nil {
 		return nil
 	}
-	position := c.Requests.Position()
 	if c.charge.account.IsEvicted() {
-		phase, _ := c.phase(position)
-		return c.evictedError(phase)
+		return c.evictedError()
 	}
 	if c.charge.handling.Load() {
 		return nil
 	}
+	position := c.Requests.Position()
 	if c.isTooLarge(position) {
 		return c.refuse(ErrHeaderTooLarge)
 	}
@@ -199,9 +198,10 @@
 	return nil
 }
 
-// evictedError returns the error of a read from a connection that must make room.
-func (c *ServerConn) evictedError(phase intake.Phase) error {
-	if phase == intake.Body {
+// evictedError returns the error of a read from a connection that must make room. It depends on who reads, and not on
+// the bytes: a handler refuses its request, and net/http writes no response to one that it has not read.
+func (c *ServerConn) evictedError() error {
+	if c.charge.handling.Load() {
 		return intake.ErrEvicted
 	}
 	return c.ClosedError()
