netconn, gateway, node: an instance that closes its server refuses the requests that it still reads

What callers saw: at the end of a planned stop, a request on a connection that had been accepted and had sent nothing was read as a whole, and its connection ended without a response: for up to 250 ms of join, and to the end of the stop timeout of serve. A request that may run only once is not sent again after that, though it had not run.

Cause: http.Server.Shutdown waits for new connections, but once it was called net/http closes a connection as soon as it has read a request on it.

Join calls Shutdown only while a connection is busy.

Close takes the listener of its server, in the tests too. A server whose listener was closed has ended as planned.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -274,7 +275,7 @@
 		e.drain(callers)
 	case <-taskCtx.Done():
 	}
-	gateway.Close(server)
+	gateway.Close(server, callers)
 	cancel()
 	e.dialer.Close()
 	err = group.Wait()
@@ -333,9 +334,9 @@
 // Accept implements net.Listener.
 func (l *retryingListener) Accept() (net.Conn, error) { return netconn.Accept(l.Listener, l.logger) }
 
-// ignoreClosed drops the error of a server that was closed.
+// ignoreClosed drops the error of a server that was closed, or whose listener was.
 func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed {
+	if err == http.ErrServerClosed || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- a/pkg/gateway/close_test.go
+++ b/pkg/gateway/close_test.go
@@ -68,7 +68,7 @@
 	server.RegisterOnShutdown(func() { close(held.release) })
 	go func() {
 		defer close(closed)
-		Close(server)
+		Close(server, callers)
 	}()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
@@ -90,7 +90,7 @@
 	callers := NewListener(inner, clock.Boot)
 	server := env.gateway.Server()
 	go func() { _ = server.Serve(callers) }()
-	defer Close(server)
+	defer Close(server, callers)
 	conn, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -129,7 +129,7 @@
 	callers := NewListener(held, clock.Boot).WithIntake(bounds)
 	server := env.gateway.Server()
 	go func() { _ = server.Serve(callers) }()
-	defer Close(server)
+	defer Close(server, callers)
 	conn, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -182,7 +182,7 @@
 		closed := make(chan struct{})
 		go func() {
 			defer close(closed)
-			Close(server)
+			Close(server, callers)
 		}()
 		synctest.Wait()
 		if _, err := io.WriteString(conn, requestOn("/once/", "r1", "body")); err != nil {
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -158,19 +158,29 @@
 	return busy
 }
 
-// closeTimeout bounds the wait for requests that were read while the server began to close.
+// closeTimeout bounds the wait for requests and responses that are not complete when the server closes.
 const closeTimeout = 250 * time.Millisecond
 
-// Close closes the server of a Gateway when no request is in flight any more. It completes
-// requests that have just been read and responses that are being sent.
-func Close(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	// An error means that closeTimeout has passed. Close ends what is left.
-	_ = server.Shutdown(ctx)
+// Close closes the server of a Gateway that has stopped, when no request is in flight any more. Requests that are
+// read meanwhile are refused, and responses that are being sent are completed.
+func Close(server *http.Server, callers *Listener) {
+	netconn.StopAccepting(server, callers, callers.size)
+	if callers.Busy() > 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		// An error means that closeTimeout has passed. Close ends what is left.
+		_ = server.Shutdown(ctx)
+	}
 	_ = server.Close()
 }
 
+// size returns the number of open connections.
+func (l *Listener) size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
 // callerConn is a connection from a caller.
 type callerConn struct {
 	*netconn.ServerConn
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -41,9 +43,11 @@
 	dialer       *peer.Dialer
 	peerServer   *peer.Server
 	callerServer *http.Server
-	adminServer  *http.Server
-	listeners    listeners
-	lifecycle    *lifecycle
+	// callerConns is the number of open connections of callerServer.
+	callerConns atomic.Int64
+	adminServer *http.Server
+	listeners   listeners
+	lifecycle   *lifecycle
 	// intake bounds the connections to both HTTP servers.
 	intake netconn.Intake
 }
@@ -160,12 +164,23 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    n.maxForwardedHeader(),
+		ConnState:         n.countCaller,
 		// All requests are checked by the handler.
 		DisableGeneralOptionsHandler: true,
 	})
 	n.adminServer = netconn.NewServer(n.adminHandler())
 }
 
+// countCaller counts the open connections of callers.
+func (n *Node) countCaller(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		n.callerConns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		n.callerConns.Add(-1)
+	}
+}
+
 // maxForwardedHeader returns the maximum size of the headers that another instance forwards. It writes fields in
 // another form than the caller, with blanks and longer line ends.
 func (n *Node) maxForwardedHeader() int { return 2 * n.settings.MaxHeaderBytes }
@@ -239,9 +254,9 @@
 	return nil
 }
 
-// ignoreServerClosed returns err, or nil if err is http.ErrServerClosed.
+// ignoreServerClosed returns err, or nil if the server or its listener was closed.
 func ignoreServerClosed(err error) error {
-	if err == http.ErrServerClosed {
+	if err == http.ErrServerClosed || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/umbercrank/umbercrank/pkg/netconn"
 	"github.com/umbercrank/umbercrank/pkg/statechart"
 	"github.com/umbercrank/umbercrank/pkg/timeline"
 )
@@ -20,6 +21,7 @@
 	defer cancelLeave()
 	n.roles.Leave(leaving)
 	n.lifecycle.fire(drainEvent(ctx))
+	netconn.StopAccepting(n.callerServer, n.listeners.callers, func() int { return int(n.callerConns.Load()) })
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.logger.Warn().Err(err).Msg("timed out closing caller connections")
 	}
