netconn: what is read beside a handler is paid for by the next read

What callers saw: a request lost a byte of its header and was cut, if a part of that header had arrived before the response to the request before it, and all memory was in use as that response was written.

Cause: the read beside a handler failed for want of memory.

Change: that read is not charged. It returns one byte at most, and the next read claims what the whole header so far costs.

--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -107,6 +107,10 @@
 	}
 	n, err := c.read(b)
 	c.Requests.Add(b[:n])
+	if len(b) == 1 {
+		// The next read pays for it. A failure would lose the byte and cancel the request that is handled.
+		return n, err
+	}
 	if failure := c.chargeRead(n); failure != nil {
 		return 0, failure
 	}
