netconn: a body that is partly received belongs to the last header

What callers saw: they send their next request before they have their response. If a part of its body had arrived with its header, and another connection needed room a second later, the request that ran was cut without a response.

Cause: the connection counted as one whose handled request has a stalled body. Its eviction sets a read deadline in the past, which ended the read beside the handler, and net/http cancels the request for that.

Change: a partly received body belongs to the last header that was received. While an earlier request is handled, or waits for its handler, the connection counts as being served and makes no room.

--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -128,11 +128,13 @@
 // phase returns what the connection does, with the cost of the headers that are not handled yet.
 func (c *ServerConn) phase(position Position) (intake.Phase, int64) {
 	cost := max(intake.HeadCost(position.PartialBytes, position.PartialLines), intake.HeadCost(position.WaitingBytes, position.WaitingLines))
-	begun := c.charge.handling.Load() || position.Waiting > 0
+	handling := c.charge.handling.Load()
+	// A body that is partly received is that of the last header, which may wait behind another request.
+	first := !handling && position.Waiting == 1 || handling && position.Waiting == 0
 	switch {
-	case begun && position.InBody:
+	case first && position.InBody:
 		return intake.Body, cost
-	case begun:
+	case handling || position.Waiting > 0:
 		return intake.Serving, cost
 	case position.PartialBytes > 0 || position.InBody:
 		return intake.Head, cost
@@ -259,7 +261,10 @@
 	if c.charge.account == nil {
 		return nil
 	}
-	phase, _ := c.phase(c.Requests.Position())
+	position := c.Requests.Position()
+	// The handler takes its header after this.
+	position.Waiting = max(position.Waiting-1, 0)
+	phase, _ := c.phase(position)
 	c.charge.account.Begin(c.charge.intake.Clock(), phase)
 	if !c.reserve(intake.RequestBytes) {
 		return intake.ErrNoMemory
