netconn: the deadline for the rest of a body is not set for that of a later request

What callers saw: they send their next request before they have their response. If a part of its body had arrived with its header, and the response took longer than 250 ms to write, the next request was cut.

Cause: when a handler returns and a body is partly received, what is left of it is discarded for 250 ms at most. The body was that of the next request; the deadline ended the read beside the handler, and net/http cancels the requests of the connection for that.

Change: the deadline is set only if no later header was received.

--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -81,7 +81,8 @@
 	now := time.Now()
 	// Errors mean that the connection is closed. net/http removes both deadlines before the next request.
 	_ = c.Conn.SetWriteDeadline(now.Add(responseTimeout))
-	if c.Requests.Position().InBody {
+	// Behind another header, the body is that of a later request.
+	if position := c.Requests.Position(); position.InBody && position.Waiting == 0 {
 		_ = c.Conn.SetReadDeadline(now.Add(discardTimeout))
 	}
 	c.charge.account.EndHandler()
