--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -1,12 +1,9 @@
 package edge
 
 import (
-	"context"
-	"net/http"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/gateway"
-	"github.com/umbercrank/umbercrank/pkg/wait"
 )
 
 const (
@@ -98,20 +95,6 @@
 	}
 }
 
-// closeCallers closes the server. It completes requests that are read meanwhile, at most until exit.
-func (e *Edge) closeCallers(server *http.Server, callers *gateway.Listener, exit time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), exit-e.now())
-	defer cancel()
-	go func() {
-		defer cancel()
-		for wait.For(ctx, drainPollInterval) && e.busy(callers) {
-		}
-	}()
-	// An error means that callers have connections on which they have sent no request, or that the time is over.
-	_ = server.Shutdown(ctx)
-	gateway.Close(server)
-}
-
 // busy reports whether requests are in flight, of callers or of peers, or are being received.
 func (e *Edge) busy(callers *gateway.Listener) bool {
 	return e.gateway.Active() > 0 || e.gateway.Carried() > 0 || callers.Busy() > 0
--- a/pkg/edge/drain_test.go
+++ b/pkg/edge/drain_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -43,24 +44,33 @@
 }
 
 // pipeListener accepts the ends of pipes until it is closed.
-type pipeListener chan net.Conn
+type pipeListener struct {
+	conns chan net.Conn
+	close sync.Once
+}
+
+func newPipeListener() *pipeListener { return &pipeListener{conns: make(chan net.Conn, 1)} }
 
-func (l pipeListener) Accept() (net.Conn, error) {
-	if conn, ok := <-l; ok {
+func (l *pipeListener) Accept() (net.Conn, error) {
+	if conn, ok := <-l.conns; ok {
 		return conn, nil
 	}
-	return nil, http.ErrServerClosed
+	return nil, net.ErrClosed
+}
+
+func (l *pipeListener) Close() error {
+	l.close.Do(func() { close(l.conns) })
+	return nil
 }
 
-func (l pipeListener) Close() error { close(l); return nil }
-func (pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+func (*pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 // openListener returns a listener with a connection, and a function that sends it a part of a request.
 func openListener(t *testing.T, now clock.Clock) (callers *gateway.Listener, send func()) {
 	t.Helper()
 	caller, accepted := net.Pipe()
-	inner := make(pipeListener, 1)
-	inner <- accepted
+	inner := newPipeListener()
+	inner.conns <- accepted
 	callers = gateway.NewListener(inner, now)
 	conn, err := callers.Accept()
 	if err != nil {
@@ -158,7 +168,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e, _ := newTestEdge()
 		e.now = clock.Process()
-		inner := make(pipeListener)
+		inner := newPipeListener()
 		callers := gateway.NewListener(inner, e.now)
 		began, ended := make(chan struct{}), make(chan struct{})
 		server := netconn.Track(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
@@ -169,13 +179,13 @@
 		go func() { _ = server.Serve(callers) }()
 		caller, accepted := net.Pipe()
 		defer caller.Close()
-		inner <- accepted
+		inner.conns <- accepted
 		go func() { _, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") }()
 		<-began
 		closed := make(chan struct{})
 		go func() {
 			defer close(closed)
-			e.closeCallers(server, callers, e.now()+2*time.Second)
+			gateway.Close(server, callers, 2*time.Second)
 		}()
 		if _, err := http.ReadResponse(bufio.NewReader(caller), nil); err != nil {
 			t.Error(err)
--- a/pkg/gateway/close_test.go
+++ b/pkg/gateway/close_test.go
@@ -7,12 +7,16 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
 	"github.com/umbercrank/umbercrank/pkg/intake"
 )
 
+// closeLimit is the time in which a server closes in these tests.
+const closeLimit = 250 * time.Millisecond
+
 // heldListener accepts connections whose writes wait until release is closed.
 type heldListener struct {
 	net.Listener
@@ -67,7 +71,7 @@
 	server.RegisterOnShutdown(func() { close(held.release) })
 	go func() {
 		defer close(closed)
-		Close(server)
+		Close(server, callers, closeLimit)
 	}()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
@@ -89,7 +93,7 @@
 	callers := NewListener(inner, clock.Boot)
 	server := env.gateway.Server()
 	go func() { _ = server.Serve(callers) }()
-	defer Close(server)
+	defer Close(server, callers, closeLimit)
 	conn, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -128,7 +132,7 @@
 	callers := NewListener(held, clock.Boot).WithIntake(bounds)
 	server := env.gateway.Server()
 	go func() { _ = server.Serve(callers) }()
-	defer Close(server)
+	defer Close(server, callers, closeLimit)
 	conn, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -161,3 +165,37 @@
 	}
 	env.checkRequestCount(1)
 }
+
+// TestRequestThatCrossesTheCloseIsRefused guards against requests that a stopping instance reads and drops without a response.
+func TestRequestThatCrossesTheCloseIsRefused(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		env := newBubbleEnv(t, testRoutes, respondWith(rawResponse(200, "fine")), 1)
+		inner := env.listen("closing")
+		callers := NewListener(inner, env.gateway.options.Clock)
+		server := env.gateway.Server()
+		go func() { _ = server.Serve(callers) }()
+		env.address = env.addressOf("closing", inner)
+		conn, err := env.dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		synctest.Wait()
+		env.gateway.Stop()
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			Close(server, callers, closeLimit)
+		}()
+		synctest.Wait()
+		if _, err := io.WriteString(conn, requestOn("/once/", "r1", "body")); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("%+v, %v", response, err)
+		}
+		<-closed
+		env.checkRequestCount(0)
+	})
+}
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -158,19 +158,34 @@
 	return busy
 }
 
-// closeTimeout bounds the wait for requests that were read while the server began to close.
-const closeTimeout = 250 * time.Millisecond
-
-// Close closes the server of a Gateway when no request is in flight any more. It completes
-// requests that have just been read and responses that are being sent.
-func Close(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	// An error means that closeTimeout has passed. Close ends what is left.
-	_ = server.Shutdown(ctx)
+// closePollInterval is the time between two looks at the connections of a server that closes.
+const closePollInterval = 5 * time.Millisecond
+
+// Close closes the server of a Gateway that has stopped, when no request is in flight any more. Requests that are
+// read meanwhile are refused, and responses that are being sent are completed, within the time limit.
+func Close(server *http.Server, callers *Listener, limit time.Duration) {
+	netconn.StopAccepting(server, callers, callers.size)
+	if callers.Busy() > 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		go func() {
+			defer cancel()
+			for wait.For(ctx, closePollInterval) && callers.Busy() > 0 {
+			}
+		}()
+		// An error means that callers have connections on which they have sent no request, or that the time is over.
+		_ = server.Shutdown(ctx)
+	}
 	_ = server.Close()
 }
 
+// size returns the number of open connections.
+func (l *Listener) size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
 // callerConn is a connection from a caller.
 type callerConn struct {
 	*netconn.ServerConn
--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -128,11 +128,13 @@
 // phase returns what the connection does, with the cost of the headers that are not handled yet.
 func (c *ServerConn) phase(position Position) (intake.Phase, int64) {
 	cost := max(intake.HeadCost(position.PartialBytes, position.PartialLines), intake.HeadCost(position.WaitingBytes, position.WaitingLines))
-	begun := c.charge.handling.Load() || position.Waiting > 0
+	handling := c.charge.handling.Load()
+	// A body that is partly received is that of the last header, which may wait behind another request.
+	first := !handling && position.Waiting == 1 || handling && position.Waiting == 0
 	switch {
-	case begun && position.InBody:
+	case first && position.InBody:
 		return intake.Body, cost
-	case begun:
+	case handling || position.Waiting > 0:
 		return intake.Serving, cost
 	case position.PartialBytes > 0 || position.InBody:
 		return intake.Head, cost
@@ -150,13 +152,13 @@
 	phase, cost := c.phase(position)
 	if n == 0 {
 		if account.IsEvicted() {
-			return c.evictedError(phase)
+			return c.evictedError()
 		}
 		return nil
 	}
 	switch account.Receive(c.charge.intake.Clock(), phase, n, cost) {
 	case intake.Evicted:
-		return c.evictedError(phase)
+		return c.evictedError()
 	case intake.Unpaid:
 		switch {
 		case c.charge.handling.Load():
@@ -181,14 +183,13 @@
 	if c.charge.account == nil {
 		return nil
 	}
-	position := c.Requests.Position()
 	if c.charge.account.IsEvicted() {
-		phase, _ := c.phase(position)
-		return c.evictedError(phase)
+		return c.evictedError()
 	}
 	if c.charge.handling.Load() {
 		return nil
 	}
+	position := c.Requests.Position()
 	if c.isTooLarge(position) {
 		return c.refuse(ErrHeaderTooLarge)
 	}
@@ -199,9 +200,10 @@
 	return nil
 }
 
-// evictedError returns the error of a read from a connection that must make room.
-func (c *ServerConn) evictedError(phase intake.Phase) error {
-	if phase == intake.Body {
+// evictedError returns the error of a read from a connection that must make room. It depends on who reads, and not on
+// the bytes: a handler refuses its request, and net/http writes no response to one that it has not read.
+func (c *ServerConn) evictedError() error {
+	if c.charge.handling.Load() {
 		return intake.ErrEvicted
 	}
 	return c.ClosedError()
@@ -259,7 +261,10 @@
 	if c.charge.account == nil {
 		return nil
 	}
-	phase, _ := c.phase(c.Requests.Position())
+	position := c.Requests.Position()
+	// The handler takes its header after this.
+	position.Waiting = max(position.Waiting-1, 0)
+	phase, _ := c.phase(position)
 	c.charge.account.Begin(c.charge.intake.Clock(), phase)
 	if !c.reserve(intake.RequestBytes) {
 		return intake.ErrNoMemory
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -81,7 +81,8 @@
 	now := time.Now()
 	// Errors mean that the connection is closed. net/http removes both deadlines before the next request.
 	_ = c.Conn.SetWriteDeadline(now.Add(responseTimeout))
-	if c.Requests.Position().InBody {
+	// Behind another header, the body is that of a later request.
+	if position := c.Requests.Position(); position.InBody && position.Waiting == 0 {
 		_ = c.Conn.SetReadDeadline(now.Add(discardTimeout))
 	}
 	c.charge.account.EndHandler()
@@ -107,6 +108,10 @@
 	}
 	n, err := c.read(b)
 	c.Requests.Add(b[:n])
+	if len(b) == 1 {
+		// The next read pays for it. A failure would lose the byte and cancel the request that is handled.
+		return n, err
+	}
 	if failure := c.chargeRead(n); failure != nil {
 		return 0, failure
 	}
@@ -154,6 +159,9 @@
 func (c *ServerConn) readAhead(space []byte) error {
 	kept := len(c.ahead)
 	switch {
+	case c.dropped:
+		// What follows is not next to the bytes that are kept.
+		return c.readBeyond()
 	case kept == 0:
 		n, err := c.Conn.Read(space)
 		c.ahead = append(c.ahead, space[:n]...)
