netconn: a body whose end is not known is not awaited without a bound

What callers saw: a chunked request with an irregular size line, or with both lengths, whose body stalls got no response (no body is read by the handler of an unknown path), or a response on a connection that never closed.

Cause: the time for the rest of an unread body was bounded only if the scanner knew that the body is incomplete. Until a connection was in use to the end of its response, the read itself failed for an unknown end; now such a connection was in use for ever, made no room for others and held up a planned stop.

Change: the time is bounded for an unknown end, too.

--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -81,7 +81,8 @@
 	now := time.Now()
 	// Errors mean that the connection is closed. net/http removes both deadlines before the next request.
 	_ = c.Conn.SetWriteDeadline(now.Add(responseTimeout))
-	if c.Requests.Position().InBody {
+	// A body whose end is not known may be incomplete, too.
+	if position := c.Requests.Position(); position.InBody || position.Lost {
 		_ = c.Conn.SetReadDeadline(now.Add(discardTimeout))
 	}
 	c.charge.account.EndHandler()
