netconn: a request that is complete is not displaced for the stalled body behind it

What callers saw: of two requests in one packet, the first ran and was cancelled, and its connection closed without a response, while connections or memory were short and the body of the second had stalled for a second.

Cause: the phase of a connection was Body as soon as any body was incomplete, also that of a request that waits behind the one that is handled. The eviction of a body interrupts the read beside the handler, which net/http takes for the end of the caller.

Change: the phase is Body only if the incomplete body is that of the request that is handled or is next.

--- a/pkg/netconn/ending_test.go
+++ b/pkg/netconn/ending_test.go
@@ -43,3 +43,41 @@
 		_ = server.Close()
 	}
 }
+
+// TestBytesAheadDoNotEndRunningRequest guards against requests that are cancelled because the body of the one behind
+// them stalls.
+func TestBytesAheadDoNotEndRunningRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	running, release, ended := make(chan struct{}, 1), make(chan struct{}), make(chan error, 1)
+	server := Track(&http.Server{Handler: Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		select {
+		case <-r.Context().Done():
+		case <-release:
+		}
+		ended <- r.Context().Err()
+	}))})
+	pool := intake.NewPool(intake.Limits{Memory: 1 << 20, Connections: 1})
+	go func() {
+		_ = server.Serve(ServerListener{Listener: listener, Intake: Intake{Pool: pool, Clock: clock.Boot}})
+	}()
+	defer server.Close()
+	conn := dialIntake(t, listener.Addr().String())
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab"); err != nil {
+		t.Fatal(err)
+	}
+	<-running
+	time.Sleep(3 * intake.StallTime / 2)
+	dialIntake(t, listener.Addr().String())
+	awaitStatus(t, pool, func(s intake.Status) bool { return s.Refused+s.Evicted > 0 })
+	time.AfterFunc(100*time.Millisecond, func() { close(release) })
+	if err := <-ended; err != nil {
+		t.Errorf("the request ended while it ran: %v", err)
+	}
+	if status := statusOf(conn); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -128,9 +128,12 @@
 // phase returns what the connection does, with the cost of the headers that are not handled yet.
 func (c *ServerConn) phase(position Position) (intake.Phase, int64) {
 	cost := max(intake.HeadCost(position.PartialBytes, position.PartialLines), intake.HeadCost(position.WaitingBytes, position.WaitingLines))
-	begun := c.charge.handling.Load() || position.Waiting > 0
+	handling := c.charge.handling.Load()
+	begun := handling || position.Waiting > 0
+	// An incomplete body is that of the last request, and the header of the one that is handled does not wait any more.
+	complete := handling && position.Waiting > 0 || position.Waiting > 1
 	switch {
-	case begun && position.InBody:
+	case begun && position.InBody && !complete:
 		return intake.Body, cost
 	case begun:
 		return intake.Serving, cost
@@ -255,11 +258,12 @@
 
 // beginCharge reserves the memory for handling a request.
 func (c *ServerConn) beginCharge() *fault.Error {
+	// The header of the request still waits.
+	phase, _ := c.phase(c.Requests.Position())
 	c.charge.handling.Store(true)
 	if c.charge.account == nil {
 		return nil
 	}
-	phase, _ := c.phase(c.Requests.Position())
 	c.charge.account.Begin(c.charge.intake.Clock(), phase)
 	if !c.reserve(intake.RequestBytes) {
 		return intake.ErrNoMemory
