netconn: a body whose end crosses its eviction is refused

What callers saw: a request that was not run ended with a closed connection, without a response.

Cause: a stalled body that must make room is refused by its handler, which the error of its read tells. If the end of the body arrived before the deadline that interrupts the read, the phase after it was Serving, and the error that of a caller that has left.

Change: a connection with a request that is handled returns the error that refuses it.

TestEndOfBodyThatCrossesEvictionIsRefused failed ("use of closed network connection") and passes now, as do the tests of netconn.

--- a/pkg/netconn/ending_test.go
+++ b/pkg/netconn/ending_test.go
@@ -81,3 +81,62 @@
 		t.Errorf("status %d", status)
 	}
 }
+
+// scriptedConn returns what the next of its steps does, whatever its deadlines.
+type scriptedConn struct {
+	net.Conn
+	steps []func() string
+}
+
+// Read implements net.Conn.
+func (c *scriptedConn) Read(b []byte) (int, error) {
+	step := c.steps[0]
+	c.steps = c.steps[1:]
+	return copy(b, step()), nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (*scriptedConn) SetReadDeadline(time.Time) error { return nil }
+
+// LocalAddr and RemoteAddr implement net.Conn.
+func (*scriptedConn) LocalAddr() net.Addr  { return nil }
+func (*scriptedConn) RemoteAddr() net.Addr { return nil }
+
+// scriptedListener accepts one connection.
+type scriptedListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+// Accept implements net.Listener.
+func (l scriptedListener) Accept() (net.Conn, error) { return l.conn, nil }
+
+// TestEndOfBodyThatCrossesEvictionIsRefused guards against requests that get no response because the end of their body
+// arrives while they are told to make room.
+func TestEndOfBodyThatCrossesEvictionIsRefused(t *testing.T) {
+	now := time.Duration(0)
+	pool := intake.NewPool(intake.Limits{Memory: 1 << 20, Connections: 1})
+	inner := &scriptedConn{steps: []func() string{
+		func() string { return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab" },
+		func() string {
+			now += 2 * intake.StallTime
+			pool.Add(now, func(intake.Phase) {})
+			return "cd"
+		},
+	}}
+	conn, err := Intake{Pool: pool, Clock: func() time.Duration { return now }}.Accept(scriptedListener{conn: inner})
+	if err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 1<<10)
+	if _, err := conn.Read(buffer); err != nil {
+		t.Fatal(err)
+	}
+	if refusal := conn.BeginRequest(); refusal != nil {
+		t.Fatal(refusal)
+	}
+	conn.Requests.Take()
+	if n, err := conn.Read(buffer); n != 0 || !errors.Is(err, intake.ErrNoMemory) {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+}
--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -202,9 +202,10 @@
 	return nil
 }
 
-// evictedError returns the error of a read from a connection that must make room.
+// evictedError returns the error of a read from a connection that must make room. A handler refuses its request, also
+// if the end of the body has arrived meanwhile.
 func (c *ServerConn) evictedError(phase intake.Phase) error {
-	if phase == intake.Body {
+	if phase == intake.Body || c.charge.handling.Load() {
 		return intake.ErrEvicted
 	}
 	return c.ClosedError()
