netconn: a connection whose header net/http does not pass on is closed

What callers saw: nothing; an instance of join kept connections for ever. Behind a response, the three bytes of a letter and two line ends are a complete header for the scanner, and net/http waits for a fourth byte. Behind an unknown Expect field it waits for the body without passing the request on. Each such connection counted as busy: no time limit applied, the first kind never made room for others, and a planned stop waited for it until the end of its grace period.

Cause: a connection is in use from the end of a header on, in the belief that a handler follows.

Change: a read behind a header that waits for its handler fails as that of a closed connection. Before it passes a request on, net/http reads no further than to the end of its header.

TestNothingKeepsConnectionBusyForEver: these two of its five cases failed after 5 s on and on and pass now. Tests of netconn and gateway pass.

--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -178,13 +178,17 @@
 	return limit > 0 && position.PartialBytes > limit
 }
 
-// checkHeader returns an error if no further byte is read, because of the header that is partly received or
-// because the connection must make room.
+// checkHeader returns an error if no further byte is read, because of the header that was received or is partly received,
+// or because the connection must make room.
 func (c *ServerConn) checkHeader() error {
+	position := c.Requests.Position()
+	if position.Waiting > 0 && !c.charge.handling.Load() {
+		// net/http has the whole header, and passes it on before it reads any further unless it has refused it.
+		return c.ClosedError()
+	}
 	if c.charge.account == nil {
 		return nil
 	}
-	position := c.Requests.Position()
 	if c.charge.account.IsEvicted() {
 		phase, _ := c.phase(position)
 		return c.evictedError(phase)
