peer: the ends of carried responses are sent before an instance stops

What callers saw: a response that another instance carried broke off right before its end ("unexpected EOF"), for one without a length always, and for others if the last bytes were not flushed yet (8,192 of 9,000 bytes in one run).

Cause: a stop waits until no connection is carried, and that count goes down when the handler returns. HTTP/2 sends the end of the stream, and flushes what comes before it, only after that; the stop then closed the connections between the instances at once.

Change: the server of the streams shuts down gracefully for at most 100 ms before it closes.

Tests of transit and peer pass.

--- a/pkg/peer/streams.go
+++ b/pkg/peer/streams.go
@@ -30,6 +30,9 @@
 	// frameBytes is the largest frame that a side receives. net/http holds a buffer of this size,
 	// up to 512 kB, for each stream whose request body is open.
 	frameBytes = 16 << 10
+	// endTimeout bounds the wait of a server that stops for the ends of streams whose handlers have returned, which are
+	// sent after that.
+	endTimeout = 100 * time.Millisecond
 )
 
 func streamProtocols() *http.Protocols {
@@ -51,9 +54,19 @@
 func (s *Server) serveStreams(ctx context.Context, listener *handoverListener) {
 	// The handler logs the streams; what the library logs are connections that broke off.
 	server := &http.Server{Handler: s.streams, Protocols: streamProtocols(), HTTP2: StreamSettings(), ErrorLog: log.New(io.Discard, "", 0)}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		limited, cancel := context.WithTimeout(context.Background(), endTimeout)
+		defer cancel()
+		// An error means that endTimeout has passed. Close ends what is left.
+		_ = server.Shutdown(limited)
+		_ = server.Close()
+	})
 	_ = server.Serve(listener)
+	if !stop() {
+		<-closed
+	}
 }
 
 // StreamTransport returns the transport for byte streams to other instances. It opens one
