netconn: test that a connection makes room again after its response

Without the call of EndRequest in Track, connections are in use for ever, and the tests of netconn passed all the same.

--- a/pkg/netconn/ending_test.go
+++ b/pkg/netconn/ending_test.go
@@ -140,3 +140,26 @@
 		t.Errorf("read %d bytes, %v", n, err)
 	}
 }
+
+// TestConnectionMakesRoomAfterItsResponse guards against connections that stay in use once their response is written.
+func TestConnectionMakesRoomAfterItsResponse(t *testing.T) {
+	pool, address, _ := serveIntake(t, intake.Limits{Memory: 1 << 20, Connections: 1})
+	for range 3 {
+		conn := dialIntake(t, address)
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if status := statusOf(conn); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		evicted := pool.Status().Evicted
+		// The caller may have the response before the server knows that it is written.
+		for deadline := time.Now().Add(10 * time.Second); pool.Status().Evicted == evicted; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("a connection that waits for its next request makes no room: %+v", pool.Status())
+			}
+			_ = dialIntake(t, address).Close()
+		}
+		awaitStatus(t, pool, func(s intake.Status) bool { return s.Open == 0 })
+	}
+}
