netconn: a larger receive buffer ends with the memory that pays for it

What operators saw: nothing measured. A caller that does not read its response let the kernel hold 64 kB of what it sends further that nothing paid for, until the response was written or its time was over.

Cause: the memory is released when the handler returns, and the buffer was made smaller only once the response was written.

Change: both happen when the handler returns.

--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -276,13 +276,19 @@
 	return nil
 }
 
-// endCharge releases the memory of the request, and that of a larger receive buffer.
-func (c *ServerConn) endCharge() {
-	c.charge.handling.Store(false)
+// releaseMemory releases the memory of a request whose handler has returned, and that of a larger receive buffer.
+func (c *ServerConn) releaseMemory() {
 	if c.charge.grown {
 		c.charge.grown = false
 		setReceiveBuffer(c.Conn, idleBufferBytes)
 	}
+	c.charge.account.EndHandler()
+}
+
+// endCharge ends the charge of a request whose response was written.
+func (c *ServerConn) endCharge() {
+	c.releaseMemory()
+	c.charge.handling.Store(false)
 	if c.charge.account != nil {
 		phase, cost := c.phase(c.Requests.Position())
 		c.charge.account.End(c.charge.intake.Clock(), phase, cost)
--- a/pkg/netconn/intake_test.go
+++ b/pkg/netconn/intake_test.go
@@ -293,6 +293,11 @@
 	if conn.EndRequest(); size() != idle {
 		t.Errorf("%d bytes after the request, %d before", size(), idle)
 	}
+	conn.BeginRequest()
+	conn.Reserve(largeBodyBytes)
+	if conn.EndHandler(); size() != idle {
+		t.Errorf("%d bytes that are not paid for any more, %d before the request", size(), idle)
+	}
 }
 
 // TestRefusalsAreLogged checks that connections and requests without room are counted in the log.
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -85,7 +85,7 @@
 	if position := c.Requests.Position(); position.InBody || position.Lost {
 		_ = c.Conn.SetReadDeadline(now.Add(discardTimeout))
 	}
-	c.charge.account.EndHandler()
+	c.releaseMemory()
 }
 
 // EndRequest notes that the response to a request has been written. Until then the connection makes no room for
