netconn: test the time for the end of a response

Without the write deadline of EndHandler all tests of netconn and gateway passed. TestUnreadResponseEndsItsConnection fails then ("1 connections after it") and passes in three of three runs with the deadline.

--- a/pkg/netconn/ending_test.go
+++ b/pkg/netconn/ending_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/umbercrank/umbercrank/pkg/clock"
@@ -163,3 +164,53 @@
 		awaitStatus(t, pool, func(s intake.Status) bool { return s.Open == 0 })
 	}
 }
+
+// pipeListener accepts the connections of its channel.
+type pipeListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+// Accept implements net.Listener.
+func (l pipeListener) Accept() (net.Conn, error) {
+	if conn, ok := <-l.conns; ok {
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// Close implements net.Listener.
+func (l pipeListener) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestUnreadResponseEndsItsConnection guards against connections that stay in use for ever because their callers do not
+// read the end of a response.
+func TestUnreadResponseEndsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		pool := intake.NewPool(intake.Limits{Memory: 1 << 20, Connections: 1})
+		listener := pipeListener{conns: make(chan net.Conn, 1)}
+		server := Track(&http.Server{Handler: Handler(http.NotFoundHandler())})
+		go func() {
+			_ = server.Serve(ServerListener{Listener: listener, Intake: Intake{Pool: pool, Clock: func() time.Duration { return time.Since(began) }}})
+		}()
+		near, far := net.Pipe()
+		defer near.Close()
+		listener.conns <- far
+		if _, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(responseTimeout - time.Second)
+		if open := pool.Status().Open; open != 1 {
+			t.Errorf("%d connections before the time for the response is over", open)
+		}
+		time.Sleep(2 * time.Second)
+		if open := pool.Status().Open; open != 0 {
+			t.Errorf("%d connections after it", open)
+		}
+		close(listener.conns)
+		_ = server.Close()
+	})
+}
