netconn: a request that was read beside the one before does not make room

What callers saw: a request that had been sent while the one before ran, and that was read at that time, ended with a closed connection and was not passed on.

Cause: what is read beside a handler is not scanned until net/http reads it, but for its first byte. Between the two requests the connection counted as one with an incomplete header, which makes room for others at once.

Change: with bytes that were read ahead the connection is in use until the next read, which follows at once.

TestRequestReadAheadKeepsItsConnection failed ("request 2: status 0", Evicted:1) and passes now, as do the tests of netconn.

--- a/pkg/netconn/ending_test.go
+++ b/pkg/netconn/ending_test.go
@@ -214,3 +214,41 @@
 		_ = server.Close()
 	})
 }
+
+// TestRequestReadAheadKeepsItsConnection guards against requests that were read beside a handler and whose connection
+// makes room before they are handled.
+func TestRequestReadAheadKeepsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := intake.NewPool(intake.Limits{Memory: 1 << 20, Connections: 1})
+		listener := pipeListener{conns: make(chan net.Conn, 1)}
+		release := make(chan struct{})
+		server := Track(&http.Server{
+			Handler: Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })),
+			ConnState: func(_ net.Conn, state http.ConnState) {
+				if state == http.StateIdle {
+					pool.Add(0, func(intake.Phase) {})
+				}
+			},
+		})
+		go func() {
+			_ = server.Serve(ServerListener{Listener: listener, Intake: Intake{Pool: pool, Clock: func() time.Duration { return 0 }}})
+		}()
+		defer server.Close()
+		defer close(listener.conns)
+		near, far := net.Pipe()
+		defer near.Close()
+		listener.conns <- far
+		for range 2 {
+			if _, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+		}
+		close(release)
+		for n := range 2 {
+			if status := statusOf(near); status != http.StatusOK {
+				t.Fatalf("request %d: status %d, %+v", n+1, status, pool.Status())
+			}
+		}
+	})
+}
--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -291,6 +291,10 @@
 	c.charge.handling.Store(false)
 	if c.charge.account != nil {
 		phase, cost := c.phase(c.Requests.Position())
+		if len(c.ahead) > 0 {
+			// The next request may have been read as a whole. The next read tells.
+			phase = intake.Serving
+		}
 		c.charge.account.End(c.charge.intake.Clock(), phase, cost)
 	}
 }
