--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -177,9 +177,14 @@
 	return limit > 0 && position.PartialBytes > limit
 }
 
-// checkHeader returns an error if no further byte is read, because of the header that is partly received or
-// because the connection must make room.
+// checkHeader returns an error if no further byte is read, because of the header that was received or is partly received,
+// or because the connection must make room.
 func (c *ServerConn) checkHeader() error {
+	position := c.Requests.Position()
+	if position.Waiting > 0 && !c.charge.handling.Load() {
+		// net/http has the whole header, and passes it on before it reads any further unless it has refused it.
+		return c.ClosedError()
+	}
 	if c.charge.account == nil {
 		return nil
 	}
@@ -189,7 +194,6 @@
 	if c.charge.handling.Load() {
 		return nil
 	}
-	position := c.Requests.Position()
 	if c.isTooLarge(position) {
 		return c.refuse(ErrHeaderTooLarge)
 	}
@@ -272,15 +276,25 @@
 	return nil
 }
 
-// endCharge releases the memory of the request, and that of a larger receive buffer.
-func (c *ServerConn) endCharge() {
-	c.charge.handling.Store(false)
+// releaseMemory releases the memory of a request whose handler has returned, and that of a larger receive buffer.
+func (c *ServerConn) releaseMemory() {
 	if c.charge.grown {
 		c.charge.grown = false
 		setReceiveBuffer(c.Conn, idleBufferBytes)
 	}
+	c.charge.account.EndHandler()
+}
+
+// endCharge ends the charge of a request whose response was written.
+func (c *ServerConn) endCharge() {
+	c.releaseMemory()
+	c.charge.handling.Store(false)
 	if c.charge.account != nil {
 		phase, cost := c.phase(c.Requests.Position())
+		if len(c.ahead) > 0 {
+			// The next request may have been read as a whole. The next read tells.
+			phase = intake.Serving
+		}
 		c.charge.account.End(c.charge.intake.Clock(), phase, cost)
 	}
 }
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -81,11 +81,11 @@
 	now := time.Now()
 	// Errors mean that the connection is closed. net/http removes both deadlines before the next request.
 	_ = c.Conn.SetWriteDeadline(now.Add(responseTimeout))
-	// Behind another header, the body is that of a later request.
-	if position := c.Requests.Position(); position.InBody && position.Waiting == 0 {
+	// Behind another header, the body is that of a later request. One whose end is not known may be incomplete, too.
+	if position := c.Requests.Position(); position.InBody && position.Waiting == 0 || position.Lost {
 		_ = c.Conn.SetReadDeadline(now.Add(discardTimeout))
 	}
-	c.charge.account.EndHandler()
+	c.releaseMemory()
 }
 
 // EndRequest notes that the response to a request has been written. Until then the connection makes no room for
