--- a/pkg/mesh/streams.go
+++ b/pkg/mesh/streams.go
@@ -30,9 +30,6 @@
 	// findInterval is the time after which a fleet with hubs is searched again. The
 	// origin of a stream that has just begun takes up to two heartbeats to its holders.
 	findInterval = minHubHeartbeatInterval
-	// passedFor is for how long an instance remembers what it has passed on: the time in which a hub
-	// may be silent without being considered down.
-	passedFor = downAfterLargeFleet + maxLate + 2*maxHeartbeatInterval
 	// minLongerHistory is by how much the history of a peer must be longer for this instance to
 	// ask for it. The histories of instances that have run for long differ by the delay of
 	// messages.
@@ -77,35 +74,6 @@
 	m.wakeSenders()
 }
 
-// passedStreams are the streams of this instance and its spokes that it has passed on within
-// passedFor, the oldest first.
-type passedStreams struct {
-	streams []origin.Stream
-	times   []time.Duration
-}
-
-func (p *passedStreams) add(now time.Duration, streams ...origin.Stream) {
-	expired, _ := slices.BinarySearch(p.times, now-passedFor)
-	p.streams = append(slices.Delete(p.streams, 0, expired), streams...)
-	p.times = append(slices.Delete(p.times, 0, expired), slices.Repeat([]time.Duration{now}, len(streams))...)
-}
-
-// since returns the streams that were passed on at the time or later.
-func (p *passedStreams) since(at time.Duration) []origin.Stream {
-	first, _ := slices.BinarySearch(p.times, at)
-	return p.streams[first:]
-}
-
-// passOnAgain passes streams on again if this instance has become a hub or its hub is another one than
-// before. The former hub may have ended without passing them on, and spokes may have known earlier
-// than this instance that it is a hub. m.mu must be held.
-func (m *Mesh) passOnAgain(before topology) {
-	self := m.options.Self.PeerAddress
-	if m.topology.hubs != nil && m.topology.hubs[self] != before.hubs[self] {
-		m.queueStreams("", m.passed.since(m.options.Clock()-passedFor))
-	}
-}
-
 // queueStreams queues the origins of streams for the peers that hold them. This
 // instance's own go to all peers of a full mesh or to its hub, and a hub passes all
 // that it gets to the holders and backups of each stream. m.mu must be held.
