gateway, entry: a caller with a slow link gets its whole response

What callers saw: a response of some hundred kilobytes broke off after 10 s although the caller read all the time (405,444 of 614,400 bytes at 40 kB a second), in join and in serve. The request had run.

Cause: a response that is held as a whole was written in one call, with one timeout for all of it. The timeout is meant for a caller that does not read.

Change: it is that of a block of 32 KiB, as for responses that are copied as they arrive. A caller that reads a block just in time holds its response for longer than before, as it could with those.

TestSlowCallerGetsWholeResponse and TestSlowCallerGetsWholeAnswer failed and pass in two of two runs each. Tests of entry pass.

--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -160,14 +160,17 @@
 // writeTimeout limits one write to a caller that does not read.
 const writeTimeout = 10 * time.Second
 
-// write writes a part of the response body to the caller and flushes it.
+// write writes a part of the response body to the caller and flushes it. Each block has its own time, because a caller
+// with a slow link reads as well.
 func (q *request) write(body []byte) error {
 	control := http.NewResponseController(q.writer)
-	// Setting a deadline fails only for the writers of tests, whose callers do not
-	// stall.
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := q.writer.Write(body); err != nil {
-		return fault.Wrap(fault.CallerGone, err, "cannot write the response to the caller")
+	for block := range slices.Chunk(body, responseBlockBytes) {
+		// Setting a deadline fails only for the writers of tests, whose callers do not
+		// stall.
+		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := q.writer.Write(block); err != nil {
+			return fault.Wrap(fault.CallerGone, err, "cannot write the response to the caller")
+		}
 	}
 	if err := control.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return fault.Wrap(fault.CallerGone, err, "cannot write the response to the caller")
