node: the test of a request that crosses the stop waits for the end of an idle connection

It polled the listener, so that on a busy machine the request may come too late and the test tries again. The check is the same.

--- a/pkg/node/stop_test.go
+++ b/pkg/node/stop_test.go
@@ -26,7 +26,7 @@
 	t.Error("no request got a response")
 }
 
-// callStoppingNode sends a request on an open connection to a node that has just closed its listener, and returns the status
+// callStoppingNode sends a request on an open connection to a node that has begun to close, and returns the status
 // of the response.
 func callStoppingNode(t *testing.T) (status int, err error) {
 	t.Helper()
@@ -54,22 +54,27 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	// A response on another connection shows that this one has been accepted.
-	response, err := http.Get("http://" + n.CallerAddress() + "/v1/models")
+	// The end of an idle connection shows that the node has begun to close, and its response that the other one is accepted.
+	idle, err := net.Dial("tcp", n.CallerAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
-	response.Body.Close()
-	stop()
-	for {
-		other, err := net.Dial("tcp", n.CallerAddress())
-		if err != nil {
-			break
-		}
-		_ = other.Close()
-		time.Sleep(time.Millisecond)
+	defer idle.Close()
+	const request = "GET /v1/models HTTP/1.1\r\nHost: h\r\n\r\n"
+	if _, err := io.WriteString(idle, request); err != nil {
+		t.Fatal(err)
 	}
-	if _, err := io.WriteString(conn, "GET /v1/models HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+	reader := bufio.NewReader(idle)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	_, _ = reader.ReadByte()
+	if _, err := io.WriteString(conn, request); err != nil {
 		return 0, err
 	}
 	response, err = http.ReadResponse(bufio.NewReader(conn), nil)
