netconn: the test of dropped bytes sends more only once the next handler runs

It failed in 1 of 10 runs and in 1 of 40 with the race detector: bytes that arrive between two handlers may stay in the socket, and the test waited for them. The check is the same.

--- a/pkg/netconn/dropped_test.go
+++ b/pkg/netconn/dropped_test.go
@@ -47,12 +47,13 @@
 		t.Fatal(err)
 	}
 	counting := &countingListener{Listener: listener}
-	first, second, bodies := make(chan struct{}), make(chan struct{}), make(chan string, 1)
+	first, began, second, bodies := make(chan struct{}), make(chan struct{}), make(chan struct{}), make(chan string, 1)
 	server := Track(&http.Server{Handler: Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/first":
 			<-first
 		case "/second":
+			close(began)
 			<-second
 		default:
 			body, err := io.ReadAll(r.Body)
@@ -82,6 +83,8 @@
 	if status := statusOf(conn); status != http.StatusOK {
 		t.Fatalf("status %d", status)
 	}
+	// Bytes that arrive before may stay in the socket.
+	<-began
 	send(strings.Repeat("b", sentBytes))
 	close(second)
 	_ = conn.(*net.TCPConn).CloseWrite()
