intake, netconn: connections that cost much for little wait for their turns while an instance is late

Processor time was not charged to connections, so the limiter refused ordinary requests for what the crowd cost.

Each read is now charged its estimated processor time (reads, lines, requests that are pipelined, less what its bytes and handled requests pay for) before its bytes are parsed. While the instance is late, and for 30 s after that, all connections with excess share 5% of a processor, in turns; a read whose turn is more than 2 s away is refused after these 2 s, as not run.

TestCostlyConnectionsWaitWhileInstanceIsLate failed on the code before in its three cases of a late instance (chunks of one byte, empty lines, pipelined requests: all served at once) and passes now.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -92,6 +92,7 @@
 	return netconn.Intake{
 		Pool:        g.options.Intake,
 		Clock:       g.options.Clock,
+		Late:        g.options.Meter.Late,
 		HeaderBytes: func() int { return cmp.Or(g.limits().HeaderBytes, maxHeaderBytes) },
 		WriteError: func(w http.ResponseWriter, failure *fault.Error) {
 			g.options.Metrics.countRefused(failure.Code)
--- a/pkg/intake/account.go
+++ b/pkg/intake/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"sync"
 	"time"
 )
 
@@ -37,6 +38,10 @@
 	// evicted is set once the connection must make room, slotless once it does not count as open any
 	// more, and closed once the account is closed.
 	evicted, slotless, closed bool
+
+	// working guards allowance, the processor time of the connection.
+	working   sync.Mutex
+	allowance allowance
 }
 
 // Verdict says how a connection goes on.
@@ -114,6 +119,7 @@
 	if a == nil {
 		return
 	}
+	a.creditRequest()
 	p := a.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/intake/pool.go
+++ b/pkg/intake/pool.go
@@ -1,5 +1,5 @@
-// Package intake bounds what the connections of callers cost an instance together: memory and
-// descriptors. Each connection has an account, to which bytes are charged before they are parsed. If
+// Package intake bounds what the connections of callers cost an instance together: memory,
+// descriptors and, while the instance is late, processor time. Each connection has an account, to which bytes are charged before they are parsed. If
 // there is no room for a claim, those connections make it that have made no progress for the
 // longest time. The package has no clock and does no I/O.
 package intake
@@ -100,6 +100,8 @@
 	// evictable has the accounts that are not being served, in the order of their last progress.
 	evictable *list.List
 	counts    Counts
+
+	pacer pacer
 }
 
 // NewPool returns a Pool without connections.
@@ -113,6 +115,7 @@
 	Open     int   `json:"open"`
 	Reserved int64 `json:"reserved_bytes"`
 	Counts
+	PacingCounts
 }
 
 // Status returns the open connections, the memory that is in use beyond that of ConnectionBytes for each,
@@ -120,7 +123,7 @@
 func (p *Pool) Status() Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Status{Open: p.open, Reserved: p.reserved, Counts: p.counts}
+	return Status{Open: p.open, Reserved: p.reserved, Counts: p.counts, PacingCounts: p.pacer.status()}
 }
 
 // Add returns the account of a new connection, or false if there is no room for it. Evict is called, in
@@ -136,7 +139,7 @@
 		}
 		evicted.add(victim)
 	}
-	a := &Account{pool: p, evict: evict}
+	a := &Account{pool: p, evict: evict, allowance: allowance{at: now}}
 	fits := p.open < p.limits.Connections && p.used()+ConnectionBytes <= p.limits.Memory
 	if fits {
 		p.open++
--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,8 @@
 	Pool *intake.Pool
 	// Clock is that of the pool.
 	Clock clock.Clock
+	// Late returns the delay of the instance. Without it no connection is paced.
+	Late func() time.Duration
 	// HeaderBytes returns the size above which the rest of a header is not read, or zero. It may be nil.
 	HeaderBytes func() int
 	// WriteError writes the response to a request whose header is not read any further. If it is nil, that of
@@ -62,7 +65,7 @@
 		if i.Pool == nil {
 			return conn, nil
 		}
-		conn.charge = charge{intake: i}
+		conn.charge = charge{intake: i, closed: make(chan struct{})}
 		account, ok := i.Pool.Add(i.Clock(), conn.evict)
 		if ok {
 			conn.charge.account = account
@@ -75,21 +78,24 @@
 // logInterval is the time between two logs of the connections that found no room.
 const logInterval = time.Second
 
-// LogRefusals logs how many connections and requests found no room, until ctx is done.
+// LogRefusals logs how many connections and requests found no room, and how many reads were paced, until ctx is done.
 func (i Intake) LogRefusals(ctx context.Context, logger zerolog.Logger) {
 	if i.Pool == nil {
 		return
 	}
-	logged := i.Pool.Status().Counts
+	logged := i.Pool.Status()
 	for wait.For(ctx, logInterval) {
 		status := i.Pool.Status()
-		if status.Counts == logged {
-			continue
+		if status.Counts != logged.Counts {
+			logger.Warn().Int("refused", status.Refused-logged.Refused).Int("evicted", status.Evicted-logged.Evicted).Int("unpaid", status.Unpaid-logged.Unpaid).
+				Int("open", status.Open).Int64("reserved_bytes", status.Reserved).Int64("limit_bytes", i.Pool.Limits().Memory).Int("limit_connections", i.Pool.Limits().Connections).
+				Msg("callers' connections found no room")
 		}
-		logger.Warn().Int("refused", status.Refused-logged.Refused).Int("evicted", status.Evicted-logged.Evicted).Int("unpaid", status.Unpaid-logged.Unpaid).
-			Int("open", status.Open).Int64("reserved_bytes", status.Reserved).Int64("limit_bytes", i.Pool.Limits().Memory).Int("limit_connections", i.Pool.Limits().Connections).
-			Msg("callers' connections found no room")
-		logged = status.Counts
+		if status.PacingCounts != logged.PacingCounts {
+			logger.Warn().Int("paced", status.Paced-logged.Paced).Int("excessive", status.Excessive-logged.Excessive).Int("open", status.Open).
+				Msg("costly reads of callers' connections had to wait")
+		}
+		logged = status
 	}
 }
 
@@ -121,6 +127,11 @@
 	account *intake.Account
 	// handling reports whether a handler runs, or its response is not written yet.
 	handling atomic.Bool
+	// charged is the position up to which the work was charged.
+	charged Position
+	// closed is closed by closing, once the connection is closed or must make room.
+	closed  chan struct{}
+	closing sync.Once
 	// grown reports whether the receive buffer has the size for large bodies.
 	grown bool
 }
@@ -140,8 +151,8 @@
 	return intake.Idle, cost
 }
 
-// chargeRead charges bytes that were read, before they are parsed.
-func (c *ServerConn) chargeRead(n int) error {
+// chargeRead charges bytes that were read, before they are parsed. Paced reads wait until their work may be done.
+func (c *ServerConn) chargeRead(n int, paced bool) error {
 	account := c.charge.account
 	if account == nil {
 		return nil
@@ -154,7 +165,8 @@
 		}
 		return nil
 	}
-	switch account.Receive(c.charge.intake.Clock(), phase, n, cost) {
+	now := c.charge.intake.Clock()
+	switch account.Receive(now, phase, n, cost) {
 	case intake.Evicted:
 		return c.evictedError(phase)
 	case intake.Unpaid:
@@ -166,9 +178,61 @@
 		}
 		return c.refuse(intake.ErrNoMemory)
 	}
+	if paced && c.charge.intake.Late != nil {
+		return c.awaitTurn(now, n, position)
+	}
 	return nil
 }
 
+// awaitTurn charges the work that n bytes up to a position cause, and waits until it may be done.
+func (c *ServerConn) awaitTurn(now time.Duration, n int, position Position) error {
+	account := c.charge.account
+	charged, handling := c.charge.charged, c.charge.handling.Load()
+	c.charge.charged = position
+	work := intake.Work{Bytes: n, Lines: position.Lines - charged.Lines, Pipelined: countPipelined(charged, position, handling)}
+	pause, ok := account.Charge(now, c.charge.intake.Late, work)
+	switch {
+	case pause == 0:
+		return nil
+	case charged.InBody && c.completing.Load():
+		// What follows is the rest of a body that the handler has not read. Its response must not wait for that.
+		return c.ClosedError()
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.charge.closed:
+		if phase, _ := c.phase(position); account.IsEvicted() {
+			return c.evictedError(phase)
+		}
+		return c.ClosedError()
+	}
+	switch {
+	case ok:
+		return nil
+	case handling:
+		return intake.ErrExcessive
+	}
+	return c.refuse(intake.ErrExcessive)
+}
+
+// countPipelined returns how many headers between two positions arrived before the response to the request before them.
+func countPipelined(from, to Position, handling bool) int {
+	unanswered := to.Waiting
+	if !handling {
+		unanswered--
+	}
+	return max(min(to.Requests-from.Requests, unanswered), 0)
+}
+
+// endPause ends the wait for a turn of a connection that is closed or must make room.
+func (c *charge) endPause() {
+	if c.closed != nil {
+		c.closing.Do(func() { close(c.closed) })
+	}
+}
+
 // isTooLarge reports whether the header that is partly received is above the limit.
 func (c *ServerConn) isTooLarge(position Position) bool {
 	limit := c.charge.intake.headerBytes()
@@ -209,6 +273,7 @@
 
 // evict makes the connection close, or its handler refuse the request whose body it reads.
 func (c *ServerConn) evict(phase intake.Phase) {
+	c.charge.endPause()
 	if phase == intake.Body {
 		// An error means that the connection is closed.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
--- a/pkg/netconn/requestscanner.go
+++ b/pkg/netconn/requestscanner.go
@@ -30,6 +30,8 @@
 	remaining uint64
 	// headers are those of the requests that were not taken yet.
 	headers []RequestHeader
+	// lines and requests are the numbers of complete lines and headers.
+	lines, requests int
 }
 
 // scanState is what the next byte belongs to.
@@ -76,6 +78,7 @@
 			return
 		}
 		s.lineBytes++
+		s.lines++
 		s.endLine()
 		s.line, s.lineBytes, b = s.line[:0], 0, rest
 	}
@@ -101,6 +104,9 @@
 	// Waiting is the number of complete headers that Take has not returned yet, and WaitingBytes and
 	// WaitingLines are the size of the largest one.
 	Waiting, WaitingBytes, WaitingLines int
+	// Lines is the number of complete lines since the connection was opened, also of those between requests and of
+	// those that frame chunks, and Requests that of complete headers.
+	Lines, Requests int
 	// InBody reports whether the end of a body has not been received.
 	InBody bool
 	// Lost reports whether nothing is known of what follows.
@@ -111,7 +117,7 @@
 func (s *RequestScanner) Position() Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := Position{Waiting: len(s.headers), Lost: s.state == scanLost, InBody: s.state != scanHeader && s.state != scanLost}
+	p := Position{Waiting: len(s.headers), Lines: s.lines, Requests: s.requests, Lost: s.state == scanLost, InBody: s.state != scanHeader && s.state != scanLost}
 	for _, h := range s.headers {
 		p.WaitingBytes, p.WaitingLines = max(p.WaitingBytes, h.Bytes), max(p.WaitingLines, h.Lines)
 	}
@@ -197,6 +203,7 @@
 func (s *RequestScanner) endHeader() {
 	h := s.header
 	s.header = scannedHeader{}
+	s.requests++
 	s.headers = append(s.headers, RequestHeader{Bytes: h.bytes, Lines: h.lines, ConflictingLengths: h.hasLength && h.hasCoding})
 	switch {
 	case h.odd || h.hasLength && h.hasCoding:
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -93,6 +93,7 @@
 
 // Close implements net.Conn.
 func (c *ServerConn) Close() error {
+	c.charge.endPause()
 	c.charge.account.Close()
 	return c.Conn.Close()
 }
@@ -107,7 +108,8 @@
 	}
 	n, err := c.read(b)
 	c.Requests.Add(b[:n])
-	if failure := c.chargeRead(n); failure != nil {
+	// A single byte is read beside a handler, which must not be kept from noticing the end of the connection.
+	if failure := c.chargeRead(n, len(b) > 1); failure != nil {
 		return 0, failure
 	}
 	return n, err
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -67,7 +67,7 @@
 		ring:        timeline.NewRing(types.InstanceID(settings.Instance), settings.TimelineEvents, time.Now),
 	}
 	n.logger = logger.With().Str("instance", settings.Instance).Str("incarnation", string(n.incarnation)).Logger()
-	n.intake = netconn.Intake{Pool: intake.NewPool(settings.intakeLimits()), Clock: clock.Boot, HeaderBytes: n.maxForwardedHeader}
+	n.intake = netconn.Intake{Pool: intake.NewPool(settings.intakeLimits()), Clock: clock.Boot, Late: func() time.Duration { return n.roles.Late() }, HeaderBytes: n.maxForwardedHeader}
 	lifecycle, err := newLifecycle(n.logger)
 	if err != nil {
 		return nil, err
--- a/pkg/node/roles.go
+++ b/pkg/node/roles.go
@@ -85,6 +85,9 @@
 	limiter *overload.Limiter
 }
 
+// Late returns how late this instance is with its work.
+func (r *Roles) Late() time.Duration { return r.meter.Late() }
+
 // NewRoles creates the roles of one incarnation and registers their peer methods.
 // Its errors have the code Internal.
 func NewRoles(settings Settings, incarnation types.Incarnation, dependencies Dependencies,
