--- a/pkg/netconn/intake.go
+++ b/pkg/netconn/intake.go
@@ -139,11 +139,13 @@
 // phase returns what the connection does, with the cost of the headers that are not handled yet.
 func (c *ServerConn) phase(position Position) (intake.Phase, int64) {
 	cost := max(intake.HeadCost(position.PartialBytes, position.PartialLines), intake.HeadCost(position.WaitingBytes, position.WaitingLines))
-	begun := c.charge.handling.Load() || position.Waiting > 0
+	handling := c.charge.handling.Load()
+	// A body that is partly received is that of the last header, which may wait behind another request.
+	first := !handling && position.Waiting == 1 || handling && position.Waiting == 0
 	switch {
-	case begun && position.InBody:
+	case first && position.InBody:
 		return intake.Body, cost
-	case begun:
+	case handling || position.Waiting > 0:
 		return intake.Serving, cost
 	case position.PartialBytes > 0 || position.InBody:
 		return intake.Head, cost
@@ -151,8 +153,8 @@
 	return intake.Idle, cost
 }
 
-// chargeRead charges bytes that were read, before they are parsed. Paced reads wait until their work may be done.
-func (c *ServerConn) chargeRead(n int, paced bool) error {
+// chargeRead charges bytes that were read, before they are parsed. Reads that are paced wait until their work may be done.
+func (c *ServerConn) chargeRead(n int) error {
 	account := c.charge.account
 	if account == nil {
 		return nil
@@ -161,14 +163,14 @@
 	phase, cost := c.phase(position)
 	if n == 0 {
 		if account.IsEvicted() {
-			return c.evictedError(phase)
+			return c.evictedError()
 		}
 		return nil
 	}
 	now := c.charge.intake.Clock()
 	switch account.Receive(now, phase, n, cost) {
 	case intake.Evicted:
-		return c.evictedError(phase)
+		return c.evictedError()
 	case intake.Unpaid:
 		switch {
 		case c.charge.handling.Load():
@@ -178,7 +180,7 @@
 		}
 		return c.refuse(intake.ErrNoMemory)
 	}
-	if paced && c.charge.intake.Late != nil {
+	if c.charge.intake.Late != nil {
 		return c.awaitTurn(now, n, position)
 	}
 	return nil
@@ -203,8 +205,8 @@
 	select {
 	case <-timer.C:
 	case <-c.charge.closed:
-		if phase, _ := c.phase(position); account.IsEvicted() {
-			return c.evictedError(phase)
+		if account.IsEvicted() {
+			return c.evictedError()
 		}
 		return c.ClosedError()
 	}
@@ -239,16 +241,19 @@
 	return limit > 0 && position.PartialBytes > limit
 }
 
-// checkHeader returns an error if no further byte is read, because of the header that is partly received or
-// because the connection must make room.
+// checkHeader returns an error if no further byte is read, because of the header that was received or is partly received,
+// or because the connection must make room.
 func (c *ServerConn) checkHeader() error {
+	position := c.Requests.Position()
+	if position.Waiting > 0 && !c.charge.handling.Load() {
+		// net/http has the whole header, and passes it on before it reads any further unless it has refused it.
+		return c.ClosedError()
+	}
 	if c.charge.account == nil {
 		return nil
 	}
-	position := c.Requests.Position()
 	if c.charge.account.IsEvicted() {
-		phase, _ := c.phase(position)
-		return c.evictedError(phase)
+		return c.evictedError()
 	}
 	if c.charge.handling.Load() {
 		return nil
@@ -263,9 +268,10 @@
 	return nil
 }
 
-// evictedError returns the error of a read from a connection that must make room.
-func (c *ServerConn) evictedError(phase intake.Phase) error {
-	if phase == intake.Body {
+// evictedError returns the error of a read from a connection that must make room. It depends on who reads, and not on
+// the bytes: a handler refuses its request, and net/http writes no response to one that it has not read.
+func (c *ServerConn) evictedError() error {
+	if c.charge.handling.Load() {
 		return intake.ErrEvicted
 	}
 	return c.ClosedError()
@@ -324,7 +330,10 @@
 	if c.charge.account == nil {
 		return nil
 	}
-	phase, _ := c.phase(c.Requests.Position())
+	position := c.Requests.Position()
+	// The handler takes its header after this.
+	position.Waiting = max(position.Waiting-1, 0)
+	phase, _ := c.phase(position)
 	c.charge.account.Begin(c.charge.intake.Clock(), phase)
 	if !c.reserve(intake.RequestBytes) {
 		return intake.ErrNoMemory
@@ -332,15 +341,25 @@
 	return nil
 }
 
-// endCharge releases the memory of the request, and that of a larger receive buffer.
-func (c *ServerConn) endCharge() {
-	c.charge.handling.Store(false)
+// releaseMemory releases the memory of a request whose handler has returned, and that of a larger receive buffer.
+func (c *ServerConn) releaseMemory() {
 	if c.charge.grown {
 		c.charge.grown = false
 		setReceiveBuffer(c.Conn, idleBufferBytes)
 	}
+	c.charge.account.EndHandler()
+}
+
+// endCharge ends the charge of a request whose response was written.
+func (c *ServerConn) endCharge() {
+	c.releaseMemory()
+	c.charge.handling.Store(false)
 	if c.charge.account != nil {
 		phase, cost := c.phase(c.Requests.Position())
+		if len(c.ahead) > 0 {
+			// The next request may have been read as a whole. The next read tells.
+			phase = intake.Serving
+		}
 		c.charge.account.End(c.charge.intake.Clock(), phase, cost)
 	}
 }
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -81,10 +81,11 @@
 	now := time.Now()
 	// Errors mean that the connection is closed. net/http removes both deadlines before the next request.
 	_ = c.Conn.SetWriteDeadline(now.Add(responseTimeout))
-	if c.Requests.Position().InBody {
+	// Behind another header, the body is that of a later request. One whose end is not known may be incomplete, too.
+	if position := c.Requests.Position(); position.InBody && position.Waiting == 0 || position.Lost {
 		_ = c.Conn.SetReadDeadline(now.Add(discardTimeout))
 	}
-	c.charge.account.EndHandler()
+	c.releaseMemory()
 }
 
 // EndRequest notes that the response to a request has been written. Until then the connection makes no room for
@@ -108,8 +109,11 @@
 	}
 	n, err := c.read(b)
 	c.Requests.Add(b[:n])
-	// A single byte is read beside a handler, which must not be kept from noticing the end of the connection.
-	if failure := c.chargeRead(n, len(b) > 1); failure != nil {
+	if len(b) == 1 {
+		// The next read pays for it. A failure would lose the byte and cancel the request that is handled.
+		return n, err
+	}
+	if failure := c.chargeRead(n); failure != nil {
 		return 0, failure
 	}
 	return n, err
@@ -156,6 +160,9 @@
 func (c *ServerConn) readAhead(space []byte) error {
 	kept := len(c.ahead)
 	switch {
+	case c.dropped:
+		// What follows is not next to the bytes that are kept.
+		return c.readBeyond()
 	case kept == 0:
 		n, err := c.Conn.Read(space)
 		c.ahead = append(c.ahead, space[:n]...)
