--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -94,6 +94,7 @@
 
 // Close implements net.Conn.
 func (c *ServerConn) Close() error {
+	c.charge.endPause()
 	c.charge.account.Close()
 	return c.Conn.Close()
 }
