simulate: failing test of a shared first part that turns

A part that requests of the site share anyway, and that was answered, crashes engines from a moment on. Played at 58 entries, where a quarter of the long prompts share each first part.

--- a/pkg/simulate/crashingpart.go
+++ b/pkg/simulate/crashingpart.go
@@ -29,6 +29,9 @@
 	Together float64
 	// RestartAfter is the time after which a crashed engine is back.
 	RestartAfter time.Duration
+	// Existing names a part that requests of the site share. It crashes engines from Start on, in
+	// place of a part that is added to a share of the requests.
+	Existing string
 }
 
 // EntryRestart restarts all entries, evenly over a time. They lose their loads and
@@ -63,6 +66,8 @@
 type requestParts struct {
 	// crashes is true if the request holds the crashing part.
 	crashes bool
+	// holdsExisting is true if it holds the existing part that crashes engines later.
+	holdsExisting bool
 	// refused is true if an entry refused the request for one of its parts.
 	refused bool
 	// unsettled is true if the request arrived at an entry that had just restarted.
@@ -135,7 +140,10 @@
 // addParts adds the crashing part to a share of the requests.
 func (sim *simulation) addParts(r *request, names ...string) {
 	r.parts.unsettled = sim.unsettled(r.entry)
-	if crashing := sim.day.CrashingPart; crashing != nil && sim.now >= crashing.Start && sim.parts.random.Float64() < crashing.Share {
+	if crashing := sim.day.CrashingPart; crashing != nil && crashing.Existing != "" {
+		r.parts.holdsExisting = slices.Contains(names, crashing.Existing)
+		r.parts.crashes = r.parts.holdsExisting && sim.now >= crashing.Start
+	} else if crashing != nil && sim.now >= crashing.Start && sim.parts.random.Float64() < crashing.Share {
 		sim.addCrashingPart(r, crashing.Together, names)
 	}
 	if sim.parts.judged {
@@ -166,6 +174,14 @@
 	r.work.Segments = append(r.work.Segments, placement.PromptSegment{ID: string(r.id), Tokens: r.uniqueTokens})
 }
 
+// beginsCrash reports whether the engine that begins an answer to the request crashes.
+func (sim *simulation) beginsCrash(r *request) bool {
+	if r.parts.holdsExisting && r.generatedTokens == 0 && sim.now >= sim.day.CrashingPart.Start {
+		r.parts.crashes = true
+	}
+	return r.parts.crashes
+}
+
 func sessionName(kind *Kind, session int) string { return fmt.Sprint(kind.Name, "-session", session) }
 
 // unsettled reports whether an entry restarted less than knownAfter ago.
--- a/pkg/simulate/crashingpart_test.go
+++ b/pkg/simulate/crashingpart_test.go
@@ -163,6 +163,32 @@
 	})
 }
 
+// fewFirstPartsSite returns a site with many small entries, where a quarter of the long prompts
+// share each first part.
+func fewFirstPartsSite() Site {
+	s := grownBookings()
+	s.Name, s.Engines, s.Entries, s.ReportDelay = "few-first-parts", 36, 58, hubReportDelay
+	s.Kinds = []Kind{longPrompts(72, 597, 3.2, 0.99), shortPrompts(33, 10, 157, 0.77, 0.072)}
+	for i := range s.Kinds {
+		s.Kinds[i].Resent, s.Kinds[i].MaxExecutions = true, i+1
+	}
+	return s
+}
+
+// TestFirstPartThatTurnsIsStopped guards against a shared part that was answered and then crashes
+// engines, and that entries clear again for answers that began before.
+func TestFirstPartThatTurnsIsStopped(t *testing.T) {
+	for seed := uint64(1); seed <= 2; seed++ {
+		d := Day{Length: seconds(18), CrashingPart: &CrashingPart{Start: seconds(4), RestartAfter: seconds(4), Existing: LongPrompts + "-root0"}}
+		use := simulate(fewFirstPartsSite(), d, 1, Product, seed).metrics().Parts
+		logParts(t, "judged", use)
+		if use.Crashes < toleratedCrashes || use.Late > maxLateExecutions {
+			t.Errorf("seed %d: %d executions of requests with the part later than %v after its fifth crash, at most %d are allowed", seed, use.Late, knownAfter, maxLateExecutions)
+		}
+		requireSettledService(t, use, true)
+	}
+}
+
 // TestCrashingPartHarmsFleetsThatIgnoreIt shows that the play has the fault that
 // TestCrashingPartIsStopped guards against.
 func TestCrashingPartHarmsFleetsThatIgnoreIt(t *testing.T) {
--- a/pkg/simulate/simulation.go
+++ b/pkg/simulate/simulation.go
@@ -592,7 +592,7 @@
 				if !ok {
 					continue
 				}
-				if r.parts.crashes {
+				if sim.beginsCrash(r) {
 					sim.crashByPart(id)
 					break
 				}
