quarantine: an answer refutes no crash that came after it began

What callers saw: a part of prompts that had been answered, and that many requests share, began to crash upstreams. Requests with it reached upstreams for up to 9 s after the fifth crash, and those without it found few upstreams left.

Cause: answers of before counted against crashes of after. An instance that had had an answer corrected its peers up to three times, each correction 2 s after the one before, and each erased all their evidence. A stream that had begun before the part turned erased it when it ended. Class: evidence is dated by when it is told, not by when it was true.

Change: an answer refutes the crashes until it began. A correction carries the age of its answer: the peer takes the part for one that was sound, which needs six rounds, and keeps later crashes.

TestPeersAreToldAgainThatAPartIsSound required corrections for an answer of before the crashes, which began again after each correction. It now has the answer behind them, and requires all three corrections; TestAnswerOfBeforeRefutesNoCrash covers the other case.

--- a/pkg/entry/parts.go
+++ b/pkg/entry/parts.go
@@ -79,12 +79,20 @@
 	switch {
 	case len(req.parts) == 0:
 	case result.reason == pool.FinishComplete && stats.tokens > 0:
-		e.quarantine.RecordPartsSound(req.parts)
+		e.quarantine.RecordPartsSound(req.parts, time.Since(stats.began(started)))
 	case result.reason == pool.FinishCrashed && e.options.Probe != nil && stats.mayHaveCrashed(time.Now()):
 		go e.recordPartCrash(req.id, req.parts, to, started)
 	}
 }
 
+// began returns when the answer began, or its attempt if there is no time of a first token.
+func (s attemptStats) began(started time.Time) time.Time {
+	if s.firstTokenAt.IsZero() {
+		return started
+	}
+	return s.firstTokenAt
+}
+
 // mayHaveCrashed reports whether the upstream had only begun to answer.
 func (s attemptStats) mayHaveCrashed(now time.Time) bool {
 	return s.firstTokenAt.IsZero() || now.Sub(s.firstTokenAt) < quarantine.BeginningTime
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -159,13 +159,14 @@
 
 // clearQuarantine removes the request from the quarantine, because an upstream completed
 // it. After a successful response the parts of its prompt count as sound too.
-func (q *request) clearQuarantine(successful bool) {
+func (a *attempt) clearQuarantine(successful bool) {
+	q := a.request
 	g := q.gateway
 	g.mu.Lock()
 	g.quarantine.RecordCompletion(q.fingerprint)
 	var cleared []quarantine.Entry
-	if successful {
-		cleared = g.quarantine.RecordPartsSound(g.options.Clock(), q.parts)
+	if successful && a.responded {
+		cleared = g.quarantine.RecordPartsSound(g.options.Clock(), a.respondedAt, q.parts)
 	}
 	g.mu.Unlock()
 	for _, entry := range cleared {
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -58,7 +58,7 @@
 			return result{answered: true, ran: true, outcome: outcome, err: err}
 		}
 	}
-	q.clearQuarantine(response.Status < http.StatusMultipleChoices)
+	a.clearQuarantine(response.Status < http.StatusMultipleChoices)
 	return result{answered: true, outcome: outcome}
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -111,7 +111,7 @@
 		q.setHeader(response)
 		q.writer.WriteHeader(response.Status)
 	}
-	q.clearQuarantine(q.progress.events > 0)
+	a.clearQuarantine(q.progress.events > 0)
 	return result{answered: true, outcome: roster.Completed}
 }
 
--- a/pkg/quarantine/history_test.go
+++ b/pkg/quarantine/history_test.go
@@ -50,7 +50,9 @@
 	answer time.Duration
 	// immediate leaves out the periodic exchanges.
 	immediate bool
-	decide    func(*Table, time.Duration, []Fingerprint) bool
+	// turns is set if requests hold the guilty part before begin too, and are answered.
+	turns  bool
+	decide func(*Table, time.Duration, []Fingerprint) bool
 }
 
 // killPlan describes crashes without a guilty part.
@@ -322,8 +324,7 @@
 		return
 	}
 	middle := w.random.IntN(w.middles)
-	if w.now >= w.begin && w.random.Float64() < w.guiltyShare {
-		r.guilty = true
+	if (w.now >= w.begin || w.turns) && w.random.Float64() < w.guiltyShare {
 		if w.random.Float64() < w.together {
 			middle = 0
 		}
@@ -336,8 +337,12 @@
 	w.attempt(r)
 }
 
+// beginning is the time after which an answer has begun.
+const beginning = 50 * time.Millisecond
+
 // attempt sends the request to an upstream, unless it is refused.
 func (w *world) attempt(r *simulatedRequest) {
+	r.guilty = w.now >= w.begin && slices.Contains(r.parts, guiltyPart)
 	var up []*simulatedUpstream
 	for _, u := range w.upstreams {
 		if u.up {
@@ -357,7 +362,7 @@
 	u := up[w.random.IntN(len(up))]
 	u.running[r] = true
 	if r.guilty {
-		w.after(w.uniform(5*time.Millisecond, 50*time.Millisecond), func() {
+		w.after(w.uniform(5*time.Millisecond, beginning), func() {
 			if u.running[r] {
 				w.crashedAt = append(w.crashedAt, w.now)
 				w.kill(u)
@@ -365,10 +370,11 @@
 		})
 		return
 	}
-	w.after(w.uniform(50*time.Millisecond, w.answer), func() {
+	began := w.now + beginning
+	w.after(w.uniform(beginning, w.answer), func() {
 		if u.running[r] {
 			delete(u.running, r)
-			w.report(r.instance, w.tables[r.instance].RecordPartsSound(w.now, r.parts))
+			w.report(r.instance, w.tables[r.instance].RecordPartsSound(w.now, began, r.parts))
 		}
 	})
 }
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -206,6 +206,11 @@
 	s.crashes = slices.DeleteFunc(s.crashes, func(c partCrash) bool { return c.at < limit })
 }
 
+// crashesAfter returns the crashes after a time.
+func (s *partState) crashesAfter(limit time.Duration) []partCrash {
+	return slices.DeleteFunc(slices.Clone(s.crashes), func(c partCrash) bool { return c.at <= limit })
+}
+
 // roundSizes returns the number of crashes in each round of crashes that are ordered by
 // time.
 func roundSizes(crashes []partCrash) []int {
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -226,22 +226,34 @@
 	return Entry{Fingerprint: fp, Crashes: reports(now, state.crashes), Condemned: state.convicted}
 }
 
-// RecordPartsSound records a complete answer to a request with these parts. It clears
-// them and returns the clearings to report to peers.
-func (t *Table) RecordPartsSound(now time.Duration, parts []Fingerprint) []Entry {
+// RecordPartsSound records a complete answer, which began at a time, to a request with these
+// parts. The part that crashes upstreams does so when an answer begins, so the answer refutes the
+// crashes until then. It clears the parts that have no others, and convicted ones whose others
+// are too few for a part known to be sound. It returns the clearings to report to peers.
+func (t *Table) RecordPartsSound(now, began time.Duration, parts []Fingerprint) []Entry {
 	t.parts.answered = now
 	var cleared []Entry
 	for _, fp := range parts {
 		known, isSound := t.parts.sound.get(now, fp)
-		if !isSound || !known.own || now-known.at >= soundRefresh || known.clearings > 0 {
-			t.parts.sound.put(fp, soundness{at: now, own: true})
+		state, suspected := t.parts.states[fp]
+		crashedSince := suspected && state.lastCrash() > began
+		if crashedSince && state.convicted && rounds(state.crashesAfter(began)) >= doubtRounds {
+			continue
 		}
-		state, ok := t.parts.states[fp]
-		if !ok {
+		answered := began
+		if known.own {
+			answered = max(began, known.answered)
+		}
+		t.parts.sound.put(fp, soundness{at: max(began, known.at), own: true, answered: answered})
+		if !suspected {
+			continue
+		}
+		t.refute(now, fp, began)
+		if crashedSince && !state.convicted {
 			continue
 		}
-		t.deletePart(fp)
 		if !isSound || state.convicted || rounds(state.crashes) >= clearingRounds {
+			// Without an age, because peers date the crashes later than this instance.
 			cleared = append(cleared, Entry{Fingerprint: fp})
 		}
 	}
@@ -252,7 +264,7 @@
 // changed the table.
 func (t *Table) mergePart(now time.Duration, entry Entry) bool {
 	if len(entry.Crashes) == 0 {
-		return t.mergeClearing(now, entry.Fingerprint)
+		return t.mergeClearing(now, entry)
 	}
 	known, isSound := t.parts.sound.get(now, entry.Fingerprint)
 	state := t.partEvidence(now, entry.Fingerprint)
@@ -277,19 +289,36 @@
 	return changed
 }
 
-// mergeClearing clears a part that another instance found to be sound.
-func (t *Table) mergeClearing(now time.Duration, fp Fingerprint) bool {
+// mergeClearing merges that another instance found a part to be sound.
+func (t *Table) mergeClearing(now time.Duration, entry Entry) bool {
+	fp := entry.Fingerprint
+	answered := now - time.Duration(entry.AnsweredMilliseconds)*time.Millisecond
 	known, isSound := t.parts.sound.get(now, fp)
 	t.noteCorrection(now, fp)
 	t.parts.answered = now
-	known.at = now
+	known.at = max(known.at, answered)
 	known.clearings++
+	state, suspected := t.parts.states[fp]
+	if suspected && state.convicted && rounds(state.crashesAfter(answered)) >= doubtRounds {
+		return false
+	}
 	t.parts.sound.put(fp, known)
-	_, suspected := t.parts.states[fp]
-	t.deletePart(fp)
+	t.refute(now, fp, answered)
 	return suspected || !isSound
 }
 
+// refute drops the crashes of a part until a time, and its conviction.
+func (t *Table) refute(now time.Duration, fp Fingerprint, until time.Duration) {
+	state, ok := t.parts.states[fp]
+	if !ok {
+		return
+	}
+	t.deletePart(fp)
+	if later := state.crashesAfter(until); len(later) > 0 {
+		t.putPart(now, fp, &partState{crashes: later})
+	}
+}
+
 // planCorrection schedules a correction if a peer suspects a part that this instance
 // knows to be sound or has convicted. The conviction by a peer replaces a correction.
 func (t *Table) planCorrection(now time.Duration, entry Entry, known soundness, isSound bool, state *partState) {
@@ -353,8 +382,7 @@
 	}
 	known.clearings++
 	t.parts.sound.put(fp, known)
-	t.deletePart(fp)
-	return Entry{Fingerprint: fp}, true
+	return Entry{Fingerprint: fp, AnsweredMilliseconds: (now - known.answered).Milliseconds()}, true
 }
 
 // PartCounts returns the number of parts that are suspected and convicted.
--- a/pkg/quarantine/parts_history_test.go
+++ b/pkg/quarantine/parts_history_test.go
@@ -26,6 +26,7 @@
 	"restarts without state":      func(s *scenario) { s.restarts = 20 },
 	"a flood of parts":            func(s *scenario) { s.unique = 8 },
 	"two minutes":                 func(s *scenario) { s.length = 2 * time.Minute },
+	"a sound part turns":          func(s *scenario) { s.turns, s.upstreams = true, 24 },
 	"slow answers":                func(s *scenario) { s.answer = 3 * time.Second },
 }
 
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -111,30 +111,30 @@
 func TestAnswerBetweenCrashesClears(t *testing.T) {
 	table := jittered(0)
 	last := crashRounds(table, 0, 2, partsOf("p"))
-	if cleared := table.RecordPartsSound(last, partsOf("p")); len(cleared) != 1 || len(cleared[0].Crashes) != 0 {
+	if cleared := table.RecordPartsSound(last, last, partsOf("p")); len(cleared) != 1 || len(cleared[0].Crashes) != 0 {
 		t.Fatal(cleared)
 	}
 	last = crashRounds(table, last+time.Second, 3, partsOf("p"))
 	if isRefused(table, last, "p") {
 		t.Fatal("a part known to be sound was convicted by three rounds")
 	}
-	if cleared := table.RecordPartsSound(last, partsOf("p")); len(cleared) != 1 {
+	if cleared := table.RecordPartsSound(last, last, partsOf("p")); len(cleared) != 1 {
 		t.Fatal(cleared)
 	}
 }
 
 func TestSingleCrashOfASoundPartIsClearedSilently(t *testing.T) {
 	table := jittered(0)
-	table.RecordPartsSound(0, partsOf("p"))
+	table.RecordPartsSound(0, 0, partsOf("p"))
 	crashRounds(table, time.Second, 1, partsOf("p"))
-	if cleared := table.RecordPartsSound(2*time.Second, partsOf("p")); len(cleared) != 0 {
+	if cleared := table.RecordPartsSound(2*time.Second, 2*time.Second, partsOf("p")); len(cleared) != 0 {
 		t.Fatal(cleared)
 	}
 }
 
 func TestPartThatTurnsGuiltyIsConvicted(t *testing.T) {
 	table := jittered(0)
-	table.RecordPartsSound(0, partsOf("g"))
+	table.RecordPartsSound(0, 0, partsOf("g"))
 	last := crashRounds(table, time.Second, doubtRounds-1, partsOf("g"))
 	if isRefused(table, last, "g") {
 		t.Fatal("convicted too early")
@@ -152,7 +152,7 @@
 	if !isRefused(there, last, "p") {
 		t.Fatal("the peer did not adopt the conviction")
 	}
-	there.Merge(last, here.RecordPartsSound(last, partsOf("p")))
+	there.Merge(last, here.RecordPartsSound(last, last, partsOf("p")))
 	if isRefused(there, last, "p") || isRefused(here, last, "p") {
 		t.Fatal("still refused")
 	}
@@ -160,11 +160,13 @@
 
 func TestPeersAreToldAgainThatAPartIsSound(t *testing.T) {
 	knows, suspects := jittered(0.5), jittered(0)
-	knows.RecordPartsSound(0, partsOf("p"))
 	now := crashRounds(suspects, time.Second, 3, partsOf("p"))
+	knows.RecordPartsSound(now, now, partsOf("p"))
+	late := suspects.List(now, 8)
+	answered := now
 	told := 0
 	for range 2 * maxClearings {
-		knows.Merge(now, suspects.List(now, 8))
+		knows.Merge(now, aged(late, now-answered))
 		if len(knows.Corrections(now)) != 0 {
 			t.Fatal("corrected without the delay of this instance")
 		}
@@ -177,13 +179,49 @@
 				t.Fatal("still refused after the correction")
 			}
 		}
-		now = crashRounds(suspects, now+time.Second, 6, partsOf("p"))
+		now += correctionPause
 	}
-	if told == 0 || told > maxClearings {
+	if told != maxClearings {
 		t.Fatalf("%d corrections on the same answer", told)
 	}
 }
 
+// aged returns the entries as reported later.
+func aged(entries []Entry, delay time.Duration) []Entry {
+	var list []Entry
+	for _, entry := range entries {
+		entry.Crashes = slices.Clone(entry.Crashes)
+		for i := range entry.Crashes {
+			entry.Crashes[i].AgeMilliseconds += delay.Milliseconds()
+		}
+		list = append(list, entry)
+	}
+	return list
+}
+
+// TestAnswerOfBeforeRefutesNoCrash guards against a part that turned and is cleared for answers of
+// before, or for one that began before and ends later.
+func TestAnswerOfBeforeRefutesNoCrash(t *testing.T) {
+	knows, suspects := jittered(0), jittered(0)
+	knows.RecordPartsSound(0, 0, partsOf("p"))
+	now := crashRounds(suspects, time.Second, doubtRounds-1, partsOf("p"))
+	knows.Merge(now, suspects.List(now, 8))
+	suspects.Merge(now, knows.Corrections(now+correctionSpread))
+	if isRefused(suspects, now, "p") {
+		t.Error("the peer does not know that the part was sound")
+	}
+	now = crashRounds(suspects, now+time.Second, 1, partsOf("p"))
+	if !isRefused(suspects, now, "p") {
+		t.Error("cleared by an answer that is older than the crashes")
+	}
+	if cleared := suspects.RecordPartsSound(now, 500*time.Millisecond, partsOf("p")); len(cleared) != 0 || !isRefused(suspects, now, "p") {
+		t.Error("cleared by an answer that began before the crashes")
+	}
+	if cleared := suspects.RecordPartsSound(now+time.Second, now, partsOf("p")); len(cleared) != 1 || isRefused(suspects, now+time.Second, "p") {
+		t.Error("not cleared by an answer that began after the crashes")
+	}
+}
+
 func TestHearsayIsNotPassedOnAsACorrection(t *testing.T) {
 	heard, suspects := jittered(0), jittered(0)
 	heard.Merge(0, []Entry{{Fingerprint: FingerprintOfPart("p")}})
@@ -212,7 +250,7 @@
 	table := jittered(0)
 	now := time.Duration(0)
 	for n := range 6 {
-		table.RecordPartsSound(now, partsOf("first"))
+		table.RecordPartsSound(now, now, partsOf("first"))
 		now += time.Second
 		table.RecordPartCrash(now, partsOf("first", "g", fmt.Sprint("m", n)), upstreamID(n), longRun)
 		if n >= 3 {
@@ -259,7 +297,7 @@
 	second.Merge(now, first.List(now, 8))
 	for _, table := range []*Table{first, second} {
 		// With an answer since the convictions, the sentence is long.
-		table.RecordPartsSound(now+time.Second, partsOf("other"))
+		table.RecordPartsSound(now+time.Second, now+time.Second, partsOf("other"))
 		if !isRefused(table, now+time.Second, "a", "b") {
 			t.Fatal("both parts together are let through")
 		}
@@ -284,7 +322,7 @@
 	if isRefused(table, now, "first", "m") {
 		t.Fatal("the part that all requests share is refused")
 	}
-	table.RecordPartsSound(now, partsOf("first", "m"))
+	table.RecordPartsSound(now, now, partsOf("first", "m"))
 	if isRefused(table, now, "first", "x") || !isRefused(table, now, "first", "g") {
 		t.Fatal("after the answer")
 	}
@@ -305,7 +343,7 @@
 func TestTrialAfterTheSentence(t *testing.T) {
 	table := jittered(0.5)
 	now := crashRounds(table, 0, 5, partsOf("g"))
-	table.RecordPartsSound(now, partsOf("other"))
+	table.RecordPartsSound(now, now, partsOf("other"))
 	state := table.parts.states[FingerprintOfPart("g")]
 	length := table.sentence(state)
 	if length != 2*firmSentence {
@@ -343,7 +381,7 @@
 	if length := table.sentence(state); length != shortGrowth*shortSentence {
 		t.Fatalf("after more crashes: %v", length)
 	}
-	table.RecordPartsSound(now, partsOf("other"))
+	table.RecordPartsSound(now, now, partsOf("other"))
 	if table.sentence(state) < firmSentence {
 		t.Fatal(table.sentence(state))
 	}
@@ -355,7 +393,7 @@
 	if isRefused(table, now, "p") {
 		t.Fatal("not tried")
 	}
-	table.RecordPartsSound(now, partsOf("p"))
+	table.RecordPartsSound(now, now, partsOf("p"))
 	if isRefused(table, now, "p") {
 		t.Fatal("not cleared")
 	}
@@ -366,7 +404,7 @@
 	now := crashRounds(first, 0, 5, partsOf("g"))
 	second.Merge(now, first.List(now, 8))
 	for _, table := range []*Table{first, second} {
-		table.RecordPartsSound(now+time.Second, partsOf("other"))
+		table.RecordPartsSound(now+time.Second, now+time.Second, partsOf("other"))
 	}
 	if a, b := first.trialAt(first.parts.states[FingerprintOfPart("g")]), second.trialAt(second.parts.states[FingerprintOfPart("g")]); b-a < firmSentence/10 {
 		t.Fatal(a, b)
@@ -384,7 +422,7 @@
 	if isRefused(table, last, "p") {
 		t.Error("the conviction did not expire")
 	}
-	table.RecordPartsSound(0, partsOf("q"))
+	table.RecordPartsSound(0, 0, partsOf("q"))
 	if _, ok := table.parts.sound.get(soundTTL, FingerprintOfPart("q")); ok {
 		t.Error("the answer did not expire")
 	}
@@ -419,7 +457,7 @@
 func TestSoundMemoryIsBounded(t *testing.T) {
 	table := jittered(0)
 	for n := range 3 * maxSoundParts {
-		table.RecordPartsSound(time.Duration(n)*time.Millisecond, partsOf("kept", fmt.Sprint("x", n)))
+		table.RecordPartsSound(time.Duration(n)*time.Millisecond, time.Duration(n)*time.Millisecond, partsOf("kept", fmt.Sprint("x", n)))
 	}
 	if size := len(table.parts.sound.recent) + len(table.parts.sound.older); size > maxSoundParts {
 		t.Fatal(size)
@@ -474,11 +512,11 @@
 func TestAnswersAllocateNothing(t *testing.T) {
 	table := jittered(0)
 	parts := partsOf("a", "b", "c")
-	table.RecordPartsSound(0, parts)
+	table.RecordPartsSound(0, 0, parts)
 	now := time.Duration(0)
 	allocations := testing.AllocsPerRun(100, func() {
 		now += time.Second
-		table.RecordPartsSound(now, parts)
+		table.RecordPartsSound(now, now, parts)
 		table.RefusedPart(now, parts)
 	})
 	if allocations != 0 {
@@ -504,7 +542,7 @@
 	now := time.Duration(0)
 	for b.Loop() {
 		now += time.Millisecond
-		table.RecordPartsSound(now, parts)
+		table.RecordPartsSound(now, now, parts)
 	}
 }
 
@@ -514,7 +552,7 @@
 	told := 0
 	end := now + 10*time.Second
 	for ; now < end; now += 100 * time.Millisecond {
-		knows.RecordPartsSound(now, partsOf("p"))
+		knows.RecordPartsSound(now, now, partsOf("p"))
 		knows.Merge(now, suspects.List(now, 8))
 		told += len(knows.Corrections(now))
 	}
@@ -545,7 +583,7 @@
 	crashed := func() (*Table, time.Duration) {
 		table := jittered(0)
 		last := crashRounds(table, 0, 5, partsOf("a", "b"))
-		table.RecordPartsSound(last+100*time.Millisecond, partsOf("other"))
+		table.RecordPartsSound(last+100*time.Millisecond, last+100*time.Millisecond, partsOf("other"))
 		last = crashRounds(table, last+time.Second, 1, partsOf("a", "c"))
 		last = crashRounds(table, last+time.Second, 1, partsOf("b", "d"))
 		if !isRefused(table, last, "b", "d") {
@@ -561,7 +599,7 @@
 	}
 	t.Run("the first is sound", func(t *testing.T) {
 		table, now := crashed()
-		table.RecordPartsSound(now, partsOf("a", "c"))
+		table.RecordPartsSound(now, now, partsOf("a", "c"))
 		if isRefused(table, now, "a", "e") || !isRefused(table, now+trialInterval, "b", "d") {
 			t.Error("after the answer")
 		}
@@ -575,7 +613,7 @@
 		if isRefused(table, now, "b", "d") || !isRefused(table, now, "b", "e") {
 			t.Error("not exactly one request with the other part is let through")
 		}
-		table.RecordPartsSound(now, partsOf("b", "d"))
+		table.RecordPartsSound(now, now, partsOf("b", "d"))
 		if isRefused(table, now, "b", "e") || !isRefused(table, now+trialInterval, "a", "e") {
 			t.Error("after the answer")
 		}
@@ -588,7 +626,7 @@
 func TestPartsOfARequestWaitAtTheSameTime(t *testing.T) {
 	table := jittered(0.5)
 	now := crashRounds(table, 0, 5, partsOf("first", "middle", "g"))
-	table.RecordPartsSound(now+time.Second, partsOf("other"))
+	table.RecordPartsSound(now+time.Second, now+time.Second, partsOf("other"))
 	now += 10 * settleSpread
 	if !isRefused(table, now, "first", "middle") {
 		t.Fatal("the instance does not wait")
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -168,12 +168,13 @@
 	}
 }
 
-// RecordPartsSound records a complete answer and tells other instances of the parts that it
-// clears; see Table.RecordPartsSound.
-func (q *Quarantine) RecordPartsSound(parts []Fingerprint) {
+// RecordPartsSound records a complete answer that began some time ago and tells other instances of
+// the parts that it clears; see Table.RecordPartsSound.
+func (q *Quarantine) RecordPartsSound(parts []Fingerprint, age time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	cleared := q.table.RecordPartsSound(q.now(), parts)
+	now := q.now()
+	cleared := q.table.RecordPartsSound(now, now-age, parts)
 	for _, entry := range cleared {
 		q.options.Logger.Info().Hex("part", entry.Fingerprint[:]).Msg("part of prompts cleared by an answer")
 	}
--- a/pkg/quarantine/sound.go
+++ b/pkg/quarantine/sound.go
@@ -7,8 +7,6 @@
 	maxSoundParts = 8192
 	// soundTTL is how long a part is known to be sound after an answer.
 	soundTTL = 10 * time.Minute
-	// soundRefresh is the minimum time between two updates of a part's own evidence.
-	soundRefresh = time.Second
 	// maxClearings is the number of times that a part is cleared again on the same
 	// evidence of its own, clearings by other instances included.
 	maxClearings = 3
@@ -18,8 +16,9 @@
 type soundness struct {
 	// at is the time of the last evidence, an answer or a clearing by a peer.
 	at time.Duration
-	// own is set if this instance received an answer itself.
-	own bool
+	// own is set if this instance received an answer itself, the last one at answered.
+	own      bool
+	answered time.Duration
 	// clearings is the number of clearings sent or heard since that answer.
 	clearings int
 }
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -66,6 +66,9 @@
 	Fingerprint Fingerprint   `json:"fingerprint"`
 	Crashes     []CrashReport `json:"strikes"`
 	Condemned   bool          `json:"condemned,omitempty"`
+	// AnsweredMilliseconds is the age of the answer on which a correction rests, an entry of a
+	// part without crashes. It refutes no later crash.
+	AnsweredMilliseconds int64 `json:"answered_ms,omitempty"`
 }
 
 // crash is a CrashReport with the time of the crash on the local clock.
@@ -217,7 +220,7 @@
 		reported := len(entry.Crashes)
 		entry.Crashes = withPossibleAges(entry.Crashes)
 		// An entry of a part without crashes would clear it.
-		if reported > 0 && len(entry.Crashes) == 0 {
+		if reported > 0 && len(entry.Crashes) == 0 || !types.PossibleAge(entry.AnsweredMilliseconds) {
 			continue
 		}
 		if entry.Fingerprint.IsPart() && t.mergePart(now, entry) || !entry.Fingerprint.IsPart() && t.mergeEntry(now, entry) {
--- a/pkg/simulate/crashingpart.go
+++ b/pkg/simulate/crashingpart.go
@@ -260,7 +260,7 @@
 // recordPartsSound records at the entry of a request that an engine completed it.
 func (sim *simulation) recordPartsSound(r *request) {
 	if sim.parts.judged && sim.knowsAttempt(r) {
-		sim.parts.reports.add(r.entry, sim.parts.tables[r.entry].RecordPartsSound(sim.now, r.parts.fingerprints)...)
+		sim.parts.reports.add(r.entry, sim.parts.tables[r.entry].RecordPartsSound(sim.now, r.firstEventAt, r.parts.fingerprints)...)
 	}
 }
 
--- a/pkg/simulate/trials_test.go
+++ b/pkg/simulate/trials_test.go
@@ -31,7 +31,7 @@
 	var tables []*quarantine.Table
 	for entry := range entries {
 		tables = append(tables, newPartTable(entry, entries))
-		tables[entry].RecordPartsSound(0, sound)
+		tables[entry].RecordPartsSound(0, 0, sound)
 	}
 	for i, crash := range crashes {
 		engine := types.UpstreamID(fmt.Sprint("e", i))
@@ -75,7 +75,7 @@
 	for _, entries := range []int{9, 61, 350} {
 		tables := tablesAfterCrashes(entries, crashes, sharedPart)
 		for entry := 0; entry < entries; entry += 10 {
-			tables[entry].RecordPartsSound(2*time.Second, []quarantine.Fingerprint{sharedPart})
+			tables[entry].RecordPartsSound(2*time.Second, 2*time.Second, []quarantine.Fingerprint{sharedPart})
 		}
 		requireFewExecutions(t, crashes, 9*time.Second, tables, request...)
 	}
