--- a/pkg/intake/pacing_test.go
+++ b/pkg/intake/pacing_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/umbercrank/umbercrank/test/fixedseed"
 )
 
 // costlyWork are reads of 4 KiB that cause much work.
