--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -150,24 +150,17 @@
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", headerRequestID,
 }
 
-// writeBlockBytes is how much of an answer is written within one timeout.
-const writeBlockBytes = 32 << 10
-
-// writeTo writes the answer to the caller. The timeout is that of a block, because a caller with a slow link reads as
-// well.
+// writeTo writes the answer to the caller within the timeout.
 func (a *answer) writeTo(w http.ResponseWriter, timeout time.Duration) error {
+	// A writer that does not support deadlines is bounded by the request's context.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
 	copyEndToEndHeaders(w.Header(), a.header)
 	if len(a.body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	w.WriteHeader(a.status)
-	control := http.NewResponseController(w)
-	for block := range slices.Chunk(a.body, writeBlockBytes) {
-		// A writer that does not support deadlines is bounded by the request's context.
-		_ = control.SetWriteDeadline(time.Now().Add(timeout))
-		if _, err := w.Write(block); err != nil {
-			return fault.Wrap(fault.CallerGone, err, "cannot write the answer to the caller").WithRunState(types.Ran)
-		}
+	if _, err := w.Write(a.body); err != nil {
+		return fault.Wrap(fault.CallerGone, err, "cannot write the answer to the caller").WithRunState(types.Ran)
 	}
 	return nil
 }
