--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -268,7 +267,7 @@
 	callers := gateway.NewListener(listener, e.now).WithIntake(e.gateway.Intake())
 	group.Go(func() error { e.gateway.Enforce(taskCtx, callers); return nil })
 	group.Go(func() error { e.gateway.Intake().LogRefusals(taskCtx, e.logger); return nil })
-	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
+	group.Go(func() error { return netconn.IgnoreClosed(server.Serve(callers)) })
 	e.logger.Info().Str("callers", e.settings.CallerAddress).Str("peers", e.settings.PeerAddress).Str("metrics", e.settings.MetricsAddress).Msg("started")
 	var exit time.Duration
 	select {
@@ -311,7 +310,7 @@
 		}
 		server := netconn.NewServer(handler)
 		group.Go(func() error {
-			return ignoreClosed(server.Serve(netconn.ServerListener{Listener: listener, Intake: e.gateway.Intake()}))
+			return netconn.IgnoreClosed(server.Serve(netconn.ServerListener{Listener: listener, Intake: e.gateway.Intake()}))
 		})
 		context.AfterFunc(ctx, func() { _ = server.Close() })
 	}
@@ -335,14 +334,6 @@
 // Accept implements net.Listener.
 func (l *retryingListener) Accept() (net.Conn, error) { return netconn.Accept(l.Listener, l.logger) }
 
-// ignoreClosed drops the error of a server that was closed, or whose listener was.
-func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
 // serving reports whether callers may be sent to this instance.
 func (e *Edge) serving() bool {
 	return !e.stopping.Load() && e.gateway.Catalog() != nil && e.roster.ReadyCount() > 0
--- a/pkg/netconn/stop.go
+++ b/pkg/netconn/stop.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -25,3 +27,11 @@
 		time.Sleep(refuseInterval)
 	}
 }
+
+// IgnoreClosed drops the error of a server that was closed, or whose listener was.
+func IgnoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -217,7 +216,7 @@
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return n.roles.Run(runCtx) })
 	group.Go(func() error { return errorUnlessDone(runCtx, n.peerServer.Serve(runCtx)) })
-	group.Go(func() error { return ignoreServerClosed(n.adminServer.Serve(n.bound(n.listeners.admin))) })
+	group.Go(func() error { return netconn.IgnoreClosed(n.adminServer.Serve(n.bound(n.listeners.admin))) })
 	group.Go(func() error { return n.serveCallers(runCtx) })
 	group.Go(func() error { return n.awaitReady(runCtx) })
 	group.Go(func() error { n.intake.LogRefusals(runCtx, n.logger); return nil })
@@ -241,7 +240,7 @@
 // that is not ready.
 func (n *Node) serveCallers(ctx context.Context) error {
 	context.AfterFunc(ctx, func() { _ = n.callerServer.Close() })
-	return ignoreServerClosed(n.callerServer.Serve(n.bound(n.listeners.callers)))
+	return netconn.IgnoreClosed(n.callerServer.Serve(n.bound(n.listeners.callers)))
 }
 
 // awaitReady moves the lifecycle to serving when the roles are ready.
@@ -253,11 +252,3 @@
 	}
 	return nil
 }
-
-// ignoreServerClosed returns err, or nil if the server or its listener was closed.
-func ignoreServerClosed(err error) error {
-	if err == http.ErrServerClosed || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
