netconn, gateway: the order in which a request is taken stands in one place

The gateway and the handlers of other servers each noted that a handler begins before they took its header, with the same comment, and aborted a request that the scanner does not know. TakeRequest does both. Behaviour stays as it is; tests of netconn, gateway, entry and node pass with the race detector.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -474,11 +474,9 @@
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request) {
 	if caller, ok := netconn.ServerConnOf(r.Context()).(*callerConn); ok {
 		serving := caller.header.startServing()
-		// Before the header is taken, so that the connection does not count as idle in between.
-		failure := caller.BeginRequest()
 		defer caller.EndHandler()
-		header, known := caller.Requests.Take()
-		if !serving || !known {
+		header, failure := caller.TakeRequest()
+		if !serving {
 			panic(http.ErrAbortHandler)
 		}
 		if refusal := g.checkHeader(header); refusal != nil {
--- a/pkg/netconn/serverconn.go
+++ b/pkg/netconn/serverconn.go
@@ -64,6 +64,18 @@
 	return c.beginCharge()
 }
 
+// TakeRequest notes that a handler begins, and returns the header of its request, with an error if there is no memory
+// for it. A request that the scanner has not read as one is aborted. The header is taken last: otherwise the
+// connection would count as idle in between.
+func (c *ServerConn) TakeRequest() (RequestHeader, *fault.Error) {
+	refusal := c.BeginRequest()
+	header, known := c.Requests.Take()
+	if !known {
+		panic(http.ErrAbortHandler)
+	}
+	return header, refusal
+}
+
 // Complete notes that a handler is about to write the end of its response.
 func (c *ServerConn) Complete() { c.completing.Store(true) }
 
@@ -247,14 +259,8 @@
 func CheckedHandler(inner http.Handler, check func(*http.Request, RequestHeader) *fault.Error) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := ServerConnOf(r.Context()).(*ServerConn); ok {
-			// Before the header is taken, so that the connection does not count as idle in between.
-			refusal := conn.BeginRequest()
 			defer conn.EndHandler()
-			header, known := conn.Requests.Take()
-			if !known {
-				// The request was not read as one by the scanner, so it must not run.
-				panic(http.ErrAbortHandler)
-			}
+			header, refusal := conn.TakeRequest()
 			if refusal == nil {
 				refusal = check(r, header)
 			}
