--- a/pkg/intake/account.go
+++ b/pkg/intake/account.go
@@ -113,8 +113,8 @@
 	}
 }
 
-// End notes that the response to a request was written, and releases what is left of its memory. HeadCost is that of the next head, of which a
-// part may have been received.
+// End notes that the response to a request was written, and releases what is left of its memory. HeadCost is
+// that of the next head, of which a part may have been received.
 func (a *Account) End(now time.Duration, phase Phase, headCost int64) {
 	if a == nil {
 		return
--- a/pkg/intake/pool.go
+++ b/pkg/intake/pool.go
@@ -1,7 +1,7 @@
 // Package intake bounds what the connections of callers cost an instance together: memory,
-// descriptors and, while the instance is late, processor time. Each connection has an account, to which bytes are charged before they are parsed. If
-// there is no room for a claim, those connections make it that have made no progress for the
-// longest time. The package has no clock and does no I/O.
+// descriptors and, while the instance is late, processor time. Each connection has an account, to
+// which bytes are charged before they are parsed. If there is no room for a claim, those connections
+// make it that have made no progress for the longest time. The package has no clock and does no I/O.
 package intake
 
 import (
