gateway: the refusal of a server that is no upstream takes no retry

Callers saw: beside an entry with the address of an instance, which refuses to serve as an upstream, 25 of 235 requests were refused with 503 in a fleet of 34 instances after a restart of all, although upstreams were free; none of 236 without the entry.

Cause: each instance tries the entry by itself, and to send the refused request to an upstream counted as a retry. After a restart the retry budget of an instance is nearly empty.

Change: a refusal by a server that has never responded as an upstream is followed by another attempt without a retry. The refused request has probably not reached the service. An upstream that is full names the request in its refusal, so it has responded; its refusals count.

TestRefusalOfForeignServerTakesNoRetry: its cases of a server that is none failed before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -106,7 +106,7 @@
 		if failure != nil {
 			return failure
 		}
-		if q.progress.sends > 0 && q.lastUpstream != "" && !q.retryPaid {
+		if q.progress.sends > 0 && q.lastUpstream != "" && !q.retryPaid && !q.retryFree {
 			if !q.gateway.currentBudget(q.target).Spend() {
 				q.logBudgetExhausted()
 				return q.giveUp("the retry budget is exhausted", nil)
@@ -119,7 +119,7 @@
 		if failure := q.checkPartsBeforeSending(); failure != nil {
 			return failure
 		}
-		q.retryPaid = false
+		q.retryPaid, q.retryFree = false, false
 		result := q.tryUpstream(ctx, choice)
 		for result.successor != nil {
 			result = result.successor.follow()
@@ -400,6 +400,8 @@
 		if invalid.ownFailure {
 			a.keepFailure(response)
 		}
+		// A server that refuses and has never responded as an upstream is probably none.
+		q.retryFree = !invalid.ran && !a.rosterAttempt.Proven()
 		return *invalid
 	}
 	if a.isStream(response) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -282,10 +282,11 @@
 	// bodyAbandoned reports whether the rest of the body is left unread.
 	bodyAbandoned bool
 	progress      progress
-	// retryPaid reports whether the next attempt has been counted as a retry.
-	// permitsRefused counts the permits that were refused.
-	retryPaid      bool
-	permitsRefused int
+	// retryPaid reports whether the next attempt has been counted as a retry, and retryFree whether it is
+	// none because the one before has probably reached no upstream. permitsRefused counts the permits
+	// that were refused.
+	retryPaid, retryFree bool
+	permitsRefused       int
 	// permit is that of the next attempt.
 	permit heldPermit
 	// evacuated is the number of upstreams for whose evacuation the request is refused.
--- a/pkg/gateway/unproven_test.go
+++ b/pkg/gateway/unproven_test.go
@@ -110,3 +110,57 @@
 		})
 	}
 }
+
+// TestRefusalOfForeignServerTakesNoRetry guards against callers that are refused because a server that is no upstream has
+// refused their request and the retry budget is exhausted, as it is after a restart, while upstreams are free.
+func TestRefusalOfForeignServerTakesNoRetry(t *testing.T) {
+	misdirected := respondWith("HTTP/1.1 421 X\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	for name, c := range map[string]struct {
+		foreign responder
+		// answered is the number of requests that the server answers as an upstream at first.
+		answered int
+		// counted reports whether sending the request to another upstream counts as a retry.
+		counted bool
+	}{
+		"another upstream":            {misdirected, 0, false},
+		"refuses without the ID":      {respondWith("HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), 0, false},
+		"is an upstream that is full": {respondWith("HTTP/1.1 503 X\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), 0, true},
+		"was the upstream before":     {misdirected, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				env := newBubbleEnv(t, testRoutes, workFor(0), 0)
+				answered := 0
+				foreign := env.upstream("foreign", func(conn net.Conn, request *http.Request, n int) {
+					if answered++; answered <= c.answered {
+						respondWith(rawResponse(200, plainEvent(1)))(conn, request, n)
+						return
+					}
+					c.foreign(conn, request, n)
+				})
+				env.listForeign("foreign", foreign, 0, nil)
+				for range c.answered {
+					if got := env.call("POST", "/once/", ""); got.status != 200 {
+						t.Fatalf("got %+v", got)
+					}
+				}
+				env.listForeign("foreign", foreign, 1, workFor(60*time.Millisecond))
+				budget, counted := env.gateway.budget("s"), false
+				for range 40 {
+					for budget.Spend() {
+					}
+					before := budget.Usage().Retries
+					got := env.call("POST", "/once/", "")
+					if got.status != 200 && got.status != 503 {
+						t.Fatalf("got %+v", got)
+					}
+					counted = counted || got.status == 503 || budget.Usage().Retries > before
+					time.Sleep(50 * time.Millisecond)
+				}
+				if reached := answered > c.answered; !reached || counted != c.counted {
+					t.Errorf("the server was reached %t, a retry was needed %t, want %t", reached, counted, c.counted)
+				}
+			})
+		})
+	}
+}
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -125,6 +125,13 @@
 	}
 }
 
+// Proven reports whether the upstream has ever responded to this instance as an upstream does.
+func (a *Attempt) Proven() bool {
+	a.roster.mu.Lock()
+	defer a.roster.mu.Unlock()
+	return a.upstream != nil && a.upstream.proven
+}
+
 // End removes the attempt from the upstream's load and updates the upstream's
 // health from the outcome. It returns for how long this ejects an upstream that was not
 // ejected, or zero.
