configservice: an odd item of the instance list does not hide the others

Cause: the list was decoded as a whole. An instance whose list cannot be read is not admitted, as it may be cut off from the others.

Change: items are decoded one by one; one that cannot be read, or that has no ID or no peer address, names no instance.

Evidence: TestOddInstanceDoesNotHideTheOthers failed before.

--- a/pkg/configservice/client.go
+++ b/pkg/configservice/client.go
@@ -89,13 +89,23 @@
 	return part, nil
 }
 
-// Instances implements Source.
+// Instances implements Source. An item that cannot be read, or that has no ID or peer address, names no instance;
+// the others hold.
 func (c *Client) Instances(ctx context.Context) ([]types.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	var instances []types.Instance
-	err := c.getJSON(ctx, "/v1/instances", &instances)
-	return instances, err
+	var items []json.RawMessage
+	if err := c.getJSON(ctx, "/v1/instances", &items); err != nil {
+		return nil, err
+	}
+	instances := make([]types.Instance, 0, len(items))
+	for _, item := range items {
+		var instance types.Instance
+		if json.Unmarshal(item, &instance) == nil && instance.ID != "" && instance.PeerAddress != "" {
+			instances = append(instances, instance)
+		}
+	}
+	return instances, nil
 }
 
 // getJSON sends a GET request and decodes the JSON response body into result.
--- a/pkg/configservice/client_test.go
+++ b/pkg/configservice/client_test.go
@@ -42,6 +42,27 @@
 	}
 }
 
+// TestOddInstanceDoesNotHideTheOthers guards against one item of the published list that leaves a starting instance without the
+// whole list.
+func TestOddInstanceDoesNotHideTheOthers(t *testing.T) {
+	const sound = `{"id":"a","data_centre":"dc","caller_address":"127.0.0.1:1","peer_address":"127.0.0.1:2","state":"serving"}`
+	for _, odd := range []string{`5`, `null`, `"x"`, `[]`, `{}`, `{"id":7}`, `{"id":"b"}`, `{"id":"b","peer_address":5}`, `{"id":"b","peer_address":"127.0.0.1:3","state":{}}`, `{"id":"","peer_address":"127.0.0.1:3"}`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("[" + odd + "," + sound + "]")) }))
+		instances, err := NewClient(server.URL, &http.Client{}).Instances(t.Context())
+		server.Close()
+		if err != nil || len(instances) != 1 || instances[0].ID != "a" || instances[0].PeerAddress != "127.0.0.1:2" {
+			t.Errorf("%s: %+v, %v", odd, instances, err)
+		}
+	}
+	for _, body := range []string{``, `5`, `{}`, `[` + sound, `"x"`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+		if instances, err := NewClient(server.URL, &http.Client{}).Instances(t.Context()); err == nil {
+			t.Errorf("%q was read as %+v", body, instances)
+		}
+		server.Close()
+	}
+}
+
 func TestManifestDigestIgnoresPartOrder(t *testing.T) {
 	a, b := PartRef{Name: "a", Digest: "1"}, PartRef{Name: "b", Digest: "2"}
 	one := Manifest{Revision: 1, Parts: []PartRef{a, b}}.Digest()
