gateway: a server that is no upstream does not make a target brittle

An entry named a server that answers with the ID of a request and says that upstreams are brittle.

Cause: what one upstream says of being brittle counts for all of its target for 30 s, and the shares of the instances add up to the slots, so that in a fleet with more instances than slots some have no room anywhere. Neither the mark of an upstream nor an earlier answer with it was needed.

Change: the statement counts if the response has the mark, or if the upstream has responded with it before. The same holds for its end.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -491,7 +491,7 @@
 		// upstream, and being fast it would attract the requests of all others.
 		return failed("the response does not belong to the request, or is not from an upstream: status " + strconv.Itoa(response.Status))
 	}
-	a.rosterAttempt.RecordProof()
+	a.rosterAttempt.RecordAnswer()
 	if q.headerSent && (response.Status != q.status || !a.isStream(response)) {
 		return failed("the stream cannot be resumed: status " + strconv.Itoa(response.Status) + ", type " + strconv.Quote(response.Header.Get("Content-Type")))
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -105,6 +105,8 @@
 	searching func()
 	// size is the number of instances; zero means minBudgetShares.
 	size int
+	// last reports whether this instance comes after all others in every order.
+	last bool
 	// currentLoads are what the keepers of the upstreams' reservations tell.
 	currentLoads map[types.UpstreamID]placement.Load
 
@@ -126,7 +128,7 @@
 func (*recordingFleet) ReportCachedSegments(mesh.CachedSegments) {}
 func (*recordingFleet) ReportStream(origin.Stream)               {}
 func (f *recordingFleet) Peers() []reach.Peer                    { return f.peers }
-func (*recordingFleet) AmongFirst(string, int) bool              { return true }
+func (f *recordingFleet) AmongFirst(string, int) bool            { return !f.last }
 func (f *recordingFleet) FindStream(_ context.Context, key origin.Key) (origin.Origin, bool, bool) {
 	if f.searching != nil {
 		f.searching()
--- a/pkg/gateway/rooms.go
+++ b/pkg/gateway/rooms.go
@@ -220,6 +220,10 @@
 			Msg("upstream names an invalid number of refusals")
 		return
 	}
+	// The statement counts for all upstreams of the target, so it must not be that of another server.
+	if !info.Sealed && !a.rosterAttempt.Answered() {
+		return
+	}
 	if info.Brittle == 0 && !info.Sealed && !info.NotRun {
 		return
 	}
--- a/pkg/gateway/unproven_test.go
+++ b/pkg/gateway/unproven_test.go
@@ -164,3 +164,64 @@
 		})
 	}
 }
+
+// TestForeignServerDoesNotMakeUpstreamsBrittle guards against a server that is no upstream and says that the upstreams of the target
+// are brittle: in a large fleet an instance then has no room at any of them.
+func TestForeignServerDoesNotMakeUpstreamsBrittle(t *testing.T) {
+	for name, head := range map[string]string{
+		"refuses":         "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\n",
+		"fails":           "HTTP/1.1 500 X\r\nId: %s\r\n",
+		"is asleep":       "HTTP/1.1 503 X\r\nId: %s\r\n",
+		"has no mark":     "HTTP/1.1 200 X\r\nId: %s\r\n",
+		"refuses a while": "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nPause: 1\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				env := newBubbleEnv(t, testRoutes, workFor(0), 0)
+				env.fleet.size, env.fleet.last = 100, true
+				foreign := env.upstream("foreign", func(conn net.Conn, request *http.Request, _ int) {
+					_, _ = fmt.Fprintf(conn, head+"Brittle: 1\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+				})
+				env.listForeign("foreign", foreign, 3, workFor(60*time.Millisecond))
+				served := 0
+				for range 200 {
+					if env.call("GET", "/safe/", "").status == 200 {
+						served++
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				if served < 190 {
+					t.Errorf("%d of 200 requests were served", served)
+				}
+			})
+		})
+	}
+}
+
+// TestRefusalOfBrittleUpstreamCounts guards against upstreams that fall over because what they say when they refuse is taken for that
+// of another server.
+func TestRefusalOfBrittleUpstreamCounts(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		env := newBubbleEnv(t, testRoutes, workFor(0), 0)
+		env.listForeign("brittle", env.upstream("brittle", func(conn net.Conn, request *http.Request, n int) {
+			if n == 1 {
+				respondWith(rawResponse(200, plainEvent(1)))(conn, request, n)
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nBrittle: 1\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+		}), 0, nil)
+		for i, want := range []struct {
+			status  int
+			brittle bool
+		}{{200, false}, {503, true}} {
+			got := env.call("GET", "/safe/", "")
+			g := env.gateway
+			g.rooms.mu.Lock()
+			brittle := g.rooms.table.IsBrittle(g.options.Clock(), "s")
+			g.rooms.mu.Unlock()
+			if got.status != want.status || brittle != want.brittle {
+				t.Errorf("request %d: status %d, brittle %t, want %+v", i, got.status, brittle, want)
+			}
+		}
+	})
+}
--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -115,8 +115,7 @@
 	a.measureFirstResponse(now)
 }
 
-// RecordProof records that the upstream has responded as an upstream does, if only to refuse the
-// request or with a failure.
+// RecordProof records that the upstream has refused the request as an upstream does.
 func (a *Attempt) RecordProof() {
 	a.roster.mu.Lock()
 	defer a.roster.mu.Unlock()
@@ -125,6 +124,22 @@
 	}
 }
 
+// RecordAnswer records that the upstream has responded with its mark, which no other server can do.
+func (a *Attempt) RecordAnswer() {
+	a.roster.mu.Lock()
+	defer a.roster.mu.Unlock()
+	if a.upstream != nil {
+		a.upstream.proven, a.upstream.answered = true, true
+	}
+}
+
+// Answered reports whether the upstream has ever responded to this instance with its mark.
+func (a *Attempt) Answered() bool {
+	a.roster.mu.Lock()
+	defer a.roster.mu.Unlock()
+	return a.upstream != nil && a.upstream.answered
+}
+
 // Proven reports whether the upstream has ever responded to this instance as an upstream does.
 func (a *Attempt) Proven() bool {
 	a.roster.mu.Lock()
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -108,8 +108,9 @@
 	stepTime     *estimate.Quantile
 	ejection     time.Duration
 	ejectedUntil time.Duration
-	// proven reports whether the process has responded to this instance as an upstream does.
-	proven bool
+	// proven reports whether the process has responded to this instance as an upstream does, if only to
+	// refuse, and answered whether it has done so with its mark.
+	proven, answered bool
 	// refused reports whether the process has refused a connection, last at refusedAt.
 	refused   bool
 	refusedAt time.Duration
