--- a/pkg/roster/attempt.go
+++ b/pkg/roster/attempt.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// RecordAnswer records that the upstream has responded with its mark, which no other server can do.
+// RecordAnswer records that the upstream has responded with its mark.
 func (a *Attempt) RecordAnswer() {
 	a.roster.mu.Lock()
 	defer a.roster.mu.Unlock()
