--- a/pkg/gateway/unproven_test.go
+++ b/pkg/gateway/unproven_test.go
@@ -30,6 +30,17 @@
 	env.gateway.UpdateUpstreams(list)
 }
 
+// countServed sends requests one after the other and returns how many are served.
+func (env *testEnv) countServed(requests int) (served int) {
+	for range requests {
+		if env.call("GET", "/safe/", "").status == 200 {
+			served++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return served
+}
+
 // TestErrorsOfForeignServerDoNotAttractRequests guards against an entry whose address is that of another
 // HTTP server: its errors are faster than any answer, so that it counted as the best upstream and
 // received nearly all requests.
@@ -40,14 +51,7 @@
 				env := newBubbleEnv(t, testRoutes, workFor(0), 0)
 				foreign := env.upstream("foreign", respondWith(fmt.Sprintf("HTTP/1.1 %d X\r\nId: r1\r\nContent-Length: 0\r\n\r\n", status)))
 				env.listForeign("foreign", foreign, 3, workFor(60*time.Millisecond))
-				served := 0
-				for range 100 {
-					if env.call("GET", "/safe/", "").status == 200 {
-						served++
-					}
-					time.Sleep(50 * time.Millisecond)
-				}
-				if served < 95 {
+				if served := env.countServed(100); served < 95 {
 					t.Errorf("%d of 100 requests were served", served)
 				}
 			})
@@ -183,14 +187,7 @@
 					_, _ = fmt.Fprintf(conn, head+"Brittle: 1\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
 				})
 				env.listForeign("foreign", foreign, 3, workFor(60*time.Millisecond))
-				served := 0
-				for range 200 {
-					if env.call("GET", "/safe/", "").status == 200 {
-						served++
-					}
-					time.Sleep(50 * time.Millisecond)
-				}
-				if served < 190 {
+				if served := env.countServed(200); served < 190 {
 					t.Errorf("%d of 200 requests were served", served)
 				}
 			})
