exhaustion: the test of forwarded requests waits until the executor is known

An instance knows the incarnation of another one only from its first messages, and says so: before that the executor of a key is unknown, and the request may have run there.

Shown by requests each 20 ms from the start: in one of 11 starts the first one got 409 while the addresses of the asked instance lacked the incarnation, and the next one, 32 ms later with the incarnation known, was served; in ten starts it was known from the first request on.

The test now waits for that, and fails if it does not come. It also takes the incarnation of the executor itself: the one at the top of its answer can be that of the asked instance, whose requests are not forwarded.

--- a/test/exhaustion/serve_test.go
+++ b/test/exhaustion/serve_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/umbercrank/umbercrank/pkg/config"
+	"github.com/umbercrank/umbercrank/pkg/directory"
 	"github.com/umbercrank/umbercrank/pkg/standin/configuration"
 	"github.com/umbercrank/umbercrank/pkg/standin/service"
 	"github.com/umbercrank/umbercrank/pkg/types"
@@ -76,20 +77,37 @@
 	}}
 }
 
-// executedBy returns the requests to an endpoint that another instance must execute.
-func executedBy(t *testing.T, e endpoint, executor *instance) endpoint {
+// addressOf asks the instance at a port for callers for the address of an instance.
+func addressOf(t *testing.T, executor *instance, asked string) directory.Address {
 	t.Helper()
-	response, err := http.Get("http://" + executor.addresses["callers"] + "/v1/addresses")
+	response, err := http.Get("http://" + asked + "/v1/addresses")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	var known struct{ Incarnation, Window string }
-	if err := json.NewDecoder(response.Body).Decode(&known); err != nil {
+	var answer directory.Answer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
 		t.Fatal(err)
 	}
+	for _, a := range answer.Addresses {
+		if string(a.Instance) == executor.name {
+			return a
+		}
+	}
+	return directory.Address{}
+}
+
+// executedBy returns the requests to an endpoint that another instance must execute. It waits until
+// the instance at the endpoint knows the incarnation of the other one: before that, the executor of
+// a key is unknown.
+func executedBy(t *testing.T, e endpoint, executor *instance) endpoint {
+	t.Helper()
+	own := addressOf(t, executor, executor.addresses["callers"])
+	if own.Incarnation == "" || !await(func() bool { return addressOf(t, executor, e.address).Incarnation == own.Incarnation }) {
+		t.Fatalf("the instance at %s does not know the incarnation of %s", e.address, executor.name)
+	}
 	e.fields = func(client int) string {
-		return fmt.Sprintf("Host: h.example\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s.%s.card-%d\r\n", serveKey, known.Incarnation, known.Window, client)
+		return fmt.Sprintf("Host: h.example\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s.%s.card-%d\r\n", serveKey, own.Incarnation, own.Window, client)
 	}
 	return e
 }
